--- /dev/null
+++ b/packages/cli/bin/lentillb.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import "../dist/main.js";
--- /dev/null
+++ b/packages/lentillb/src/admin/adminApi.ts
@@ -0,0 +1,271 @@
+/** The administration API of a node. */
+import Router from '@koa/router';
+import Koa from 'koa';
+import type { Context } from 'koa';
+import { HostState } from '@lentillb/protocol';
+import { z } from 'zod';
+import { textOf } from '../distribution/configurationState.js';
+import type { ConfigurationState } from '../distribution/configurationState.js';
+import { PublishResult } from '../distribution/publisher.js';
+import { Deadline } from '../kernel/deadline.js';
+import type { Services } from '../kernel/services.js';
+import { printDifference } from '../rules/lineEdits.js';
+import { MAX_FILE_BYTES, splitLines } from '../rules/ruleFile.js';
+import { readJson } from '../utils/readJson.js';
+import { explain } from './explanation.js';
+
+/** A publication's JSON may be a little longer than its rule file. */
+const MAX_BODY_BYTES = 2 * MAX_FILE_BYTES;
+const MAX_PUBLISH_MS = 120_000;
+const DEFAULT_PUBLISH_MS = 10_000;
+
+const HttpStatus = {
+  Ok: 200,
+  Accepted: 202,
+  BadRequest: 400,
+  NotFound: 404,
+  Conflict: 409,
+  ServiceUnavailable: 503,
+} as const;
+
+const publishStatuses: Record<PublishResult, number> = {
+  [PublishResult.Accepted]: HttpStatus.Ok,
+  [PublishResult.Refused]: HttpStatus.Conflict,
+  [PublishResult.Unknown]: HttpStatus.Accepted,
+};
+
+const publicationSchema = z.strictObject({
+  publishId: z.string().min(1).max(100),
+  base: z.number().int().min(0),
+  author: z.string().min(1).max(100),
+  text: z.string(),
+  timeoutMs: z.number().int().min(1).max(MAX_PUBLISH_MS).default(DEFAULT_PUBLISH_MS),
+});
+
+const diffSchema = z.strictObject({ text: z.string() });
+
+const explainSchema = z.object({
+  method: z.string().regex(/^[A-Z]+$/, 'expected a method in capitals'),
+  path: z.string().startsWith('/', 'expected a path that starts with "/"'),
+});
+
+type Needs = Pick<
+  Services,
+  | 'callRouter'
+  | 'clock'
+  | 'convergence'
+  | 'fleet'
+  | 'fleetView'
+  | 'gate'
+  | 'identity'
+  | 'linkTable'
+  | 'logFollower'
+  | 'publisher'
+  | 'readerRole'
+  | 'settings'
+  | 'tableStore'
+  | 'timeline'
+  | 'versionStore'
+>;
+
+function refuse(context: Context, status: number, error: string): void {
+  context.status = status;
+  context.body = { error };
+}
+
+/** Serves the administration API, version 1. */
+export class AdminApi {
+  private readonly services: Needs;
+
+  constructor(services: Needs) {
+    this.services = services;
+  }
+
+  /** @returns the application to listen with */
+  application(): Koa {
+    const router = new Router({ prefix: '/v1' });
+    router.get('/health', (context) => this.health(context));
+    router.get('/status', (context) => this.status(context));
+    router.get('/configuration', (context) => this.configuration(context));
+    router.get('/history', (context) => this.history(context));
+    router.get('/convergence', (context) => this.convergence(context));
+    router.get('/members', (context) => this.members(context));
+    router.get('/backend-servers', (context) => this.backendServers(context));
+    router.get('/explain', (context) => this.explain(context));
+    router.get('/timeline', (context) => this.timeline(context));
+    router.post('/publish', (context) => this.publish(context));
+    router.post('/diff', (context) => this.diff(context));
+    const application = new Koa();
+    application.use(router.routes()).use(router.allowedMethods());
+    return application;
+  }
+
+  private health(context: Context): void {
+    const { tableStore, versionStore } = this.services;
+    const ready = tableStore.current !== undefined && versionStore.blockedAt === undefined;
+    context.status = ready ? HttpStatus.Ok : HttpStatus.ServiceUnavailable;
+    context.body = {
+      ready,
+      version: versionStore.state?.version ?? 0,
+      blockedAt: versionStore.blockedAt,
+    };
+  }
+
+  private status(context: Context): void {
+    const { callRouter, convergence, fleet, gate, identity, linkTable } = this.services;
+    const { logFollower, readerRole, settings, versionStore } = this.services;
+    context.body = {
+      host: settings.host,
+      zone: settings.zone,
+      region: settings.region,
+      incarnation: identity.incarnation,
+      version: versionStore.state?.version ?? 0,
+      through: versionStore.through,
+      blockedAt: versionStore.blockedAt,
+      reader: readerRole.held,
+      logReachable: logFollower.logReachable,
+      hosts: fleet.present().length,
+      peers: linkTable.open().flatMap((link) => link.host ?? []),
+      callsInFlight: callRouter.inFlight,
+      gateInFlight: gate.inFlight,
+      zones: convergence.report(),
+    };
+  }
+
+  private configuration(context: Context): void {
+    const state = this.stateOr(context);
+    if (state !== undefined) {
+      const { version, lines } = state;
+      context.body = { version, text: textOf(state), lines };
+    }
+  }
+
+  private history(context: Context): void {
+    const state = this.stateOr(context);
+    if (state !== undefined) {
+      context.body = { version: state.version, judgements: state.judgements };
+    }
+  }
+
+  private convergence(context: Context): void {
+    const { convergence, versionStore } = this.services;
+    context.body = {
+      version: versionStore.state?.version ?? 0,
+      zones: convergence.report(),
+      zonesKnown: this.zonesKnown(),
+    };
+  }
+
+  /** Every zone that has hosts, with how many nodes it should have. */
+  private zonesKnown(): readonly { zone: string; nodes: number }[] {
+    const counts = new Map<string, number>();
+    this.services.fleet
+      .present()
+      .filter(({ state }) => state === HostState.LIVE)
+      .forEach(({ zone }) => counts.set(zone, (counts.get(zone) ?? 0) + 1));
+    return [...counts]
+      .map(([zone, nodes]) => ({ zone, nodes }))
+      .sort((left, right) => (left.zone < right.zone ? -1 : 1));
+  }
+
+  private members(context: Context): void {
+    context.body = {
+      members: this.services.fleet.present().map((member) => ({
+        host: member.host,
+        zone: member.zone,
+        region: member.region,
+        state: HostState[member.state]?.toLowerCase(),
+        incarnation: Number(member.incarnation),
+        sequence: member.sequence,
+        address: member.address,
+        callPort: member.callPort,
+        adminPort: member.adminPort,
+      })),
+    };
+  }
+
+  private backendServers(context: Context): void {
+    const { fleetView, tableStore } = this.services;
+    const services = tableStore.current?.serviceNames() ?? [];
+    context.body = {
+      services: services.map((service) => ({
+        service,
+        backendServers: fleetView.endpointsOf(service),
+      })),
+    };
+  }
+
+  private explain(context: Context): void {
+    const asked = explainSchema.safeParse(context.query);
+    if (!asked.success) {
+      refuse(context, HttpStatus.BadRequest, `not explained: ${z.prettifyError(asked.error)}`);
+      return;
+    }
+    const state = this.stateOr(context);
+    if (state !== undefined) {
+      const { method, path: target } = asked.data;
+      const request = { method, target, headers: context.headers };
+      context.body = explain(state, this.services.fleetView, request);
+    }
+  }
+
+  private timeline(context: Context): void {
+    const { identity, settings, timeline } = this.services;
+    const after = Number(context.query.after ?? 0);
+    if (!Number.isInteger(after) || after < 0) {
+      refuse(context, HttpStatus.BadRequest, 'after: expected the sequence of an event');
+      return;
+    }
+    const { host, zone } = settings;
+    const { incarnation } = identity;
+    context.body = { host, zone, incarnation, events: timeline.after(after) };
+  }
+
+  private async publish(context: Context): Promise<void> {
+    const { clock, publisher } = this.services;
+    const publication = await this.parseBody(context, publicationSchema);
+    if (publication !== undefined) {
+      const { timeoutMs, ...rest } = publication;
+      const outcome = await publisher.publish(rest, Deadline.after(clock, timeoutMs));
+      context.status = publishStatuses[outcome.result];
+      context.body = outcome;
+    }
+  }
+
+  private async diff(context: Context): Promise<void> {
+    const given = await this.parseBody(context, diffSchema);
+    const state = given === undefined ? undefined : this.stateOr(context);
+    if (given !== undefined && state !== undefined) {
+      const before = state.lines.map((line) => line.text);
+      const difference = printDifference(before, splitLines(given.text));
+      context.body = { version: state.version, difference };
+    }
+  }
+
+  // eslint-disable-next-line class-methods-use-this -- reads better beside its callers
+  private async parseBody<Value>(
+    context: Context,
+    schema: z.ZodType<Value>,
+  ): Promise<Value | undefined> {
+    const body = await readJson(context.req, MAX_BODY_BYTES);
+    if (body.isErr()) {
+      refuse(context, HttpStatus.BadRequest, `nothing was done: ${body.error}`);
+      return undefined;
+    }
+    const parsed = schema.safeParse(body.value);
+    if (!parsed.success) {
+      const reason = z.prettifyError(parsed.error);
+      refuse(context, HttpStatus.BadRequest, `nothing was done: ${reason}`);
+    }
+    return parsed.data;
+  }
+
+  private stateOr(context: Context): ConfigurationState | undefined {
+    const { state } = this.services.versionStore;
+    if (state === undefined) {
+      const error = 'this node holds no configuration yet; ask again, or ask another node';
+      refuse(context, HttpStatus.ServiceUnavailable, error);
+    }
+    return state;
+  }
+}
--- /dev/null
+++ b/packages/lentillb/src/admin/plugin.ts
@@ -0,0 +1,23 @@
+/** Registers the administration API and its listener. */
+import { asClass } from 'awilix';
+import { plugins } from '../kernel/plugin.js';
+import { AdminApi } from './adminApi.js';
+import { AdminListener } from './adminListener.js';
+
+declare module '../kernel/services.js' {
+  interface Services {
+    readonly adminApi: AdminApi;
+    readonly adminListener: AdminListener;
+  }
+}
+
+plugins.register({
+  name: 'admin',
+  needs: ['distribution', 'gate', 'membership', 'mesh', 'routing', 'timeline'],
+  services: {
+    adminApi: asClass(AdminApi).singleton(),
+    adminListener: asClass(AdminListener).singleton(),
+  },
+  start: ({ adminListener }) => adminListener.listen(),
+  stop: ({ adminListener }, deadline) => adminListener.http.close(deadline),
+});
--- /dev/null
+++ b/packages/lentillb/src/calls/call.ts
@@ -0,0 +1,63 @@
+/** A call on its way through a node, and what can become of it. */
+import type { Readable } from 'node:stream';
+import type { Result } from 'ts-results-es';
+import type { Deadline } from '../kernel/deadline.js';
+import type { Priority } from '../rules/ruleForms.js';
+import type { HeaderFields, Outcome } from './callHeaders.js';
+
+/** A request as it is sent on. */
+export interface CallRequest {
+  readonly requestId: string;
+  readonly method: string;
+  /** Path and query, as received. */
+  readonly target: string;
+  readonly headers: HeaderFields;
+  /** The whole body where it is short, else a stream that can be sent only once. */
+  readonly body: Buffer | Readable | undefined;
+  readonly service: string;
+  readonly backendServer: string;
+  readonly priority: Priority;
+  readonly deadline: Deadline;
+  /** How often the call was sent, this time included. */
+  readonly attempt: number;
+  /** Aborted when the caller goes away or the deadline passes. */
+  readonly signal: AbortSignal;
+}
+
+/** An answer of a backend server. */
+export interface CallAnswer {
+  readonly status: number;
+  readonly headers: HeaderFields;
+  /** Fails where the answer is cut short. */
+  readonly body: Readable;
+}
+
+/** Why a call got no answer. */
+export const FailureReason = {
+  NoConfiguration: 'no-configuration',
+  NoRoute: 'no-route',
+  NoBackendServer: 'no-backend-server',
+  UnknownBackendServer: 'unknown-backend-server',
+  Draining: 'draining',
+  Full: 'full',
+  RateLimited: 'rate-limited',
+  DeadlinePassed: 'deadline-passed',
+  CallerGone: 'caller-gone',
+  ConnectFailed: 'connect-failed',
+  ConnectionLost: 'connection-lost',
+  BodyTooLarge: 'body-too-large',
+} as const;
+export type FailureReason = (typeof FailureReason)[keyof typeof FailureReason];
+
+/** A call that got no answer. */
+export interface CallFailure {
+  readonly outcome: Outcome;
+  readonly reason: FailureReason;
+  /** One line for the caller: what happened, and what to do. */
+  readonly message: string;
+  /** When to come back, in milliseconds. */
+  readonly retryAfterMs?: number;
+}
+
+/** What became of a call. */
+export type CallResult = Result<CallAnswer, CallFailure>;
--- /dev/null
+++ b/packages/lentillb/src/distribution/configurationState.ts
@@ -0,0 +1,160 @@
+/**
+ * The configuration after a number of log records. Whether a record is accepted depends on the
+ * records before it and on nothing else, so every node reaches the same verdict alone.
+ */
+import type { Result } from 'ts-results-es';
+import { Err, Ok } from 'ts-results-es';
+import { printFault } from '../rules/fault.js';
+import { applyEdits } from '../rules/lineEdits.js';
+import type { PlacedRule, RuleFile } from '../rules/ruleFile.js';
+import { joinLines, parseRuleFile } from '../rules/ruleFile.js';
+import type { Judgement, PlainState, PublishRecord } from './configurationRecord.js';
+import { digestOf, Verdict } from './configurationRecord.js';
+
+/** How many verdicts a state remembers. */
+export const JUDGEMENTS_KEPT = 200;
+
+const FAULTS_NOTED = 3;
+const FILE_NAME = 'rules';
+
+/** A line of the rules in force, with the version that brought it. */
+export interface AcceptedLine {
+  readonly text: string;
+  readonly version: number;
+  readonly author: string;
+}
+
+/** The configuration after a number of log records. */
+export interface ConfigurationState {
+  /** The offset of the last record judged. */
+  readonly through: number;
+  /** The offset of the record that is in force; 0 before the first. */
+  readonly version: number;
+  readonly lines: readonly AcceptedLine[];
+  readonly rules: readonly PlacedRule[];
+  /** The latest verdicts, oldest first. */
+  readonly judgements: readonly Judgement[];
+}
+
+/** The state before the first record. */
+export const EMPTY_STATE: ConfigurationState = {
+  through: 0,
+  version: 0,
+  lines: [],
+  rules: [],
+  judgements: [],
+};
+
+/**
+ * @param state - a state
+ * @returns the text of the rule file in force
+ */
+export function textOf(state: Pick<ConfigurationState, 'lines'>): string {
+  return joinLines(state.lines.map((line) => line.text));
+}
+
+interface Candidate {
+  readonly lines: readonly AcceptedLine[];
+  readonly file: RuleFile;
+}
+
+interface Refusal {
+  readonly verdict: Verdict;
+  readonly note: string;
+}
+
+function refuse(verdict: Verdict, note: string): Result<never, Refusal> {
+  return Err({ verdict, note });
+}
+
+function describeConflict(state: ConfigurationState, base: number): string {
+  const first = state.judgements.find(
+    (earlier) => earlier.verdict === Verdict.Accepted && earlier.offset > base,
+  );
+  const winner =
+    first === undefined ? `version ${state.version}` : `${first.author}, version ${first.offset}`;
+  return `edited from version ${base}, but ${winner} was first; edit version ${state.version} instead`;
+}
+
+function buildCandidate(
+  state: ConfigurationState,
+  record: PublishRecord,
+  offset: number,
+): Result<Candidate, Refusal> {
+  const earlier = state.judgements.find((judged) => judged.publishId === record.publishId);
+  if (earlier !== undefined) {
+    return refuse(Verdict.Repeated, `same publish id as the record at offset ${earlier.offset}`);
+  }
+  if (record.base !== state.version) {
+    return refuse(Verdict.Conflict, describeConflict(state, record.base));
+  }
+  const lines = applyEdits<AcceptedLine>(state.lines, record.edits, (text) => ({
+    text,
+    version: offset,
+    author: record.author,
+  }));
+  if (lines.isErr()) {
+    return refuse(Verdict.Invalid, lines.error);
+  }
+  const text = joinLines(lines.value.map((line) => line.text));
+  if (digestOf(text) !== record.digest) {
+    return refuse(Verdict.Invalid, 'content does not match its digest');
+  }
+  const file = parseRuleFile(text);
+  if (file.isErr()) {
+    const shown = file.error.slice(0, FAULTS_NOTED).map((fault) => printFault(FILE_NAME, fault));
+    return refuse(Verdict.Invalid, shown.join(' | '));
+  }
+  return Ok({ lines: lines.value, file: file.value });
+}
+
+/**
+ * Judges a published record.
+ *
+ * @param state - the state before the record
+ * @param record - the record
+ * @param offset - the record's offset
+ * @param appendedAt - when the platform took the record
+ * @returns the state after the record; the last of its judgements is the verdict
+ */
+export function judgeRecord(
+  state: ConfigurationState,
+  record: PublishRecord,
+  offset: number,
+  appendedAt: Date,
+): ConfigurationState {
+  const candidate = buildCandidate(state, record, offset);
+  const { verdict, note } = candidate.isOk()
+    ? { verdict: Verdict.Accepted, note: '' }
+    : candidate.error;
+  const { publishId, author, base } = record;
+  const at = appendedAt.toISOString();
+  const judgement: Judgement = { offset, publishId, verdict, author, base, at, note };
+  const judgements = [...state.judgements, judgement].slice(-JUDGEMENTS_KEPT);
+  if (candidate.isErr()) {
+    return { ...state, through: offset, judgements };
+  }
+  const { lines, file } = candidate.value;
+  return { through: offset, version: offset, lines, rules: file.rules, judgements };
+}
+
+/**
+ * @param state - a state
+ * @returns the state as it travels between nodes and in snapshots
+ */
+export function toPlainState(state: ConfigurationState): PlainState {
+  const { through, version, lines, judgements } = state;
+  return { through, version, lines: [...lines], judgements: [...judgements] };
+}
+
+/**
+ * @param plain - a state that travelled
+ * @returns the state, or why its rules cannot be in force here
+ */
+export function fromPlainState(plain: PlainState): Result<ConfigurationState, string> {
+  const file = parseRuleFile(textOf(plain));
+  if (file.isErr()) {
+    return Err(`state of version ${plain.version} has faulty rules`);
+  }
+  return Ok({ ...plain, rules: file.value.rules });
+}
--- /dev/null
+++ b/packages/lentillb/src/gate/gate.ts
@@ -0,0 +1,138 @@
+/** Admits calls to the backend servers of this host. */
+import { Err } from 'ts-results-es';
+import type { CallFailure, CallRequest, CallResult } from '../calls/call.js';
+import { FailureReason } from '../calls/call.js';
+import type { Release } from '../calls/admissionQueue.js';
+import { AdmissionRefusal } from '../calls/admissionQueue.js';
+import { CallHeader, Outcome } from '../calls/callHeaders.js';
+import { exchange } from '../calls/httpExchange.js';
+import type { Services } from '../kernel/services.js';
+import { ANY_PORT } from '../rules/valueCodecs.js';
+import { EventKind } from '../timeline/event.js';
+import type { LocalServer } from './backendServerRegistry.js';
+import { ServerState } from './backendServerRegistry.js';
+
+/** When to come back to a full backend server, in milliseconds. */
+const FULL_RETRY_AFTER_MS = 1_000;
+
+const refusalReasons: Record<AdmissionRefusal, FailureReason> = {
+  [AdmissionRefusal.Full]: FailureReason.Full,
+  [AdmissionRefusal.DeadlinePassed]: FailureReason.DeadlinePassed,
+  [AdmissionRefusal.Cancelled]: FailureReason.CallerGone,
+};
+
+type Needs = Pick<Services, 'backendServerRegistry' | 'tableStore' | 'timeline'>;
+
+function notRun(reason: FailureReason, message: string, retryAfterMs?: number): CallFailure {
+  return { outcome: Outcome.NotRun, reason, message, retryAfterMs };
+}
+
+/** The gate beside the backend servers of this host. */
+export class Gate {
+  private leaving = false;
+
+  private active = 0;
+
+  private readonly services: Needs;
+
+  constructor(services: Needs) {
+    this.services = services;
+  }
+
+  /** How many calls are at backend servers of this host. */
+  get inFlight(): number {
+    return this.active;
+  }
+
+  /** Takes no new calls from here on; those admitted go on. */
+  leave(): void {
+    this.leaving = true;
+    this.services.backendServerRegistry
+      .all()
+      .forEach(({ admission }) => admission.refuseWaiting());
+  }
+
+  /**
+   * Sends a call to a backend server of this host once it has a free slot.
+   *
+   * @param request - the call
+   * @returns the answer, whose body must be read or destroyed; or why there is none
+   */
+  async call(request: CallRequest): Promise<CallResult> {
+    const { backendServerRegistry, timeline } = this.services;
+    const server = backendServerRegistry.get(request.backendServer);
+    const refusal = this.refusalOf(request, server);
+    if (refusal !== undefined || server === undefined) {
+      return Err(refusal ?? notRun(FailureReason.UnknownBackendServer, 'no such backend server'));
+    }
+    const admitted = await server.admission.admit(request);
+    if (admitted.isErr()) {
+      timeline.record(EventKind.CallShed, {
+        backendServer: server.id,
+        service: server.service,
+        requestId: request.requestId,
+        detail: admitted.error,
+      });
+      const message = `backend server ${server.id}: ${admitted.error}; the call was not run`;
+      return Err(notRun(refusalReasons[admitted.error], message, FULL_RETRY_AFTER_MS));
+    }
+    const after = this.refusalOf(request, backendServerRegistry.get(server.id));
+    if (after !== undefined) {
+      admitted.value();
+      return Err(after);
+    }
+    return this.send(request, server, admitted.value);
+  }
+
+  private refusalOf(
+    request: CallRequest,
+    server: LocalServer | undefined,
+  ): CallFailure | undefined {
+    const { backendServer: id, service } = request;
+    if (server === undefined || server.service !== service) {
+      const message = `backend server ${id} of service "${service}" is not on this host`;
+      return notRun(FailureReason.UnknownBackendServer, message);
+    }
+    const rule = this.services.tableStore.current?.service(service);
+    if (rule !== undefined && rule.port !== ANY_PORT && rule.port !== server.port) {
+      const message = `backend server ${id} listens on port ${server.port}, the rules say ${rule.port}`;
+      return notRun(FailureReason.UnknownBackendServer, message);
+    }
+    if (this.leaving || server.state !== ServerState.Ready) {
+      return notRun(FailureReason.Draining, `backend server ${id} is leaving; try another`);
+    }
+    return undefined;
+  }
+
+  private async send(
+    request: CallRequest,
+    server: LocalServer,
+    release: Release,
+  ): Promise<CallResult> {
+    this.active += 1;
+    const finish = (): void => {
+      this.active -= 1;
+      release();
+    };
+    const result = await exchange(server.pool, {
+      origin: `http://${server.address}:${server.port}`,
+      method: request.method,
+      target: request.target,
+      headers: {
+        ...request.headers,
+        [CallHeader.RequestId]: request.requestId,
+        [CallHeader.DeadlineMs]: String(Math.floor(request.deadline.remainingMs())),
+        [CallHeader.Attempt]: String(request.attempt),
+      },
+      body: request.body,
+      signal: request.signal,
+      toGate: false,
+    });
+    if (result.isErr()) {
+      finish();
+    } else {
+      result.value.body.once('close', finish);
+    }
+    return result;
+  }
+}
--- /dev/null
+++ b/packages/lentillb/src/gate/gateListener.ts
@@ -0,0 +1,78 @@
+/** Takes calls from other nodes for the backend servers of this host. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { Priority } from '../rules/ruleForms.js';
+import { Deadline } from '../kernel/deadline.js';
+import type { Services } from '../kernel/services.js';
+import { CallHeader, numberIn, Outcome, passedOnHeaders } from '../calls/callHeaders.js';
+import { FailureReason } from '../calls/call.js';
+import { readBody } from '../calls/requestBody.js';
+import { respondAnswer, respondFailure } from '../calls/respond.js';
+import { HttpListener } from '../utils/httpListener.js';
+
+/** How long a call may take whose sender names no deadline, in milliseconds. */
+const DEFAULT_DEADLINE_MS = 30_000;
+
+type Needs = Pick<Services, 'announcer' | 'clock' | 'gate' | 'settings'>;
+
+function headerOf(request: IncomingMessage, name: string): string {
+  const value = request.headers[name];
+  return typeof value === 'string' ? value : '';
+}
+
+function priorityOf(request: IncomingMessage): Priority {
+  const given = headerOf(request, CallHeader.Priority);
+  return Object.values(Priority).find((priority) => priority === given) ?? Priority.Normal;
+}
+
+/** Listens on the gate port. */
+export class GateListener {
+  /** The HTTP server under it. */
+  readonly http: HttpListener;
+
+  private readonly services: Needs;
+
+  constructor(services: Needs) {
+    this.services = services;
+    this.http = new HttpListener((request, response) => {
+      this.serve(request, response);
+    });
+  }
+
+  /** Starts listening on the gate port of the settings. */
+  async listen(): Promise<void> {
+    const { announcer, settings } = this.services;
+    announcer.ports.gatePort = await this.http.listen(settings.gatePort, settings.address);
+  }
+
+  private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { clock, gate } = this.services;
+    const gone = new AbortController();
+    response.once('close', () => gone.abort());
+    const body = await readBody(request);
+    if (body.isErr()) {
+      const message = `request body was cut short: ${body.error}`;
+      const reason = FailureReason.CallerGone;
+      respondFailure(response, { outcome: Outcome.NotRun, reason, message });
+      return;
+    }
+    const deadlineMs = numberIn(request.headers, CallHeader.DeadlineMs) ?? DEFAULT_DEADLINE_MS;
+    const result = await gate.call({
+      requestId: headerOf(request, CallHeader.RequestId),
+      method: request.method ?? 'GET',
+      target: request.url ?? '/',
+      headers: passedOnHeaders(request.headers),
+      body: body.value,
+      service: headerOf(request, CallHeader.Service),
+      backendServer: headerOf(request, CallHeader.BackendServer),
+      priority: priorityOf(request),
+      deadline: Deadline.after(clock, deadlineMs),
+      attempt: numberIn(request.headers, CallHeader.Attempt) ?? 1,
+      signal: gone.signal,
+    });
+    if (result.isOk()) {
+      await respondAnswer(response, result.value);
+    } else {
+      respondFailure(response, result.error);
+    }
+  }
+}
--- /dev/null
+++ b/packages/lentillb/src/gate/plugin.ts
@@ -0,0 +1,52 @@
+/** Registers the gate beside the backend servers. */
+import { asClass } from 'awilix';
+import { Deadline } from '../kernel/deadline.js';
+import { plugins } from '../kernel/plugin.js';
+import { BackendServerRegistry } from './backendServerRegistry.js';
+import { Gate } from './gate.js';
+import { GateListener } from './gateListener.js';
+import { LocalListener } from './localListener.js';
+
+declare module '../kernel/services.js' {
+  interface Services {
+    readonly backendServerRegistry: BackendServerRegistry;
+    readonly gate: Gate;
+    readonly gateListener: GateListener;
+    readonly localListener: LocalListener;
+  }
+}
+
+/**
+ * How long a leaving gate goes on refusing calls before it closes, in milliseconds: other nodes
+ * learn of the leaving meanwhile, and a refusal tells them that the call was not run.
+ */
+const SETTLE_MS = 2_000;
+const POLL_MS = 20;
+/** What is left of the deadline for closing connections, in milliseconds. */
+const CLOSE_MS = 1_000;
+
+plugins.register({
+  name: 'gate',
+  needs: ['mesh', 'routing-table'],
+  services: {
+    backendServerRegistry: asClass(BackendServerRegistry).singleton(),
+    gate: asClass(Gate).singleton(),
+    gateListener: asClass(GateListener).singleton(),
+    localListener: asClass(LocalListener).singleton(),
+  },
+  start: async ({ backendServerRegistry, gateListener, localListener, stopping }) => {
+    await gateListener.listen();
+    await localListener.listen();
+    backendServerRegistry.sweep(stopping);
+  },
+  leave: ({ gate }) => gate.leave(),
+  stop: async ({ backendServerRegistry, clock, gate, gateListener, localListener }, deadline) => {
+    const settled = deadline.atMost(SETTLE_MS);
+    while (!settled.expired() || (gate.inFlight > 0 && !deadline.expired())) {
+      await clock.sleep(POLL_MS);
+    }
+    const closing = Deadline.after(clock, CLOSE_MS);
+    await Promise.all([gateListener.http.close(closing), localListener.http.close(closing)]);
+    await backendServerRegistry.close();
+  },
+});
--- /dev/null
+++ b/packages/lentillb/src/kernel/settings.ts
@@ -0,0 +1,140 @@
+/**
+ * The settings of a node. One table gives each setting its flag, environment variable, check and
+ * help; the command line and the operators' page are made from it.
+ */
+import type { Result } from 'ts-results-es';
+import { Err, Ok } from 'ts-results-es';
+import { z } from 'zod';
+
+/** One setting: how it is written, checked and explained. */
+export interface SettingDefinition<Schema extends z.ZodType = z.ZodType> {
+  /** The flag without its leading dashes. */
+  readonly flag: string;
+  /** The environment variable. */
+  readonly variable: string;
+  readonly description: string;
+  readonly schema: Schema;
+}
+
+function define<Schema extends z.ZodType>(
+  flag: string,
+  description: string,
+  schema: Schema,
+): SettingDefinition<Schema> {
+  const variable = `LENTILLB_${flag.replaceAll('-', '_').toUpperCase()}`;
+  return { flag, variable, description, schema };
+}
+
+const MAX_PORT = 65_535;
+
+/** Flags and variables give strings; an empty one counts as not given. */
+const text = z.string().trim().min(1);
+const port = z.coerce.number().int().min(0).max(MAX_PORT);
+const milliseconds = z.coerce.number().int().min(1);
+const addressList = z
+  .string()
+  .trim()
+  .transform((list) => (list === '' ? [] : list.split(',').map((address) => address.trim())))
+  .pipe(z.array(z.string().regex(/^[^\s:]+:\d+$/, 'expected IP:PORT[,IP:PORT...]')));
+
+/** Every setting of a node, by its name in the code. */
+export const settingDefinitions = {
+  host: define('host', 'name of this host, unique in the fleet', text),
+  zone: define('zone', 'availability zone of this host', text),
+  region: define('region', 'region of this host', text.default('region-1')),
+  address: define('address', 'IP number other hosts reach this one by', text.default('127.0.0.1')),
+  callPort: define('call-port', 'port for callers; 0 takes a free one', port.default(7400)),
+  gatePort: define('gate-port', 'port for calls from other nodes', port.default(7401)),
+  peerPort: define('peer-port', 'port for configuration between nodes', port.default(7402)),
+  adminPort: define('admin-port', 'port of the administration API', port.default(7403)),
+  localPort: define(
+    'local-port',
+    'port on which backend servers of this host announce themselves',
+    port.default(7404),
+  ),
+  logUrl: define('log-url', "base URL of the platform's log", z.url({ protocol: /^https?$/ })),
+  peers: define(
+    'peers',
+    'peer addresses to try when the log is down, IP:PORT[,IP:PORT...]',
+    addressList.default([]),
+  ),
+  drainMs: define(
+    'drain-ms',
+    'how long work in flight may take when the node stops',
+    milliseconds.default(10_000),
+  ),
+  leaseMs: define(
+    'lease-ms',
+    'how long a backend server stays announced without renewing',
+    milliseconds.default(5_000),
+  ),
+  statsd: define(
+    'statsd',
+    'StatsD address IP:PORT for metrics; none are sent without it',
+    z
+      .string()
+      .trim()
+      .regex(/^([^\s:]+:\d+)?$/, 'expected IP:PORT')
+      .default(''),
+  ),
+  logLevel: define(
+    'log-level',
+    'least level of log lines written',
+    z.enum(['trace', 'debug', 'info', 'warn', 'error', 'fatal']).default('info'),
+  ),
+  seed: define(
+    'seed',
+    'seed of random choices; 0 takes one from the clock',
+    z.coerce.number().int().min(0).default(0),
+  ),
+} as const;
+
+type Definitions = typeof settingDefinitions;
+
+/** The name of a setting in the code. */
+export type SettingName = keyof Definitions;
+
+/** Checked settings of one node. */
+export type Settings = { readonly [Name in SettingName]: z.output<Definitions[Name]['schema']> };
+
+/** Settings as given on the command line or in a test; undefined where not given. */
+export type GivenSettings = { readonly [Name in SettingName]?: unknown };
+
+/** A setting that was not accepted. */
+export interface SettingFault {
+  readonly setting: SettingName;
+  /** Flag, variable, what is wrong and what to do, in one line. */
+  readonly message: string;
+}
+
+function explain(definition: SettingDefinition, given: unknown, issue: string): string {
+  const what = given === undefined ? 'is required' : `cannot be "${String(given)}": ${issue}`;
+  return `--${definition.flag} (or ${definition.variable}) ${what}; it is the ${definition.description}`;
+}
+
+/**
+ * Checks settings; a flag goes before its environment variable.
+ *
+ * @param flags - values of flags, by setting name
+ * @param environment - environment variables
+ * @returns the checked settings, or every fault at once
+ */
+export function readSettings(
+  flags: GivenSettings,
+  environment: Readonly<Record<string, string | undefined>>,
+): Result<Settings, readonly SettingFault[]> {
+  const faults: SettingFault[] = [];
+  const checked: Record<string, unknown> = {};
+  for (const [key, definition] of Object.entries(settingDefinitions)) {
+    const setting = key as SettingName;
+    const given = flags[setting] ?? (environment[definition.variable] || undefined);
+    const outcome = definition.schema.safeParse(given);
+    if (outcome.success) {
+      checked[setting] = outcome.data;
+    } else {
+      const issue = outcome.error.issues[0]?.message ?? 'not valid';
+      faults.push({ setting, message: explain(definition, given, issue) });
+    }
+  }
+  return faults.length > 0 ? Err(faults) : Ok(checked as Settings);
+}
--- /dev/null
+++ b/packages/lentillb/src/mesh/linkKeeper.ts
@@ -0,0 +1,128 @@
+/** Keeps the links open that the topology asks of this node: one task per peer. */
+import type { Announcement } from '@lentillb/protocol';
+import { LinkRole } from '@lentillb/protocol';
+import type { Services } from '../kernel/services.js';
+import { Link } from '../membership/topology.js';
+import type { Topology } from '../membership/topology.js';
+import { EventKind } from '../timeline/event.js';
+import { Backoff } from '../utils/backoff.js';
+import type { PeerAddress } from './peerDialer.js';
+import { LinkSide, PeerLink } from './peerLink.js';
+
+const RETRY_LEAST_MS = 100;
+const RETRY_MOST_MS = 5_000;
+
+const roles: Record<Link, LinkRole> = {
+  [Link.Parent]: LinkRole.PARENT,
+  [Link.Backup]: LinkRole.BACKUP,
+  [Link.Zone]: LinkRole.ZONE,
+};
+
+type Needs = Pick<
+  Services,
+  | 'clock'
+  | 'convergence'
+  | 'fleet'
+  | 'identity'
+  | 'linkTable'
+  | 'peerDialer'
+  | 'randomness'
+  | 'settings'
+  | 'timeline'
+  | 'versionStore'
+>;
+
+interface KeptLink {
+  readonly link: Link;
+  readonly cancel: AbortController;
+  readonly task: Promise<void>;
+}
+
+function addressOf({ address, peerPort }: Announcement): PeerAddress {
+  return { address, port: peerPort };
+}
+
+/** Opens links and opens them again when they end. */
+export class LinkKeeper {
+  private readonly kept = new Map<string, KeptLink>();
+
+  private stopped = false;
+
+  private readonly services: Needs;
+
+  constructor(services: Needs) {
+    this.services = services;
+  }
+
+  /**
+   * Opens the links of a topology, and closes those it no longer has.
+   *
+   * @param topology - what this node has to do
+   */
+  apply({ links }: Topology): void {
+    if (this.stopped) {
+      return;
+    }
+    this.kept.forEach(({ link, cancel }, host) => {
+      if (links.get(host) !== link) {
+        cancel.abort();
+        this.kept.delete(host);
+      }
+    });
+    links.forEach((link, host) => {
+      if (!this.kept.has(host)) {
+        const cancel = new AbortController();
+        const task = this.keep(host, roles[link], cancel.signal);
+        this.kept.set(host, { link, cancel, task });
+      }
+    });
+  }
+
+  /**
+   * Opens a link for a while, to learn what another node knows.
+   *
+   * @param peer - where the node listens
+   * @param signal - ends the link
+   * @returns whether the other node said hello
+   */
+  async introduce(peer: PeerAddress, signal: AbortSignal): Promise<boolean> {
+    return this.runLink(peer, LinkRole.BACKUP, signal);
+  }
+
+  /** Closes all links. */
+  async close(): Promise<void> {
+    this.stopped = true;
+    const tasks = [...this.kept.values()].map(({ cancel, task }) => {
+      cancel.abort();
+      return task;
+    });
+    await Promise.all(tasks);
+  }
+
+  private async keep(host: string, role: LinkRole, signal: AbortSignal): Promise<void> {
+    const { clock, fleet, randomness } = this.services;
+    const backoff = new Backoff(randomness, RETRY_LEAST_MS, RETRY_MOST_MS);
+    while (!signal.aborted) {
+      const announcement = fleet.get(host);
+      if (announcement !== undefined && (await this.runLink(addressOf(announcement), role, signal))) {
+        backoff.reset();
+      }
+      await clock.sleep(backoff.nextMs(), signal);
+    }
+  }
+
+  private async runLink(peer: PeerAddress, role: LinkRole, signal: AbortSignal): Promise<boolean> {
+    const { linkTable, peerDialer, timeline } = this.services;
+    const link = new PeerLink(this.services, { side: LinkSide.Opened, role });
+    linkTable.add(link);
+    const inbound = peerDialer.open(peer, link.outbound, link.ended);
+    const end = await link.run(inbound, signal);
+    linkTable.remove(link, end);
+    const said = link.host !== undefined;
+    if (!said) {
+      const detail = `no answer from ${peer.address}:${peer.port}: ${end}`;
+      timeline.record(EventKind.PeerLost, { detail });
+    }
+    return said;
+  }
+}
--- /dev/null
+++ b/packages/lentillb/src/mesh/peerDialer.ts
@@ -0,0 +1,89 @@
+/** Opens links to other nodes. */
+import { createClient } from '@connectrpc/connect';
+import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node';
+import type { Client } from '@connectrpc/connect';
+import type { PeerMessage } from '@lentillb/protocol';
+import { Mesh } from '@lentillb/protocol';
+import type { Result } from 'ts-results-es';
+import { Err, Ok } from 'ts-results-es';
+
+/** Where a node listens for links. */
+export interface PeerAddress {
+  readonly address: string;
+  readonly port: number;
+}
+
+/** Connects to other nodes. */
+export interface PeerDialer {
+  /**
+   * Opens a link over a connection of its own.
+   *
+   * @param peer - where the other node listens
+   * @param outbound - the messages to send
+   * @param signal - ends the link
+   * @returns the messages received; reading them fails where the link breaks
+   */
+  open(
+    peer: PeerAddress,
+    outbound: AsyncIterable<PeerMessage>,
+    signal: AbortSignal,
+  ): AsyncIterable<PeerMessage>;
+
+  /**
+   * Asks a node whether it is running.
+   *
+   * @param peer - where the node listens
+   * @param host - the host expected there
+   * @param timeoutMs - when to give up, in milliseconds
+   * @returns the incarnation that answered, or why none did
+   */
+  probe(peer: PeerAddress, host: string, timeoutMs: number): Promise<Result<bigint, string>>;
+}
+
+interface Connection {
+  readonly client: Client<typeof Mesh>;
+  readonly close: () => void;
+}
+
+function connect({ address, port }: PeerAddress): Connection {
+  const baseUrl = `http://${address}:${port}`;
+  const sessionManager = new Http2SessionManager(baseUrl);
+  const transport = createConnectTransport({ baseUrl, httpVersion: '2', sessionManager });
+  return { client: createClient(Mesh, transport), close: () => sessionManager.abort() };
+}
+
+/** Opens links with Connect over HTTP/2. */
+export class ConnectDialer implements PeerDialer {
+  // eslint-disable-next-line class-methods-use-this -- implements the interface
+  async *open(
+    peer: PeerAddress,
+    outbound: AsyncIterable<PeerMessage>,
+    signal: AbortSignal,
+  ): AsyncGenerator<PeerMessage> {
+    const { client, close } = connect(peer);
+    try {
+      yield* client.link(outbound, { signal });
+    } finally {
+      close();
+    }
+  }
+
+  // eslint-disable-next-line class-methods-use-this -- implements the interface
+  async probe(
+    peer: PeerAddress,
+    host: string,
+    timeoutMs: number,
+  ): Promise<Result<bigint, string>> {
+    const { client, close } = connect(peer);
+    try {
+      const response = await client.probe({ host }, { timeoutMs });
+      return response.host === host
+        ? Ok(response.incarnation)
+        : Err(`host "${response.host}" answered in place of "${host}"`);
+    } catch (error) {
+      return Err(error instanceof Error ? error.message : String(error));
+    } finally {
+      close();
+    }
+  }
+}
--- /dev/null
+++ b/packages/lentillb/src/mesh/peerLink.ts
@@ -0,0 +1,358 @@
+/** One open link to another node, on either of its ends. */
+import { create } from '@bufbuild/protobuf';
+import type { Announcement, PeerMessage, Progress } from '@lentillb/protocol';
+import { LinkRole, PeerMessageSchema } from '@lentillb/protocol';
+import { decodeState, encodeState } from '../distribution/configurationRecord.js';
+import { fromPlainState, toPlainState } from '../distribution/configurationState.js';
+import { Offer } from '../distribution/versionStore.js';
+import type { Services } from '../kernel/services.js';
+import { MessageQueue } from '../utils/messageQueue.js';
+
+/** How often a link passes something even if there is nothing to say, in milliseconds. */
+export const HEARTBEAT_MS = 2_000;
+/** After this long without a message a link counts as silent, in milliseconds. */
+export const SILENT_AFTER_MS = 3 * HEARTBEAT_MS;
+/** How long a record may take by its usual way before it is asked for, in milliseconds. */
+const PULL_DELAY_MS = 100;
+/** How many messages may wait for a slow peer before it is dropped. */
+const MAX_QUEUED_MESSAGES = 4_096;
+
+/** Which end of a link a node is. */
+export const LinkSide = { Opened: 'opened', Accepted: 'accepted' } as const;
+export type LinkSide = (typeof LinkSide)[keyof typeof LinkSide];
+
+/** Why a link ended. */
+export const LinkEnd = {
+  Closed: 'closed',
+  Silent: 'silent',
+  Slow: 'slow',
+  Broken: 'broken',
+} as const;
+export type LinkEnd = (typeof LinkEnd)[keyof typeof LinkEnd];
+
+type MessageKind = NonNullable<PeerMessage['kind']['case']>;
+type MessageValue<Kind extends MessageKind> = Extract<
+  PeerMessage['kind'],
+  { case: Kind }
+>['value'];
+
+type Needs = Pick<Services, 'clock' | 'convergence' | 'fleet' | 'identity' | 'settings' | 'versionStore'>;
+
+/** What a link is made from. */
+export interface LinkOptions {
+  readonly side: LinkSide;
+  /** What the opening side uses the link for; learned from its hello on the other side. */
+  readonly role: LinkRole;
+}
+
+/** One open link. */
+export class PeerLink {
+  /** Messages to the other node. */
+  readonly outbound = new MessageQueue<PeerMessage>(MAX_QUEUED_MESSAGES);
+
+  readonly side: LinkSide;
+
+  private linkRole: LinkRole;
+
+  private peerHost: string | undefined;
+
+  /** The last record offset known to be at the other node or on its way there. */
+  private peerThrough = -1;
+
+  private peerProgress: Progress | undefined;
+
+  private lastReceivedMs: number;
+
+  private lastHeartbeat = '';
+
+  private digestDiffered = false;
+
+  private pullPending = false;
+
+  private readonly ending = new AbortController();
+
+  private end: LinkEnd | undefined;
+
+  private readonly handlers: {
+    readonly [Kind in MessageKind]: (value: MessageValue<Kind>) => void;
+  } = {
+    hello: (hello) => {
+      this.peerHost = hello.host;
+      this.peerThrough = Number(hello.through);
+      if (this.side === LinkSide.Accepted) {
+        this.linkRole = hello.role;
+        this.compareBuckets(hello.buckets?.digests ?? []);
+      }
+      this.passRecords();
+      this.pullIfBehind();
+    },
+    heartbeat: (heartbeat) => {
+      this.peerThrough = Math.max(this.peerThrough, Number(heartbeat.through));
+      this.peerProgress = heartbeat.below;
+      this.services.convergence.takeZones(heartbeat.zones);
+      this.services.convergence.refresh();
+      this.compareDigest(heartbeat.digest);
+      this.pullIfBehind();
+    },
+    record: (record) => {
+      const offered = this.services.versionStore.offer({
+        offset: Number(record.offset),
+        appendedAt: new Date(Number(record.appendedAtMs)),
+        data: record.data,
+      });
+      this.peerThrough = Math.max(this.peerThrough, Number(record.offset));
+      if (offered === Offer.Early) {
+        this.pullIfBehind();
+      }
+    },
+    state: ({ data }) => {
+      const state = decodeState(data).andThen(fromPlainState);
+      if (state.isOk()) {
+        this.services.versionStore.adopt(state.value, `host ${this.peerHost}`);
+      }
+    },
+    recordRequest: ({ after }) => this.sendRecordsAfter(Number(after)),
+    announcements: ({ announcements }) =>
+      announcements.forEach((announcement) => this.receiveAnnouncement(announcement)),
+    buckets: ({ digests }) => this.compareBuckets(digests),
+    summaries: ({ buckets, summaries, reply }) => {
+      const news = this.services.fleet.newsFor(buckets, summaries);
+      if (news.length > 0) {
+        this.send('announcements', { announcements: [...news] });
+      }
+      if (reply) {
+        this.sendSummaries(buckets, false);
+      }
+    },
+  };
+
+  /** The announcement being taken in, so that it is not sent back to where it came from. */
+  private receiving: Announcement | undefined;
+
+  constructor(
+    private readonly services: Needs,
+    { side, role }: LinkOptions,
+  ) {
+    this.side = side;
+    this.linkRole = role;
+    this.lastReceivedMs = services.clock.monotonicMs();
+  }
+
+  /** The host at the other end; undefined before its hello. */
+  get host(): string | undefined {
+    return this.peerHost;
+  }
+
+  /** What the opening side uses the link for. */
+  get role(): LinkRole {
+    return this.linkRole;
+  }
+
+  /** Whether the other node is below this one in the tree of its zone. */
+  get toChild(): boolean {
+    return this.side === LinkSide.Accepted && this.linkRole === LinkRole.PARENT;
+  }
+
+  /** Progress of the other node and those below it, as it last said. */
+  get progress(): Progress | undefined {
+    return this.peerProgress;
+  }
+
+  /** Whether announcements are passed on at once. */
+  private get passesAnnouncements(): boolean {
+    return this.linkRole === LinkRole.PARENT || this.linkRole === LinkRole.ZONE;
+  }
+
+  /**
+   * Serves the link until it ends.
+   *
+   * @param inbound - the messages of the other node
+   * @param signal - ends the link
+   * @returns why it ended
+   */
+  async run(inbound: AsyncIterable<PeerMessage>, signal: AbortSignal): Promise<LinkEnd> {
+    const stop = (): void => this.close(LinkEnd.Closed);
+    signal.addEventListener('abort', stop, { once: true });
+    this.sendHello();
+    const heartbeats = this.keepAlive();
+    try {
+      for await (const message of inbound) {
+        this.lastReceivedMs = this.services.clock.monotonicMs();
+        this.receive(message);
+        if (this.ending.signal.aborted) {
+          break;
+        }
+      }
+    } catch {
+      this.end ??= LinkEnd.Broken;
+    } finally {
+      signal.removeEventListener('abort', stop);
+      this.close(LinkEnd.Closed);
+    }
+    await heartbeats;
+    return this.end ?? LinkEnd.Closed;
+  }
+
+  /** Aborted when the link ends; ends the connection under it. */
+  get ended(): AbortSignal {
+    return this.ending.signal;
+  }
+
+  /**
+   * Ends the link.
+   *
+   * @param end - why
+   */
+  close(end: LinkEnd): void {
+    this.end ??= end;
+    this.outbound.close();
+    this.ending.abort();
+  }
+
+  /** Passes new records to a child; tells everybody else that there are some. */
+  passRecords(): void {
+    const { versionStore } = this.services;
+    if (this.toChild && this.peerHost !== undefined && versionStore.through > this.peerThrough) {
+      this.sendRecordsAfter(this.peerThrough);
+    }
+  }
+
+  /**
+   * Passes an announcement on, unless the other node is where it came from.
+   *
+   * @param announcement - an announcement that was new to this node
+   */
+  passAnnouncement(announcement: Announcement): void {
+    if (this.passesAnnouncements && this.receiving !== announcement) {
+      this.send('announcements', { announcements: [announcement] });
+    }
+  }
+
+  /** Sends a heartbeat where it says something the last one did not. */
+  sendNews(): void {
+    const heartbeat = this.heartbeat();
+    const { digest, ...news } = heartbeat;
+    const key = JSON.stringify(news, (_, value: unknown) =>
+      typeof value === 'bigint' ? Number(value) : value,
+    );
+    if (key !== this.lastHeartbeat) {
+      this.lastHeartbeat = key;
+      this.send('heartbeat', heartbeat);
+    }
+  }
+
+  private heartbeat(): {
+    through: bigint;
+    digest: number;
+    below?: Progress;
+    zones: Progress[];
+  } {
+    const { convergence, fleet, versionStore } = this.services;
+    const toParent = this.side === LinkSide.Opened && this.linkRole === LinkRole.PARENT;
+    const passesZones = this.toChild || this.linkRole === LinkRole.ZONE;
+    return {
+      through: BigInt(versionStore.through),
+      digest: fleet.digest(),
+      below: toParent ? convergence.below() : undefined,
+      zones: passesZones ? convergence.zonesFor(this.linkRole) : [],
+    };
+  }
+
+  private async keepAlive(): Promise<void> {
+    const { clock } = this.services;
+    while (!this.ending.signal.aborted) {
+      await clock.sleep(HEARTBEAT_MS, this.ending.signal);
+      if (clock.monotonicMs() - this.lastReceivedMs > SILENT_AFTER_MS) {
+        this.close(LinkEnd.Silent);
+      } else if (!this.ending.signal.aborted) {
+        this.send('heartbeat', { ...this.heartbeat(), zones: [] });
+      }
+    }
+  }
+
+  private receive({ kind }: PeerMessage): void {
+    if (kind.case !== undefined) {
+      const handle = this.handlers[kind.case] as (value: unknown) => void;
+      handle(kind.value);
+    }
+  }
+
+  private receiveAnnouncement(announcement: Announcement): void {
+    this.receiving = announcement;
+    this.services.fleet.merge(announcement);
+    this.receiving = undefined;
+  }
+
+  private sendHello(): void {
+    const { fleet, identity, settings, versionStore } = this.services;
+    this.send('hello', {
+      host: settings.host,
+      zone: settings.zone,
+      incarnation: BigInt(identity.incarnation),
+      role: this.linkRole,
+      through: BigInt(versionStore.through),
+      buckets: { digests: [...fleet.bucketDigests()] },
+    });
+  }
+
+  private sendRecordsAfter(offset: number): void {
+    const { versionStore } = this.services;
+    const records = offset < 0 ? undefined : versionStore.recordsAfter(offset);
+    if (records !== undefined) {
+      records.forEach((record) =>
+        this.send('record', {
+          offset: BigInt(record.offset),
+          appendedAtMs: BigInt(record.appendedAt.getTime()),
+          data: record.data,
+        }),
+      );
+    } else if (versionStore.state !== undefined) {
+      this.send('state', { data: encodeState(toPlainState(versionStore.state)) });
+    }
+    this.peerThrough = Math.max(this.peerThrough, versionStore.through);
+  }
+
+  /** Asks for records the other node has and this one has not, if they do not come by themselves. */
+  private pullIfBehind(): void {
+    const { clock, versionStore } = this.services;
+    if (this.pullPending || this.peerThrough <= versionStore.through) {
+      return;
+    }
+    this.pullPending = true;
+    clock.sleep(PULL_DELAY_MS, this.ending.signal).then(() => {
+      this.pullPending = false;
+      if (!this.ending.signal.aborted && this.peerThrough > versionStore.through) {
+        this.send('recordRequest', { after: BigInt(versionStore.through) });
+      }
+    });
+  }
+
+  /** A difference that lasts over two heartbeats is no message under way: compare in detail. */
+  private compareDigest(digest: number): void {
+    const { fleet } = this.services;
+    const differs = digest !== fleet.digest();
+    if (differs && this.digestDiffered) {
+      this.send('buckets', { digests: [...fleet.bucketDigests()] });
+    }
+    this.digestDiffered = differs && !this.digestDiffered;
+  }
+
+  private compareBuckets(digests: readonly number[]): void {
+    const buckets = this.services.fleet.differingBuckets(digests);
+    if (buckets.length > 0) {
+      this.sendSummaries(buckets, true);
+    }
+  }
+
+  private sendSummaries(buckets: readonly number[], reply: boolean): void {
+    const summaries = this.services.fleet.summaries(buckets);
+    this.send('summaries', { buckets: [...buckets], summaries, reply });
+  }
+
+  private send<Kind extends MessageKind>(kind: Kind, value: unknown): void {
+    const message = create(PeerMessageSchema, { kind: { case: kind, value } } as never);
+    if (!this.outbound.push(message) && !this.ending.signal.aborted) {
+      this.close(LinkEnd.Slow);
+    }
+  }
+}
--- /dev/null
+++ b/packages/lentillb/src/mesh/peerListener.ts
@@ -0,0 +1,94 @@
+/** Takes links from other nodes. */
+import { createServer } from 'node:http2';
+import type { Http2Server, ServerHttp2Session } from 'node:http2';
+import type { AddressInfo } from 'node:net';
+import type { ConnectRouter } from '@connectrpc/connect';
+import { connectNodeAdapter } from '@connectrpc/connect-node';
+import type { PeerMessage } from '@lentillb/protocol';
+import { LinkRole, Mesh } from '@lentillb/protocol';
+import type { Services } from '../kernel/services.js';
+import { LinkSide, PeerLink } from './peerLink.js';
+
+type Needs = Pick<
+  Services,
+  | 'announcer'
+  | 'clock'
+  | 'convergence'
+  | 'fleet'
+  | 'identity'
+  | 'linkTable'
+  | 'settings'
+  | 'versionStore'
+>;
+
+/** Listens for links. */
+export class PeerListener {
+  private readonly closing = new AbortController();
+
+  private readonly sessions = new Set<ServerHttp2Session>();
+
+  private server: Http2Server | undefined;
+
+  private readonly services: Needs;
+
+  constructor(services: Needs) {
+    this.services = services;
+  }
+
+  /** Starts listening on the peer port of the settings. */
+  async listen(): Promise<void> {
+    const { announcer, settings } = this.services;
+    const routes = (router: ConnectRouter): void => {
+      router.service(Mesh, {
+        link: (inbound) => this.accept(inbound),
+        probe: () => ({
+          host: settings.host,
+          incarnation: BigInt(this.services.identity.incarnation),
+        }),
+      });
+    };
+    const server = createServer(connectNodeAdapter({ routes }));
+    server.on('session', (session) => {
+      this.sessions.add(session);
+      session.on('close', () => this.sessions.delete(session));
+    });
+    this.server = server;
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(settings.peerPort, settings.address, resolve);
+    });
+    announcer.ports.peerPort = (server.address() as AddressInfo).port;
+  }
+
+  /** Ends all links and stops listening. */
+  async close(): Promise<void> {
+    this.closing.abort();
+    const { server } = this;
+    if (server !== undefined) {
+      await new Promise<void>((resolve) => {
+        server.close(() => resolve());
+        this.sessions.forEach((session) => session.destroy());
+      });
+    }
+  }
+
+  /**
+   * Serves a link that another node opened.
+   *
+   * @param inbound - the messages of the other node
+   * @returns the messages to it
+   */
+  async *accept(inbound: AsyncIterable<PeerMessage>): AsyncGenerator<PeerMessage> {
+    const { linkTable } = this.services;
+    const role = LinkRole.UNSPECIFIED;
+    const link = new PeerLink(this.services, { side: LinkSide.Accepted, role });
+    linkTable.add(link);
+    const task = link.run(inbound, this.closing.signal);
+    task.then((end) => linkTable.remove(link, end));
+    try {
+      yield* link.outbound;
+    } finally {
+      link.close('closed');
+    }
+  }
+}
--- /dev/null
+++ b/packages/lentillb/src/mesh/plugin.ts
@@ -0,0 +1,71 @@
+/** Registers the links between nodes. */
+import { asClass } from 'awilix';
+import { plugins } from '../kernel/plugin.js';
+import { EventKind } from '../timeline/event.js';
+import { Convergence } from './convergence.js';
+import { LinkKeeper } from './linkKeeper.js';
+import { LinkTable } from './linkTable.js';
+import type { PeerDialer } from './peerDialer.js';
+import { ConnectDialer } from './peerDialer.js';
+import { PeerListener } from './peerListener.js';
+import { ReaderRole } from './readerRole.js';
+import { TopologyView } from './topologyView.js';
+import { Watcher } from './watcher.js';
+
+declare module '../kernel/services.js' {
+  interface Services {
+    readonly convergence: Convergence;
+    readonly linkKeeper: LinkKeeper;
+    readonly linkTable: LinkTable;
+    readonly peerDialer: PeerDialer;
+    readonly peerListener: PeerListener;
+    readonly readerRole: ReaderRole;
+    readonly topologyView: TopologyView;
+    readonly watcher: Watcher;
+  }
+}
+
+/** How long the last announcement has to reach the neighbours, in milliseconds. */
+const LAST_WORD_MS = 50;
+
+plugins.register({
+  name: 'mesh',
+  needs: ['distribution', 'membership'],
+  services: {
+    convergence: asClass(Convergence).singleton(),
+    linkKeeper: asClass(LinkKeeper).singleton(),
+    linkTable: asClass(LinkTable).singleton(),
+    peerDialer: asClass(ConnectDialer).singleton(),
+    peerListener: asClass(PeerListener).singleton(),
+    readerRole: asClass(ReaderRole).singleton(),
+    topologyView: asClass(TopologyView).singleton(),
+    watcher: asClass(Watcher).singleton(),
+  },
+  start: async (services) => {
+    const { convergence, fleet, linkKeeper, linkTable, peerListener } = services;
+    const { readerRole, stopping, topologyView, versionStore, watcher } = services;
+    fleet.subscribe((announcement) => linkTable.passAnnouncement(announcement));
+    versionStore.subscribe(() => {
+      linkTable.passRecords();
+      convergence.refresh();
+    });
+    topologyView.subscribe((topology) => {
+      linkKeeper.apply(topology);
+      readerRole.review();
+      convergence.refresh();
+    });
+    await peerListener.listen();
+    watcher.run(stopping);
+  },
+  leave: ({ announcer, timeline }) => {
+    announcer.announceLeaving();
+    timeline.record(EventKind.NodeLeaving);
+  },
+  stop: async ({ announcer, clock, linkKeeper, peerListener, readerRole }) => {
+    readerRole.giveUp();
+    announcer.announceLeft();
+    await clock.sleep(LAST_WORD_MS);
+    await linkKeeper.close();
+    await peerListener.close();
+  },
+});
--- /dev/null
+++ b/packages/lentillb/src/routing/gateClient.ts
@@ -0,0 +1,74 @@
+/** Sends calls to the gate beside a backend server: in this process, or on another host. */
+import { Agent } from 'undici';
+import type { CallRequest, CallResult } from '../calls/call.js';
+import { CallHeader } from '../calls/callHeaders.js';
+import { exchange } from '../calls/httpExchange.js';
+import type { HeaderFields } from '../calls/callHeaders.js';
+import type { Services } from '../kernel/services.js';
+import type { Endpoint } from '../membership/fleetView.js';
+
+/** The most connections to one gate. */
+const CONNECTIONS_PER_GATE = 128;
+const CONNECT_TIMEOUT_MS = 1_000;
+/** Idle connections are closed well before the gate would close them, in milliseconds. */
+const KEEP_ALIVE_MS = 15_000;
+
+type Needs = Pick<Services, 'gate' | 'settings'>;
+
+/** Reaches gates. */
+export class GateClient {
+  private readonly agent = new Agent({
+    connections: CONNECTIONS_PER_GATE,
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    keepAliveMaxTimeout: KEEP_ALIVE_MS,
+    pipelining: 1,
+  });
+
+  private readonly services: Needs;
+
+  constructor(services: Needs) {
+    this.services = services;
+  }
+
+  /**
+   * Sends a call to a backend server by way of its gate.
+   *
+   * @param endpoint - the backend server
+   * @param request - the call
+   * @returns the answer, or why there is none and whether the call may have run
+   */
+  async call(endpoint: Endpoint, request: CallRequest): Promise<CallResult> {
+    return endpoint.host === this.services.settings.host
+      ? this.services.gate.call(request)
+      : this.callRemote(endpoint, request);
+  }
+
+  /** Closes all connections to gates. */
+  async close(): Promise<void> {
+    await this.agent.destroy();
+  }
+
+  private async callRemote(endpoint: Endpoint, request: CallRequest): Promise<CallResult> {
+    const headers: HeaderFields = {
+      ...request.headers,
+      [CallHeader.RequestId]: request.requestId,
+      [CallHeader.Service]: request.service,
+      [CallHeader.BackendServer]: request.backendServer,
+      [CallHeader.Priority]: request.priority,
+      [CallHeader.DeadlineMs]: String(Math.floor(request.deadline.remainingMs())),
+      [CallHeader.Attempt]: String(request.attempt),
+    };
+    const { method, target, body, signal } = request;
+    const origin = `http://${endpoint.address}:${endpoint.gatePort}`;
+    return exchange(this.agent, {
+      origin,
+      method,
+      target,
+      headers,
+      body,
+      signal,
+      toGate: true,
+    });
+  }
+}
--- /dev/null
+++ b/packages/lentillb/src/rules/ruleForms.ts
@@ -0,0 +1,191 @@
+/**
+ * The grammar: every form a rule line can take, as a table of words and fields. Reading,
+ * printing and the help text all come from this table.
+ */
+import type { ValueCodec } from './valueCodecs.js';
+import {
+  durationCodec,
+  headerNameCodec,
+  headerValueCodec,
+  integerBetween,
+  nameCodec,
+  oneOf,
+  pathPatternCodec,
+  percentCodec,
+  portCodec,
+} from './valueCodecs.js';
+
+/** The methods a route can name. */
+export const RouteMethod = {
+  Get: 'GET',
+  Head: 'HEAD',
+  Post: 'POST',
+  Put: 'PUT',
+  Patch: 'PATCH',
+  Delete: 'DELETE',
+  Options: 'OPTIONS',
+  Any: 'ANY',
+} as const;
+export type RouteMethod = (typeof RouteMethod)[keyof typeof RouteMethod];
+
+/** Whether a request may be sent again after it may have run. */
+export const Repetition = { Once: 'once', Repeat: 'repeat' } as const;
+export type Repetition = (typeof Repetition)[keyof typeof Repetition];
+
+/** How important a route's calls are when not all can be served. */
+export const Priority = { High: 'high', Normal: 'normal', Low: 'low' } as const;
+export type Priority = (typeof Priority)[keyof typeof Priority];
+
+/** Whether calls stay in their availability zone while it has room. */
+export const ZonePreference = { Local: 'local', Any: 'any' } as const;
+export type ZonePreference = (typeof ZonePreference)[keyof typeof ZonePreference];
+
+/** A value at a fixed place of a rule line. */
+export interface Field<Name extends string = string, Value = unknown> {
+  readonly name: Name;
+  readonly codec: ValueCodec<Value>;
+}
+
+/** A part of a form: a literal word, or a field. */
+export type FormPart = string | Field;
+
+function field<Name extends string, Value>(
+  name: Name,
+  codec: ValueCodec<Value>,
+): Field<Name, Value> {
+  return { name, codec };
+}
+
+const MAX_SLOTS = 10_000;
+const MAX_CONNECTIONS = 100_000;
+const MAX_RATE_PER_SECOND = 1_000_000;
+const MAX_CONCURRENCY = 100_000;
+const MAX_QUEUE = 100_000;
+const MAX_ATTEMPTS = 10;
+
+const method = field('method', oneOf(...Object.values(RouteMethod)));
+const path = field('path', pathPatternCodec);
+const rate = field('ratePerSecond', integerBetween('calls per second', 1, MAX_RATE_PER_SECOND));
+const concurrency = field('concurrency', integerBetween('number of calls', 1, MAX_CONCURRENCY));
+const queue = field('queue', integerBetween('queue length', 0, MAX_QUEUE));
+const service = field('service', nameCodec);
+const target = field('target', nameCodec);
+
+/** The parts of every form, by the kind of rule. */
+export const ruleForms = {
+  service: [
+    'service',
+    field('name', nameCodec),
+    'port',
+    field('port', portCodec),
+    'slots',
+    field('slots', integerBetween('number of slots', 1, MAX_SLOTS)),
+    'connections',
+    field('connections', integerBetween('number of connections', 1, MAX_CONNECTIONS)),
+    'ramp',
+    field('rampMs', durationCodec),
+    'drain',
+    field('drainMs', durationCodec),
+  ],
+  route: [
+    'route',
+    method,
+    path,
+    'to',
+    service,
+    'within',
+    field('deadlineMs', durationCodec),
+    field('repetition', oneOf(...Object.values(Repetition))),
+    'priority',
+    field('priority', oneOf(...Object.values(Priority))),
+  ],
+  group: [
+    'group',
+    field('name', nameCodec),
+    'header',
+    field('header', headerNameCodec),
+    field('value', headerValueCodec),
+  ],
+  limitRoute: [
+    'limit',
+    'route',
+    method,
+    path,
+    'rate',
+    rate,
+    'concurrency',
+    concurrency,
+    'queue',
+    queue,
+  ],
+  limitGroup: [
+    'limit',
+    'group',
+    field('group', nameCodec),
+    'rate',
+    rate,
+    'concurrency',
+    concurrency,
+    'queue',
+    queue,
+  ],
+  retry: [
+    'retry',
+    service,
+    'attempts',
+    field('attempts', integerBetween('number of attempts', 1, MAX_ATTEMPTS)),
+    'budget',
+    field('budgetPercent', percentCodec),
+  ],
+  splitWeight: ['split', service, 'weight', field('percent', percentCodec), 'to', target],
+  splitHeader: [
+    'split',
+    service,
+    'header',
+    field('header', headerNameCodec),
+    field('value', headerValueCodec),
+    'to',
+    target,
+  ],
+  zone: [
+    'zone',
+    service,
+    field('preference', oneOf(...Object.values(ZonePreference))),
+    'spill',
+    field('spillPercent', percentCodec),
+  ],
+} as const satisfies Record<string, readonly FormPart[]>;
+
+/** The kind of a rule: the name of its form. */
+export type RuleKind = keyof typeof ruleForms;
+
+type FieldsOf<Parts extends readonly FormPart[]> = {
+  readonly [Part in Extract<Parts[number], Field> as Part['name']]: Part extends Field<
+    string,
+    infer Value
+  >
+    ? Value
+    : never;
+};
+
+/** Who asked for a rule, and why. */
+export interface RuleComment {
+  readonly requester: string;
+  readonly reason: string;
+}
+
+/** The values of one rule line, without its place. */
+export type RuleOf<Kind extends RuleKind> = FieldsOf<(typeof ruleForms)[Kind]> & {
+  readonly kind: Kind;
+  readonly comment: RuleComment;
+};
+
+/** One rule of any kind. */
+export type Rule = { [Kind in RuleKind]: RuleOf<Kind> }[RuleKind];
+
+/** @returns each form as operators write it, for help and documentation */
+export function describeForms(): readonly string[] {
+  return Object.values(ruleForms).map((parts: readonly FormPart[]) =>
+    parts.map((part) => (typeof part === 'string' ? part : part.codec.label)).join(' '),
+  );
+}
--- /dev/null
+++ b/packages/lentillb/src/utils/httpListener.ts
@@ -0,0 +1,86 @@
+/** An HTTP server that starts on a given address and stops gracefully. */
+import { createServer } from 'node:http';
+import type { RequestListener, Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import type { Deadline } from '../kernel/deadline.js';
+
+/** The longest request head accepted, in bytes. */
+const MAX_HEADER_BYTES = 16 * 1024;
+/** How long a sender may take over the head of a request, in milliseconds. */
+const HEADERS_TIMEOUT_MS = 10_000;
+/** How long a sender may take over a whole request, in milliseconds. */
+const REQUEST_TIMEOUT_MS = 60_000;
+/** How long an idle connection is kept, in milliseconds; longer than clients keep theirs. */
+const KEEP_ALIVE_MS = 30_000;
+
+/** One HTTP server. */
+export class HttpListener {
+  private readonly server: Server;
+
+  private closing = false;
+
+  /** @param handle - called for every request */
+  constructor(handle: RequestListener) {
+    this.server = createServer(
+      {
+        maxHeaderSize: MAX_HEADER_BYTES,
+        headersTimeout: HEADERS_TIMEOUT_MS,
+        requestTimeout: REQUEST_TIMEOUT_MS,
+        keepAliveTimeout: KEEP_ALIVE_MS,
+        noDelay: true,
+      },
+      (request, response) => {
+        if (this.closing) {
+          response.setHeader('connection', 'close');
+        }
+        handle(request, response);
+      },
+    );
+  }
+
+  /**
+   * @param port - the port to listen on; 0 takes a free one
+   * @param address - the IP number to listen on
+   * @returns the port
+   */
+  async listen(port: number, address: string): Promise<number> {
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, address, resolve);
+    });
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  /** Takes no new connections; requests on those open are answered, then they are closed. */
+  leave(): void {
+    if (!this.closing) {
+      this.closing = true;
+      this.server.close();
+    }
+  }
+
+  /**
+   * Waits for all requests to be answered.
+   *
+   * @param deadline - when connections still open are cut
+   */
+  async close(deadline: Deadline): Promise<void> {
+    this.leave();
+    if (!this.server.listening) {
+      this.server.closeIdleConnections();
+    }
+    const cut = setTimeout(() => this.server.closeAllConnections(), deadline.remainingMs());
+    await new Promise<void>((resolve) => {
+      const poll = setInterval(() => {
+        this.server.closeIdleConnections();
+        this.server.getConnections((_, count) => {
+          if (count === 0) {
+            clearInterval(poll);
+            resolve();
+          }
+        });
+      }, 20);
+    });
+    clearTimeout(cut);
+  }
+}
--- /dev/null
+++ b/packages/lentillb/src/utils/readJson.ts
@@ -0,0 +1,29 @@
+/** Reads JSON bodies of bounded size. */
+import type { IncomingMessage } from 'node:http';
+import type { Result } from 'ts-results-es';
+import { Err, Ok } from 'ts-results-es';
+
+/**
+ * @param request - a request whose body has not been read
+ * @param maxBytes - the longest body accepted, in bytes
+ * @returns the parsed body, or what is wrong with it
+ */
+export async function readJson(
+  request: IncomingMessage,
+  maxBytes: number,
+): Promise<Result<unknown, string>> {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  try {
+    for await (const chunk of request) {
+      bytes += (chunk as Buffer).length;
+      if (bytes > maxBytes) {
+        return Err(`body is longer than ${maxBytes} bytes`);
+      }
+      chunks.push(chunk as Buffer);
+    }
+    return Ok(JSON.parse(Buffer.concat(chunks, bytes).toString('utf8')));
+  } catch (error) {
+    return Err(`body is no JSON: ${(error as Error).message}`);
+  }
+}
--- /dev/null
+++ b/packages/node/src/daemon.ts
@@ -0,0 +1,34 @@
+/** Runs a node as a process of its own, until it is told to stop. */
+import type { Settings } from 'lentillb';
+import { InvariantError } from 'lentillb';
+import { RunningNode } from './runningNode.js';
+
+const EXIT_FAILURE = 1;
+
+/**
+ * Runs a node until SIGTERM or SIGINT, then stops it gracefully.
+ *
+ * @param settings - its checked settings
+ */
+export async function runDaemon(settings: Settings): Promise<void> {
+  const node = await RunningNode.start(settings);
+  const { logger, settings: kept } = node.services;
+  logger.info({ ports: node.ports }, 'node is running');
+  process.on('uncaughtException', (error) => {
+    logger.fatal({ err: error }, 'stopping at once');
+    process.exit(EXIT_FAILURE);
+  });
+  process.on('unhandledRejection', (error) => {
+    logger.error({ err: error }, 'a task ended with an error');
+    if (error instanceof InvariantError) {
+      process.exit(EXIT_FAILURE);
+    }
+  });
+  await new Promise<void>((resolve) => {
+    process.once('SIGTERM', resolve);
+    process.once('SIGINT', resolve);
+  });
+  logger.info({ drainMs: kept.drainMs }, 'stopping gracefully');
+  await node.stop();
+  logger.info('stopped');
+}
