Add the command line and a demonstration with separate processes

Cause: operators had only the HTTP API. Change: check, show, diff, publish, status, explain, history, timeline, node and dev; a demonstration that starts 8 node processes, publishes, changes a rule, loses a reader and stops.

--- /dev/null
+++ b/packages/cli/src/command.ts
@@ -0,0 +1,71 @@
+/** What every command is made of. */
+import type { Command, Option } from 'commander';
+import type { z } from 'zod';
+import type { ExitCode } from './exitCode.js';
+import type { Console } from './console.js';
+import { ExitCode as codes } from './exitCode.js';
+import { checkOptions } from './cliOptions.js';
+
+/** One command of the command line. */
+export interface CommandDefinition<Schema extends z.ZodObject = z.ZodObject> {
+  /** The name and its arguments, as commander writes them. */
+  readonly usage: string;
+  readonly description: string;
+  readonly options: readonly Option[];
+  readonly schema: Schema;
+  readonly examples: readonly string[];
+  /**
+   * Runs the command.
+   *
+   * @param args - its arguments
+   * @param options - its checked options
+   * @param console - where it writes
+   * @returns the exit code
+   */
+  run(
+    args: readonly string[],
+    options: z.output<Schema>,
+    console: Console,
+  ): Promise<ExitCode>;
+}
+
+/**
+ * @param definition - a command
+ * @returns the same command, its option types checked
+ */
+export function defineCommand<Schema extends z.ZodObject>(
+  definition: CommandDefinition<Schema>,
+): CommandDefinition {
+  return definition as unknown as CommandDefinition;
+}
+
+/**
+ * Adds a command to a program.
+ *
+ * @param program - the program
+ * @param definition - the command
+ * @param console - where the command writes
+ * @param finish - called with the exit code
+ */
+export function addCommand(
+  program: Command,
+  definition: CommandDefinition,
+  console: Console,
+  finish: (code: ExitCode) => void,
+): void {
+  const { usage, description, options, schema, examples } = definition;
+  const command = program.command(usage).description(description);
+  options.forEach((option) => command.addOption(option));
+  if (examples.length > 0) {
+    command.addHelpText('after', `\nExamples:\n${examples.map((line) => `  ${line}`).join('\n')}`);
+  }
+  command.action(async () => {
+    const checked = checkOptions(schema, command.opts());
+    if (checked.isErr()) {
+      checked.error.forEach((line) => console.note(line));
+      finish(codes.Usage);
+      return;
+    }
+    finish(await definition.run(command.args, checked.value, console));
+  });
+}
--- /dev/null
+++ b/packages/cli/src/commands/status.ts
@@ -0,0 +1,38 @@
+/** `lentillb status`: the state of a node, and how far the fleet has come. */
+import { AdminClient } from '../adminClient.js';
+import { clientOptions, clientSchema } from '../cliOptions.js';
+import { defineCommand } from '../command.js';
+import { ExitCode } from '../exitCode.js';
+
+export const status = defineCommand({
+  usage: 'status',
+  description: 'the state of a node, and how far the fleet has come',
+  options: clientOptions(),
+  schema: clientSchema,
+  examples: ['lentillb status', 'lentillb status --json --admin http://10.0.0.7:7403'],
+  run: async (_, { admin, timeout, json }, console) => {
+    const asked = await new AdminClient(admin, timeout).status();
+    if (asked.isErr()) {
+      console.note(asked.error);
+      return ExitCode.Unreachable;
+    }
+    const node = asked.value;
+    if (json) {
+      console.print(JSON.stringify(node));
+      return ExitCode.Ok;
+    }
+    console.print(`host ${node.host} in zone ${node.zone}, one of ${node.hosts} hosts`);
+    console.print(`version ${node.version} in force, log read through offset ${node.through}`);
+    if (node.blockedAt !== undefined) {
+      console.print(`STOPPED at offset ${node.blockedAt}: a later format; upgrade this node`);
+    }
+    const log = node.logReachable === false ? 'cannot be read' : 'can be read';
+    console.print(node.reader ? `reads the log, which ${log}` : 'gets records from its peers');
+    console.print(`linked to ${node.peers.join(', ') || 'nobody'}`);
+    console.print(`calls in flight: ${node.callsInFlight} taken here, ${node.gateInFlight} at its gate`);
+    node.zones.forEach(({ zone, nodes, lowestVersion }) =>
+      console.print(`zone ${zone}: version ${lowestVersion} in force on all of ${nodes} nodes`),
+    );
+    return ExitCode.Ok;
+  },
+});
--- /dev/null
+++ b/packages/cli/src/console.ts
@@ -0,0 +1,15 @@
+/** Where commands write: results to standard output, everything else to standard error. */
+
+/** The output of one run of the command line. */
+export interface Console {
+  /** Writes one line of the result. */
+  readonly print: (line: string) => void;
+  /** Writes one line of progress or complaint. */
+  readonly note: (line: string) => void;
+}
+
+/** The console of the process. */
+export const processConsole: Console = {
+  print: (line) => process.stdout.write(`${line}\n`),
+  note: (line) => process.stderr.write(`${line}\n`),
+};
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,8 @@
+/** The command line, for use in other programs. */
+export { AdminClient, newPublishId } from './adminClient.js';
+export type { Console } from './console.js';
+export { DevFleet } from './dev/devFleet.js';
+export type { DevFleetOptions } from './dev/devFleet.js';
+export { ExitCode } from './exitCode.js';
+export { mergeEvents } from './mergeEvents.js';
+export { runProgram } from './program.js';
--- a/packages/lentillb/src/rules/valueCodecs.ts
+++ b/packages/lentillb/src/rules/valueCodecs.ts
@@ -55,20 +55,20 @@
 }
 
 /**
- * @param label - how messages name the number
+ * @param what - how messages name the number
  * @param least - the smallest value accepted
  * @param most - the largest value accepted
  * @returns a codec for whole numbers without leading zeros
  */
-export function integerBetween(label: string, least: number, most: number): ValueCodec<number> {
+export function integerBetween(what: string, least: number, most: number): ValueCodec<number> {
   return {
-    label,
+    label: 'N',
     parse: (text) => {
       const value = Number(text);
       const valid = /^(0|[1-9]\d{0,8})$/.test(text) && value >= least && value <= most;
       return valid
         ? Ok(value)
-        : Err(`"${text}" is no ${label}; write a whole number from ${least} to ${most}`);
+        : Err(`"${text}" is no ${what}; write a whole number from ${least} to ${most}`);
     },
     print: String,
   };
