--- /dev/null
+++ b/eslint.boundaries.js
@@ -0,0 +1,39 @@
+/** Turns the file of allowed imports of each folder into lint rules. */
+import { readdirSync, readFileSync } from 'node:fs';
+import path from 'node:path';
+
+const LIBRARY = 'packages/lentillb/src';
+const ALLOWED_FILE = 'imports.json';
+
+const folders = readdirSync(LIBRARY, { recursive: true, withFileTypes: true })
+  .filter((entry) => entry.isFile() && entry.name === ALLOWED_FILE)
+  .map((entry) => path.relative(LIBRARY, entry.parentPath));
+
+const allFolders = readdirSync(LIBRARY, { withFileTypes: true })
+  .filter((entry) => entry.isDirectory())
+  .map((entry) => entry.name);
+
+const missing = allFolders.filter((folder) => !folders.includes(folder));
+if (missing.length > 0) {
+  throw new Error(`no ${ALLOWED_FILE} in ${missing.join(', ')}; list the folders each may import`);
+}
+
+/** One rule a folder: it may import only from the folders its file names. */
+export const boundaries = folders.map((folder) => {
+  const allowed = JSON.parse(readFileSync(path.join(LIBRARY, folder, ALLOWED_FILE), 'utf8'));
+  const forbidden = allFolders.filter((other) => other !== folder && !allowed.includes(other));
+  return {
+    files: [`${LIBRARY}/${folder}/**`],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          patterns: forbidden.map((other) => ({
+            regex: `^(\\.\\./)+${other}/`,
+            message: `${folder}/${ALLOWED_FILE} does not allow imports from ${other}`,
+          })),
+        },
+      ],
+    },
+  };
+});
--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,59 @@
+import path from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { configs, plugins } from 'eslint-config-airbnb-extended';
+import prettier from 'eslint-config-prettier';
+import { boundaries } from './eslint.boundaries.js';
+
+const RULES = {
+  // Imports of ES modules name the file that runs.
+  'import-x/extensions': 'off',
+  // Modules export types and functions by name.
+  'import-x/prefer-default-export': 'off',
+  // Loops that wait, written straight down, are the house style.
+  'no-await-in-loop': 'off',
+  'no-restricted-syntax': [
+    'error',
+    { selector: 'ForInStatement', message: 'use Object.entries' },
+    { selector: 'LabeledStatement', message: 'name a function instead' },
+    { selector: 'WithStatement', message: 'with is not allowed' },
+  ],
+  'no-continue': 'off',
+  // Digests and hashes are made of bits.
+  'no-bitwise': 'off',
+  // Constant objects and their types share a name.
+  '@typescript-eslint/no-redeclare': 'off',
+  '@typescript-eslint/consistent-type-imports': [
+    'error',
+    { prefer: 'type-imports', fixStyle: 'separate-type-imports' },
+  ],
+};
+
+export default [
+  { ignores: ['**/dist/**', '**/gen/**', 'node_modules/**'] },
+  plugins.stylistic,
+  plugins.importX,
+  plugins.node,
+  plugins.typescriptEslint,
+  ...configs.base.recommended,
+  ...configs.node.recommended,
+  ...configs.base.typescript,
+  prettier,
+  {
+    languageOptions: {
+      parserOptions: {
+        projectService: { allowDefaultProject: ['*.js', '*.config.ts', 'packages/*/bin/*.js'] },
+        tsconfigRootDir: path.dirname(fileURLToPath(import.meta.url)),
+      },
+    },
+  },
+  { rules: RULES },
+  {
+    files: ['tests/**', 'bench/**', '*.config.*', '*.js'],
+    rules: {
+      'import-x/no-extraneous-dependencies': 'off',
+      'no-console': 'off',
+      'n/no-sync': 'off',
+    },
+  },
+  ...boundaries,
+];
--- a/packages/cli/bin/lentillb.js
+++ b/packages/cli/bin/lentillb.js
@@ -1,2 +1,2 @@
 #!/usr/bin/env node
-import "../dist/main.js";
+import '../dist/main.js';
--- a/packages/cli/src/command.ts
+++ b/packages/cli/src/command.ts
@@ -22,11 +22,7 @@
    * @param console - where it writes
    * @returns the exit code
    */
-  run(
-    args: readonly string[],
-    options: z.output<Schema>,
-    console: Console,
-  ): Promise<ExitCode>;
+  run(args: readonly string[], options: z.output<Schema>, console: Console): Promise<ExitCode>;
 }
 
 /**
@@ -36,7 +32,7 @@
 export function defineCommand<Schema extends z.ZodObject>(
   definition: CommandDefinition<Schema>,
 ): CommandDefinition {
-  return definition as unknown as CommandDefinition;
+  return definition;
 }
 
 /**
--- a/packages/cli/src/commands/dev.ts
+++ b/packages/cli/src/commands/dev.ts
@@ -96,7 +96,9 @@
     console.print(published.isOk() ? published.value.reason : published.error);
     await sampleCall(fleet, text, console);
     fleet.nodes.forEach((node) =>
-      console.print(`${node.services.settings.host}: calls ${node.callUrl}, admin ${node.adminUrl}`),
+      console.print(
+        `${node.services.settings.host}: calls ${node.callUrl}, admin ${node.adminUrl}`,
+      ),
     );
     if (!once) {
       console.note(`try: lentillb status --admin ${admin}; stop with Ctrl-C`);
--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -25,10 +25,7 @@
 export const explain = defineCommand({
   usage: 'explain <method> <path>',
   description: 'which rules decide about a request, who asked for them, and where it can go',
-  options: [
-    ...clientOptions(),
-    new Option('--header <name=value...>', 'a header of the request'),
-  ],
+  options: [...clientOptions(), new Option('--header <name=value...>', 'a header of the request')],
   schema,
   examples: [
     'lentillb explain GET /letters/17',
@@ -45,7 +42,9 @@
     if (json) {
       console.print(JSON.stringify(asked.value));
     } else if (rules.length === 0) {
-      console.print(`version ${version} has no route for ${method} ${path}; it answers 404, not run`);
+      console.print(
+        `version ${version} has no route for ${method} ${path}; it answers 404, not run`,
+      );
     } else {
       rules.forEach((rule) => {
         console.print(`line ${rule.line}: ${rule.text}`);
--- a/packages/cli/src/commands/publish.ts
+++ b/packages/cli/src/commands/publish.ts
@@ -25,9 +25,7 @@
   return zonesKnown
     .filter(({ zone, nodes }) => {
       const progress = zones.find((known) => known.zone === zone);
-      return (
-        progress === undefined || progress.nodes < nodes || progress.lowestVersion < version
-      );
+      return progress === undefined || progress.nodes < nodes || progress.lowestVersion < version;
     })
     .map(({ zone }) => zone);
 }
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -29,7 +29,9 @@
     const log = node.logReachable === false ? 'cannot be read' : 'can be read';
     console.print(node.reader ? `reads the log, which ${log}` : 'gets records from its peers');
     console.print(`linked to ${node.peers.join(', ') || 'nobody'}`);
-    console.print(`calls in flight: ${node.callsInFlight} taken here, ${node.gateInFlight} at its gate`);
+    console.print(
+      `calls in flight: ${node.callsInFlight} taken here, ${node.gateInFlight} at its gate`,
+    );
     node.zones.forEach(({ zone, nodes, lowestVersion }) =>
       console.print(`zone ${zone}: version ${lowestVersion} in force on all of ${nodes} nodes`),
     );
--- a/packages/cli/src/commands/timeline.ts
+++ b/packages/cli/src/commands/timeline.ts
@@ -15,7 +15,9 @@
   zone: z.string().optional(),
   service: z.string().optional(),
   request: z.string().optional(),
-  since: z.iso.datetime({ error: 'expected an ISO 8601 time such as 2026-12-04T10:00:00Z' }).optional(),
+  since: z.iso
+    .datetime({ error: 'expected an ISO 8601 time such as 2026-12-04T10:00:00Z' })
+    .optional(),
 });
 
 type Filter = z.output<typeof schema>;
--- a/packages/cli/src/demo/demo.ts
+++ b/packages/cli/src/demo/demo.ts
@@ -76,7 +76,10 @@
   private async startFleet(): Promise<void> {
     await this.logServer.listen();
     const hosts = ZONES.flatMap((zone) =>
-      Array.from({ length: NODES_PER_ZONE }, (_, index) => ({ zone, host: `${zone}-${index + 1}` })),
+      Array.from({ length: NODES_PER_ZONE }, (_, index) => ({
+        zone,
+        host: `${zone}-${index + 1}`,
+      })),
     );
     const { url: logUrl } = this.logServer;
     this.nodes = await Promise.all(hosts.map((host) => NodeProcess.start({ ...host, logUrl })));
@@ -101,7 +104,10 @@
 
   private async publishAndChange(folder: string): Promise<void> {
     const first = await this.lentillb('publish', this.rulesFile, '--author', 'salma');
-    this.expect(first === ExitCode.Ok, `${path.basename(this.rulesFile)} is in force on every node`);
+    this.expect(
+      first === ExitCode.Ok,
+      `${path.basename(this.rulesFile)} is in force on every node`,
+    );
     const edited = path.join(folder, 'my.rules');
     const configuration = (await this.client(0).configuration()).unwrap();
     const changed = configuration.text.replace('rate 2000 concurrency', 'rate 1800 concurrency');
@@ -114,7 +120,10 @@
       'every node holds exactly the accepted text',
     );
     const third = await this.lentillb('publish', edited, '--author', 'hamad');
-    this.expect(third === ExitCode.Refused, 'a second operator who edited the old version is refused');
+    this.expect(
+      third === ExitCode.Refused,
+      'a second operator who edited the old version is refused',
+    );
     const explained = await this.lentillb('explain', 'GET', '/letters/17');
     this.expect(explained === ExitCode.Ok, 'the file explains where a request goes');
   }
--- a/packages/lentillb/src/calls/httpExchange.ts
+++ b/packages/lentillb/src/calls/httpExchange.ts
@@ -82,7 +82,7 @@
     const response = await dispatcher.request({
       origin,
       path: target,
-      method: method as Dispatcher.HttpMethod,
+      method,
       headers,
       body,
       signal,
--- a/packages/lentillb/src/distribution/configurationRecord.ts
+++ b/packages/lentillb/src/distribution/configurationRecord.ts
@@ -131,6 +131,7 @@
  * @returns its compressed bytes
  */
 export function encodeState(state: PlainState): Uint8Array {
+  // eslint-disable-next-line n/no-sync -- a state is made rarely, and the caller must not be interrupted
   return gzipSync(JSON.stringify(state));
 }
 
@@ -140,6 +141,7 @@
  */
 export function decodeState(data: Uint8Array): Result<PlainState, RecordFault> {
   try {
+    // eslint-disable-next-line n/no-sync -- a state is read rarely, and the caller must not be interrupted
     const state = stateSchema.safeParse(JSON.parse(gunzipSync(data).toString('utf8')));
     return state.success ? Ok(state.data) : Err(RecordFault.Malformed);
   } catch {
--- a/packages/lentillb/src/distribution/logFollower.ts
+++ b/packages/lentillb/src/distribution/logFollower.ts
@@ -95,10 +95,7 @@
   /** A node without a state begins at the log's first record, or at its newest snapshot. */
   private async bootstrap(signal: AbortSignal): Promise<LogFailure | undefined> {
     const { clock, log, versionStore } = this.services;
-    const range = await log.range(
-      LogStream.Configuration,
-      Deadline.after(clock, READ_GRACE_MS),
-    );
+    const range = await log.range(LogStream.Configuration, Deadline.after(clock, READ_GRACE_MS));
     if (range.isErr()) {
       return range.error;
     }
--- a/packages/lentillb/src/distribution/publisher.ts
+++ b/packages/lentillb/src/distribution/publisher.ts
@@ -10,7 +10,13 @@
 import { joinLines, parseRuleFile, splitLines } from '../rules/ruleFile.js';
 import { Backoff } from '../utils/backoff.js';
 import type { Judgement, PublishRecord } from './configurationRecord.js';
-import { digestOf, encodeRecord, RECORD_FORMAT, RecordKind, Verdict } from './configurationRecord.js';
+import {
+  digestOf,
+  encodeRecord,
+  RECORD_FORMAT,
+  RecordKind,
+  Verdict,
+} from './configurationRecord.js';
 import type { ConfigurationState } from './configurationState.js';
 
 const RETRY_LEAST_MS = 50;
@@ -99,7 +105,10 @@
     const { publishId, base, author, text } = publication;
     const before = state.lines.map((line) => line.text);
     const after = splitLines(text);
-    const edits = editsBetween(before, after).map((edit) => ({ ...edit, insert: [...edit.insert] }));
+    const edits = editsBetween(before, after).map((edit) => ({
+      ...edit,
+      insert: [...edit.insert],
+    }));
     const digest = digestOf(joinLines(after));
     const kind = RecordKind.Publish;
     return { format: RECORD_FORMAT, kind, publishId, base, author, edits, digest };
@@ -186,7 +195,14 @@
       const version = judgement.offset;
       const reason = `version ${version} is accepted`;
       const { publishId } = publication;
-      return { result: PublishResult.Accepted, publishId, version, reason, faults: [], difference: [] };
+      return {
+        result: PublishResult.Accepted,
+        publishId,
+        version,
+        reason,
+        faults: [],
+        difference: [],
+      };
     }
     if (judgement.verdict === Verdict.Conflict && state !== undefined) {
       return this.conflict(publication, state);
--- a/packages/lentillb/src/distribution/snapshotWriter.ts
+++ b/packages/lentillb/src/distribution/snapshotWriter.ts
@@ -4,7 +4,13 @@
 import type { LogRange, LogRecord } from '../log/log.js';
 import { LogStream } from '../log/log.js';
 import { EventKind } from '../timeline/event.js';
-import { decodeRecord, encodeRecord, encodeState, RECORD_FORMAT, RecordKind } from './configurationRecord.js';
+import {
+  decodeRecord,
+  encodeRecord,
+  encodeState,
+  RECORD_FORMAT,
+  RecordKind,
+} from './configurationRecord.js';
 import { toPlainState } from './configurationState.js';
 
 /** The age of the newest snapshot at which another is due, as a share of the retention. */
@@ -13,7 +19,10 @@
 const JITTER_SHARE = 0.1;
 const APPEND_TIMEOUT_MS = 5_000;
 
-type Needs = Pick<Services, 'clock' | 'log' | 'logger' | 'randomness' | 'timeline' | 'versionStore'>;
+type Needs = Pick<
+  Services,
+  'clock' | 'log' | 'logger' | 'randomness' | 'timeline' | 'versionStore'
+>;
 
 /** Writes snapshots while this node reads the log; racing writers do no harm. */
 export class SnapshotWriter {
@@ -49,7 +58,7 @@
   consider(range: LogRange): void {
     const { clock, versionStore } = this.services;
     const reference = this.newestAt ?? this.oldestSeenAt;
-    const state = versionStore.state;
+    const { state } = versionStore;
     if (this.writing || state === undefined || state.version === 0 || reference === undefined) {
       return;
     }
--- a/packages/lentillb/src/gate/backendServerRegistry.ts
+++ b/packages/lentillb/src/gate/backendServerRegistry.ts
@@ -99,7 +99,8 @@
       this.servers.set(announced.id, renewed);
       return renewed;
     }
-    const moved = held !== undefined && (held.address !== announced.address || held.port !== announced.port);
+    const moved =
+      held !== undefined && (held.address !== announced.address || held.port !== announced.port);
     if (moved) {
       held.pool.close();
     }
--- a/packages/lentillb/src/gate/gate.ts
+++ b/packages/lentillb/src/gate/gate.ts
@@ -47,9 +47,7 @@
   /** Takes no new calls from here on; those admitted go on. */
   leave(): void {
     this.leaving = true;
-    this.services.backendServerRegistry
-      .all()
-      .forEach(({ admission }) => admission.refuseWaiting());
+    this.services.backendServerRegistry.all().forEach(({ admission }) => admission.refuseWaiting());
   }
 
   /**
--- a/packages/lentillb/src/index.ts
+++ b/packages/lentillb/src/index.ts
@@ -1,6 +1,11 @@
 /** The library of lentillb: what daemons, the command line and tests build on. */
 export type { Explanation } from './admin/explanation.js';
-export { decodeRecord, encodeRecord, RecordKind, Verdict } from './distribution/configurationRecord.js';
+export {
+  decodeRecord,
+  encodeRecord,
+  RecordKind,
+  Verdict,
+} from './distribution/configurationRecord.js';
 export type { Judgement } from './distribution/configurationRecord.js';
 export { PublishResult } from './distribution/publisher.js';
 export type { PublishOutcome } from './distribution/publisher.js';
--- a/packages/lentillb/src/kernel/settings.ts
+++ b/packages/lentillb/src/kernel/settings.ts
@@ -98,7 +98,7 @@
 export type Settings = { readonly [Name in SettingName]: z.output<Definitions[Name]['schema']> };
 
 /** Settings as given on the command line or in a test; undefined where not given. */
-export type GivenSettings = { readonly [Name in SettingName]?: unknown };
+export type GivenSettings = Readonly<Partial<Record<SettingName, unknown>>>;
 
 /** A setting that was not accepted. */
 export interface SettingFault {
--- a/packages/lentillb/src/log/httpLog.ts
+++ b/packages/lentillb/src/log/httpLog.ts
@@ -27,7 +27,12 @@
 const appendedSchema = z.object({ offset: z.number().int() });
 
 /** Error codes of connections that failed before anything was sent. */
-const NOTHING_SENT = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
+const NOTHING_SENT = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
 
 interface Exchange {
   readonly method: 'GET' | 'POST';
@@ -65,9 +70,16 @@
     deadline: Deadline,
   ): Promise<Result<number, LogFailure>> {
     const action = `append ${data.length} bytes to stream "${stream}" of ${this.url}`;
-    const exchange: Exchange = { method: 'POST', path: `/streams/${stream}/records`, body: data, action };
+    const exchange: Exchange = {
+      method: 'POST',
+      path: `/streams/${stream}/records`,
+      body: data,
+      action,
+    };
     const answer = await this.exchange(exchange, deadline);
-    return answer.andThen(({ body }) => this.decode(appendedSchema, body, action)).map(({ offset }) => offset);
+    return answer
+      .andThen(({ body }) => this.decode(appendedSchema, body, action))
+      .map(({ offset }) => offset);
   }
 
   async read(
@@ -78,7 +90,11 @@
     const { stream, from, limit, waitMs } = request;
     const query = `from=${from}&limit=${limit}&wait=${Math.floor(waitMs)}`;
     const action = `read stream "${stream}" of ${this.url} from offset ${from}`;
-    const exchange: Exchange = { method: 'GET', path: `/streams/${stream}/records?${query}`, action };
+    const exchange: Exchange = {
+      method: 'GET',
+      path: `/streams/${stream}/records?${query}`,
+      action,
+    };
     const answer = await this.exchange(exchange, deadline, signal);
     return answer
       .andThen(({ body }) => this.decode(batchSchema, body, action))
@@ -94,7 +110,10 @@
 
   async range(stream: LogStream, deadline: Deadline): Promise<Result<LogRange, LogFailure>> {
     const action = `ask for the range of stream "${stream}" of ${this.url}`;
-    const answer = await this.exchange({ method: 'GET', path: `/streams/${stream}`, action }, deadline);
+    const answer = await this.exchange(
+      { method: 'GET', path: `/streams/${stream}`, action },
+      deadline,
+    );
     return answer.andThen(({ body }) => this.decode(rangeSchema, body, action));
   }
 
@@ -127,26 +146,63 @@
     const { status } = answer;
     if (status === HttpStatus.Gone) {
       const range = rangeSchema.safeParse(answer.body);
-      const gone = failure(LogFailureKind.NotRetained, action, 'offset is no longer retained', 'read on from the earliest offset');
+      const gone = failure(
+        LogFailureKind.NotRetained,
+        action,
+        'offset is no longer retained',
+        'read on from the earliest offset',
+      );
       return Err({ ...gone, range: range.data });
     }
     if (status === HttpStatus.TooManyRequests || status === 503) {
-      return Err(failure(LogFailureKind.Unavailable, action, `the log answered ${status}`, 'try again later'));
+      return Err(
+        failure(
+          LogFailureKind.Unavailable,
+          action,
+          `the log answered ${status}`,
+          'try again later',
+        ),
+      );
     }
     if (status >= HttpStatus.ServerError) {
-      return Err(failure(lost, action, `the log answered ${status}`, 'read the log to see whether it took effect'));
+      return Err(
+        failure(
+          lost,
+          action,
+          `the log answered ${status}`,
+          'read the log to see whether it took effect',
+        ),
+      );
     }
     if (status >= 400) {
-      return Err(failure(LogFailureKind.Refused, action, `the log answered ${status}`, 'check the log URL and the record size'));
+      return Err(
+        failure(
+          LogFailureKind.Refused,
+          action,
+          `the log answered ${status}`,
+          'check the log URL and the record size',
+        ),
+      );
     }
     return Ok(answer);
   }
 
   // eslint-disable-next-line class-methods-use-this -- reads better beside its caller
-  private decode<Value>(schema: z.ZodType<Value>, body: unknown, action: string): Result<Value, LogFailure> {
+  private decode<Value>(
+    schema: z.ZodType<Value>,
+    body: unknown,
+    action: string,
+  ): Result<Value, LogFailure> {
     const decoded = schema.safeParse(body);
     return decoded.success
       ? Ok(decoded.data)
-      : Err(failure(LogFailureKind.UnknownEffect, action, 'the answer is not of the log protocol', 'check the log URL'));
+      : Err(
+          failure(
+            LogFailureKind.UnknownEffect,
+            action,
+            'the answer is not of the log protocol',
+            'check the log URL',
+          ),
+        );
   }
 }
--- a/packages/lentillb/src/membership/topology.ts
+++ b/packages/lentillb/src/membership/topology.ts
@@ -46,7 +46,9 @@
 function rank(key: string, places: readonly Place[]): readonly Place[] {
   return places
     .map((place) => ({ place, score: scoreOf(key, place.host) }))
-    .sort((left, right) => right.score - left.score || (left.place.host < right.place.host ? -1 : 1))
+    .sort(
+      (left, right) => right.score - left.score || (left.place.host < right.place.host ? -1 : 1),
+    )
     .map(({ place }) => place);
 }
 
--- a/packages/lentillb/src/mesh/linkKeeper.ts
+++ b/packages/lentillb/src/mesh/linkKeeper.ts
@@ -104,7 +104,10 @@
     const backoff = new Backoff(randomness, RETRY_LEAST_MS, RETRY_MOST_MS);
     while (!signal.aborted) {
       const announcement = fleet.get(host);
-      if (announcement !== undefined && (await this.runLink(addressOf(announcement), role, signal))) {
+      if (
+        announcement !== undefined &&
+        (await this.runLink(addressOf(announcement), role, signal))
+      ) {
         backoff.reset();
       }
       await clock.sleep(backoff.nextMs(), signal);
--- a/packages/lentillb/src/mesh/peerDialer.ts
+++ b/packages/lentillb/src/mesh/peerDialer.ts
@@ -69,11 +69,7 @@
   }
 
   // eslint-disable-next-line class-methods-use-this -- implements the interface
-  async probe(
-    peer: PeerAddress,
-    host: string,
-    timeoutMs: number,
-  ): Promise<Result<bigint, string>> {
+  async probe(peer: PeerAddress, host: string, timeoutMs: number): Promise<Result<bigint, string>> {
     const { client, close } = connect(peer);
     try {
       const response = await client.probe({ host }, { timeoutMs });
--- a/packages/lentillb/src/mesh/peerLink.ts
+++ b/packages/lentillb/src/mesh/peerLink.ts
@@ -31,12 +31,12 @@
 export type LinkEnd = (typeof LinkEnd)[keyof typeof LinkEnd];
 
 type MessageKind = NonNullable<PeerMessage['kind']['case']>;
-type MessageValue<Kind extends MessageKind> = Extract<
-  PeerMessage['kind'],
-  { case: Kind }
->['value'];
+type MessageValue<Kind extends MessageKind> = Extract<PeerMessage['kind'], { case: Kind }>['value'];
 
-type Needs = Pick<Services, 'clock' | 'convergence' | 'fleet' | 'identity' | 'settings' | 'versionStore'>;
+type Needs = Pick<
+  Services,
+  'clock' | 'convergence' | 'fleet' | 'identity' | 'settings' | 'versionStore'
+>;
 
 /** What a link is made from. */
 export interface LinkOptions {
--- a/packages/lentillb/src/routing/balancer.ts
+++ b/packages/lentillb/src/routing/balancer.ts
@@ -25,11 +25,7 @@
    * @param tried - backend servers that refused this call, by `endpointKey`
    * @returns the backend server to call; undefined where none is left
    */
-  choose(
-    table: RoutingTable,
-    service: string,
-    tried: ReadonlySet<string>,
-  ): Endpoint | undefined {
+  choose(table: RoutingTable, service: string, tried: ReadonlySet<string>): Endpoint | undefined {
     const eligible = this.services.fleetView
       .endpointsOf(service)
       .filter((endpoint) => !tried.has(endpointKey(endpoint)));
--- a/packages/lentillb/src/routing/callRouter.ts
+++ b/packages/lentillb/src/routing/callRouter.ts
@@ -253,7 +253,11 @@
     const { requestId } = request;
     if (maybeRan !== undefined) {
       const { message } = maybeRan;
-      this.services.timeline.record(EventKind.OutcomeUnknown, { service, requestId, detail: message });
+      this.services.timeline.record(EventKind.OutcomeUnknown, {
+        service,
+        requestId,
+        detail: message,
+      });
       const reason = deadline.expired() ? FailureReason.DeadlinePassed : maybeRan.reason;
       return failure(Outcome.Unknown, reason, message);
     }
--- a/packages/lentillb/src/routing/limits.ts
+++ b/packages/lentillb/src/routing/limits.ts
@@ -1,9 +1,8 @@
 /** Enforces the limits of routes and caller groups on this node. */
 import type { Result } from 'ts-results-es';
 import { Err, Ok } from 'ts-results-es';
-import type { Release } from '../calls/admissionQueue.js';
+import type { AdmissionRequest, Release } from '../calls/admissionQueue.js';
 import { AdmissionQueue, AdmissionRefusal } from '../calls/admissionQueue.js';
-import type { AdmissionRequest } from '../calls/admissionQueue.js';
 import type { CallFailure } from '../calls/call.js';
 import { FailureReason } from '../calls/call.js';
 import { Outcome } from '../calls/callHeaders.js';
@@ -29,9 +28,7 @@
 };
 
 function nameOf(rule: LimitRule): string {
-  return rule.kind === 'limitGroup'
-    ? `group ${rule.group}`
-    : `route ${rule.method} ${rule.path}`;
+  return rule.kind === 'limitGroup' ? `group ${rule.group}` : `route ${rule.method} ${rule.path}`;
 }
 
 function notRun(reason: FailureReason, message: string, retryAfterMs: number): CallFailure {
--- a/packages/lentillb/src/routing/table/routingTable.ts
+++ b/packages/lentillb/src/routing/table/routingTable.ts
@@ -61,7 +61,10 @@
     rulesOf(rules, 'route').forEach((route) => this.routes.add(route.path, route));
     this.services = keyBy(rulesOf(rules, 'service'), ({ name }) => name);
     this.groups = rulesOf(rules, 'group');
-    this.routeLimits = keyBy(rulesOf(rules, 'limitRoute'), ({ method, path }) => `${method} ${path}`);
+    this.routeLimits = keyBy(
+      rulesOf(rules, 'limitRoute'),
+      ({ method, path }) => `${method} ${path}`,
+    );
     this.groupLimits = keyBy(rulesOf(rules, 'limitGroup'), ({ group }) => group);
     this.retries = keyBy(rulesOf(rules, 'retry'), ({ service }) => service);
     this.zones = keyBy(rulesOf(rules, 'zone'), ({ service }) => service);
@@ -110,10 +113,7 @@
    * @param group - the caller's group, if any
    * @returns the limits that a call has to pass
    */
-  limits(
-    route: PlacedRule<'route'>,
-    group: PlacedRule<'group'> | undefined,
-  ): readonly LimitRule[] {
+  limits(route: PlacedRule<'route'>, group: PlacedRule<'group'> | undefined): readonly LimitRule[] {
     const limits = [
       this.groupLimits.get(group?.name ?? ''),
       this.routeLimits.get(`${route.method} ${route.path}`),
--- a/packages/lentillb/src/rules/ruleFile.ts
+++ b/packages/lentillb/src/rules/ruleFile.ts
@@ -95,7 +95,7 @@
     if (parsed.isErr()) {
       faults.push(...parsed.error.map((fault) => ({ line, ...fault })));
     } else if (parsed.value !== undefined) {
-      rules.push({ ...parsed.value, line } as PlacedRule);
+      rules.push({ ...parsed.value, line });
     }
   });
   faults.push(...checkReferences(rules));
--- a/packages/lentillb/src/rules/ruleLine.ts
+++ b/packages/lentillb/src/rules/ruleLine.ts
@@ -30,7 +30,8 @@
 }
 
 function parseComment(line: string, markIndex: number): Result<RuleComment, LineFault> {
-  const [, requester, reason] = /^\s*([^:]*?)\s*:\s*(.*?)\s*$/.exec(line.slice(markIndex + 1)) ?? [];
+  const [, requester, reason] =
+    /^\s*([^:]*?)\s*:\s*(.*?)\s*$/.exec(line.slice(markIndex + 1)) ?? [];
   if (!requester || !reason) {
     const message = 'comment names no requester and reason; write "# WHO: WHY"';
     return Err({ column: markIndex + 1, message });
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -16,11 +16,13 @@
   logger.info({ ports: node.ports }, 'node is running');
   process.on('uncaughtException', (error) => {
     logger.fatal({ err: error }, 'stopping at once');
+    // eslint-disable-next-line n/no-process-exit -- nothing this process still does can be trusted
     process.exit(EXIT_FAILURE);
   });
   process.on('unhandledRejection', (error) => {
     logger.error({ err: error }, 'a task ended with an error');
     if (error instanceof InvariantError) {
+      // eslint-disable-next-line n/no-process-exit -- nothing this process still does can be trusted
       process.exit(EXIT_FAILURE);
     }
   });
--- a/packages/standins/src/logServer.ts
+++ b/packages/standins/src/logServer.ts
@@ -83,7 +83,10 @@
     if (stream !== undefined) {
       const deadline = Deadline.after(this.clock, REQUEST_TIMEOUT_MS);
       const appended = await this.log.append(stream, Buffer.concat(chunks), deadline);
-      this.answer(context, appended.map((offset) => ({ offset })).mapErr((failure) => failure));
+      this.answer(
+        context,
+        appended.map((offset) => ({ offset })).mapErr((failure) => failure),
+      );
     }
   }
 
--- a/packages/standins/src/memoryLog.ts
+++ b/packages/standins/src/memoryLog.ts
@@ -1,5 +1,14 @@
 /** A stand-in for the platform's append-only log, in memory, with switchable faults. */
-import type { Clock, Deadline, Log, LogBatch, LogFailure, LogRange, LogRecord, ReadRequest } from 'lentillb';
+import type {
+  Clock,
+  Deadline,
+  Log,
+  LogBatch,
+  LogFailure,
+  LogRange,
+  LogRecord,
+  ReadRequest,
+} from 'lentillb';
 import { FIRST_OFFSET, LogFailureKind, LogStream } from 'lentillb';
 import type { Result } from 'ts-results-es';
 import { Err, Ok } from 'ts-results-es';
--- a/packages/standins/src/sampleBackendServer.ts
+++ b/packages/standins/src/sampleBackendServer.ts
@@ -60,7 +60,10 @@
       await this.options.clock.sleep(DRAIN_POLL_MS);
     }
     this.stopping.abort();
-    await httpRequest(this.url, { method: 'DELETE' }).then(({ body }) => body.dump(), () => undefined);
+    await httpRequest(this.url, { method: 'DELETE' }).then(
+      ({ body }) => body.dump(),
+      () => undefined,
+    );
     this.kill();
   }
 
