--- a/packages/lentillb/src/routing/callRouter.ts
+++ b/packages/lentillb/src/routing/callRouter.ts
@@ -134,9 +134,14 @@
       const message = `request body was cut short: ${body.error}; the call was not run`;
       return Err(failure(Outcome.NotRun, FailureReason.CallerGone, message));
     }
-    const timer = setTimeout(() => over.abort(), deadline.remainingMs());
+    const finished = new AbortController();
+    clock.sleep(deadline.remainingMs(), finished.signal).then(() => {
+      if (!finished.signal.aborted) {
+        over.abort();
+      }
+    });
     const finish = (): void => {
-      clearTimeout(timer);
+      finished.abort();
       admitted.value();
     };
     const journey = { table, route, service, request, deadline, signal, body: body.value };
--- /dev/null
+++ b/tests/distribution/acceptance.spec.ts
@@ -0,0 +1,157 @@
+import { EventKind } from 'lentillb';
+import type { LogRecord } from 'lentillb';
+import { Verdict } from 'lentillb/distribution/configurationRecord.js';
+import { textOf } from 'lentillb/distribution/configurationState.js';
+import { Offer } from 'lentillb/distribution/versionStore.js';
+import { describe, expect, it } from 'vitest';
+import { logRecord, publishRecord } from '../support/records.js';
+import { rulesNamed } from '../support/rules.js';
+import { createStore } from '../support/testStore.js';
+
+const A = rulesNamed('a');
+const B = rulesNamed('b');
+const C = rulesNamed('c');
+
+const first = publishRecord({ base: 0, before: '', after: A });
+
+function raw(value: unknown): Uint8Array {
+  return Buffer.from(typeof value === 'string' ? value : JSON.stringify(value));
+}
+
+interface Case {
+  readonly title: string;
+  readonly records: readonly LogRecord[];
+  readonly verdicts: readonly Verdict[];
+  readonly version: number;
+  readonly text: string;
+}
+
+const cases: readonly Case[] = [
+  {
+    title: 'an edit of the version in force',
+    records: [logRecord(1, first), logRecord(2, publishRecord({ base: 1, before: A, after: B }))],
+    verdicts: [Verdict.Accepted, Verdict.Accepted],
+    version: 2,
+    text: B,
+  },
+  {
+    title: 'the second of two operators who edited the same version',
+    records: [
+      logRecord(1, first),
+      logRecord(2, publishRecord({ base: 1, before: A, after: B, author: 'hamad' })),
+      logRecord(3, publishRecord({ base: 1, before: A, after: C, author: 'aisha' })),
+    ],
+    verdicts: [Verdict.Accepted, Verdict.Accepted, Verdict.Conflict],
+    version: 2,
+    text: B,
+  },
+  {
+    title: 'an edit of a version that never was',
+    records: [logRecord(1, first), logRecord(2, publishRecord({ base: 9, before: A, after: B }))],
+    verdicts: [Verdict.Accepted, Verdict.Conflict],
+    version: 1,
+    text: A,
+  },
+  {
+    title: 'a record that was appended twice',
+    records: [logRecord(1, first), logRecord(2, first)],
+    verdicts: [Verdict.Accepted, Verdict.Repeated],
+    version: 1,
+    text: A,
+  },
+  {
+    title: 'faulty rules',
+    records: [
+      logRecord(1, first),
+      logRecord(2, publishRecord({ base: 1, before: A, after: 'rout GET / # A: b\n' })),
+    ],
+    verdicts: [Verdict.Accepted, Verdict.Invalid],
+    version: 1,
+    text: A,
+  },
+  {
+    title: 'content that does not match its digest',
+    records: [logRecord(1, { ...first, digest: 'x' })],
+    verdicts: [Verdict.Invalid],
+    version: 0,
+    text: '',
+  },
+  {
+    title: 'edits that do not fit',
+    records: [logRecord(1, { ...first, edits: [{ line: 9, remove: 1, insert: [] }] })],
+    verdicts: [Verdict.Invalid],
+    version: 0,
+    text: '',
+  },
+  {
+    title: 'a line break inside an inserted line',
+    records: [logRecord(1, { ...first, edits: [{ line: 1, remove: 0, insert: ['a\nb'] }] })],
+    verdicts: [],
+    version: 0,
+    text: '',
+  },
+  {
+    title: 'bytes that are no record',
+    records: [logRecord(1, raw('nonsense')), logRecord(2, raw({ format: 1, kind: 'poem' }))],
+    verdicts: [],
+    version: 0,
+    text: '',
+  },
+  {
+    title: 'an empty rule file',
+    records: [logRecord(1, first), logRecord(2, publishRecord({ base: 1, before: A, after: '' }))],
+    verdicts: [Verdict.Accepted, Verdict.Accepted],
+    version: 2,
+    text: '',
+  },
+];
+
+describe('acceptance', () => {
+  it.each(cases)('should judge $title', ({ records, verdicts, version, text }) => {
+    const { store } = createStore();
+    store.beginEmpty();
+    records.forEach((record) => store.offer(record));
+    expect(store.state?.judgements.map(({ verdict }) => verdict)).toEqual(verdicts);
+    expect(store.state?.version).toBe(version);
+    expect(store.state === undefined ? undefined : textOf(store.state)).toBe(text);
+    expect(store.through).toBe(records.at(-1)?.offset);
+  });
+
+  it('should name who was first in a conflict', () => {
+    const { store } = createStore();
+    store.beginEmpty();
+    cases[1]?.records.forEach((record) => store.offer(record));
+    expect(store.state?.judgements.at(-1)?.note).toContain('hamad, version 2 was first');
+  });
+
+  it('should remember which version and author brought each line', () => {
+    const { store } = createStore();
+    store.beginEmpty();
+    store.offer(logRecord(1, first));
+    const grown = `${A}${B}`;
+    store.offer(logRecord(2, publishRecord({ base: 1, before: A, after: grown, author: 'ilze' })));
+    expect(store.state?.lines.map(({ version, author }) => [version, author])).toEqual([
+      [1, 'salma'],
+      [2, 'ilze'],
+    ]);
+  });
+
+  it('should stay on what it holds at a record of a later format, and say so', () => {
+    const { store, timeline } = createStore();
+    store.beginEmpty();
+    store.offer(logRecord(1, first));
+    const later = logRecord(2, raw({ format: 2, kind: 'publish' }));
+    expect(store.offer(later)).toBe(Offer.Blocked);
+    const next = logRecord(3, publishRecord({ base: 1, before: A, after: B }));
+    expect(store.offer(next)).toBe(Offer.Blocked);
+    expect([store.state?.version, store.blockedAt]).toEqual([1, 2]);
+    const kinds = timeline.after(0).map(({ kind }) => kind);
+    expect(kinds).toContain(EventKind.RecordNotUnderstood);
+  });
+
+  it('should judge nothing while it knows nothing of the past', () => {
+    const { store } = createStore();
+    expect(store.offer(logRecord(1, first))).toBe(Offer.Early);
+    expect(store.state).toBeUndefined();
+  });
+});
--- /dev/null
+++ b/tests/rules/lineEdits.spec.ts
@@ -0,0 +1,39 @@
+import fc from 'fast-check';
+import { applyEdits, editsBetween, printDifference } from 'lentillb/rules/lineEdits.js';
+import { describe, expect, it } from 'vitest';
+
+const lines = fc.array(fc.constantFrom('a', 'b', 'c', ''), { maxLength: 12 });
+
+describe('line edits', () => {
+  it('should lead from the old lines to the new ones', () => {
+    fc.assert(
+      fc.property(lines, lines, (before, after) => {
+        const edits = editsBetween(before, after);
+        expect(applyEdits(before, edits, (text) => text).unwrap()).toEqual(after);
+      }),
+      { seed: 7, numRuns: 1_000 },
+    );
+  });
+
+  it('should be none between equal lines', () => {
+    expect(editsBetween(['a', 'b'], ['a', 'b'])).toEqual([]);
+  });
+
+  it.each([
+    [[{ line: 4, remove: 1, insert: [] }], 'past the end'],
+    [[{ line: 2, remove: 3, insert: [] }], 'longer than the file'],
+    [
+      [
+        { line: 2, remove: 1, insert: [] },
+        { line: 1, remove: 1, insert: [] },
+      ],
+      'out of order',
+    ],
+  ])('should refuse edits that do not fit: %j (%s)', (edits) => {
+    expect(applyEdits(['a', 'b', 'c'], edits, (text) => text).isErr()).toBe(true);
+  });
+
+  it('should print removed and added lines', () => {
+    expect(printDifference(['a', 'b'], ['a', 'c', 'd'])).toEqual(['- b', '+ c', '+ d']);
+  });
+});
--- a/tests/rules/ruleFile.spec.ts
+++ b/tests/rules/ruleFile.spec.ts
@@ -1,25 +1,63 @@
-import { readFileSync } from 'node:fs';
+import { readdirSync, readFileSync } from 'node:fs';
 import { parseRuleFile, printFault } from 'lentillb';
+import { MAX_FILE_BYTES, MAX_LINES, printRules } from 'lentillb/rules/ruleFile.js';
 import { describe, expect, it } from 'vitest';
 
-const GOOD_SERVICE =
-  'service holds port any slots 18 connections 110 ramp 10s drain 10s # Janis (planning): holds';
+const BAD_FOLDER = 'examples/bad';
+
+/** What each bad example must be refused for. */
+const BAD_EXAMPLES: Readonly<Record<string, readonly string[]>> = {
+  'conflicting-split.rules': [
+    '4:1: split to "next", which is split itself; name the final service',
+    '5:1: split of "browse" adds up to 110%; keep it within 100%',
+    '6:1: split to "browse", which is split itself; name the final service',
+  ],
+  'duplicate.rules': ['2:1: "service holds" stands on line 1 already; keep one of the two'],
+  'no-comment.rules': ['1:67: rule has no comment; end it with "# WHO: WHY"'],
+  'shadowed-route.rules': [
+    '3:1: route is never reached, line 2 takes all its calls; move it above that line',
+  ],
+  'unknown-limit.rules': [
+    '2:1: limit of unknown route "GET /holds/*"; add that route',
+    '3:1: limit of unknown group "planners"; add that group',
+  ],
+  'unknown-service.rules': [
+    '2:1: route to unknown service "bokings"; declared services: holds',
+    '3:1: retry of unknown service "bokings"; declared services: holds',
+  ],
+  'unknown-word.rules': ['2:27: unknown word "inside"; write "within" here'],
+};
 
 function faultsOf(text: string): readonly string[] {
   const parsed = parseRuleFile(text);
-  return parsed.isErr() ? parsed.error.map((fault) => printFault('rules.txt', fault)) : [];
+  return parsed.isErr() ? parsed.error.map((fault) => printFault('', fault).slice(1)) : [];
 }
 
 describe('rule file', () => {
   it.each(['muscat', 'riga'])('should accept the rules of %s', (name) => {
-    const text = readFileSync(`examples/${name}.rules`, 'utf8');
-    expect(faultsOf(text)).toEqual([]);
+    expect(faultsOf(readFileSync(`examples/${name}.rules`, 'utf8'))).toEqual([]);
+  });
+
+  it('should have an expectation for every bad example', () => {
+    expect(readdirSync(BAD_FOLDER).sort()).toEqual(Object.keys(BAD_EXAMPLES));
+  });
+
+  it.each(Object.entries(BAD_EXAMPLES))('should refuse %s, naming every fault', (name, faults) => {
+    expect(faultsOf(readFileSync(`${BAD_FOLDER}/${name}`, 'utf8'))).toEqual(faults);
+  });
+
+  it.each(['muscat', 'riga'])('should read back the rules of %s as printed', (name) => {
+    const { rules } = parseRuleFile(readFileSync(`examples/${name}.rules`, 'utf8')).unwrap();
+    const printed = parseRuleFile(printRules(rules)).unwrap();
+    const withoutLines = (list: readonly object[]): readonly object[] =>
+      list.map((rule) => ({ ...rule, line: 0 }));
+    expect(withoutLines(printed.rules)).toEqual(withoutLines(rules));
   });
 
-  it('should name line, column, fault and remedy', () => {
-    const text = `${GOOD_SERVICE}\nroute GET /holds/** to bokings within 2s repeat priority low # Janis: look-ups\n`;
-    expect(faultsOf(text)).toEqual([
-      'rules.txt:2:1: route to unknown service "bokings"; declared services: holds',
-    ]);
+  it.each([
+    ['too many lines', '\n'.repeat(MAX_LINES + 1), `shorten it to ${MAX_LINES}`],
+    ['too many bytes', `# ${'é'.repeat(MAX_FILE_BYTES / 2)}`, `shorten it to ${MAX_FILE_BYTES}`],
+  ])('should refuse a file with %s', (_, text, message) => {
+    expect(faultsOf(text).join('\n')).toContain(message);
   });
 });
--- /dev/null
+++ b/tests/support/rules.ts
@@ -0,0 +1,17 @@
+/** Small rule files for tests. */
+
+/** A service with a read route and a write route. */
+export const PAGES_RULES = `service pages port any slots 2 connections 16 ramp 0s drain 5s # Test: reading
+service orders port any slots 2 connections 16 ramp 0s drain 5s # Test: writing
+route GET /pages/** to pages within 2s repeat priority normal # Test: reading may be repeated
+route POST /orders to orders within 2s once priority high # Test: placed at most once
+retry pages attempts 3 budget 50% # Test: reading survives
+`;
+
+/**
+ * @param name - what makes the file different from others
+ * @returns a valid rule file
+ */
+export function rulesNamed(name: string): string {
+  return `service ${name} port any slots 2 connections 16 ramp 0s drain 5s # Test: named ${name}\n`;
+}
--- /dev/null
+++ b/tests/support/testStore.ts
@@ -0,0 +1,20 @@
+/** A version store on its own, with what it needs. */
+import { VersionStore } from 'lentillb/distribution/versionStore.js';
+import { Identity } from 'lentillb/kernel/identity.js';
+import { Timeline } from 'lentillb/timeline/timeline.js';
+import { ManualClock } from './manualClock.js';
+import { silentLogger, testSettings } from './testNode.js';
+
+/**
+ * @param clock - the clock of its events
+ * @returns a version store that knows nothing yet, and its time line
+ */
+export function createStore(clock = new ManualClock()): {
+  store: VersionStore;
+  timeline: Timeline;
+} {
+  const identity = new Identity({ clock });
+  const settings = testSettings();
+  const timeline = new Timeline({ clock, identity, settings, logger: silentLogger });
+  return { store: new VersionStore({ timeline, logger: silentLogger }), timeline };
+}
