Keep a reader that cannot judge a record from reading it without pause

Cause: a reader that met a record of a later format got the same record from every read at once, and read again at once; found as a test that never ended. Ruled out: the stand-in's wait, which is only for offsets not yet written.

--- a/packages/lentillb/src/distribution/logFollower.ts
+++ b/packages/lentillb/src/distribution/logFollower.ts
@@ -50,6 +50,10 @@
     const { clock, randomness } = this.services;
     const backoff = new Backoff(randomness, RETRY_LEAST_MS, RETRY_MOST_MS);
     while (!signal.aborted) {
+      if (this.services.versionStore.blockedAt !== undefined) {
+        await clock.sleep(POLL_WAIT_MS, signal);
+        continue;
+      }
       const failure = await this.readOnce(signal);
       if (failure === undefined) {
         backoff.reset();
--- /dev/null
+++ b/tests/distribution/publisher.spec.ts
@@ -0,0 +1,164 @@
+import type { MemoryLog } from '@lentillb/standins';
+import { Deadline, LogStream, PublishResult } from 'lentillb';
+import type { PublishOutcome } from 'lentillb';
+import { textOf } from 'lentillb/distribution/configurationState.js';
+import { beforeEach, describe, expect, it } from 'vitest';
+import type { LogReader } from '../support/logReader.js';
+import { createLog, createReader } from '../support/logReader.js';
+import { ManualClock } from '../support/manualClock.js';
+import { publishRecord } from '../support/records.js';
+import { rulesNamed } from '../support/rules.js';
+import { encodeRecord } from 'lentillb/distribution/configurationRecord.js';
+
+const TIMEOUT_MS = 5_000;
+/** Far fewer than a reader that does not wait would make. */
+const MAX_READS = 20;
+const A = rulesNamed('a');
+const B = rulesNamed('b');
+
+let clock: ManualClock;
+let log: MemoryLog;
+let reader: LogReader;
+
+beforeEach(async () => {
+  clock = new ManualClock();
+  log = createLog(clock);
+  reader = createReader(clock, log);
+  reader.follow();
+  await clock.advance(100);
+});
+
+/** Publishes and lets time pass until there is an outcome. */
+async function publish(
+  text: string,
+  base: number,
+  publishId = 'p1',
+  from = reader,
+): Promise<PublishOutcome> {
+  const deadline = Deadline.after(clock, TIMEOUT_MS);
+  const pending = from.publisher.publish({ publishId, base, author: 'salma', text }, deadline);
+  await clock.advance(TIMEOUT_MS + 100);
+  return pending;
+}
+
+async function recordCount(): Promise<number> {
+  const range = await log.range(LogStream.Configuration, Deadline.after(clock, TIMEOUT_MS));
+  return range.unwrap().next - 1;
+}
+
+describe('publisher', () => {
+  it('should say accepted once the version is', async () => {
+    const outcome = await publish(A, 0);
+    expect(outcome).toMatchObject({ result: PublishResult.Accepted, version: 1 });
+    expect(reader.store.state?.version).toBe(1);
+  });
+
+  it('should append nothing for faulty rules, and name every fault', async () => {
+    const outcome = await publish('rout GET / # A: b\nretry x attempts 2 budget 1% # A: b\n', 0);
+    expect(outcome.result).toBe(PublishResult.Refused);
+    expect(outcome.faults.map(({ line }) => line)).toEqual([1, 2]);
+    expect(await recordCount()).toBe(0);
+  });
+
+  it('should name who was first and what differs in a conflict, and append nothing', async () => {
+    await publish(A, 0, 'p1');
+    await publish(B, 1, 'p2');
+    const outcome = await publish(rulesNamed('c'), 1, 'p3');
+    expect(outcome.result).toBe(PublishResult.Refused);
+    expect(outcome.reason).toContain('salma at 2026-');
+    expect(outcome.difference).toEqual([`- ${A.trimEnd()}`, `+ ${B.trimEnd()}`]);
+    expect(await recordCount()).toBe(2);
+  });
+
+  it('should clear up a lost answer by reading, without a second append', async () => {
+    log.faults.loseAnswers = 1;
+    const outcome = await publish(A, 0);
+    expect(outcome).toMatchObject({ result: PublishResult.Accepted, version: 1 });
+    expect(await recordCount()).toBe(1);
+  });
+
+  it('should say unknown where neither an answer nor the record is to be seen', async () => {
+    const other = createReader(clock, log, 2);
+    other.store.beginEmpty();
+    log.faults.loseAnswers = 1;
+    const outcome = await publish(A, 0, 'p1', other);
+    expect(outcome.result).toBe(PublishResult.Unknown);
+    expect(outcome.reason).toContain('--publish-id p1');
+    expect(await recordCount()).toBe(1);
+  });
+
+  it('should tell the first outcome where an unknown publication is repeated', async () => {
+    const other = createReader(clock, log, 2);
+    other.store.beginEmpty();
+    log.faults.loseAnswers = 1;
+    await publish(A, 0, 'p1', other);
+    other.follow();
+    await clock.advance(100);
+    const outcome = await publish(A, 0, 'p1', other);
+    expect(outcome).toMatchObject({ result: PublishResult.Accepted, version: 1 });
+    expect(await recordCount()).toBe(1);
+  });
+
+  it('should go on trying through a short outage', async () => {
+    log.faults.outage = true;
+    clock.sleep(1_000).then(() => {
+      log.faults.outage = false;
+    });
+    expect((await publish(A, 0)).result).toBe(PublishResult.Accepted);
+  });
+
+  it('should say refused, nothing published, where the outage outlasts the deadline', async () => {
+    log.faults.outage = true;
+    const outcome = await publish(A, 0);
+    expect(outcome.result).toBe(PublishResult.Refused);
+    expect(outcome.reason).toContain('nothing was published');
+    log.faults.outage = false;
+    expect(await recordCount()).toBe(0);
+  });
+
+  it('should publish nothing while it holds an older version than the base', async () => {
+    const outcome = await publish(A, 7);
+    expect(outcome.result).toBe(PublishResult.Refused);
+    expect(outcome.reason).toContain('holds version 0, not version 7');
+    expect(await recordCount()).toBe(0);
+  });
+
+  it('should tell one of two racing operators that the other was first', async () => {
+    const other = createReader(clock, log, 2);
+    other.follow();
+    await publish(A, 0, 'p0');
+    const deadline = Deadline.after(clock, TIMEOUT_MS);
+    const race = [reader, other].map(({ publisher }, index) =>
+      publisher.publish(
+        { publishId: `r${index}`, base: 1, author: `op${index}`, text: rulesNamed(`n${index}`) },
+        deadline,
+      ),
+    );
+    await clock.advance(TIMEOUT_MS);
+    const outcomes = await Promise.all(race);
+    const results = outcomes.map(({ result }) => result).sort();
+    expect(results).toEqual([PublishResult.Accepted, PublishResult.Refused]);
+    const winner = outcomes.findIndex(({ result }) => result === PublishResult.Accepted);
+    expect(outcomes[1 - winner]?.reason).toContain(`op${winner}`);
+  });
+
+  it('should call nothing accepted that a later format may have changed', async () => {
+    await publish(A, 0, 'p1');
+    const later = Buffer.from(JSON.stringify({ format: 2, kind: 'publish' }));
+    const deadline = Deadline.after(clock, TIMEOUT_MS);
+    await log.append(LogStream.Configuration, later, deadline);
+    const outcome = await publish(B, 1, 'p2');
+    expect(outcome.result).not.toBe(PublishResult.Accepted);
+    expect(textOf(reader.store.state ?? { lines: [] })).toBe(A);
+    expect(log.counters.reads).toBeLessThan(MAX_READS);
+  });
+
+  it('should judge a record that somebody else appended under the same id only once', async () => {
+    const record = publishRecord({ base: 0, before: '', after: A, publishId: 'p1' });
+    const deadline = Deadline.after(clock, TIMEOUT_MS);
+    await log.append(LogStream.Configuration, encodeRecord(record), deadline);
+    await clock.advance(100);
+    expect(await publish(A, 0, 'p1')).toMatchObject({ result: 'accepted', version: 1 });
+    expect(await recordCount()).toBe(1);
+  });
+});
--- /dev/null
+++ b/tests/distribution/retention.spec.ts
@@ -0,0 +1,141 @@
+import type { MemoryLog } from '@lentillb/standins';
+import { Deadline, EventKind, LogStream } from 'lentillb';
+import { encodeRecord } from 'lentillb/distribution/configurationRecord.js';
+import { textOf } from 'lentillb/distribution/configurationState.js';
+import { beforeEach, describe, expect, it } from 'vitest';
+import type { LogReader } from '../support/logReader.js';
+import { createLog, createReader, RETENTION_MS } from '../support/logReader.js';
+import { ManualClock } from '../support/manualClock.js';
+import { publishRecord } from '../support/records.js';
+import { rulesNamed } from '../support/rules.js';
+
+const A = rulesNamed('a');
+const B = rulesNamed('b');
+const STREAM = LogStream.Configuration;
+const SECOND_MS = 1_000;
+
+let clock: ManualClock;
+let log: MemoryLog;
+
+beforeEach(() => {
+  clock = new ManualClock();
+  log = createLog(clock);
+});
+
+async function append(before: string, after: string, base: number): Promise<void> {
+  const data = encodeRecord(publishRecord({ base, before, after }));
+  await log.append(STREAM, data, Deadline.after(clock, SECOND_MS));
+}
+
+function snapshotsOf({ timeline }: LogReader): number {
+  return timeline.after(0).filter(({ kind }) => kind === EventKind.SnapshotWritten).length;
+}
+
+describe('retention', () => {
+  it('should keep the accepted state in the log while its records expire', async () => {
+    const reader = createReader(clock, log);
+    reader.follow();
+    await append('', A, 0);
+    await clock.advance(5 * RETENTION_MS);
+    const late = createReader(clock, log, 2);
+    late.follow();
+    await clock.advance(SECOND_MS);
+    expect(late.store.state?.version).toBe(1);
+    expect(textOf(late.store.state ?? { lines: [] })).toBe(A);
+    expect((await log.range(STREAM, Deadline.after(clock, 1))).unwrap().earliest).toBeGreaterThan(
+      1,
+    );
+  });
+
+  it('should write few snapshots, also with racing writers', async () => {
+    const readers = Array.from({ length: 8 }, (_, seed) => createReader(clock, log, seed + 1));
+    readers.forEach((reader) => reader.follow());
+    await append('', A, 0);
+    await clock.advance(4 * RETENTION_MS);
+    const written = readers.reduce((total, reader) => total + snapshotsOf(reader), 0);
+    // One is due every half retention; two writers may overlap each time.
+    expect(written).toBeGreaterThanOrEqual(4);
+    expect(written).toBeLessThanOrEqual(16);
+    expect(new Set(readers.map(({ store }) => store.state?.version))).toEqual(new Set([1]));
+  });
+
+  it('should take nothing from a snapshot that is older than what is held', async () => {
+    const writer = createReader(clock, log, 1);
+    const endWriter = writer.follow();
+    await append('', A, 0);
+    await clock.advance(RETENTION_MS * 0.7);
+    endWriter();
+    const reader = createReader(clock, log, 2);
+    reader.follow();
+    await clock.advance(SECOND_MS);
+    await append(A, B, 1);
+    await clock.advance(SECOND_MS);
+    expect(snapshotsOf(writer)).toBeGreaterThan(0);
+    expect(textOf(reader.store.state ?? { lines: [] })).toBe(B);
+  });
+
+  it('should not invent an empty beginning where the log has forgotten the first records', async () => {
+    await append('', A, 0);
+    await append(A, B, 1);
+    log.forgetBefore(STREAM, 2);
+    const reader = createReader(clock, log);
+    reader.follow();
+    await clock.advance(60 * SECOND_MS);
+    expect(reader.store.state).toBeUndefined();
+  });
+
+  it('should go on from memory after an outage longer than the retention, and restore the log', async () => {
+    const reader = createReader(clock, log, 1);
+    reader.follow();
+    await append('', A, 0);
+    await clock.advance(SECOND_MS);
+    log.faults.outage = true;
+    log.wakeReaders();
+    await clock.advance(2 * RETENTION_MS);
+    log.faults.outage = false;
+    await clock.advance(30 * SECOND_MS);
+    const late = createReader(clock, log, 2);
+    late.follow();
+    await clock.advance(SECOND_MS);
+    expect(late.store.state?.version).toBe(1);
+    await append(A, B, 1);
+    await clock.advance(SECOND_MS);
+    expect([reader.store.state?.version, late.store.state?.version]).toEqual([
+      reader.store.through,
+      late.store.through,
+    ]);
+    expect(textOf(late.store.state ?? { lines: [] })).toBe(B);
+  });
+
+  it('should take a newer snapshot after it was cut off beyond the retention', async () => {
+    const cutOff = createReader(clock, log, 1);
+    const end = cutOff.follow();
+    await append('', A, 0);
+    await clock.advance(SECOND_MS);
+    end();
+    const other = createReader(clock, log, 2);
+    other.follow();
+    await append(A, B, 1);
+    await clock.advance(3 * RETENTION_MS);
+    cutOff.follow();
+    await clock.advance(SECOND_MS);
+    expect(cutOff.store.state?.version).toBe(2);
+    expect(textOf(cutOff.store.state ?? { lines: [] })).toBe(B);
+  });
+
+  it('should count records that nobody read before they expired as lost, without going back', async () => {
+    const reader = createReader(clock, log, 1);
+    const end = reader.follow();
+    await append('', A, 0);
+    await clock.advance(SECOND_MS);
+    end();
+    await clock.advance(SECOND_MS);
+    await append(A, B, 1);
+    log.forgetBefore(STREAM, 3);
+    await append(A, rulesNamed('c'), 1);
+    reader.follow();
+    await clock.advance(30 * SECOND_MS);
+    expect(reader.store.state?.version).toBe(3);
+    expect(reader.timeline.after(0).map(({ kind }) => kind)).toContain(EventKind.LogGap);
+  });
+});
--- a/tests/support/manualClock.ts
+++ b/tests/support/manualClock.ts
@@ -41,6 +41,7 @@
         wakeAtMs: this.elapsedMs + delayMs,
         wake: () => {
           this.sleepers.delete(sleeper);
+          signal?.removeEventListener('abort', sleeper.wake);
           resolve();
         },
       };
