--- a/packages/lentillb/src/kernel/kernel.ts
+++ b/packages/lentillb/src/kernel/kernel.ts
@@ -1,4 +1,5 @@
 /** Wires the plug-ins of one node together, starts them in order and stops them in reverse. */
+import { setMaxListeners } from 'node:events';
 import { asValue, createContainer, InjectionMode } from 'awilix';
 import type { AwilixContainer } from 'awilix';
 import type { Clock } from './clock.js';
@@ -26,6 +27,8 @@
   private stopped: Promise<void> | undefined;
 
   private constructor(options: KernelOptions) {
+    // Every background task listens for the stop.
+    setMaxListeners(0, this.stopping.signal);
     const { replacements, ...provided } = options;
     this.ordered = plugins.inStartOrder();
     this.container = createContainer<Services>({ injectionMode: InjectionMode.PROXY });
--- a/packages/lentillb/src/mesh/peerListener.ts
+++ b/packages/lentillb/src/mesh/peerListener.ts
@@ -1,4 +1,5 @@
 /** Takes links from other nodes. */
+import { setMaxListeners } from 'node:events';
 import { createServer } from 'node:http2';
 import type { Http2Server, ServerHttp2Session } from 'node:http2';
 import type { AddressInfo } from 'node:net';
@@ -33,6 +34,8 @@
 
   constructor(services: Needs) {
     this.services = services;
+    // Every accepted link listens for the closing; how many there are follows from the topology.
+    setMaxListeners(0, this.closing.signal);
   }
 
   /** Starts listening on the peer port of the settings. */
--- a/tests/support/manualClock.ts
+++ b/tests/support/manualClock.ts
@@ -59,9 +59,7 @@
     const endMs = this.elapsedMs + durationMs;
     await settle();
     for (;;) {
-      const next = [...this.sleepers]
-        .filter(({ wakeAtMs }) => wakeAtMs <= endMs)
-        .sort((left, right) => left.wakeAtMs - right.wakeAtMs)[0];
+      const next = this.earliest(endMs);
       if (next === undefined) {
         break;
       }
@@ -72,4 +70,14 @@
     this.elapsedMs = endMs;
     await settle();
   }
+
+  private earliest(endMs: number): Sleeper | undefined {
+    let first: Sleeper | undefined;
+    this.sleepers.forEach((sleeper) => {
+      if (sleeper.wakeAtMs <= endMs && (first === undefined || sleeper.wakeAtMs < first.wakeAtMs)) {
+        first = sleeper;
+      }
+    });
+    return first;
+  }
 }
