Take callers only once a node holds a configuration and knows the fleet

Cause: a restarted node listened for callers at once and answered 503 no-configuration until it had caught up. Found by the rolling restart under load; ruled out: the gates and backend servers, no call was refused by them.

--- a/packages/cli/src/dev/devFleet.ts
+++ b/packages/cli/src/dev/devFleet.ts
@@ -108,7 +108,12 @@
       this.nodes.every(({ services }) => {
         const hosts = services.fleet.present();
         const servers = hosts.flatMap(({ backendServers }) => backendServers);
-        return hosts.length === this.nodes.length && servers.length === this.backendServers.length;
+        const ready = services.readiness.ready;
+        return (
+          ready &&
+          hosts.length === this.nodes.length &&
+          servers.length === this.backendServers.length
+        );
       });
     while (!complete()) {
       await this.clock.sleep(READY_POLL_MS);
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -3,6 +3,8 @@
 export type { Console } from './console.js';
 export { DevFleet } from './dev/devFleet.js';
 export type { DevFleetOptions } from './dev/devFleet.js';
+export { NodeProcess } from './demo/nodeProcess.js';
+export type { NodeProcessOptions } from './demo/nodeProcess.js';
 export { ExitCode } from './exitCode.js';
 export { mergeEvents } from './mergeEvents.js';
 export { runProgram } from './program.js';
--- a/packages/lentillb/src/membership/announcer.ts
+++ b/packages/lentillb/src/membership/announcer.ts
@@ -57,6 +57,11 @@
     this.writeSoon();
   }
 
+  /** Announces where this host listens, after a listener has started. */
+  announcePorts(): void {
+    this.writeSoon();
+  }
+
   /** Announces that this host takes no new work. */
   announceLeaving(): void {
     this.state = HostState.LEAVING;
--- a/packages/lentillb/src/mesh/peerLink.ts
+++ b/packages/lentillb/src/mesh/peerLink.ts
@@ -67,6 +67,8 @@
 
   private digestDiffered = false;
 
+  private sameAnnouncements = false;
+
   private pullPending = false;
 
   private readonly ending = new AbortController();
@@ -158,6 +160,11 @@
     return this.peerProgress;
   }
 
+  /** Whether the other node held the same announcements when it last said what it holds. */
+  get inStep(): boolean {
+    return this.sameAnnouncements;
+  }
+
   /** Whether announcements are passed on at once. */
   private get passesAnnouncements(): boolean {
     return this.linkRole === LinkRole.PARENT || this.linkRole === LinkRole.ZONE;
@@ -331,6 +338,7 @@
   private compareDigest(digest: number): void {
     const { fleet } = this.services;
     const differs = digest !== fleet.digest();
+    this.sameAnnouncements = !differs;
     if (differs && this.digestDiffered) {
       this.send('buckets', { digests: [...fleet.bucketDigests()] });
     }
--- /dev/null
+++ b/packages/lentillb/src/readiness/plugin.ts
@@ -0,0 +1,19 @@
+/** Registers what decides when callers are taken. */
+import { asClass } from 'awilix';
+import { plugins } from '../kernel/plugin.js';
+import { Readiness } from './readiness.js';
+
+declare module '../kernel/services.js' {
+  interface Services {
+    readonly readiness: Readiness;
+  }
+}
+
+plugins.register({
+  name: 'readiness',
+  needs: ['presence', 'routing'],
+  services: { readiness: asClass(Readiness).singleton() },
+  start: ({ readiness, stopping }) => {
+    readiness.run(stopping);
+  },
+});
--- a/packages/lentillb/src/routing/plugin.ts
+++ b/packages/lentillb/src/routing/plugin.ts
@@ -30,7 +30,6 @@
     gateClient: asClass(GateClient).singleton(),
     limits: asClass(Limits).singleton(),
   },
-  start: ({ callListener }) => callListener.listen(),
   leave: ({ callListener }) => callListener.http.leave(),
   stop: async ({ callListener, gateClient }, deadline) => {
     await callListener.http.close(deadline);
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -1,4 +1,5 @@
 /** Runs a node as a process of its own, until it is told to stop. */
+import { once } from 'node:events';
 import type { Settings } from 'lentillb';
 import { InvariantError } from 'lentillb';
 import { RunningNode } from './runningNode.js';
@@ -13,7 +14,9 @@
 export async function runDaemon(settings: Settings): Promise<void> {
   const node = await RunningNode.start(settings);
   const { logger, settings: kept } = node.services;
-  logger.info({ ports: node.ports }, 'node is running');
+  const stop = new AbortController();
+  process.once('SIGTERM', () => stop.abort());
+  process.once('SIGINT', () => stop.abort());
   process.on('uncaughtException', (error) => {
     logger.fatal({ err: error }, 'stopping at once');
     // eslint-disable-next-line n/no-process-exit -- nothing this process still does can be trusted
@@ -26,10 +29,11 @@
       process.exit(EXIT_FAILURE);
     }
   });
-  await new Promise<void>((resolve) => {
-    process.once('SIGTERM', resolve);
-    process.once('SIGINT', resolve);
-  });
+  await node.untilReady(stop.signal);
+  if (!stop.signal.aborted) {
+    logger.info({ ports: node.ports }, 'node is running');
+    await once(stop.signal, 'abort');
+  }
   logger.info({ drainMs: kept.drainMs }, 'stopping gracefully');
   await node.stop();
   logger.info('stopped');
--- a/packages/node/src/runningNode.ts
+++ b/packages/node/src/runningNode.ts
@@ -22,6 +22,8 @@
   readonly localPort: number;
 }
 
+const READY_POLL_MS = 20;
+
 /** A node that runs in this process. */
 export class RunningNode {
   private constructor(
@@ -68,6 +70,18 @@
     return `http://${this.settings.address}:${this.ports.callPort}`;
   }
 
+  /**
+   * Waits until callers are taken.
+   *
+   * @param signal - ends the wait
+   */
+  async untilReady(signal?: AbortSignal): Promise<void> {
+    const { clock, readiness } = this.services;
+    while (!readiness.ready && signal?.aborted !== true) {
+      await clock.sleep(READY_POLL_MS, signal);
+    }
+  }
+
   /** Stops gracefully: nothing in flight is cut within the drain time of the settings. */
   async stop(): Promise<void> {
     await this.kernel.stop(this.settings.drainMs);
--- a/tests/routing/calls.spec.ts
+++ b/tests/routing/calls.spec.ts
@@ -85,6 +85,7 @@
     services.versionStore.beginEmpty();
     services.versionStore.offer(logRecord(1, record));
   });
+  await Promise.all([entry.untilReady(), beside.untilReady()]);
 });
 
 afterEach(async () => {
