--- /dev/null
+++ b/packages/lentillb/src/distribution/publication.ts
@@ -0,0 +1,44 @@
+/** Makes the record for an edited rule file. */
+import { editsBetween } from '../rules/lineEdits.js';
+import { joinLines, splitLines } from '../rules/ruleFile.js';
+import type { PublishRecord } from './configurationRecord.js';
+import { digestOf, encodeRecord, RECORD_FORMAT, RecordKind } from './configurationRecord.js';
+
+/** A rule file, and the version it was edited from. */
+export interface EditedText {
+  readonly publishId: string;
+  /** The version that was edited. */
+  readonly base: number;
+  readonly author: string;
+  /** The text of that version. */
+  readonly before: string;
+  /** The new text. */
+  readonly after: string;
+}
+
+/**
+ * @param edited - the edited file
+ * @returns the record to publish
+ */
+export function publishRecordOf(edited: EditedText): PublishRecord {
+  const { publishId, base, author } = edited;
+  const after = splitLines(edited.after);
+  const edits = editsBetween(splitLines(edited.before), after);
+  return {
+    format: RECORD_FORMAT,
+    kind: RecordKind.Publish,
+    publishId,
+    base,
+    author,
+    edits: edits.map((edit) => ({ ...edit, insert: [...edit.insert] })),
+    digest: digestOf(joinLines(after)),
+  };
+}
+
+/**
+ * @param edited - the edited file
+ * @returns the bytes to append to the configuration stream
+ */
+export function encodePublication(edited: EditedText): Uint8Array {
+  return encodeRecord(publishRecordOf(edited));
+}
--- a/packages/lentillb/src/distribution/publisher.ts
+++ b/packages/lentillb/src/distribution/publisher.ts
@@ -6,18 +6,14 @@
 import type { LogFailure } from '../log/log.js';
 import { LogFailureKind, LogStream } from '../log/log.js';
 import type { Fault } from '../rules/fault.js';
-import { editsBetween, printDifference } from '../rules/lineEdits.js';
-import { joinLines, parseRuleFile, splitLines } from '../rules/ruleFile.js';
+import { printDifference } from '../rules/lineEdits.js';
+import { parseRuleFile } from '../rules/ruleFile.js';
 import { Backoff } from '../utils/backoff.js';
 import type { Judgement, PublishRecord } from './configurationRecord.js';
-import {
-  digestOf,
-  encodeRecord,
-  RECORD_FORMAT,
-  RecordKind,
-  Verdict,
-} from './configurationRecord.js';
+import { encodeRecord, Verdict } from './configurationRecord.js';
 import type { ConfigurationState } from './configurationState.js';
+import { textOf } from './configurationState.js';
+import { publishRecordOf } from './publication.js';
 
 const RETRY_LEAST_MS = 50;
 const RETRY_MOST_MS = 1_000;
@@ -90,7 +86,12 @@
     if (state.value.version !== publication.base) {
       return this.conflict(publication, state.value);
     }
-    const appended = await this.append(this.recordOf(publication, state.value), deadline);
+    const record = publishRecordOf({
+      ...publication,
+      before: textOf(state.value),
+      after: publication.text,
+    });
+    const appended = await this.append(record, deadline);
     if (appended.isErr() && appended.error.kind !== LogFailureKind.UnknownEffect) {
       return this.refused(publication, `${appended.error.message}; nothing was published`);
     }
@@ -100,20 +101,6 @@
       : this.judged(publication, judgement);
   }
 
-  // eslint-disable-next-line class-methods-use-this -- reads better beside its caller
-  private recordOf(publication: Publication, state: ConfigurationState): PublishRecord {
-    const { publishId, base, author, text } = publication;
-    const before = state.lines.map((line) => line.text);
-    const after = splitLines(text);
-    const edits = editsBetween(before, after).map((edit) => ({
-      ...edit,
-      insert: [...edit.insert],
-    }));
-    const digest = digestOf(joinLines(after));
-    const kind = RecordKind.Publish;
-    return { format: RECORD_FORMAT, kind, publishId, base, author, edits, digest };
-  }
-
   private async waitForBase(
     publication: Publication,
     deadline: Deadline,
--- a/packages/lentillb/src/index.ts
+++ b/packages/lentillb/src/index.ts
@@ -7,6 +7,9 @@
   Verdict,
 } from './distribution/configurationRecord.js';
 export type { Judgement } from './distribution/configurationRecord.js';
+export { EMPTY_STATE, judgeRecord } from './distribution/configurationState.js';
+export { encodePublication, publishRecordOf } from './distribution/publication.js';
+export type { EditedText } from './distribution/publication.js';
 export { PublishResult } from './distribution/publisher.js';
 export type { PublishOutcome } from './distribution/publisher.js';
 export { SystemClock } from './kernel/clock.js';
@@ -22,6 +25,9 @@
 export { HttpLog } from './log/httpLog.js';
 export { FIRST_OFFSET, LogFailureKind, LogStream } from './log/log.js';
 export type { Log, LogBatch, LogFailure, LogRange, LogRecord, ReadRequest } from './log/log.js';
+export { ConnectDialer } from './mesh/peerDialer.js';
+export type { PeerAddress, PeerDialer } from './mesh/peerDialer.js';
+export { RoutingTable } from './routing/table/routingTable.js';
 export { printFault } from './rules/fault.js';
 export type { Fault } from './rules/fault.js';
 export { printDifference } from './rules/lineEdits.js';
@@ -31,4 +37,5 @@
 export { EventKind } from './timeline/event.js';
 export type { TimelineEvent } from './timeline/event.js';
 export { HttpListener } from './utils/httpListener.js';
+export { MessageQueue } from './utils/messageQueue.js';
 export { readJson } from './utils/readJson.js';
--- a/tests/support/records.ts
+++ b/tests/support/records.ts
@@ -1,14 +1,8 @@
 /** Configuration records for tests. */
 import type { LogRecord } from 'lentillb';
-import {
-  digestOf,
-  encodeRecord,
-  RECORD_FORMAT,
-  RecordKind,
-} from 'lentillb/distribution/configurationRecord.js';
+import { publishRecordOf } from 'lentillb';
+import { digestOf, encodeRecord } from 'lentillb/distribution/configurationRecord.js';
 import type { PublishRecord } from 'lentillb/distribution/configurationRecord.js';
-import { editsBetween } from 'lentillb/rules/lineEdits.js';
-import { splitLines } from 'lentillb/rules/ruleFile.js';
 
 /** What an operator publishes. */
 export interface Edit {
@@ -23,23 +17,9 @@
  * @param edit - what an operator publishes
  * @returns the record for it
  */
-export function publishRecord({
-  base,
-  before,
-  after,
-  publishId = `${base}-${digestOf(after).slice(0, 8)}`,
-  author = 'salma',
-}: Edit): PublishRecord {
-  const edits = editsBetween(splitLines(before), splitLines(after));
-  return {
-    format: RECORD_FORMAT,
-    kind: RecordKind.Publish,
-    publishId,
-    base,
-    author,
-    edits: edits.map((item) => ({ ...item, insert: [...item.insert] })),
-    digest: digestOf(after),
-  };
+export function publishRecord(edit: Edit): PublishRecord {
+  const publishId = `${edit.base}-${digestOf(edit.after).slice(0, 8)}`;
+  return publishRecordOf({ publishId, author: 'salma', ...edit });
 }
 
 /**
