Read only the lines a version changes

Cause: every node read the whole file anew for a change of one line; in the convergence benchmark 25 nodes in one process spent 4.3 ms each per change, and the median change took 35 ms of queueing for the processor. Change: a version reuses the lines read for the one before, by their text.

--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -5,6 +5,7 @@
 export type { DevFleetOptions } from './dev/devFleet.js';
 export { NodeProcess } from './demo/nodeProcess.js';
 export type { NodeProcessOptions } from './demo/nodeProcess.js';
+export { withSettings } from './docs/settingsTable.js';
 export { ExitCode } from './exitCode.js';
 export { mergeEvents } from './mergeEvents.js';
 export { runProgram } from './program.js';
--- a/packages/lentillb/src/distribution/configurationState.ts
+++ b/packages/lentillb/src/distribution/configurationState.ts
@@ -6,7 +6,7 @@
 import { Err, Ok } from 'ts-results-es';
 import { printFault } from '../rules/fault.js';
 import { applyEdits } from '../rules/lineEdits.js';
-import type { PlacedRule, RuleFile } from '../rules/ruleFile.js';
+import type { ParsedLines, PlacedRule, RuleFile } from '../rules/ruleFile.js';
 import { joinLines, parseRuleFile } from '../rules/ruleFile.js';
 import type { Judgement, PlainState, PublishRecord } from './configurationRecord.js';
 import { digestOf, Verdict } from './configurationRecord.js';
@@ -32,6 +32,8 @@
   readonly version: number;
   readonly lines: readonly AcceptedLine[];
   readonly rules: readonly PlacedRule[];
+  /** The lines as they were read, for reading the next version. */
+  readonly parsedLines: ParsedLines;
   /** The latest verdicts, oldest first. */
   readonly judgements: readonly Judgement[];
 }
@@ -42,6 +44,7 @@
   version: 0,
   lines: [],
   rules: [],
+  parsedLines: new Map(),
   judgements: [],
 };
 
@@ -100,7 +103,7 @@
   if (digestOf(text) !== record.digest) {
     return refuse(Verdict.Invalid, 'content does not match its digest');
   }
-  const file = parseRuleFile(text);
+  const file = parseRuleFile(text, state.parsedLines);
   if (file.isErr()) {
     const shown = file.error.slice(0, FAULTS_NOTED).map((fault) => printFault(FILE_NAME, fault));
     return refuse(Verdict.Invalid, shown.join(' | '));
@@ -135,7 +138,8 @@
     return { ...state, through: offset, judgements };
   }
   const { lines, file } = candidate.value;
-  return { through: offset, version: offset, lines, rules: file.rules, judgements };
+  const { rules, parsedLines } = file;
+  return { through: offset, version: offset, lines, rules, parsedLines, judgements };
 }
 
 /**
@@ -156,5 +160,6 @@
   if (file.isErr()) {
     return Err(`state of version ${plain.version} has faulty rules`);
   }
-  return Ok({ ...plain, rules: file.value.rules });
+  const { rules, parsedLines } = file.value;
+  return Ok({ ...plain, rules, parsedLines });
 }
--- a/packages/lentillb/src/rules/ruleFile.ts
+++ b/packages/lentillb/src/rules/ruleFile.ts
@@ -24,6 +24,7 @@
   /** The whole text, as the operator wrote it. */
   readonly text: string;
   readonly rules: readonly PlacedRule[];
+  readonly parsedLines: ParsedLines;
 }
 
 /**
@@ -75,13 +76,26 @@
   return faults;
 }
 
+/** Rule lines read before, by their text; most lines of a version were in the one before it. */
+export type ParsedLines = ReadonlyMap<string, Rule | undefined>;
+
+const NOTHING_PARSED: ParsedLines = new Map();
+
+function parseLine(text: string, known: ParsedLines): ReturnType<typeof parseRuleLine> {
+  return known.has(text) ? Ok(known.get(text)) : parseRuleLine(text);
+}
+
 /**
  * Reads a rule file. A file with any fault is refused whole.
  *
  * @param text - the whole text
+ * @param known - lines read before
  * @returns the file, or all its faults in file order
  */
-export function parseRuleFile(text: string): Result<RuleFile, readonly Fault[]> {
+export function parseRuleFile(
+  text: string,
+  known: ParsedLines = NOTHING_PARSED,
+): Result<RuleFile, readonly Fault[]> {
   const lines = splitLines(text);
   const sizeFaults = checkSize(text, lines);
   if (sizeFaults.length > 0) {
@@ -89,18 +103,22 @@
   }
   const faults: Fault[] = [];
   const rules: PlacedRule[] = [];
+  const parsedLines = new Map<string, Rule | undefined>();
   lines.forEach((lineText, index) => {
     const line = index + 1;
-    const parsed = parseRuleLine(lineText);
+    const parsed = parseLine(lineText, known);
     if (parsed.isErr()) {
       faults.push(...parsed.error.map((fault) => ({ line, ...fault })));
-    } else if (parsed.value !== undefined) {
-      rules.push({ ...parsed.value, line });
+      return;
+    }
+    parsedLines.set(lineText, parsed.value);
+    if (parsed.value !== undefined) {
+      rules.push({ ...parsed.value, line } as PlacedRule);
     }
   });
   faults.push(...checkReferences(rules));
   faults.sort((left, right) => left.line - right.line || left.column - right.column);
-  return faults.length > 0 ? Err(faults) : Ok({ text, rules });
+  return faults.length > 0 ? Err(faults) : Ok({ text, rules, parsedLines });
 }
 
 /**
--- a/tests/distribution/interleavings.spec.ts
+++ b/tests/distribution/interleavings.spec.ts
@@ -94,7 +94,9 @@
           expect(state?.version ?? 0).toBeGreaterThanOrEqual(versionBefore);
           expect(node.tables.current?.version ?? 0).toBe(state?.version ?? 0);
           if (state !== undefined) {
-            expect({ ...state, rules: [] }).toEqual({ ...states[through], rules: [] });
+            expect(toPlainState(state)).toEqual(
+              toPlainState(states[through] as ConfigurationState),
+            );
             const named = state.lines.length === 0 ? [] : [state.lines[0]?.text.split(' ')[1]];
             expect(node.tables.current?.serviceNames() ?? []).toEqual(named);
           }
