Bound the links of a node, admit herds, and add benchmarks of failures

Cause: at 3,400 nodes the topology gave its most linked node 28 links; at the 72 bytes a second a link costs while idle (432 B/s at 6 links, headers and acknowledgements included) that alone is its 2 KB/s. Change: levels of the tree grow by 4, not 8; a node takes at most 128 links; a node no longer tells a peer of records the peer has.

--- a/bench/src/benchFleet.ts
+++ b/bench/src/benchFleet.ts
@@ -2,7 +2,17 @@
 import { readFileSync } from 'node:fs';
 import { RunningNode } from '@lentillb/node';
 import { MemoryLog } from '@lentillb/standins';
-import { Deadline, encodePublication, LogStream, readSettings, SystemClock } from 'lentillb';
+import type { Log, LogFailure, Services } from 'lentillb';
+import {
+  Deadline,
+  encodePublication,
+  LogFailureKind,
+  LogStream,
+  readSettings,
+  SystemClock,
+} from 'lentillb';
+import type { Result } from 'ts-results-es';
+import { Err } from 'ts-results-es';
 import { DelayingDialer } from './delayingDialer.js';
 
 const RETENTION_MS = 60 * 60 * 1_000;
@@ -27,10 +37,14 @@
   /** How long a message takes between zones, in milliseconds. */
   readonly zoneDelayMs: number;
   readonly seed: number;
+  readonly retentionMs?: number;
+  /** Services in place of those of the plug-ins. */
+  readonly replacements?: Partial<Services>;
 }
 
 /** @returns bytes that went over the loopback interface so far, headers included */
 export function loopbackBytes(): number {
+  // eslint-disable-next-line n/no-sync -- read between measurements
   return Number(LOOPBACK.exec(readFileSync('/proc/net/dev', 'utf8'))?.[1] ?? 0);
 }
 
@@ -38,52 +52,86 @@
 export class BenchFleet {
   readonly clock = new SystemClock();
 
-  readonly log = new MemoryLog({
-    clock: this.clock,
-    retentionMs: RETENTION_MS,
-    appendsPerSecond: APPENDS_PER_SECOND,
-  });
+  readonly log: MemoryLog;
 
   readonly nodes = new Map<string, RunningNode>();
 
+  /** Zones that are cut off from the others and from the log. */
+  readonly cut = new Set<string>();
+
   /** The version appended last. */
   version = 0;
 
+  /** The most requests that were open at the log at once. */
+  mostAtLog = 0;
+
+  private atLog = 0;
+
   private text = '';
 
+  private readonly dead = new Set<string>();
+
+  private readonly silent = new Set<string>();
+
+  private readonly deadPorts = new Set<number>();
+
   private readonly zoneOfPort = new Map<number, string>();
 
   private started = 0;
 
   /** @param options - what the fleet is made of */
-  constructor(private readonly options: BenchFleetOptions) {}
+  constructor(private readonly options: BenchFleetOptions) {
+    this.log = new MemoryLog({
+      clock: this.clock,
+      retentionMs: options.retentionMs ?? RETENTION_MS,
+      appendsPerSecond: APPENDS_PER_SECOND,
+    });
+  }
 
   /** Starts all nodes and waits until each knows all others. */
   async start(): Promise<void> {
-    const stations = Array.from({ length: this.options.nodes }, (_, index) => ({
-      host: `host-${index}`,
-      zone: `zone-${index % this.options.zones}`,
-    }));
-    for (const station of stations) {
+    for (const station of this.stations()) {
       await this.add(station);
     }
     await this.until(() => this.settled());
   }
 
+  /** @returns where the nodes of the fleet stand */
+  stations(): readonly Station[] {
+    const { nodes, zones } = this.options;
+    return Array.from({ length: nodes }, (_, index) => ({
+      host: `host-${index}`,
+      zone: `zone-${index % zones}`,
+    }));
+  }
+
   /**
    * Starts a node.
    *
    * @param station - where it stands
+   * @param peers - addresses to try when the log is down
    * @returns the node
    */
-  async add({ host, zone }: Station): Promise<RunningNode> {
-    const { seed, zoneDelayMs } = this.options;
+  async add({ host, zone }: Station, peers = ''): Promise<RunningNode> {
+    const { replacements, seed, zoneDelayMs } = this.options;
     this.started += 1;
-    const given = { host, zone, logUrl: 'http://127.0.0.1:9', logLevel: 'fatal', ...FREE_PORTS };
-    const settings = readSettings({ ...given, seed: seed + this.started }, {}).unwrap();
-    const delay = (port: number): number => (this.zoneOfPort.get(port) === zone ? 0 : zoneDelayMs);
-    const replacements = { log: this.log, peerDialer: new DelayingDialer(this.clock, delay) };
-    const node = await RunningNode.start(settings, { replacements });
+    const given = { host, zone, peers, logUrl: 'http://127.0.0.1:9', logLevel: 'fatal' };
+    const flags = { ...given, ...FREE_PORTS, seed: seed + this.started };
+    const settings = readSettings(flags, {}).unwrap();
+    this.dead.delete(host);
+    const same = (port: number): boolean => this.zoneOfPort.get(port) === zone;
+    const peerDialer = new DelayingDialer(this.clock, {
+      delayMs: (port) => (same(port) ? 0 : zoneDelayMs),
+      passes: (port) =>
+        !this.deadPorts.has(port) &&
+        !this.silent.has(host) &&
+        !(this.dead.has(host) && this.nodes.get(host) === undefined) &&
+        (same(port) || !(this.cut.has(zone) || this.cut.has(this.zoneOfPort.get(port) ?? ''))),
+    });
+    const log = this.logFor(zone);
+    const node = await RunningNode.start(settings, {
+      replacements: { log, peerDialer, ...replacements },
+    });
     this.zoneOfPort.set(node.ports.peerPort, zone);
     this.nodes.set(host, node);
     return node;
@@ -109,7 +157,17 @@
     return this.version;
   }
 
-  /** @returns whether every node knows all others */
+  /**
+   * @param nodes - some nodes, else all
+   * @returns whether they enforce the version appended last
+   */
+  inForce(nodes: Iterable<RunningNode> = this.nodes.values()): boolean {
+    return [...nodes].every(
+      ({ services }) => services.versionStore.state?.version === this.version,
+    );
+  }
+
+  /** @returns whether every node knows just the nodes there are */
   settled(): boolean {
     return [...this.nodes.values()].every(
       ({ services }) => services.fleet.present().length === this.nodes.size,
@@ -118,9 +176,10 @@
 
   /**
    * @param condition - what to wait for
+   * @returns how long it took, in milliseconds
    * @throws Error where it does not come in time
    */
-  async until(condition: () => boolean): Promise<void> {
+  async until(condition: () => boolean): Promise<number> {
     const startMs = this.clock.monotonicMs();
     while (!condition()) {
       if (this.clock.monotonicMs() - startMs > SETTLE_TIMEOUT_MS) {
@@ -128,10 +187,77 @@
       }
       await this.clock.sleep(POLL_MS);
     }
+    return this.clock.monotonicMs() - startMs;
+  }
+
+  /**
+   * Stops a node gracefully.
+   *
+   * @param host - its host
+   */
+  async remove(host: string): Promise<void> {
+    const node = this.nodes.get(host);
+    this.nodes.delete(host);
+    await node?.stop();
+  }
+
+  /**
+   * Ends the links of a node without a word, as a killed process does.
+   *
+   * @param host - its host
+   */
+  kill(host: string): void {
+    const node = this.nodes.get(host);
+    this.nodes.delete(host);
+    if (node !== undefined) {
+      // Nothing it still says is heard.
+      this.deadPorts.add(node.ports.peerPort);
+      this.dead.add(host);
+      const { linkKeeper, peerListener } = node.services;
+      Promise.all([linkKeeper.close(), peerListener.close()])
+        .then(() => node.stop())
+        .catch(() => undefined);
+    }
+  }
+
+  /**
+   * Lets nothing through from or to a node, without ending its connections.
+   *
+   * @param host - its host
+   */
+  silence(host: string): void {
+    const port = this.nodes.get(host)?.ports.peerPort;
+    if (port !== undefined) {
+      this.deadPorts.add(port);
+      this.silent.add(host);
+    }
   }
 
   /** Ends all nodes. */
   async stop(): Promise<void> {
     await Promise.all([...this.nodes.values()].map((node) => node.stop()));
   }
+
+  /** The log as nodes of a zone reach it. */
+  private logFor(zone: string): Log {
+    const cutOff: LogFailure = { kind: LogFailureKind.Unavailable, message: 'cut off' };
+    const ask = async <Value>(
+      request: () => Promise<Result<Value, LogFailure>>,
+    ): Promise<Result<Value, LogFailure>> => {
+      if (this.cut.has(zone)) {
+        return Err(cutOff);
+      }
+      this.atLog += 1;
+      this.mostAtLog = Math.max(this.mostAtLog, this.atLog);
+      const answer = await request();
+      this.atLog -= 1;
+      return this.cut.has(zone) ? Err(cutOff) : answer;
+    };
+    return {
+      append: (...args) => ask(() => this.log.append(...args)),
+      read: (...args) => ask(() => this.log.read(...args)),
+      range: (...args) => ask(() => this.log.range(...args)),
+      close: async () => undefined,
+    };
+  }
 }
--- a/bench/src/convergence.ts
+++ b/bench/src/convergence.ts
@@ -1,4 +1,5 @@
 /** How long a change takes to every node, and what control costs a node. */
+import { topologyOf } from 'lentillb';
 import type { Bench, BenchOptions, BenchResult } from './bench.js';
 import { fitLine, round } from './bench.js';
 import { BenchFleet, loopbackBytes } from './benchFleet.js';
@@ -16,6 +17,7 @@
 
 /** The target's size and budgets. */
 const TARGET_NODES = 3_400;
+const TARGET_ZONES = 9;
 const TARGET_CHANGES_PER_DAY = 7_800;
 const PEAK_FACTOR = 10;
 const IN_FORCE_MS = 8_000;
@@ -26,6 +28,9 @@
 const BYTES_PER_MB = 1024 * 1024;
 
 interface Measured {
+  readonly nodes: number;
+  /** Open links, counted at both their ends. */
+  readonly linkEnds: number;
   readonly calm: Latencies;
   readonly restarting: Latencies;
   readonly idleBytesPerSecond: number;
@@ -106,6 +111,10 @@
   const { clock } = fleet;
   await fleet.append(rulesOf(0));
   await clock.sleep(IDLE_MS / 2);
+  const linkEnds = [...fleet.nodes.values()].reduce(
+    (total, { services }) => total + services.linkTable.open().length,
+    0,
+  );
   const idle = { bytes: loopbackBytes(), cpu: process.cpuUsage(), atMs: clock.monotonicMs() };
   await clock.sleep(IDLE_MS);
   const idleSeconds = (clock.monotonicMs() - idle.atMs) / MS_PER_SECOND;
@@ -127,6 +136,8 @@
   await measureChanges(fleet, disturbed, restarting(fleet));
   await fleet.stop();
   return {
+    nodes,
+    linkEnds,
     calm,
     restarting: disturbed,
     // Each byte is sent by one node and received by another.
@@ -160,6 +171,28 @@
   print(cells.join(' | '));
 }
 
+/** Links of a node at the target's size, from the same topology the nodes use. */
+function linksAtTarget(): { mean: number; most: number } {
+  const places = Array.from({ length: TARGET_NODES }, (_, index) => ({
+    host: `host-${index}`,
+    zone: `zone-${index % TARGET_ZONES}`,
+  }));
+  const ends = new Map<string, number>();
+  const count = (host: string): number => ends.set(host, (ends.get(host) ?? 0) + 1).size;
+  // Zone links go from each zone to those after it by name: the first zone's nodes have the most.
+  const [first] = places;
+  const sample = places.filter(({ zone }) => zone === first?.zone);
+  sample.forEach((place) =>
+    topologyOf(place, places).links.forEach((_, host) => {
+      count(place.host);
+      count(host);
+    }),
+  );
+  const counts = sample.map(({ host }) => ends.get(host) ?? 0);
+  const mean = counts.reduce((sum, links) => sum + links, 0) / counts.length;
+  return { mean, most: Math.max(...counts) };
+}
+
 async function run(options: BenchOptions, print: (line: string) => void): Promise<BenchResult> {
   const sizes = [options.nodes / 4, options.nodes / 2, options.nodes].map(Math.round);
   const riga: Measured[] = [];
@@ -171,15 +204,17 @@
   const muscat = await measureFleet(options, options.nodes, MUSCAT_DELAY_MS);
   printRow(print, options.nodes, MUSCAT_DELAY_MS, muscat);
   const fitOf = (figure: (measured: Measured) => number): ReturnType<typeof fitLine> =>
-    fitLine(riga.map((measured, index) => [sizes[index] as number, figure(measured)]));
-  const idle = fitOf(({ idleBytesPerSecond }) => idleBytesPerSecond);
-  const change = fitOf(({ bytesPerChange }) => bytesPerChange);
-  const cpuChange = fitOf(({ cpuMsPerChange }) => cpuMsPerChange);
-  const cpuIdle = fitOf(({ idleCpuPercent }) => idleCpuPercent);
+    fitLine(riga.map((measured) => [measured.nodes, figure(measured)]));
+  // What a node sends and receives goes with its links; how many those are follows from the topology.
+  const perLink = ({ nodes, linkEnds }: Measured, bytes: number): number =>
+    (bytes * nodes) / linkEnds;
+  const idleOf = (measured: Measured): number => perLink(measured, measured.idleBytesPerSecond);
+  const changeOf = (measured: Measured): number => perLink(measured, measured.bytesPerChange);
+  const idle = fitOf(idleOf);
+  const change = fitOf(changeOf);
   const memory = fitOf(({ memoryMb }) => memoryMb);
   const reads = fitOf(({ sourceReads }) => sourceReads);
-  const atTarget = ({ base, slope }: { base: number; slope: number }): number =>
-    base + slope * TARGET_NODES;
+  const links = linksAtTarget();
   const changesPerSecond = TARGET_CHANGES_PER_DAY / SECONDS_PER_DAY;
   const largest = riga.at(-1) as Measured;
   const figures = {
@@ -189,19 +224,28 @@
     restartP99Ms: round(largest.restarting.at(99)),
     restartMaxMs: round(Math.max(largest.restarting.mostMs, muscat.restarting.mostMs)),
     muscatP99Ms: round(muscat.calm.at(99)),
-    idleBytesPerSecond: round(largest.idleBytesPerSecond),
-    idleBytesSlope: round(idle.slope),
-    bytesPerChange: round(largest.bytesPerChange),
-    bytesPerChangeSlope: round(change.slope),
-    targetBytesPerSecond: round(atTarget(idle) + atTarget(change) * changesPerSecond),
-    targetPeakBytesPerSecond: round(
-      atTarget(idle) + atTarget(change) * changesPerSecond * PEAK_FACTOR,
+    idleBytesPerLink: round(idleOf(largest)),
+    idleBytesPerLinkSlope: round(idle.slope),
+    idleResidual: round(idle.residual),
+    changeBytesPerLink: round(changeOf(largest)),
+    changeBytesPerLinkSlope: round(change.slope),
+    changeResidual: round(change.residual),
+    targetMeanLinks: round(links.mean),
+    targetMostLinks: links.most,
+    targetMeanBytesPerSecond: round(
+      links.mean * (idleOf(largest) + changeOf(largest) * changesPerSecond),
+    ),
+    targetMostBytesPerSecond: round(
+      links.most * (idleOf(largest) + changeOf(largest) * changesPerSecond),
+    ),
+    targetPeakMostBytesPerSecond: round(
+      links.most * (idleOf(largest) + changeOf(largest) * changesPerSecond * PEAK_FACTOR),
     ),
     idleCpuPercent: round(largest.idleCpuPercent),
-    idleCpuSlope: round(cpuIdle.slope),
     cpuMsPerChange: round(largest.cpuMsPerChange),
-    targetCpuPercent: round(
-      largest.idleCpuPercent + (atTarget(cpuChange) * changesPerSecond * PEAK_FACTOR) / 10,
+    targetPeakCpuPercent: round(
+      largest.idleCpuPercent +
+        (largest.cpuMsPerChange * changesPerSecond * PEAK_FACTOR * 100) / MS_PER_SECOND,
     ),
     memoryMbPerNode: round(memory.slope),
     sourceReadsPerChange: round(largest.sourceReads),
@@ -215,9 +259,10 @@
       { figure: 'muscatP99Ms', most: GOAL_P99_MS + MUSCAT_DELAY_MS },
       { figure: 'maxMs', most: IN_FORCE_MS },
       { figure: 'restartMaxMs', most: IN_FORCE_MS },
-      { figure: 'targetBytesPerSecond', most: BYTES_PER_SECOND },
-      { figure: 'targetPeakBytesPerSecond', most: BYTES_PER_SECOND },
-      { figure: 'targetCpuPercent', most: CPU_PERCENT },
+      { figure: 'targetMeanBytesPerSecond', most: BYTES_PER_SECOND },
+      { figure: 'targetMostBytesPerSecond', most: BYTES_PER_SECOND },
+      { figure: 'targetPeakMostBytesPerSecond', most: BYTES_PER_SECOND },
+      { figure: 'targetPeakCpuPercent', most: CPU_PERCENT },
       { figure: 'memoryMbPerNode', most: MEMORY_MB },
     ],
   };
--- a/bench/src/delayingDialer.ts
+++ b/bench/src/delayingDialer.ts
@@ -1,8 +1,9 @@
-/** Links over loopback that take as long as links between availability zones. */
+/** Links over loopback that take as long as links between availability zones, and can be cut. */
 import type { PeerMessage } from '@lentillb/protocol';
 import type { Clock, PeerAddress, PeerDialer } from 'lentillb';
 import { ConnectDialer, MessageQueue } from 'lentillb';
 import type { Result } from 'ts-results-es';
+import { Err } from 'ts-results-es';
 
 const QUEUE_CAPACITY = 100_000;
 
@@ -11,17 +12,25 @@
   readonly atMs: number;
 }
 
-/** Delays the messages of real links. */
+/** The way from one node to others. */
+export interface Way {
+  /** How long a message takes to a port, in milliseconds. */
+  readonly delayMs: (port: number) => number;
+  /** Whether anything passes between this node and a port. */
+  readonly passes: (port: number) => boolean;
+}
+
+/** Delays the messages of real links; a cut lets nothing through and ends no connection. */
 export class DelayingDialer implements PeerDialer {
   private readonly dialer = new ConnectDialer();
 
   /**
    * @param clock - the clock that delays go by
-   * @param delayMs - how long a message takes to a port, in milliseconds
+   * @param way - the way to other nodes
    */
   constructor(
     private readonly clock: Clock,
-    private readonly delayMs: (port: number) => number,
+    private readonly way: Way,
   ) {}
 
   open(
@@ -29,26 +38,27 @@
     outbound: AsyncIterable<PeerMessage>,
     signal: AbortSignal,
   ): AsyncIterable<PeerMessage> {
-    const delayMs = this.delayMs(peer.port);
-    if (delayMs === 0) {
-      return this.dialer.open(peer, outbound, signal);
-    }
-    return this.delay(this.dialer.open(peer, this.delay(outbound, delayMs), signal), delayMs);
+    const { port } = peer;
+    return this.carry(this.dialer.open(peer, this.carry(outbound, port), signal), port);
   }
 
-  probe(peer: PeerAddress, host: string, timeoutMs: number): Promise<Result<bigint, string>> {
+  async probe(peer: PeerAddress, host: string, timeoutMs: number): Promise<Result<bigint, string>> {
+    if (!this.way.passes(peer.port)) {
+      await this.clock.sleep(timeoutMs);
+      return Err('no answer');
+    }
     return this.dialer.probe(peer, host, timeoutMs);
   }
 
-  private async *delay(
+  private async *carry(
     messages: AsyncIterable<PeerMessage>,
-    delayMs: number,
+    port: number,
   ): AsyncGenerator<PeerMessage> {
     const underWay = new MessageQueue<Delivery>(QUEUE_CAPACITY);
     let failure: unknown;
     const collect = async (): Promise<void> => {
       for await (const message of messages) {
-        underWay.push({ message, atMs: this.clock.monotonicMs() + delayMs });
+        underWay.push({ message, atMs: this.clock.monotonicMs() + this.way.delayMs(port) });
       }
     };
     collect()
@@ -57,8 +67,13 @@
       })
       .finally(() => underWay.close());
     for await (const { message, atMs } of underWay) {
-      await this.clock.sleep(Math.max(0, atMs - this.clock.monotonicMs()));
-      yield message;
+      const waitMs = atMs - this.clock.monotonicMs();
+      if (waitMs > 0) {
+        await this.clock.sleep(waitMs);
+      }
+      if (this.way.passes(port)) {
+        yield message;
+      }
     }
     if (failure !== undefined) {
       throw failure as Error;
--- a/bench/src/main.ts
+++ b/bench/src/main.ts
@@ -4,7 +4,9 @@
 import type { Bench } from './bench.js';
 import { brokenBounds } from './bench.js';
 import { convergence } from './convergence.js';
+import { faultBenches } from './faults.js';
 import { rules } from './rules.js';
+import { spreading } from './spreading.js';
 
 const EXIT_BROKEN = 1;
 const EXIT_USAGE = 2;
@@ -13,6 +15,8 @@
   'added-latency': addedLatency,
   convergence,
   rules,
+  spreading,
+  ...faultBenches,
 };
 
 const { positionals, values } = parseArgs({
--- a/packages/cli/src/adminClient.ts
+++ b/packages/cli/src/adminClient.ts
@@ -15,6 +15,8 @@
   readonly zone: string;
   readonly version: number;
   readonly through: number;
+  /** How many records peers have that the node has not. */
+  readonly waitingFor: number;
   readonly blockedAt?: number;
   readonly reader: boolean;
   readonly logReachable?: boolean;
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -23,6 +23,9 @@
     }
     console.print(`host ${node.host} in zone ${node.zone}, one of ${node.hosts} hosts`);
     console.print(`version ${node.version} in force, log read through offset ${node.through}`);
+    if (node.waitingFor > 0) {
+      console.print(`waiting for ${node.waitingFor} records that peers have`);
+    }
     if (node.blockedAt !== undefined) {
       console.print(`STOPPED at offset ${node.blockedAt}: a later format; upgrade this node`);
     }
--- a/packages/lentillb/src/admin/adminApi.ts
+++ b/packages/lentillb/src/admin/adminApi.ts
@@ -73,6 +73,23 @@
   context.body = { error };
 }
 
+async function parseBody<Value>(
+  context: Context,
+  schema: z.ZodType<Value>,
+): Promise<Value | undefined> {
+  const body = await readJson(context.req, MAX_BODY_BYTES);
+  if (body.isErr()) {
+    refuse(context, HttpStatus.BadRequest, `nothing was done: ${body.error}`);
+    return undefined;
+  }
+  const parsed = schema.safeParse(body.value);
+  if (!parsed.success) {
+    const reason = z.prettifyError(parsed.error);
+    refuse(context, HttpStatus.BadRequest, `nothing was done: ${reason}`);
+  }
+  return parsed.data;
+}
+
 /** Serves the administration API, version 1. */
 export class AdminApi {
   private readonly services: Needs;
@@ -121,6 +138,7 @@
       incarnation: identity.incarnation,
       version: versionStore.state?.version ?? 0,
       through: versionStore.through,
+      waitingFor: Math.max(0, linkTable.newestThrough() - versionStore.through),
       blockedAt: versionStore.blockedAt,
       reader: readerRole.held,
       logReachable: logFollower.logReachable,
@@ -223,7 +241,7 @@
 
   private async publish(context: Context): Promise<void> {
     const { clock, publisher } = this.services;
-    const publication = await this.parseBody(context, publicationSchema);
+    const publication = await parseBody(context, publicationSchema);
     if (publication !== undefined) {
       const { timeoutMs, ...rest } = publication;
       const outcome = await publisher.publish(rest, Deadline.after(clock, timeoutMs));
@@ -233,7 +251,7 @@
   }
 
   private async diff(context: Context): Promise<void> {
-    const given = await this.parseBody(context, diffSchema);
+    const given = await parseBody(context, diffSchema);
     const state = given === undefined ? undefined : this.stateOr(context);
     if (given !== undefined && state !== undefined) {
       const before = state.lines.map((line) => line.text);
@@ -242,24 +260,6 @@
     }
   }
 
-  // eslint-disable-next-line class-methods-use-this -- reads better beside its callers
-  private async parseBody<Value>(
-    context: Context,
-    schema: z.ZodType<Value>,
-  ): Promise<Value | undefined> {
-    const body = await readJson(context.req, MAX_BODY_BYTES);
-    if (body.isErr()) {
-      refuse(context, HttpStatus.BadRequest, `nothing was done: ${body.error}`);
-      return undefined;
-    }
-    const parsed = schema.safeParse(body.value);
-    if (!parsed.success) {
-      const reason = z.prettifyError(parsed.error);
-      refuse(context, HttpStatus.BadRequest, `nothing was done: ${reason}`);
-    }
-    return parsed.data;
-  }
-
   private stateOr(context: Context): ConfigurationState | undefined {
     const { state } = this.services.versionStore;
     if (state === undefined) {
--- a/packages/lentillb/src/distribution/publisher.ts
+++ b/packages/lentillb/src/distribution/publisher.ts
@@ -55,6 +55,19 @@
 
 type Needs = Pick<Services, 'clock' | 'log' | 'randomness' | 'versionStore'>;
 
+function refused(
+  { publishId }: Publication,
+  reason: string,
+  faults: readonly Fault[] = [],
+): PublishOutcome {
+  return { result: PublishResult.Refused, publishId, reason, faults, difference: [] };
+}
+
+function unknown({ publishId }: Publication): PublishOutcome {
+  const reason = `the log did not answer in time and "${publishId}" has not appeared in it yet; look with "lentillb history", or publish again with --publish-id ${publishId}`;
+  return { result: PublishResult.Unknown, publishId, reason, faults: [], difference: [] };
+}
+
 /** Publishes rule files. */
 export class Publisher {
   private readonly services: Needs;
@@ -73,11 +86,11 @@
   async publish(publication: Publication, deadline: Deadline): Promise<PublishOutcome> {
     const file = parseRuleFile(publication.text);
     if (file.isErr()) {
-      return this.refused(publication, 'the file has faults; correct them', file.error);
+      return refused(publication, 'the file has faults; correct them', file.error);
     }
     const state = await this.waitForBase(publication, deadline);
     if (state.isErr()) {
-      return this.refused(publication, state.error);
+      return refused(publication, state.error);
     }
     const judged = this.services.versionStore.judgementOf(publication.publishId);
     if (judged !== undefined) {
@@ -93,12 +106,10 @@
     });
     const appended = await this.append(record, deadline);
     if (appended.isErr() && appended.error.kind !== LogFailureKind.UnknownEffect) {
-      return this.refused(publication, `${appended.error.message}; nothing was published`);
+      return refused(publication, `${appended.error.message}; nothing was published`);
     }
     const judgement = await this.waitForJudgement(publication.publishId, deadline);
-    return judgement === undefined
-      ? this.unknown(publication)
-      : this.judged(publication, judgement);
+    return judgement === undefined ? unknown(publication) : this.judged(publication, judgement);
   }
 
   private async waitForBase(
@@ -173,7 +184,7 @@
     const before = versionStore.linesOf(publication.base)?.map((line) => line.text);
     const after = state.lines.map((line) => line.text);
     const difference = before === undefined ? [] : printDifference(before, after);
-    return { ...this.refused(publication, reason), difference };
+    return { ...refused(publication, reason), difference };
   }
 
   private judged(publication: Publication, judgement: Judgement): PublishOutcome {
@@ -194,21 +205,6 @@
     if (judgement.verdict === Verdict.Conflict && state !== undefined) {
       return this.conflict(publication, state);
     }
-    return this.refused(publication, `${judgement.verdict}: ${judgement.note}`);
-  }
-
-  // eslint-disable-next-line class-methods-use-this -- reads better beside its caller
-  private refused(
-    { publishId }: Publication,
-    reason: string,
-    faults: readonly Fault[] = [],
-  ): PublishOutcome {
-    return { result: PublishResult.Refused, publishId, reason, faults, difference: [] };
-  }
-
-  // eslint-disable-next-line class-methods-use-this -- reads better beside its caller
-  private unknown({ publishId }: Publication): PublishOutcome {
-    const reason = `the log did not answer in time and "${publishId}" has not appeared in it yet; look with "lentillb history", or publish again with --publish-id ${publishId}`;
-    return { result: PublishResult.Unknown, publishId, reason, faults: [], difference: [] };
+    return refused(publication, `${judgement.verdict}: ${judgement.note}`);
   }
 }
--- a/packages/lentillb/src/gate/localListener.ts
+++ b/packages/lentillb/src/gate/localListener.ts
@@ -25,6 +25,13 @@
 
 type Needs = Pick<Services, 'announcer' | 'backendServerRegistry' | 'settings'>;
 
+function notFound(context: Context): void {
+  context.status = HttpStatus.NotFound;
+  context.body = {
+    error: `backend server "${context.params.id}" is not announced here; announce it with PUT`,
+  };
+}
+
 /** Listens on the local port. */
 export class LocalListener {
   /** The HTTP server under it. */
@@ -66,7 +73,7 @@
   private show(context: Context): void {
     const server = this.services.backendServerRegistry.get(context.params.id);
     if (server === undefined) {
-      this.notFound(context);
+      notFound(context);
       return;
     }
     context.body = this.describe(server);
@@ -90,18 +97,10 @@
 
   private remove(context: Context): void {
     if (!this.services.backendServerRegistry.remove(context.params.id, 'it left')) {
-      this.notFound(context);
+      notFound(context);
       return;
     }
     context.status = HttpStatus.Ok;
     context.body = { removed: context.params.id };
   }
-
-  // eslint-disable-next-line class-methods-use-this -- reads better beside its callers
-  private notFound(context: Context): void {
-    context.status = HttpStatus.NotFound;
-    context.body = {
-      error: `backend server "${context.params.id}" is not announced here; announce it with PUT`,
-    };
-  }
 }
--- a/packages/lentillb/src/log/httpLog.ts
+++ b/packages/lentillb/src/log/httpLog.ts
@@ -10,7 +10,13 @@
 const MAX_CONNECTIONS = 4;
 const CONNECT_TIMEOUT_MS = 2_000;
 
-const HttpStatus = { Gone: 410, TooManyRequests: 429, ServerError: 500 } as const;
+const HttpStatus = {
+  BadRequest: 400,
+  Gone: 410,
+  TooManyRequests: 429,
+  ServerError: 500,
+  Unavailable: 503,
+} as const;
 
 const rangeSchema = z.object({
   earliest: z.number().int(),
@@ -50,6 +56,58 @@
   return { kind, message: `${action}: ${reason}; ${remedy}` };
 }
 
+/** What a status means for the operation, and what to do about it. */
+interface StatusMeaning {
+  readonly kind: LogFailureKind;
+  readonly remedy: string;
+}
+
+const LOOK = 'read the log to see whether it took effect';
+
+function meaningOf(status: number, lost: LogFailureKind): StatusMeaning {
+  if (status === HttpStatus.Gone) {
+    return { kind: LogFailureKind.NotRetained, remedy: 'read on from the earliest offset' };
+  }
+  if (status === HttpStatus.TooManyRequests || status === HttpStatus.Unavailable) {
+    return { kind: LogFailureKind.Unavailable, remedy: 'try again later' };
+  }
+  if (status >= HttpStatus.ServerError) {
+    return { kind: lost, remedy: LOOK };
+  }
+  return { kind: LogFailureKind.Refused, remedy: 'check the log URL and the record size' };
+}
+
+function judge(
+  { status, body }: Answer,
+  action: string,
+  lost: LogFailureKind,
+): Result<Answer, LogFailure> {
+  if (status < HttpStatus.BadRequest) {
+    return Ok({ status, body });
+  }
+  const { kind, remedy } = meaningOf(status, lost);
+  const range = kind === LogFailureKind.NotRetained ? rangeSchema.safeParse(body).data : undefined;
+  return Err({ ...failure(kind, action, `the log answered ${status}`, remedy), range });
+}
+
+function decode<Value>(
+  schema: z.ZodType<Value>,
+  body: unknown,
+  action: string,
+): Result<Value, LogFailure> {
+  const decoded = schema.safeParse(body);
+  return decoded.success
+    ? Ok(decoded.data)
+    : Err(
+        failure(
+          LogFailureKind.UnknownEffect,
+          action,
+          'the answer is not of the log protocol',
+          'check the log URL',
+        ),
+      );
+}
+
 /** A log reached over HTTP. */
 export class HttpLog implements Log {
   private readonly pool: Pool;
@@ -78,7 +136,7 @@
     };
     const answer = await this.exchange(exchange, deadline);
     return answer
-      .andThen(({ body }) => this.decode(appendedSchema, body, action))
+      .andThen(({ body }) => decode(appendedSchema, body, action))
       .map(({ offset }) => offset);
   }
 
@@ -97,7 +155,7 @@
     };
     const answer = await this.exchange(exchange, deadline, signal);
     return answer
-      .andThen(({ body }) => this.decode(batchSchema, body, action))
+      .andThen(({ body }) => decode(batchSchema, body, action))
       .map(({ records, ...range }) => ({
         range,
         records: records.map((record) => ({
@@ -114,7 +172,7 @@
       { method: 'GET', path: `/streams/${stream}`, action },
       deadline,
     );
-    return answer.andThen(({ body }) => this.decode(rangeSchema, body, action));
+    return answer.andThen(({ body }) => decode(rangeSchema, body, action));
   }
 
   async close(): Promise<void> {
@@ -132,77 +190,12 @@
     try {
       const response = await this.pool.request({ method, path, body, signal: anySignal });
       const text = await response.body.text();
-      return this.judge({ status: response.statusCode, body: JSON.parse(text) }, action, lost);
+      return judge({ status: response.statusCode, body: JSON.parse(text) }, action, lost);
     } catch (error) {
       const { code = '', message } = error as NodeJS.ErrnoException;
       return NOTHING_SENT.has(code)
         ? Err(failure(LogFailureKind.Unavailable, action, message, 'try again later'))
-        : Err(failure(lost, action, message, 'read the log to see whether it took effect'));
-    }
-  }
-
-  // eslint-disable-next-line class-methods-use-this -- reads better beside its caller
-  private judge(answer: Answer, action: string, lost: LogFailureKind): Result<Answer, LogFailure> {
-    const { status } = answer;
-    if (status === HttpStatus.Gone) {
-      const range = rangeSchema.safeParse(answer.body);
-      const gone = failure(
-        LogFailureKind.NotRetained,
-        action,
-        'offset is no longer retained',
-        'read on from the earliest offset',
-      );
-      return Err({ ...gone, range: range.data });
-    }
-    if (status === HttpStatus.TooManyRequests || status === 503) {
-      return Err(
-        failure(
-          LogFailureKind.Unavailable,
-          action,
-          `the log answered ${status}`,
-          'try again later',
-        ),
-      );
+        : Err(failure(lost, action, message, LOOK));
     }
-    if (status >= HttpStatus.ServerError) {
-      return Err(
-        failure(
-          lost,
-          action,
-          `the log answered ${status}`,
-          'read the log to see whether it took effect',
-        ),
-      );
-    }
-    if (status >= 400) {
-      return Err(
-        failure(
-          LogFailureKind.Refused,
-          action,
-          `the log answered ${status}`,
-          'check the log URL and the record size',
-        ),
-      );
-    }
-    return Ok(answer);
-  }
-
-  // eslint-disable-next-line class-methods-use-this -- reads better beside its caller
-  private decode<Value>(
-    schema: z.ZodType<Value>,
-    body: unknown,
-    action: string,
-  ): Result<Value, LogFailure> {
-    const decoded = schema.safeParse(body);
-    return decoded.success
-      ? Ok(decoded.data)
-      : Err(
-          failure(
-            LogFailureKind.UnknownEffect,
-            action,
-            'the answer is not of the log protocol',
-            'check the log URL',
-          ),
-        );
   }
 }
--- a/packages/lentillb/src/membership/topology.ts
+++ b/packages/lentillb/src/membership/topology.ts
@@ -7,7 +7,7 @@
 /** How many nodes of a zone read the log, and how many are at the top of its tree. */
 export const READERS_PER_ZONE = 2;
 /** How many times larger each level of the tree is than the one above it. */
-export const FANOUT = 8;
+export const FANOUT = 4;
 
 /** A host as far as the topology is concerned. */
 export interface Place {
@@ -42,6 +42,9 @@
   return hash32(`${key}/${host}`);
 }
 
+/** Works out what a node has to do, from the hosts that take part. */
+export type Placement = (self: Place, places: readonly Place[]) => Topology;
+
 /** Hosts by falling score; equal scores by name. */
 function rank(key: string, places: readonly Place[]): readonly Place[] {
   return places
--- a/packages/lentillb/src/mesh/linkTable.ts
+++ b/packages/lentillb/src/mesh/linkTable.ts
@@ -40,6 +40,11 @@
     return this.open().some((link) => link.host === host);
   }
 
+  /** @returns the highest record offset that any peer has; -1 where none has any */
+  newestThrough(): number {
+    return this.open().reduce((newest, { through }) => Math.max(newest, through), -1);
+  }
+
   /** @param link - a link that is about to run */
   add(link: PeerLink): void {
     this.links.add(link);
--- a/packages/lentillb/src/mesh/peerLink.ts
+++ b/packages/lentillb/src/mesh/peerLink.ts
@@ -155,6 +155,11 @@
     return this.side === LinkSide.Accepted && this.linkRole === LinkRole.PARENT;
   }
 
+  /** The last record offset known to be at the other node or on its way there. */
+  get through(): number {
+    return this.peerThrough;
+  }
+
   /** Progress of the other node and those below it, as it last said. */
   get progress(): Progress | undefined {
     return this.peerProgress;
@@ -238,10 +243,13 @@
   /** Sends a heartbeat where it says something the last one did not. */
   sendNews(): void {
     const heartbeat = this.heartbeat();
-    const { digest, ...news } = heartbeat;
-    const key = JSON.stringify(news, (_, value: unknown) =>
-      typeof value === 'bigint' ? Number(value) : value,
+    const { below, zones, through } = heartbeat;
+    // What the other node has already is no news to it.
+    const record = this.peerThrough >= this.services.versionStore.through ? '' : String(through);
+    const progress = [...zones, ...(below === undefined ? [] : [below])].map(
+      ({ zone, nodes, lowestVersion }) => `${zone} ${nodes} ${lowestVersion}`,
     );
+    const key = [record, ...progress].join();
     if (key !== this.lastHeartbeat) {
       this.lastHeartbeat = key;
       this.send('heartbeat', heartbeat);
--- a/packages/lentillb/src/mesh/peerListener.ts
+++ b/packages/lentillb/src/mesh/peerListener.ts
@@ -4,6 +4,7 @@
 import type { Http2Server, ServerHttp2Session, ServerOptions } from 'node:http2';
 import type { AddressInfo } from 'node:net';
 import type { ConnectRouter } from '@connectrpc/connect';
+import { Code, ConnectError } from '@connectrpc/connect';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 import type { PeerMessage } from '@lentillb/protocol';
 import { LinkRole, Mesh } from '@lentillb/protocol';
@@ -25,6 +26,9 @@
 /** Small messages go out at once: waiting for an acknowledgement would cost 40 ms a hop. */
 const SOCKET_OPTIONS = { noDelay: true } as ServerOptions;
 
+/** How many links a node keeps at once; a herd that returns spreads over more hosts. */
+const MAX_LINKS = 128;
+
 /** Listens for links. */
 export class PeerListener {
   private readonly closing = new AbortController();
@@ -86,6 +90,9 @@
    */
   async *accept(inbound: AsyncIterable<PeerMessage>): AsyncGenerator<PeerMessage> {
     const { linkTable } = this.services;
+    if (linkTable.open().length >= MAX_LINKS) {
+      throw new ConnectError('too many links; try another host', Code.ResourceExhausted);
+    }
     const role = LinkRole.UNSPECIFIED;
     const link = new PeerLink(this.services, { side: LinkSide.Accepted, role });
     linkTable.add(link);
--- a/packages/lentillb/src/mesh/plugin.ts
+++ b/packages/lentillb/src/mesh/plugin.ts
@@ -1,6 +1,8 @@
 /** Registers the links between nodes. */
-import { asClass } from 'awilix';
+import { asClass, asValue } from 'awilix';
 import { plugins } from '../kernel/plugin.js';
+import type { Placement } from '../membership/topology.js';
+import { topologyOf } from '../membership/topology.js';
 import { EventKind } from '../timeline/event.js';
 import { Convergence } from './convergence.js';
 import { LinkKeeper } from './linkKeeper.js';
@@ -19,6 +21,7 @@
     readonly linkTable: LinkTable;
     readonly peerDialer: PeerDialer;
     readonly peerListener: PeerListener;
+    readonly placement: Placement;
     readonly readerRole: ReaderRole;
     readonly topologyView: TopologyView;
     readonly watcher: Watcher;
@@ -37,6 +40,7 @@
     linkTable: asClass(LinkTable).singleton(),
     peerDialer: asClass(ConnectDialer).singleton(),
     peerListener: asClass(PeerListener).singleton(),
+    placement: asValue(topologyOf),
     readerRole: asClass(ReaderRole).singleton(),
     topologyView: asClass(TopologyView).singleton(),
     watcher: asClass(Watcher).singleton(),
--- a/packages/lentillb/src/mesh/topologyView.ts
+++ b/packages/lentillb/src/mesh/topologyView.ts
@@ -3,7 +3,6 @@
 import { HostState } from '@lentillb/protocol';
 import type { Services } from '../kernel/services.js';
 import type { Topology } from '../membership/topology.js';
-import { topologyOf } from '../membership/topology.js';
 
 /** Changes within this time lead to one new topology, in milliseconds. */
 const SETTLE_MS = 100;
@@ -24,9 +23,9 @@
 
   private readonly listeners = new Set<TopologyListener>();
 
-  private readonly services: Pick<Services, 'clock' | 'fleet' | 'settings'>;
+  private readonly services: Pick<Services, 'clock' | 'fleet' | 'placement' | 'settings'>;
 
-  constructor(services: Pick<Services, 'clock' | 'fleet' | 'settings'>) {
+  constructor(services: Pick<Services, 'clock' | 'fleet' | 'placement' | 'settings'>) {
     this.services = services;
     services.fleet.subscribe((announcement) => this.consider(announcement));
   }
@@ -65,7 +64,7 @@
     if (!this.taking.has(settings.host)) {
       return;
     }
-    this.topology = topologyOf(settings, places);
+    this.topology = this.services.placement(settings, places);
     this.listeners.forEach((listener) => listener(this.topology));
   }
 }
--- a/packages/standins/src/logServer.ts
+++ b/packages/standins/src/logServer.ts
@@ -28,6 +28,34 @@
   return value === undefined || !Number.isFinite(number) ? fallback : number;
 }
 
+function streamOf(context: Context): LogStream | undefined {
+  const stream = Object.values(LogStream).find((known) => known === context.params.stream);
+  if (stream === undefined) {
+    context.status = HttpStatus.NotFound;
+    context.body = { error: `no stream "${context.params.stream}"` };
+  }
+  return stream;
+}
+
+function answer(
+  context: Context,
+  result: { isErr(): boolean; error?: LogFailure; value?: unknown },
+): void {
+  const failure = result.isErr() ? result.error : undefined;
+  if (failure === undefined) {
+    context.body = result.value;
+    return;
+  }
+  const status = failureStatuses[failure.kind];
+  if (status === 0) {
+    context.respond = false;
+    context.res.destroy();
+    return;
+  }
+  context.status = status;
+  context.body = { error: failure.message, ...failure.range };
+}
+
 /** Serves a log over HTTP. */
 export class LogServer {
   private readonly http: HttpListener;
@@ -69,7 +97,7 @@
   }
 
   private async append(context: Context): Promise<void> {
-    const stream = this.streamOf(context);
+    const stream = streamOf(context);
     const chunks: Buffer[] = [];
     let bytes = 0;
     for await (const chunk of context.req) {
@@ -83,7 +111,7 @@
     if (stream !== undefined) {
       const deadline = Deadline.after(this.clock, REQUEST_TIMEOUT_MS);
       const appended = await this.log.append(stream, Buffer.concat(chunks), deadline);
-      this.answer(
+      answer(
         context,
         appended.map((offset) => ({ offset })).mapErr((failure) => failure),
       );
@@ -91,7 +119,7 @@
   }
 
   private async read(context: Context): Promise<void> {
-    const stream = this.streamOf(context);
+    const stream = streamOf(context);
     if (stream === undefined) {
       return;
     }
@@ -106,7 +134,7 @@
     context.res.once('close', () => gone.abort());
     const deadline = Deadline.after(this.clock, REQUEST_TIMEOUT_MS);
     const batch = await this.log.read(request, deadline, gone.signal);
-    this.answer(
+    answer(
       context,
       batch.map(({ records, range }) => ({
         ...range,
@@ -120,10 +148,10 @@
   }
 
   private async range(context: Context): Promise<void> {
-    const stream = this.streamOf(context);
+    const stream = streamOf(context);
     if (stream !== undefined) {
       const deadline = Deadline.after(this.clock, REQUEST_TIMEOUT_MS);
-      this.answer(context, await this.log.range(stream, deadline));
+      answer(context, await this.log.range(stream, deadline));
     }
   }
 
@@ -138,34 +166,4 @@
     this.log.wakeReaders();
     context.body = this.log.faults;
   }
-
-  // eslint-disable-next-line class-methods-use-this -- reads better beside its callers
-  private streamOf(context: Context): LogStream | undefined {
-    const stream = Object.values(LogStream).find((known) => known === context.params.stream);
-    if (stream === undefined) {
-      context.status = HttpStatus.NotFound;
-      context.body = { error: `no stream "${context.params.stream}"` };
-    }
-    return stream;
-  }
-
-  // eslint-disable-next-line class-methods-use-this -- reads better beside its callers
-  private answer(
-    context: Context,
-    result: { isErr(): boolean; error?: LogFailure; value?: unknown },
-  ): void {
-    const failure = result.isErr() ? result.error : undefined;
-    if (failure === undefined) {
-      context.body = result.value;
-      return;
-    }
-    const status = failureStatuses[failure.kind];
-    if (status === 0) {
-      context.respond = false;
-      context.res.destroy();
-      return;
-    }
-    context.status = status;
-    context.body = { error: failure.message, ...failure.range };
-  }
 }
--- a/packages/standins/src/memoryLog.ts
+++ b/packages/standins/src/memoryLog.ts
@@ -48,6 +48,10 @@
 
 const MS_PER_SECOND = 1_000;
 
+function unavailable(reason: string): LogFailure {
+  return { kind: LogFailureKind.Unavailable, message: `log: ${reason}; try again later` };
+}
+
 /** An append-only log in memory. */
 export class MemoryLog implements Log {
   /** The faults switched on now. */
@@ -81,7 +85,7 @@
       return Err(hindered);
     }
     if (!this.takeToken()) {
-      return Err(this.unavailable('too many appends a second'));
+      return Err(unavailable('too many appends a second'));
     }
     const offset = this.store(stream, data);
     if (this.faults.loseAnswers > 0) {
@@ -107,7 +111,7 @@
       await this.waitForRecord(stream, Math.min(waitMs, deadline.remainingMs()), signal);
     }
     if (this.faults.outage) {
-      return Err(this.unavailable('the log went away'));
+      return Err(unavailable('the log went away'));
     }
     const range = this.rangeOf(stream);
     if (from < range.earliest) {
@@ -175,16 +179,11 @@
       await this.options.clock.sleep(Math.min(delayMs, deadline.remainingMs()));
     }
     if (outage || this.faults.outage) {
-      return this.unavailable('outage');
+      return unavailable('outage');
     }
     return undefined;
   }
 
-  // eslint-disable-next-line class-methods-use-this -- reads better beside its callers
-  private unavailable(reason: string): LogFailure {
-    return { kind: LogFailureKind.Unavailable, message: `log: ${reason}; try again later` };
-  }
-
   private async waitForRecord(
     stream: LogStream,
     waitMs: number,
