--- a/bench/src/benchFleet.ts
+++ b/bench/src/benchFleet.ts
@@ -44,7 +44,6 @@
 
 /** @returns bytes that went over the loopback interface so far, headers included */
 export function loopbackBytes(): number {
-  // eslint-disable-next-line n/no-sync -- read between measurements
   return Number(LOOPBACK.exec(readFileSync('/proc/net/dev', 'utf8'))?.[1] ?? 0);
 }
 
--- a/bench/src/main.ts
+++ b/bench/src/main.ts
@@ -34,6 +34,7 @@
 if (bench === undefined) {
   const list = Object.entries(benches).map(([key, { description }]) => `  ${key}: ${description}`);
   console.error(`unknown benchmark "${name}"; choose one of\n${list.join('\n')}`);
+  // eslint-disable-next-line n/no-process-exit -- nothing has been started
   process.exit(EXIT_USAGE);
 }
 const options = {
@@ -50,4 +51,5 @@
 broken.forEach(({ figure, most }) => console.error(`${figure} is over its bound of ${most}`));
 const held = broken.length === 0;
 console.log(JSON.stringify({ bench: name, seed: options.seed, ...result, held }));
+// eslint-disable-next-line n/no-process-exit -- nothing may keep a finished benchmark alive
 process.exit(held ? 0 : EXIT_BROKEN);
--- a/packages/cli/src/dev/devFleet.ts
+++ b/packages/cli/src/dev/devFleet.ts
@@ -108,7 +108,7 @@
       this.nodes.every(({ services }) => {
         const hosts = services.fleet.present();
         const servers = hosts.flatMap(({ backendServers }) => backendServers);
-        const ready = services.readiness.ready;
+        const { ready } = services.readiness;
         return (
           ready &&
           hosts.length === this.nodes.length &&
--- a/packages/lentillb/src/calls/httpExchange.ts
+++ b/packages/lentillb/src/calls/httpExchange.ts
@@ -60,7 +60,7 @@
   /** What became of the request. */
   readonly result: Promise<CallResult>;
 
-  private settle: (result: CallResult) => void = () => undefined;
+  private readonly settle: (result: CallResult) => void;
 
   private controller: Dispatcher.DispatchController | undefined;
 
@@ -75,9 +75,11 @@
   private readonly forgetCancel: () => void;
 
   constructor(private readonly request: ExchangeRequest) {
+    let settle: (result: CallResult) => void = () => undefined;
     this.result = new Promise((resolve) => {
-      this.settle = resolve;
+      settle = resolve;
     });
+    this.settle = settle;
     this.forgetCancel = request.cancellation.onCancel(() => this.cancel());
   }
 
@@ -189,7 +191,7 @@
     {
       origin,
       path: target,
-      method: method as Dispatcher.HttpMethod,
+      method,
       headers,
       body,
       headersTimeout: 0,
--- a/packages/lentillb/src/presence/presence.ts
+++ b/packages/lentillb/src/presence/presence.ts
@@ -134,7 +134,14 @@
     const strangers = [...this.contacts.values()].filter(
       ({ host, incarnation }) => Number(fleet.get(host)?.incarnation ?? 0n) < incarnation,
     );
-    await Promise.all(strangers.slice(0, CONTACTS_TRIED).map((peer) => this.meet(peer, signal)));
+    await Promise.all(
+      strangers.slice(0, CONTACTS_TRIED).map(async (stranger) => {
+        if (!(await this.meet(stranger, signal))) {
+          // It is gone; if it comes back it says so in the log.
+          this.contacts.delete(stranger.host);
+        }
+      }),
+    );
   }
 
   private async readContacts(signal: AbortSignal): Promise<boolean> {
--- a/packages/lentillb/src/rules/ruleFile.ts
+++ b/packages/lentillb/src/rules/ruleFile.ts
@@ -113,7 +113,7 @@
     }
     parsedLines.set(lineText, parsed.value);
     if (parsed.value !== undefined) {
-      rules.push({ ...parsed.value, line } as PlacedRule);
+      rules.push({ ...parsed.value, line });
     }
   });
   faults.push(...checkReferences(rules));
--- a/tests/distribution/publisher.spec.ts
+++ b/tests/distribution/publisher.spec.ts
@@ -3,12 +3,12 @@
 import type { PublishOutcome } from 'lentillb';
 import { textOf } from 'lentillb/distribution/configurationState.js';
 import { beforeEach, describe, expect, it } from 'vitest';
+import { encodeRecord } from 'lentillb/distribution/configurationRecord.js';
 import type { LogReader } from '../support/logReader.js';
 import { createLog, createReader } from '../support/logReader.js';
 import { ManualClock } from '../support/manualClock.js';
 import { publishRecord } from '../support/records.js';
 import { rulesNamed } from '../support/rules.js';
-import { encodeRecord } from 'lentillb/distribution/configurationRecord.js';
 
 const TIMEOUT_MS = 5_000;
 /** Far fewer than a reader that does not wait would make. */
--- a/tests/routing/calls.spec.ts
+++ b/tests/routing/calls.spec.ts
@@ -46,6 +46,17 @@
   }
 }
 
+function announcePort(port: number, id: string): void {
+  beside.services.backendServerRegistry.announce({
+    id,
+    service: 'pages',
+    address: '127.0.0.1',
+    port,
+    slots: 2,
+    state: 'ready',
+  });
+}
+
 /** Announces a scripted backend server beside the second node, and waits until the first knows. */
 async function announce(script: Script, id = 'scripted'): Promise<ScriptedServer> {
   const server = new ScriptedServer(script);
@@ -59,17 +70,6 @@
   return server;
 }
 
-function announcePort(port: number, id: string): void {
-  beside.services.backendServerRegistry.announce({
-    id,
-    service: 'pages',
-    address: '127.0.0.1',
-    port,
-    slots: 2,
-    state: 'ready',
-  });
-}
-
 beforeAll(async () => {
   const clock = new SystemClock();
   const log = new MemoryLog({ clock, retentionMs: 3_600_000, appendsPerSecond: 100 });
