--- a/packages/lentillb/src/mesh/linkTable.ts
+++ b/packages/lentillb/src/mesh/linkTable.ts
@@ -7,6 +7,8 @@
 
 /** News within this time is told in one heartbeat, in milliseconds. */
 const NEWS_DELAY_MS = 10;
+/** The end of a link that leaves telling to the other end waits this long, in milliseconds. */
+const LATE_NEWS_DELAY_MS = 500;
 
 const endEvents = {
   [LinkEnd.Closed]: EventKind.PeerLost,
@@ -21,6 +23,8 @@
 
   private newsPending = false;
 
+  private lateNewsPending = false;
+
   private readonly services: Pick<Services, 'clock' | 'timeline'>;
 
   constructor(services: Pick<Services, 'clock' | 'timeline'>) {
@@ -77,13 +81,28 @@
 
   /** Sends heartbeats soon to those for whom they hold something new. */
   tellNews(): void {
-    if (this.newsPending) {
-      return;
+    const { clock } = this.services;
+    if (!this.newsPending) {
+      this.newsPending = true;
+      clock.after(NEWS_DELAY_MS, () => {
+        this.newsPending = false;
+        this.tell(true);
+      });
+    }
+    if (!this.lateNewsPending) {
+      this.lateNewsPending = true;
+      clock.after(LATE_NEWS_DELAY_MS, () => {
+        this.lateNewsPending = false;
+        this.tell(false);
+      });
     }
-    this.newsPending = true;
-    this.services.clock.sleep(NEWS_DELAY_MS).then(() => {
-      this.newsPending = false;
-      this.links.forEach((link) => link.sendNews());
+  }
+
+  private tell(prompt: boolean): void {
+    this.links.forEach((link) => {
+      if (link.prompt === prompt) {
+        link.sendNews();
+      }
     });
   }
 }
--- a/packages/lentillb/src/mesh/peerLink.ts
+++ b/packages/lentillb/src/mesh/peerLink.ts
@@ -9,9 +9,9 @@
 import { MessageQueue } from '../utils/messageQueue.js';
 
 /** How often a link passes something even if there is nothing to say, in milliseconds. */
-export const HEARTBEAT_MS = 2_000;
+export const HEARTBEAT_MS = 3_000;
 /** After this long without a message a link counts as silent, in milliseconds. */
-export const SILENT_AFTER_MS = 3 * HEARTBEAT_MS;
+export const SILENT_AFTER_MS = 2 * HEARTBEAT_MS + 500;
 /** How long a record may take by its usual way before it is asked for, in milliseconds. */
 const PULL_DELAY_MS = 100;
 /** How many messages may wait for a slow peer before it is dropped. */
@@ -95,6 +95,9 @@
       this.services.convergence.refresh();
       this.compareDigest(heartbeat.digest);
       this.pullIfBehind();
+      if (heartbeat.reply) {
+        this.send('heartbeat', { ...this.heartbeat(), zones: [] });
+      }
     },
     record: (record) => {
       const offered = this.services.versionStore.offer({
@@ -170,6 +173,19 @@
     return this.sameAnnouncements;
   }
 
+  /**
+   * Whether news is told soon. One end of a link is enough: the other one waits, and says nothing
+   * if it has learnt meanwhile that its news is none.
+   */
+  get prompt(): boolean {
+    if (this.linkRole === LinkRole.PARENT) {
+      return true;
+    }
+    return this.linkRole === LinkRole.BACKUP
+      ? this.side === LinkSide.Accepted
+      : this.side === LinkSide.Opened;
+  }
+
   /** Whether announcements are passed on at once. */
   private get passesAnnouncements(): boolean {
     return this.linkRole === LinkRole.PARENT || this.linkRole === LinkRole.ZONE;
@@ -279,8 +295,9 @@
       await clock.sleep(HEARTBEAT_MS, this.ending.signal);
       if (clock.monotonicMs() - this.lastReceivedMs > SILENT_AFTER_MS) {
         this.close(LinkEnd.Silent);
-      } else if (!this.ending.signal.aborted) {
-        this.send('heartbeat', { ...this.heartbeat(), zones: [] });
+      } else if (!this.ending.signal.aborted && this.side === LinkSide.Opened) {
+        // The other side answers: one exchange, whose packets acknowledge each other.
+        this.send('heartbeat', { ...this.heartbeat(), zones: [], reply: true });
       }
     }
   }
