Notice a lost first node whose watcher is linked to another zone

Cause: the second node of a zone watches the first only while nothing above it is linked, and took its links to other zones for such; a dead first node, and its dead children, stayed in everybody's view. Found by the reconnect-storm benchmark with 60 nodes (18 killed: two of them still listed after 40 s; never settled). Ruled out: the benchmark's way of killing, 40 nodes settled in 8 s. Change: only hosts of the own zone count; a difference of digests is looked into after 1 s in place of the second heartbeat.

--- a/bench/src/faults.ts
+++ b/bench/src/faults.ts
@@ -149,6 +149,11 @@
         : result === PublishResult.Refused && verdict === 'accepted';
     }).length;
   }
+  await fleet.until(() =>
+    nodes.every(
+      ({ services }) => services.versionStore.through === nodes[0]?.services.versionStore.through,
+    ),
+  );
   const versions = new Set(nodes.map(({ services }) => services.versionStore.state?.version));
   const figures = {
     races: RACES,
--- a/packages/lentillb/src/mesh/peerLink.ts
+++ b/packages/lentillb/src/mesh/peerLink.ts
@@ -14,6 +14,8 @@
 export const SILENT_AFTER_MS = 2 * HEARTBEAT_MS + 500;
 /** How long a record may take by its usual way before it is asked for, in milliseconds. */
 const PULL_DELAY_MS = 100;
+/** How long two digests may differ before announcements are compared, in milliseconds. */
+const COMPARE_DELAY_MS = 1_000;
 /** How many messages may wait for a slow peer before it is dropped. */
 const MAX_QUEUED_MESSAGES = 4_096;
 
@@ -65,7 +67,9 @@
 
   private lastHeartbeat = '';
 
-  private digestDiffered = false;
+  private peerDigest = 0;
+
+  private comparePending = false;
 
   private sameAnnouncements = false;
 
@@ -359,15 +363,23 @@
     });
   }
 
-  /** A difference that lasts over two heartbeats is no message under way: compare in detail. */
+  /** A difference that lasts while nothing changes is no message under way: compare in detail. */
   private compareDigest(digest: number): void {
-    const { fleet } = this.services;
-    const differs = digest !== fleet.digest();
-    this.sameAnnouncements = !differs;
-    if (differs && this.digestDiffered) {
-      this.send('buckets', { digests: [...fleet.bucketDigests()] });
+    const { clock, fleet } = this.services;
+    const own = fleet.digest();
+    this.peerDigest = digest;
+    this.sameAnnouncements = digest === own;
+    if (digest === own || this.comparePending) {
+      return;
     }
-    this.digestDiffered = differs && !this.digestDiffered;
+    this.comparePending = true;
+    clock.after(COMPARE_DELAY_MS, () => {
+      this.comparePending = false;
+      const lasts = this.peerDigest === digest && fleet.digest() === own;
+      if (lasts && !this.ending.signal.aborted) {
+        this.send('buckets', { digests: [...fleet.bucketDigests()] });
+      }
+    });
   }
 
   private compareBuckets(digests: readonly number[]): void {
--- a/packages/lentillb/src/mesh/watcher.ts
+++ b/packages/lentillb/src/mesh/watcher.ts
@@ -3,7 +3,6 @@
 import { AnnouncementSchema, HostState } from '@lentillb/protocol';
 import type { Services } from '../kernel/services.js';
 import { isPresent } from '../membership/fleet.js';
-import { Link } from '../membership/topology.js';
 import { EventKind } from '../timeline/event.js';
 
 /** How often the watch looks, in milliseconds. */
@@ -15,7 +14,7 @@
 
 type Needs = Pick<
   Services,
-  'clock' | 'fleet' | 'linkTable' | 'peerDialer' | 'timeline' | 'topologyView'
+  'clock' | 'fleet' | 'linkTable' | 'peerDialer' | 'settings' | 'timeline' | 'topologyView'
 >;
 
 /** Watches the neighbours of this node. */
@@ -59,11 +58,11 @@
     });
   }
 
-  /** Children always; the nodes above only where none of them is linked. */
+  /** Children always; the nodes above in the own zone only where none of them is linked. */
   private watched(): ReadonlySet<string> {
-    const { fleet, linkTable, topologyView } = this.services;
+    const { fleet, linkTable, settings, topologyView } = this.services;
     const { children, links } = topologyView.current;
-    const above = [...links].filter(([, link]) => link !== Link.Zone).map(([host]) => host);
+    const above = [...links.keys()].filter((host) => fleet.get(host)?.zone === settings.zone);
     const cutOff = above.length > 0 && !above.some((host) => linkTable.has(host));
     const hosts = [...children, ...(cutOff ? above : [])];
     return new Set(
--- a/tests/mesh/spreading.spec.ts
+++ b/tests/mesh/spreading.spec.ts
@@ -51,6 +51,15 @@
     await fleet.until(() => fleet.readers().length === 4, 'new readers', IN_FORCE_MS);
   });
 
+  it('should notice that the first node of a zone is killed, whoever else is linked', async () => {
+    const fleet = await TestFleet.start({ zones: 3, nodesPerZone: 8 });
+    await fleet.clock.advance(10 * SECOND_MS);
+    const firsts = fleet.nodes.filter(({ services }) => services.topologyView.current.first);
+    expect(firsts).toHaveLength(3);
+    firsts.forEach(({ host }) => fleet.kill(host));
+    await fleet.until(() => fleet.everybodyKnowsAll(), 'the loss to be known', IN_FORCE_MS);
+  });
+
   it('should let a zone that was cut off go on, and heal within 8 s', async () => {
     const fleet = await TestFleet.start({ zones: 3, nodesPerZone: 8 });
     await fleet.append(rulesNamed('before'));
