Give teams tokens with a scope of services

Cause: whoever reached the administration port could publish anything. Change: tokens from settings, compared by digest in constant time; all but health needs one where any is set; a publication that changes lines outside the scope is refused naming them, before anything is appended, and stays right under races since a record is accepted only against the base it was checked with; the team stands in the history beside the author.

--- a/bench/src/addedLatency.ts
+++ b/bench/src/addedLatency.ts
@@ -1,12 +1,10 @@
 /** What the mesh adds to a call, in pairs with direct calls in the same run. */
 import { createServer } from 'node:http';
 import { Worker, isMainThread, parentPort } from 'node:worker_threads';
-import { AdminClient, NodeProcess } from '@lentillb/cli';
-import { LogServer, MemoryLog } from '@lentillb/standins';
-import { SystemClock } from 'lentillb';
 import { Agent, request } from 'undici';
 import type { Bench, BenchOptions, BenchResult } from './bench.js';
 import { round } from './bench.js';
+import { atFixedTimes, CallBench } from './callBench.js';
 import { Latencies } from './percentiles.js';
 
 const RATES = [94, 1_000];
@@ -14,8 +12,6 @@
 const WARM_UP_MS = 4_000;
 const ANSWER_BYTES = 512;
 const ADDED_P99_MS = 0.67;
-const LEASE_RENEW_MS = 1_000;
-const TIMEOUT_MS = 10_000;
 const SLOTS = 64;
 const RULES = `service pages port any slots ${SLOTS} connections 128 ramp 0s drain 5s # Bench: reading
 route GET /pages/** to pages within 5s repeat priority normal # Bench: reading
@@ -63,21 +59,11 @@
     Way,
     Latencies
   >;
-  const pending: Promise<void>[] = [];
-  const startMs = performance.now();
-  const total = Math.floor((ratePerSecond * ways.length * durationMs) / 1_000);
-  for (let count = 0; count < total; count += 1) {
-    const dueMs = startMs + (count * 1_000) / (ratePerSecond * ways.length);
-    const waitMs = dueMs - performance.now();
-    if (waitMs > 1) {
-      await new Promise<void>((resolve) => {
-        setTimeout(resolve, waitMs);
-      });
-    }
-    const way = ways[count % ways.length] as Way;
-    pending.push(callOnce(agent, urls[way]).then((tookMs) => latencies[way].record(tookMs)));
-  }
-  await Promise.all(pending);
+  const rate = ratePerSecond * ways.length;
+  await atFixedTimes(rate, Math.floor((rate * durationMs) / 1_000), async (number) => {
+    const way = ways[number % ways.length] as Way;
+    latencies[way].record(await callOnce(agent, urls[way]));
+  });
   await agent.close();
   return latencies;
 }
@@ -90,29 +76,16 @@
   return { worker, port: address.port };
 }
 
-async function announce(node: NodeProcess, port: number): Promise<void> {
-  const url = `http://127.0.0.1:${node.ports.localPort}/v1/backend-servers/bench`;
-  const body = JSON.stringify({ service: 'pages', port, slots: SLOTS });
-  const answer = await request(url, { method: 'PUT', body });
-  await answer.body.dump();
-}
-
 async function run(_: BenchOptions, print: (line: string) => void): Promise<BenchResult> {
-  const clock = new SystemClock();
-  const log = new MemoryLog({ clock, retentionMs: 3_600_000, appendsPerSecond: 300 });
-  const logServer = new LogServer(log, clock);
-  await logServer.listen();
-  const { url: logUrl } = logServer;
-  const zone = 'zone-a';
-  const entry = await NodeProcess.start({ host: 'entry', zone, logUrl });
-  const beside = await NodeProcess.start({ host: 'beside', zone, logUrl });
+  const bench = new CallBench();
+  await bench.start('entry', 'beside');
+  const [entry, beside] = bench.nodes;
+  if (entry === undefined || beside === undefined) {
+    throw new Error('no node was started');
+  }
   const { worker, port } = await startBackend();
-  await announce(beside, port);
-  const renewing = setInterval(() => announce(beside, port), LEASE_RENEW_MS);
-  const admin = new AdminClient(entry.adminUrl, TIMEOUT_MS);
-  const publishId = 'bench';
-  await admin.publish({ publishId, base: 0, author: 'bench', text: RULES, timeoutMs: TIMEOUT_MS });
-  await clock.sleep(500);
+  await bench.announce(beside, { id: 'bench', service: 'pages', port, slots: SLOTS });
+  await bench.publish(RULES);
   const urls = {
     [Way.Direct]: `http://127.0.0.1:${port}/pages/1`,
     [Way.OneHop]: `${beside.callUrl}/pages/1`,
@@ -135,10 +108,8 @@
       );
     }
   }
-  clearInterval(renewing);
   await worker.terminate();
-  await Promise.all([entry.kill(), beside.kill()]);
-  await logServer.close();
+  await bench.stop();
   const bounds = RATES.flatMap((rate) => [
     { figure: `oneHopP99At${rate}`, most: ADDED_P99_MS },
     { figure: `twoHopsP99At${rate}`, most: ADDED_P99_MS },
--- a/bench/src/benchFleet.ts
+++ b/bench/src/benchFleet.ts
@@ -14,6 +14,7 @@
 import type { Result } from 'ts-results-es';
 import { Err } from 'ts-results-es';
 import { DelayingDialer } from './delayingDialer.js';
+import type { Latencies } from './percentiles.js';
 
 const RETENTION_MS = 60 * 60 * 1_000;
 const APPENDS_PER_SECOND = 300;
@@ -24,6 +25,14 @@
 
 const FREE_PORTS = { callPort: 0, gatePort: 0, peerPort: 0, adminPort: 0, localPort: 0 };
 
+/**
+ * @param name - what makes the rules different from others
+ * @returns a small rule file
+ */
+export function rulesNamed(name: string): string {
+  return `service ${name} port any slots 2 connections 16 ramp 0s drain 5s # Bench: ${name}\n`;
+}
+
 /** Where a node stands. */
 export interface Station {
   readonly host: string;
@@ -156,6 +165,31 @@
     return this.version;
   }
 
+  /**
+   * Appends a version and waits until every node enforces it.
+   *
+   * @param text - the rules
+   * @param latencies - takes how long each node took
+   */
+  async appendAndTime(text: string, latencies: Latencies): Promise<void> {
+    const startMs = this.clock.monotonicMs();
+    const version = this.version + 1;
+    const enforced = [...this.nodes.values()].map(
+      ({ services }) =>
+        new Promise<void>((resolve) => {
+          const end = services.versionStore.subscribe((state) => {
+            if (state.version >= version) {
+              latencies.record(this.clock.monotonicMs() - startMs);
+              end();
+              resolve();
+            }
+          });
+        }),
+    );
+    await this.append(text);
+    await Promise.all(enforced);
+  }
+
   /**
    * @param nodes - some nodes, else all
    * @returns whether they enforce the version appended last
--- /dev/null
+++ b/bench/src/callBench.ts
@@ -0,0 +1,113 @@
+/** What the benchmarks of calls share: nodes as processes, a log, rules in force. */
+import { AdminClient, NodeProcess } from '@lentillb/cli';
+import { LogServer, MemoryLog } from '@lentillb/standins';
+import { SystemClock } from 'lentillb';
+import type { Clock } from 'lentillb';
+import { request } from 'undici';
+
+const TIMEOUT_MS = 10_000;
+const SETTLE_MS = 500;
+const RENEW_MS = 1_000;
+
+/** A backend server to announce. */
+export interface Announced {
+  readonly id: string;
+  readonly service: string;
+  readonly port: number;
+  readonly slots: number;
+}
+
+/** Node processes with one rule file in force. */
+export class CallBench {
+  readonly clock: Clock = new SystemClock();
+
+  readonly nodes: NodeProcess[] = [];
+
+  private readonly logServer: LogServer;
+
+  private readonly renewals: NodeJS.Timeout[] = [];
+
+  constructor() {
+    const { clock } = this;
+    const log = new MemoryLog({ clock, retentionMs: 3_600_000, appendsPerSecond: 300 });
+    this.logServer = new LogServer(log, clock);
+  }
+
+  /**
+   * Starts nodes of one zone.
+   *
+   * @param hosts - their hosts
+   */
+  async start(...hosts: readonly string[]): Promise<void> {
+    await this.logServer.listen();
+    const { url: logUrl } = this.logServer;
+    for (const host of hosts) {
+      this.nodes.push(await NodeProcess.start({ host, zone: 'zone-a', logUrl }));
+    }
+  }
+
+  /**
+   * Announces a backend server beside a node, and goes on renewing.
+   *
+   * @param node - the node of its host
+   * @param announced - the backend server
+   */
+  async announce(node: NodeProcess, { id, ...body }: Announced): Promise<void> {
+    const url = `http://127.0.0.1:${node.ports.localPort}/v1/backend-servers/${id}`;
+    const put = async (): Promise<void> => {
+      const answer = await request(url, { method: 'PUT', body: JSON.stringify(body) });
+      await answer.body.dump();
+    };
+    await put();
+    this.renewals.push(
+      setInterval(() => {
+        put().catch(() => undefined);
+      }, RENEW_MS),
+    );
+  }
+
+  /**
+   * Puts rules in force on all nodes.
+   *
+   * @param text - the rule file
+   */
+  async publish(text: string): Promise<void> {
+    const admin = new AdminClient(this.nodes[0]?.adminUrl ?? '', TIMEOUT_MS);
+    const publication = { publishId: 'bench', base: 0, author: 'bench', timeoutMs: TIMEOUT_MS };
+    (await admin.publish({ ...publication, text })).unwrap();
+    await this.clock.sleep(SETTLE_MS);
+  }
+
+  /** Ends everything. */
+  async stop(): Promise<void> {
+    this.renewals.forEach((renewal) => clearInterval(renewal));
+    await Promise.all(this.nodes.map((node) => node.kill()));
+    await this.logServer.close();
+  }
+}
+
+/**
+ * Does something at fixed times, whatever became of what was done before.
+ *
+ * @param ratePerSecond - how often
+ * @param count - how many times
+ * @param action - what to do; given its number
+ */
+export async function atFixedTimes(
+  ratePerSecond: number,
+  count: number,
+  action: (number: number) => Promise<void>,
+): Promise<void> {
+  const pending: Promise<void>[] = [];
+  const startMs = performance.now();
+  for (let number = 0; number < count; number += 1) {
+    const waitMs = startMs + (number * 1_000) / ratePerSecond - performance.now();
+    if (waitMs > 1) {
+      await new Promise<void>((resolve) => {
+        setTimeout(resolve, waitMs);
+      });
+    }
+    pending.push(action(number));
+  }
+  await Promise.all(pending);
+}
--- a/bench/src/convergence.ts
+++ b/bench/src/convergence.ts
@@ -59,22 +59,7 @@
   for (let change = 0; change < CHANGES; change += 1) {
     await disturb(change);
     const startMs = fleet.clock.monotonicMs();
-    const watched = [...fleet.nodes.values()];
-    const version = fleet.version + 1;
-    const enforced = watched.map(
-      ({ services }) =>
-        new Promise<void>((resolve) => {
-          const end = services.versionStore.subscribe((state) => {
-            if (state.version >= version) {
-              latencies.record(fleet.clock.monotonicMs() - startMs);
-              end();
-              resolve();
-            }
-          });
-        }),
-    );
-    await fleet.append(rulesOf(version));
-    await Promise.all(enforced);
+    await fleet.appendAndTime(rulesOf(fleet.version + 1), latencies);
     const leftMs = CHANGE_INTERVAL_MS - (fleet.clock.monotonicMs() - startMs);
     await fleet.clock.sleep(Math.max(0, leftMs));
   }
--- a/bench/src/faults.ts
+++ b/bench/src/faults.ts
@@ -2,7 +2,7 @@
 import { PublishResult, Deadline } from 'lentillb';
 import type { Bench, BenchOptions, BenchResult } from './bench.js';
 import { round } from './bench.js';
-import { BenchFleet, loopbackBytes } from './benchFleet.js';
+import { BenchFleet, loopbackBytes, rulesNamed } from './benchFleet.js';
 
 const RIGA_DELAY_MS = 1.5;
 const IN_FORCE_MS = 8_000;
@@ -20,10 +20,6 @@
 
 type Print = (line: string) => void;
 
-function rulesNamed(name: string): string {
-  return `service ${name} port any slots 2 connections 16 ramp 0s drain 5s # Bench: ${name}\n`;
-}
-
 async function startFleet(options: BenchOptions, retentionMs?: number): Promise<BenchFleet> {
   const fleet = new BenchFleet({ ...options, zoneDelayMs: RIGA_DELAY_MS, retentionMs });
   await fleet.start();
--- a/bench/src/main.ts
+++ b/bench/src/main.ts
@@ -5,8 +5,10 @@
 import { brokenBounds } from './bench.js';
 import { convergence } from './convergence.js';
 import { faultBenches } from './faults.js';
+import { overloadBench } from './overload.js';
 import { rules } from './rules.js';
 import { spreading } from './spreading.js';
+import { truthBench } from './truth.js';
 
 const EXIT_BROKEN = 1;
 const EXIT_USAGE = 2;
@@ -14,6 +16,8 @@
 const benches: Readonly<Record<string, Bench>> = {
   'added-latency': addedLatency,
   convergence,
+  faults: truthBench,
+  overload: overloadBench,
   rules,
   spreading,
   ...faultBenches,
--- a/bench/src/spreading.ts
+++ b/bench/src/spreading.ts
@@ -3,7 +3,7 @@
 import { Link, topologyOf } from 'lentillb';
 import type { Bench, BenchOptions, BenchResult } from './bench.js';
 import { round } from './bench.js';
-import { BenchFleet, loopbackBytes } from './benchFleet.js';
+import { BenchFleet, loopbackBytes, rulesNamed } from './benchFleet.js';
 import { Latencies } from './percentiles.js';
 
 const RIGA_DELAY_MS = 1.5;
@@ -45,30 +45,6 @@
   repair: topologyOf,
 };
 
-function rulesNamed(name: string): string {
-  return `service ${name} port any slots 2 connections 16 ramp 0s drain 5s # Bench: ${name}\n`;
-}
-
-async function change(fleet: BenchFleet, latencies: Latencies, number: number): Promise<void> {
-  const startMs = fleet.clock.monotonicMs();
-  const version = fleet.version + 1;
-  const enforced = [...fleet.nodes.values()].map(
-    ({ services }) =>
-      new Promise<void>((resolve) => {
-        const end = services.versionStore.subscribe((state) => {
-          if (state.version >= version) {
-            latencies.record(fleet.clock.monotonicMs() - startMs);
-            end();
-            resolve();
-          }
-        });
-      }),
-  );
-  await fleet.append(rulesNamed(`v${number}`));
-  await Promise.all(enforced);
-  await fleet.clock.sleep(CHANGE_INTERVAL_MS);
-}
-
 /** Two nodes in the middle of the tree go silent just before a change. */
 async function loseMiddle(fleet: BenchFleet): Promise<number> {
   const inner = [...fleet.nodes.entries()]
@@ -101,7 +77,8 @@
     const latencies = new Latencies();
     const bytesBefore = loopbackBytes();
     for (let number = 0; number < CHANGES; number += 1) {
-      await change(fleet, latencies, number);
+      await fleet.appendAndTime(rulesNamed(`v${number}`), latencies);
+      await fleet.clock.sleep(CHANGE_INTERVAL_MS);
     }
     const bytes = (2 * (loopbackBytes() - bytesBefore)) / CHANGES / options.nodes;
     const lostMs = await loseMiddle(fleet);
--- /dev/null
+++ b/bench/src/truth.ts
@@ -0,0 +1,152 @@
+/** Compares what callers are told with what backend servers ran, while these misbehave. */
+import { createServer } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
+import { SeededRandomness } from 'lentillb';
+import { Agent, request } from 'undici';
+import type { Bench, BenchOptions, BenchResult } from './bench.js';
+import { atFixedTimes, CallBench } from './callBench.js';
+
+const REQUESTS = 100_000;
+const RATE_PER_SECOND = 1_500;
+const SLOTS = 64;
+const FAULT_PERCENT = 10;
+const REFUSING_PORT = 1;
+const RULES = `service pages port any slots ${SLOTS} connections 256 ramp 0s drain 5s # Bench: all calls
+route GET /pages/** to pages within 300ms repeat priority normal # Bench: reading
+route POST /pages/** to pages within 300ms once priority normal # Bench: writing
+retry pages attempts 3 budget 50% # Bench: reading survives
+`;
+const HEAD_END = '\r\n\r\n';
+
+type Fault = (socket: Socket, id: string) => void;
+
+function whole(id: string): string {
+  return `HTTP/1.1 200 OK\r\ncontent-length: ${id.length}\r\n\r\n${id}`;
+}
+
+/** The ways a backend server misbehaves after it has run a request. */
+const faults: Readonly<Record<string, Fault>> = {
+  reset: (socket) => socket.resetAndDestroy(),
+  close: (socket) => socket.end(),
+  garbage: (socket) => socket.end('garbage\r\n\r\n'),
+  stall: () => undefined,
+  cut: (socket) => socket.end('HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\nhalf'),
+  cutChunks: (socket) =>
+    socket.end('HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n'),
+  late: (socket, id) => {
+    setTimeout(() => socket.write(whole(id)), 400);
+  },
+  twice: (socket, id) => {
+    socket.write(whole(id) + whole('nobody asked'));
+  },
+  lie: (socket, id) => {
+    socket.write(whole(id).replace('\r\n', '\r\nlentillb-outcome: not-run\r\n'));
+  },
+};
+
+interface Told {
+  readonly outcome: string;
+  readonly text: string;
+}
+
+/** Listens and runs requests, counting them by id. */
+async function listen(runs: Map<string, number>, seed: number): Promise<() => number> {
+  const randomness = new SeededRandomness(seed);
+  const kinds = Object.values(faults);
+  const server = createServer((socket) => {
+    let received = '';
+    socket.on('error', () => undefined);
+    socket.on('data', (chunk) => {
+      received += chunk.toString('latin1');
+      const headEnd = received.indexOf(HEAD_END);
+      const length = Number(/content-length: (\d+)/i.exec(received)?.[1] ?? 0);
+      if (headEnd < 0 || received.length < headEnd + HEAD_END.length + length) {
+        return;
+      }
+      const id = /x-request-id: (\S+)/i.exec(received)?.[1] ?? '';
+      received = '';
+      runs.set(id, (runs.get(id) ?? 0) + 1);
+      const fault =
+        randomness.integer(100) < FAULT_PERCENT
+          ? kinds[randomness.integer(kinds.length)]
+          : undefined;
+      if (fault === undefined) {
+        socket.write(whole(id));
+      } else {
+        fault(socket, id);
+      }
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return () => (server.address() as AddressInfo).port;
+}
+
+async function send(agent: Agent, url: string, id: string, once: boolean): Promise<Told> {
+  try {
+    const { headers, body } = await request(`${url}/pages/1`, {
+      dispatcher: agent,
+      method: once ? 'POST' : 'GET',
+      body: once ? 'once' : undefined,
+      headers: { 'x-request-id': id },
+    });
+    const text = await body.text();
+    return { outcome: String(headers['lentillb-outcome'] ?? 'answered'), text };
+  } catch {
+    return { outcome: 'broken', text: '' };
+  }
+}
+
+async function run({ seed }: BenchOptions, print: (line: string) => void): Promise<BenchResult> {
+  const bench = new CallBench();
+  await bench.start('entry', 'beside');
+  const [entry, beside] = bench.nodes;
+  if (entry === undefined || beside === undefined) {
+    throw new Error('no node was started');
+  }
+  const runs = new Map<string, number>();
+  for (const [index, node] of [entry, beside].entries()) {
+    const portOf = await listen(runs, seed + index);
+    const id = `server-${index}`;
+    await bench.announce(node, { id, service: 'pages', port: portOf(), slots: SLOTS });
+  }
+  const refusing = { id: 'refusing', service: 'pages', port: REFUSING_PORT, slots: SLOTS };
+  await bench.announce(beside, refusing);
+  await bench.publish(RULES);
+  const agent = new Agent({ connections: 512 });
+  const outcomes: Record<string, number> = {};
+  const mistakes = { notRunButRan: 0, ranTwice: 0, wrongAnswer: 0, answeredButNeverRan: 0 };
+  const checks: (() => void)[] = [];
+  await atFixedTimes(RATE_PER_SECOND, REQUESTS, async (number) => {
+    const id = `request-${number}`;
+    const once = number % 2 === 0;
+    const url = number % 3 === 0 ? entry.callUrl : beside.callUrl;
+    const { outcome, text } = await send(agent, url, id, once);
+    outcomes[outcome] = (outcomes[outcome] ?? 0) + 1;
+    checks.push(() => {
+      const count = runs.get(id) ?? 0;
+      mistakes.notRunButRan += outcome === 'not-run' && count > 0 ? 1 : 0;
+      mistakes.ranTwice += once && count > 1 ? 1 : 0;
+      mistakes.wrongAnswer += outcome === 'answered' && text !== id ? 1 : 0;
+      mistakes.answeredButNeverRan += outcome === 'answered' && count === 0 ? 1 : 0;
+    });
+  });
+  // A call told not run must not run later either.
+  await bench.clock.sleep(1_000);
+  checks.forEach((check) => check());
+  print(JSON.stringify({ ...outcomes, ...mistakes }));
+  await agent.destroy();
+  await bench.stop();
+  return {
+    sizes: [REQUESTS],
+    figures: { ...outcomes, ...mistakes },
+    bounds: Object.keys(mistakes).map((figure) => ({ figure, most: 0 })),
+  };
+}
+
+/** The benchmark of truth. */
+export const truthBench: Bench = {
+  description: '100,000 calls to backend servers that misbehave: told against run',
+  run,
+};
--- a/packages/cli/src/adminClient.ts
+++ b/packages/cli/src/adminClient.ts
@@ -1,6 +1,7 @@
 /** Client of the administration API. */
 import { randomUUID } from 'node:crypto';
 import type { Explanation, Judgement, PublishOutcome, TimelineEvent } from 'lentillb';
+import { PublishResult } from 'lentillb';
 import type { Result } from 'ts-results-es';
 import { Err, Ok } from 'ts-results-es';
 import { request } from 'undici';
@@ -85,6 +86,13 @@
   readonly headers?: Readonly<Record<string, string>>;
 }
 
+/** What a node replied. */
+interface Reply {
+  readonly answer: unknown;
+  /** Why the node did nothing, where it said so. */
+  readonly refusal?: string;
+}
+
 /** @returns a new id for a publication */
 export function newPublishId(): string {
   return randomUUID();
@@ -95,10 +103,12 @@
   /**
    * @param url - the base URL of the node's administration API
    * @param timeoutMs - how long an answer may take, in milliseconds
+   * @param token - the token to send, where the node asks for one
    */
   constructor(
     private readonly url: string,
     private readonly timeoutMs: number,
+    private readonly token?: string,
   ) {}
 
   status(): Promise<Result<NodeStatus, string>> {
@@ -138,30 +148,50 @@
     return this.call({ method: 'POST', path: '/v1/diff', body: { text } });
   }
 
-  publish(publication: Publication): Promise<Result<PublishOutcome, string>> {
-    return this.call({ method: 'POST', path: '/v1/publish', body: publication });
+  /**
+   * Publishes a rule file.
+   *
+   * @param publication - what to publish
+   * @returns what became of it, or why nobody can tell
+   */
+  async publish(publication: Publication): Promise<Result<PublishOutcome, string>> {
+    const call: Call = { method: 'POST', path: '/v1/publish', body: publication };
+    const reply = await this.exchange(call);
+    return reply.map(({ answer, refusal }) => {
+      if (refusal === undefined) {
+        return answer as PublishOutcome;
+      }
+      const { publishId } = publication;
+      const result = PublishResult.Refused;
+      return { result, publishId, reason: refusal, faults: [], difference: [] };
+    });
+  }
+
+  private async call<Answer>(call: Call): Promise<Result<Answer, string>> {
+    const reply = await this.exchange(call);
+    return reply.andThen(({ answer, refusal }) =>
+      refusal === undefined ? Ok(answer as Answer) : Err(refusal),
+    );
   }
 
-  private async call<Answer>({
-    method,
-    path,
-    body,
-    headers,
-  }: Call): Promise<Result<Answer, string>> {
+  private async exchange({ method, path, body, headers }: Call): Promise<Result<Reply, string>> {
     try {
       const response = await request(`${this.url}${path}`, {
         method,
-        headers,
+        headers: { ...headers, ...this.authorization() },
         body: body === undefined ? undefined : JSON.stringify(body),
         signal: AbortSignal.timeout(this.timeoutMs + GRACE_MS),
       });
       const answer = (await response.body.json()) as { error?: string };
-      return response.statusCode >= BAD_REQUEST && answer.error !== undefined
-        ? Err(`${this.url}: ${answer.error}`)
-        : Ok(answer as Answer);
+      const refused = response.statusCode >= BAD_REQUEST && answer.error !== undefined;
+      return Ok({ answer, refusal: refused ? `${this.url}: ${answer.error}` : undefined });
     } catch (error) {
       const reason = (error as Error).message || (error as NodeJS.ErrnoException).code;
       return Err(`${method} ${this.url}${path}: ${reason}; check --admin (or LENTILLB_ADMIN)`);
     }
   }
+
+  private authorization(): Readonly<Record<string, string>> {
+    return this.token === undefined ? {} : { authorization: `Bearer ${this.token}` };
+  }
 }
--- a/packages/cli/src/cliOptions.ts
+++ b/packages/cli/src/cliOptions.ts
@@ -11,6 +11,7 @@
   admin: z.url({ protocol: /^https?$/, error: 'expected http://IP:PORT' }),
   timeout: z.coerce.number({ error: 'expected milliseconds' }).int().min(1),
   json: z.boolean().default(false),
+  token: z.string().min(1).optional(),
 });
 
 /** Checked options of commands that ask a node. */
@@ -26,6 +27,7 @@
       .env('LENTILLB_TIMEOUT')
       .default(DEFAULT_TIMEOUT_MS),
     new Option('--json', 'print one JSON object'),
+    new Option('--token <token>', 'token of the administration API').env('LENTILLB_TOKEN'),
   ];
 }
 
--- a/packages/cli/src/commands/diff.ts
+++ b/packages/cli/src/commands/diff.ts
@@ -11,13 +11,13 @@
   options: clientOptions(),
   schema: clientSchema,
   examples: ['lentillb diff my.rules'],
-  run: async ([file = ''], { admin, timeout, json }, console) => {
+  run: async ([file = ''], { admin, timeout, json, token }, console) => {
     const edited = await readEditedFile(file);
     if (edited.isErr()) {
       console.note(edited.error);
       return ExitCode.Usage;
     }
-    const compared = await new AdminClient(admin, timeout).diff(edited.value.text);
+    const compared = await new AdminClient(admin, timeout, token).diff(edited.value.text);
     if (compared.isErr()) {
       console.note(compared.error);
       return ExitCode.Unreachable;
--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -31,8 +31,8 @@
     'lentillb explain GET /letters/17',
     'lentillb explain GET /letters/17 --header x-trial=yes',
   ],
-  run: async ([method = '', path = ''], { admin, timeout, json, header }, console) => {
-    const client = new AdminClient(admin, timeout);
+  run: async ([method = '', path = ''], { admin, timeout, json, header, token }, console) => {
+    const client = new AdminClient(admin, timeout, token);
     const asked = await client.explain(method, path, header);
     if (asked.isErr()) {
       console.note(asked.error);
--- a/packages/cli/src/commands/history.ts
+++ b/packages/cli/src/commands/history.ts
@@ -10,8 +10,8 @@
   options: clientOptions(),
   schema: clientSchema,
   examples: ['lentillb history', 'lentillb history --json'],
-  run: async (_, { admin, timeout, json }, console) => {
-    const asked = await new AdminClient(admin, timeout).history();
+  run: async (_, { admin, timeout, json, token }, console) => {
+    const asked = await new AdminClient(admin, timeout, token).history();
     if (asked.isErr()) {
       console.note(asked.error);
       return ExitCode.Unreachable;
--- a/packages/cli/src/commands/publish.ts
+++ b/packages/cli/src/commands/publish.ts
@@ -85,7 +85,7 @@
       return ExitCode.Usage;
     }
     const deadline = Deadline.after(clock, options.timeout);
-    const client = new AdminClient(options.admin, options.timeout);
+    const client = new AdminClient(options.admin, options.timeout, options.token);
     const published = await client.publish({
       text: edited.value.text,
       base: options.base ?? edited.value.base ?? 0,
--- a/packages/cli/src/commands/show.ts
+++ b/packages/cli/src/commands/show.ts
@@ -11,8 +11,8 @@
   options: clientOptions(),
   schema: clientSchema,
   examples: ['lentillb show > my.rules'],
-  run: async (_, { admin, timeout, json }, console) => {
-    const configuration = await new AdminClient(admin, timeout).configuration();
+  run: async (_, { admin, timeout, json, token }, console) => {
+    const configuration = await new AdminClient(admin, timeout, token).configuration();
     if (configuration.isErr()) {
       console.note(configuration.error);
       return ExitCode.Unreachable;
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -10,8 +10,8 @@
   options: clientOptions(),
   schema: clientSchema,
   examples: ['lentillb status', 'lentillb status --json --admin http://10.0.0.7:7403'],
-  run: async (_, { admin, timeout, json }, console) => {
-    const asked = await new AdminClient(admin, timeout).status();
+  run: async (_, { admin, timeout, json, token }, console) => {
+    const asked = await new AdminClient(admin, timeout, token).status();
     if (asked.isErr()) {
       console.note(asked.error);
       return ExitCode.Unreachable;
--- a/packages/cli/src/commands/timeline.ts
+++ b/packages/cli/src/commands/timeline.ts
@@ -43,6 +43,7 @@
 async function collect(
   members: readonly Member[],
   timeout: number,
+  token: string | undefined,
 ): Promise<{ events: TimelineEvent[][]; silent: string[] }> {
   const events: TimelineEvent[][] = [];
   const silent: string[] = [];
@@ -50,7 +51,7 @@
   const work = async (): Promise<void> => {
     for (let member = remaining.pop(); member !== undefined; member = remaining.pop()) {
       const url = `http://${member.address}:${member.adminPort}`;
-      const asked = await new AdminClient(url, timeout).events(0);
+      const asked = await new AdminClient(url, timeout, token).events(0);
       if (asked.isOk()) {
         events.push([...asked.value.events]);
       } else {
@@ -75,13 +76,13 @@
   schema,
   examples: ['lentillb timeline --service browse', 'lentillb timeline --request 8f14 --json'],
   run: async (_, options, console) => {
-    const { admin, timeout, json } = options;
-    const members = await new AdminClient(admin, timeout).members();
+    const { admin, timeout, json, token } = options;
+    const members = await new AdminClient(admin, timeout, token).members();
     if (members.isErr()) {
       console.note(members.error);
       return ExitCode.Unreachable;
     }
-    const { events, silent } = await collect(members.value.members, timeout);
+    const { events, silent } = await collect(members.value.members, timeout, token);
     const merged = mergeEvents(events).filter((event) => matches(event, options));
     if (json) {
       console.print(JSON.stringify({ events: merged, silent }));
--- a/packages/lentillb/src/admin/adminApi.ts
+++ b/packages/lentillb/src/admin/adminApi.ts
@@ -12,10 +12,13 @@
 import { printDifference } from '../rules/lineEdits.js';
 import { MAX_FILE_BYTES, splitLines } from '../rules/ruleFile.js';
 import { readJson } from '../utils/readJson.js';
+import type { ForbiddenLine, Team } from './access.js';
+import { forbiddenLines } from './access.js';
 import { explain } from './explanation.js';
 
 /** A publication's JSON may be a little longer than its rule file. */
 const MAX_BODY_BYTES = 2 * MAX_FILE_BYTES;
+const HEALTH_PATH = '/v1/health';
 const MAX_PUBLISH_MS = 120_000;
 const DEFAULT_PUBLISH_MS = 10_000;
 
@@ -23,6 +26,8 @@
   Ok: 200,
   Accepted: 202,
   BadRequest: 400,
+  Unauthorized: 401,
+  Forbidden: 403,
   NotFound: 404,
   Conflict: 409,
   ServiceUnavailable: 503,
@@ -51,6 +56,7 @@
 
 type Needs = Pick<
   Services,
+  | 'access'
   | 'callRouter'
   | 'clock'
   | 'convergence'
@@ -113,10 +119,23 @@
     router.post('/publish', (context) => this.publish(context));
     router.post('/diff', (context) => this.diff(context));
     const application = new Koa();
+    application.use((context, next) => this.identify(context, next));
     application.use(router.routes()).use(router.allowedMethods());
     return application;
   }
 
+  /** Health is for anybody; all else needs a token where tokens are set. */
+  private async identify(context: Context, next: () => Promise<unknown>): Promise<void> {
+    const identified = this.services.access.identify(context.get('authorization'));
+    if (identified.isErr() && context.path !== HEALTH_PATH) {
+      context.set('www-authenticate', 'Bearer');
+      refuse(context, HttpStatus.Unauthorized, `nothing was done: ${identified.error}`);
+      return;
+    }
+    context.state.team = identified.isOk() ? identified.value : undefined;
+    await next();
+  }
+
   private health(context: Context): void {
     const { tableStore, versionStore } = this.services;
     const ready = tableStore.current !== undefined && versionStore.blockedAt === undefined;
@@ -243,13 +262,36 @@
     const { clock, publisher } = this.services;
     const publication = await parseBody(context, publicationSchema);
     if (publication !== undefined) {
-      const { timeoutMs, ...rest } = publication;
-      const outcome = await publisher.publish(rest, Deadline.after(clock, timeoutMs));
+      const team = context.state.team as Team;
+      const forbidden = this.forbidden(team, publication);
+      if (forbidden.length > 0) {
+        context.status = HttpStatus.Forbidden;
+        const error = `nothing was published: ${forbidden[0]?.message}`;
+        context.body = { error, lines: forbidden };
+        return;
+      }
+      const { timeoutMs, author, ...rest } = publication;
+      const signed = team === undefined ? author : `${author} (${team.team})`;
+      const deadline = Deadline.after(clock, timeoutMs);
+      const outcome = await publisher.publish({ ...rest, author: signed }, deadline);
       context.status = publishStatuses[outcome.result];
       context.body = outcome;
     }
   }
 
+  /** Where the base is not in force the publication is a conflict anyway, and changes nothing. */
+  private forbidden(
+    team: Team,
+    { base, text }: { readonly base: number; readonly text: string },
+  ): readonly ForbiddenLine[] {
+    const { state } = this.services.versionStore;
+    if (state === undefined || state.version !== base) {
+      return [];
+    }
+    const before = state.lines.map((line) => line.text);
+    return forbiddenLines(team, before, splitLines(text));
+  }
+
   private async diff(context: Context): Promise<void> {
     const given = await parseBody(context, diffSchema);
     const state = given === undefined ? undefined : this.stateOr(context);
--- a/packages/lentillb/src/calls/call.ts
+++ b/packages/lentillb/src/calls/call.ts
@@ -3,6 +3,7 @@
 import type { Result } from 'ts-results-es';
 import type { Deadline } from '../kernel/deadline.js';
 import type { Priority } from '../rules/ruleForms.js';
+import { AdmissionRefusal } from './admissionQueue.js';
 import type { HeaderFields, Outcome } from './callHeaders.js';
 import type { Cancellation } from './cancellation.js';
 
@@ -62,6 +63,13 @@
 } as const;
 export type FailureReason = (typeof FailureReason)[keyof typeof FailureReason];
 
+/** Why a call that found no place got no answer. */
+export const refusalReasons: Record<AdmissionRefusal, FailureReason> = {
+  [AdmissionRefusal.Full]: FailureReason.Full,
+  [AdmissionRefusal.DeadlinePassed]: FailureReason.DeadlinePassed,
+  [AdmissionRefusal.Cancelled]: FailureReason.CallerGone,
+};
+
 /** A call that got no answer. */
 export interface CallFailure {
   readonly outcome: Outcome;
--- a/packages/lentillb/src/gate/gate.ts
+++ b/packages/lentillb/src/gate/gate.ts
@@ -1,9 +1,8 @@
 /** Admits calls to the backend servers of this host. */
 import { Err } from 'ts-results-es';
 import type { CallFailure, CallRequest, CallResult } from '../calls/call.js';
-import { FailureReason, whenPassedOn } from '../calls/call.js';
+import { FailureReason, refusalReasons, whenPassedOn } from '../calls/call.js';
 import type { Release } from '../calls/admissionQueue.js';
-import { AdmissionRefusal } from '../calls/admissionQueue.js';
 import { CallHeader, Outcome } from '../calls/callHeaders.js';
 import { exchange } from '../calls/httpExchange.js';
 import type { Services } from '../kernel/services.js';
@@ -15,12 +14,6 @@
 /** When to come back to a full backend server, in milliseconds. */
 const FULL_RETRY_AFTER_MS = 1_000;
 
-const refusalReasons: Record<AdmissionRefusal, FailureReason> = {
-  [AdmissionRefusal.Full]: FailureReason.Full,
-  [AdmissionRefusal.DeadlinePassed]: FailureReason.DeadlinePassed,
-  [AdmissionRefusal.Cancelled]: FailureReason.CallerGone,
-};
-
 type Needs = Pick<Services, 'backendServerRegistry' | 'tableStore' | 'timeline'>;
 
 function notRun(reason: FailureReason, message: string, retryAfterMs?: number): CallFailure {
--- a/packages/lentillb/src/kernel/settings.ts
+++ b/packages/lentillb/src/kernel/settings.ts
@@ -37,6 +37,34 @@
   .transform((list) => (list === '' ? [] : list.split(',').map((address) => address.trim())))
   .pipe(z.array(z.string().regex(/^[^\s:]+:\d+$/, 'expected IP:PORT[,IP:PORT...]')));
 
+/** A token of the administration API. */
+export interface AccessToken {
+  /** Who has it. */
+  readonly team: string;
+  readonly token: string;
+  /** The services whose rules it may change; `*` for all. */
+  readonly services: readonly string[];
+}
+
+const tokenList = z
+  .string()
+  .trim()
+  .transform((list) => (list === '' ? [] : list.split(',').map((entry) => entry.trim())))
+  .pipe(
+    z.array(
+      z
+        .string()
+        .regex(
+          /^[\w-]+:[\w-]{16,}:(?:\*|[a-z0-9-]+(?:\+[a-z0-9-]+)*)$/,
+          'expected TEAM:TOKEN:SERVICE+SERVICE or TEAM:TOKEN:*, the token of 16 characters or more',
+        )
+        .transform((entry): AccessToken => {
+          const [team = '', token = '', services = ''] = entry.split(':');
+          return { team, token, services: services.split('+') };
+        }),
+    ),
+  );
+
 /** Every setting of a node, by its name in the code. */
 export const settingDefinitions = {
   host: define('host', 'name of this host, unique in the fleet', text),
@@ -68,6 +96,11 @@
     'how long a backend server stays announced without renewing',
     milliseconds.default(5_000),
   ),
+  tokens: define(
+    'tokens',
+    'tokens of the administration API, TEAM:TOKEN:SERVICE+SERVICE or TEAM:TOKEN:* each; open to all without',
+    tokenList.default([]),
+  ),
   statsd: define(
     'statsd',
     'StatsD address IP:PORT for metrics; none are sent without it',
@@ -108,7 +141,8 @@
 }
 
 function explain(definition: SettingDefinition, given: unknown, issue: string): string {
-  const what = given === undefined ? 'is required' : `cannot be "${String(given)}": ${issue}`;
+  const shown = definition.flag === 'tokens' ? '(not shown)' : `"${String(given)}"`;
+  const what = given === undefined ? 'is required' : `cannot be ${shown}: ${issue}`;
   return `--${definition.flag} (or ${definition.variable}) ${what}; it is the ${definition.description}`;
 }
 
--- a/packages/lentillb/src/routing/limits.ts
+++ b/packages/lentillb/src/routing/limits.ts
@@ -2,9 +2,9 @@
 import type { Result } from 'ts-results-es';
 import { Err, Ok } from 'ts-results-es';
 import type { AdmissionRequest, Release } from '../calls/admissionQueue.js';
-import { AdmissionQueue, AdmissionRefusal } from '../calls/admissionQueue.js';
+import { AdmissionQueue } from '../calls/admissionQueue.js';
 import type { CallFailure } from '../calls/call.js';
-import { FailureReason } from '../calls/call.js';
+import { FailureReason, refusalReasons } from '../calls/call.js';
 import { Outcome } from '../calls/callHeaders.js';
 import type { Clock } from '../kernel/clock.js';
 import type { LimitRule } from './table/routingTable.js';
@@ -21,12 +21,6 @@
   readonly admission: AdmissionQueue;
 }
 
-const refusalReasons: Record<AdmissionRefusal, FailureReason> = {
-  [AdmissionRefusal.Full]: FailureReason.Full,
-  [AdmissionRefusal.DeadlinePassed]: FailureReason.DeadlinePassed,
-  [AdmissionRefusal.Cancelled]: FailureReason.CallerGone,
-};
-
 function nameOf(rule: LimitRule): string {
   return rule.kind === 'limitGroup' ? `group ${rule.group}` : `route ${rule.method} ${rule.path}`;
 }
