Describe the administration API and hold it to its description

Cause: nothing said what the API answers but its code. Change: one table of operations makes the routes and the OpenAPI document (GET /v1/openapi.json); shapes of requests and answers stand in one module, and every answer the API's tests get is checked against them. Processor time and memory of node processes are measured with added latency; figures of benchmarks are recorded in bench/results and quoted on the capacity page by npm run docs. Not run yet: the tests of the API with this, since benchmarks are running.

--- a/bench/src/addedLatency.ts
+++ b/bench/src/addedLatency.ts
@@ -1,4 +1,5 @@
 /** What the mesh adds to a call, in pairs with direct calls in the same run. */
+import { readFileSync } from 'node:fs';
 import { createServer } from 'node:http';
 import { Worker, isMainThread, parentPort } from 'node:worker_threads';
 import { Agent, request } from 'undici';
@@ -12,11 +13,32 @@
 const WARM_UP_MS = 4_000;
 const ANSWER_BYTES = 512;
 const ADDED_P99_MS = 0.67;
+const MEMORY_MB = 256;
 const SLOTS = 64;
 const RULES = `service pages port any slots ${SLOTS} connections 128 ramp 0s drain 5s # Bench: reading
 route GET /pages/** to pages within 5s repeat priority normal # Bench: reading
 `;
 
+const TICK_MS = 10;
+const BYTES_PER_KB = 1_024;
+const USER_TICKS_FIELD = 13;
+const SYSTEM_TICKS_FIELD = 14;
+
+/** Processor time of a process so far, in milliseconds. */
+function cpuMsOf(processId: number): number {
+  // The fields after the name in parentheses, which may hold spaces.
+  const stat = readFileSync(`/proc/${processId}/stat`, 'utf8');
+  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+  const ticks = [USER_TICKS_FIELD, SYSTEM_TICKS_FIELD].map((field) => Number(fields[field - 2]));
+  return ticks.reduce((sum, count) => sum + count, 0) * TICK_MS;
+}
+
+/** Resident memory of a process, in megabytes. */
+function memoryMbOf(processId: number): number {
+  const status = readFileSync(`/proc/${processId}/status`, 'utf8');
+  return Number(/VmRSS:\s+(\d+)/.exec(status)?.[1]) / BYTES_PER_KB;
+}
+
 /** The ways a call can take. */
 const Way = { Direct: 'direct', OneHop: 'one hop', TwoHops: 'two hops' } as const;
 type Way = (typeof Way)[keyof typeof Way];
@@ -94,7 +116,14 @@
   await measure(urls, 1_000, WARM_UP_MS);
   const figures: Record<string, number> = {};
   for (const rate of RATES) {
+    const cpuBefore = [entry, beside].map(({ processId }) => cpuMsOf(processId));
     const latencies = await measure(urls, rate, MEASURE_MS);
+    const [entryMs = 0, besideMs = 0] = [entry, beside].map(
+      ({ processId }, index) => cpuMsOf(processId) - (cpuBefore[index] ?? 0),
+    );
+    const calls = latencies[Way.TwoHops].count;
+    figures[`entryCpuMsPerCallAt${rate}`] = round(entryMs / calls);
+    figures[`gateCpuMsPerCallAt${rate}`] = round(besideMs / (2 * calls));
     const direct = latencies[Way.Direct];
     for (const [name, way] of [
       ['oneHop', Way.OneHop],
@@ -108,12 +137,16 @@
       );
     }
   }
+  figures.memoryMb = round(Math.max(...[entry, beside].map((node) => memoryMbOf(node.processId))));
   await worker.terminate();
   await bench.stop();
-  const bounds = RATES.flatMap((rate) => [
-    { figure: `oneHopP99At${rate}`, most: ADDED_P99_MS },
-    { figure: `twoHopsP99At${rate}`, most: ADDED_P99_MS },
-  ]);
+  const bounds = [
+    { figure: 'memoryMb', most: MEMORY_MB },
+    ...RATES.flatMap((rate) => [
+      { figure: `oneHopP99At${rate}`, most: ADDED_P99_MS },
+      { figure: `twoHopsP99At${rate}`, most: ADDED_P99_MS },
+    ]),
+  ];
   return { sizes: RATES, figures, bounds };
 }
 
--- /dev/null
+++ b/bench/src/figuresTable.ts
@@ -0,0 +1,50 @@
+/** The last recorded figures of all benchmarks, as a table for docs/CAPACITY.md. */
+import { readdir, readFile } from 'node:fs/promises';
+import path from 'node:path';
+
+interface Recorded {
+  readonly bench: string;
+  readonly seed: number;
+  readonly sizes: readonly number[];
+  readonly figures: Readonly<Record<string, number>>;
+  readonly bounds: readonly { readonly figure: string; readonly most: number }[];
+}
+
+const FOLDER = 'bench/results';
+const BEGIN = '<!-- figures: made by npm run docs -->';
+const END = '<!-- end of figures -->';
+
+async function readRecorded(): Promise<readonly Recorded[]> {
+  const files = (await readdir(FOLDER)).filter((file) => file.endsWith('.json')).sort();
+  return Promise.all(
+    files.map(
+      async (file) => JSON.parse(await readFile(path.join(FOLDER, file), 'utf8')) as Recorded,
+    ),
+  );
+}
+
+function rowsOf({ bench, sizes, figures, bounds }: Recorded): readonly string[] {
+  return Object.entries(figures).map(([figure, value]) => {
+    const bound = bounds.find((candidate) => candidate.figure === figure);
+    const row = `| ${bench} | ${sizes.join(', ')} | ${figure} | ${value} |`;
+    if (bound === undefined) {
+      return `${row} | |`;
+    }
+    return `${row} ${bound.most} | ${value <= bound.most ? 'held' : 'NOT HELD'} |`;
+  });
+}
+
+/**
+ * @param page - the page
+ * @returns the page with the table as the recorded figures have it
+ */
+export async function withFigures(page: string): Promise<string> {
+  const recorded = await readRecorded();
+  const table = [
+    '| benchmark | sizes | figure | value | bound | |',
+    '| --- | --- | --- | --- | --- | --- |',
+    ...recorded.flatMap(rowsOf),
+  ].join('\n');
+  const before = page.slice(0, page.indexOf(BEGIN) + BEGIN.length);
+  return `${before}\n\n${table}\n\n${page.slice(page.indexOf(END))}`;
+}
--- a/packages/lentillb/src/admin/adminApi.ts
+++ b/packages/lentillb/src/admin/adminApi.ts
@@ -14,13 +14,14 @@
 import { readJson } from '../utils/readJson.js';
 import type { ForbiddenLine, Team } from './access.js';
 import { forbiddenLines } from './access.js';
+import type { OperationName } from './adminSchemas.js';
+import { diffSchema, explainSchema, publicationSchema, timelineSchema } from './adminSchemas.js';
 import { explain } from './explanation.js';
+import { openApiDocument, operations } from './openApi.js';
 
 /** A publication's JSON may be a little longer than its rule file. */
 const MAX_BODY_BYTES = 2 * MAX_FILE_BYTES;
 const HEALTH_PATH = '/v1/health';
-const MAX_PUBLISH_MS = 120_000;
-const DEFAULT_PUBLISH_MS = 10_000;
 
 const HttpStatus = {
   Ok: 200,
@@ -39,21 +40,6 @@
   [PublishResult.Unknown]: HttpStatus.Accepted,
 };
 
-const publicationSchema = z.strictObject({
-  publishId: z.string().min(1).max(100),
-  base: z.number().int().min(0),
-  author: z.string().min(1).max(100),
-  text: z.string(),
-  timeoutMs: z.number().int().min(1).max(MAX_PUBLISH_MS).default(DEFAULT_PUBLISH_MS),
-});
-
-const diffSchema = z.strictObject({ text: z.string() });
-
-const explainSchema = z.object({
-  method: z.string().regex(/^[A-Z]+$/, 'expected a method in capitals'),
-  path: z.string().startsWith('/', 'expected a path that starts with "/"'),
-});
-
 type Needs = Pick<
   Services,
   | 'access'
@@ -100,24 +86,35 @@
 export class AdminApi {
   private readonly services: Needs;
 
+  private readonly handlers: Readonly<
+    Record<OperationName, (context: Context) => Promise<void> | void>
+  > = {
+    health: (context) => this.health(context),
+    status: (context) => this.status(context),
+    configuration: (context) => this.configuration(context),
+    history: (context) => this.history(context),
+    convergence: (context) => this.convergence(context),
+    members: (context) => this.members(context),
+    backendServers: (context) => this.backendServers(context),
+    explain: (context) => this.explain(context),
+    timeline: (context) => this.timeline(context),
+    publish: (context) => this.publish(context),
+    diff: (context) => this.diff(context),
+  };
+
   constructor(services: Needs) {
     this.services = services;
   }
 
   /** @returns the application to listen with */
   application(): Koa {
-    const router = new Router({ prefix: '/v1' });
-    router.get('/health', (context) => this.health(context));
-    router.get('/status', (context) => this.status(context));
-    router.get('/configuration', (context) => this.configuration(context));
-    router.get('/history', (context) => this.history(context));
-    router.get('/convergence', (context) => this.convergence(context));
-    router.get('/members', (context) => this.members(context));
-    router.get('/backend-servers', (context) => this.backendServers(context));
-    router.get('/explain', (context) => this.explain(context));
-    router.get('/timeline', (context) => this.timeline(context));
-    router.post('/publish', (context) => this.publish(context));
-    router.post('/diff', (context) => this.diff(context));
+    const router = new Router();
+    Object.entries(operations).forEach(([name, { method, path }]) => {
+      router[method](path, (context) => this.handlers[name as OperationName](context));
+    });
+    router.get('/v1/openapi.json', (context) => {
+      context.body = openApiDocument();
+    });
     const application = new Koa();
     application.use((context, next) => this.identify(context, next));
     application.use(router.routes()).use(router.allowedMethods());
@@ -248,14 +245,14 @@
 
   private timeline(context: Context): void {
     const { identity, settings, timeline } = this.services;
-    const after = Number(context.query.after ?? 0);
-    if (!Number.isInteger(after) || after < 0) {
-      refuse(context, HttpStatus.BadRequest, 'after: expected the sequence of an event');
+    const asked = timelineSchema.safeParse(context.query);
+    if (!asked.success) {
+      refuse(context, HttpStatus.BadRequest, `no events: ${z.prettifyError(asked.error)}`);
       return;
     }
     const { host, zone } = settings;
     const { incarnation } = identity;
-    context.body = { host, zone, incarnation, events: timeline.after(after) };
+    context.body = { host, zone, incarnation, events: timeline.after(asked.data.after) };
   }
 
   private async publish(context: Context): Promise<void> {
--- a/tests/admin/adminApi.spec.ts
+++ b/tests/admin/adminApi.spec.ts
@@ -1,6 +1,9 @@
 import { MemoryLog } from '@lentillb/standins';
 import type { RunningNode } from '@lentillb/node';
 import { SystemClock } from 'lentillb';
+import type { OperationName } from 'lentillb/admin/adminSchemas.js';
+import { answerSchemas, errorSchema } from 'lentillb/admin/adminSchemas.js';
+import { operations } from 'lentillb/admin/openApi.js';
 import { MAX_FILE_BYTES } from 'lentillb/rules/ruleFile.js';
 import { request } from 'undici';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
@@ -12,6 +15,23 @@
 let node: RunningNode;
 let log: MemoryLog;
 
+/** Every answer these tests get has to be as the document says. */
+function checkAgainstDocument(method: string, path: string, status: number, body: unknown): void {
+  const [bare] = path.split('?');
+  const found = Object.entries(operations).find(
+    ([, operation]) => operation.path === bare && operation.method === method.toLowerCase(),
+  );
+  if (found === undefined) {
+    expect([200, 404, 405]).toContain(status);
+    return;
+  }
+  const [name, { answers, refusals }] = found;
+  expect([...answers, ...refusals]).toContain(status);
+  const schema = answers.includes(status) ? answerSchemas[name as OperationName] : errorSchema;
+  const checked = schema.safeParse(body);
+  expect(checked.error?.issues ?? []).toEqual([]);
+}
+
 async function ask(
   method: 'GET' | 'POST' | 'DELETE',
   path: string,
@@ -20,10 +40,9 @@
   const text = typeof body === 'string' || body === undefined ? body : JSON.stringify(body);
   const answer = await request(`${node.adminUrl}${path}`, { method, body: text });
   const received = await answer.body.text();
-  return {
-    status: answer.statusCode,
-    body: (received.startsWith('{') ? JSON.parse(received) : {}) as Record<string, unknown>,
-  };
+  const parsed = (received.startsWith('{') ? JSON.parse(received) : {}) as Record<string, unknown>;
+  checkAgainstDocument(method, path, answer.statusCode, parsed);
+  return { status: answer.statusCode, body: parsed };
 }
 
 beforeAll(async () => {
@@ -96,6 +115,26 @@
     expect(body.services).toMatchObject([{ service: 'pages' }, { service: 'orders' }]);
   });
 
+  it('should answer every operation as its document says', async () => {
+    const gets = Object.values(operations).filter(({ method }) => method === 'get');
+    for (const { path } of gets) {
+      const query = path.endsWith('explain') ? '?method=GET&path=/pages/1' : '';
+      expect((await ask('GET', `${path}${query}`)).status).toBe(200);
+    }
+    const compared = await ask('POST', '/v1/diff', { text: PAGES_RULES });
+    expect(compared.body).toMatchObject({ version: 2, difference: ['- # more'] });
+  });
+
+  it('should serve a document that names every operation with its answers', async () => {
+    const { body } = await ask('GET', '/v1/openapi.json');
+    expect(body.openapi).toBe('3.1.0');
+    const paths = body.paths as Record<string, Record<string, { responses: object }>>;
+    Object.values(operations).forEach(({ path, method, answers, refusals }) => {
+      const statuses = [...answers, ...refusals].map(String).sort();
+      expect(Object.keys(paths[path]?.[method]?.responses ?? {}).sort()).toEqual(statuses);
+    });
+  });
+
   it.each([
     ['GET', '/v1/explain?method=GET', 400],
     ['GET', '/v1/explain?method=get&path=/pages', 400],
--- a/tests/docs/pages.spec.ts
+++ b/tests/docs/pages.spec.ts
@@ -2,6 +2,7 @@
 import path from 'node:path';
 import { withSettings } from '@lentillb/cli';
 import { describe, expect, it } from 'vitest';
+import { withFigures } from '../../bench/dist/figuresTable.js';
 
 const pages = [
   'README.md',
@@ -21,6 +22,11 @@
     expect(withoutPadding(page)).toBe(withoutPadding(withSettings(page)));
   });
 
+  it('should quote the figures as they were last recorded', async () => {
+    const page = readFileSync('docs/CAPACITY.md', 'utf8');
+    expect(withoutPadding(page)).toBe(withoutPadding(await withFigures(page)));
+  });
+
   it.each(pages)('should link from %s only to what is there', (page) => {
     const text = readFileSync(page, 'utf8');
     const targets = [...text.matchAll(/\]\((?!https?:)([^)#]+)/g)].map(([, target]) => target);
