End the adding up of progress where parents form a circle

Views that differ can make such a circle in the tree for a moment too. Ruled out: records, which are passed on once. Change: a node never counts more nodes than its zone has.

--- a/packages/lentillb/src/membership/topology.ts
+++ b/packages/lentillb/src/membership/topology.ts
@@ -36,6 +36,8 @@
   readonly links: ReadonlyMap<string, Link>;
   /** The hosts that should open a parent link to this node. */
   readonly children: readonly string[];
+  /** How many hosts the own zone has. */
+  readonly zoneSize: number;
 }
 
 function scoreOf(key: string, host: string): number {
@@ -115,7 +117,8 @@
  */
 export function topologyOf(self: Place, places: readonly Place[]): Topology {
   const rankedByZone = rankByZone(places);
-  const levels = levelsOf(rankedByZone.get(self.zone) ?? []);
+  const ranked = rankedByZone.get(self.zone) ?? [];
+  const levels = levelsOf(ranked);
   const level = levels.findIndex((hosts) => hosts.some(({ host }) => host === self.host));
   const readers = levels[0] ?? [];
   const position = readers.findIndex(({ host }) => host === self.host);
@@ -135,5 +138,6 @@
   );
   const otherReaders = position === 0 ? readers.slice(1) : [];
   const children = [...otherReaders, ...below].map(({ host }) => host);
-  return { reader: level === 0, first: position === 0, links, children };
+  const zoneSize = ranked.length;
+  return { reader: level === 0, first: position === 0, links, children, zoneSize };
 }
--- a/packages/lentillb/src/mesh/convergence.ts
+++ b/packages/lentillb/src/mesh/convergence.ts
@@ -27,7 +27,7 @@
 
   /** @returns progress of this node and all below it in its zone's tree */
   below(): Progress {
-    const { linkTable, settings, versionStore } = this.services;
+    const { linkTable, settings, topologyView, versionStore } = this.services;
     const own = BigInt(versionStore.state?.version ?? 0);
     const children = new Map(
       linkTable
@@ -36,9 +36,11 @@
         .map((link) => [link.host, link.progress as Progress]),
     );
     const below = [...children.values()];
+    const counted = below.reduce((total, child) => total + child.nodes, 1);
     return create(ProgressSchema, {
       zone: settings.zone,
-      nodes: below.reduce((total, child) => total + child.nodes, 1),
+      // Views that differ can make two nodes each other's parents: what they add up must end.
+      nodes: Math.min(counted, topologyView.current.zoneSize),
       lowestVersion: below.reduce(
         (lowest, child) => (child.lowestVersion < lowest ? child.lowestVersion : lowest),
         own,
--- a/packages/lentillb/src/mesh/topologyView.ts
+++ b/packages/lentillb/src/mesh/topologyView.ts
@@ -7,7 +7,13 @@
 /** Changes within this time lead to one new topology, in milliseconds. */
 const SETTLE_MS = 100;
 
-const ALONE: Topology = { reader: false, first: false, links: new Map(), children: [] };
+const ALONE: Topology = {
+  reader: false,
+  first: false,
+  links: new Map(),
+  children: [],
+  zoneSize: 1,
+};
 
 /** Called with every new topology. */
 export type TopologyListener = (topology: Topology) => void;
--- /dev/null
+++ b/tests/mesh/convergence.spec.ts
@@ -0,0 +1,60 @@
+import { create } from '@bufbuild/protobuf';
+import type { Progress } from '@lentillb/protocol';
+import { LinkRole, ProgressSchema } from '@lentillb/protocol';
+import type { Services } from 'lentillb';
+import { Convergence } from 'lentillb/mesh/convergence.js';
+import { describe, expect, it } from 'vitest';
+import { testSettings } from '../support/testNode.js';
+
+function progress(zone: string, nodes: number, lowestVersion: number): Progress {
+  return create(ProgressSchema, { zone, nodes, lowestVersion: BigInt(lowestVersion) });
+}
+
+/** A node with version 5 in force, in a zone of ten, with some children. */
+function convergenceOf(children: readonly Progress[], first = true): Convergence {
+  const links = children.map((below, index) => ({
+    toChild: true,
+    host: `child-${index}`,
+    progress: below,
+  }));
+  return new Convergence({
+    linkTable: { open: () => links, tellNews: () => undefined },
+    settings: testSettings({ zone: 'zone-a' }),
+    topologyView: { current: { first, zoneSize: 10 } },
+    versionStore: { state: { version: 5 } },
+  } as unknown as Services);
+}
+
+describe('convergence', () => {
+  it('should add up nodes, and take the lowest version of them', () => {
+    const convergence = convergenceOf([progress('zone-a', 3, 4), progress('zone-a', 2, 5)]);
+    expect(convergence.below()).toMatchObject({ nodes: 6, lowestVersion: 4n });
+  });
+
+  it('should never count more nodes than the zone has, though parents form a circle', () => {
+    expect(convergenceOf([progress('zone-a', 4_000, 5)]).below().nodes).toBe(10);
+  });
+
+  it('should let nobody else speak for its own zone while it is the first there', () => {
+    const convergence = convergenceOf([]);
+    convergence.refresh();
+    convergence.takeZones([progress('zone-a', 9, 1), progress('zone-b', 4, 3)]);
+    expect(convergence.report()).toEqual([
+      { zone: 'zone-a', nodes: 1, lowestVersion: 5 },
+      { zone: 'zone-b', nodes: 4, lowestVersion: 3 },
+    ]);
+  });
+
+  it('should tell other zones of its own alone, and its children of all', () => {
+    const convergence = convergenceOf([]);
+    convergence.refresh();
+    convergence.takeZones([progress('zone-b', 4, 3)]);
+    expect(convergence.zonesFor(LinkRole.ZONE).map(({ zone }) => zone)).toEqual(['zone-a']);
+    expect(
+      convergence
+        .zonesFor(LinkRole.PARENT)
+        .map(({ zone }) => zone)
+        .sort(),
+    ).toEqual(['zone-a', 'zone-b']);
+  });
+});
