--- a/bench/src/faults.ts
+++ b/bench/src/faults.ts
@@ -1,7 +1,7 @@
 /** Benchmarks of failures: storms, cuts, races and outages, with bounds from the stated target. */
 import { PublishResult, Deadline } from 'lentillb';
 import type { Bench, BenchOptions, BenchResult } from './bench.js';
-import { round } from './bench.js';
+import { fitLine, round } from './bench.js';
 import { BenchFleet, loopbackBytes, rulesNamed } from './benchFleet.js';
 
 const RIGA_DELAY_MS = 1.5;
@@ -223,16 +223,42 @@
   };
 }
 
+/** Runs at three sizes: the figures are those of the largest, with the slope of each a node. */
+function overSizes(run: Bench['run']): Bench['run'] {
+  return async (options, print) => {
+    const sizes = [options.nodes / 4, options.nodes / 2, options.nodes].map(Math.round);
+    const results: BenchResult[] = [];
+    for (const nodes of sizes) {
+      results.push(await run({ ...options, nodes }, (line) => print(`${nodes} nodes | ${line}`)));
+    }
+    const largest = results.at(-1) as BenchResult;
+    const slopes = Object.keys(largest.figures).map((figure) => {
+      const points = results.map(
+        ({ figures }, index) => [sizes[index] ?? 0, figures[figure] ?? 0] as const,
+      );
+      return [`${figure}Slope`, round(fitLine(points).slope)] as const;
+    });
+    const figures = { ...largest.figures, ...Object.fromEntries(slopes) };
+    return { sizes, figures, bounds: largest.bounds };
+  };
+}
+
 /** The benchmarks of failures, by name. */
 export const faultBenches: Readonly<Record<string, Bench>> = {
   'reconnect-storm': {
     description: '30% of the nodes are killed and come back at once',
-    run: runStorm,
+    run: overSizes(runStorm),
+  },
+  partition: {
+    description: 'a zone is cut off from the others and the log',
+    run: overSizes(runPartition),
+  },
+  races: {
+    description: 'operators publish at once while answers are lost',
+    run: overSizes(runRaces),
   },
-  partition: { description: 'a zone is cut off from the others and the log', run: runPartition },
-  races: { description: 'operators publish at once while answers are lost', run: runRaces },
   outage: {
     description: 'the log is away past its retention while every node is replaced',
-    run: runOutage,
+    run: overSizes(runOutage),
   },
 };
--- /dev/null
+++ b/tests/kernel/settings.spec.ts
@@ -0,0 +1,38 @@
+import { readSettings, settingDefinitions } from 'lentillb';
+import { describe, expect, it } from 'vitest';
+
+const REQUIRED = { host: 'h1', zone: 'z1', logUrl: 'http://127.0.0.1:7500' };
+
+describe('settings', () => {
+  it('should take a flag before its environment variable, and that before the default', () => {
+    const environment = { LENTILLB_ZONE: 'from-variable', LENTILLB_CALL_PORT: '7999' };
+    const settings = readSettings({ ...REQUIRED, callPort: '7001' }, environment).unwrap();
+    expect([settings.zone, settings.callPort, settings.gatePort]).toEqual(['z1', 7001, 7401]);
+    const others = readSettings({ host: 'h', logUrl: REQUIRED.logUrl }, environment).unwrap();
+    expect([others.zone, others.callPort]).toEqual(['from-variable', 7999]);
+  });
+
+  it('should name every fault at once, with flag and variable', () => {
+    const faults = readSettings({ callPort: 'many', peers: 'nowhere' }, {}).unwrapErr();
+    expect(faults.map(({ setting }) => setting)).toEqual([
+      'host',
+      'zone',
+      'callPort',
+      'logUrl',
+      'peers',
+    ]);
+    expect(faults[2]?.message).toContain('--call-port (or LENTILLB_CALL_PORT) cannot be "many"');
+  });
+
+  it('should count an empty variable as not given', () => {
+    const settings = readSettings(REQUIRED, { LENTILLB_CALL_PORT: '' }).unwrap();
+    expect(settings.callPort).toBe(7400);
+  });
+
+  it('should give every setting a flag, a variable and a description', () => {
+    Object.values(settingDefinitions).forEach(({ flag, variable, description }) => {
+      expect(variable).toBe(`LENTILLB_${flag.replaceAll('-', '_').toUpperCase()}`);
+      expect(description.length).toBeGreaterThan(10);
+    });
+  });
+});
