--- a/bench/src/main.ts
+++ b/bench/src/main.ts
@@ -1,6 +1,7 @@
 /** Runs one benchmark and ends with one JSON object. */
 import { parseArgs } from 'node:util';
 import { addedLatency } from './addedLatency.js';
+import { balance } from './balance.js';
 import type { Bench } from './bench.js';
 import { brokenBounds } from './bench.js';
 import { convergence } from './convergence.js';
@@ -15,6 +16,7 @@
 
 const benches: Readonly<Record<string, Bench>> = {
   'added-latency': addedLatency,
+  balance,
   convergence,
   faults: truthBench,
   overload: overloadBench,
--- a/packages/lentillb/src/index.ts
+++ b/packages/lentillb/src/index.ts
@@ -27,6 +27,7 @@
 export type { Log, LogBatch, LogFailure, LogRange, LogRecord, ReadRequest } from './log/log.js';
 export { Link, READERS_PER_ZONE, topologyOf } from './membership/topology.js';
 export type { Place, Placement, Topology } from './membership/topology.js';
+export type { Endpoint } from './membership/fleetView.js';
 export { ConnectDialer } from './mesh/peerDialer.js';
 export type { PeerAddress, PeerDialer } from './mesh/peerDialer.js';
 export { RoutingTable } from './routing/table/routingTable.js';
