Find a fleet whose addresses in the log are all of earlier runs

Cause: the first node of a zone kept its address in the log only if it had none there, and counted one of an earlier run on its host, with a port nobody listens on; after all hosts were restarted a newcomer found nobody, took itself for alone and took callers without knowing a backend server. Found by the rolling restart in a fresh clone: 1 of some 3,000 calls was told 503 no-backend-server. Ruled out: lost announcements; the new test on the manual clock shows the view of one. Change: a record of another run is replaced; a node that knows of others in the log is not alone, and waits up to 8 s for one. The test failed before, passes after: every restarted node knows all four hosts before it takes callers.

--- a/packages/lentillb/src/presence/presence.ts
+++ b/packages/lentillb/src/presence/presence.ts
@@ -84,6 +84,11 @@
     return this.hasJoined;
   }
 
+  /** Whether the log names other hosts, so that being alone means not having found them yet. */
+  get knowsOthers(): boolean {
+    return [...this.contacts.keys()].some((host) => host !== this.services.settings.host);
+  }
+
   /** @param listener - called once this node has joined */
   onJoined(listener: () => void): void {
     this.joinListeners.add(listener);
@@ -123,12 +128,15 @@
 
   /** The first node of a zone keeps an address of the zone in the log, and meets strangers. */
   private async serveAsContact(signal: AbortSignal): Promise<void> {
-    const { clock, fleet, settings } = this.services;
+    const { clock, fleet, identity, settings } = this.services;
     await this.readContacts(signal);
     const ownZone = [...this.contacts.values()].filter(({ zone }) => zone === settings.zone);
     const newestMs = Math.max(0, ...ownZone.map(({ appendedAt }) => appendedAt.getTime()));
     const ageMs = clock.now().getTime() - newestMs;
-    if (ageMs > this.retentionMs * RENEW_SHARE || !this.contacts.has(settings.host)) {
+    // A record of an earlier run on this host names a port that nobody listens on any more.
+    const own = this.contacts.get(settings.host);
+    const outdated = own?.incarnation !== identity.incarnation;
+    if (outdated || ageMs > this.retentionMs * RENEW_SHARE) {
       await this.appendOwn();
     }
     const strangers = [...this.contacts.values()].filter(
--- a/packages/lentillb/src/readiness/readiness.ts
+++ b/packages/lentillb/src/readiness/readiness.ts
@@ -3,7 +3,7 @@
 
 const POLL_MS = 20;
 /** After this long with a configuration, an incomplete view of the fleet has to do. */
-const VIEW_TIMEOUT_MS = 5_000;
+const VIEW_TIMEOUT_MS = 8_000;
 
 type Needs = Pick<
   Services,
@@ -51,10 +51,11 @@
     }
   }
 
-  /** Whether a peer holds the same announcements, or there is no peer. */
+  /** Whether a peer holds the same announcements, or there is nobody else. */
   private knowsFleet(): boolean {
     const { linkTable, presence } = this.services;
     const peers = linkTable.open().filter(({ host }) => host !== undefined);
-    return presence.joined && (peers.length === 0 || peers.some(({ inStep }) => inStep));
+    const alone = peers.length === 0 && !presence.knowsOthers;
+    return presence.joined && (alone || peers.some(({ inStep }) => inStep));
   }
 }
--- a/tests/mesh/spreading.spec.ts
+++ b/tests/mesh/spreading.spec.ts
@@ -138,6 +138,20 @@
     await fleet.until(() => fleet.inForceEverywhere(), 'the next version', IN_FORCE_MS);
   });
 
+  it('should take no callers on a restarted node before it knows the others', async () => {
+    const fleet = await TestFleet.start({ zones: 2, nodesPerZone: 2 });
+    await fleet.append(rulesNamed('before'));
+    await fleet.until(() => fleet.inForceEverywhere(), 'the version', IN_FORCE_MS);
+    for (const { host, zone } of [...fleet.nodes, ...fleet.nodes]) {
+      await fleet.stop(host);
+      const { services } = await fleet.add({ host, zone });
+      await fleet.until(() => services.readiness.ready, `${host} to be ready`, 2 * IN_FORCE_MS);
+      expect(services.fleet.present()).toHaveLength(4);
+      await fleet.until(() => fleet.everybodyKnowsAll(), 'one view', IN_FORCE_MS);
+      await fleet.clock.advance(SECOND_MS);
+    }
+  });
+
   it('should not storm the log when 30% of the nodes return at once', async () => {
     const fleet = await TestFleet.start({ zones: 4, nodesPerZone: 10 });
     await fleet.append(rulesNamed('before'));
