Leave idle connections to their clients when a node stops

Cause: the HTTP server's close cuts idle connections at once, also one that a request is on its way to; the caller saw a reset. Ruled out: the gate, whose callers know 2 s before. Change: a stopping listener only stops listening; idle connections are kept for 5 s, which clients are told, and close before; what is answered meanwhile closes its connection. Gates are called over connections idle for at most 3 s, before 15.

--- a/packages/lentillb/src/admin/plugin.ts
+++ b/packages/lentillb/src/admin/plugin.ts
@@ -13,6 +13,9 @@
   }
 }
 
+/** How long operators' requests may take when the node stops, in milliseconds. */
+const CLOSE_MS = 1_000;
+
 plugins.register({
   name: 'admin',
   needs: ['distribution', 'gate', 'membership', 'mesh', 'routing', 'timeline'],
@@ -22,5 +25,5 @@
     adminListener: asClass(AdminListener).singleton(),
   },
   start: ({ adminListener }) => adminListener.listen(),
-  stop: ({ adminListener }, deadline) => adminListener.http.close(deadline),
+  stop: ({ adminListener }, deadline) => adminListener.http.close(deadline.atMost(CLOSE_MS)),
 });
--- a/packages/lentillb/src/routing/gateClient.ts
+++ b/packages/lentillb/src/routing/gateClient.ts
@@ -11,7 +11,7 @@
 const CONNECTIONS_PER_GATE = 128;
 const CONNECT_TIMEOUT_MS = 1_000;
 /** Idle connections are closed well before the gate would close them, in milliseconds. */
-const KEEP_ALIVE_MS = 15_000;
+const KEEP_ALIVE_MS = 3_000;
 
 type Needs = Pick<Services, 'gate' | 'settings'>;
 
--- a/packages/lentillb/src/utils/httpListener.ts
+++ b/packages/lentillb/src/utils/httpListener.ts
@@ -1,7 +1,9 @@
 /** An HTTP server that starts on a given address and stops gracefully. */
 import { createServer } from 'node:http';
 import type { RequestListener, Server } from 'node:http';
+import { Server as NetServer } from 'node:net';
 import type { AddressInfo } from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
 import type { Deadline } from '../kernel/deadline.js';
 
 /** The longest request head accepted, in bytes. */
@@ -10,8 +12,11 @@
 const HEADERS_TIMEOUT_MS = 10_000;
 /** How long a sender may take over a whole request, in milliseconds. */
 const REQUEST_TIMEOUT_MS = 60_000;
-/** How long an idle connection is kept, in milliseconds; longer than clients keep theirs. */
-const KEEP_ALIVE_MS = 30_000;
+/** How long an idle connection is kept, in milliseconds; clients are told, and close theirs before. */
+const KEEP_ALIVE_MS = 5_000;
+/** How long a stopping server leaves idle connections to their clients, in milliseconds. */
+const LINGER_MS = KEEP_ALIVE_MS + 500;
+const POLL_MS = 20;
 
 /** One HTTP server. */
 export class HttpListener {
@@ -55,32 +60,31 @@
   leave(): void {
     if (!this.closing) {
       this.closing = true;
-      this.server.close();
+      // The HTTP server's own close would cut idle connections that a request is on its way to.
+      NetServer.prototype.close.call(this.server);
     }
   }
 
   /**
-   * Waits for all requests to be answered.
+   * Waits for all requests to be answered, and for clients to close their idle connections.
    *
    * @param deadline - when connections still open are cut
    */
   async close(deadline: Deadline): Promise<void> {
     this.leave();
-    if (!this.server.listening) {
-      this.server.closeIdleConnections();
-    }
-    const cut = setTimeout(() => this.server.closeAllConnections(), deadline.remainingMs());
-    await new Promise<void>((resolve) => {
-      const poll = setInterval(() => {
+    const lingering = deadline.atMost(LINGER_MS);
+    while ((await this.connectionCount()) > 0 && !deadline.expired()) {
+      if (lingering.expired()) {
         this.server.closeIdleConnections();
-        this.server.getConnections((_, count) => {
-          if (count === 0) {
-            clearInterval(poll);
-            resolve();
-          }
-        });
-      }, 20);
+      }
+      await delay(POLL_MS);
+    }
+    this.server.closeAllConnections();
+  }
+
+  private connectionCount(): Promise<number> {
+    return new Promise((resolve) => {
+      this.server.getConnections((_, count) => resolve(count));
     });
-    clearTimeout(cut);
   }
 }
