Take out what nothing calls: a failure reason, its status, and gauges

Cause: read once more, the change keeps a reason for bodies that are too long, which no code gives since long bodies are passed on as streams, and a metric kind that nothing sends. Behaviour is as it was.

--- a/packages/lentillb/src/calls/call.ts
+++ b/packages/lentillb/src/calls/call.ts
@@ -59,7 +59,6 @@
   CallerGone: 'caller-gone',
   ConnectFailed: 'connect-failed',
   ConnectionLost: 'connection-lost',
-  BodyTooLarge: 'body-too-large',
 } as const;
 export type FailureReason = (typeof FailureReason)[keyof typeof FailureReason];
 
--- a/packages/lentillb/src/calls/respond.ts
+++ b/packages/lentillb/src/calls/respond.ts
@@ -11,7 +11,6 @@
 
 const HttpStatus = {
   NotFound: 404,
-  PayloadTooLarge: 413,
   TooManyRequests: 429,
   BadGateway: 502,
   ServiceUnavailable: 503,
@@ -20,7 +19,6 @@
 
 const statuses: Partial<Record<FailureReason, number>> = {
   [FailureReason.NoRoute]: HttpStatus.NotFound,
-  [FailureReason.BodyTooLarge]: HttpStatus.PayloadTooLarge,
   [FailureReason.RateLimited]: HttpStatus.TooManyRequests,
   [FailureReason.DeadlinePassed]: HttpStatus.GatewayTimeout,
 };
--- a/packages/lentillb/src/metrics/metrics.ts
+++ b/packages/lentillb/src/metrics/metrics.ts
@@ -39,14 +39,6 @@
     this.client?.timing(name, durationMs);
   }
 
-  /**
-   * @param name - the gauge
-   * @param value - its value now
-   */
-  gauge(name: string, value: number): void {
-    this.client?.gauge(name, value);
-  }
-
   /** Sends what is waiting and closes the socket. */
   async close(): Promise<void> {
     const { client } = this;
