--- a/packages/lentillb/src/index.ts
+++ b/packages/lentillb/src/index.ts
@@ -42,3 +42,4 @@
 export { HttpListener } from './utils/httpListener.js';
 export { MessageQueue } from './utils/messageQueue.js';
 export { readJson } from './utils/readJson.js';
+export { Repetition } from './rules/ruleForms.js';
--- /dev/null
+++ b/packages/lentillb/src/observability/lineWriter.ts
@@ -0,0 +1,67 @@
+/** Writes log lines to a file descriptor without ever blocking the process. */
+import { write } from 'node:fs';
+
+/** How many bytes may wait for a reader that stalls; further lines are dropped and counted. */
+const MAX_WAITING_BYTES = 256 * 1024;
+
+/** Writes to a descriptor, for tests to replace. */
+export type DescriptorWrite = (bytes: Buffer, done: (error: Error | null, written: number) => void) => void;
+
+/**
+ * @param descriptor - the number of an open file descriptor
+ * @returns writes to it on another thread, so that a full pipe holds up only that thread
+ */
+export function writeToDescriptor(descriptor: number): DescriptorWrite {
+  return (bytes, done) => write(descriptor, bytes, 0, bytes.length, null, done);
+}
+
+/** Keeps lines in order, one write under way at a time. */
+export class LineWriter {
+  private waiting: string[] = [];
+
+  private waitingBytes = 0;
+
+  private writing = false;
+
+  private droppedLines = 0;
+
+  constructor(private readonly writeBytes: DescriptorWrite) {}
+
+  /** How many lines were dropped because nobody read. */
+  get dropped(): number {
+    return this.droppedLines;
+  }
+
+  /** @param line - a line with its line break */
+  write(line: string): void {
+    if (this.waitingBytes + line.length > MAX_WAITING_BYTES) {
+      this.droppedLines += 1;
+      return;
+    }
+    this.waiting.push(line);
+    this.waitingBytes += line.length;
+    this.writeNext();
+  }
+
+  private writeNext(): void {
+    if (this.writing || this.waiting.length === 0) {
+      return;
+    }
+    const bytes = Buffer.from(this.waiting.join(''));
+    this.waiting = [];
+    this.writing = true;
+    this.continue(bytes);
+  }
+
+  private continue(bytes: Buffer): void {
+    this.writeBytes(bytes, (error, written) => {
+      if (error === null && written < bytes.length) {
+        this.continue(bytes.subarray(written));
+        return;
+      }
+      this.writing = false;
+      this.waitingBytes = this.waiting.reduce((sum, line) => sum + line.length, 0);
+      this.writeNext();
+    });
+  }
+}
--- /dev/null
+++ b/packages/lentillb/src/serving/callerListener.ts
@@ -0,0 +1,202 @@
+/** The HTTP server that callers on this host send their requests to. */
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { Server as NetServer } from 'node:net';
+import { Cancellation, CancelReason } from '../calls/cancellation.js';
+import type { CallerLimits } from '../configuration/meshConfiguration.js';
+import type { Clock } from '../kernel/clock.js';
+import type { CallerRequest, EntryAnswer } from './entry.js';
+
+/** The longest request head the parser takes, in bytes; the configuration's limit may be lower. */
+const MAX_HEAD_BYTES = 64 * 1024;
+/** The longest body that is taken in before a configuration states a limit, in bytes. */
+const DEFAULT_BODY_BYTES = 1024 * 1024;
+/** How many bytes of bodies are held at a time, to bound memory. */
+const MAX_HELD_BYTES = 48 * 1024 * 1024;
+/** How often time limits of connections are checked, in milliseconds. */
+const CHECK_INTERVAL_MS = 1_000;
+const DEFAULT_IDLE_MS = 60_000;
+
+const HttpStatus = {
+  NoContent: 204,
+  NotModified: 304,
+  BadRequest: 400,
+  TooLarge: 413,
+  HeadTooLarge: 431,
+  Unavailable: 503,
+} as const;
+
+const BODILESS = new Set<number>([HttpStatus.NoContent, HttpStatus.NotModified]);
+
+/** Answers a request. */
+export type RequestHandler = (request: CallerRequest) => Promise<EntryAnswer>;
+
+/** What a listener is told about its server. */
+export interface ListenerOptions {
+  /** The name of the header with the identity of a request. */
+  readonly requestIdName: string;
+  /** How long idle connections are kept, in milliseconds, before a configuration states it. */
+  readonly idleMs?: number;
+}
+
+function refusal(status: number): EntryAnswer {
+  return { status, headers: {}, body: Buffer.alloc(0) };
+}
+
+function hostCount(rawHeaders: readonly string[]): number {
+  return rawHeaders.filter((name, index) => index % 2 === 0 && name.toLowerCase() === 'host').length;
+}
+
+function headBytes(rawHeaders: readonly string[]): number {
+  return rawHeaders.reduce((sum, part) => sum + part.length + 2, 0);
+}
+
+/** An HTTP server that hands whole requests to a handler. */
+export class CallerListener {
+  private readonly server: Server;
+
+  private limits: CallerLimits | undefined;
+
+  private leaving = false;
+
+  private heldBytes = 0;
+
+  private active = 0;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly handle: RequestHandler,
+    private readonly options: ListenerOptions,
+  ) {
+    this.server = createServer(
+      {
+        maxHeaderSize: MAX_HEAD_BYTES,
+        connectionsCheckingInterval: CHECK_INTERVAL_MS,
+        keepAliveTimeout: options.idleMs ?? DEFAULT_IDLE_MS,
+        requestTimeout: 0,
+        noDelay: true,
+      },
+      (request, response) => {
+        this.serve(request, response).catch((error: unknown) => {
+          // A handler never fails; an invariant was broken.
+          process.nextTick(() => {
+            throw error;
+          });
+        });
+      },
+    );
+  }
+
+  /** How many requests are under way. */
+  get inFlight(): number {
+    return this.active;
+  }
+
+  /**
+   * @param address - the address and port to listen on
+   * @returns the port
+   */
+  async listen(address: string): Promise<number> {
+    const separator = address.lastIndexOf(':');
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      const port = Number(address.slice(separator + 1));
+      this.server.listen({ host: address.slice(0, separator), port, backlog: 1024 }, resolve);
+    });
+    const bound = this.server.address();
+    return bound !== null && typeof bound === 'object' ? bound.port : 0;
+  }
+
+  /** @param limits - what callers may send from now on */
+  limit(limits: CallerLimits): void {
+    this.limits = limits;
+    this.server.keepAliveTimeout = limits.idleTimeoutMs;
+    this.server.headersTimeout = limits.headerTimeoutMs;
+  }
+
+  /** Tells callers with every answer to close their connection; goes on taking new ones. */
+  leave(): void {
+    this.leaving = true;
+  }
+
+  /** Takes no new connections and closes idle ones. */
+  close(): void {
+    NetServer.prototype.close.call(this.server);
+    this.server.closeIdleConnections();
+  }
+
+  private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const arrivedAtMs = this.clock.monotonicMs();
+    const cancellation = new Cancellation();
+    this.active += 1;
+    response.once('close', () => {
+      this.active -= 1;
+      if (!response.writableFinished) {
+        cancellation.cancel(CancelReason.CallerGone);
+      }
+    });
+    const body = await this.readBody(request);
+    if (!Buffer.isBuffer(body)) {
+      this.answer(request, response, body);
+      return;
+    }
+    const { headers, method = 'GET', url = '/' } = request;
+    this.heldBytes += body.length;
+    const answer = await this.handle({
+      method,
+      target: url,
+      headers,
+      body,
+      cancellation,
+      arrivedAtMs,
+    });
+    this.heldBytes -= body.length;
+    this.answer(request, response, answer);
+  }
+
+  /** The whole body, or the answer to a request that is not taken in. */
+  private async readBody(request: IncomingMessage): Promise<Buffer | EntryAnswer> {
+    if (hostCount(request.rawHeaders) !== 1) {
+      return refusal(HttpStatus.BadRequest);
+    }
+    if (headBytes(request.rawHeaders) > (this.limits?.maxHeaderBytes ?? MAX_HEAD_BYTES)) {
+      return refusal(HttpStatus.HeadTooLarge);
+    }
+    const maxBytes = this.limits?.maxBodyBytes ?? DEFAULT_BODY_BYTES;
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    try {
+      for await (const chunk of request as AsyncIterable<Buffer>) {
+        bytes += chunk.length;
+        chunks.push(chunk);
+        if (bytes > maxBytes) {
+          return refusal(HttpStatus.TooLarge);
+        }
+        if (this.heldBytes + bytes > MAX_HELD_BYTES) {
+          return refusal(HttpStatus.Unavailable);
+        }
+      }
+    } catch {
+      // The caller closed its connection before its request was whole; nobody reads the answer.
+      return refusal(HttpStatus.BadRequest);
+    }
+    return Buffer.concat(chunks, bytes);
+  }
+
+  private answer(request: IncomingMessage, response: ServerResponse, answer: EntryAnswer): void {
+    if (response.destroyed) {
+      return;
+    }
+    const { body, headers, status } = answer;
+    const { requestIdName } = this.options;
+    const requestId = request.headers[requestIdName];
+    const closes = this.leaving || !request.complete;
+    response.writeHead(status, {
+      ...headers,
+      ...(typeof requestId === 'string' ? { [requestIdName]: requestId } : {}),
+      ...(BODILESS.has(status) ? {} : { 'content-length': `${body.length}` }),
+      ...(closes ? { connection: 'close' } : {}),
+    });
+    response.end(body);
+  }
+}
--- /dev/null
+++ b/packages/lentillb/src/serving/entry.ts
@@ -0,0 +1,375 @@
+/** Takes callers' requests and carries each to a backend server, or says truthfully why not. */
+import type { IncomingHttpHeaders } from 'node:http';
+import { numberIn, Outcome, passedOnHeaders } from '../calls/callHeaders.js';
+import type { HeaderFields } from '../calls/callHeaders.js';
+import type { Cancellation } from '../calls/cancellation.js';
+import type { ConfigurationHolder } from '../configuration/configurationHolder.js';
+import type { MeshRoute } from '../configuration/meshConfiguration.js';
+import type { WeightedRotation } from '../configuration/weightedRotation.js';
+import type { Directory } from '../directory/directory.js';
+import type { Clock } from '../kernel/clock.js';
+import type { Randomness } from '../kernel/randomness.js';
+import type { DecisionLog } from '../observability/decisionLog.js';
+import { Weight } from '../observability/decisionLog.js';
+import type { Figures } from '../observability/figures.js';
+import { Repetition } from '../rules/ruleForms.js';
+import type { GateDialer } from './gateDialer.js';
+import type { GateObservations } from './gateObservations.js';
+import type { HeaderNames } from './headerNames.js';
+import type { BackendAnswer, ForwardedRequest, ForwardFailure, GateReply } from './messages.js';
+import { FailureCause } from './messages.js';
+import type { Placement, Placer } from './placement.js';
+import type { RetryAllowance } from './retryAllowance.js';
+import { chooseReturnTime } from './returnTime.js';
+import { Patience } from './slotQueue.js';
+
+/** A request of a caller, read whole. */
+export interface CallerRequest {
+  readonly method: string;
+  readonly target: string;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: Buffer;
+  readonly cancellation: Cancellation;
+  /** When it arrived, in milliseconds of the clock. */
+  readonly arrivedAtMs: number;
+}
+
+/** What the caller is told. */
+export interface EntryAnswer {
+  readonly status: number;
+  readonly headers: HeaderFields;
+  readonly body: Buffer;
+}
+
+/** What an entry works with. */
+export interface EntryServices {
+  readonly clock: Clock;
+  readonly randomness: Randomness;
+  readonly configuration: ConfigurationHolder;
+  readonly rotation: WeightedRotation;
+  readonly directory: Directory;
+  readonly observations: GateObservations;
+  readonly placer: Placer;
+  readonly dialer: GateDialer;
+  readonly allowance: RetryAllowance;
+  readonly log: DecisionLog;
+  readonly figures: Figures;
+}
+
+/** Who callers on this host are, and how headers are called. */
+export interface EntryOptions {
+  readonly names: HeaderNames;
+  /** The service of the backend server on this host. */
+  readonly callerService: string;
+}
+
+const HttpStatus = {
+  NotFound: 404,
+  ServerError: 500,
+  BadGateway: 502,
+  Unavailable: 503,
+  GatewayTimeout: 504,
+} as const;
+
+const MS_PER_SECOND = 1_000;
+const RETRY_AFTER_DECIMALS = 3;
+/** How many gates are asked for a slot in time, before one is asked to let the request wait. */
+const MAX_GATES_ASKED = 3;
+/** How long a caller stays away from a node that knows no configuration, in milliseconds. */
+const UNCONFIGURED_RETURN_MS = 500;
+/** How long a caller stays away from a service without backend servers, in milliseconds. */
+const UNSERVED_RETURN_MS = 250;
+/** The share of a request's usual time that must be left for sending it again. */
+const RETRY_TIME_SHARE = 0.7;
+
+const EMPTY = Buffer.alloc(0);
+
+/** One request on its way, with what became of it so far. */
+interface Attempts {
+  readonly request: ForwardedRequest;
+  readonly route: MeshRoute;
+  /** Hosts that cannot serve it, or may have run it. */
+  readonly excluded: Set<string>;
+  /** Hosts that had no slot in time. */
+  readonly crowded: Set<string>;
+  /** How many backend servers may have run it. */
+  sent: number;
+  /** The shortest wait that a gate expected. */
+  leastWaitMs: number;
+  /** An answer to deliver where no better one comes. */
+  fallback: BackendAnswer | undefined;
+  /** The last failure. */
+  failure: ForwardFailure | undefined;
+  /** Whether it may have run somewhere. */
+  mayHaveRun: boolean;
+}
+
+/** Carries requests of the callers on this host. */
+export class Entry {
+  /** The longest deadline that callers gave by route, in milliseconds: that of a first attempt. */
+  private readonly longestDeadlineMs = new Map<string, number>();
+
+  constructor(
+    private readonly services: EntryServices,
+    private readonly options: EntryOptions,
+  ) {}
+
+  /**
+   * Carries a request.
+   *
+   * @param request - the caller's request
+   * @returns what the caller is told
+   */
+  async serve(request: CallerRequest): Promise<EntryAnswer> {
+    const table = this.services.configuration.current;
+    if (table === undefined) {
+      return this.refuse(request, 'no-configuration', UNCONFIGURED_RETURN_MS);
+    }
+    const route = table.find(request.headers.host ?? '', request.target);
+    if (route === undefined) {
+      this.note(request, 'no-route', HttpStatus.NotFound, {});
+      return { status: HttpStatus.NotFound, headers: {}, body: EMPTY };
+    }
+    const forwarded = this.forward(request, route);
+    this.services.allowance.earn(forwarded.service);
+    const attempts: Attempts = {
+      request: forwarded,
+      route,
+      excluded: new Set(),
+      crowded: new Set(),
+      sent: 0,
+      leastWaitMs: Infinity,
+      fallback: undefined,
+      failure: undefined,
+      mayHaveRun: false,
+    };
+    const answer = await this.attempt(attempts);
+    return answer === undefined
+      ? this.conclude(request, attempts)
+      : this.deliver(request, attempts, answer);
+  }
+
+  private forward(request: CallerRequest, route: MeshRoute): ForwardedRequest {
+    const { callerService, names } = this.options;
+    const { arrivedAtMs, body, cancellation, headers, method, target } = request;
+    const givenMs = numberIn(headers, names.deadlineMs) ?? route.timeoutMs;
+    const longestMs = Math.max(givenMs, this.longestDeadlineMs.get(route.name) ?? 0);
+    this.longestDeadlineMs.set(route.name, longestMs);
+    const requestId = headers[names.requestId];
+    return {
+      requestId: typeof requestId === 'string' ? requestId : '',
+      method,
+      target,
+      headers: {
+        ...passedOnHeaders(headers),
+        [names.callerService]: callerService,
+        ...(typeof requestId === 'string' ? { [names.requestId]: requestId } : {}),
+      },
+      body,
+      service: this.services.rotation.next(route),
+      route: route.name,
+      priority: route.priority,
+      repeatable: route.repetition === Repetition.Repeat,
+      // What a caller has left tells how long it has been trying.
+      targetAtMs: arrivedAtMs + route.targetLatencyMs - (longestMs - givenMs),
+      deadlineAtMs: arrivedAtMs + Math.min(givenMs, route.timeoutMs),
+      patience: Patience.OnTime,
+      cancellation,
+    };
+  }
+
+  /** Asks gates one after the other; the answer is undefined where the request is given up. */
+  private async attempt(attempts: Attempts): Promise<BackendAnswer | undefined> {
+    for (let asked = 0; asked < MAX_GATES_ASKED; asked += 1) {
+      const placement = this.choose(attempts, new Set([...attempts.excluded, ...attempts.crowded]));
+      if (placement === undefined) {
+        break;
+      }
+      const isLate = placement.waitMs + this.typicalMs(placement) > this.targetLeftMs(attempts);
+      if (isLate) {
+        break;
+      }
+      const answer = await this.ask(attempts, placement, Patience.OnTime);
+      if (answer !== undefined || !this.mayGoOn(attempts)) {
+        return answer;
+      }
+    }
+    return this.attemptLate(attempts);
+  }
+
+  /** Lets the request wait where it is answered soonest, though late. */
+  private async attemptLate(attempts: Attempts): Promise<BackendAnswer | undefined> {
+    const placement = this.choose(attempts, attempts.excluded);
+    if (placement === undefined) {
+      return undefined;
+    }
+    return this.ask(attempts, placement, Patience.UntilDeadline);
+  }
+
+  private choose({ request }: Attempts, excluded: ReadonlySet<string>): Placement | undefined {
+    const { clock, directory, placer } = this.services;
+    const candidates = directory.endpointsOf(request.service);
+    const targetLeftMs = request.targetAtMs - clock.monotonicMs();
+    return placer.choose({ candidates, excluded, targetLeftMs });
+  }
+
+  private async ask(
+    attempts: Attempts,
+    { endpoint }: Placement,
+    patience: Patience,
+  ): Promise<BackendAnswer | undefined> {
+    const { dialer, observations } = this.services;
+    const seen = observations.of(endpoint);
+    seen.begin();
+    const reply = await dialer.call(endpoint, { ...attempts.request, patience });
+    seen.end();
+    this.learn(endpoint, reply);
+    if (reply.result.isErr()) {
+      const { cause, outcome, waitMs } = reply.result.error;
+      const isCrowded = cause === FailureCause.NoSlotInTime;
+      (isCrowded ? attempts.crowded : attempts.excluded).add(endpoint.host);
+      attempts.failure = reply.result.error;
+      attempts.leastWaitMs = Math.min(attempts.leastWaitMs, waitMs ?? Infinity);
+      attempts.mayHaveRun ||= outcome === Outcome.Unknown;
+      attempts.sent += outcome === Outcome.Unknown || cause === FailureCause.TurnedAway ? 1 : 0;
+      return undefined;
+    }
+    const answer = reply.result.value;
+    attempts.excluded.add(endpoint.host);
+    attempts.sent += 1;
+    attempts.mayHaveRun = true;
+    if (answer.status < HttpStatus.ServerError) {
+      return answer;
+    }
+    attempts.fallback = answer;
+    attempts.failure = { outcome: Outcome.Unknown, cause: FailureCause.BrokenAnswer };
+    return this.mayGoOn(attempts) ? undefined : answer;
+  }
+
+  private learn(endpoint: Placement['endpoint'], { report, result }: GateReply): void {
+    const seen = this.services.observations.of(endpoint);
+    if (report !== undefined) {
+      seen.report(report.load);
+    }
+    if (result.isOk()) {
+      const failed = result.value.status >= HttpStatus.ServerError;
+      seen.judge(failed);
+      if (!failed && report !== undefined) {
+        seen.measure(report.serviceMs);
+      }
+      return;
+    }
+    const { cause } = result.error;
+    if (cause !== FailureCause.CallerGone && cause !== FailureCause.NoSlotInTime) {
+      seen.judge(true);
+    }
+    if (report === undefined && cause !== FailureCause.CallerGone) {
+      seen.avoid();
+    }
+  }
+
+  private mayGoOn(attempts: Attempts): boolean {
+    const { allowance, clock } = this.services;
+    const { failure, mayHaveRun, request, route, sent } = attempts;
+    if (failure === undefined || request.cancellation.reason !== undefined) {
+      return false;
+    }
+    if (mayHaveRun && !request.repeatable) {
+      return false;
+    }
+    const typicalMs = this.services.observations.typicalServiceMs(
+      this.services.directory.endpointsOf(request.service),
+    );
+    if (request.deadlineAtMs - clock.monotonicMs() < typicalMs * RETRY_TIME_SHARE) {
+      return false;
+    }
+    const reachedBackendServer =
+      failure.outcome === Outcome.Unknown || failure.cause === FailureCause.TurnedAway;
+    if (!reachedBackendServer) {
+      return true;
+    }
+    return sent < route.maxBackendServers && allowance.spend(request.service);
+  }
+
+  private deliver(
+    request: CallerRequest,
+    { request: { requestId, service }, route, sent }: Attempts,
+    answer: BackendAnswer,
+  ): EntryAnswer {
+    const { clock, figures, log } = this.services;
+    const elapsedMs = clock.monotonicMs() - request.arrivedAtMs;
+    figures.count('entry_answers', { route: route.name, status: `${answer.status}` });
+    figures.observe('entry_latency_ms', elapsedMs, { route: route.name });
+    const late = elapsedMs > route.targetLatencyMs;
+    log.record(late ? Weight.Notable : Weight.Ordinary, 'request-answered', {
+      requestId,
+      route: route.name,
+      service,
+      status: answer.status,
+      late,
+      elapsedMs: Math.round(elapsedMs),
+      targetMs: route.targetLatencyMs,
+      sent,
+      configurationVersion: this.services.configuration.version,
+    });
+    return answer;
+  }
+
+  private conclude(request: CallerRequest, attempts: Attempts): EntryAnswer {
+    const { clock, randomness } = this.services;
+    const { failure, fallback, leastWaitMs, mayHaveRun, request: forwarded, route } = attempts;
+    if (fallback !== undefined) {
+      return this.deliver(request, attempts, fallback);
+    }
+    const cause = failure?.cause ?? 'no-backend-server';
+    const fields = { route: route.name, service: forwarded.service, sent: attempts.sent };
+    if (mayHaveRun) {
+      const timedOut = cause === FailureCause.DeadlinePassed;
+      const status = timedOut ? HttpStatus.GatewayTimeout : HttpStatus.BadGateway;
+      this.note(request, cause, status, fields);
+      return { status, headers: {}, body: EMPTY };
+    }
+    const leftMs = forwarded.deadlineAtMs - clock.monotonicMs();
+    const waitMs = Number.isFinite(leastWaitMs) ? leastWaitMs : UNSERVED_RETURN_MS;
+    return this.refuse(request, cause, chooseReturnTime({ waitMs, leftMs }, randomness), fields);
+  }
+
+  private refuse(
+    request: CallerRequest,
+    cause: string,
+    returnMs: number,
+    fields: Readonly<Record<string, string | number>> = {},
+  ): EntryAnswer {
+    const retryAfterMs = Math.round(returnMs);
+    this.note(request, cause, HttpStatus.Unavailable, { ...fields, retryAfterMs });
+    const retryAfter = (retryAfterMs / MS_PER_SECOND).toFixed(RETRY_AFTER_DECIMALS);
+    return { status: HttpStatus.Unavailable, headers: { 'retry-after': retryAfter }, body: EMPTY };
+  }
+
+  private note(
+    { arrivedAtMs, headers }: CallerRequest,
+    cause: string,
+    status: number,
+    fields: Readonly<Record<string, string | number>>,
+  ): void {
+    const { clock, configuration, figures, log } = this.services;
+    const requestId = headers[this.options.names.requestId];
+    figures.count('entry_failures', { cause, status: `${status}` });
+    log.record(Weight.Notable, status === HttpStatus.Unavailable ? 'request-refused' : 'request-failed', {
+      requestId: typeof requestId === 'string' ? requestId : undefined,
+      cause,
+      status,
+      elapsedMs: Math.round(clock.monotonicMs() - arrivedAtMs),
+      configurationVersion: configuration.version,
+      ...fields,
+    });
+  }
+
+  private typicalMs({ endpoint }: Placement): number {
+    return this.services.observations.typicalServiceMs([endpoint]);
+  }
+
+  private targetLeftMs({ request }: Attempts): number {
+    return request.targetAtMs - this.services.clock.monotonicMs();
+  }
+}
--- /dev/null
+++ b/packages/lentillb/src/serving/exchange.ts
@@ -0,0 +1,191 @@
+/** One HTTP request and its whole answer, and how much is known where there is none. */
+import { request as openRequest } from 'node:http';
+import type { Agent, ClientRequest, IncomingMessage } from 'node:http';
+import type { Result } from 'ts-results-es';
+import { Err, Ok } from 'ts-results-es';
+import type { HeaderFields } from '../calls/callHeaders.js';
+import type { Cancellation } from '../calls/cancellation.js';
+import type { Clock } from '../kernel/clock.js';
+
+/** What to send, and where. */
+export interface ExchangeRequest {
+  readonly agent: Agent;
+  /** Address and port. */
+  readonly address: string;
+  readonly method: string;
+  readonly target: string;
+  readonly headers: HeaderFields;
+  readonly body: Buffer;
+  /** How long the connection may take, in milliseconds. */
+  readonly connectTimeoutMs: number;
+  /** How long the whole exchange may take, in milliseconds. */
+  readonly timeoutMs: number;
+  readonly cancellation: Cancellation;
+}
+
+/** A whole answer. */
+export interface ExchangeAnswer {
+  readonly status: number;
+  readonly headers: IncomingMessage['headers'];
+  readonly body: Buffer;
+  /** Closes the connection instead of keeping it for further requests. */
+  readonly discardConnection: () => void;
+}
+
+/** Why there is no whole answer. */
+export const ExchangeFailure = {
+  /** Nothing was sent. */
+  NotSent: 'not-sent',
+  /** A kept connection was reset before any byte of an answer. */
+  KeptConnectionLost: 'kept-connection-lost',
+  /** The connection ended without a whole answer. */
+  Lost: 'lost',
+  /** What came back is not HTTP, or longer than is kept. */
+  Malformed: 'malformed',
+  TimedOut: 'timed-out',
+  Cancelled: 'cancelled',
+} as const;
+export type ExchangeFailure = (typeof ExchangeFailure)[keyof typeof ExchangeFailure];
+
+/** Answers longer than this are given up, in bytes, to bound memory. */
+const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+
+const PARSE_ERROR = /^HPE_/;
+
+class Exchange {
+  readonly result: Promise<Result<ExchangeAnswer, ExchangeFailure>>;
+
+  private settle!: (result: Result<ExchangeAnswer, ExchangeFailure>) => void;
+
+  private readonly outgoing: ClientRequest;
+
+  private readonly endings: (() => void)[] = [];
+
+  private connected = false;
+
+  private answered = false;
+
+  private done = false;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly request: ExchangeRequest,
+  ) {
+    this.result = new Promise((resolve) => {
+      this.settle = resolve;
+    });
+    this.outgoing = this.open();
+    this.outgoing.on('error', (error: NodeJS.ErrnoException) => this.fail(this.causeOf(error)));
+    this.outgoing.on('response', (response) => this.collect(response));
+    this.watchConnection();
+    this.endings.push(
+      clock.after(request.timeoutMs, () =>
+        this.fail(this.connected ? ExchangeFailure.TimedOut : ExchangeFailure.NotSent),
+      ),
+      request.cancellation.onCancel(() => this.fail(ExchangeFailure.Cancelled)),
+    );
+    if (!this.done) {
+      this.outgoing.end(request.body);
+    }
+  }
+
+  private open(): ClientRequest {
+    const { address, agent, headers, method, target } = this.request;
+    const separator = address.lastIndexOf(':');
+    return openRequest({
+      agent,
+      host: address.slice(0, separator),
+      port: Number(address.slice(separator + 1)),
+      method,
+      path: target,
+      headers,
+      setHost: false,
+    });
+  }
+
+  private watchConnection(): void {
+    this.outgoing.on('socket', (socket) => {
+      if (!socket.connecting) {
+        this.connected = true;
+        return;
+      }
+      const stopTimer = this.clock.after(this.request.connectTimeoutMs, () =>
+        this.fail(ExchangeFailure.NotSent),
+      );
+      this.endings.push(stopTimer);
+      socket.once('connect', () => {
+        this.connected = true;
+        stopTimer();
+      });
+    });
+  }
+
+  private collect(response: IncomingMessage): void {
+    this.answered = true;
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    response.on('data', (chunk: Buffer) => {
+      chunks.push(chunk);
+      bytes += chunk.length;
+      if (bytes > MAX_ANSWER_BYTES) {
+        this.fail(ExchangeFailure.Malformed);
+      }
+    });
+    response.on('error', (error: NodeJS.ErrnoException) => this.fail(this.causeOf(error)));
+    response.on('close', () => this.fail(ExchangeFailure.Lost));
+    response.on('end', () => {
+      if (!response.complete) {
+        this.fail(ExchangeFailure.Lost);
+        return;
+      }
+      const { headers, statusCode = 0 } = response;
+      const discardConnection = (): void => {
+        this.outgoing.destroy();
+      };
+      const body = Buffer.concat(chunks, bytes);
+      this.finish(Ok({ status: statusCode, headers, body, discardConnection }));
+    });
+  }
+
+  private causeOf({ code = '' }: NodeJS.ErrnoException): ExchangeFailure {
+    if (!this.connected) {
+      return ExchangeFailure.NotSent;
+    }
+    if (PARSE_ERROR.test(code)) {
+      return ExchangeFailure.Malformed;
+    }
+    return this.outgoing.reusedSocket && !this.answered
+      ? ExchangeFailure.KeptConnectionLost
+      : ExchangeFailure.Lost;
+  }
+
+  private fail(failure: ExchangeFailure): void {
+    if (!this.done) {
+      this.finish(Err(failure));
+      this.outgoing.destroy();
+    }
+  }
+
+  private finish(result: Result<ExchangeAnswer, ExchangeFailure>): void {
+    if (this.done) {
+      return;
+    }
+    this.done = true;
+    this.endings.forEach((end) => end());
+    this.settle(result);
+  }
+}
+
+/**
+ * Sends a request and takes in its whole answer.
+ *
+ * @param clock - the clock that time-outs go by
+ * @param request - what to send, and where
+ * @returns the answer, or how much is known without one
+ */
+export function exchange(
+  clock: Clock,
+  request: ExchangeRequest,
+): Promise<Result<ExchangeAnswer, ExchangeFailure>> {
+  return new Exchange(clock, request).result;
+}
--- /dev/null
+++ b/packages/lentillb/src/serving/gate.ts
@@ -0,0 +1,196 @@
+/** The gate beside a backend server: the one place that decides what the backend server runs. */
+import { Err } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import { Outcome } from '../calls/callHeaders.js';
+import type { Clock } from '../kernel/clock.js';
+import type { DecisionLog } from '../observability/decisionLog.js';
+import { Weight } from '../observability/decisionLog.js';
+import type { Figures } from '../observability/figures.js';
+import type { BackendServerClient } from './backendServerClient.js';
+import type { LocalBackendServer } from './localBackendServer.js';
+import type { BackendAnswer, ForwardedRequest, ForwardFailure, GateReply } from './messages.js';
+import { FailureCause } from './messages.js';
+import type { Slot, SlotQueue } from './slotQueue.js';
+import { Admission } from './slotQueue.js';
+
+type GateResult = Result<BackendAnswer, ForwardFailure>;
+
+/** What a gate works with. */
+export interface GateServices {
+  readonly clock: Clock;
+  readonly slots: SlotQueue;
+  readonly backendServer: LocalBackendServer;
+  readonly client: BackendServerClient;
+  readonly log: DecisionLog;
+  readonly figures: Figures;
+}
+
+/** How long requests are refused after the backend server took no connection, in milliseconds. */
+const UNREACHABLE_MS = 200;
+
+const SERVER_ERROR = 500;
+
+function notRun(cause: FailureCause, waitMs?: number): GateResult {
+  return Err({ outcome: Outcome.NotRun, cause, waitMs });
+}
+
+/** Whether the time a request took tells how long the backend server takes. */
+function ranToAnEnd(result: GateResult): boolean {
+  return result.isOk()
+    ? result.value.status < SERVER_ERROR
+    : result.error.cause === FailureCause.DeadlinePassed;
+}
+
+/** Admits requests to the backend server of this host. */
+export class Gate {
+  private closing = false;
+
+  private active = 0;
+
+  private unreachableUntilMs = -Infinity;
+
+  constructor(private readonly services: GateServices) {}
+
+  /** How many requests wait or run. */
+  get inFlight(): number {
+    return this.active;
+  }
+
+  /** Refuses further requests; those that were admitted go on. */
+  close(): void {
+    this.closing = true;
+  }
+
+  /**
+   * Runs a request, or says truthfully why not.
+   *
+   * @param request - the request
+   * @returns the answer or the failure, and how busy the gate is
+   */
+  async serve(request: ForwardedRequest): Promise<GateReply> {
+    this.active += 1;
+    let serviceMs = 0;
+    const result = await this.admit(request, async (slot) => {
+      const startedMs = this.services.clock.monotonicMs();
+      const sent = await this.send(request);
+      serviceMs = this.services.clock.monotonicMs() - startedMs;
+      slot.release(ranToAnEnd(sent));
+      return sent;
+    });
+    this.active -= 1;
+    this.note(request, result, serviceMs);
+    const { queued, running } = this.services.slots.load;
+    return { result, report: { load: running + queued, serviceMs: result.isOk() ? serviceMs : 0 } };
+  }
+
+  private admit(
+    request: ForwardedRequest,
+    run: (slot: Slot) => Promise<GateResult>,
+  ): Promise<GateResult> {
+    const refusal = this.refusalOf(request);
+    if (refusal !== undefined) {
+      return Promise.resolve(notRun(refusal));
+    }
+    return new Promise((resolve) => {
+      let settled = false;
+      const endings: (() => void)[] = [];
+      const settle = (result: GateResult | Promise<GateResult>): void => {
+        if (!settled) {
+          settled = true;
+          endings.forEach((end) => end());
+          resolve(result);
+        }
+      };
+      const decision = this.services.slots.arrive({
+        workKey: request.route,
+        priority: request.priority,
+        targetAtMs: request.targetAtMs,
+        deadlineAtMs: request.deadlineAtMs,
+        patience: request.patience,
+        onGranted: (slot) => settle(run(slot)),
+        onDropped: () => settle(notRun(FailureCause.WaitedTooLong)),
+      });
+      if (decision.admission === Admission.Refused) {
+        settle(notRun(FailureCause.NoSlotInTime, decision.waitMs));
+      }
+      if (decision.admission === Admission.Queued) {
+        this.watchQueued(request, decision.cancel, settle, endings);
+      }
+    });
+  }
+
+  private watchQueued(
+    request: ForwardedRequest,
+    cancel: () => void,
+    settle: (result: GateResult) => void,
+    endings: (() => void)[],
+  ): void {
+    const { clock } = this.services;
+    const giveUp = (cause: FailureCause): void => {
+      cancel();
+      settle(notRun(cause));
+    };
+    endings.push(
+      request.cancellation.onCancel(() => giveUp(FailureCause.CallerGone)),
+      clock.after(Math.max(0, request.deadlineAtMs - clock.monotonicMs()), () =>
+        giveUp(FailureCause.WaitedTooLong),
+      ),
+    );
+  }
+
+  private refusalOf({ service }: ForwardedRequest): FailureCause | undefined {
+    const { backendServer, clock } = this.services;
+    if (this.closing) {
+      return FailureCause.Leaving;
+    }
+    if (!backendServer.ready || backendServer.heartbeat?.service !== service) {
+      return FailureCause.NotServing;
+    }
+    return clock.monotonicMs() < this.unreachableUntilMs ? FailureCause.ConnectFailed : undefined;
+  }
+
+  private async send(request: ForwardedRequest): Promise<GateResult> {
+    const { backendServer, client, clock } = this.services;
+    const { heartbeat } = backendServer;
+    if (!backendServer.ready || heartbeat === undefined) {
+      return notRun(FailureCause.NotServing);
+    }
+    if (request.cancellation.reason !== undefined) {
+      return notRun(FailureCause.CallerGone);
+    }
+    const { address, id } = heartbeat;
+    const result = await client.send(request, { address, instanceId: id });
+    if (result.isErr()) {
+      if (result.error.cause === FailureCause.NotServing) {
+        backendServer.mistake();
+      }
+      if (result.error.cause === FailureCause.ConnectFailed) {
+        this.unreachableUntilMs = clock.monotonicMs() + UNREACHABLE_MS;
+      }
+    }
+    return result;
+  }
+
+  private note(request: ForwardedRequest, result: GateResult, serviceMs: number): void {
+    const { figures, log, slots } = this.services;
+    const { requestId, route, service } = request;
+    if (result.isOk()) {
+      figures.observe('gate_service_ms', serviceMs, { route });
+      return;
+    }
+    const { cause, outcome, waitMs } = result.error;
+    figures.count('gate_failures', { cause, outcome });
+    const { queued, running, slots: slotCount } = slots.load;
+    log.record(Weight.Notable, 'gate-gave-no-answer', {
+      requestId,
+      service,
+      cause,
+      outcome,
+      waitMs,
+      serviceMs: Math.round(serviceMs),
+      running,
+      queued,
+      slots: slotCount,
+    });
+  }
+}
--- /dev/null
+++ b/packages/lentillb/src/serving/gateProtocol.ts
@@ -0,0 +1,150 @@
+/** How a request and a reply travel between two nodes: as HTTP, with two headers of their own. */
+import type { IncomingHttpHeaders } from 'node:http';
+import { Err, Ok } from 'ts-results-es';
+import type { HeaderFields } from '../calls/callHeaders.js';
+import { Outcome, passedOnHeaders } from '../calls/callHeaders.js';
+import type { Cancellation } from '../calls/cancellation.js';
+import type { Clock } from '../kernel/clock.js';
+import type { ExchangeAnswer } from './exchange.js';
+import type { HeaderNames } from './headerNames.js';
+import type { ForwardedRequest, GateReply, GateReport } from './messages.js';
+import { FailureCause } from './messages.js';
+import { Patience } from './slotQueue.js';
+
+const REQUEST_HEADER = 'lentillb-request';
+const REPORT_HEADER = 'lentillb-report';
+const FAILURE_HEADER = 'lentillb-failure';
+
+const HttpStatus = { Unavailable: 503 } as const;
+
+const patiences = Object.values(Patience);
+
+/**
+ * @param clock - the clock of the times in the request
+ * @param request - a request to send to another node
+ * @returns its headers
+ */
+export function requestHeaders(clock: Clock, request: ForwardedRequest): HeaderFields {
+  const nowMs = clock.monotonicMs();
+  const fields = [
+    encodeURIComponent(request.service),
+    encodeURIComponent(request.route),
+    `${request.priority}`,
+    request.repeatable ? '1' : '0',
+    `${Math.round(request.targetAtMs - nowMs)}`,
+    `${Math.round(request.deadlineAtMs - nowMs)}`,
+    request.patience,
+  ];
+  return { ...request.headers, [REQUEST_HEADER]: fields.join(' ') };
+}
+
+/** A request as it arrives at the node of a backend server. */
+export interface ArrivedRequest {
+  readonly method: string;
+  readonly target: string;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: Buffer;
+  readonly cancellation: Cancellation;
+}
+
+/**
+ * @param clock - the clock of this node
+ * @param names - the names of the headers of callers
+ * @param arrived - a request of another node
+ * @returns what it asks for; undefined where it is not of this protocol
+ */
+export function decodeRequest(
+  clock: Clock,
+  names: HeaderNames,
+  { body, cancellation, headers, method, target }: ArrivedRequest,
+): ForwardedRequest | undefined {
+  const value = headers[REQUEST_HEADER];
+  const [service, route, priority, repeatable, targetMs, deadlineMs, patience] =
+    typeof value === 'string' ? value.split(' ') : [];
+  const known = patiences.find((one) => one === patience);
+  if (service === undefined || route === undefined || known === undefined) {
+    return undefined;
+  }
+  const nowMs = clock.monotonicMs();
+  const requestId = headers[names.requestId];
+  return {
+    requestId: typeof requestId === 'string' ? requestId : '',
+    method,
+    target,
+    headers: passedOnHeaders(headers),
+    body,
+    service: decodeURIComponent(service),
+    route: decodeURIComponent(route),
+    priority: Number(priority),
+    repeatable: repeatable === '1',
+    targetAtMs: nowMs + Number(targetMs),
+    deadlineAtMs: nowMs + Number(deadlineMs),
+    patience: known,
+    cancellation,
+  };
+}
+
+/** A reply as HTTP. */
+export interface EncodedReply {
+  readonly status: number;
+  readonly headers: HeaderFields;
+  readonly body: Buffer;
+}
+
+/**
+ * @param reply - what the gate says
+ * @returns the answer to the other node
+ */
+export function encodeReply({ report, result }: GateReply): EncodedReply {
+  const reported: HeaderFields =
+    report === undefined
+      ? {}
+      : { [REPORT_HEADER]: `${report.load} ${Math.round(report.serviceMs)}` };
+  if (result.isOk()) {
+    const { body, headers, status } = result.value;
+    return { status, headers: { ...headers, ...reported }, body };
+  }
+  const { cause, outcome, waitMs } = result.error;
+  const fields = [outcome, cause, ...(waitMs === undefined ? [] : [`${Math.round(waitMs)}`])];
+  return {
+    status: HttpStatus.Unavailable,
+    headers: { ...reported, [FAILURE_HEADER]: fields.join(' ') },
+    body: Buffer.alloc(0),
+  };
+}
+
+function decodeReport(headers: IncomingHttpHeaders): GateReport | undefined {
+  const value = headers[REPORT_HEADER];
+  const [load, serviceMs] = typeof value === 'string' ? value.split(' ').map(Number) : [];
+  return load === undefined || serviceMs === undefined || Number.isNaN(load + serviceMs)
+    ? undefined
+    : { load, serviceMs };
+}
+
+const outcomes = Object.values(Outcome);
+const causes = Object.values(FailureCause);
+
+/**
+ * @param answer - the answer of another node
+ * @returns what its gate says
+ */
+export function decodeReply({ body, headers, status }: ExchangeAnswer): GateReply {
+  const report = decodeReport(headers);
+  const failed = headers[FAILURE_HEADER];
+  if (typeof failed === 'string') {
+    const [outcome, cause, waitMs] = failed.split(' ');
+    return {
+      report,
+      result: Err({
+        outcome: outcomes.find((one) => one === outcome) ?? Outcome.Unknown,
+        cause: causes.find((one) => one === cause) ?? FailureCause.BrokenAnswer,
+        waitMs: waitMs === undefined ? undefined : Number(waitMs),
+      }),
+    };
+  }
+  if (report === undefined) {
+    const failure = { outcome: Outcome.Unknown, cause: FailureCause.BrokenAnswer };
+    return { report, result: Err(failure) };
+  }
+  return { report, result: Ok({ status, headers: passedOnHeaders(headers), body }) };
+}
--- /dev/null
+++ b/packages/lentillb/src/serving/localBackendServer.ts
@@ -0,0 +1,180 @@
+/** The backend server beside this node, as its heartbeats describe it. */
+import type { Clock } from '../kernel/clock.js';
+import type { AnnouncedBackendServer } from '../directory/announcement.js';
+import { BackendServerState } from '../directory/announcement.js';
+
+/** One heartbeat of a backend server. */
+export interface Heartbeat {
+  readonly id: string;
+  readonly service: string;
+  /** Where it listens, as address and port. */
+  readonly address: string;
+  readonly slots: number;
+  readonly draining: boolean;
+  /** How much longer it is slow after its start, in milliseconds. */
+  readonly warmupLeftMs: number;
+  /** Rises from heartbeat to heartbeat of one run. */
+  readonly sequence: number;
+  /** When this run started, in Unix milliseconds. */
+  readonly startedAtMs: number;
+}
+
+/** What a heartbeat or a departure meant. */
+export const HeartbeatVerdict = {
+  /** The state that others see is unchanged. */
+  Unchanged: 'unchanged',
+  /** The backend server, or what it says of itself, changed. */
+  Changed: 'changed',
+  /** A later heartbeat, or the departure of this run, came before it. */
+  Outdated: 'outdated',
+} as const;
+export type HeartbeatVerdict = (typeof HeartbeatVerdict)[keyof typeof HeartbeatVerdict];
+
+interface Run {
+  readonly heartbeat: Heartbeat;
+  readonly state: BackendServerState;
+  readonly warmAtMs: number;
+}
+
+function isEarlierRun(heartbeat: Heartbeat, held: Heartbeat): boolean {
+  return heartbeat.id === held.id
+    ? heartbeat.startedAtMs < held.startedAtMs
+    : heartbeat.startedAtMs < held.startedAtMs && held.startedAtMs > 0;
+}
+
+function isSameRun(heartbeat: Heartbeat, held: Heartbeat): boolean {
+  return heartbeat.id === held.id && heartbeat.startedAtMs === held.startedAtMs;
+}
+
+/** Knows which run of the backend server is current, and whether it takes requests. */
+export class LocalBackendServer {
+  private run: Run | undefined;
+
+  /** Departures that were confirmed, by identity; the value is the start of the run that left. */
+  private readonly departed = new Map<string, number>();
+
+  /**
+   * @param clock - the clock that warming up goes by
+   * @param onChange - called after what others see changed
+   */
+  constructor(
+    private readonly clock: Clock,
+    private readonly onChange: () => void,
+  ) {}
+
+  /** The current run's last heartbeat, if any. */
+  get heartbeat(): Heartbeat | undefined {
+    return this.run?.heartbeat;
+  }
+
+  /** Whether requests may be sent to it. */
+  get ready(): boolean {
+    return this.run?.state === BackendServerState.Ready;
+  }
+
+  /** Whether it is still slow after its start. */
+  get cold(): boolean {
+    return this.run !== undefined && this.clock.monotonicMs() < this.run.warmAtMs;
+  }
+
+  /** What others are told of it. */
+  get announced(): AnnouncedBackendServer | undefined {
+    if (this.run === undefined) {
+      return undefined;
+    }
+    const { heartbeat, state } = this.run;
+    const { id, service, slots, startedAtMs } = heartbeat;
+    return { id, service, slots, startedAtMs, state };
+  }
+
+  /**
+   * Takes a heartbeat in.
+   *
+   * @param heartbeat - what the backend server said
+   * @returns what it meant
+   */
+  accept(heartbeat: Heartbeat): HeartbeatVerdict {
+    const held = this.run;
+    if (this.isOutdated(heartbeat)) {
+      return HeartbeatVerdict.Outdated;
+    }
+    const state = heartbeat.draining ? BackendServerState.Leaving : BackendServerState.Ready;
+    if (heartbeat.draining) {
+      this.departed.set(heartbeat.id, heartbeat.startedAtMs);
+    }
+    const warmAtMs = this.clock.monotonicMs() + heartbeat.warmupLeftMs;
+    this.run = { heartbeat, state, warmAtMs };
+    const changed =
+      held === undefined ||
+      !isSameRun(heartbeat, held.heartbeat) ||
+      held.state !== state ||
+      held.heartbeat.slots !== heartbeat.slots ||
+      held.heartbeat.service !== heartbeat.service;
+    if (changed) {
+      this.onChange();
+    }
+    return changed ? HeartbeatVerdict.Changed : HeartbeatVerdict.Unchanged;
+  }
+
+  /**
+   * Notes that a backend server leaves for good.
+   *
+   * @param id - its identity
+   * @returns what it meant
+   */
+  depart(id: string): HeartbeatVerdict {
+    const held = this.run;
+    if (held === undefined || held.heartbeat.id !== id) {
+      // A run that this node has not heard of yet; a delayed heartbeat of it must not open the gate.
+      this.departed.set(id, this.departed.get(id) ?? this.clock.now().getTime());
+      return HeartbeatVerdict.Unchanged;
+    }
+    this.departed.set(id, held.heartbeat.startedAtMs);
+    return this.close(held);
+  }
+
+  /**
+   * Notes a run that an earlier run of this node has announced as leaving.
+   *
+   * @param announced - the backend server as it was announced
+   */
+  recall(announced: AnnouncedBackendServer): void {
+    if (announced.state !== BackendServerState.Ready) {
+      this.departed.set(announced.id, announced.startedAtMs);
+      if (this.run !== undefined && this.run.heartbeat.id === announced.id) {
+        this.depart(announced.id);
+      }
+    }
+  }
+
+  /** Notes that another backend server listens at its address; a heartbeat opens the gate again. */
+  mistake(): void {
+    if (this.run !== undefined) {
+      this.close(this.run);
+    }
+  }
+
+  private close(held: Run): HeartbeatVerdict {
+    if (held.state === BackendServerState.Leaving) {
+      return HeartbeatVerdict.Unchanged;
+    }
+    this.run = { ...held, state: BackendServerState.Leaving };
+    this.onChange();
+    return HeartbeatVerdict.Changed;
+  }
+
+  private isOutdated(heartbeat: Heartbeat): boolean {
+    const departedStart = this.departed.get(heartbeat.id);
+    if (departedStart !== undefined && heartbeat.startedAtMs <= departedStart) {
+      // The run announced its departure; only its further drain heartbeats are in order.
+      return !(heartbeat.draining && this.run?.heartbeat.id === heartbeat.id);
+    }
+    const held = this.run?.heartbeat;
+    if (held === undefined) {
+      return false;
+    }
+    return isSameRun(heartbeat, held)
+      ? heartbeat.sequence <= held.sequence
+      : isEarlierRun(heartbeat, held);
+  }
+}
--- /dev/null
+++ b/packages/lentillb/src/serving/slotQueue.ts
@@ -0,0 +1,244 @@
+/**
+ * Decides which requests get the slots of one backend server, in which order, and which are
+ * refused. Answers a load that exceeds the slots for seconds at a time, of requests whose value
+ * falls sharply once their target latency has passed: a request is refused on arrival if it can't be
+ * answered in time, so that its caller can go elsewhere while there is time, and the slots
+ * serve requests that still count.
+ */
+import type { Clock } from '../kernel/clock.js';
+import { SmoothedMean } from './smoothedMean.js';
+
+/** How long a request may be kept waiting for a slot. */
+export const Patience = {
+  /** Only if it can be answered within its target latency. */
+  OnTime: 'on-time',
+  /** If it can be answered before its deadline. */
+  UntilDeadline: 'until-deadline',
+} as const;
+export type Patience = (typeof Patience)[keyof typeof Patience];
+
+/** One request for a slot; times are in milliseconds of the clock. */
+export interface SlotRequest {
+  /** Requests with the same key take about as long. */
+  readonly workKey: string;
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  readonly targetAtMs: number;
+  readonly deadlineAtMs: number;
+  readonly patience: Patience;
+  /** Called once, with a slot. */
+  readonly onGranted: (slot: Slot) => void;
+  /** Called once, where the request is given up after it was queued. */
+  readonly onDropped: () => void;
+}
+
+/** A slot that a request holds. */
+export interface Slot {
+  /** Gives the slot back. @param served - whether the backend server ran the request to its end */
+  readonly release: (served: boolean) => void;
+}
+
+/** What becomes of a request that arrives. */
+export const Admission = {
+  Granted: 'granted',
+  Queued: 'queued',
+  Refused: 'refused',
+} as const;
+export type Admission = (typeof Admission)[keyof typeof Admission];
+
+/** The decision on an arrival and what it is based on. */
+export interface AdmissionDecision {
+  readonly admission: Admission;
+  /** How long a request like it would wait for a slot, in milliseconds. */
+  readonly waitMs: number;
+  /** How long a request like it takes once it runs, in milliseconds. */
+  readonly serviceMs: number;
+  /** Takes a queued request back. */
+  readonly cancel: () => void;
+}
+
+/** How busy a backend server is. */
+export interface SlotLoad {
+  readonly slots: number;
+  readonly running: number;
+  readonly queued: number;
+}
+
+/** How long a request is taken to run before the first measurement, in milliseconds. */
+const UNMEASURED_SERVICE_MS = 50;
+/** Work done during warm-up takes about twice as long: the platform's figure for its backend servers. */
+const COLD_FACTOR = 2;
+/** Requests that wait are never more than this many times the slots, to bound memory. */
+const MAX_QUEUE_PER_SLOT = 8;
+
+const NOTHING = (): void => undefined;
+
+/** The slots of one backend server and the requests that wait for them. */
+export class SlotQueue {
+  private slots = 0;
+
+  private running = 0;
+
+  private readonly waiting: SlotRequest[] = [];
+
+  private readonly serviceMs = new Map<string, SmoothedMean>();
+
+  private readonly overallMs = new SmoothedMean();
+
+  /**
+   * @param clock - the clock that deadlines go by
+   * @param isCold - whether the backend server is still warming up
+   */
+  constructor(
+    private readonly clock: Clock,
+    private readonly isCold: () => boolean,
+  ) {}
+
+  /** How busy it is. */
+  get load(): SlotLoad {
+    return { slots: this.slots, running: this.running, queued: this.waiting.length };
+  }
+
+  /** How long a request of the least urgent kind would wait, in milliseconds. */
+  get fullWaitMs(): number {
+    return this.waitBehind(this.waiting.length);
+  }
+
+  /** @param slots - how many requests the backend server runs at a time */
+  resize(slots: number): void {
+    this.slots = slots;
+    this.grantNext();
+  }
+
+  /**
+   * Decides on a request.
+   *
+   * @param request - the request
+   * @returns the decision; `onGranted` has been called where a slot was free
+   */
+  arrive(request: SlotRequest): AdmissionDecision {
+    const serviceMs = this.expectedServiceMs(request.workKey);
+    if (this.running < this.slots && this.waiting.length === 0) {
+      request.onGranted(this.hold(request));
+      return { admission: Admission.Granted, waitMs: 0, serviceMs, cancel: NOTHING };
+    }
+    const waitMs = this.waitBehind(this.countAhead(request));
+    if (!this.isWorthWaiting(request, waitMs + serviceMs)) {
+      return { admission: Admission.Refused, waitMs, serviceMs, cancel: NOTHING };
+    }
+    this.enqueue(request);
+    const cancel = (): void => {
+      this.remove(request);
+    };
+    return { admission: Admission.Queued, waitMs, serviceMs, cancel };
+  }
+
+  /** Gives up all requests that wait. */
+  dropAll(): void {
+    this.waiting.splice(0).forEach(({ onDropped }) => onDropped());
+  }
+
+  private isWorthWaiting(request: SlotRequest, finishMs: number): boolean {
+    if (this.slots === 0 || this.waiting.length >= this.slots * MAX_QUEUE_PER_SLOT) {
+      return false;
+    }
+    const { deadlineAtMs, patience, targetAtMs } = request;
+    const lastMs = patience === Patience.OnTime ? Math.min(targetAtMs, deadlineAtMs) : deadlineAtMs;
+    return this.clock.monotonicMs() + finishMs <= lastMs;
+  }
+
+  private expectedServiceMs(workKey: string): number {
+    const measured =
+      this.serviceMs.get(workKey)?.value ?? this.overallMs.value ?? UNMEASURED_SERVICE_MS;
+    return this.isCold() ? measured * COLD_FACTOR : measured;
+  }
+
+  /** How long until a slot is free with a number of requests ahead. */
+  private waitBehind(ahead: number): number {
+    if (this.running < this.slots) {
+      return 0;
+    }
+    const meanMs = this.overallMs.value ?? UNMEASURED_SERVICE_MS;
+    const scaledMs = this.isCold() ? meanMs * COLD_FACTOR : meanMs;
+    return this.slots === 0 ? Infinity : ((ahead + 1) * scaledMs) / this.slots;
+  }
+
+  private countAhead({ priority }: SlotRequest): number {
+    return this.waiting.filter((other) => other.priority <= priority).length;
+  }
+
+  private enqueue(request: SlotRequest): void {
+    const index = this.waiting.findIndex(({ priority }) => priority > request.priority);
+    this.waiting.splice(index < 0 ? this.waiting.length : index, 0, request);
+  }
+
+  private remove(request: SlotRequest): void {
+    const index = this.waiting.indexOf(request);
+    if (index >= 0) {
+      this.waiting.splice(index, 1);
+    }
+  }
+
+  private hold({ workKey }: SlotRequest): Slot {
+    this.running += 1;
+    const startedMs = this.clock.monotonicMs();
+    let held = true;
+    return {
+      release: (served) => {
+        if (!held) {
+          return;
+        }
+        held = false;
+        this.running -= 1;
+        if (served) {
+          this.measure(workKey, this.clock.monotonicMs() - startedMs);
+        }
+        this.grantNext();
+      },
+    };
+  }
+
+  private measure(workKey: string, durationMs: number): void {
+    const warmMs = this.isCold() ? durationMs / COLD_FACTOR : durationMs;
+    const mean = this.serviceMs.get(workKey) ?? new SmoothedMean();
+    this.serviceMs.set(workKey, mean);
+    mean.add(warmMs);
+    this.overallMs.add(warmMs);
+  }
+
+  private grantNext(): void {
+    while (this.running < this.slots && this.waiting.length > 0) {
+      this.dropHopeless();
+      const next = this.takeNext();
+      if (next === undefined) {
+        return;
+      }
+      next.onGranted(this.hold(next));
+    }
+  }
+
+  /** Gives up requests that would not be answered before their deadline any more. */
+  private dropHopeless(): void {
+    const nowMs = this.clock.monotonicMs();
+    const hopeless = this.waiting.filter(
+      ({ deadlineAtMs, workKey }) => nowMs + this.expectedServiceMs(workKey) / 2 > deadlineAtMs,
+    );
+    hopeless.forEach((request) => {
+      this.remove(request);
+      request.onDropped();
+    });
+  }
+
+  /** The most urgent request that can still be on time, else the most urgent one. */
+  private takeNext(): SlotRequest | undefined {
+    const nowMs = this.clock.monotonicMs();
+    const onTime = this.waiting.find(
+      ({ targetAtMs, workKey }) => nowMs + this.expectedServiceMs(workKey) <= targetAtMs,
+    );
+    const next = onTime ?? this.waiting[0];
+    if (next !== undefined) {
+      this.remove(next);
+    }
+    return next;
+  }
+}
--- /dev/null
+++ b/packages/lentillb/src/sidecar/index.ts
@@ -0,0 +1,22 @@
+/** What an adapter to a platform builds a node with. */
+export type {
+  CallerLimits,
+  Destination,
+  MeshConfiguration,
+  MeshRoute,
+} from '../configuration/meshConfiguration.js';
+export { SystemClock } from '../kernel/clock.js';
+export type { Clock } from '../kernel/clock.js';
+export { Deadline } from '../kernel/deadline.js';
+export { SeededRandomness } from '../kernel/randomness.js';
+export type { Randomness } from '../kernel/randomness.js';
+export { LineWriter, writeToDescriptor } from '../observability/lineWriter.js';
+export { Repetition } from '../rules/ruleForms.js';
+export type { HeaderNames } from '../serving/headerNames.js';
+export type { Heartbeat } from '../serving/localBackendServer.js';
+export type { RetryTerms } from '../serving/retryAllowance.js';
+export type { KeyedBatch, KeyedRecord, KeyedStore, StoreFailure } from '../store/keyedStore.js';
+export { StoreFailureKind, Topic } from '../store/keyedStore.js';
+export { readJson } from '../utils/readJson.js';
+export { Sidecar } from './sidecar.js';
+export type { SidecarOptions, SidecarServices } from './sidecar.js';
--- /dev/null
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -0,0 +1,330 @@
+/** One node on the host of a backend server, put together. */
+import type { Result } from 'ts-results-es';
+import { ConfigurationHolder } from '../configuration/configurationHolder.js';
+import type { MeshConfiguration } from '../configuration/meshConfiguration.js';
+import { WeightedRotation } from '../configuration/weightedRotation.js';
+import { decodeAnnouncement } from '../directory/announcement.js';
+import { Directory } from '../directory/directory.js';
+import type { Clock } from '../kernel/clock.js';
+import type { Randomness } from '../kernel/randomness.js';
+import { DecisionLog, Weight } from '../observability/decisionLog.js';
+import type { LineLogger } from '../observability/decisionLog.js';
+import { Figures } from '../observability/figures.js';
+import { BackendServerClient } from '../serving/backendServerClient.js';
+import { CallerListener } from '../serving/callerListener.js';
+import { Entry } from '../serving/entry.js';
+import type { CallerRequest, EntryAnswer } from '../serving/entry.js';
+import { Gate } from '../serving/gate.js';
+import { GateDialer } from '../serving/gateDialer.js';
+import { GateObservations } from '../serving/gateObservations.js';
+import { decodeRequest, encodeReply } from '../serving/gateProtocol.js';
+import type { HeaderNames } from '../serving/headerNames.js';
+import { HeartbeatVerdict, LocalBackendServer } from '../serving/localBackendServer.js';
+import type { Heartbeat } from '../serving/localBackendServer.js';
+import { Placer } from '../serving/placement.js';
+import { RetryAllowance } from '../serving/retryAllowance.js';
+import type { RetryTerms } from '../serving/retryAllowance.js';
+import { SlotQueue } from '../serving/slotQueue.js';
+import type { KeyedRecord, KeyedStore, StoreFailure } from '../store/keyedStore.js';
+import { Topic } from '../store/keyedStore.js';
+import { TopicFollower } from '../store/topicFollower.js';
+import { Announcer } from './announcer.js';
+import type { HostIdentity } from './announcer.js';
+
+/** How long a node waits for its earlier record before it announces itself, in milliseconds. */
+const RECALL_MS = 1_500;
+/** How long records collect between two reads, in milliseconds. */
+const CONFIGURATION_COLLECT_MS = 500;
+const HOSTS_COLLECT_MS = 400;
+/** What a request is taken to need before any was measured, in milliseconds. */
+const DEFAULT_SERVICE_MS = 80;
+/** How long a departure waits for the store before it is confirmed, in milliseconds: within a second. */
+const CONFIRM_MS = 600;
+/** How long connections between nodes are kept idle, in milliseconds; longer than the other end. */
+const GATE_IDLE_MS = 60_000;
+/** How long callers are given to go elsewhere after a stop began, in milliseconds: two readiness checks. */
+const CALLERS_LEAVE_MS = 2_600;
+/** How often a stopping node looks whether it is idle, in milliseconds. */
+const IDLE_POLL_MS = 50;
+/** The part of the stop that is kept for ending, in milliseconds. */
+const STOP_RESERVE_MS = 400;
+
+/** What a node is told about its place. */
+export interface SidecarOptions {
+  readonly identity: HostIdentity;
+  /** Where callers of this host send their requests. */
+  readonly callerAddress: string;
+  /** The service of the backend server on this host. */
+  readonly service: string;
+  readonly names: HeaderNames;
+  readonly retryTerms: RetryTerms;
+  /** How long a stop may take, in milliseconds. */
+  readonly stopMs: number;
+  /** The key of the configuration among the operator's records. */
+  readonly configurationKey: string;
+  /** Reads the operator's configuration. */
+  readonly decodeConfiguration: (bytes: Uint8Array) => Result<MeshConfiguration, string>;
+}
+
+/** What a node is given. */
+export interface SidecarServices {
+  readonly clock: Clock;
+  readonly randomness: Randomness;
+  readonly store: KeyedStore;
+  readonly logger: LineLogger;
+}
+
+/** A node that serves the callers and the backend server of its host. */
+export class Sidecar {
+  /** The figures of this process. */
+  readonly figures = new Figures();
+
+  private readonly log: DecisionLog;
+
+  private readonly configuration = new ConfigurationHolder();
+
+  private readonly directory = new Directory();
+
+  private readonly backendServer: LocalBackendServer;
+
+  private readonly slots: SlotQueue;
+
+  private readonly gate: Gate;
+
+  private readonly dialer: GateDialer;
+
+  private readonly entry: Entry;
+
+  private readonly callers: CallerListener;
+
+  private readonly gateListener: CallerListener;
+
+  private readonly announcer: Announcer;
+
+  private readonly followers: readonly TopicFollower[];
+
+  private hostsKnown = false;
+
+  private stopping = false;
+
+  constructor(
+    private readonly services: SidecarServices,
+    private readonly options: SidecarOptions,
+  ) {
+    const { clock, logger, randomness, store } = services;
+    const { identity, names, retryTerms, service } = options;
+    const { configuration, directory, figures } = this;
+    this.log = new DecisionLog(clock, logger);
+    const { log } = this;
+    this.backendServer = new LocalBackendServer(clock, () => this.onBackendServerChange());
+    const { backendServer } = this;
+    this.slots = new SlotQueue(clock, () => backendServer.cold);
+    const { slots } = this;
+    const client = new BackendServerClient(clock, names);
+    this.gate = new Gate({ clock, slots, backendServer, client, log, figures });
+    this.dialer = new GateDialer({ clock, gate: this.gate }, identity.host);
+    const observations = new GateObservations(clock, DEFAULT_SERVICE_MS);
+    const nodeCount = (): number => directory.announcements.length;
+    this.entry = new Entry(
+      {
+        clock,
+        randomness,
+        configuration,
+        rotation: new WeightedRotation(randomness),
+        directory,
+        observations,
+        placer: new Placer({ clock, randomness, observations }, identity.zone),
+        dialer: this.dialer,
+        allowance: new RetryAllowance(clock, retryTerms, nodeCount),
+        log,
+        figures,
+      },
+      { names, callerService: service },
+    );
+    const requestIdName = names.requestId;
+    this.callers = new CallerListener(clock, (request) => this.entry.serve(request), {
+      requestIdName,
+    });
+    this.gateListener = new CallerListener(clock, (request) => this.serveNode(request), {
+      requestIdName,
+      idleMs: GATE_IDLE_MS,
+    });
+    configuration.subscribe(({ limits }) => this.callers.limit(limits));
+    this.announcer = new Announcer(
+      { clock, randomness, store, directory, log },
+      identity,
+      () => backendServer.announced,
+    );
+    this.followers = [this.followConfiguration(), this.followHosts()];
+    figures.gauge('configuration_version', () => configuration.version);
+    figures.gauge('known_hosts', () => directory.announcements.length);
+  }
+
+  /** Whether callers are taken. */
+  get ready(): boolean {
+    return !this.stopping && this.configuration.current !== undefined && this.hostsKnown;
+  }
+
+  /** Opens the listeners and starts to follow the store. */
+  async start(): Promise<void> {
+    const { clock } = this.services;
+    await this.gateListener.listen(this.options.identity.gateAddress);
+    await this.callers.listen(this.options.callerAddress);
+    this.followers.forEach((follower) => {
+      // A follower never fails; what the store answers is a value.
+      void follower.run();
+    });
+    clock.after(RECALL_MS, () => this.announcer.start());
+    const { host, zone } = this.options.identity;
+    this.log.record(Weight.Notable, 'started', { host, zone, service: this.options.service });
+  }
+
+  /**
+   * Takes a heartbeat of the backend server in.
+   *
+   * @param heartbeat - what it said
+   */
+  async acceptHeartbeat(heartbeat: Heartbeat): Promise<void> {
+    const verdict = this.backendServer.accept(heartbeat);
+    if (verdict === HeartbeatVerdict.Unchanged) {
+      return;
+    }
+    const { draining, id, sequence, startedAtMs } = heartbeat;
+    this.log.record(Weight.Notable, 'heartbeat', { verdict, id, sequence, startedAtMs, draining });
+    if (draining) {
+      await this.announcer.untilWritten(CONFIRM_MS);
+    }
+  }
+
+  /**
+   * Notes that a backend server leaves for good.
+   *
+   * @param id - its identity
+   */
+  async acceptDeparture(id: string): Promise<void> {
+    const verdict = this.backendServer.depart(id);
+    this.log.record(Weight.Notable, 'departure', { verdict, id });
+    await this.announcer.untilWritten(CONFIRM_MS);
+  }
+
+  /**
+   * Notes something that somebody sent and that could not be read.
+   *
+   * @param source - where it came from
+   * @param reason - what is wrong with it
+   */
+  reject(source: string, reason: string): void {
+    this.log.record(Weight.Notable, 'input-rejected', { source, reason });
+  }
+
+  /** Notes that the settings file changed; what a node uses of it never changes while it runs. */
+  noteReload(): void {
+    this.log.record(Weight.Notable, 'settings-unchanged', {});
+  }
+
+  /** Shuts down: callers go elsewhere first, and no request under way is cut within the stop time. */
+  async stop(): Promise<void> {
+    const { clock } = this.services;
+    const startedMs = clock.monotonicMs();
+    this.stopping = true;
+    this.log.record(Weight.Notable, 'stopping', { inFlight: this.callers.inFlight });
+    this.callers.leave();
+    await clock.sleep(CALLERS_LEAVE_MS);
+    this.gate.close();
+    const endMs = startedMs + this.options.stopMs - STOP_RESERVE_MS;
+    while (clock.monotonicMs() < endMs && this.gate.inFlight + this.callers.inFlight > 0) {
+      await clock.sleep(IDLE_POLL_MS);
+    }
+    this.callers.close();
+    this.followers.forEach((follower) => follower.stop());
+    this.log.record(Weight.Notable, 'stopped', { inFlight: this.callers.inFlight });
+  }
+
+  private onBackendServerChange(): void {
+    const { heartbeat, ready } = this.backendServer;
+    if (ready && heartbeat !== undefined) {
+      this.slots.resize(heartbeat.slots);
+    } else {
+      this.slots.dropAll();
+    }
+    this.announcer.update();
+  }
+
+  private async serveNode(request: CallerRequest): Promise<EntryAnswer> {
+    const { clock } = this.services;
+    const forwarded = decodeRequest(clock, this.options.names, request);
+    if (forwarded === undefined) {
+      return { status: 400, headers: {}, body: Buffer.alloc(0) };
+    }
+    return encodeReply(await this.gate.serve(forwarded));
+  }
+
+  private followConfiguration(): TopicFollower {
+    return this.follow(Topic.Operator, CONFIGURATION_COLLECT_MS, (records) =>
+      this.acceptConfigurations(records),
+    );
+  }
+
+  private followHosts(): TopicFollower {
+    return this.follow(
+      Topic.Hosts,
+      HOSTS_COLLECT_MS,
+      (records) => this.acceptAnnouncements(records),
+      () => {
+        this.hostsKnown = true;
+        this.announcer.start();
+      },
+    );
+  }
+
+  private follow(
+    topic: Topic,
+    collectMs: number,
+    onRecords: (records: readonly KeyedRecord[]) => void,
+    onCaughtUp: () => void = () => undefined,
+  ): TopicFollower {
+    const onLost = ({ kind, message }: StoreFailure): void =>
+      this.log.record(Weight.Notable, 'store-lost', { topic, kind, message });
+    const onRegained = (): void => this.log.record(Weight.Notable, 'store-regained', { topic });
+    const listener = { onRecords, onCaughtUp, onLost, onRegained };
+    return new TopicFollower(this.services, { topic, collectMs }, listener);
+  }
+
+  private acceptConfigurations(records: readonly KeyedRecord[]): void {
+    const { configurationKey, decodeConfiguration } = this.options;
+    const newest = records.findLast(({ key }) => key === configurationKey);
+    if (newest?.value === undefined) {
+      return;
+    }
+    const decoded = decodeConfiguration(newest.value);
+    if (decoded.isErr()) {
+      this.reject(`configuration at offset ${newest.offset}`, decoded.error);
+      return;
+    }
+    const { version } = decoded.value;
+    const inForce = this.configuration.offer(decoded.value);
+    this.log.record(Weight.Notable, 'configuration', { version, inForce, offset: newest.offset });
+  }
+
+  private acceptAnnouncements(records: readonly KeyedRecord[]): void {
+    records.forEach(({ key, value }) => {
+      if (value === undefined) {
+        return;
+      }
+      const decoded = decodeAnnouncement(value);
+      if (decoded.isErr()) {
+        this.reject(`announcement of host ${key}`, decoded.error);
+        return;
+      }
+      const announcement = decoded.value;
+      const accepted = this.directory.merge(announcement);
+      if (accepted && announcement.host === this.options.identity.host) {
+        if (announcement.backendServer !== undefined) {
+          this.backendServer.recall(announcement.backendServer);
+        }
+        this.announcer.update();
+      }
+    });
+  }
+}
+
--- /dev/null
+++ b/packages/lentillb/src/store/topicFollower.ts
@@ -0,0 +1,120 @@
+/** Follows one topic of the store for as long as the process runs. */
+import type { Clock } from '../kernel/clock.js';
+import { Deadline } from '../kernel/deadline.js';
+import type { Randomness } from '../kernel/randomness.js';
+import { Backoff } from '../utils/backoff.js';
+import type { KeyedBatch, KeyedRecord, KeyedStore, StoreFailure, Topic } from './keyedStore.js';
+import { StoreFailureKind } from './keyedStore.js';
+
+/** How long the store holds a read without a record, in milliseconds; bounds how long a silent connection goes unnoticed. */
+const WAIT_MS = 8_000;
+/** How long an answer may take beyond the wait, in milliseconds, before the connection counts as silent. */
+const ANSWER_MS = 1_500;
+/** Delays between failed calls, in milliseconds. */
+const RETRY_LEAST_MS = 200;
+const RETRY_MOST_MS = 1_500;
+
+/** What a follower tells its owner. */
+export interface TopicListener {
+  /** @param records - the newest records, oldest first */
+  readonly onRecords: (records: readonly KeyedRecord[]) => void;
+  /** Called when the topic was read to its end for the first time. */
+  readonly onCaughtUp: () => void;
+  /** @param failure - why a call failed */
+  readonly onLost: (failure: StoreFailure) => void;
+  /** Called at the first success after a failure. */
+  readonly onRegained: () => void;
+}
+
+/** How a topic is followed. */
+export interface FollowerOptions {
+  readonly topic: Topic;
+  /** How long to let records collect between two reads, in milliseconds. */
+  readonly collectMs: number;
+}
+
+/** Reads the newest records of a topic, then waits for further ones. */
+export class TopicFollower {
+  private next: number | undefined;
+
+  private lost = false;
+
+  private caughtUp = false;
+
+  private stopped = false;
+
+  private readonly backoff: Backoff;
+
+  constructor(
+    private readonly services: {
+      readonly clock: Clock;
+      readonly randomness: Randomness;
+      readonly store: KeyedStore;
+    },
+    private readonly options: FollowerOptions,
+    private readonly listener: TopicListener,
+  ) {
+    this.backoff = new Backoff(services.randomness, RETRY_LEAST_MS, RETRY_MOST_MS);
+  }
+
+  /** Follows the topic until `stop`. */
+  async run(): Promise<void> {
+    const { clock } = this.services;
+    while (!this.stopped) {
+      const read = await this.read();
+      if (this.stopped) {
+        return;
+      }
+      if (read.isErr()) {
+        this.fail(read.error);
+        await clock.sleep(this.backoff.nextMs());
+      } else {
+        this.accept(read.value);
+        await clock.sleep(this.options.collectMs);
+      }
+    }
+  }
+
+  /** Ends the loop after the call under way. */
+  stop(): void {
+    this.stopped = true;
+  }
+
+  private read(): ReturnType<KeyedStore['follow']> {
+    const { clock, store } = this.services;
+    const { topic } = this.options;
+    if (this.next === undefined) {
+      return store.readNewest(topic, Deadline.after(clock, ANSWER_MS));
+    }
+    // After an outage the first read does not wait, so that the recovery is seen at once.
+    const waitMs = this.lost ? 0 : WAIT_MS;
+    return store.follow(topic, this.next, waitMs, Deadline.after(clock, waitMs + ANSWER_MS));
+  }
+
+  private accept(batch: KeyedBatch): void {
+    this.backoff.reset();
+    if (this.lost) {
+      this.lost = false;
+      this.listener.onRegained();
+    }
+    this.next = batch.next;
+    if (batch.records.length > 0) {
+      this.listener.onRecords(batch.records);
+    }
+    if (!this.caughtUp) {
+      this.caughtUp = true;
+      this.listener.onCaughtUp();
+    }
+  }
+
+  private fail(failure: StoreFailure): void {
+    if (failure.kind === StoreFailureKind.NotRetained) {
+      this.next = undefined;
+      return;
+    }
+    if (!this.lost) {
+      this.lost = true;
+      this.listener.onLost(failure);
+    }
+  }
+}
