--- a/packages/lentillb/src/directory/announcement.ts
+++ b/packages/lentillb/src/directory/announcement.ts
@@ -21,7 +21,8 @@
   state: z.enum(BackendServerState),
 });
 
-const announcementSchema = z.object({
+/** The shape of an announcement. */
+export const announcementSchema = z.object({
   /** The address of the host. */
   host: z.string(),
   zone: z.string(),
--- a/packages/lentillb/src/directory/directory.ts
+++ b/packages/lentillb/src/directory/directory.ts
@@ -1,18 +1,25 @@
 /** The newest announcement of every host, from whichever source it came first. */
 import type { Announcement, AnnouncedBackendServer } from './announcement.js';
 import { BackendServerState, isNewer } from './announcement.js';
+import { hash32 } from '../utils/hash.js';
 
 /** A backend server that takes requests, and the gate in front of it. */
 export interface GateEndpoint {
   readonly host: string;
   readonly zone: string;
   readonly gateAddress: string;
+  /** Where its node answers others. */
+  readonly peerAddress: string;
   readonly backendServer: AnnouncedBackendServer;
 }
 
 /** Called after the announcement of a host changed. */
 export type DirectoryListener = (announcement: Announcement) => void;
 
+function digestOf({ host, incarnation, sequence }: Announcement): number {
+  return hash32(`${host} ${incarnation} ${sequence}`);
+}
+
 /** Merges announcements; the order in which they arrive does not matter. */
 export class Directory {
   private readonly byHost = new Map<string, Announcement>();
@@ -21,11 +28,11 @@
 
   private byService = new Map<string, readonly GateEndpoint[]>();
 
-  private changes = 0;
+  private currentDigest = 0;
 
-  /** Rises whenever an announcement was accepted. */
-  get changeCount(): number {
-    return this.changes;
+  /** Equal on nodes that hold the same announcements. */
+  get digest(): number {
+    return this.currentDigest;
   }
 
   /** All announcements. */
@@ -45,7 +52,8 @@
       return false;
     }
     this.byHost.set(announcement.host, announcement);
-    this.changes += 1;
+    const replaced = held === undefined ? 0 : digestOf(held);
+    this.currentDigest = (this.currentDigest ^ replaced ^ digestOf(announcement)) >>> 0;
     this.byService = new Map();
     this.listeners.forEach((listener) => listener(announcement));
     return true;
@@ -69,11 +77,11 @@
       return known;
     }
     const endpoints = this.announcements.flatMap((announcement) => {
-      const { backendServer, gateAddress, host, zone } = announcement;
+      const { backendServer, gateAddress, host, peerAddress, zone } = announcement;
       return backendServer !== undefined &&
         backendServer.service === service &&
         backendServer.state === BackendServerState.Ready
-        ? [{ backendServer, gateAddress, host, zone }]
+        ? [{ backendServer, gateAddress, host, peerAddress, zone }]
         : [];
     });
     this.byService.set(service, endpoints);
--- /dev/null
+++ b/packages/lentillb/src/peers/peerListener.ts
@@ -0,0 +1,63 @@
+/** Answers other nodes that lack knowledge, and whoever reads the figures of this process. */
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { ConfigurationHolder } from '../configuration/configurationHolder.js';
+import type { Directory } from '../directory/directory.js';
+import type { Figures } from '../observability/figures.js';
+import { encodeNodeState } from './nodeState.js';
+
+/** Paths that a node answers to others. */
+export const PeerPath = { State: '/state', Figures: '/metrics' } as const;
+
+/** The parameter with the configuration version that the asking node holds. */
+export const HELD_VERSION = 'held';
+
+const HttpStatus = { Ok: 200, NotFound: 404 } as const;
+
+/** An HTTP server for other nodes. */
+export class PeerListener {
+  private readonly server: Server;
+
+  constructor(
+    private readonly figures: Figures,
+    private readonly configuration: ConfigurationHolder,
+    private readonly directory: Directory,
+  ) {
+    this.server = createServer({ noDelay: true }, (request, response) =>
+      this.answer(request, response),
+    );
+  }
+
+  /** @param address - the address and port to listen on */
+  async listen(address: string): Promise<void> {
+    const separator = address.lastIndexOf(':');
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      const port = Number(address.slice(separator + 1));
+      this.server.listen(port, address.slice(0, separator), resolve);
+    });
+  }
+
+  /** Ends the server. */
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private answer({ url = '/' }: IncomingMessage, response: ServerResponse): void {
+    const { pathname, searchParams } = new URL(url, 'http://node');
+    const bodies: Readonly<Record<string, () => string>> = {
+      [PeerPath.Figures]: () => this.figures.print(),
+      [PeerPath.State]: () => this.state(Number(searchParams.get(HELD_VERSION))),
+    };
+    const body = bodies[pathname]?.();
+    response.writeHead(body === undefined ? HttpStatus.NotFound : HttpStatus.Ok);
+    response.end(body);
+  }
+
+  private state(heldVersion: number): string {
+    const held = this.configuration.current?.configuration;
+    const configuration = held !== undefined && held.version > heldVersion ? held : undefined;
+    return encodeNodeState({ configuration, announcements: this.directory.announcements });
+  }
+}
--- a/packages/lentillb/src/serving/backendServerClient.ts
+++ b/packages/lentillb/src/serving/backendServerClient.ts
@@ -116,6 +116,8 @@
       discardConnection();
       return Err(failure(Outcome.Unknown, FailureCause.BrokenAnswer));
     }
-    return Ok({ status, headers: passedOnHeaders(headers), body });
+    const unframed =
+      headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+    return Ok({ status, headers: passedOnHeaders(headers), body, unframed });
   }
 }
--- a/packages/lentillb/src/serving/callerListener.ts
+++ b/packages/lentillb/src/serving/callerListener.ts
@@ -37,6 +37,8 @@
   readonly requestIdName: string;
   /** How long idle connections are kept, in milliseconds, before a configuration states it. */
   readonly idleMs?: number;
+  /** Whether answers state the time of day; between nodes it would only cost bytes. */
+  readonly sendDate?: boolean;
 }
 
 function refusal(status: number): EntryAnswer {
@@ -190,11 +192,15 @@
     const { body, headers, status } = answer;
     const { requestIdName } = this.options;
     const requestId = request.headers[requestIdName];
-    const closes = this.leaving || !request.complete;
+    if (answer.unframed) {
+      response.useChunkedEncodingByDefault = false;
+    }
+    const closes = this.leaving || !request.complete || answer.unframed === true;
+    response.sendDate = this.options.sendDate ?? true;
     response.writeHead(status, {
       ...headers,
       ...(typeof requestId === 'string' ? { [requestIdName]: requestId } : {}),
-      ...(BODILESS.has(status) ? {} : { 'content-length': `${body.length}` }),
+      ...(BODILESS.has(status) || answer.unframed ? {} : { 'content-length': `${body.length}` }),
       ...(closes ? { connection: 'close' } : {}),
     });
     response.end(body);
--- a/packages/lentillb/src/serving/connectionPool.ts
+++ b/packages/lentillb/src/serving/connectionPool.ts
@@ -1,5 +1,6 @@
 /** Connections that are kept for further requests, for a bounded time. */
 import { Agent } from 'node:http';
+import type { ClientRequest } from 'node:http';
 import type { Duplex } from 'node:stream';
 import type { Socket } from 'node:net';
 
@@ -42,10 +43,8 @@
     return true;
   }
 
-  // eslint-disable-next-line class-methods-use-this -- overrides the agent's
-  override reuseSocket(stream: Duplex): void {
-    const socket = stream as Socket;
-    socket.setTimeout(0);
-    socket.ref();
+  override reuseSocket(stream: Duplex, request: ClientRequest): void {
+    (stream as Socket).setTimeout(0);
+    super.reuseSocket(stream, request);
   }
 }
--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -39,6 +39,8 @@
   readonly status: number;
   readonly headers: HeaderFields;
   readonly body: Buffer;
+  /** Whether it ends with its connection, as the backend server's answer did. */
+  readonly unframed?: boolean;
 }
 
 /** What an entry works with. */
@@ -82,6 +84,14 @@
 /** The share of a request's usual time that must be left for sending it again. */
 const RETRY_TIME_SHARE = 0.7;
 
+/** How long until another try is worth it, in milliseconds, where no gate knew. */
+const returnWaits: Readonly<Record<string, number>> = {
+  // The backend server refused this request, not the load: another one is as likely to run it now.
+  [FailureCause.TurnedAway]: 0,
+  [FailureCause.Leaving]: 0,
+  [FailureCause.ConnectFailed]: 50,
+};
+
 const EMPTY = Buffer.alloc(0);
 
 /** One request on its way, with what became of it so far. */
@@ -106,6 +116,8 @@
 
 /** Carries requests of the callers on this host. */
 export class Entry {
+  private closing = false;
+
   /** The longest deadline that callers gave by route, in milliseconds: that of a first attempt. */
   private readonly longestDeadlineMs = new Map<string, number>();
 
@@ -114,6 +126,11 @@
     private readonly options: EntryOptions,
   ) {}
 
+  /** Refuses further requests; those under way go on. */
+  close(): void {
+    this.closing = true;
+  }
+
   /**
    * Carries a request.
    *
@@ -121,6 +138,9 @@
    * @returns what the caller is told
    */
   async serve(request: CallerRequest): Promise<EntryAnswer> {
+    if (this.closing) {
+      return this.refuse(request, FailureCause.Leaving, 0);
+    }
     const table = this.services.configuration.current;
     if (table === undefined) {
       return this.refuse(request, 'no-configuration', UNCONFIGURED_RETURN_MS);
@@ -185,8 +205,7 @@
       if (placement === undefined) {
         break;
       }
-      const isLate = placement.waitMs + this.typicalMs(placement) > this.targetLeftMs(attempts);
-      if (isLate) {
+      if (placement.finishMs > this.targetLeftMs(attempts)) {
         break;
       }
       const answer = await this.ask(attempts, placement, Patience.OnTime);
@@ -206,11 +225,10 @@
     return this.ask(attempts, placement, Patience.UntilDeadline);
   }
 
-  private choose({ request }: Attempts, excluded: ReadonlySet<string>): Placement | undefined {
-    const { clock, directory, placer } = this.services;
+  private choose({ request, route }: Attempts, excluded: ReadonlySet<string>): Placement | undefined {
+    const { directory, placer } = this.services;
     const candidates = directory.endpointsOf(request.service);
-    const targetLeftMs = request.targetAtMs - clock.monotonicMs();
-    return placer.choose({ candidates, excluded, targetLeftMs });
+    return placer.choose({ candidates, excluded, targetMs: route.targetLatencyMs });
   }
 
   private async ask(
@@ -309,6 +327,7 @@
       late,
       elapsedMs: Math.round(elapsedMs),
       targetMs: route.targetLatencyMs,
+      priority: route.priority,
       sent,
       configurationVersion: this.services.configuration.version,
     });
@@ -330,7 +349,7 @@
       return { status, headers: {}, body: EMPTY };
     }
     const leftMs = forwarded.deadlineAtMs - clock.monotonicMs();
-    const waitMs = Number.isFinite(leastWaitMs) ? leastWaitMs : UNSERVED_RETURN_MS;
+    const waitMs = Number.isFinite(leastWaitMs) ? leastWaitMs : returnWaits[cause] ?? UNSERVED_RETURN_MS;
     return this.refuse(request, cause, chooseReturnTime({ waitMs, leftMs }, randomness), fields);
   }
 
@@ -365,10 +384,6 @@
     });
   }
 
-  private typicalMs({ endpoint }: Placement): number {
-    return this.services.observations.typicalServiceMs([endpoint]);
-  }
-
   private targetLeftMs({ request }: Attempts): number {
     return request.targetAtMs - this.services.clock.monotonicMs();
   }
--- a/packages/lentillb/src/serving/gateDialer.ts
+++ b/packages/lentillb/src/serving/gateDialer.ts
@@ -1,6 +1,7 @@
 /** Brings requests to gates: to the own one directly, to others over HTTP. */
 import { Err } from 'ts-results-es';
 import { Outcome } from '../calls/callHeaders.js';
+import { Cancellation, CancelReason } from '../calls/cancellation.js';
 import type { GateEndpoint } from '../directory/directory.js';
 import type { Clock } from '../kernel/clock.js';
 import { ConnectionPool } from './connectionPool.js';
@@ -31,12 +32,27 @@
   [ExchangeFailure.Cancelled]: failure(Outcome.Unknown, FailureCause.CallerGone),
 };
 
+/** Notices hosts that have gone silent while requests are under way to them. */
+export interface SilenceWatch {
+  /** @param host - the address of a host @returns whether it has gone silent */
+  isSilent(host: string): boolean;
+  /**
+   * @param host - the address of the host
+   * @param peerAddress - where its node answers others
+   * @param onSilent - called where it has gone silent
+   * @returns ends the watch
+   */
+  watch(host: string, peerAddress: string, onSilent: () => void): () => void;
+  /** @param host - the address of a host that an answer came from */
+  hear(host: string): void;
+}
+
 /** Reaches the gates of all hosts. */
 export class GateDialer {
   private readonly pool = new ConnectionPool({ idleMs: IDLE_MS, maxIdle: MAX_IDLE });
 
   constructor(
-    private readonly services: { readonly clock: Clock; readonly gate: Gate },
+    private readonly services: { readonly clock: Clock; readonly gate: Gate; readonly links: SilenceWatch },
     private readonly ownHost: string,
   ) {}
 
@@ -48,11 +64,21 @@
    * @returns what the gate says, or that it could not be asked
    */
   async call(endpoint: GateEndpoint, request: ForwardedRequest): Promise<GateReply> {
-    const { clock, gate } = this.services;
+    const { clock, gate, links } = this.services;
     if (endpoint.host === this.ownHost) {
       return gate.serve(request);
     }
     const leftMs = Math.max(0, request.deadlineAtMs - clock.monotonicMs());
+    const abandoned = new Cancellation();
+    const stopCancel = request.cancellation.onCancel(() =>
+      abandoned.cancel(CancelReason.CallerGone),
+    );
+    // A run that may not be repeated is waited for: its answer may still come.
+    const stopWatch = links.watch(endpoint.host, endpoint.peerAddress, () => {
+      if (request.repeatable) {
+        abandoned.cancel(CancelReason.DeadlinePassed);
+      }
+    });
     const answer = await exchange(clock, {
       agent: this.pool,
       address: endpoint.gateAddress,
@@ -65,11 +91,17 @@
       body: request.body,
       connectTimeoutMs: Math.min(leftMs, CONNECT_TIMEOUT_MS),
       timeoutMs: leftMs + ANSWER_GRACE_MS,
-      cancellation: request.cancellation,
+      cancellation: abandoned,
     });
-    return answer.isOk()
-      ? decodeReply(answer.value)
-      : { result: Err(failures[answer.error]), report: undefined };
+    stopWatch();
+    stopCancel();
+    if (answer.isErr()) {
+      const wentSilent = abandoned.reason === CancelReason.DeadlinePassed;
+      const cause = wentSilent ? ExchangeFailure.Lost : answer.error;
+      return { result: Err(failures[cause]), report: undefined };
+    }
+    links.hear(endpoint.host);
+    return decodeReply(answer.value);
   }
 
   /** Closes all connections. */
--- a/packages/lentillb/src/serving/gateProtocol.ts
+++ b/packages/lentillb/src/serving/gateProtocol.ts
@@ -14,6 +14,7 @@
 const REQUEST_HEADER = 'lentillb-request';
 const REPORT_HEADER = 'lentillb-report';
 const FAILURE_HEADER = 'lentillb-failure';
+const UNFRAMED_HEADER = 'lentillb-unframed';
 
 const HttpStatus = { Unavailable: 503 } as const;
 
@@ -101,8 +102,9 @@
       ? {}
       : { [REPORT_HEADER]: `${report.load} ${Math.round(report.serviceMs)}` };
   if (result.isOk()) {
-    const { body, headers, status } = result.value;
-    return { status, headers: { ...headers, ...reported }, body };
+    const { body, headers, status, unframed } = result.value;
+    const framing: HeaderFields = unframed ? { [UNFRAMED_HEADER]: '1' } : {};
+    return { status, headers: { ...headers, ...reported, ...framing }, body };
   }
   const { cause, outcome, waitMs } = result.error;
   const fields = [outcome, cause, ...(waitMs === undefined ? [] : [`${Math.round(waitMs)}`])];
@@ -146,5 +148,6 @@
     const failure = { outcome: Outcome.Unknown, cause: FailureCause.BrokenAnswer };
     return { report, result: Err(failure) };
   }
-  return { report, result: Ok({ status, headers: passedOnHeaders(headers), body }) };
+  const unframed = headers[UNFRAMED_HEADER] !== undefined;
+  return { report, result: Ok({ status, headers: passedOnHeaders(headers), body, unframed }) };
 }
--- a/packages/lentillb/src/serving/messages.ts
+++ b/packages/lentillb/src/serving/messages.ts
@@ -34,6 +34,8 @@
   readonly status: number;
   readonly headers: HeaderFields;
   readonly body: Buffer;
+  /** Whether it had no length, so that only the end of the connection says that it is whole. */
+  readonly unframed: boolean;
 }
 
 /** Why a request got no answer. */
--- a/packages/lentillb/src/serving/placement.ts
+++ b/packages/lentillb/src/serving/placement.ts
@@ -14,23 +14,25 @@
   readonly candidates: readonly GateEndpoint[];
   /** Hosts whose gates refused the request, or lost it. */
   readonly excluded: ReadonlySet<string>;
-  /** How long the request may still take to be on time, in milliseconds. */
-  readonly targetLeftMs: number;
+  /** The target latency of the request, in milliseconds. */
+  readonly targetMs: number;
 }
 
 /** A gate and what a request can expect there. */
 export interface Placement {
   readonly endpoint: GateEndpoint;
+  /** How long an answer is expected to take, all prices included, in milliseconds. */
   readonly expectedMs: number;
-  readonly waitMs: number;
+  /** How long the request is expected to wait and run, in milliseconds. */
+  readonly finishMs: number;
 }
 
 /** The share of its slots up to which a backend server counts as unhurried. */
 const UNHURRIED_SHARE = 0.6;
 /** How much longer a request is expected to take where all slots are busy, as a share of its time. */
 const CROWDING = 0.5;
-/** What sending a request to another zone counts for, as a share of the time a request takes. */
-const OTHER_ZONE_SHARE = 0.8;
+/** What sending a request to another zone counts for, as a share of its target latency. */
+const OTHER_ZONE_SHARE = 0.2;
 /** What a failure counts for, as a multiple of the time a request takes. */
 const FAILURE_SHARE = 6;
 /** Placements closer than this share of the best are drawn between. */
@@ -43,6 +45,7 @@
       readonly clock: Clock;
       readonly randomness: Randomness;
       readonly observations: GateObservations;
+      readonly isSilent: (host: string) => boolean;
     },
     private readonly zone: string,
   ) {}
@@ -51,26 +54,28 @@
    * @param request - what the request wants
    * @returns the best gate left, or undefined where there is none
    */
-  choose({ candidates, excluded }: PlacementRequest): Placement | undefined {
-    const { observations } = this.services;
+  choose({ candidates, excluded, targetMs }: PlacementRequest): Placement | undefined {
+    const { isSilent, observations } = this.services;
     const left = candidates.filter(({ host }) => !excluded.has(host));
-    const reachable = left.filter((endpoint) => observations.isReachable(endpoint));
-    return this.best(reachable.length > 0 ? reachable : left);
+    const reachable = left.filter(
+      (endpoint) => observations.isReachable(endpoint) && !isSilent(endpoint.host),
+    );
+    return this.best(reachable.length > 0 ? reachable : left, targetMs);
   }
 
-  private best(endpoints: readonly GateEndpoint[]): Placement | undefined {
+  private best(endpoints: readonly GateEndpoint[], targetMs: number): Placement | undefined {
     const { observations, randomness } = this.services;
     if (endpoints.length === 0) {
       return undefined;
     }
     const typicalMs = observations.typicalServiceMs(endpoints);
-    const placements = endpoints.map((endpoint) => this.expect(endpoint, typicalMs));
+    const placements = endpoints.map((endpoint) => this.expect(endpoint, typicalMs, targetMs));
     const leastMs = placements.reduce((least, { expectedMs }) => Math.min(least, expectedMs), Infinity);
     const near = placements.filter(({ expectedMs }) => expectedMs <= leastMs * (1 + NEAR_SHARE));
     return near[randomness.integer(near.length)];
   }
 
-  private expect(endpoint: GateEndpoint, typicalMs: number): Placement {
+  private expect(endpoint: GateEndpoint, typicalMs: number, targetMs: number): Placement {
     const seen = this.services.observations.of(endpoint);
     const { slots } = endpoint.backendServer;
     const serviceMs = seen.serviceMs(typicalMs);
@@ -78,8 +83,9 @@
     const share = load / slots;
     const crowding = 1 + CROWDING * Math.max(0, Math.min(share, 1) - UNHURRIED_SHARE);
     const waitMs = Math.max(0, ((load + 1 - slots) * serviceMs) / slots);
-    const zoneMs = endpoint.zone === this.zone ? 0 : OTHER_ZONE_SHARE * typicalMs;
+    const zoneMs = endpoint.zone === this.zone ? 0 : OTHER_ZONE_SHARE * targetMs;
     const failureMs = seen.failureShare() * FAILURE_SHARE * typicalMs;
-    return { endpoint, waitMs, expectedMs: serviceMs * crowding + waitMs + zoneMs + failureMs };
+    const finishMs = serviceMs + waitMs;
+    return { endpoint, finishMs, expectedMs: serviceMs * crowding + waitMs + zoneMs + failureMs };
   }
 }
--- a/packages/lentillb/src/serving/retryAllowance.ts
+++ b/packages/lentillb/src/serving/retryAllowance.ts
@@ -16,7 +16,7 @@
 }
 
 /** The part of the bound that nodes spend themselves; the rest covers calls that repeated runs make. */
-const SPENT_SHARE = 0.5;
+const SPENT_SHARE = 0.8;
 
 interface Usage {
   readonly requests: number[];
--- a/packages/lentillb/src/serving/slotQueue.ts
+++ b/packages/lentillb/src/serving/slotQueue.ts
@@ -3,7 +3,8 @@
  * refused. Answers a load that exceeds the slots for seconds at a time, of requests whose value
  * falls sharply once their target latency has passed: a request is refused on arrival if it can't be
  * answered in time, so that its caller can go elsewhere while there is time, and the slots
- * serve requests that still count.
+ * serve requests that still count. Calls that a run waits for have short target latencies and so
+ * go before new requests of their priority: refusing one wastes the slot that its run holds.
  */
 import type { Clock } from '../kernel/clock.js';
 import { SmoothedMean } from './smoothedMean.js';
@@ -71,8 +72,20 @@
 /** Requests that wait are never more than this many times the slots, to bound memory. */
 const MAX_QUEUE_PER_SLOT = 8;
 
+/** How much longer a wait may become by more urgent requests that arrive later. */
+const WAIT_MARGIN = 1.2;
+/** The share of the time left within which a late answer must be expected for a request to wait. */
+const LATE_SHARE = 0.5;
+
 const NOTHING = (): void => undefined;
 
+/** Whether a request gets a slot before another: by priority, then by when it has to be answered. */
+function precedes(request: SlotRequest, other: SlotRequest): boolean {
+  return request.priority === other.priority
+    ? request.targetAtMs < other.targetAtMs
+    : request.priority < other.priority;
+}
+
 /** The slots of one backend server and the requests that wait for them. */
 export class SlotQueue {
   private slots = 0;
@@ -99,11 +112,6 @@
     return { slots: this.slots, running: this.running, queued: this.waiting.length };
   }
 
-  /** How long a request of the least urgent kind would wait, in milliseconds. */
-  get fullWaitMs(): number {
-    return this.waitBehind(this.waiting.length);
-  }
-
   /** @param slots - how many requests the backend server runs at a time */
   resize(slots: number): void {
     this.slots = slots;
@@ -122,8 +130,8 @@
       request.onGranted(this.hold(request));
       return { admission: Admission.Granted, waitMs: 0, serviceMs, cancel: NOTHING };
     }
-    const waitMs = this.waitBehind(this.countAhead(request));
-    if (!this.isWorthWaiting(request, waitMs + serviceMs)) {
+    const waitMs = this.waitBehind(this.requestsAhead(request));
+    if (!this.isWorthWaiting(request, waitMs, serviceMs)) {
       return { admission: Admission.Refused, waitMs, serviceMs, cancel: NOTHING };
     }
     this.enqueue(request);
@@ -138,13 +146,15 @@
     this.waiting.splice(0).forEach(({ onDropped }) => onDropped());
   }
 
-  private isWorthWaiting(request: SlotRequest, finishMs: number): boolean {
+  private isWorthWaiting(request: SlotRequest, waitMs: number, serviceMs: number): boolean {
     if (this.slots === 0 || this.waiting.length >= this.slots * MAX_QUEUE_PER_SLOT) {
       return false;
     }
-    const { deadlineAtMs, patience, targetAtMs } = request;
-    const lastMs = patience === Patience.OnTime ? Math.min(targetAtMs, deadlineAtMs) : deadlineAtMs;
-    return this.clock.monotonicMs() + finishMs <= lastMs;
+    const nowMs = this.clock.monotonicMs();
+    const finishMs = waitMs * WAIT_MARGIN + serviceMs;
+    return request.patience === Patience.OnTime
+      ? nowMs + finishMs <= Math.min(request.targetAtMs, request.deadlineAtMs)
+      : finishMs <= (request.deadlineAtMs - nowMs) * LATE_SHARE;
   }
 
   private expectedServiceMs(workKey: string): number {
@@ -153,22 +163,27 @@
     return this.isCold() ? measured * COLD_FACTOR : measured;
   }
 
-  /** How long until a slot is free with a number of requests ahead. */
-  private waitBehind(ahead: number): number {
+  /** How long until a slot is free for a request with others ahead of it. */
+  private waitBehind(ahead: readonly SlotRequest[]): number {
+    if (this.slots === 0) {
+      return Infinity;
+    }
     if (this.running < this.slots) {
       return 0;
     }
-    const meanMs = this.overallMs.value ?? UNMEASURED_SERVICE_MS;
-    const scaledMs = this.isCold() ? meanMs * COLD_FACTOR : meanMs;
-    return this.slots === 0 ? Infinity : ((ahead + 1) * scaledMs) / this.slots;
+    const aheadMs = ahead.reduce((sum, { workKey }) => sum + this.expectedServiceMs(workKey), 0);
+    return (aheadMs + this.expectedServiceMs('')) / this.slots;
   }
 
-  private countAhead({ priority }: SlotRequest): number {
-    return this.waiting.filter((other) => other.priority <= priority).length;
+  /** The requests that get a slot earlier; one that may be late goes behind all others. */
+  private requestsAhead(request: SlotRequest): readonly SlotRequest[] {
+    return request.patience === Patience.OnTime
+      ? this.waiting.filter((other) => !precedes(request, other))
+      : this.waiting;
   }
 
   private enqueue(request: SlotRequest): void {
-    const index = this.waiting.findIndex(({ priority }) => priority > request.priority);
+    const index = this.waiting.findIndex((other) => precedes(request, other));
     this.waiting.splice(index < 0 ? this.waiting.length : index, 0, request);
   }
 
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -3,8 +3,15 @@
 import { ConfigurationHolder } from '../configuration/configurationHolder.js';
 import type { MeshConfiguration } from '../configuration/meshConfiguration.js';
 import { WeightedRotation } from '../configuration/weightedRotation.js';
+import type { Announcement } from '../directory/announcement.js';
 import { decodeAnnouncement } from '../directory/announcement.js';
 import { Directory } from '../directory/directory.js';
+import { Gossip } from '../peers/gossip.js';
+import { LinkWatch } from '../peers/linkWatch.js';
+import type { NodeState } from '../peers/nodeState.js';
+import { PeerListener } from '../peers/peerListener.js';
+import { PeerSocket } from '../peers/peerSocket.js';
+import { fetchState } from '../peers/stateClient.js';
 import type { Clock } from '../kernel/clock.js';
 import type { Randomness } from '../kernel/randomness.js';
 import { DecisionLog, Weight } from '../observability/decisionLog.js';
@@ -101,6 +108,14 @@
 
   private readonly announcer: Announcer;
 
+  private readonly links: LinkWatch;
+
+  private readonly gossip: Gossip;
+
+  private readonly peerSocket: PeerSocket;
+
+  private readonly peerListener: PeerListener;
+
   private readonly followers: readonly TopicFollower[];
 
   private hostsKnown = false;
@@ -122,7 +137,27 @@
     const { slots } = this;
     const client = new BackendServerClient(clock, names);
     this.gate = new Gate({ clock, slots, backendServer, client, log, figures });
-    this.dialer = new GateDialer({ clock, gate: this.gate }, identity.host);
+    this.peerSocket = new PeerSocket(
+      (from, greeting) => {
+        this.links.hearFrom(from);
+        this.gossip.receive(from, greeting);
+      },
+      ({ message }) => log.record(Weight.Notable, 'greeting-not-sent', { reason: message }),
+    );
+    this.gossip = new Gossip(
+      { clock, randomness, configuration, directory, carrier: this.peerSocket, fetchState, log },
+      identity,
+      (state) => this.acceptState(state),
+    );
+    this.links = new LinkWatch(
+      clock,
+      (peerAddress) => this.gossip.greet(peerAddress),
+      (host, silent) => log.record(Weight.Notable, silent ? 'host-silent' : 'host-heard', { host }),
+    );
+    const { links } = this;
+    this.peerListener = new PeerListener(figures, configuration, directory);
+    this.dialer = new GateDialer({ clock, gate: this.gate, links }, identity.host);
+    const isSilent = (host: string): boolean => links.isSilent(host);
     const observations = new GateObservations(clock, DEFAULT_SERVICE_MS);
     const nodeCount = (): number => directory.announcements.length;
     this.entry = new Entry(
@@ -133,7 +168,7 @@
         rotation: new WeightedRotation(randomness),
         directory,
         observations,
-        placer: new Placer({ clock, randomness, observations }, identity.zone),
+        placer: new Placer({ clock, randomness, observations, isSilent }, identity.zone),
         dialer: this.dialer,
         allowance: new RetryAllowance(clock, retryTerms, nodeCount),
         log,
@@ -148,6 +183,7 @@
     this.gateListener = new CallerListener(clock, (request) => this.serveNode(request), {
       requestIdName,
       idleMs: GATE_IDLE_MS,
+      sendDate: false,
     });
     configuration.subscribe(({ limits }) => this.callers.limit(limits));
     this.announcer = new Announcer(
@@ -170,6 +206,10 @@
     const { clock } = this.services;
     await this.gateListener.listen(this.options.identity.gateAddress);
     await this.callers.listen(this.options.callerAddress);
+    await this.peerListener.listen(this.options.identity.peerAddress);
+    await this.peerSocket.bind(this.options.identity.peerAddress);
+    // Greeting never fails; a lost datagram is sent again in the next round.
+    void this.gossip.run();
     this.followers.forEach((follower) => {
       // A follower never fails; what the store answers is a value.
       void follower.run();
@@ -230,12 +270,14 @@
     this.log.record(Weight.Notable, 'stopping', { inFlight: this.callers.inFlight });
     this.callers.leave();
     await clock.sleep(CALLERS_LEAVE_MS);
+    this.entry.close();
     this.gate.close();
+    this.callers.close();
     const endMs = startedMs + this.options.stopMs - STOP_RESERVE_MS;
     while (clock.monotonicMs() < endMs && this.gate.inFlight + this.callers.inFlight > 0) {
       await clock.sleep(IDLE_POLL_MS);
     }
-    this.callers.close();
+    this.gossip.stop();
     this.followers.forEach((follower) => follower.stop());
     this.log.record(Weight.Notable, 'stopped', { inFlight: this.callers.inFlight });
   }
@@ -316,15 +358,28 @@
         this.reject(`announcement of host ${key}`, decoded.error);
         return;
       }
-      const announcement = decoded.value;
-      const accepted = this.directory.merge(announcement);
-      if (accepted && announcement.host === this.options.identity.host) {
-        if (announcement.backendServer !== undefined) {
-          this.backendServer.recall(announcement.backendServer);
-        }
-        this.announcer.update();
-      }
+      this.acceptAnnouncement(decoded.value);
     });
   }
-}
 
+  private acceptAnnouncement(announcement: Announcement): void {
+    const accepted = this.directory.merge(announcement);
+    if (accepted && announcement.host === this.options.identity.host) {
+      if (announcement.backendServer !== undefined) {
+        this.backendServer.recall(announcement.backendServer);
+      }
+      this.announcer.update();
+    }
+  }
+
+  /** Takes in what another node knows. */
+  private acceptState({ announcements, configuration }: NodeState): void {
+    announcements.forEach((announcement) => this.acceptAnnouncement(announcement));
+    this.hostsKnown = true;
+    if (configuration !== undefined) {
+      const { version } = configuration;
+      const inForce = this.configuration.offer(configuration);
+      this.log.record(Weight.Notable, 'configuration', { version, inForce, source: 'node' });
+    }
+  }
+}
