Place by the risk of a late answer; see resets that come with data

Change: such an end without a peer address counts as a reset. Calls inside runs go first within their priority.

--- a/packages/lentillb/src/serving/backendServerClient.ts
+++ b/packages/lentillb/src/serving/backendServerClient.ts
@@ -5,7 +5,7 @@
 import type { Clock } from '../kernel/clock.js';
 import { ConnectionPool } from './connectionPool.js';
 import type { ExchangeAnswer } from './exchange.js';
-import { exchange, ExchangeFailure } from './exchange.js';
+import { exchange, ExchangeFailure, isUnframed } from './exchange.js';
 import type { HeaderNames } from './headerNames.js';
 import type { BackendAnswer, ForwardedRequest, ForwardFailure } from './messages.js';
 import { FailureCause } from './messages.js';
@@ -116,8 +116,7 @@
       discardConnection();
       return Err(failure(Outcome.Unknown, FailureCause.BrokenAnswer));
     }
-    const unframed =
-      headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+    const unframed = isUnframed(headers);
     return Ok({ status, headers: passedOnHeaders(headers), body, unframed });
   }
 }
--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -190,6 +190,7 @@
       route: route.name,
       priority: route.priority,
       repeatable: route.repetition === Repetition.Repeat,
+      targetLatencyMs: route.targetLatencyMs,
       // What a caller has left tells how long it has been trying.
       targetAtMs: arrivedAtMs + route.targetLatencyMs - (longestMs - givenMs),
       deadlineAtMs: arrivedAtMs + Math.min(givenMs, route.timeoutMs),
--- a/packages/lentillb/src/serving/exchange.ts
+++ b/packages/lentillb/src/serving/exchange.ts
@@ -52,6 +52,14 @@
 
 const PARSE_ERROR = /^HPE_/;
 
+/**
+ * @param headers - the headers of an answer
+ * @returns whether only the end of the connection ends the answer
+ */
+export function isUnframed(headers: IncomingMessage['headers']): boolean {
+  return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+}
+
 class Exchange {
   readonly result: Promise<Result<ExchangeAnswer, ExchangeFailure>>;
 
@@ -122,6 +130,12 @@
 
   private collect(response: IncomingMessage): void {
     this.answered = true;
+    let wasReset = false;
+    // Data that comes together with a reset is reported as an ordinary end; only the missing
+    // address of the other side still tells.
+    response.socket.prependOnceListener('end', () => {
+      wasReset = response.socket.remoteAddress === undefined;
+    });
     const chunks: Buffer[] = [];
     let bytes = 0;
     response.on('data', (chunk: Buffer) => {
@@ -134,7 +148,7 @@
     response.on('error', (error: NodeJS.ErrnoException) => this.fail(this.causeOf(error)));
     response.on('close', () => this.fail(ExchangeFailure.Lost));
     response.on('end', () => {
-      if (!response.complete) {
+      if (!response.complete || (wasReset && isUnframed(response.headers))) {
         this.fail(ExchangeFailure.Lost);
         return;
       }
--- a/packages/lentillb/src/serving/gate.ts
+++ b/packages/lentillb/src/serving/gate.ts
@@ -104,6 +104,7 @@
       const decision = this.services.slots.arrive({
         workKey: request.route,
         priority: request.priority,
+        targetLatencyMs: request.targetLatencyMs,
         targetAtMs: request.targetAtMs,
         deadlineAtMs: request.deadlineAtMs,
         patience: request.patience,
--- a/packages/lentillb/src/serving/gateProtocol.ts
+++ b/packages/lentillb/src/serving/gateProtocol.ts
@@ -32,6 +32,7 @@
     encodeURIComponent(request.route),
     `${request.priority}`,
     request.repeatable ? '1' : '0',
+    `${Math.round(request.targetLatencyMs)}`,
     `${Math.round(request.targetAtMs - nowMs)}`,
     `${Math.round(request.deadlineAtMs - nowMs)}`,
     request.patience,
@@ -60,7 +61,7 @@
   { body, cancellation, headers, method, target }: ArrivedRequest,
 ): ForwardedRequest | undefined {
   const value = headers[REQUEST_HEADER];
-  const [service, route, priority, repeatable, targetMs, deadlineMs, patience] =
+  const [service, route, priority, repeatable, targetLatencyMs, targetMs, deadlineMs, patience] =
     typeof value === 'string' ? value.split(' ') : [];
   const known = patiences.find((one) => one === patience);
   if (service === undefined || route === undefined || known === undefined) {
@@ -78,6 +79,7 @@
     route: decodeURIComponent(route),
     priority: Number(priority),
     repeatable: repeatable === '1',
+    targetLatencyMs: Number(targetLatencyMs),
     targetAtMs: nowMs + Number(targetMs),
     deadlineAtMs: nowMs + Number(deadlineMs),
     patience: known,
--- a/packages/lentillb/src/serving/messages.ts
+++ b/packages/lentillb/src/serving/messages.ts
@@ -20,6 +20,8 @@
   readonly priority: number;
   /** Whether it may run more than once. */
   readonly repeatable: boolean;
+  /** How soon the route wants an answer, in milliseconds. */
+  readonly targetLatencyMs: number;
   /** Until when an answer has its full value, in milliseconds of the clock. */
   readonly targetAtMs: number;
   /** Until when an answer has any value, in milliseconds of the clock. */
--- a/packages/lentillb/src/serving/placement.ts
+++ b/packages/lentillb/src/serving/placement.ts
@@ -1,8 +1,9 @@
 /**
  * Chooses the gate for a request. Answers a load that is uneven between availability zones, on
  * backend servers that differ in speed, some of them slow, failing or just started: the least
- * expected time to an answer wins, where another zone counts with a price for the bytes between
- * zones, so that a zone's requests stay in it until its backend servers are nearly full.
+ * risk of an answer that is late or none wins, where another zone counts as a further risk, the
+ * price of its bytes. So a zone's requests stay in it until its backend servers can't serve them in
+ * time, and a faster backend server elsewhere attracts nothing that is on time at home.
  */
 import type { Clock } from '../kernel/clock.js';
 import type { Randomness } from '../kernel/randomness.js';
@@ -21,22 +22,32 @@
 /** A gate and what a request can expect there. */
 export interface Placement {
   readonly endpoint: GateEndpoint;
-  /** How long an answer is expected to take, all prices included, in milliseconds. */
-  readonly expectedMs: number;
+  /** How likely an answer is late or none, with the price of another zone; may exceed 1. */
+  readonly risk: number;
   /** How long the request is expected to wait and run, in milliseconds. */
   readonly finishMs: number;
 }
 
-/** The share of its slots up to which a backend server counts as unhurried. */
-const UNHURRIED_SHARE = 0.6;
-/** How much longer a request is expected to take where all slots are busy, as a share of its time. */
-const CROWDING = 0.5;
-/** What sending a request to another zone counts for, as a share of its target latency. */
-const OTHER_ZONE_SHARE = 0.2;
-/** What a failure counts for, as a multiple of the time a request takes. */
-const FAILURE_SHARE = 6;
-/** Placements closer than this share of the best are drawn between. */
-const NEAR_SHARE = 0.05;
+/** How widely the time of a run spreads: the deviation of its logarithm, about that of the sheets' work. */
+const SPREAD = 0.7;
+/** The median of such a time, as a share of its mean. */
+const MEDIAN_SHARE = Math.exp((-SPREAD * SPREAD) / 2);
+/** What sending a request to another zone counts for: a late answer in so many of one request. */
+const OTHER_ZONE_RISK = 0.15;
+/** What a busy backend server counts for beside an idle one, where both would be on time. */
+const BUSY_RISK = 0.05;
+/** Placements whose risks differ by less are drawn between. */
+const NEAR_RISK = 0.004;
+
+/** The probability that a run with a mean time takes longer than a time, for a log-normal spread. */
+function lateRisk(meanMs: number, leftMs: number): number {
+  if (leftMs <= 0) {
+    return 1;
+  }
+  const deviations = Math.log(leftMs / (meanMs * MEDIAN_SHARE)) / SPREAD;
+  // The logistic curve that is nearest to the normal distribution's.
+  return 1 / (1 + Math.exp(1.702 * deviations));
+}
 
 /** Chooses gates by what this node has seen of them. */
 export class Placer {
@@ -70,8 +81,8 @@
     }
     const typicalMs = observations.typicalServiceMs(endpoints);
     const placements = endpoints.map((endpoint) => this.expect(endpoint, typicalMs, targetMs));
-    const leastMs = placements.reduce((least, { expectedMs }) => Math.min(least, expectedMs), Infinity);
-    const near = placements.filter(({ expectedMs }) => expectedMs <= leastMs * (1 + NEAR_SHARE));
+    const least = placements.reduce((lowest, { risk }) => Math.min(lowest, risk), Infinity);
+    const near = placements.filter(({ risk }) => risk <= least + NEAR_RISK);
     return near[randomness.integer(near.length)];
   }
 
@@ -80,12 +91,13 @@
     const { slots } = endpoint.backendServer;
     const serviceMs = seen.serviceMs(typicalMs);
     const load = seen.load();
-    const share = load / slots;
-    const crowding = 1 + CROWDING * Math.max(0, Math.min(share, 1) - UNHURRIED_SHARE);
     const waitMs = Math.max(0, ((load + 1 - slots) * serviceMs) / slots);
-    const zoneMs = endpoint.zone === this.zone ? 0 : OTHER_ZONE_SHARE * targetMs;
-    const failureMs = seen.failureShare() * FAILURE_SHARE * typicalMs;
     const finishMs = serviceMs + waitMs;
-    return { endpoint, finishMs, expectedMs: serviceMs * crowding + waitMs + zoneMs + failureMs };
+    const risk =
+      lateRisk(serviceMs, targetMs - waitMs) +
+      seen.failureShare() +
+      (BUSY_RISK * load) / slots +
+      (endpoint.zone === this.zone ? 0 : OTHER_ZONE_RISK);
+    return { endpoint, finishMs, risk };
   }
 }
--- a/packages/lentillb/src/serving/slotQueue.ts
+++ b/packages/lentillb/src/serving/slotQueue.ts
@@ -4,7 +4,8 @@
  * falls sharply once their target latency has passed: a request is refused on arrival if it can't be
  * answered in time, so that its caller can go elsewhere while there is time, and the slots
  * serve requests that still count. Calls that a run waits for have short target latencies and so
- * go before new requests of their priority: refusing one wastes the slot that its run holds.
+ * go
+ * before new requests of their priority: refusing one wastes the slot that its run holds.
  */
 import type { Clock } from '../kernel/clock.js';
 import { SmoothedMean } from './smoothedMean.js';
@@ -24,6 +25,8 @@
   readonly workKey: string;
   /** 0 is the most urgent. */
   readonly priority: number;
+  /** How soon its route wants an answer, in milliseconds; calls inside runs want theirs soonest. */
+  readonly targetLatencyMs: number;
   readonly targetAtMs: number;
   readonly deadlineAtMs: number;
   readonly patience: Patience;
@@ -79,11 +82,13 @@
 
 const NOTHING = (): void => undefined;
 
-/** Whether a request gets a slot before another: by priority, then by when it has to be answered. */
+/** Below 0 where the first kind of request goes before the second, 0 where neither does. */
+function compareRank(left: SlotRequest, right: SlotRequest): number {
+  return left.priority - right.priority || left.targetLatencyMs - right.targetLatencyMs;
+}
+
 function precedes(request: SlotRequest, other: SlotRequest): boolean {
-  return request.priority === other.priority
-    ? request.targetAtMs < other.targetAtMs
-    : request.priority < other.priority;
+  return (compareRank(request, other) || request.targetAtMs - other.targetAtMs) < 0;
 }
 
 /** The slots of one backend server and the requests that wait for them. */
@@ -175,11 +180,11 @@
     return (aheadMs + this.expectedServiceMs('')) / this.slots;
   }
 
-  /** The requests that get a slot earlier; one that may be late goes behind all others. */
+  /** The requests that get a slot earlier; one that may be late goes behind all of its kind. */
   private requestsAhead(request: SlotRequest): readonly SlotRequest[] {
     return request.patience === Patience.OnTime
       ? this.waiting.filter((other) => !precedes(request, other))
-      : this.waiting;
+      : this.waiting.filter((other) => compareRank(other, request) <= 0);
   }
 
   private enqueue(request: SlotRequest): void {
@@ -244,16 +249,20 @@
     });
   }
 
-  /** The most urgent request that can still be on time, else the most urgent one. */
+  /** Of the most urgent kind the first request that can still be on time, else the first. */
   private takeNext(): SlotRequest | undefined {
     const nowMs = this.clock.monotonicMs();
+    const [first] = this.waiting;
+    if (first === undefined) {
+      return undefined;
+    }
     const onTime = this.waiting.find(
-      ({ targetAtMs, workKey }) => nowMs + this.expectedServiceMs(workKey) <= targetAtMs,
+      (request) =>
+        compareRank(request, first) === 0 &&
+        nowMs + this.expectedServiceMs(request.workKey) <= request.targetAtMs,
     );
-    const next = onTime ?? this.waiting[0];
-    if (next !== undefined) {
-      this.remove(next);
-    }
+    const next = onTime ?? first;
+    this.remove(next);
     return next;
   }
 }
--- /dev/null
+++ b/tests/serving/exchange.spec.ts
@@ -0,0 +1,110 @@
+import { Agent } from 'node:http';
+import { createServer } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
+import { SystemClock } from 'lentillb';
+import { Cancellation, CancelReason } from 'lentillb/calls/cancellation.js';
+import { exchange, ExchangeFailure } from 'lentillb/serving/exchange.js';
+import { afterEach, describe, expect, it } from 'vitest';
+
+const HEAD = 'HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\n';
+const clock = new SystemClock();
+
+let server: Server | undefined;
+let agent: Agent;
+
+/** Keeps the event loop busy, so that what arrives meanwhile is read at once. */
+function holdEventLoop(durationMs: number): void {
+  const endMs = performance.now() + durationMs;
+  while (performance.now() < endMs);
+}
+
+async function send(reply: (socket: Socket) => void, cancellation = new Cancellation()) {
+  agent = new Agent({ keepAlive: true });
+  server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => reply(socket));
+  });
+  const listening = server;
+  await new Promise<void>((resolve) => {
+    listening.listen(0, '127.0.0.1', resolve);
+  });
+  return exchange(clock, {
+    agent,
+    address: `127.0.0.1:${(listening.address() as AddressInfo).port}`,
+    method: 'GET',
+    target: '/',
+    headers: { host: 'a.example' },
+    body: Buffer.alloc(0),
+    connectTimeoutMs: 500,
+    timeoutMs: 1_000,
+    cancellation,
+  });
+}
+
+afterEach(() => {
+  agent.destroy();
+  server?.close();
+});
+
+describe('exchange', () => {
+  it('should take in a whole answer', async () => {
+    const result = await send((socket) => socket.write(`${HEAD}Content-Length: 4\r\n\r\nbody`));
+    expect(result.unwrap().body.toString()).toBe('body');
+  });
+
+  it('should take an answer without a length as whole at the end of its connection', async () => {
+    const result = await send((socket) => socket.end(`${HEAD}\r\nbody`));
+    expect(result.unwrap().body.toString()).toBe('body');
+  });
+
+  it('should not take an answer without a length as whole where its connection was reset', async () => {
+    const result = await send((socket) => {
+      socket.write(`${HEAD}\r\nhalf of a bo`, () => socket.resetAndDestroy());
+      setImmediate(() => holdEventLoop(50));
+    });
+    expect(result.unwrapErr()).toBe(ExchangeFailure.Lost);
+  });
+
+  it.each([
+    ['a body cut short', `${HEAD}Content-Length: 400\r\n\r\nhalf`, ExchangeFailure.Lost],
+    [
+      'chunks cut short',
+      `${HEAD}Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n`,
+      ExchangeFailure.Lost,
+    ],
+    ['what is no HTTP', 'SPOILT\r\n\r\n', ExchangeFailure.Malformed],
+    ['nothing', '', ExchangeFailure.Lost],
+  ])('should fail for %s', async (_, bytes, failure) => {
+    const result = await send((socket) => socket.end(bytes));
+    expect(result.unwrapErr()).toBe(failure);
+  });
+
+  it('should say that nothing was sent where nobody listens', async () => {
+    const refused = await exchange(clock, {
+      agent: new Agent(),
+      address: '127.0.0.1:1',
+      method: 'GET',
+      target: '/',
+      headers: {},
+      body: Buffer.alloc(0),
+      connectTimeoutMs: 500,
+      timeoutMs: 1_000,
+      cancellation: new Cancellation(),
+    });
+    expect(refused.unwrapErr()).toBe(ExchangeFailure.NotSent);
+  });
+
+  it('should end when its caller leaves', async () => {
+    const cancellation = new Cancellation();
+    let closed = false;
+    const result = await send((socket) => {
+      socket.once('close', () => {
+        closed = true;
+      });
+      cancellation.cancel(CancelReason.CallerGone);
+    }, cancellation);
+    expect(result.unwrapErr()).toBe(ExchangeFailure.Cancelled);
+    await clock.sleep(50);
+    expect(closed).toBe(true);
+  });
+});
--- /dev/null
+++ b/tests/serving/localBackendServer.spec.ts
@@ -0,0 +1,94 @@
+import { BackendServerState } from 'lentillb/directory/announcement.js';
+import type { Heartbeat } from 'lentillb/serving/localBackendServer.js';
+import { HeartbeatVerdict, LocalBackendServer } from 'lentillb/serving/localBackendServer.js';
+import { describe, expect, it } from 'vitest';
+import { ManualClock } from '../support/manualClock.js';
+
+const FIRST: Heartbeat = {
+  id: 'i-1',
+  service: 'postbag',
+  address: '10.0.0.1:80',
+  slots: 10,
+  draining: false,
+  warmupLeftMs: 0,
+  sequence: 1,
+  startedAtMs: 1_000,
+};
+
+function fixture() {
+  const clock = new ManualClock();
+  let changes = 0;
+  const server = new LocalBackendServer(clock, () => {
+    changes += 1;
+  });
+  return { clock, server, changes: () => changes };
+}
+
+describe('local backend server', () => {
+  it('should be ready from its first heartbeat on and announce a change once', () => {
+    const { changes, server } = fixture();
+    expect(server.accept(FIRST)).toBe(HeartbeatVerdict.Changed);
+    expect(server.accept({ ...FIRST, sequence: 2 })).toBe(HeartbeatVerdict.Unchanged);
+    expect(server.ready).toBe(true);
+    expect(changes()).toBe(1);
+  });
+
+  it('should not open for a delayed heartbeat after it announced its departure', () => {
+    const { server } = fixture();
+    server.accept(FIRST);
+    server.accept({ ...FIRST, sequence: 3, draining: true });
+    expect(server.ready).toBe(false);
+    expect(server.accept({ ...FIRST, sequence: 2 })).toBe(HeartbeatVerdict.Outdated);
+    expect(server.accept({ ...FIRST, sequence: 4 })).toBe(HeartbeatVerdict.Outdated);
+    expect(server.ready).toBe(false);
+  });
+
+  it('should not open for a delayed heartbeat after its departure', () => {
+    const { server } = fixture();
+    server.accept(FIRST);
+    expect(server.depart('i-1')).toBe(HeartbeatVerdict.Changed);
+    expect(server.accept({ ...FIRST, sequence: 9 })).toBe(HeartbeatVerdict.Outdated);
+    expect(server.ready).toBe(false);
+  });
+
+  it('should open for a later run under the same identity, with its sequence from the start', () => {
+    const { server } = fixture();
+    server.accept({ ...FIRST, sequence: 50 });
+    server.depart('i-1');
+    const reborn = { ...FIRST, sequence: 1, startedAtMs: 9_000 };
+    expect(server.accept(reborn)).toBe(HeartbeatVerdict.Changed);
+    expect(server.ready).toBe(true);
+  });
+
+  it('should ignore a delayed heartbeat of an earlier run at the same address', () => {
+    const { server } = fixture();
+    server.accept({ ...FIRST, id: 'i-2', startedAtMs: 9_000 });
+    expect(server.accept({ ...FIRST, sequence: 99 })).toBe(HeartbeatVerdict.Outdated);
+    expect(server.heartbeat?.id).toBe('i-2');
+  });
+
+  it('should remember a departure that an earlier run of the node announced', () => {
+    const { server } = fixture();
+    const { id, service, slots, startedAtMs } = FIRST;
+    server.recall({ id, service, slots, startedAtMs, state: BackendServerState.Leaving });
+    expect(server.accept(FIRST)).toBe(HeartbeatVerdict.Outdated);
+    expect(server.ready).toBe(false);
+  });
+
+  it('should close when another backend server answers, until a heartbeat comes', () => {
+    const { server } = fixture();
+    server.accept(FIRST);
+    server.mistake();
+    expect(server.ready).toBe(false);
+    server.accept({ ...FIRST, id: 'i-2', startedAtMs: 2_000 });
+    expect(server.ready).toBe(true);
+  });
+
+  it('should be cold until its warm-up is over', async () => {
+    const { clock, server } = fixture();
+    server.accept({ ...FIRST, warmupLeftMs: 500 });
+    expect(server.cold).toBe(true);
+    await clock.advance(501);
+    expect(server.cold).toBe(false);
+  });
+});
--- /dev/null
+++ b/tests/serving/placement.spec.ts
@@ -0,0 +1,109 @@
+import { SeededRandomness } from 'lentillb';
+import type { GateEndpoint } from 'lentillb/directory/directory.js';
+import { GateObservations } from 'lentillb/serving/gateObservations.js';
+import { Placer } from 'lentillb/serving/placement.js';
+import { describe, expect, it } from 'vitest';
+import { ManualClock } from '../support/manualClock.js';
+
+const SLOTS = 10;
+const TARGET_MS = 500;
+const NOBODY: ReadonlySet<string> = new Set();
+
+function endpoint(host: string, zone: string): GateEndpoint {
+  return {
+    host,
+    zone,
+    gateAddress: `${host}:1`,
+    peerAddress: `${host}:2`,
+    backendServer: { id: `i-${host}`, startedAtMs: 1, service: 's', slots: SLOTS, state: 'ready' },
+  };
+}
+
+function fixture() {
+  const clock = new ManualClock();
+  const observations = new GateObservations(clock, 100);
+  const silent = new Set<string>();
+  const placer = new Placer(
+    {
+      clock,
+      observations,
+      randomness: new SeededRandomness(3),
+      isSilent: (host) => silent.has(host),
+    },
+    'a',
+  );
+  const near = endpoint('near', 'a');
+  const far = endpoint('far', 'b');
+  const choose = (excluded = NOBODY): string | undefined =>
+    placer.choose({ candidates: [near, far], excluded, targetMs: TARGET_MS })?.endpoint.host;
+  return { choose, clock, far, near, observations, silent };
+}
+
+describe('placement', () => {
+  it('should keep a request in its zone while an answer is on time there', () => {
+    const { choose, far, near, observations } = fixture();
+    observations.of(near).measure(220);
+    observations.of(far).measure(80);
+    observations.of(near).report(SLOTS - 1);
+    expect(choose()).toBe('near');
+  });
+
+  it('should go to another zone where the own one would be late', () => {
+    const { choose, near, observations } = fixture();
+    observations.of(near).measure(150);
+    observations.of(near).report(SLOTS * 3);
+    expect(choose()).toBe('far');
+  });
+
+  it('should stay in its zone where the other zones are as crowded', () => {
+    const { choose, far, near, observations } = fixture();
+    [near, far].forEach((one) => {
+      observations.of(one).measure(150);
+      observations.of(one).report(SLOTS * 4);
+    });
+    expect(choose()).toBe('near');
+  });
+
+  it('should avoid a backend server that fails, and try it again later', async () => {
+    const { choose, clock, near, observations } = fixture();
+    for (let request = 0; request < 10; request += 1) {
+      observations.of(near).judge(true);
+    }
+    expect(choose()).toBe('far');
+    await clock.advance(10_000);
+    expect(choose()).toBe('near');
+  });
+
+  it('should avoid a host that is silent or was not reached', async () => {
+    const { choose, clock, near, observations, silent } = fixture();
+    silent.add('near');
+    expect(choose()).toBe('far');
+    silent.clear();
+    observations.of(near).avoid();
+    expect(choose()).toBe('far');
+    await clock.advance(300);
+    expect(choose()).toBe('near');
+  });
+
+  it('should choose a silent host rather than none', () => {
+    const { choose, silent } = fixture();
+    silent.add('near');
+    silent.add('far');
+    expect(choose()).toBeDefined();
+  });
+
+  it('should choose none where all are excluded', () => {
+    const { choose } = fixture();
+    expect(choose(new Set(['near', 'far']))).toBeUndefined();
+  });
+
+  it('should count requests sent since the load was reported', () => {
+    const { choose, near, observations } = fixture();
+    observations.of(near).measure(150);
+    observations.of(near).report(0);
+    for (let request = 0; request < SLOTS * 3; request += 1) {
+      observations.of(near).begin();
+    }
+    expect(choose()).toBe('far');
+  });
+});
--- /dev/null
+++ b/tests/serving/slotQueue.spec.ts
@@ -0,0 +1,175 @@
+import { SeededRandomness } from 'lentillb';
+import { Admission, Patience, SlotQueue } from 'lentillb/serving/slotQueue.js';
+import { describe, expect, it } from 'vitest';
+import { ManualClock } from '../support/manualClock.js';
+import { recordedRequest } from '../support/slots.js';
+
+const SERVICE_MS = 60;
+
+/** A queue of a backend server whose requests were measured. */
+async function measuredQueue(clock: ManualClock, slots: number): Promise<SlotQueue> {
+  const queue = new SlotQueue(clock, () => false);
+  queue.resize(slots);
+  const sample = recordedRequest({ deadlineAtMs: Infinity, targetAtMs: Infinity });
+  queue.arrive(sample.request);
+  await clock.advance(SERVICE_MS);
+  sample.slot?.release(true);
+  return queue;
+}
+
+describe('slot queue', () => {
+  it('should grant a free slot at once', async () => {
+    const queue = new SlotQueue(new ManualClock(), () => false);
+    queue.resize(1);
+    const first = recordedRequest();
+    expect(queue.arrive(first.request).admission).toBe(Admission.Granted);
+    expect(first.slot).toBeDefined();
+    expect(queue.load).toEqual({ slots: 1, running: 1, queued: 0 });
+  });
+
+  it('should refuse on arrival what cannot be on time', async () => {
+    const clock = new ManualClock();
+    const queue = await measuredQueue(clock, 1);
+    const nowMs = clock.monotonicMs();
+    queue.arrive(recordedRequest().request);
+    const hurried = recordedRequest({ targetAtMs: nowMs + SERVICE_MS * 2 });
+    const decision = queue.arrive(hurried.request);
+    expect(decision.admission).toBe(Admission.Refused);
+    expect(decision.waitMs).toBeGreaterThan(0);
+    expect(queue.load.queued).toBe(0);
+  });
+
+  it('should queue what can be on time', async () => {
+    const clock = new ManualClock();
+    const queue = await measuredQueue(clock, 1);
+    queue.arrive(recordedRequest().request);
+    const patient = recordedRequest({ targetAtMs: clock.monotonicMs() + SERVICE_MS * 3 });
+    expect(queue.arrive(patient.request).admission).toBe(Admission.Queued);
+  });
+
+  it('should let a late request wait only for an answer in half of its time left', async () => {
+    const clock = new ManualClock();
+    const queue = await measuredQueue(clock, 1);
+    queue.arrive(recordedRequest().request);
+    const nowMs = clock.monotonicMs();
+    const patience = Patience.UntilDeadline;
+    const short = recordedRequest({ patience, targetAtMs: nowMs, deadlineAtMs: nowMs + 200 });
+    const long = recordedRequest({ patience, targetAtMs: nowMs, deadlineAtMs: nowMs + 400 });
+    expect(queue.arrive(short.request).admission).toBe(Admission.Refused);
+    expect(queue.arrive(long.request).admission).toBe(Admission.Queued);
+  });
+
+  it('should grant slots by priority, then calls of runs, then by target', async () => {
+    const clock = new ManualClock();
+    const queue = await measuredQueue(clock, 1);
+    const running = recordedRequest();
+    queue.arrive(running.request);
+    const nowMs = clock.monotonicMs();
+    const fields = { targetAtMs: nowMs + 2_000, deadlineAtMs: nowMs + 4_000 };
+    const least = recordedRequest({ ...fields, priority: 2 });
+    const later = recordedRequest({ ...fields, priority: 1, targetLatencyMs: 250 });
+    const sooner = recordedRequest({
+      ...fields,
+      priority: 1,
+      targetLatencyMs: 250,
+      targetAtMs: nowMs + 1_000,
+    });
+    const call = recordedRequest({ ...fields, priority: 1, targetLatencyMs: 60 });
+    const most = recordedRequest({ ...fields, priority: 0 });
+    [least, later, sooner, call, most].forEach(({ request }) => queue.arrive(request));
+    const order = [running, most, call, sooner, later, least];
+    order.slice(1).forEach((expected, index) => {
+      expect(expected.slot).toBeUndefined();
+      order[index]?.slot?.release(true);
+      expect(expected.slot).toBeDefined();
+    });
+  });
+
+  it('should drop a waiting request that can no longer be answered', async () => {
+    const clock = new ManualClock();
+    const queue = await measuredQueue(clock, 1);
+    const running = recordedRequest();
+    queue.arrive(running.request);
+    const nowMs = clock.monotonicMs();
+    const waiting = recordedRequest({ targetAtMs: nowMs + 200, deadlineAtMs: nowMs + 200 });
+    queue.arrive(waiting.request);
+    await clock.advance(190);
+    running.slot?.release(true);
+    expect(waiting.dropped).toBe(true);
+    expect(waiting.slot).toBeUndefined();
+  });
+
+  it('should take a cancelled request out of the queue', async () => {
+    const clock = new ManualClock();
+    const queue = await measuredQueue(clock, 1);
+    const running = recordedRequest();
+    queue.arrive(running.request);
+    const nowMs = clock.monotonicMs();
+    const waiting = recordedRequest({ targetAtMs: nowMs + 400, deadlineAtMs: nowMs + 500 });
+    const { cancel } = queue.arrive(waiting.request);
+    cancel();
+    running.slot?.release(true);
+    expect(waiting.slot).toBeUndefined();
+    expect(waiting.dropped).toBe(false);
+  });
+
+  it('should give up all that wait when the backend server leaves', async () => {
+    const clock = new ManualClock();
+    const queue = await measuredQueue(clock, 1);
+    queue.arrive(recordedRequest().request);
+    const nowMs = clock.monotonicMs();
+    const waiting = recordedRequest({ targetAtMs: nowMs + 400, deadlineAtMs: nowMs + 500 });
+    queue.arrive(waiting.request);
+    queue.dropAll();
+    expect(waiting.dropped).toBe(true);
+  });
+
+  it('should serve the slots on time at twice the load they can carry', async () => {
+    const clock = new ManualClock();
+    const slots = 10;
+    const queue = await measuredQueue(clock, slots);
+    const randomness = new SeededRandomness(7);
+    const arrivalsPerMs = (2 * slots) / SERVICE_MS;
+    const startMs = clock.monotonicMs();
+    const runMs = 3_000;
+    let onTime = 0;
+    let late = 0;
+    let dropped = 0;
+    let mostRunning = 0;
+    const arrive = (): void => {
+      const nowMs = clock.monotonicMs();
+      const targetAtMs = nowMs + 200;
+      queue.arrive(
+        recordedRequest({
+          targetAtMs,
+          deadlineAtMs: nowMs + 500,
+          onDropped: () => {
+            dropped += 1;
+          },
+          onGranted: (slot) => {
+            mostRunning = Math.max(mostRunning, queue.load.running);
+            clock.after(SERVICE_MS * (0.5 + randomness.fraction()), () => {
+              slot.release(true);
+              if (clock.monotonicMs() <= targetAtMs) {
+                onTime += 1;
+              } else {
+                late += 1;
+              }
+            });
+          },
+        }).request,
+      );
+    };
+    let dueMs = startMs;
+    while (dueMs < startMs + runMs) {
+      clock.after(dueMs - startMs, arrive);
+      dueMs += -Math.log(1 - randomness.fraction()) / arrivalsPerMs;
+    }
+    await clock.advance(runMs + 500);
+    const carried = (runMs / SERVICE_MS) * slots;
+    expect(mostRunning).toBeLessThanOrEqual(slots);
+    expect(onTime).toBeGreaterThan(carried * 0.9);
+    expect(late).toBeLessThan(carried * 0.05);
+    expect(dropped).toBeLessThan(carried * 0.02);
+  });
+});
