--- a/packages/lentillb/src/peers/gossip.ts
+++ b/packages/lentillb/src/peers/gossip.ts
@@ -76,7 +76,9 @@
     const { clock, randomness } = this.services;
     while (!this.stopped) {
       await clock.sleep(ROUND_MS * (1 + (randomness.fraction() - 1 / 2) / 2));
-      this.greetSome();
+      if (!this.stopped) {
+        this.greetSome();
+      }
     }
   }
 
--- a/packages/lentillb/src/peers/peerSocket.ts
+++ b/packages/lentillb/src/peers/peerSocket.ts
@@ -20,6 +20,8 @@
 export class PeerSocket implements GreetingCarrier {
   private readonly socket: Socket = createSocket('udp4');
 
+  private closed = false;
+
   /**
    * @param onGreeting - called with each greeting
    * @param onError - called where a datagram could not be sent
@@ -43,6 +45,9 @@
   }
 
   send(address: string, greeting: Greeting): void {
+    if (this.closed) {
+      return;
+    }
     const separator = address.lastIndexOf(':');
     const port = Number(address.slice(separator + 1));
     this.socket.send(encodeGreeting(greeting), port, address.slice(0, separator));
@@ -50,6 +55,7 @@
 
   /** Ends the socket. */
   close(): void {
+    this.closed = true;
     this.socket.close();
   }
 }
--- a/packages/lentillb/src/serving/exchange.ts
+++ b/packages/lentillb/src/serving/exchange.ts
@@ -133,9 +133,12 @@
     let wasReset = false;
     // Data that comes together with a reset is reported as an ordinary end; only the missing
     // address of the other side still tells.
-    response.socket.prependOnceListener('end', () => {
-      wasReset = response.socket.remoteAddress === undefined;
-    });
+    const { socket } = this.outgoing;
+    if (isUnframed(response.headers)) {
+      socket?.prependOnceListener('end', () => {
+        wasReset = socket.remoteAddress === undefined;
+      });
+    }
     const chunks: Buffer[] = [];
     let bytes = 0;
     response.on('data', (chunk: Buffer) => {
@@ -148,7 +151,7 @@
     response.on('error', (error: NodeJS.ErrnoException) => this.fail(this.causeOf(error)));
     response.on('close', () => this.fail(ExchangeFailure.Lost));
     response.on('end', () => {
-      if (!response.complete || (wasReset && isUnframed(response.headers))) {
+      if (!response.complete || wasReset) {
         this.fail(ExchangeFailure.Lost);
         return;
       }
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -96,6 +96,8 @@
 
   private readonly slots: SlotQueue;
 
+  private readonly client: BackendServerClient;
+
   private readonly gate: Gate;
 
   private readonly dialer: GateDialer;
@@ -135,7 +137,8 @@
     const { backendServer } = this;
     this.slots = new SlotQueue(clock, () => backendServer.cold);
     const { slots } = this;
-    const client = new BackendServerClient(clock, names);
+    this.client = new BackendServerClient(clock, names);
+    const { client } = this;
     this.gate = new Gate({ clock, slots, backendServer, client, log, figures });
     this.peerSocket = new PeerSocket(
       (from, greeting) => {
@@ -201,6 +204,20 @@
     return !this.stopping && this.configuration.current !== undefined && this.hostsKnown;
   }
 
+  /** Where this node is. */
+  get identity(): HostIdentity {
+    return this.options.identity;
+  }
+
+  /**
+   * Greets another node, which then knows that this one is there.
+   *
+   * @param peerAddress - where it answers others
+   */
+  greet(peerAddress: string): void {
+    this.gossip.greet(peerAddress);
+  }
+
   /** Opens the listeners and starts to follow the store. */
   async start(): Promise<void> {
     const { clock } = this.services;
@@ -282,6 +299,19 @@
     this.log.record(Weight.Notable, 'stopped', { inFlight: this.callers.inFlight });
   }
 
+  /** Ends all listeners, connections and loops at once. */
+  close(): void {
+    this.stopping = true;
+    this.gossip.stop();
+    this.followers.forEach((follower) => follower.stop());
+    this.callers.close();
+    this.gateListener.close();
+    this.peerListener.close();
+    this.peerSocket.close();
+    this.dialer.close();
+    this.client.close();
+  }
+
   private onBackendServerChange(): void {
     const { heartbeat, ready } = this.backendServer;
     if (ready && heartbeat !== undefined) {
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -4,3 +4,4 @@
 export type { LogCounters, LogFaults, MemoryLogOptions } from './memoryLog.js';
 export { SampleBackendServer } from './sampleBackendServer.js';
 export type { SampleBackendServerOptions } from './sampleBackendServer.js';
+export { KeyedLogServer, StoreFault } from './keyedLogServer.js';
--- /dev/null
+++ b/tests/platform/decoding.spec.ts
@@ -0,0 +1,161 @@
+import { decodeConfiguration } from '@lentillb/platform';
+import { decodeHeartbeat, decodeSettings } from '@lentillb/platform';
+import { describe, expect, it } from 'vitest';
+
+const ROUTE = {
+  hostname: 'letters.example',
+  'path-prefix': '/a/',
+  'route-type': 'non_idempotent',
+  timeout: '600ms',
+  'target-latency': '250ms',
+  priority: 1,
+  service: 'postbag',
+  'max-attempts': 2,
+};
+
+const CONFIGURATION = {
+  version: '0000000c',
+  routes: { lodge: ROUTE },
+  services: {},
+  limits: {
+    'max-header-bytes': 16_384,
+    'max-body-bytes': 1_000,
+    'header-timeout': '3000ms',
+    'idle-timeout': '15s',
+  },
+};
+
+const HEARTBEAT = {
+  service: 'postbag',
+  address: '10.0.0.1:80',
+  zone: 'a',
+  version: 'v1',
+  capacity: 10,
+  state: 'ready',
+  'warmup-left': '1.5s',
+  sequence: 4,
+  born: 1_700_000_000_000,
+};
+
+const SETTINGS = {
+  self: { ip: '10.0.0.1', zone: 'a', service: 'postbag', 'app-addr': '10.0.0.1:80', 'new-field': 1 },
+  network: {
+    'listen-addrs': {
+      inbound: '10.0.0.1:1',
+      outbound: '10.0.0.1:2',
+      ready: '10.0.0.1:3',
+      'control-plane': '10.0.0.1:4',
+    },
+    'port-range': [7_600, 7_615],
+  },
+  platform: { platform: { address: '10.200.0.1:5' } },
+  terms: {
+    bounds: {
+      grace: '6s',
+      'retry-budget-ratio': 0.2,
+      'budget-window': '10s',
+      'retry-budget-extra': 62,
+    },
+  },
+};
+
+function encode(value: unknown): Buffer {
+  return Buffer.from(JSON.stringify(value));
+}
+
+describe('configuration of the operator', () => {
+  it('should be decoded into typed routes', () => {
+    expect(decodeConfiguration(encode(CONFIGURATION)).unwrap()).toEqual({
+      version: 12,
+      routes: [
+        {
+          name: 'lodge',
+          hostname: 'letters.example',
+          pathPrefix: '/a/',
+          destinations: [{ service: 'postbag', weight: 1 }],
+          repetition: 'once',
+          maxBackendServers: 2,
+          timeoutMs: 600,
+          targetLatencyMs: 250,
+          priority: 1,
+        },
+      ],
+      limits: {
+        maxHeaderBytes: 16_384,
+        maxBodyBytes: 1_000,
+        headerTimeoutMs: 3_000,
+        idleTimeoutMs: 15_000,
+      },
+    });
+  });
+
+  it('should keep the weights of a divided route', () => {
+    const divided = {
+      ...ROUTE,
+      service: undefined,
+      'weighted-services': [
+        { service: 'old', weight: 90 },
+        { service: 'new', weight: 10 },
+      ],
+    };
+    const decoded = decodeConfiguration(encode({ ...CONFIGURATION, routes: { divided } }));
+    expect(decoded.unwrap().routes[0]?.destinations).toEqual(divided['weighted-services']);
+  });
+
+  it.each([
+    ['no JSON', Buffer.from('{"version":')],
+    ['a version of another form', encode({ ...CONFIGURATION, version: 12 })],
+    ['a time without a unit', encode({ ...CONFIGURATION, routes: { lodge: { ...ROUTE, timeout: '600' } } })],
+    ['one bad route among good ones', encode({ ...CONFIGURATION, routes: { lodge: ROUTE, bad: {} } })],
+  ])('should be refused whole for %s', (_, bytes) => {
+    expect(decodeConfiguration(bytes).isErr()).toBe(true);
+  });
+});
+
+describe('heartbeat', () => {
+  it('should be decoded with its identity and start', () => {
+    expect(decodeHeartbeat('i-1', HEARTBEAT).unwrap()).toEqual({
+      id: 'i-1',
+      service: 'postbag',
+      address: '10.0.0.1:80',
+      slots: 10,
+      draining: false,
+      warmupLeftMs: 1_500,
+      sequence: 4,
+      startedAtMs: 1_700_000_000_000,
+    });
+  });
+
+  it.each([
+    ['a missing field', { ...HEARTBEAT, service: undefined }],
+    ['a field of another type', { ...HEARTBEAT, capacity: '10' }],
+    ['an unknown state', { ...HEARTBEAT, state: 'sleeping' }],
+    ['no slots', { ...HEARTBEAT, capacity: 0 }],
+    ['a start that is no whole number', { ...HEARTBEAT, born: 1.5 }],
+    ['nothing', null],
+  ])('should be refused for %s', (_, value) => {
+    expect(decodeHeartbeat('i-1', value).isErr()).toBe(true);
+  });
+});
+
+describe('settings of the platform', () => {
+  it('should be decoded, ignoring fields that are not known', () => {
+    const settings = decodeSettings(SETTINGS).unwrap();
+    expect(settings).toMatchObject({
+      host: '10.0.0.1',
+      callerAddress: '10.0.0.1:2',
+      gateAddress: '10.0.0.1:1',
+      peerAddress: '10.0.0.1:7600',
+      storeAddress: '10.200.0.1:5',
+      stopMs: 6_000,
+      retryTerms: { ratio: 0.2, extra: 62, windowMs: 10_000 },
+    });
+  });
+
+  it('should name the field that is wrong', () => {
+    const { grace, ...bounds } = SETTINGS.terms.bounds;
+    expect(grace).toBe('6s');
+    const fault = decodeSettings({ ...SETTINGS, terms: { bounds } }).unwrapErr();
+    expect(fault).toContain('terms.bounds.grace');
+  });
+});
--- /dev/null
+++ b/tests/platform/logStore.spec.ts
@@ -0,0 +1,61 @@
+import { LogStore } from '@lentillb/platform';
+import { KeyedLogServer, StoreFault } from '@lentillb/standins';
+import { Deadline, SystemClock } from 'lentillb';
+import { StoreFailureKind, Topic } from 'lentillb/store/keyedStore.js';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+
+const clock = new SystemClock();
+let server: KeyedLogServer;
+let store: LogStore;
+
+function soon(durationMs = 1_000): Deadline {
+  return Deadline.after(clock, durationMs);
+}
+
+beforeEach(async () => {
+  server = new KeyedLogServer();
+  await server.listen();
+  store = new LogStore(clock, server.address);
+});
+
+afterEach(() => server.close());
+
+describe('store of the platform', () => {
+  it('should write a record and read it as the newest of its key', async () => {
+    await store.write(Topic.Hosts, 'a', Buffer.from('one'), soon());
+    const written = await store.write(Topic.Hosts, 'a', Buffer.from('two'), soon());
+    expect(written.unwrap()).toBe(1);
+    const { next, records } = (await store.readNewest(Topic.Hosts, soon())).unwrap();
+    expect(next).toBe(2);
+    expect(records.map(({ key, value }) => `${key} ${Buffer.from(value ?? []).toString()}`)).toEqual([
+      'a two',
+    ]);
+  });
+
+  it('should follow records as they are written', async () => {
+    const following = store.follow(Topic.Operator, 0, 900, soon());
+    await clock.sleep(20);
+    server.write('keyed.op', 'config', '{}');
+    const { next, records } = (await following).unwrap();
+    expect(next).toBe(1);
+    expect(records[0]).toMatchObject({ key: 'config', offset: 0 });
+  });
+
+  it('should say that records are no longer kept', async () => {
+    server.write('keyed.op', 'config', '1');
+    server.compact('keyed.op');
+    const read = await store.follow(Topic.Operator, 0, 0, soon());
+    expect(read.unwrapErr().kind).toBe(StoreFailureKind.NotRetained);
+  });
+
+  it.each([
+    [StoreFault.Refuse, StoreFailureKind.NotDone],
+    [StoreFault.Reset, StoreFailureKind.Unknown],
+    [StoreFault.LoseAnswer, StoreFailureKind.Unknown],
+    [StoreFault.Silence, StoreFailureKind.Unknown],
+  ])('should tell after %s that a write is %s', async (fault, kind) => {
+    server.fault = () => fault;
+    const written = await store.write(Topic.Hosts, 'a', Buffer.from('one'), soon(200));
+    expect(written.unwrapErr().kind).toBe(kind);
+  });
+});
--- /dev/null
+++ b/tests/sidecar/sidecar.spec.ts
@@ -0,0 +1,194 @@
+import { StoreFault } from '@lentillb/standins';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { answerWell } from '../support/scriptedBackendServer.js';
+import { SidecarFleet } from '../support/sidecarFleet.js';
+
+let fleet: SidecarFleet;
+
+beforeEach(async () => {
+  fleet = new SidecarFleet();
+  await fleet.start();
+  fleet.publish();
+});
+
+afterEach(() => fleet.close());
+
+describe('sidecar', () => {
+  it('should carry a request to a backend server on another host, unchanged', async () => {
+    const front = await fleet.addHost('front', 'pages');
+    const back = await fleet.addHost('back', 'letters');
+    await fleet.untilServed(front, 'letters');
+    const { body, headers, status } = await fleet.send(front, 'letters', 'dear editor').told;
+    expect({ status, body }).toEqual({ status: 200, body: 'ran dear editor' });
+    expect(headers['x-server-seal']).toBe('seal');
+    const run = back.backendServer.runs.at(-1);
+    expect(run?.headers['x-caller-service']).toBe('pages');
+    expect(run?.headers['x-attempt-id']).toBe(headers['x-attempt-id']);
+    expect(Number(run?.headers['x-deadline-ms'])).toBeLessThanOrEqual(1_500);
+    expect(Object.keys(run?.headers ?? {}).filter((name) => name.startsWith('lentillb'))).toEqual([]);
+  });
+
+  it('should answer 404 without a route and 503 for a service nobody serves', async () => {
+    const front = await fleet.addHost('front', 'pages');
+    await fleet.untilServed(front, 'pages');
+    expect((await fleet.send(front, 'unknown').told).status).toBe(404);
+    const refused = await fleet.send(front, 'letters').told;
+    expect(refused.status).toBe(503);
+    expect(Number(refused.headers['retry-after'])).toBeGreaterThan(0);
+  });
+
+  it('should not run a request twice that may not be repeated', async () => {
+    const front = await fleet.addHost('front', 'pages');
+    const servers = [await fleet.addHost('b1', 'letters'), await fleet.addHost('b2', 'letters')];
+    await fleet.untilServed(front, 'letters');
+    const before = servers.map(({ backendServer }) => backendServer.runs.length);
+    servers.forEach(({ backendServer }) => {
+      backendServer.behaviour = (response) => response.socket?.resetAndDestroy();
+    });
+    expect((await fleet.send(front, 'letters').told).status).toBe(502);
+    const runs = servers.map(({ backendServer }, index) => backendServer.runs.length - (before[index] ?? 0));
+    expect(runs[0]! + runs[1]!).toBe(1);
+  });
+
+  it('should run a repeatable request again elsewhere after its answer was lost', async () => {
+    const front = await fleet.addHost('front', 'letters');
+    const servers = [await fleet.addHost('b1', 'pages'), await fleet.addHost('b2', 'pages')];
+    await fleet.untilServed(front, 'pages');
+    await fleet.until(() => servers.every(({ sidecar }) => sidecar.ready));
+    for (let request = 0; request < 20; request += 1) {
+      await fleet.send(front, 'pages').told;
+    }
+    servers[0]!.backendServer.behaviour = (response) => response.socket?.resetAndDestroy();
+    for (let request = 0; request < 5; request += 1) {
+      expect((await fleet.send(front, 'pages').told).status).toBe(200);
+    }
+  });
+
+  it('should send a request elsewhere that a backend server says it did not run', async () => {
+    const front = await fleet.addHost('front', 'pages');
+    const servers = [await fleet.addHost('b1', 'letters'), await fleet.addHost('b2', 'letters')];
+    await fleet.untilServed(front, 'letters');
+    await fleet.until(() => servers.every(({ sidecar }) => sidecar.ready));
+    for (let request = 0; request < 20; request += 1) {
+      await fleet.send(front, 'letters').told;
+    }
+    servers[0]!.backendServer.behaviour = (response) => {
+      response.writeHead(503, { 'x-not-executed': '1' });
+      response.end();
+    };
+    for (let request = 0; request < 5; request += 1) {
+      expect((await fleet.send(front, 'letters').told).status).toBe(200);
+    }
+  });
+
+  it.each([
+    ['the answer to another request', { 'x-attempt-id': 'another', 'x-server-seal': 'seal' }],
+    ['an answer without a seal', { 'x-attempt-id': 'SAME' }],
+    ['an encoded answer', { 'x-attempt-id': 'SAME', 'x-server-seal': 's', 'content-encoding': 'gzip' }],
+  ])('should not deliver %s', async (_, headers) => {
+    const front = await fleet.addHost('front', 'letters');
+    await fleet.untilServed(front, 'letters');
+    front.backendServer.behaviour = (response, { requestId }) => {
+      const own = headers['x-attempt-id'] === 'SAME' ? { 'x-attempt-id': requestId } : {};
+      response.writeHead(200, { ...headers, ...own });
+      response.end('spoilt');
+    };
+    const told = await fleet.send(front, 'letters').told;
+    expect(told.status).toBe(502);
+    expect(told.body).toBe('');
+  });
+
+  it('should send nothing to a backend server once its departure is confirmed', async () => {
+    const front = await fleet.addHost('front', 'pages');
+    const leaving = await fleet.addHost('b1', 'letters');
+    const staying = await fleet.addHost('b2', 'letters');
+    await fleet.untilServed(front, 'letters');
+    await fleet.until(() => staying.sidecar.ready);
+    await leaving.sidecar.acceptHeartbeat({ ...leaving.heartbeat, sequence: 2, draining: true });
+    const before = leaving.backendServer.runs.length;
+    // A heartbeat that was delayed on its way must not open the gate again.
+    await leaving.sidecar.acceptHeartbeat({ ...leaving.heartbeat, sequence: 1 });
+    await fleet.until(() => staying.backendServer.runs.length >= 0);
+    for (let request = 0; request < 10; request += 1) {
+      expect((await fleet.send(front, 'letters').told).status).toBe(200);
+    }
+    expect(leaving.backendServer.runs.length).toBe(before);
+  });
+
+  it('should confirm a departure within a second while the store is silent', async () => {
+    const host = await fleet.addHost('front', 'letters');
+    await fleet.untilServed(host, 'letters');
+    fleet.store.fault = () => StoreFault.Silence;
+    const startedMs = fleet.clock.monotonicMs();
+    await host.sidecar.acceptDeparture(host.heartbeat.id);
+    expect(fleet.clock.monotonicMs() - startedMs).toBeLessThan(1_000);
+    expect((await fleet.send(host, 'letters').told).status).toBe(503);
+  });
+
+  it('should end the run of a caller that leaves', async () => {
+    const front = await fleet.addHost('front', 'pages');
+    const back = await fleet.addHost('back', 'letters');
+    await fleet.untilServed(front, 'letters');
+    back.backendServer.behaviour = () => undefined;
+    const before = back.backendServer.runs.length;
+    const request = fleet.send(front, 'letters');
+    request.told.catch(() => undefined);
+    await fleet.until(() => back.backendServer.runs.length > before);
+    request.leave();
+    await fleet.until(() => back.backendServer.runs.at(-1)?.abandoned === true, 500);
+  });
+
+  it('should learn the configuration from another node while the store is away', async () => {
+    const first = await fleet.addHost('first', 'pages');
+    const second = await fleet.addHost('second', 'letters');
+    await fleet.untilServed(first, 'letters');
+    // The store knows both hosts; a further node starts while it refuses every call.
+    fleet.store.fault = () => StoreFault.Refuse;
+    const { peerAddress } = first.sidecar.identity;
+    const late = await fleet.addHost('late', 'pages', false);
+    expect(late.sidecar.ready).toBe(false);
+    late.sidecar.greet(peerAddress);
+    await fleet.until(() => late.sidecar.ready, 3_000);
+    expect((await fleet.send(late, 'letters').told).status).toBe(200);
+    expect(second.backendServer.runs.length).toBeGreaterThan(0);
+  });
+
+  it('should take a newer configuration while it runs, and keep it', async () => {
+    const host = await fleet.addHost('front', 'pages');
+    await fleet.untilServed(host, 'pages');
+    fleet.publish({
+      added: {
+        hostname: 'added.example',
+        'path-prefix': '/',
+        'route-type': 'idempotent',
+        timeout: '1s',
+        'target-latency': '400ms',
+        priority: 1,
+        service: 'pages',
+        'max-attempts': 1,
+      },
+    });
+    await fleet.untilServed(host, 'added');
+    fleet.store.write('keyed.op', 'config', JSON.stringify({ version: '00000001' }));
+    await fleet.clock.sleep(700);
+    expect((await fleet.send(host, 'added').told).status).toBe(200);
+  });
+
+  it('should cut no request at a planned stop, and take new ones meanwhile', async () => {
+    const host = await fleet.addHost('front', 'letters');
+    await fleet.untilServed(host, 'letters');
+    host.backendServer.behaviour = (response, run) => {
+      setTimeout(() => answerWell(response, run), 800);
+    };
+    const running = fleet.send(host, 'letters').told;
+    await fleet.clock.sleep(50);
+    const stopped = host.sidecar.stop();
+    expect(host.sidecar.ready).toBe(false);
+    const arriving = await fleet.send(host, 'letters').told;
+    expect(arriving.status).toBe(200);
+    expect(arriving.headers.connection).toBe('close');
+    expect((await running).status).toBe(200);
+    await stopped;
+    await expect(fleet.send(host, 'letters').told).rejects.toThrow('ECONNREFUSED');
+  });
+});
--- /dev/null
+++ b/tests/support/scriptedBackendServer.ts
@@ -0,0 +1,75 @@
+/** A backend server that speaks the platform's protocol and misbehaves on request. */
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+/** One run of a request. */
+export interface Run {
+  readonly requestId: string;
+  readonly headers: IncomingMessage['headers'];
+  readonly body: string;
+  /** Whether its connection was closed before it was answered. */
+  abandoned: boolean;
+}
+
+/** Answers a run. */
+export type Behaviour = (response: ServerResponse, run: Run) => void;
+
+/** Answers with success, with the body of the request. */
+export const answerWell: Behaviour = (response, { body, requestId }) => {
+  response.writeHead(200, { 'x-attempt-id': requestId, 'x-server-seal': 'seal' });
+  response.end(`ran ${body}`);
+};
+
+/** A backend server on loopback. */
+export class ScriptedBackendServer {
+  readonly runs: Run[] = [];
+
+  behaviour: Behaviour = answerWell;
+
+  private readonly server: Server;
+
+  /** @param id - the identity of this run of it */
+  constructor(readonly id: string) {
+    this.server = createServer((request, response) => {
+      void this.run(request, response);
+    });
+  }
+
+  get address(): string {
+    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  async listen(): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this.server.listen(0, '127.0.0.1', resolve);
+    });
+  }
+
+  async close(): Promise<void> {
+    this.server.closeAllConnections();
+    await new Promise<void>((resolve) => {
+      this.server.close(() => resolve());
+    });
+  }
+
+  private async run(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of request) {
+      chunks.push(chunk as Buffer);
+    }
+    if (request.headers['x-expected-instance'] !== this.id) {
+      response.writeHead(421, { 'x-instance-id': this.id });
+      response.end();
+      return;
+    }
+    const requestId = String(request.headers['x-attempt-id']);
+    const body = Buffer.concat(chunks).toString('utf8');
+    const run: Run = { requestId, headers: request.headers, body, abandoned: false };
+    this.runs.push(run);
+    response.once('close', () => {
+      run.abandoned = !response.writableFinished;
+    });
+    this.behaviour(response, run);
+  }
+}
