--- a/packages/lentillb/src/serving/backendServerClient.ts
+++ b/packages/lentillb/src/serving/backendServerClient.ts
@@ -117,6 +117,8 @@
       return Err(failure(Outcome.Unknown, FailureCause.BrokenAnswer));
     }
     const unframed = isUnframed(headers);
-    return Ok({ status, headers: passedOnHeaders(headers), body, unframed });
+    const passed = passedOnHeaders(headers);
+    delete passed[requestId];
+    return Ok({ status, headers: passed, body, unframed });
   }
 }
--- a/packages/lentillb/src/serving/callerListener.ts
+++ b/packages/lentillb/src/serving/callerListener.ts
@@ -39,6 +39,8 @@
   readonly idleMs?: number;
   /** Whether answers state the time of day; between nodes it would only cost bytes. */
   readonly sendDate?: boolean;
+  /** Whether answers repeat the identity of their request; a node knows what it asked. */
+  readonly echoesRequestId?: boolean;
 }
 
 function refusal(status: number): EntryAnswer {
@@ -190,7 +192,7 @@
       return;
     }
     const { body, headers, status } = answer;
-    const { requestIdName } = this.options;
+    const { echoesRequestId = true, requestIdName } = this.options;
     const requestId = request.headers[requestIdName];
     if (answer.unframed) {
       response.useChunkedEncodingByDefault = false;
@@ -199,7 +201,7 @@
     response.sendDate = this.options.sendDate ?? true;
     response.writeHead(status, {
       ...headers,
-      ...(typeof requestId === 'string' ? { [requestIdName]: requestId } : {}),
+      ...(typeof requestId === 'string' && echoesRequestId ? { [requestIdName]: requestId } : {}),
       ...(BODILESS.has(status) || answer.unframed ? {} : { 'content-length': `${body.length}` }),
       ...(closes ? { connection: 'close' } : {}),
     });
--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -176,12 +176,15 @@
     const longestMs = Math.max(givenMs, this.longestDeadlineMs.get(route.name) ?? 0);
     this.longestDeadlineMs.set(route.name, longestMs);
     const requestId = headers[names.requestId];
+    const passed = passedOnHeaders(headers);
+    // The gate states what is left by then.
+    delete passed[names.deadlineMs];
     return {
       requestId: typeof requestId === 'string' ? requestId : '',
       method,
       target,
       headers: {
-        ...passedOnHeaders(headers),
+        ...passed,
         [names.callerService]: callerService,
         ...(typeof requestId === 'string' ? { [names.requestId]: requestId } : {}),
       },
--- a/packages/lentillb/src/serving/gateProtocol.ts
+++ b/packages/lentillb/src/serving/gateProtocol.ts
@@ -11,8 +11,9 @@
 import { FailureCause } from './messages.js';
 import { Patience } from './slotQueue.js';
 
-const REQUEST_HEADER = 'lentillb-request';
-const REPORT_HEADER = 'lentillb-report';
+// Short names: between zones every byte is paid for.
+const REQUEST_HEADER = 'lentillb-q';
+const REPORT_HEADER = 'lentillb-r';
 const FAILURE_HEADER = 'lentillb-failure';
 const UNFRAMED_HEADER = 'lentillb-unframed';
 
--- a/packages/lentillb/src/serving/localBackendServer.ts
+++ b/packages/lentillb/src/serving/localBackendServer.ts
@@ -30,6 +30,12 @@
 } as const;
 export type HeartbeatVerdict = (typeof HeartbeatVerdict)[keyof typeof HeartbeatVerdict];
 
+/** How long an announced run is taken to be there without a heartbeat, in milliseconds: longer than two. */
+const RECALL_MS = 3_200;
+
+/** Lower than every sequence of a real heartbeat. */
+const PRESUMED_SEQUENCE = -1;
+
 interface Run {
   readonly heartbeat: Heartbeat;
   readonly state: BackendServerState;
@@ -134,11 +140,17 @@
   }
 
   /**
-   * Notes a run that an earlier run of this node has announced as leaving.
+   * Takes over what an earlier run of this node announced. One that was ready is served at once,
+   * since heartbeats are seconds apart; it is closed again unless a heartbeat confirms it.
    *
    * @param announced - the backend server as it was announced
+   * @param address - where the backend server of this host listens
    */
-  recall(announced: AnnouncedBackendServer): void {
+  recall(announced: AnnouncedBackendServer, address: string): void {
+    if (announced.state === BackendServerState.Ready && this.run === undefined) {
+      this.presume(announced, address);
+      return;
+    }
     if (announced.state !== BackendServerState.Ready) {
       this.departed.set(announced.id, announced.startedAtMs);
       if (this.run !== undefined && this.run.heartbeat.id === announced.id) {
@@ -154,6 +166,31 @@
     }
   }
 
+  private presume(announced: AnnouncedBackendServer, address: string): void {
+    const { id, service, slots, startedAtMs } = announced;
+    const departedStart = this.departed.get(id);
+    if (departedStart !== undefined && startedAtMs <= departedStart) {
+      return;
+    }
+    const presumed: Heartbeat = {
+      id,
+      service,
+      address,
+      slots,
+      draining: false,
+      warmupLeftMs: 0,
+      sequence: PRESUMED_SEQUENCE,
+      startedAtMs,
+    };
+    this.run = { heartbeat: presumed, state: BackendServerState.Ready, warmAtMs: -Infinity };
+    this.onChange();
+    this.clock.after(RECALL_MS, () => {
+      if (this.run?.heartbeat === presumed) {
+        this.close(this.run);
+      }
+    });
+  }
+
   private close(held: Run): HeartbeatVerdict {
     if (held.state === BackendServerState.Leaving) {
       return HeartbeatVerdict.Unchanged;
--- a/packages/lentillb/src/serving/placement.ts
+++ b/packages/lentillb/src/serving/placement.ts
@@ -33,7 +33,7 @@
 /** The median of such a time, as a share of its mean. */
 const MEDIAN_SHARE = Math.exp((-SPREAD * SPREAD) / 2);
 /** What sending a request to another zone counts for: a late answer in so many of one request. */
-const OTHER_ZONE_RISK = 0.15;
+const OTHER_ZONE_RISK = 0.25;
 /** What a busy backend server counts for beside an idle one, where both would be on time. */
 const BUSY_RISK = 0.05;
 /** Placements whose risks differ by less are drawn between. */
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -61,6 +61,8 @@
   readonly identity: HostIdentity;
   /** Where callers of this host send their requests. */
   readonly callerAddress: string;
+  /** Where the backend server on this host listens. */
+  readonly backendServerAddress: string;
   /** The service of the backend server on this host. */
   readonly service: string;
   readonly names: HeaderNames;
@@ -187,6 +189,7 @@
       requestIdName,
       idleMs: GATE_IDLE_MS,
       sendDate: false,
+      echoesRequestId: false,
     });
     configuration.subscribe(({ limits }) => this.callers.limit(limits));
     this.announcer = new Announcer(
@@ -396,7 +399,10 @@
     const accepted = this.directory.merge(announcement);
     if (accepted && announcement.host === this.options.identity.host) {
       if (announcement.backendServer !== undefined) {
-        this.backendServer.recall(announcement.backendServer);
+        this.backendServer.recall(
+          announcement.backendServer,
+          this.options.backendServerAddress,
+        );
       }
       this.announcer.update();
     }
--- a/tests/serving/localBackendServer.spec.ts
+++ b/tests/serving/localBackendServer.spec.ts
@@ -70,11 +70,32 @@
   it('should remember a departure that an earlier run of the node announced', () => {
     const { server } = fixture();
     const { id, service, slots, startedAtMs } = FIRST;
-    server.recall({ id, service, slots, startedAtMs, state: BackendServerState.Leaving });
+    server.recall({ id, service, slots, startedAtMs, state: BackendServerState.Leaving }, '');
     expect(server.accept(FIRST)).toBe(HeartbeatVerdict.Outdated);
     expect(server.ready).toBe(false);
   });
 
+  it('should serve what an earlier run of the node announced until a heartbeat is missing', async () => {
+    const { clock, server } = fixture();
+    const { address, id, service, slots, startedAtMs } = FIRST;
+    server.recall({ id, service, slots, startedAtMs, state: BackendServerState.Ready }, address);
+    expect(server.ready).toBe(true);
+    expect(server.heartbeat?.address).toBe(address);
+    await clock.advance(4_000);
+    expect(server.ready).toBe(false);
+    expect(server.accept(FIRST)).toBe(HeartbeatVerdict.Changed);
+    expect(server.ready).toBe(true);
+  });
+
+  it('should keep serving what an earlier run announced once a heartbeat confirms it', async () => {
+    const { clock, server } = fixture();
+    const { address, id, service, slots, startedAtMs } = FIRST;
+    server.recall({ id, service, slots, startedAtMs, state: BackendServerState.Ready }, address);
+    expect(server.accept(FIRST)).toBe(HeartbeatVerdict.Unchanged);
+    await clock.advance(4_000);
+    expect(server.ready).toBe(true);
+  });
+
   it('should close when another backend server answers, until a heartbeat comes', () => {
     const { server } = fixture();
     server.accept(FIRST);
--- a/tests/support/sidecarFleet.ts
+++ b/tests/support/sidecarFleet.ts
@@ -117,6 +117,7 @@
       {
         identity: { host: name, zone: 'a', gateAddress, peerAddress },
         callerAddress,
+        backendServerAddress: backendServer.address,
         service,
         names: wireHeaders,
         retryTerms: { ratio: 0.2, extra: 60, windowMs: 10_000 },
