Share slots between the kinds of one priority

Change: kinds of one priority, told apart by target latency, get equal slot time while both wait; at most two gates are asked for a slot in time.

--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -77,7 +77,7 @@
 const MS_PER_SECOND = 1_000;
 const RETRY_AFTER_DECIMALS = 3;
 /** How many gates are asked for a slot in time, before one is asked to let the request wait. */
-const MAX_GATES_ASKED = 3;
+const MAX_GATES_ASKED = 2;
 /** How long a caller stays away from a node that knows no configuration, in milliseconds. */
 const UNCONFIGURED_RETURN_MS = 500;
 /** How long a caller stays away from a service without backend servers, in milliseconds. */
--- a/packages/lentillb/src/serving/slotQueue.ts
+++ b/packages/lentillb/src/serving/slotQueue.ts
@@ -3,11 +3,12 @@
  * refused. Answers a load that exceeds the slots for seconds at a time, of requests whose value
  * falls sharply once their target latency has passed: a request is refused on arrival if it can't be
  * answered in time, so that its caller can go elsewhere while there is time, and the slots
- * serve requests that still count. Calls that a run waits for have short target latencies and so
- * go
- * before new requests of their priority: refusing one wastes the slot that its run holds.
+ * serve requests that still count. Kinds of one priority, told apart by their target latency, share
+ * the slots evenly while both wait: refusing a call wastes the slot that its run holds elsewhere, yet
+ * calls of less urgent requests must not take all slots from a kind that is more urgent than these.
  */
 import type { Clock } from '../kernel/clock.js';
+import { DecayingShares } from './decayingShares.js';
 import { SmoothedMean } from './smoothedMean.js';
 
 /** How long a request may be kept waiting for a slot. */
@@ -82,13 +83,12 @@
 
 const NOTHING = (): void => undefined;
 
-/** Below 0 where the first kind of request goes before the second, 0 where neither does. */
-function compareRank(left: SlotRequest, right: SlotRequest): number {
-  return left.priority - right.priority || left.targetLatencyMs - right.targetLatencyMs;
+function isSameKind(left: SlotRequest, right: SlotRequest): boolean {
+  return left.priority === right.priority && left.targetLatencyMs === right.targetLatencyMs;
 }
 
 function precedes(request: SlotRequest, other: SlotRequest): boolean {
-  return (compareRank(request, other) || request.targetAtMs - other.targetAtMs) < 0;
+  return (request.priority - other.priority || request.targetAtMs - other.targetAtMs) < 0;
 }
 
 /** The slots of one backend server and the requests that wait for them. */
@@ -103,6 +103,9 @@
 
   private readonly overallMs = new SmoothedMean();
 
+  /** Slot time lately granted, by target latency. */
+  private readonly shares: DecayingShares;
+
   /**
    * @param clock - the clock that deadlines go by
    * @param isCold - whether the backend server is still warming up
@@ -110,7 +113,9 @@
   constructor(
     private readonly clock: Clock,
     private readonly isCold: () => boolean,
-  ) {}
+  ) {
+    this.shares = new DecayingShares(clock);
+  }
 
   /** How busy it is. */
   get load(): SlotLoad {
@@ -135,7 +140,7 @@
       request.onGranted(this.hold(request));
       return { admission: Admission.Granted, waitMs: 0, serviceMs, cancel: NOTHING };
     }
-    const waitMs = this.waitBehind(this.requestsAhead(request));
+    const waitMs = this.waitFor(request);
     if (!this.isWorthWaiting(request, waitMs, serviceMs)) {
       return { admission: Admission.Refused, waitMs, serviceMs, cancel: NOTHING };
     }
@@ -168,23 +173,37 @@
     return this.isCold() ? measured * COLD_FACTOR : measured;
   }
 
-  /** How long until a slot is free for a request with others ahead of it. */
-  private waitBehind(ahead: readonly SlotRequest[]): number {
+  /** How long until a slot is free for a request that arrives now. */
+  private waitFor(request: SlotRequest): number {
     if (this.slots === 0) {
       return Infinity;
     }
     if (this.running < this.slots) {
       return 0;
     }
-    const aheadMs = ahead.reduce((sum, { workKey }) => sum + this.expectedServiceMs(workKey), 0);
-    return (aheadMs + this.expectedServiceMs('')) / this.slots;
+    return (this.workAheadMs(request) + this.expectedServiceMs('')) / this.slots;
   }
 
-  /** The requests that get a slot earlier; one that may be late goes behind all of its kind. */
-  private requestsAhead(request: SlotRequest): readonly SlotRequest[] {
-    return request.patience === Patience.OnTime
-      ? this.waiting.filter((other) => !precedes(request, other))
-      : this.waiting.filter((other) => compareRank(other, request) <= 0);
+  /** The work of the requests that get a slot earlier; other kinds of its priority share the slots. */
+  private workAheadMs(request: SlotRequest): number {
+    const { patience, priority } = request;
+    const urgentMs = this.workMs((other) => other.priority < priority);
+    const sameMs = this.workMs(
+      (other) =>
+        isSameKind(other, request) &&
+        (patience === Patience.UntilDeadline || !precedes(request, other)),
+    );
+    const otherMs = this.workMs(
+      (other) => other.priority === priority && !isSameKind(other, request),
+    );
+    return urgentMs + sameMs + Math.min(sameMs, otherMs);
+  }
+
+  private workMs(counts: (other: SlotRequest) => boolean): number {
+    return this.waiting.reduce(
+      (sum, other) => sum + (counts(other) ? this.expectedServiceMs(other.workKey) : 0),
+      0,
+    );
   }
 
   private enqueue(request: SlotRequest): void {
@@ -249,20 +268,34 @@
     });
   }
 
-  /** Of the most urgent kind the first request that can still be on time, else the first. */
+  /** Of the kind that is due the first request that can still be on time, else the first. */
   private takeNext(): SlotRequest | undefined {
-    const nowMs = this.clock.monotonicMs();
-    const [first] = this.waiting;
-    if (first === undefined) {
+    const kind = this.kindDue();
+    if (kind === undefined) {
       return undefined;
     }
+    const nowMs = this.clock.monotonicMs();
     const onTime = this.waiting.find(
       (request) =>
-        compareRank(request, first) === 0 &&
+        isSameKind(request, kind) &&
         nowMs + this.expectedServiceMs(request.workKey) <= request.targetAtMs,
     );
-    const next = onTime ?? first;
+    const next = onTime ?? kind;
     this.remove(next);
+    this.shares.add(next.targetLatencyMs, this.expectedServiceMs(next.workKey));
     return next;
   }
+
+  /** The first request of the kind, among the most urgent ones, that had the least of the slots. */
+  private kindDue(): SlotRequest | undefined {
+    const [first] = this.waiting;
+    return this.waiting
+      .filter(({ priority }) => priority === first?.priority)
+      .reduce<SlotRequest | undefined>((due, request) => {
+        const isDue =
+          due === undefined ||
+          this.shares.of(request.targetLatencyMs) < this.shares.of(due.targetLatencyMs);
+        return isDue ? request : due;
+      }, undefined);
+  }
 }
