--- a/deploy/build.js
+++ b/deploy/build.js
@@ -1,9 +1,15 @@
-/** Bundles the platform's program into one file, which starts faster than many modules. */
+/**
+ * Bundles the platform's program into one file, which starts faster than many modules.
+ * Takes the path of the file; without it, the one that system.toml runs.
+ */
+import process from 'node:process';
 import { build } from 'esbuild';
 
+const DEFAULT_FILE = 'target/lentillb.cjs';
+
 await build({
   entryPoints: ['platform/src/main.ts'],
-  outfile: 'target/lentillb.cjs',
+  outfile: process.argv[2] ?? DEFAULT_FILE,
   bundle: true,
   minify: true,
   keepNames: true,
--- /dev/null
+++ b/tests/observability/decisionLog.spec.ts
@@ -0,0 +1,82 @@
+import { DecisionLog, Weight } from 'lentillb/observability/decisionLog.js';
+import { Figures } from 'lentillb/observability/figures.js';
+import { LineWriter } from 'lentillb/observability/lineWriter.js';
+import { describe, expect, it } from 'vitest';
+import { ManualClock } from '../support/manualClock.js';
+
+interface Line {
+  readonly event: string;
+  readonly lines?: number;
+}
+
+function fixture() {
+  const clock = new ManualClock();
+  const lines: Line[] = [];
+  const write = (fields: object): void => {
+    lines.push(fields as Line);
+  };
+  return { clock, lines, log: new DecisionLog(clock, { info: write, warn: write }) };
+}
+
+describe('decision log', () => {
+  it('should bound the lines of a second and count what it dropped', async () => {
+    const { clock, lines, log } = fixture();
+    for (let decision = 0; decision < 1_000; decision += 1) {
+      log.record(Weight.Notable, 'request-refused', {});
+    }
+    const written = lines.length;
+    expect(written).toBeLessThan(1_000);
+    await clock.advance(1_000);
+    log.record(Weight.Notable, 'request-refused', {});
+    const suppressed = lines.find(({ event }) => event === 'lines-suppressed');
+    expect(suppressed?.lines).toBe(1_000 - written);
+  });
+
+  it('should keep room for refusals whatever goes well', () => {
+    const { lines, log } = fixture();
+    for (let decision = 0; decision < 1_000; decision += 1) {
+      log.record(Weight.Ordinary, 'request-answered', {});
+    }
+    log.record(Weight.Notable, 'request-refused', {});
+    expect(lines.at(-1)?.event).toBe('request-refused');
+  });
+});
+
+describe('line writer', () => {
+  it('should drop lines and not wait while nobody reads', () => {
+    const writer = new LineWriter(() => undefined);
+    const line = `${'x'.repeat(1_000)}\n`;
+    for (let count = 0; count < 10_000; count += 1) {
+      writer.write(line);
+    }
+    expect(writer.dropped).toBeGreaterThan(9_000);
+  });
+
+  it('should keep lines whole and in order over short writes', () => {
+    let written = '';
+    const writer = new LineWriter((bytes, done) => {
+      const part = bytes.subarray(0, Math.ceil(bytes.length / 2));
+      written += part.toString();
+      done(null, part.length);
+    });
+    const lines = Array.from({ length: 20 }, (_, index) => `line ${index}\n`);
+    lines.forEach((line) => writer.write(line));
+    expect(written).toBe(lines.join(''));
+    expect(writer.dropped).toBe(0);
+  });
+});
+
+describe('figures', () => {
+  it('should print counters, gauges and quantiles', () => {
+    const figures = new Figures();
+    figures.count('entry_failures', { cause: 'leaving' });
+    figures.count('entry_failures', { cause: 'leaving' });
+    figures.gauge('known_hosts', () => 14);
+    [10, 20, 30].forEach((ms) => figures.observe('entry_latency_ms', ms, { route: 'r' }));
+    const text = figures.print();
+    expect(text).toContain('entry_failures{cause="leaving"} 2');
+    expect(text).toContain('known_hosts 14');
+    expect(text).toContain('entry_latency_ms{route="r",quantile="0.5"} 20');
+    expect(text).toContain('entry_latency_ms_count{route="r"} 3');
+  });
+});
--- /dev/null
+++ b/tests/platform/program.spec.ts
@@ -0,0 +1,256 @@
+import { execFile, spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { request as openRequest } from 'node:http';
+import { createServer } from 'node:net';
+import type { AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+import { promisify } from 'node:util';
+import { KeyedLogServer } from '@lentillb/standins';
+import { SystemClock } from 'lentillb';
+import { afterAll, afterEach, beforeAll, beforeEach, describe, expect, it } from 'vitest';
+import { ScriptedBackendServer } from '../support/scriptedBackendServer.js';
+
+interface Reply {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, unknown>>;
+  readonly body: string;
+}
+
+interface Call {
+  readonly method: string;
+  readonly target: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string;
+}
+
+const clock = new SystemClock();
+const START_MS = 10_000;
+
+let folder: string;
+let program: string;
+let store: KeyedLogServer;
+let backendServer: ScriptedBackendServer;
+let child: ChildProcess;
+let output: string;
+let ports: { inbound: string; outbound: string; ready: string; control: string; peer: string };
+
+function send(address: string, { body, headers = {}, method, target }: Call): Promise<Reply> {
+  const separator = address.lastIndexOf(':');
+  return new Promise((resolve, reject) => {
+    const outgoing = openRequest({
+      agent: false,
+      host: address.slice(0, separator),
+      port: Number(address.slice(separator + 1)),
+      method,
+      path: target,
+      headers,
+    });
+    outgoing.on('error', reject);
+    outgoing.on('response', (response) => {
+      const chunks: Buffer[] = [];
+      response.on('data', (chunk: Buffer) => chunks.push(chunk));
+      response.on('end', () =>
+        resolve({
+          status: response.statusCode ?? 0,
+          headers: response.headers,
+          body: Buffer.concat(chunks).toString('utf8'),
+        }),
+      );
+    });
+    outgoing.end(body);
+  });
+}
+
+async function freeAddress(): Promise<string> {
+  const server = createServer();
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  await new Promise<void>((resolve) => {
+    server.close(() => resolve());
+  });
+  return `127.0.0.1:${port}`;
+}
+
+async function until(holds: () => Promise<boolean>): Promise<void> {
+  const endMs = clock.monotonicMs() + START_MS;
+  while (!(await holds().catch(() => false))) {
+    if (clock.monotonicMs() > endMs) {
+      throw new Error(`still not so after ${START_MS} ms; the program wrote: ${output}`);
+    }
+    await clock.sleep(20);
+  }
+}
+
+function linesOf(requestId: string): Readonly<Record<string, unknown>>[] {
+  return output
+    .split('\n')
+    .filter((line) => line.includes(`"${requestId}"`))
+    .map((line) => JSON.parse(line) as Record<string, unknown>);
+}
+
+function lettersRequest(requestId: string, host = 'letters.example'): Call {
+  const headers = { host, 'x-attempt-id': requestId, 'x-deadline-ms': '600' };
+  return { method: 'POST', target: '/a/b', headers, body: 'dear editor' };
+}
+
+function heartbeat(fields: object = {}): Call {
+  const body = {
+    service: 'postbag',
+    address: backendServer.address,
+    zone: 'a',
+    version: 'v1',
+    capacity: 2,
+    state: 'ready',
+    'warmup-left': '0ms',
+    sequence: 1,
+    born: 1_000,
+    ...fields,
+  };
+  return { method: 'PUT', target: `/instances/${backendServer.id}`, body: JSON.stringify(body) };
+}
+
+beforeAll(async () => {
+  folder = await mkdtemp(path.join(tmpdir(), 'lentillb-'));
+  program = path.join(folder, 'lentillb.cjs');
+  await promisify(execFile)(process.execPath, ['deploy/build.js', program]);
+});
+
+afterAll(() => rm(folder, { recursive: true }));
+
+beforeEach(async () => {
+  store = new KeyedLogServer();
+  await store.listen();
+  const route = {
+    hostname: 'letters.example',
+    'path-prefix': '/',
+    'route-type': 'non_idempotent',
+    timeout: '600ms',
+    'target-latency': '250ms',
+    priority: 1,
+    service: 'postbag',
+    'max-attempts': 2,
+  };
+  const limits = {
+    'max-header-bytes': 16_384,
+    'max-body-bytes': 1_000,
+    'header-timeout': '3s',
+    'idle-timeout': '15s',
+  };
+  const configuration = { version: '00000002', routes: { lodge: route }, limits };
+  store.write('keyed.op', 'config', JSON.stringify(configuration));
+  backendServer = new ScriptedBackendServer('i-1');
+  await backendServer.listen();
+  const [inbound, outbound, ready, control, peer] = await Promise.all(
+    Array.from({ length: 5 }, freeAddress),
+  );
+  ports = { inbound, outbound, ready, control, peer } as typeof ports;
+  const settings = {
+    self: { ip: '127.0.0.1', zone: 'a', service: 'postbag', 'app-addr': backendServer.address },
+    network: {
+      'listen-addrs': {
+        inbound: ports.inbound,
+        outbound: ports.outbound,
+        ready: ports.ready,
+        'control-plane': ports.control,
+      },
+      'port-range': [Number(ports.peer.split(':')[1]), 0],
+    },
+    platform: { platform: { address: store.address } },
+    terms: {
+      bounds: {
+        grace: '6s',
+        'retry-budget-ratio': 0.2,
+        'budget-window': '10s',
+        'retry-budget-extra': 62,
+      },
+    },
+  };
+  const file = path.join(folder, 'node.json');
+  await writeFile(file, JSON.stringify(settings));
+  output = '';
+  child = spawn(process.execPath, [program], {
+    env: { ...process.env, LENTILLB_SETTINGS: file },
+  });
+  child.stdout?.on('data', (chunk: Buffer) => {
+    output += chunk.toString();
+  });
+  child.stderr?.on('data', (chunk: Buffer) => {
+    output += chunk.toString();
+  });
+  await until(
+    async () => (await send(ports.ready, { method: 'GET', target: '/readiness' })).status === 200,
+  );
+});
+
+afterEach(async () => {
+  child.kill('SIGKILL');
+  await store.close();
+  await backendServer.close();
+});
+
+describe('program on the platform', () => {
+  it('should serve, and explain a refusal and an unknown outcome by their identities', async () => {
+    // Nobody serves yet.
+    const refused = await send(ports.outbound, lettersRequest('aaaa'));
+    expect(refused.status).toBe(503);
+    expect(Number(refused.headers['retry-after'])).toBeGreaterThan(0);
+    expect((await send(ports.control, heartbeat())).status).toBe(200);
+    const served = await send(ports.outbound, lettersRequest('bbbb'));
+    expect(served.body).toBe('ran dear editor');
+    backendServer.behave((response) => response.socket?.resetAndDestroy());
+    expect((await send(ports.outbound, lettersRequest('cccc'))).status).toBe(502);
+    await until(() => Promise.resolve(linesOf('cccc').length === 2));
+    expect(linesOf('aaaa')[0]).toMatchObject({
+      event: 'request-refused',
+      cause: 'no-backend-server',
+      sent: 0,
+    });
+    expect(linesOf('bbbb')[0]).toMatchObject({ event: 'request-answered', status: 200 });
+    const events = linesOf('cccc').map(({ cause, event }) => `${String(event)} ${String(cause)}`);
+    expect(events.sort()).toEqual([
+      'gate-gave-no-answer connection-lost',
+      'request-failed connection-lost',
+    ]);
+    const figures = await send(ports.peer, { method: 'GET', target: '/metrics' });
+    expect(figures.body).toContain('gate_failures{cause="connection-lost",outcome="unknown"} 1');
+  });
+
+  it('should refuse a heartbeat that cannot be read and keep what it knows', async () => {
+    await send(ports.control, heartbeat());
+    expect((await send(ports.control, heartbeat({ capacity: 'ten' }))).status).toBe(400);
+    expect((await send(ports.outbound, lettersRequest('dddd'))).status).toBe(200);
+    expect(output).toContain('"event":"input-rejected"');
+  });
+
+  it('should answer 404 only where no route matches', async () => {
+    await send(ports.control, heartbeat());
+    expect((await send(ports.outbound, lettersRequest('eeee', 'other.example'))).status).toBe(404);
+  });
+
+  it('should send nothing after it confirmed a departure', async () => {
+    await send(ports.control, heartbeat());
+    const left = await send(ports.control, {
+      method: 'DELETE',
+      target: `/instances/${backendServer.id}`,
+    });
+    expect(left.status).toBe(200);
+    await send(ports.control, heartbeat({ sequence: 2 }));
+    expect((await send(ports.outbound, lettersRequest('ffff'))).status).toBe(503);
+    expect(backendServer.runs).toEqual([]);
+  });
+
+  it('should stop as planned and exit by itself', async () => {
+    const exited = new Promise<number | null>((resolve) => {
+      child.once('exit', resolve);
+    });
+    child.kill('SIGTERM');
+    await until(
+      async () => (await send(ports.ready, { method: 'GET', target: '/readiness' })).status === 503,
+    );
+    expect(await exited).toBe(0);
+  });
+});
