Put address parsing, exchange failures and free ports in one place each; guard the adapter

The linter keeps everything under packages from importing the adapter, and the adapter to one entry point of the library.

--- a/eslint.boundaries.js
+++ b/eslint.boundaries.js
@@ -5,6 +5,11 @@
 const LIBRARY = 'packages/lentillb/src';
 const ALLOWED_FILE = 'imports.json';
 
+const ADAPTER_PATTERN = {
+  regex: '@lentillb/platform',
+  message: 'only the adapter knows the platform',
+};
+
 const folders = readdirSync(LIBRARY, { recursive: true, withFileTypes: true })
   .filter((entry) => entry.isFile() && entry.name === ALLOWED_FILE)
   .map((entry) => path.relative(LIBRARY, entry.parentPath));
@@ -28,12 +33,32 @@
       'no-restricted-imports': [
         'error',
         {
-          patterns: forbidden.map((other) => ({
-            regex: `^(\\.\\./)+${other}/`,
-            message: `${folder}/${ALLOWED_FILE} does not allow imports from ${other}`,
-          })),
+          patterns: [
+            ADAPTER_PATTERN,
+            ...forbidden.map((other) => ({
+              regex: `^(\\.\\./)+${other}/`,
+              message: `${folder}/${ALLOWED_FILE} does not allow imports from ${other}`,
+            })),
+          ],
         },
       ],
     },
   };
 });
+
+/** The adapter to the platform: it reaches the library by one entry point, and nobody but tests reaches it. */
+export const adapterBoundaries = [
+  {
+    files: ['packages/**'],
+    rules: { 'no-restricted-imports': ['error', { patterns: [ADAPTER_PATTERN] }] },
+  },
+  {
+    files: ['platform/src/**'],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        { patterns: [{ regex: '^lentillb(?!/sidecar$)', message: 'use lentillb/sidecar' }] },
+      ],
+    },
+  },
+];
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import { fileURLToPath } from 'node:url';
 import { configs, plugins } from 'eslint-config-airbnb-extended';
 import prettier from 'eslint-config-prettier';
-import { boundaries } from './eslint.boundaries.js';
+import { adapterBoundaries, boundaries } from './eslint.boundaries.js';
 
 const RULES = {
   // Imports of ES modules name the file that runs.
@@ -57,5 +57,6 @@
       'n/no-sync': 'off',
     },
   },
+  ...adapterBoundaries,
   ...boundaries,
 ];
--- a/packages/lentillb/src/peers/peerListener.ts
+++ b/packages/lentillb/src/peers/peerListener.ts
@@ -1,6 +1,7 @@
 /** Answers other nodes that lack knowledge, and whoever reads the figures of this process. */
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { parseAddress } from '../utils/networkAddress.js';
 import type { ConfigurationHolder } from '../configuration/configurationHolder.js';
 import type { Directory } from '../directory/directory.js';
 import type { Figures } from '../observability/figures.js';
@@ -33,11 +34,10 @@
 
   /** @param address - the address and port to listen on */
   async listen(address: string): Promise<void> {
-    const separator = address.lastIndexOf(':');
+    const { host, port } = parseAddress(address);
     await new Promise<void>((resolve, reject) => {
       this.server.once('error', reject);
-      const port = Number(address.slice(separator + 1));
-      this.server.listen(port, address.slice(0, separator), resolve);
+      this.server.listen(port, host, resolve);
     });
   }
 
--- a/packages/lentillb/src/peers/peerSocket.ts
+++ b/packages/lentillb/src/peers/peerSocket.ts
@@ -1,6 +1,7 @@
 /** Sends and receives greetings as datagrams. */
 import { createSocket } from 'node:dgram';
 import type { Socket } from 'node:dgram';
+import { parseAddress } from '../utils/networkAddress.js';
 import type { Greeting } from './greeting.js';
 import { decodeGreeting, encodeGreeting } from './greeting.js';
 
@@ -38,9 +39,9 @@
 
   /** @param address - the address and port to listen on */
   async bind(address: string): Promise<void> {
-    const separator = address.lastIndexOf(':');
+    const { host, port } = parseAddress(address);
     await new Promise<void>((resolve) => {
-      this.socket.bind(Number(address.slice(separator + 1)), address.slice(0, separator), resolve);
+      this.socket.bind(port, host, resolve);
     });
   }
 
@@ -48,9 +49,8 @@
     if (this.closed) {
       return;
     }
-    const separator = address.lastIndexOf(':');
-    const port = Number(address.slice(separator + 1));
-    this.socket.send(encodeGreeting(greeting), port, address.slice(0, separator));
+    const { host, port } = parseAddress(address);
+    this.socket.send(encodeGreeting(greeting), port, host);
   }
 
   /** Ends the socket. */
--- a/packages/lentillb/src/serving/backendServerClient.ts
+++ b/packages/lentillb/src/serving/backendServerClient.ts
@@ -1,6 +1,7 @@
 /** Sends requests to the backend server beside this node and judges what comes back. */
 import type { Result } from 'ts-results-es';
 import { Err, Ok } from 'ts-results-es';
+import { forwardFailures } from './exchangeFailures.js';
 import { Outcome, passedOnHeaders } from '../calls/callHeaders.js';
 import type { Clock } from '../kernel/clock.js';
 import { ConnectionPool } from './connectionPool.js';
@@ -25,19 +26,6 @@
   readonly instanceId: string;
 }
 
-function failure(outcome: Outcome, cause: FailureCause): ForwardFailure {
-  return { outcome, cause };
-}
-
-const failures: Record<ExchangeFailure, ForwardFailure> = {
-  [ExchangeFailure.NotSent]: failure(Outcome.NotRun, FailureCause.ConnectFailed),
-  [ExchangeFailure.KeptConnectionLost]: failure(Outcome.Unknown, FailureCause.ConnectionLost),
-  [ExchangeFailure.Lost]: failure(Outcome.Unknown, FailureCause.ConnectionLost),
-  [ExchangeFailure.Malformed]: failure(Outcome.Unknown, FailureCause.BrokenAnswer),
-  [ExchangeFailure.TimedOut]: failure(Outcome.Unknown, FailureCause.DeadlinePassed),
-  [ExchangeFailure.Cancelled]: failure(Outcome.Unknown, FailureCause.CallerGone),
-};
-
 /** Sends requests to one backend server. */
 export class BackendServerClient {
   private readonly pool = new ConnectionPool({ idleMs: IDLE_MS, maxIdle: MAX_IDLE });
@@ -63,11 +51,11 @@
     if (first.isErr() && first.error === ExchangeFailure.KeptConnectionLost && request.repeatable) {
       const second = await this.sendOnce(request, target);
       return second
-        .mapErr((cause) => failures[cause])
+        .mapErr((cause) => forwardFailures[cause])
         .andThen((answer) => this.judge(request, answer));
     }
     return first
-      .mapErr((cause) => failures[cause])
+      .mapErr((cause) => forwardFailures[cause])
       .andThen((answer) => this.judge(request, answer));
   }
 
@@ -108,17 +96,17 @@
     const echoed = headers[requestId];
     if (echoed !== undefined && echoed !== request.requestId) {
       discardConnection();
-      return Err(failure(Outcome.Unknown, FailureCause.BrokenAnswer));
+      return Err({ outcome: Outcome.Unknown, cause: FailureCause.BrokenAnswer });
     }
     if (headers[notRun] !== undefined || status === MISDIRECTED) {
       const cause = status === MISDIRECTED ? FailureCause.NotServing : FailureCause.TurnedAway;
-      return Err(failure(Outcome.NotRun, cause));
+      return Err({ outcome: Outcome.NotRun, cause });
     }
     const success = status >= 200 && status < 300;
     const unsealed = headers[seal] === undefined || echoed === undefined;
     if (headers['content-encoding'] !== undefined || (success && unsealed)) {
       discardConnection();
-      return Err(failure(Outcome.Unknown, FailureCause.BrokenAnswer));
+      return Err({ outcome: Outcome.Unknown, cause: FailureCause.BrokenAnswer });
     }
     const unframed = isUnframed(headers);
     const passed = passedOnHeaders(headers);
--- a/packages/lentillb/src/serving/callerListener.ts
+++ b/packages/lentillb/src/serving/callerListener.ts
@@ -2,6 +2,7 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { Server as NetServer } from 'node:net';
+import { parseAddress } from '../utils/networkAddress.js';
 import { runInBackground } from '../utils/background.js';
 import { Cancellation, CancelReason } from '../calls/cancellation.js';
 import type { CallerLimits } from '../configuration/meshConfiguration.js';
@@ -16,6 +17,8 @@
 const MAX_HELD_BYTES = 48 * 1024 * 1024;
 /** How often time limits of connections are checked, in milliseconds. */
 const CHECK_INTERVAL_MS = 1_000;
+/** How many connections may wait to be accepted: a zone's callers that reconnect at once. */
+const ACCEPT_BACKLOG = 1_024;
 const DEFAULT_IDLE_MS = 60_000;
 
 const HttpStatus = {
@@ -98,11 +101,10 @@
    * @returns the port
    */
   async listen(address: string): Promise<number> {
-    const separator = address.lastIndexOf(':');
+    const { host, port } = parseAddress(address);
     await new Promise<void>((resolve, reject) => {
       this.server.once('error', reject);
-      const port = Number(address.slice(separator + 1));
-      this.server.listen({ host: address.slice(0, separator), port, backlog: 1024 }, resolve);
+      this.server.listen({ host, port, backlog: ACCEPT_BACKLOG }, resolve);
     });
     const bound = this.server.address();
     return bound !== null && typeof bound === 'object' ? bound.port : 0;
--- a/packages/lentillb/src/serving/exchange.ts
+++ b/packages/lentillb/src/serving/exchange.ts
@@ -3,6 +3,7 @@
 import type { Agent, ClientRequest, IncomingMessage } from 'node:http';
 import type { Result } from 'ts-results-es';
 import { Err, Ok } from 'ts-results-es';
+import { parseAddress } from '../utils/networkAddress.js';
 import type { HeaderFields } from '../calls/callHeaders.js';
 import type { Cancellation } from '../calls/cancellation.js';
 import type { Clock } from '../kernel/clock.js';
@@ -99,11 +100,9 @@
 
   private open(): ClientRequest {
     const { address, agent, headers, method, target } = this.request;
-    const separator = address.lastIndexOf(':');
     return openRequest({
       agent,
-      host: address.slice(0, separator),
-      port: Number(address.slice(separator + 1)),
+      ...parseAddress(address),
       method,
       path: target,
       headers,
--- a/packages/lentillb/src/serving/gateDialer.ts
+++ b/packages/lentillb/src/serving/gateDialer.ts
@@ -1,6 +1,6 @@
 /** Brings requests to gates: to the own one directly, to others over HTTP. */
 import { Err } from 'ts-results-es';
-import { Outcome } from '../calls/callHeaders.js';
+import { forwardFailures } from './exchangeFailures.js';
 import { Cancellation, CancelReason } from '../calls/cancellation.js';
 import type { GateEndpoint } from '../directory/directory.js';
 import type { Clock } from '../kernel/clock.js';
@@ -8,8 +8,7 @@
 import { exchange, ExchangeFailure } from './exchange.js';
 import type { Gate } from './gate.js';
 import { decodeReply, requestHeaders } from './gateProtocol.js';
-import type { ForwardedRequest, ForwardFailure, GateReply } from './messages.js';
-import { FailureCause } from './messages.js';
+import type { ForwardedRequest, GateReply } from './messages.js';
 
 /** How long connections between nodes are kept idle, in milliseconds; gates keep theirs longer. */
 const IDLE_MS = 30_000;
@@ -19,19 +18,6 @@
 /** How long a gate's own answer may be on its way after the deadline, in milliseconds. */
 const ANSWER_GRACE_MS = 90;
 
-function failure(outcome: Outcome, cause: FailureCause): ForwardFailure {
-  return { outcome, cause };
-}
-
-const failures: Record<ExchangeFailure, ForwardFailure> = {
-  [ExchangeFailure.NotSent]: failure(Outcome.NotRun, FailureCause.ConnectFailed),
-  [ExchangeFailure.KeptConnectionLost]: failure(Outcome.Unknown, FailureCause.ConnectionLost),
-  [ExchangeFailure.Lost]: failure(Outcome.Unknown, FailureCause.ConnectionLost),
-  [ExchangeFailure.Malformed]: failure(Outcome.Unknown, FailureCause.BrokenAnswer),
-  [ExchangeFailure.TimedOut]: failure(Outcome.Unknown, FailureCause.DeadlinePassed),
-  [ExchangeFailure.Cancelled]: failure(Outcome.Unknown, FailureCause.CallerGone),
-};
-
 /** Notices hosts that have gone silent while requests are under way to them. */
 export interface SilenceWatch {
   /** @param host - the address of a host @returns whether it has gone silent */
@@ -102,7 +88,7 @@
     if (answer.isErr()) {
       const wentSilent = abandoned.reason === CancelReason.DeadlinePassed;
       const cause = wentSilent ? ExchangeFailure.Lost : answer.error;
-      return { result: Err(failures[cause]), report: undefined };
+      return { result: Err(forwardFailures[cause]), report: undefined };
     }
     links.hear(endpoint.host);
     return decodeReply(answer.value);
--- a/tests/platform/program.spec.ts
+++ b/tests/platform/program.spec.ts
@@ -1,15 +1,15 @@
+import { parseAddress } from 'lentillb/utils/networkAddress.js';
 import { execFile, spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { request as openRequest } from 'node:http';
-import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import { promisify } from 'node:util';
 import { KeyedLogServer } from '@lentillb/standins';
 import { SystemClock } from 'lentillb';
 import { afterAll, afterEach, beforeAll, beforeEach, describe, expect, it } from 'vitest';
+import { freeAddress } from '../support/freeAddress.js';
 import { ScriptedBackendServer } from '../support/scriptedBackendServer.js';
 
 interface Reply {
@@ -37,12 +37,10 @@
 let ports: { inbound: string; outbound: string; ready: string; control: string; peer: string };
 
 function send(address: string, { body, headers = {}, method, target }: Call): Promise<Reply> {
-  const separator = address.lastIndexOf(':');
   return new Promise((resolve, reject) => {
     const outgoing = openRequest({
       agent: false,
-      host: address.slice(0, separator),
-      port: Number(address.slice(separator + 1)),
+      ...parseAddress(address),
       method,
       path: target,
       headers,
@@ -63,18 +61,6 @@
   });
 }
 
-async function freeAddress(): Promise<string> {
-  const server = createServer();
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const { port } = server.address() as AddressInfo;
-  await new Promise<void>((resolve) => {
-    server.close(() => resolve());
-  });
-  return `127.0.0.1:${port}`;
-}
-
 async function until(holds: () => Promise<boolean>): Promise<void> {
   const endMs = clock.monotonicMs() + START_MS;
   while (!(await holds().catch(() => false))) {
--- a/tests/support/sidecarFleet.ts
+++ b/tests/support/sidecarFleet.ts
@@ -1,6 +1,5 @@
 /** A few nodes in one process, with a store and backend servers on loopback. */
-import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
+import { parseAddress } from 'lentillb/utils/networkAddress.js';
 import { request as openRequest } from 'node:http';
 import type { IncomingHttpHeaders } from 'node:http';
 import { CONFIGURATION_KEY, decodeConfiguration, LogStore, wireHeaders } from '@lentillb/platform';
@@ -8,6 +7,7 @@
 import { SeededRandomness, SystemClock } from 'lentillb';
 import type { Heartbeat } from 'lentillb/serving/localBackendServer.js';
 import { Sidecar } from 'lentillb/sidecar/index.js';
+import { freeAddress } from './freeAddress.js';
 import { ScriptedBackendServer } from './scriptedBackendServer.js';
 
 const TARGET_MS = 400;
@@ -31,18 +31,6 @@
   readonly log: object[];
 }
 
-async function freeAddress(): Promise<string> {
-  const server = createServer();
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const { port } = server.address() as AddressInfo;
-  await new Promise<void>((resolve) => {
-    server.close(() => resolve());
-  });
-  return `127.0.0.1:${port}`;
-}
-
 function routeOf(service: string, routeType: string): object {
   return {
     hostname: `${service}.example`,
@@ -175,11 +163,9 @@
     body = 'a letter',
   ): { told: Promise<Told>; leave: () => void } {
     this.requests += 1;
-    const separator = host.callerAddress.lastIndexOf(':');
     const outgoing = openRequest({
       agent: false,
-      host: host.callerAddress.slice(0, separator),
-      port: Number(host.callerAddress.slice(separator + 1)),
+      ...parseAddress(host.callerAddress),
       method: 'POST',
       path: '/some/path?q=1',
       headers: {
