--- a/deploy/build.js
+++ b/deploy/build.js
@@ -2,7 +2,6 @@
  * Bundles the platform's program into one file, which starts faster than many modules.
  * Takes the path of the file; without it, the one that system.toml runs.
  */
-import process from 'node:process';
 import { build } from 'esbuild';
 
 const DEFAULT_FILE = 'target/lentillb.cjs';
