--- a/packages/lentillb/src/serving/slotQueue.ts
+++ b/packages/lentillb/src/serving/slotQueue.ts
@@ -3,12 +3,11 @@
  * refused. Answers a load that exceeds the slots for seconds at a time, of requests whose value
  * falls sharply once their target latency has passed: a request is refused on arrival if it can't be
  * answered in time, so that its caller can go elsewhere while there is time, and the slots
- * serve requests that still count. Kinds of one priority, told apart by their target latency, are
- * served to the same share of what they ask for: refusing a call wastes the slot that its run holds elsewhere, yet
- * calls of less urgent requests must not take all slots from a kind that is more urgent than these.
+ * serve requests that still count. Calls that a run waits for have short target latencies and so
+ * go
+ * before new requests of their priority: refusing one wastes the slot that its run holds.
  */
 import type { Clock } from '../kernel/clock.js';
-import { DecayingShares } from './decayingShares.js';
 import { SmoothedMean } from './smoothedMean.js';
 
 /** How long a request may be kept waiting for a slot. */
@@ -83,12 +82,13 @@
 
 const NOTHING = (): void => undefined;
 
-function isSameKind(left: SlotRequest, right: SlotRequest): boolean {
-  return left.priority === right.priority && left.targetLatencyMs === right.targetLatencyMs;
+/** Below 0 where the first kind of request goes before the second, 0 where neither does. */
+function compareRank(left: SlotRequest, right: SlotRequest): number {
+  return left.priority - right.priority || left.targetLatencyMs - right.targetLatencyMs;
 }
 
 function precedes(request: SlotRequest, other: SlotRequest): boolean {
-  return (request.priority - other.priority || request.targetAtMs - other.targetAtMs) < 0;
+  return (compareRank(request, other) || request.targetAtMs - other.targetAtMs) < 0;
 }
 
 /** The slots of one backend server and the requests that wait for them. */
@@ -103,11 +103,6 @@
 
   private readonly overallMs = new SmoothedMean();
 
-  /** Slot time lately asked for and granted, by target latency. */
-  private readonly asked: DecayingShares;
-
-  private readonly granted: DecayingShares;
-
   /**
    * @param clock - the clock that deadlines go by
    * @param isCold - whether the backend server is still warming up
@@ -115,10 +110,7 @@
   constructor(
     private readonly clock: Clock,
     private readonly isCold: () => boolean,
-  ) {
-    this.asked = new DecayingShares(clock);
-    this.granted = new DecayingShares(clock);
-  }
+  ) {}
 
   /** How busy it is. */
   get load(): SlotLoad {
@@ -139,12 +131,11 @@
    */
   arrive(request: SlotRequest): AdmissionDecision {
     const serviceMs = this.expectedServiceMs(request.workKey);
-    this.asked.add(request.targetLatencyMs, serviceMs);
     if (this.running < this.slots && this.waiting.length === 0) {
       request.onGranted(this.hold(request));
       return { admission: Admission.Granted, waitMs: 0, serviceMs, cancel: NOTHING };
     }
-    const waitMs = this.waitFor(request);
+    const waitMs = this.waitBehind(this.requestsAhead(request));
     if (!this.isWorthWaiting(request, waitMs, serviceMs)) {
       return { admission: Admission.Refused, waitMs, serviceMs, cancel: NOTHING };
     }
@@ -177,42 +168,23 @@
     return this.isCold() ? measured * COLD_FACTOR : measured;
   }
 
-  /** How long until a slot is free for a request that arrives now. */
-  private waitFor(request: SlotRequest): number {
+  /** How long until a slot is free for a request with others ahead of it. */
+  private waitBehind(ahead: readonly SlotRequest[]): number {
     if (this.slots === 0) {
       return Infinity;
     }
     if (this.running < this.slots) {
       return 0;
     }
-    return (this.workAheadMs(request) + this.expectedServiceMs('')) / this.slots;
-  }
-
-  /** The work of the requests that get a slot earlier; other kinds of its priority share the slots. */
-  private workAheadMs(request: SlotRequest): number {
-    const { patience, priority, targetLatencyMs } = request;
-    const urgentMs = this.workMs((other) => other.priority < priority);
-    const sameMs = this.workMs(
-      (other) =>
-        isSameKind(other, request) &&
-        (patience === Patience.UntilDeadline || !precedes(request, other)),
-    );
-    const others = (other: SlotRequest): boolean =>
-      other.priority === priority && !isSameKind(other, request);
-    const otherMs = this.workMs(others);
-    const other = this.waiting.find(others);
-    const otherPerSame =
-      other === undefined
-        ? 0
-        : this.asked.of(other.targetLatencyMs) / Math.max(1, this.asked.of(targetLatencyMs));
-    return urgentMs + sameMs + Math.min(sameMs * otherPerSame, otherMs);
+    const aheadMs = ahead.reduce((sum, { workKey }) => sum + this.expectedServiceMs(workKey), 0);
+    return (aheadMs + this.expectedServiceMs('')) / this.slots;
   }
 
-  private workMs(counts: (other: SlotRequest) => boolean): number {
-    return this.waiting.reduce(
-      (sum, other) => sum + (counts(other) ? this.expectedServiceMs(other.workKey) : 0),
-      0,
-    );
+  /** The requests that get a slot earlier; one that may be late goes behind all of its kind. */
+  private requestsAhead(request: SlotRequest): readonly SlotRequest[] {
+    return request.patience === Patience.OnTime
+      ? this.waiting.filter((other) => !precedes(request, other))
+      : this.waiting.filter((other) => compareRank(other, request) <= 0);
   }
 
   private enqueue(request: SlotRequest): void {
@@ -227,9 +199,8 @@
     }
   }
 
-  private hold({ targetLatencyMs, workKey }: SlotRequest): Slot {
+  private hold({ workKey }: SlotRequest): Slot {
     this.running += 1;
-    this.granted.add(targetLatencyMs, this.expectedServiceMs(workKey));
     const startedMs = this.clock.monotonicMs();
     let held = true;
     return {
@@ -278,36 +249,20 @@
     });
   }
 
-  /** Of the kind that is due the first request that can still be on time, else the first. */
+  /** Of the most urgent kind the first request that can still be on time, else the first. */
   private takeNext(): SlotRequest | undefined {
-    const kind = this.kindDue();
-    if (kind === undefined) {
+    const nowMs = this.clock.monotonicMs();
+    const [first] = this.waiting;
+    if (first === undefined) {
       return undefined;
     }
-    const nowMs = this.clock.monotonicMs();
     const onTime = this.waiting.find(
       (request) =>
-        isSameKind(request, kind) &&
+        compareRank(request, first) === 0 &&
         nowMs + this.expectedServiceMs(request.workKey) <= request.targetAtMs,
     );
-    const next = onTime ?? kind;
+    const next = onTime ?? first;
     this.remove(next);
     return next;
   }
-
-  /** How much of what a kind lately asked for it was granted. */
-  private servedShare({ targetLatencyMs }: SlotRequest): number {
-    return this.granted.of(targetLatencyMs) / Math.max(1, this.asked.of(targetLatencyMs));
-  }
-
-  /** The first request of the kind, among the most urgent ones, that was served the least. */
-  private kindDue(): SlotRequest | undefined {
-    const [first] = this.waiting;
-    return this.waiting
-      .filter(({ priority }) => priority === first?.priority)
-      .reduce<SlotRequest | undefined>((due, request) => {
-        const isDue = due === undefined || this.servedShare(request) < this.servedShare(due);
-        return isDue ? request : due;
-      }, undefined);
-  }
 }
