--- a/eslint.config.js
+++ b/eslint.config.js
@@ -29,7 +29,7 @@
 };
 
 export default [
-  { ignores: ['**/dist/**', '**/gen/**', 'node_modules/**'] },
+  { ignores: ['**/dist/**', '**/gen/**', 'node_modules/**', 'target/**', 'journal/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
