--- a/packages/lentillb/src/serving/gateObservations.ts
+++ b/packages/lentillb/src/serving/gateObservations.ts
@@ -49,13 +49,14 @@
   }
 
   /**
-   * Drops what is known of hosts that left.
+   * Forgets backend servers that ran on a host before.
    *
-   * @param hosts - the hosts that are still known
+   * @param host - the address of the host
+   * @param currentId - the identity of the one that runs there now, if any
    */
-  retain(hosts: ReadonlySet<string>): void {
+  forgetOthers(host: string, currentId: string | undefined): void {
     [...this.byGate.keys()]
-      .filter((key) => !hosts.has(key.slice(0, key.indexOf(' '))))
+      .filter((key) => key.startsWith(`${host} `) && !key.startsWith(`${host} ${currentId} `))
       .forEach((key) => this.byGate.delete(key));
   }
 }
--- a/packages/lentillb/src/serving/placement.ts
+++ b/packages/lentillb/src/serving/placement.ts
@@ -5,7 +5,6 @@
  * price of its bytes. So a zone's requests stay in it until its backend servers can't serve them in
  * time, and a faster backend server elsewhere attracts nothing that is on time at home.
  */
-import type { Clock } from '../kernel/clock.js';
 import type { Randomness } from '../kernel/randomness.js';
 import type { GateEndpoint } from '../directory/directory.js';
 import type { GateObservations } from './gateObservations.js';
@@ -53,7 +52,6 @@
 export class Placer {
   constructor(
     private readonly services: {
-      readonly clock: Clock;
       readonly randomness: Randomness;
       readonly observations: GateObservations;
       readonly isSilent: (host: string) => boolean;
@@ -67,10 +65,9 @@
    */
   choose({ candidates, excluded, targetMs }: PlacementRequest): Placement | undefined {
     const { isSilent, observations } = this.services;
-    const left = candidates.filter(({ host }) => !excluded.has(host));
-    const reachable = left.filter(
-      (endpoint) => observations.isReachable(endpoint) && !isSilent(endpoint.host),
-    );
+    // The link watch asks silent hosts whether they are back; a request sent there would only wait.
+    const left = candidates.filter(({ host }) => !excluded.has(host) && !isSilent(host));
+    const reachable = left.filter((endpoint) => observations.isReachable(endpoint));
     return this.best(reachable.length > 0 ? reachable : left, targetMs);
   }
 
