Give the reason where another node's knowledge is not got

Cause: a failed fetch was logged without its reason, and lines that could not be written were not counted. Change: the reason is a value and stands in the line.

--- a/packages/lentillb/src/observability/lineWriter.ts
+++ b/packages/lentillb/src/observability/lineWriter.ts
@@ -62,6 +62,8 @@
         this.continue(bytes.subarray(written));
         return;
       }
+      // Nobody reads the descriptor any more; the lines are lost, and counted as one.
+      this.droppedLines += error === null ? 0 : 1;
       this.writing = false;
       this.waitingBytes = this.waiting.reduce((sum, line) => sum + line.length, 0);
       this.writeNext();
--- a/packages/lentillb/src/peers/gossip.ts
+++ b/packages/lentillb/src/peers/gossip.ts
@@ -2,6 +2,7 @@
  * Spreads configurations and announcements between nodes where the store does not reach them all:
  * nodes tell each other how new their knowledge is, and one that stays behind asks for what it lacks.
  */
+import type { Result } from 'ts-results-es';
 import { runInBackground } from '../utils/background.js';
 import type { ConfigurationHolder } from '../configuration/configurationHolder.js';
 import type { Directory } from '../directory/directory.js';
@@ -25,11 +26,11 @@
 /** A pause between two requests for another node's knowledge, in milliseconds. */
 const FETCH_PAUSE_MS = 400;
 
-/** Asks another node for its knowledge; undefined where it did not give it. */
+/** Asks another node for its knowledge, or says why it did not give it. */
 export type StateFetcher = (
   peerAddress: string,
   heldVersion: number,
-) => Promise<NodeState | undefined>;
+) => Promise<Result<NodeState, string>>;
 
 /** What gossip works with. */
 export interface GossipServices {
@@ -210,19 +211,18 @@
 
   private async fetchFrom(from: string): Promise<void> {
     const { clock, configuration, fetchState, log } = this.services;
-    const state = await fetchState(from, configuration.version);
+    const fetched = await fetchState(from, configuration.version);
     this.fetching = false;
     this.fetchedAtMs = clock.monotonicMs();
-    const version = state?.configuration?.version;
-    log.record(Weight.Notable, 'state-fetched', {
-      from,
-      given: state !== undefined,
-      version,
-      hosts: state?.announcements.length,
-    });
-    if (state !== undefined) {
-      this.onState(state);
-      this.differsSinceMs.delete(from);
+    if (fetched.isErr()) {
+      log.record(Weight.Notable, 'state-not-fetched', { from, reason: fetched.error });
+      return;
     }
+    const state = fetched.value;
+    const { length: hosts } = state.announcements;
+    const version = state.configuration?.version;
+    log.record(Weight.Notable, 'state-fetched', { from, version, hosts });
+    this.onState(state);
+    this.differsSinceMs.delete(from);
   }
 }
--- a/packages/lentillb/src/peers/stateClient.ts
+++ b/packages/lentillb/src/peers/stateClient.ts
@@ -1,5 +1,7 @@
 /** Asks another node for its knowledge. */
 import { request as openRequest } from 'node:http';
+import type { Result } from 'ts-results-es';
+import { Err } from 'ts-results-es';
 import type { NodeState } from './nodeState.js';
 import { decodeNodeState } from './nodeState.js';
 import { HELD_VERSION, PeerPath } from './peerListener.js';
@@ -10,24 +12,24 @@
 /**
  * @param peerAddress - where a node answers others
  * @param heldVersion - the configuration version that is held already
- * @returns its knowledge; undefined where it did not give it
+ * @returns its knowledge, or why it did not give it
  */
 export function fetchState(
   peerAddress: string,
   heldVersion: number,
-): Promise<NodeState | undefined> {
+): Promise<Result<NodeState, string>> {
   return new Promise((resolve) => {
     const url = `http://${peerAddress}${PeerPath.State}?${HELD_VERSION}=${heldVersion}`;
     const signal = AbortSignal.timeout(TIMEOUT_MS);
     const outgoing = openRequest(url, { signal, agent: false }, (response) => {
       const chunks: Buffer[] = [];
       response.on('data', (chunk: Buffer) => chunks.push(chunk));
-      response.on('error', () => resolve(undefined));
+      response.on('error', ({ message }) => resolve(Err(message)));
       response.on('end', () => {
-        resolve(decodeNodeState(Buffer.concat(chunks).toString('utf8')).unwrapOr(undefined));
+        resolve(decodeNodeState(Buffer.concat(chunks).toString('utf8')));
       });
     });
-    outgoing.on('error', () => resolve(undefined));
+    outgoing.on('error', ({ message }) => resolve(Err(message)));
     outgoing.end();
   });
 }
--- a/tests/peers/gossip.spec.ts
+++ b/tests/peers/gossip.spec.ts
@@ -7,6 +7,7 @@
 import type { Greeting } from 'lentillb/peers/greeting.js';
 import { decodeGreeting, encodeGreeting, GreetingKind } from 'lentillb/peers/greeting.js';
 import { ReaderRole } from 'lentillb/peers/readerRole.js';
+import { Err, Ok } from 'ts-results-es';
 import { describe, expect, it } from 'vitest';
 import { ManualClock } from '../support/manualClock.js';
 
@@ -68,11 +69,13 @@
         fetchState: (address, heldVersion) => {
           const other = byAddress.get(address);
           if (other === undefined || isCut(other.host)) {
-            return Promise.resolve(undefined);
+            return Promise.resolve(Err('not reached'));
           }
           const held = other.configuration.current?.configuration;
           const configuration = (held?.version ?? 0) > heldVersion ? held : undefined;
-          return Promise.resolve({ configuration, announcements: other.directory.announcements });
+          return Promise.resolve(
+            Ok({ configuration, announcements: other.directory.announcements }),
+          );
         },
       },
       { host: node.host, zone: node.zone },
