Drop what nothing reads and list hosts once a change

Found on reading the whole change: the admission decision's service time and a gate's count in flight were read by nobody; every greeting and every retry copied the list of hosts; the end of an exchange was judged by two copies of one expression; unreadable input was logged in two places.

--- a/packages/lentillb/src/directory/directory.ts
+++ b/packages/lentillb/src/directory/directory.ts
@@ -26,6 +26,9 @@
 
   private readonly listeners: DirectoryListener[] = [];
 
+  /** The announcements as a list, made anew after a change. */
+  private listed: readonly Announcement[] | undefined;
+
   private byService = new Map<string, readonly GateEndpoint[]>();
 
   private currentDigest = 0;
@@ -37,7 +40,8 @@
 
   /** All announcements. */
   get announcements(): readonly Announcement[] {
-    return [...this.byHost.values()];
+    this.listed ??= [...this.byHost.values()];
+    return this.listed;
   }
 
   /**
@@ -54,6 +58,7 @@
     this.byHost.set(announcement.host, announcement);
     const replaced = held === undefined ? 0 : digestOf(held);
     this.currentDigest = (this.currentDigest ^ replaced ^ digestOf(announcement)) >>> 0;
+    this.listed = undefined;
     this.byService = new Map();
     this.listeners.forEach((listener) => listener(announcement));
     return true;
--- a/packages/lentillb/src/serving/backendServerClient.ts
+++ b/packages/lentillb/src/serving/backendServerClient.ts
@@ -46,17 +46,10 @@
     request: ForwardedRequest,
     target: BackendTarget,
   ): Promise<Result<BackendAnswer, ForwardFailure>> {
-    const first = await this.sendOnce(request, target);
-    // An idle connection that was reset carried nothing to the backend server, or a lost answer.
-    if (first.isErr() && first.error === ExchangeFailure.KeptConnectionLost && request.repeatable) {
-      const second = await this.sendOnce(request, target);
-      return second
-        .mapErr((cause) => forwardFailures[cause])
-        .andThen((answer) => this.judge(request, answer));
-    }
-    return first
+    const answer = await this.exchangeWith(request, target);
+    return answer
       .mapErr((cause) => forwardFailures[cause])
-      .andThen((answer) => this.judge(request, answer));
+      .andThen((whole) => this.judge(request, whole));
   }
 
   /** Closes all connections. */
@@ -64,6 +57,16 @@
     this.pool.destroy();
   }
 
+  private async exchangeWith(
+    request: ForwardedRequest,
+    target: BackendTarget,
+  ): Promise<Result<ExchangeAnswer, ExchangeFailure>> {
+    const first = await this.sendOnce(request, target);
+    // An idle connection that was reset carried nothing to the backend server, or a lost answer.
+    const mayHaveIdled = first.isErr() && first.error === ExchangeFailure.KeptConnectionLost;
+    return mayHaveIdled && request.repeatable ? this.sendOnce(request, target) : first;
+  }
+
   private sendOnce(
     request: ForwardedRequest,
     { address, instanceId }: BackendTarget,
--- a/packages/lentillb/src/serving/gateObservation.ts
+++ b/packages/lentillb/src/serving/gateObservation.ts
@@ -39,11 +39,6 @@
 
   constructor(private readonly clock: Clock) {}
 
-  /** How many requests of this node are there now. */
-  get inFlight(): number {
-    return this.underWay;
-  }
-
   /** Whether requests may be sent there. */
   get reachable(): boolean {
     return this.clock.monotonicMs() >= this.avoidUntilMs;
--- a/packages/lentillb/src/serving/slotQueue.ts
+++ b/packages/lentillb/src/serving/slotQueue.ts
@@ -55,8 +55,6 @@
   readonly admission: Admission;
   /** How long a request like it would wait for a slot, in milliseconds. */
   readonly waitMs: number;
-  /** How long a request like it takes once it runs, in milliseconds. */
-  readonly serviceMs: number;
   /** Takes a queued request back. */
   readonly cancel: () => void;
 }
@@ -130,20 +128,19 @@
    * @returns the decision; `onGranted` has been called where a slot was free
    */
   arrive(request: SlotRequest): AdmissionDecision {
-    const serviceMs = this.expectedServiceMs(request.workKey);
     if (this.running < this.slots && this.waiting.length === 0) {
       request.onGranted(this.hold(request));
-      return { admission: Admission.Granted, waitMs: 0, serviceMs, cancel: NOTHING };
+      return { admission: Admission.Granted, waitMs: 0, cancel: NOTHING };
     }
     const waitMs = this.waitBehind(this.requestsAhead(request));
-    if (!this.isWorthWaiting(request, waitMs, serviceMs)) {
-      return { admission: Admission.Refused, waitMs, serviceMs, cancel: NOTHING };
+    if (!this.isWorthWaiting(request, waitMs)) {
+      return { admission: Admission.Refused, waitMs, cancel: NOTHING };
     }
     this.enqueue(request);
     const cancel = (): void => {
       this.remove(request);
     };
-    return { admission: Admission.Queued, waitMs, serviceMs, cancel };
+    return { admission: Admission.Queued, waitMs, cancel };
   }
 
   /** Gives up all requests that wait. */
@@ -151,12 +148,12 @@
     this.waiting.splice(0).forEach(({ onDropped }) => onDropped());
   }
 
-  private isWorthWaiting(request: SlotRequest, waitMs: number, serviceMs: number): boolean {
+  private isWorthWaiting(request: SlotRequest, waitMs: number): boolean {
     if (this.slots === 0 || this.waiting.length >= this.slots * MAX_QUEUE_PER_SLOT) {
       return false;
     }
     const nowMs = this.clock.monotonicMs();
-    const finishMs = waitMs * WAIT_MARGIN + serviceMs;
+    const finishMs = waitMs * WAIT_MARGIN + this.expectedServiceMs(request.workKey);
     return request.patience === Patience.OnTime
       ? nowMs + finishMs <= Math.min(request.targetAtMs, request.deadlineAtMs)
       : finishMs <= (request.deadlineAtMs - nowMs) * LATE_SHARE;
--- a/packages/lentillb/src/sidecar/knowledge.ts
+++ b/packages/lentillb/src/sidecar/knowledge.ts
@@ -109,6 +109,16 @@
     }
   }
 
+  /**
+   * Notes something that somebody sent and that could not be read; what is known stays.
+   *
+   * @param source - where it came from
+   * @param reason - what is wrong with it
+   */
+  reject(source: string, reason: string): void {
+    this.services.log.record(Weight.Notable, 'input-rejected', { source, reason });
+  }
+
   private follow(
     topic: Topic,
     collectMs: number,
@@ -179,8 +189,4 @@
       this.listener.onOwnRecord(announcement);
     }
   }
-
-  private reject(source: string, reason: string): void {
-    this.services.log.record(Weight.Notable, 'input-rejected', { source, reason });
-  }
 }
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -278,7 +278,7 @@
    * @param reason - what is wrong with it
    */
   reject(source: string, reason: string): void {
-    this.log.record(Weight.Notable, 'input-rejected', { source, reason });
+    this.knowledge.reject(source, reason);
   }
 
   /** Notes that the settings file changed; what a node uses of it never changes while it runs. */
