Trace a request through the logs of all hosts: lentillb trace ID FILE...

Finding a request's lines by hand needed a search in each host's log and an own idea of their order. Weighed: reusing the time line's merge, which orders by offsets of the administration API's events and holds a host back for good after one jump of its clock. Tests: six of the command, and the walk of a real process's request in program.spec.

--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -13,6 +13,7 @@
 import { show } from './commands/show.js';
 import { status } from './commands/status.js';
 import { timeline } from './commands/timeline.js';
+import { trace } from './commands/trace.js';
 import type { Console } from './console.js';
 import { ExitCode } from './exitCode.js';
 
@@ -25,6 +26,7 @@
   explain,
   history,
   timeline,
+  trace,
   node,
   dev,
 ];
--- /dev/null
+++ b/tests/cli/trace.spec.ts
@@ -0,0 +1,106 @@
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+import { ExitCode, runProgram } from '@lentillb/cli';
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+import { RecordingConsole } from '../support/recordingConsole.js';
+
+let folder: string;
+
+function line(host: string, second: number, fields: object): string {
+  const time = new Date(Date.UTC(2026, 0, 1, 0, 0, second)).toISOString();
+  return JSON.stringify({ name: 'lentillb', level: 40, host, zone: 'a', time, ...fields });
+}
+
+async function write(name: string, lines: readonly string[]): Promise<string> {
+  const file = path.join(folder, name);
+  await writeFile(file, lines.join('\n'));
+  return file;
+}
+
+async function trace(...args: readonly string[]): Promise<RecordingConsole & { code: ExitCode }> {
+  const console = new RecordingConsole();
+  const code = await runProgram(['trace', ...args], console);
+  return Object.assign(console, { code });
+}
+
+beforeAll(async () => {
+  folder = await mkdtemp(path.join(tmpdir(), 'lentillb-trace-'));
+});
+
+afterAll(async () => {
+  await rm(folder, { recursive: true });
+});
+
+describe('lentillb trace', () => {
+  const refusal = { requestId: 'r1', cause: 'no-slot-in-time', elapsedMs: 9, retryAfterMs: 60 };
+
+  it('should join the lines of all nodes about a request and say what became of it', async () => {
+    const entry = await write('entry.log', [
+      line('10.0.0.1', 1, { event: 'configuration', version: 4 }),
+      line('10.0.0.1', 7, { event: 'request-answered', requestId: 'r2', status: 200 }),
+      line('10.0.0.1', 9, { event: 'request-refused', ...refusal }),
+    ]);
+    const gate = await write('gate.log', [
+      line('10.0.0.2', 8, { event: 'gate-gave-no-answer', requestId: 'r1', waitMs: 70 }),
+    ]);
+    const traced = await trace('r1', entry, gate);
+    expect(traced.code).toBe(ExitCode.Ok);
+    expect(traced.printed).toHaveLength(3);
+    expect(traced.printed[0]).toContain('a/10.0.0.2  gate-gave-no-answer  waitMs=70');
+    expect(traced.printed[1]).toContain('a/10.0.0.1  request-refused  cause=no-slot-in-time');
+    expect(traced.printed[2]).toBe(
+      '10.0.0.1: refused after 9 ms, it did not run: no-slot-in-time; ' +
+        'the caller was asked to return in 60 ms',
+    );
+  });
+
+  it('should tell what nodes learnt around the request, where asked', async () => {
+    const file = await write('context.log', [
+      line('10.0.0.1', 1, { event: 'configuration', version: 4 }),
+      line('10.0.0.1', 8, { event: 'host-silent', of: '10.0.0.2' }),
+      line('10.0.0.1', 9, { event: 'request-refused', ...refusal }),
+      line('10.0.0.1', 9, { event: 'request-answered', requestId: 'r2', status: 200 }),
+    ]);
+    const traced = await trace('r1', '--context', '2000', file);
+    expect(traced.printed.map((text) => text.split('  ')[2])).toEqual([
+      'host-silent',
+      'request-refused',
+      undefined,
+    ]);
+  });
+
+  it('should keep the order of a file whose host set its clock back', async () => {
+    const file = await write('clock.log', [
+      line('10.0.0.1', 50, { event: 'first', requestId: 'r1' }),
+      line('10.0.0.1', 2, { event: 'second', requestId: 'r1' }),
+    ]);
+    const other = await write('other.log', [
+      line('10.0.0.2', 3, { event: 'elsewhere', requestId: 'r1' }),
+    ]);
+    const traced = await trace('r1', '--json', file, other);
+    const { lines } = traced.json as { lines: { event: string }[] };
+    expect(lines.map(({ event }) => event)).toEqual(['elsewhere', 'first', 'second']);
+  });
+
+  it('should read lines behind the prefix of a collector and count those it cannot read', async () => {
+    const text = line('10.0.0.1', 9, { event: 'request-refused', ...refusal });
+    const file = await write('prefix.log', [`[12.5 host-1] ${text}`, 'plain text', '{"cut":']);
+    const traced = await trace('r1', file);
+    expect(traced.code).toBe(ExitCode.Ok);
+    expect(traced.noted).toEqual([`${file}: 2 lines are no decisions`]);
+  });
+
+  it('should say so where no line is about the request', async () => {
+    const file = await write('none.log', [line('10.0.0.1', 1, { event: 'started' })]);
+    const traced = await trace('r9', file);
+    expect(traced.code).toBe(ExitCode.Refused);
+    expect(traced.noted[0]).toContain('no line about r9');
+  });
+
+  it('should name a file that cannot be read', async () => {
+    const traced = await trace('r1', path.join(folder, 'missing.log'));
+    expect(traced.code).toBe(ExitCode.Usage);
+    expect(traced.noted[0]).toContain('missing.log');
+  });
+});
--- a/tests/platform/program.spec.ts
+++ b/tests/platform/program.spec.ts
@@ -6,10 +6,12 @@
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import { promisify } from 'node:util';
+import { ExitCode, runProgram } from '@lentillb/cli';
 import { KeyedLogServer } from '@lentillb/standins';
 import { SystemClock } from 'lentillb';
 import { afterAll, afterEach, beforeAll, beforeEach, describe, expect, it } from 'vitest';
 import { freeAddress } from '../support/freeAddress.js';
+import { RecordingConsole } from '../support/recordingConsole.js';
 import { ScriptedBackendServer } from '../support/scriptedBackendServer.js';
 
 interface Reply {
@@ -203,6 +205,11 @@
     ]);
     const figures = await send(ports.peer, { method: 'GET', target: '/metrics' });
     expect(figures.body).toContain('gate_failures{cause="connection-lost",outcome="unknown"} 1');
+    const file = path.join(folder, 'host.log');
+    await writeFile(file, output);
+    const console = new RecordingConsole();
+    expect(await runProgram(['trace', 'cccc', file], console)).toBe(ExitCode.Ok);
+    expect(console.printed.at(-1)).toContain('it may have run: connection-lost');
   });
 
   it('should refuse a heartbeat that cannot be read and keep what it knows', async () => {
