Let a sample backend server leave only when its node has nothing under way to it

Cause: the stand-in left when its own count of requests was 0, though calls that the gate had admitted and that waited for a connection or were on the wire had not reached it yet; it then cut them. docs/operators/calls.md says to wait until the node's inFlight is 0.

--- a/packages/standins/src/sampleBackendServer.ts
+++ b/packages/standins/src/sampleBackendServer.ts
@@ -52,11 +52,12 @@
     this.keepAnnounced(leaseMs);
   }
 
-  /** Leaves gracefully: takes no new work, finishes what runs, then is gone. */
+  /** Leaves gracefully: takes no new work, finishes what the node sent it, then is gone. */
   async stop(): Promise<void> {
     this.state = 'draining';
     await this.announce();
-    for (let poll = 0; poll < MAX_DRAIN_POLLS && this.inFlight > 0; poll += 1) {
+    // The node counts calls that are still on their way here.
+    for (let poll = 0; poll < MAX_DRAIN_POLLS && (await this.sentHere()) > 0; poll += 1) {
       await this.options.clock.sleep(DRAIN_POLL_MS);
     }
     this.stopping.abort();
@@ -79,6 +80,17 @@
     return `http://127.0.0.1:${localPort}/v1/backend-servers/${id}`;
   }
 
+  /** How many calls are on their way here or run, by the count of the node where it answers. */
+  private async sentHere(): Promise<number> {
+    const asked = await httpRequest(this.url).catch(() => undefined);
+    if (asked === undefined || asked.statusCode !== 200) {
+      await asked?.body.dump();
+      return this.inFlight;
+    }
+    const { inFlight } = (await asked.body.json()) as { inFlight: number };
+    return Math.max(inFlight, this.inFlight);
+  }
+
   private async announce(): Promise<number> {
     const { service, slots } = this.options;
     const { port } = this.server.address() as AddressInfo;
