Add a soak that plays seeded faults against real processes

The scripted backend server of the tests moves to the stand-ins, and survives requests that are cut off midway, as does the stand-in store.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -50,7 +50,7 @@
   },
   { rules: RULES },
   {
-    files: ['tests/**', 'bench/**', 'deploy/**', '*.config.*', '*.js'],
+    files: ['tests/**', 'bench/**', 'soak/**', 'deploy/**', '*.config.*', '*.js'],
     rules: {
       'import-x/no-extraneous-dependencies': 'off',
       'no-console': 'off',
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -5,3 +5,5 @@
 export { SampleBackendServer } from './sampleBackendServer.js';
 export type { SampleBackendServerOptions } from './sampleBackendServer.js';
 export { KeyedLogServer, StoreFault } from './keyedLogServer.js';
+export { answerWell, ScriptedBackendServer } from './scriptedBackendServer.js';
+export type { Behaviour, Run } from './scriptedBackendServer.js';
--- a/packages/standins/src/keyedLogServer.ts
+++ b/packages/standins/src/keyedLogServer.ts
@@ -3,6 +3,7 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { readWhole } from './readWhole.js';
 
 const LENGTH_BYTES = 4;
 const OFFSET_BYTES = 8;
@@ -80,8 +81,7 @@
 
 /** An HTTP server with keyed topics in memory. */
 export class KeyedLogServer {
-  /** What becomes of each call; undefined serves it. */
-  fault: StoreFault | undefined;
+  private fault: StoreFault | undefined;
 
   private readonly server: Server;
 
@@ -105,6 +105,11 @@
     return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
   }
 
+  /** @param fault - what becomes of each call from now on; undefined serves them */
+  misbehave(fault: StoreFault | undefined): void {
+    this.fault = fault;
+  }
+
   /** Starts to listen. */
   async listen(): Promise<void> {
     await new Promise<void>((resolve) => {
@@ -164,18 +169,15 @@
 
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     this.callCount += 1;
-    const chunks: Buffer[] = [];
-    for await (const chunk of request) {
-      chunks.push(chunk as Buffer);
+    const body = await readWhole(request);
+    if (body === undefined) {
+      return;
     }
     const { pathname, searchParams } = new URL(request.url ?? '/', 'http://store');
     const { fault } = this;
     const handlers: Readonly<Record<string, () => Promise<void> | void>> = {
       '/log-append': () => {
-        const offset = this.append(
-          searchParams.get('topic') ?? '',
-          splitRecords(Buffer.concat(chunks)),
-        );
+        const offset = this.append(searchParams.get('topic') ?? '', splitRecords(body));
         if (fault === undefined) {
           answerJson(response, HttpStatus.Ok, { offset, end: offset + 1 });
         }
--- a/packages/standins/src/scriptedBackendServer.ts
+++ b/packages/standins/src/scriptedBackendServer.ts
@@ -1,8 +1,9 @@
 /** A backend server that speaks the platform's protocol and misbehaves on request. */
-import { runInBackground } from 'lentillb/sidecar/index.js';
+import { runInBackground } from 'lentillb/sidecar';
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { readWhole } from './readWhole.js';
 
 /** One run of a request. */
 export interface Run {
@@ -60,9 +61,9 @@
   }
 
   private async run(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const chunks: Buffer[] = [];
-    for await (const chunk of request) {
-      chunks.push(chunk as Buffer);
+    const body = await readWhole(request);
+    if (body === undefined) {
+      return;
     }
     if (request.headers['x-expected-instance'] !== this.id) {
       response.writeHead(421, { 'x-instance-id': this.id });
@@ -70,8 +71,8 @@
       return;
     }
     const requestId = String(request.headers['x-attempt-id']);
-    const body = Buffer.concat(chunks).toString('utf8');
-    const run: Run = { requestId, headers: request.headers, body, abandoned: false };
+    const { headers } = request;
+    const run: Run = { requestId, headers, body: body.toString('utf8'), abandoned: false };
     this.runs.push(run);
     response.once('close', () => {
       run.abandoned = !response.writableFinished;
--- a/tests/platform/logStore.spec.ts
+++ b/tests/platform/logStore.spec.ts
@@ -54,7 +54,7 @@
     [StoreFault.LoseAnswer, StoreFailureKind.Unknown],
     [StoreFault.Silence, StoreFailureKind.Unknown],
   ])('should tell after %s that a write is %s', async (fault, kind) => {
-    server.fault = fault;
+    server.misbehave(fault);
     const written = await store.write(Topic.Hosts, 'a', Buffer.from('one'), soon(200));
     expect(written.unwrapErr().kind).toBe(kind);
   });
--- a/tests/platform/program.spec.ts
+++ b/tests/platform/program.spec.ts
@@ -7,12 +7,11 @@
 import path from 'node:path';
 import { promisify } from 'node:util';
 import { ExitCode, runProgram } from '@lentillb/cli';
-import { KeyedLogServer } from '@lentillb/standins';
+import { KeyedLogServer, ScriptedBackendServer } from '@lentillb/standins';
 import { SystemClock } from 'lentillb';
 import { afterAll, afterEach, beforeAll, beforeEach, describe, expect, it } from 'vitest';
 import { freeAddress } from '../support/freeAddress.js';
 import { RecordingConsole } from '../support/recordingConsole.js';
-import { ScriptedBackendServer } from '../support/scriptedBackendServer.js';
 
 interface Reply {
   readonly status: number;
--- a/tests/sidecar/sidecar.spec.ts
+++ b/tests/sidecar/sidecar.spec.ts
@@ -1,6 +1,5 @@
-import { StoreFault } from '@lentillb/standins';
+import { answerWell, StoreFault } from '@lentillb/standins';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import { answerWell } from '../support/scriptedBackendServer.js';
 import { SidecarFleet } from '../support/sidecarFleet.js';
 
 let fleet: SidecarFleet;
@@ -125,7 +124,7 @@
   it('should confirm a departure within a second while the store is silent', async () => {
     const host = await fleet.addHost('front', 'letters');
     await fleet.untilServed(host, 'letters');
-    fleet.store.fault = StoreFault.Silence;
+    fleet.store.misbehave(StoreFault.Silence);
     const startedMs = fleet.clock.monotonicMs();
     await host.sidecar.acceptDeparture(host.heartbeat.id);
     expect(fleet.clock.monotonicMs() - startedMs).toBeLessThan(1_000);
@@ -150,7 +149,7 @@
     const second = await fleet.addHost('second', 'letters');
     await fleet.untilServed(first, 'letters');
     // The store knows both hosts; a further node starts while it refuses every call.
-    fleet.store.fault = StoreFault.Refuse;
+    fleet.store.misbehave(StoreFault.Refuse);
     const { peerAddress } = first.sidecar.identity;
     const late = await fleet.addHost('late', 'pages', false);
     expect(late.sidecar.ready).toBe(false);
--- /dev/null
+++ b/tests/soak/schedule.spec.ts
@@ -0,0 +1,19 @@
+import { SeededRandomness } from 'lentillb';
+import { describe, expect, it } from 'vitest';
+import { faults } from '../../soak/dist/faults.js';
+import { drawSchedule } from '../../soak/dist/schedule.js';
+
+describe('schedules of the soak', () => {
+  it('should repeat themselves for equal seeds', () => {
+    const draw = (): unknown => drawSchedule(new SeededRandomness(7), 6);
+    expect(draw()).toEqual(draw());
+  });
+
+  it('should draw every kind of fault within two hundred seeds, on hosts that exist', () => {
+    const drawn = Array.from({ length: 200 }, (_, seed) =>
+      drawSchedule(new SeededRandomness(seed), 6),
+    ).flatMap((schedule) => schedule.faults);
+    expect(new Set(drawn.map(({ name }) => name))).toEqual(new Set(Object.keys(faults)));
+    expect(drawn.every(({ host }) => host >= 0 && host < 6)).toBe(true);
+  });
+});
--- a/tests/support/sidecarFleet.ts
+++ b/tests/support/sidecarFleet.ts
@@ -3,12 +3,11 @@
 import { request as openRequest } from 'node:http';
 import type { IncomingHttpHeaders } from 'node:http';
 import { CONFIGURATION_KEY, decodeConfiguration, LogStore, wireHeaders } from '@lentillb/platform';
-import { KeyedLogServer } from '@lentillb/standins';
+import { KeyedLogServer, ScriptedBackendServer } from '@lentillb/standins';
 import { SeededRandomness, SystemClock } from 'lentillb';
 import type { Heartbeat } from 'lentillb/serving/localBackendServer.js';
 import { Sidecar } from 'lentillb/sidecar/index.js';
 import { freeAddress } from './freeAddress.js';
-import { ScriptedBackendServer } from './scriptedBackendServer.js';
 
 const TARGET_MS = 400;
 const TIMEOUT_MS = 1_500;
