Keep a run out that left before its node had heard of it

A departure now holds for every run that started before it, by the time of day; since that may be wrong, only as long as a late heartbeat can arrive, 3 s: a run that goes on sending heartbeats is there all the same.

--- a/packages/lentillb/src/serving/localBackendServer.ts
+++ b/packages/lentillb/src/serving/localBackendServer.ts
@@ -36,6 +36,18 @@
 /** Lower than every sequence of a real heartbeat. */
 const PRESUMED_SEQUENCE = -1;
 
+/** How late a heartbeat of a run that left may still arrive, in milliseconds: two heartbeats. */
+const LATE_MS = 3_000;
+
+interface Departure {
+  /** The start of the run that left, as far as this node heard of it, in Unix milliseconds. */
+  readonly startedAtMs: number;
+  /** When it was confirmed, in Unix milliseconds: no run that started earlier is still there. */
+  readonly confirmedAtMs: number;
+  /** Until when the time of day is trusted to tell a later run from one not heard of. */
+  readonly trustedUntilMs: number;
+}
+
 interface Run {
   readonly heartbeat: Heartbeat;
   readonly state: BackendServerState;
@@ -56,8 +68,8 @@
 export class LocalBackendServer {
   private run: Run | undefined;
 
-  /** Departures that were confirmed, by identity; the value is the start of the run that left. */
-  private readonly departed = new Map<string, number>();
+  /** Departures that were confirmed, by identity. */
+  private readonly departed = new Map<string, Departure>();
 
   /**
    * @param clock - the clock that warming up goes by
@@ -106,7 +118,7 @@
     }
     const state = heartbeat.draining ? BackendServerState.Leaving : BackendServerState.Ready;
     if (heartbeat.draining) {
-      this.departed.set(heartbeat.id, heartbeat.startedAtMs);
+      this.noteDeparture(heartbeat.id, heartbeat.startedAtMs, heartbeat.startedAtMs);
     }
     const warmAtMs = this.clock.monotonicMs() + heartbeat.warmupLeftMs;
     this.run = { heartbeat, state, warmAtMs };
@@ -130,13 +142,11 @@
    */
   depart(id: string): HeartbeatVerdict {
     const held = this.run;
-    if (held === undefined || held.heartbeat.id !== id) {
-      // A run that this node has not heard of yet; a delayed heartbeat of it must not open the gate.
-      this.departed.set(id, this.departed.get(id) ?? this.clock.now().getTime());
-      return HeartbeatVerdict.Unchanged;
-    }
-    this.departed.set(id, held.heartbeat.startedAtMs);
-    return this.close(held);
+    const isKnown = held !== undefined && held.heartbeat.id === id;
+    // It may be a run that this node has not heard of yet: its delayed heartbeat must not open the gate.
+    const startedAtMs = isKnown ? held.heartbeat.startedAtMs : -Infinity;
+    this.noteDeparture(id, startedAtMs, this.clock.now().getTime());
+    return isKnown ? this.close(held) : HeartbeatVerdict.Unchanged;
   }
 
   /**
@@ -152,7 +162,7 @@
       return;
     }
     if (announced.state !== BackendServerState.Ready) {
-      this.departed.set(announced.id, announced.startedAtMs);
+      this.noteDeparture(announced.id, announced.startedAtMs, announced.startedAtMs);
       if (this.run !== undefined && this.run.heartbeat.id === announced.id) {
         this.depart(announced.id);
       }
@@ -168,8 +178,7 @@
 
   private presume(announced: AnnouncedBackendServer, address: string): void {
     const { id, service, slots, startedAtMs } = announced;
-    const departedStart = this.departed.get(id);
-    if (departedStart !== undefined && startedAtMs <= departedStart) {
+    if (this.hasDeparted(id, startedAtMs)) {
       return;
     }
     const presumed: Heartbeat = {
@@ -200,9 +209,27 @@
     return HeartbeatVerdict.Changed;
   }
 
+  private noteDeparture(id: string, startedAtMs: number, confirmedAtMs: number): void {
+    const held = this.departed.get(id);
+    this.departed.set(id, {
+      startedAtMs: Math.max(startedAtMs, held?.startedAtMs ?? -Infinity),
+      confirmedAtMs: Math.max(confirmedAtMs, held?.confirmedAtMs ?? -Infinity),
+      trustedUntilMs: this.clock.monotonicMs() + LATE_MS,
+    });
+  }
+
+  private hasDeparted(id: string, startedAtMs: number): boolean {
+    const departure = this.departed.get(id);
+    if (departure === undefined) {
+      return false;
+    }
+    // The time of day may be wrong: a run that goes on sending heartbeats is there all the same.
+    const trusted = this.clock.monotonicMs() < departure.trustedUntilMs;
+    return startedAtMs <= (trusted ? departure.confirmedAtMs : departure.startedAtMs);
+  }
+
   private isOutdated(heartbeat: Heartbeat): boolean {
-    const departedStart = this.departed.get(heartbeat.id);
-    if (departedStart !== undefined && heartbeat.startedAtMs <= departedStart) {
+    if (this.hasDeparted(heartbeat.id, heartbeat.startedAtMs)) {
       // The run announced its departure; only its further drain heartbeats are in order.
       return !(heartbeat.draining && this.run?.heartbeat.id === heartbeat.id);
     }
