Let one node read in place of lost readers, not a whole zone

Where a zone loses the two nodes that read the store, all others read it after 1.6 s, each version whole: 400 KB times fourteen over small links, for as long as the readers are gone. Now they wait longer by their rank, the first one that gets an answer says so in its greetings, and those behind it give way; one is left. A node says that it reads only while the store has answered it within 6 s.

Tests: fifteen nodes of which both readers are cut (1 reads after some seconds, under 80 reader-quarters in ten seconds where all thirteen would make over 400). The test that expected both others of a zone of four to read now expects one of them to, and the other to learn from it.

--- a/packages/lentillb/src/peers/gossip.ts
+++ b/packages/lentillb/src/peers/gossip.ts
@@ -113,13 +113,13 @@
       this.services.carrier.send(from, this.greeting(GreetingKind.Answer));
     }
     const { directory, role } = this.services;
-    const isNear = directory.announcements.some(
+    const near = directory.announcements.find(
       ({ peerAddress, zone }) => peerAddress === from && zone === this.place.zone,
     );
-    if (greeting.readsStore && isNear) {
-      role.hearReader();
+    if (greeting.readsStore && near !== undefined) {
+      role.hearReader(near.host);
     }
-    this.compare(from, greeting, isNear);
+    this.compare(from, greeting, near !== undefined);
   }
 
   private greeting(kind: GreetingKind): Greeting {
--- a/packages/lentillb/src/peers/readerRole.ts
+++ b/packages/lentillb/src/peers/readerRole.ts
@@ -13,6 +13,12 @@
 const READERS_PER_ZONE = 2;
 /** How long a node goes without hearing from a reader before it reads itself, in milliseconds. */
 const UNHEARD_MS = 1_600;
+/** How much longer each further node of the rank waits, in milliseconds: a round of greetings. */
+const UNHEARD_STEP_MS = 300;
+/** No node waits longer than so many steps, however many hosts its zone has. */
+const MOST_STEPS = 6;
+/** How long an answer of the store counts, in milliseconds: longer than it holds a read. */
+const ANSWER_FRESH_MS = 6_000;
 
 function compareForReading(left: Announcement, right: Announcement): number {
   return (
@@ -26,7 +32,11 @@
 export class ReaderRole {
   private heardAtMs: number;
 
-  private lostTopics = new Set<string>();
+  private answeredAtMs = -Infinity;
+
+  private readonly lostTopics = new Set<string>();
+
+  private ranked: { readonly digest: number; readonly hosts: readonly string[] } | undefined;
 
   /**
    * @param services - the clock, and the hosts that are known
@@ -42,26 +52,30 @@
 
   /** Whether this node is one of the readers of its zone. */
   get isReader(): boolean {
-    const rank = this.services.directory.announcements
-      .filter(({ zone }) => zone === this.place.zone)
-      .sort(compareForReading)
-      .findIndex(({ host }) => host === this.place.host);
-    return rank < 0 || rank < READERS_PER_ZONE;
+    return this.rank < READERS_PER_ZONE;
   }
 
   /** Whether this node should read the store now. */
   get shouldRead(): boolean {
-    return this.isReader || this.services.clock.monotonicMs() - this.heardAtMs > UNHEARD_MS;
+    return this.isReader || this.services.clock.monotonicMs() - this.heardAtMs > this.unheardMs;
   }
 
   /** Whether others may rely on this node for what is in the store. */
   get readsStore(): boolean {
-    return this.lostTopics.size === 0 && this.isReader;
+    const isFresh = this.services.clock.monotonicMs() - this.answeredAtMs < ANSWER_FRESH_MS;
+    return this.lostTopics.size === 0 && this.shouldRead && isFresh;
   }
 
-  /** Notes that a reader of this zone was heard. */
-  hearReader(): void {
-    this.heardAtMs = this.services.clock.monotonicMs();
+  /**
+   * Notes that a node of this zone reads the store. One that takes the place of lost readers gives
+   * way to those before it only, so that one of them is left.
+   *
+   * @param host - the address of its host
+   */
+  hearReader(host: string): void {
+    if (this.rankOf(host) < this.rank) {
+      this.heardAtMs = this.services.clock.monotonicMs();
+    }
   }
 
   /**
@@ -73,8 +87,32 @@
   noteStore(topic: string, answers: boolean): void {
     if (answers) {
       this.lostTopics.delete(topic);
+      this.answeredAtMs = this.services.clock.monotonicMs();
     } else {
       this.lostTopics.add(topic);
     }
   }
+
+  /** The place of this node among those of its zone; -1 where it has not announced itself. */
+  private get rank(): number {
+    return this.rankOf(this.place.host);
+  }
+
+  /** One after the other, so that a lost reader is not replaced by a whole zone. */
+  private get unheardMs(): number {
+    const steps = Math.min(MOST_STEPS, Math.max(0, this.rank - READERS_PER_ZONE));
+    return UNHEARD_MS + steps * UNHEARD_STEP_MS;
+  }
+
+  private rankOf(host: string): number {
+    const { announcements, digest } = this.services.directory;
+    if (this.ranked?.digest !== digest) {
+      const hosts = announcements
+        .filter(({ zone }) => zone === this.place.zone)
+        .sort(compareForReading)
+        .map((announcement) => announcement.host);
+      this.ranked = { digest, hosts };
+    }
+    return this.ranked.hosts.indexOf(host);
+  }
 }
--- a/packages/lentillb/src/sidecar/knowledge.ts
+++ b/packages/lentillb/src/sidecar/knowledge.ts
@@ -172,8 +172,8 @@
         this.role.noteStore(topic, false);
         log.record(Weight.Notable, 'store-lost', { topic, kind, message });
       },
+      onAnswered: () => this.role.noteStore(topic, true),
       onRegained: () => {
-        this.role.noteStore(topic, true);
         log.record(Weight.Notable, 'store-regained', { topic });
       },
     });
--- a/packages/lentillb/src/store/topicFollower.ts
+++ b/packages/lentillb/src/store/topicFollower.ts
@@ -22,6 +22,8 @@
   readonly onRecords: (records: readonly KeyedRecord[]) => void;
   /** Called when the topic was read to its end for the first time. */
   readonly onCaughtUp: () => void;
+  /** Called whenever the store answered. */
+  readonly onAnswered: () => void;
   /** @param failure - why a call failed */
   readonly onLost: (failure: StoreFailure) => void;
   /** Called at the first success after a failure. */
@@ -101,6 +103,7 @@
 
   private accept(batch: KeyedBatch): void {
     this.backoff.reset();
+    this.listener.onAnswered();
     if (this.lost) {
       this.lost = false;
       this.listener.onRegained();
