Say in a refusal's line how many hosts there were and why some were left out

The line now has hosts, silentHosts and avoidedHosts. Tests: placement.spec.ts, program.spec.ts with the real process.

--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -321,7 +321,11 @@
     const waitMs = Number.isFinite(leastWaitMs)
       ? leastWaitMs
       : (returnWaits[cause] ?? UNSERVED_RETURN_MS);
-    return this.refuse(request, cause, chooseReturnTime({ waitMs, leftMs }, randomness), fields);
+    const { directory, placer } = this.services;
+    return this.refuse(request, cause, chooseReturnTime({ waitMs, leftMs }, randomness), {
+      ...fields,
+      ...placer.count(directory.endpointsOf(forwarded.service)),
+    });
   }
 
   private refuse(
--- a/packages/lentillb/src/serving/placement.ts
+++ b/packages/lentillb/src/serving/placement.ts
@@ -48,6 +48,15 @@
   return 1 / (1 + Math.exp(1.702 * deviations));
 }
 
+/** How many gates there are for a request, and how many of them are left out; for the log. */
+export interface CandidateCount {
+  readonly hosts: number;
+  /** Hosts that answer nothing. */
+  readonly silentHosts: number;
+  /** Gates that took no connection lately; asked only where no other is left. */
+  readonly avoidedHosts: number;
+}
+
 /** Chooses gates by what this node has seen of them. */
 export class Placer {
   constructor(
@@ -71,6 +80,19 @@
     return this.best(reachable.length > 0 ? reachable : left, targetMs);
   }
 
+  /**
+   * @param candidates - the gates of a service
+   * @returns how many there are, and how many are left out
+   */
+  count(candidates: readonly GateEndpoint[]): CandidateCount {
+    const { isSilent, observations } = this.services;
+    return {
+      hosts: candidates.length,
+      silentHosts: candidates.filter(({ host }) => isSilent(host)).length,
+      avoidedHosts: candidates.filter((endpoint) => !observations.isReachable(endpoint)).length,
+    };
+  }
+
   private best(endpoints: readonly GateEndpoint[], targetMs: number): Placement | undefined {
     const { observations, randomness } = this.services;
     if (endpoints.length === 0) {
--- a/tests/platform/program.spec.ts
+++ b/tests/platform/program.spec.ts
@@ -195,6 +195,8 @@
       event: 'request-refused',
       cause: 'no-backend-server',
       sent: 0,
+      hosts: 0,
+      silentHosts: 0,
     });
     expect(linesOf('bbbb')[0]).toMatchObject({ event: 'request-answered', status: 200 });
     const events = linesOf('cccc').map(({ cause, event }) => `${String(event)} ${String(cause)}`);
--- a/tests/serving/placement.spec.ts
+++ b/tests/serving/placement.spec.ts
@@ -35,7 +35,7 @@
   const far = endpoint('far', 'b');
   const choose = (excluded = NOBODY): string | undefined =>
     placer.choose({ candidates: [near, far], excluded, targetMs: TARGET_MS })?.endpoint.host;
-  return { choose, clock, far, near, observations, silent };
+  return { choose, clock, far, near, observations, placer, silent };
 }
 
 describe('placement', () => {
@@ -120,4 +120,11 @@
     }
     expect(choose()).toBe('far');
   });
+
+  it('should tell for the log how many hosts are left out, and why', () => {
+    const { far, near, observations, placer, silent } = fixture();
+    silent.add('near');
+    observations.of(far).avoid();
+    expect(placer.count([near, far])).toEqual({ hosts: 2, silentHosts: 1, avoidedHosts: 1 });
+  });
 });
