Distrust idle connections after one was lost; leave out implied headers between nodes

Two causes, one interface. Backend servers of the grown sites forget idle connections after some 160 ms for seconds; each further request on one that may not be repeated ended with 502. After a kept connection turned out lost, the others are closed, and for 10 s only those idle under 20 ms are used again. Ruled out: never keeping connections, which is priced and costs a millisecond.

Tests: connectionPool.spec.ts, both parts fail before.

--- a/packages/lentillb/src/serving/backendServerClient.ts
+++ b/packages/lentillb/src/serving/backendServerClient.ts
@@ -28,12 +28,14 @@
 
 /** Sends requests to one backend server. */
 export class BackendServerClient {
-  private readonly pool = new ConnectionPool({ idleMs: IDLE_MS, maxIdle: MAX_IDLE });
+  private readonly pool: ConnectionPool;
 
   constructor(
     private readonly clock: Clock,
     private readonly names: HeaderNames,
-  ) {}
+  ) {
+    this.pool = new ConnectionPool(clock, { idleMs: IDLE_MS, maxIdle: MAX_IDLE });
+  }
 
   /**
    * Sends a request that holds a slot.
@@ -64,7 +66,11 @@
     const first = await this.sendOnce(request, target);
     // An idle connection that was reset carried nothing to the backend server, or a lost answer.
     const mayHaveIdled = first.isErr() && first.error === ExchangeFailure.KeptConnectionLost;
-    return mayHaveIdled && request.repeatable ? this.sendOnce(request, target) : first;
+    if (!mayHaveIdled) {
+      return first;
+    }
+    this.pool.distrust();
+    return request.repeatable ? this.sendOnce(request, target) : first;
   }
 
   private sendOnce(
--- a/packages/lentillb/src/serving/callerListener.ts
+++ b/packages/lentillb/src/serving/callerListener.ts
@@ -41,10 +41,11 @@
   readonly requestIdName: string;
   /** How long idle connections are kept, in milliseconds, before a configuration states it. */
   readonly idleMs?: number;
-  /** Whether answers state the time of day; between nodes it would only cost bytes. */
-  readonly sendDate?: boolean;
-  /** Whether answers repeat the identity of their request; a node knows what it asked. */
-  readonly echoesRequestId?: boolean;
+  /**
+   * Whether answers leave out what another node knows: the time of day, the identity of its
+   * request, and what HTTP/1.1 implies. Between availability zones every byte is paid for.
+   */
+  readonly isTerse?: boolean;
 }
 
 function refusal(status: number): EntryAnswer {
@@ -191,16 +192,19 @@
       return;
     }
     const { body, headers, status } = answer;
-    const { echoesRequestId = true, requestIdName } = this.options;
+    const { isTerse = false, requestIdName } = this.options;
     const requestId = request.headers[requestIdName];
     if (answer.unframed) {
       response.useChunkedEncodingByDefault = false;
     }
     const closes = this.leaving || !request.complete || answer.unframed === true;
-    response.sendDate = this.options.sendDate ?? true;
+    response.sendDate = !isTerse;
+    if (isTerse) {
+      response.removeHeader('connection');
+    }
     response.writeHead(status, {
       ...headers,
-      ...(typeof requestId === 'string' && echoesRequestId ? { [requestIdName]: requestId } : {}),
+      ...(typeof requestId === 'string' && !isTerse ? { [requestIdName]: requestId } : {}),
       ...(BODILESS.has(status) || answer.unframed ? {} : { 'content-length': `${body.length}` }),
       ...(closes ? { connection: 'close' } : {}),
     });
--- a/packages/lentillb/src/serving/connectionPool.ts
+++ b/packages/lentillb/src/serving/connectionPool.ts
@@ -3,12 +3,18 @@
 import type { ClientRequest } from 'node:http';
 import type { Duplex } from 'node:stream';
 import type { Socket } from 'node:net';
+import type { Clock } from '../kernel/clock.js';
 
 const MS_PER_SECOND = 1_000;
 const KEEP_ALIVE_TIMEOUT = /(?:^|[,\s])timeout=(\d+)/i;
 /** The share of the time stated by the other side within which a connection is used again. */
 const STATED_SHARE = 0.8;
 
+/** How long an idle connection is used again after one was lost, in milliseconds: a busy one's pause. */
+const DISTRUSTED_IDLE_MS = 20;
+/** How long that lasts, in milliseconds: a backend server that forgets one forgets others. */
+const DISTRUST_MS = 10_000;
+
 /** How long connections are kept. */
 export interface PoolOptions {
   /** How long an idle connection is used again, in milliseconds. */
@@ -25,16 +31,38 @@
   return stated === undefined ? Infinity : Number(stated) * MS_PER_SECOND * STATED_SHARE;
 }
 
-/** An agent that gives up idle connections before the other side does. */
+/**
+ * An agent that gives up idle connections before the other side does. Answers backend servers that
+ * forget idle connections earlier than they say: after one was lost the others are closed, and for
+ * a while none that has been idle is used for a request that may not be repeated.
+ */
 export class ConnectionPool extends Agent {
-  /** @param pool - how long connections are kept */
-  constructor(private readonly pool: PoolOptions) {
+  private distrustedUntilMs = -Infinity;
+
+  /**
+   * @param clock - the clock of the pool
+   * @param pool - how long connections are kept
+   */
+  constructor(
+    private readonly clock: Clock,
+    private readonly pool: PoolOptions,
+  ) {
     super({ keepAlive: true, maxFreeSockets: pool.maxIdle, scheduling: 'lifo', noDelay: true });
   }
 
+  /** Notes that a kept connection turned out to be lost. */
+  distrust(): void {
+    this.distrustedUntilMs = this.clock.monotonicMs() + DISTRUST_MS;
+    Object.values(this.freeSockets)
+      .flatMap((sockets) => sockets ?? [])
+      .forEach((socket) => socket.destroy());
+  }
+
   override keepSocketAlive(stream: Duplex): boolean {
     const socket = stream as Socket;
-    const idleMs = Math.min(this.pool.idleMs, statedIdleMs(socket));
+    const isDistrusted = this.clock.monotonicMs() < this.distrustedUntilMs;
+    const ownIdleMs = isDistrusted ? DISTRUSTED_IDLE_MS : this.pool.idleMs;
+    const idleMs = Math.min(ownIdleMs, statedIdleMs(socket));
     if (idleMs <= 0) {
       return false;
     }
--- a/packages/lentillb/src/serving/exchange.ts
+++ b/packages/lentillb/src/serving/exchange.ts
@@ -22,6 +22,8 @@
   /** How long the whole exchange may take, in milliseconds. */
   readonly timeoutMs: number;
   readonly cancellation: Cancellation;
+  /** Leaves out what HTTP/1.1 implies: between availability zones every byte is paid for. */
+  readonly isTerse?: boolean;
 }
 
 /** A whole answer. */
@@ -99,8 +101,8 @@
   }
 
   private open(): ClientRequest {
-    const { address, agent, headers, method, target } = this.request;
-    return openRequest({
+    const { address, agent, headers, isTerse, method, target } = this.request;
+    const outgoing = openRequest({
       agent,
       ...parseAddress(address),
       method,
@@ -108,6 +110,10 @@
       headers,
       setHost: false,
     });
+    if (isTerse === true) {
+      outgoing.removeHeader('connection');
+    }
+    return outgoing;
   }
 
   private watchConnection(): void {
--- a/packages/lentillb/src/serving/gateDialer.ts
+++ b/packages/lentillb/src/serving/gateDialer.ts
@@ -35,7 +35,7 @@
 
 /** Reaches the gates of all hosts. */
 export class GateDialer {
-  private readonly pool = new ConnectionPool({ idleMs: IDLE_MS, maxIdle: MAX_IDLE });
+  private readonly pool: ConnectionPool;
 
   constructor(
     private readonly services: {
@@ -44,7 +44,9 @@
       readonly links: SilenceWatch;
     },
     private readonly ownHost: string,
-  ) {}
+  ) {
+    this.pool = new ConnectionPool(services.clock, { idleMs: IDLE_MS, maxIdle: MAX_IDLE });
+  }
 
   /**
    * Asks a gate to run a request.
@@ -82,6 +84,7 @@
       connectTimeoutMs: Math.min(leftMs, CONNECT_TIMEOUT_MS),
       timeoutMs: leftMs + ANSWER_GRACE_MS,
       cancellation: abandoned,
+      isTerse: true,
     });
     stopWatch();
     stopCancel();
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -194,8 +194,7 @@
     this.gateListener = new CallerListener(clock, (request) => this.serveNode(request), {
       requestIdName,
       idleMs: GATE_IDLE_MS,
-      sendDate: false,
-      echoesRequestId: false,
+      isTerse: true,
     });
     configuration.subscribe(({ limits }) => this.callers.limit(limits));
     this.announcer = new Announcer(
--- /dev/null
+++ b/tests/serving/connectionPool.spec.ts
@@ -0,0 +1,137 @@
+import { createServer } from 'node:http';
+import type { Server } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+import { SystemClock } from 'lentillb';
+import { Cancellation } from 'lentillb/calls/cancellation.js';
+import { BackendServerClient } from 'lentillb/serving/backendServerClient.js';
+import { CallerListener } from 'lentillb/serving/callerListener.js';
+import { ConnectionPool } from 'lentillb/serving/connectionPool.js';
+import { exchange } from 'lentillb/serving/exchange.js';
+import type { ForwardedRequest } from 'lentillb/serving/messages.js';
+import { wireHeaders } from '@lentillb/platform';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { freeAddress } from '../support/freeAddress.js';
+
+/** How long the backend server keeps an idle connection, in milliseconds; it says nothing of it. */
+const FORGETS_MS = 60;
+
+const clock = new SystemClock();
+
+let server: Server;
+let connections: number;
+let client: BackendServerClient;
+
+/** Resets a connection whose next request comes after a pause. */
+function forgetWhenIdle(socket: Socket): void {
+  let lastMs = clock.monotonicMs();
+  socket.prependListener('data', () => {
+    if (clock.monotonicMs() - lastMs > FORGETS_MS) {
+      socket.resetAndDestroy();
+    }
+    lastMs = clock.monotonicMs();
+  });
+}
+
+function order(): ForwardedRequest {
+  return {
+    requestId: 'r',
+    method: 'POST',
+    target: '/',
+    headers: { host: 'a.example', [wireHeaders.requestId]: 'r' },
+    body: Buffer.alloc(0),
+    service: 's',
+    route: 'order',
+    priority: 1,
+    repeatable: false,
+    targetLatencyMs: 500,
+    targetAtMs: clock.monotonicMs() + 500,
+    deadlineAtMs: clock.monotonicMs() + 1_000,
+    patience: 'on-time',
+    cancellation: new Cancellation(),
+  };
+}
+
+async function send(): Promise<boolean> {
+  const { port } = server.address() as AddressInfo;
+  const target = { address: `127.0.0.1:${port}`, instanceId: 'i' };
+  return (await client.send(order(), target)).isOk();
+}
+
+beforeEach(async () => {
+  connections = 0;
+  client = new BackendServerClient(clock, wireHeaders);
+  server = createServer((_, response) => {
+    response.writeHead(200, { [wireHeaders.requestId]: 'r', [wireHeaders.seal]: 'seal' });
+    response.end();
+  });
+  server.on('connection', (socket: Socket) => {
+    connections += 1;
+    forgetWhenIdle(socket);
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+});
+
+afterEach(() => {
+  client.close();
+  server.closeAllConnections();
+  server.close();
+});
+
+describe('connections to a backend server', () => {
+  it('should be used again while nothing is wrong with them', async () => {
+    expect(await send()).toBe(true);
+    expect(await send()).toBe(true);
+    expect(connections).toBe(1);
+  });
+
+  it('should lose one request that may not be repeated, no more, to a forgotten connection', async () => {
+    expect(await send()).toBe(true);
+    await clock.sleep(FORGETS_MS * 2);
+    const outcomes = [await send()];
+    for (let count = 0; count < 3; count += 1) {
+      outcomes.push(await send());
+      await clock.sleep(FORGETS_MS * 2);
+    }
+    expect(outcomes).toEqual([false, true, true, true]);
+  });
+});
+
+describe('connections between nodes', () => {
+  it('should carry no header that HTTP/1.1 implies, and be kept', async () => {
+    const seen: string[] = [];
+    const listener = new CallerListener(
+      clock,
+      ({ headers }) => {
+        seen.push(...Object.keys(headers));
+        return Promise.resolve({ status: 200, headers: {}, body: Buffer.from('ran') });
+      },
+      { requestIdName: wireHeaders.requestId, isTerse: true },
+    );
+    const address = await freeAddress();
+    await listener.listen(address);
+    const pool = new ConnectionPool(clock, { idleMs: 1_000, maxIdle: 4 });
+    const once = async (): Promise<readonly string[]> => {
+      const answer = await exchange(clock, {
+        agent: pool,
+        address,
+        method: 'GET',
+        target: '/',
+        headers: { host: 'a.example' },
+        body: Buffer.alloc(0),
+        connectTimeoutMs: 500,
+        timeoutMs: 1_000,
+        cancellation: new Cancellation(),
+        isTerse: true,
+      });
+      return Object.keys(answer.unwrap().headers);
+    };
+    const answers = [await once(), await once()];
+    expect(seen).toEqual(['host', 'host']);
+    expect(answers).toEqual([['content-length'], ['content-length']]);
+    expect(Object.values(pool.freeSockets).flat()).toHaveLength(1);
+    pool.destroy();
+    listener.close();
+  });
+});
