--- a/packages/lentillb/src/observability/lineWriter.ts
+++ b/packages/lentillb/src/observability/lineWriter.ts
@@ -1,8 +1,11 @@
 /** Writes log lines to a file descriptor without ever blocking the process. */
 import { write } from 'node:fs';
+import type { Clock } from '../kernel/clock.js';
 
 /** How many bytes may wait for a reader that stalls; further lines are dropped and counted. */
 const MAX_WAITING_BYTES = 256 * 1024;
+/** How long lines are collected before they are written together, in milliseconds: each write wakes a thread. */
+const COLLECT_MS = 200;
 
 /** Writes to a descriptor, for tests to replace. */
 export type DescriptorWrite = (
@@ -18,7 +21,7 @@
   return (bytes, done) => write(descriptor, bytes, 0, bytes.length, null, done);
 }
 
-/** Keeps lines in order, one write under way at a time. */
+/** Writes lines in order, many at a time. */
 export class LineWriter {
   private waiting: string[] = [];
 
@@ -26,9 +29,20 @@
 
   private writing = false;
 
+  private collecting = false;
+
+  private flushed: (() => void) | undefined;
+
   private droppedLines = 0;
 
-  constructor(private readonly writeBytes: DescriptorWrite) {}
+  /**
+   * @param clock - the clock that writes go by
+   * @param writeBytes - writes to where the lines go
+   */
+  constructor(
+    private readonly clock: Clock,
+    private readonly writeBytes: DescriptorWrite,
+  ) {}
 
   /** How many lines were dropped because nobody read. */
   get dropped(): number {
@@ -43,11 +57,39 @@
     }
     this.waiting.push(line);
     this.waitingBytes += line.length;
+    this.collect();
+  }
+
+  /**
+   * Writes what is waiting at once.
+   *
+   * @param timeoutMs - how long a reader that stalls is waited for, in milliseconds
+   */
+  async flush(timeoutMs: number): Promise<void> {
+    const written = new Promise<void>((resolve) => {
+      this.flushed = resolve;
+    });
     this.writeNext();
+    await Promise.race([written, this.clock.sleep(timeoutMs)]);
+  }
+
+  private collect(): void {
+    if (this.collecting || this.writing) {
+      return;
+    }
+    this.collecting = true;
+    this.clock.after(COLLECT_MS, () => {
+      this.collecting = false;
+      this.writeNext();
+    });
   }
 
   private writeNext(): void {
-    if (this.writing || this.waiting.length === 0) {
+    if (this.writing) {
+      return;
+    }
+    if (this.waiting.length === 0) {
+      this.flushed?.();
       return;
     }
     const bytes = Buffer.from(this.waiting.join(''));
@@ -66,7 +108,17 @@
       this.droppedLines += error === null ? 0 : 1;
       this.writing = false;
       this.waitingBytes = this.waiting.reduce((sum, line) => sum + line.length, 0);
-      this.writeNext();
+      if (this.flushed === undefined) {
+        this.collectRest();
+      } else {
+        this.writeNext();
+      }
     });
   }
+
+  private collectRest(): void {
+    if (this.waiting.length > 0) {
+      this.collect();
+    }
+  }
 }
