Draw once on the retry budget for a failed run; end a planned stop sooner

Reading the entry for a model of it showed that a run which failed drew twice on the shared budget of retries, once when its answer was looked at and once before the next gate: half of the retries allowed were never sent.

--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -53,7 +53,7 @@
   readonly directory: Directory;
   readonly observations: GateObservations;
   readonly placer: Placer;
-  readonly dialer: GateDialer;
+  readonly dialer: Pick<GateDialer, 'call'>;
   readonly allowance: RetryAllowance;
   readonly log: DecisionLog;
   readonly figures: Figures;
@@ -230,7 +230,7 @@
       return answer;
     }
     attempts.noteFailedRun(answer);
-    return this.mayGoOn(attempts) ? undefined : answer;
+    return undefined;
   }
 
   private learn(endpoint: Placement['endpoint'], { report, result }: GateReply): void {
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -46,8 +46,8 @@
 const CALLERS_LEAVE_MS = 2_600;
 /** How often a stopping node looks whether it is idle, in milliseconds. */
 const IDLE_POLL_MS = 50;
-/** The part of the stop that is kept for ending, in milliseconds. */
-const STOP_RESERVE_MS = 400;
+/** The part of the stop that is kept for ending on a busy processor, in milliseconds: a ninth of it. */
+const STOP_RESERVE_MS = 700;
 
 /** What a node is told about its place. */
 export interface SidecarOptions {
