--- a/packages/lentillb/src/peers/peerListener.ts
+++ b/packages/lentillb/src/peers/peerListener.ts
@@ -69,7 +69,7 @@
     if (this.encoded?.key !== key) {
       const { announcements } = this.directory;
       const text = encodeNodeState({ change, announcements });
-      // Routes resemble each other: the fastest level leaves a tenth, on links that are small.
+      // Routes resemble each other: even the fastest level leaves a tenth of them.
       this.encoded = { key, body: compress(text, { level: constants.Z_BEST_SPEED }) };
     }
     return this.encoded.body;
--- a/packages/lentillb/src/peers/readerRole.ts
+++ b/packages/lentillb/src/peers/readerRole.ts
@@ -1,8 +1,8 @@
 /**
  * Decides whether a node reads the store itself. Answers a load in which every change wakes every
  * reader, of a configuration that fills a small link for a second: the two nodes of each zone with
- * the widest links read, the others learn from them, and read themselves as soon as they hear from
- * neither.
+ * the widest links read, the others learn from them, and one of them reads in their place where
+ * both are lost.
  */
 import type { Announcement } from '../directory/announcement.js';
 import type { Directory } from '../directory/directory.js';
@@ -11,7 +11,7 @@
 
 /** How many nodes of a zone read the store: one may be lost without a gap. */
 const READERS_PER_ZONE = 2;
-/** How long a node goes without hearing from a reader before it reads itself, in milliseconds. */
+/** How long a node goes without hearing from a reader before it reads itself, in milliseconds: three greetings. */
 const UNHEARD_MS = 1_600;
 /** How much longer each further node of the rank waits, in milliseconds: a round of greetings. */
 const UNHEARD_STEP_MS = 300;
