Begin no append that can't be answered before the deadline of its publication

Appends that the log refuses are repeated until the deadline; one begun just before it is cut off without an answer, and then nobody knows whether the record is in the log. Now a further append needs 300 ms. The test plays a log that takes 200 ms to refuse at forty deadlines: unknown at some of them before, refused at all now.

--- a/packages/lentillb/src/distribution/publisher.ts
+++ b/packages/lentillb/src/distribution/publisher.ts
@@ -17,6 +17,8 @@
 
 const RETRY_LEAST_MS = 50;
 const RETRY_MOST_MS = 1_000;
+/** The least time for a further append, in milliseconds: one answered too late leaves its outcome unknown. */
+const LEAST_APPEND_MS = 300;
 
 /** What the operator is told. */
 export const PublishResult = {
@@ -143,7 +145,7 @@
       const appended = await log.append(LogStream.Configuration, data, deadline);
       const repeatable = appended.isErr() && appended.error.kind === LogFailureKind.Unavailable;
       const delayMs = backoff.nextMs();
-      if (!repeatable || deadline.remainingMs() <= delayMs) {
+      if (!repeatable || deadline.remainingMs() < delayMs + LEAST_APPEND_MS) {
         return appended;
       }
       await clock.sleep(delayMs);
--- a/tests/distribution/publisher.spec.ts
+++ b/tests/distribution/publisher.spec.ts
@@ -1,7 +1,8 @@
 import type { MemoryLog } from '@lentillb/standins';
-import { Deadline, LogStream, PublishResult } from 'lentillb';
+import { Deadline, LogFailureKind, LogStream, PublishResult } from 'lentillb';
 import type { PublishOutcome } from 'lentillb';
 import { textOf } from 'lentillb/distribution/configurationState.js';
+import { Err } from 'ts-results-es';
 import { beforeEach, describe, expect, it } from 'vitest';
 import { encodeRecord } from 'lentillb/distribution/configurationRecord.js';
 import type { LogReader } from '../support/logReader.js';
@@ -116,6 +117,26 @@
     expect(await recordCount()).toBe(0);
   });
 
+  it('should not make a refusal unknown by a last append that is answered too late', async () => {
+    // A log that refuses, from a machine so busy that an answer takes a while.
+    const ANSWER_MS = 200;
+    log.append = async (_, __, deadline) => {
+      const isLate = deadline.remainingMs() < ANSWER_MS;
+      await clock.sleep(Math.min(ANSWER_MS, deadline.remainingMs()));
+      const kind = isLate ? LogFailureKind.UnknownEffect : LogFailureKind.Unavailable;
+      return Err({ kind, message: 'the log is away' });
+    };
+    const results: PublishResult[] = [];
+    for (let timeoutMs = 500; timeoutMs < 2_500; timeoutMs += 50) {
+      const deadline = Deadline.after(clock, timeoutMs);
+      const publication = { publishId: `p${timeoutMs}`, base: 0, author: 'salma', text: A };
+      const pending = reader.publisher.publish(publication, deadline);
+      await clock.advance(timeoutMs + 100);
+      results.push((await pending).result);
+    }
+    expect(new Set(results)).toEqual(new Set([PublishResult.Refused]));
+  });
+
   it('should publish nothing while it holds an older version than the base', async () => {
     const outcome = await publish(A, 7);
     expect(outcome.result).toBe(PublishResult.Refused);
