Listen, and end listening, in one place

Change: utils/listening.ts (listenAt, stopAccepting), which all of them call, and listenOnLoopback in the stand-ins on top of it; the reason for not using the HTTP server's own close stands once. Behaviour and assertions are as before.

--- a/bench/src/balance.ts
+++ b/bench/src/balance.ts
@@ -3,7 +3,7 @@
 import type { Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { RunningNode } from '@lentillb/node';
-import { MemoryLog } from '@lentillb/standins';
+import { listenOnLoopback, MemoryLog } from '@lentillb/standins';
 import type { Endpoint, Services } from 'lentillb';
 import {
   Deadline,
@@ -80,9 +80,7 @@
       response.end('done');
     }, delayMs(inFlight));
   });
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
+  await listenOnLoopback(server);
   return server;
 }
 
--- a/bench/src/overload.ts
+++ b/bench/src/overload.ts
@@ -1,6 +1,7 @@
 /** What is still served when callers send more than the backend server can take. */
 import { createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { listenOnLoopback } from '@lentillb/standins';
 import { Agent, request } from 'undici';
 import type { Bench, BenchResult } from './bench.js';
 import { round } from './bench.js';
@@ -89,9 +90,7 @@
       response.end('done');
     }, SERVICE_MS);
   });
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
+  await listenOnLoopback(server);
   const { port } = server.address() as AddressInfo;
   const capacity = await measureCapacity(`http://127.0.0.1:${port}/`);
   const bench = new CallBench();
--- a/bench/src/truth.ts
+++ b/bench/src/truth.ts
@@ -1,6 +1,7 @@
 /** Compares what callers are told with what backend servers ran, while these misbehave. */
 import { createServer } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
+import { listenOnLoopback } from '@lentillb/standins';
 import { SeededRandomness } from 'lentillb';
 import { Agent, request } from 'undici';
 import type { Bench, BenchOptions, BenchResult } from './bench.js';
@@ -77,9 +78,7 @@
       }
     });
   });
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
+  await listenOnLoopback(server);
   return () => (server.address() as AddressInfo).port;
 }
 
--- a/packages/lentillb/src/peers/peerListener.ts
+++ b/packages/lentillb/src/peers/peerListener.ts
@@ -4,6 +4,7 @@
 import { promisify } from 'node:util';
 import { constants, gzip } from 'node:zlib';
 import { runInBackground } from '../utils/background.js';
+import { listenAt } from '../utils/listening.js';
 import { parseAddress } from '../utils/networkAddress.js';
 import type { ConfigurationHolder } from '../configuration/configurationHolder.js';
 import type { Directory } from '../directory/directory.js';
@@ -39,11 +40,7 @@
 
   /** @param address - the address and port to listen on */
   async listen(address: string): Promise<void> {
-    const { host, port } = parseAddress(address);
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, resolve);
-    });
+    await listenAt(this.server, parseAddress(address));
   }
 
   /** Ends the server. */
--- a/packages/lentillb/src/serving/callerListener.ts
+++ b/packages/lentillb/src/serving/callerListener.ts
@@ -1,9 +1,9 @@
 /** The HTTP server that callers on this host send their requests to. */
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import { Server as NetServer } from 'node:net';
 import { parseAddress } from '../utils/networkAddress.js';
 import { runInBackground } from '../utils/background.js';
+import { listenAt, stopAccepting } from '../utils/listening.js';
 import { Cancellation, CancelReason } from '../calls/cancellation.js';
 import type { CallerLimits } from '../configuration/meshConfiguration.js';
 import type { Clock } from '../kernel/clock.js';
@@ -103,12 +103,7 @@
    */
   async listen(address: string): Promise<number> {
     const { host, port } = parseAddress(address);
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen({ host, port, backlog: ACCEPT_BACKLOG }, resolve);
-    });
-    const bound = this.server.address();
-    return bound !== null && typeof bound === 'object' ? bound.port : 0;
+    return listenAt(this.server, { host, port, backlog: ACCEPT_BACKLOG });
   }
 
   /** @param limits - what callers may send from now on */
@@ -125,7 +120,7 @@
 
   /** Takes no new connections and closes idle ones. */
   close(): void {
-    NetServer.prototype.close.call(this.server);
+    stopAccepting(this.server);
     this.server.closeIdleConnections();
   }
 
--- a/packages/lentillb/src/sidecar/index.ts
+++ b/packages/lentillb/src/sidecar/index.ts
@@ -18,6 +18,7 @@
 export type { KeyedBatch, KeyedRecord, KeyedStore, StoreFailure } from '../store/keyedStore.js';
 export { StoreFailureKind, Topic } from '../store/keyedStore.js';
 export { runInBackground } from '../utils/background.js';
+export { listenAt } from '../utils/listening.js';
 export { parseAddress } from '../utils/networkAddress.js';
 export { readJson } from '../utils/readJson.js';
 export { Sidecar } from './sidecar.js';
--- a/packages/lentillb/src/utils/httpListener.ts
+++ b/packages/lentillb/src/utils/httpListener.ts
@@ -1,10 +1,9 @@
 /** An HTTP server that starts on a given address and stops gracefully. */
 import { createServer } from 'node:http';
 import type { RequestListener, Server } from 'node:http';
-import { Server as NetServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
 import type { Deadline } from '../kernel/deadline.js';
+import { listenAt, stopAccepting } from './listening.js';
 
 /** The longest request head accepted, in bytes. */
 const MAX_HEADER_BYTES = 16 * 1024;
@@ -49,19 +48,14 @@
    * @returns the port
    */
   async listen(port: number, address: string): Promise<number> {
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, address, resolve);
-    });
-    return (this.server.address() as AddressInfo).port;
+    return listenAt(this.server, { port, host: address });
   }
 
   /** Takes no new connections; requests on those open are answered, then they are closed. */
   leave(): void {
     if (!this.closing) {
       this.closing = true;
-      // The HTTP server's own close would cut idle connections that a request is on its way to.
-      NetServer.prototype.close.call(this.server);
+      stopAccepting(this.server);
     }
   }
 
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,5 +1,6 @@
 /** Stand-ins for the platform's log and for backend servers, for tests and trying things out. */
 export { LogServer } from './logServer.js';
+export { listenOnLoopback } from './loopback.js';
 export { MemoryLog } from './memoryLog.js';
 export type { LogCounters, LogFaults, MemoryLogOptions } from './memoryLog.js';
 export { SampleBackendServer } from './sampleBackendServer.js';
--- a/packages/standins/src/keyedLogServer.ts
+++ b/packages/standins/src/keyedLogServer.ts
@@ -2,7 +2,7 @@
 import { runInBackground } from 'lentillb/sidecar';
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import { endServer, listenOnLoopback, loopbackAddress } from './loopback.js';
 import { readWhole } from './readWhole.js';
 
 const LENGTH_BYTES = 4;
@@ -102,7 +102,7 @@
 
   /** The address and port the server listens on. */
   get address(): string {
-    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    return loopbackAddress(this.server);
   }
 
   /** @param fault - what becomes of each call from now on; undefined serves them */
@@ -112,17 +112,12 @@
 
   /** Starts to listen. */
   async listen(): Promise<void> {
-    await new Promise<void>((resolve) => {
-      this.server.listen(0, '127.0.0.1', resolve);
-    });
+    await listenOnLoopback(this.server);
   }
 
   /** Ends the server and its connections. */
   async close(): Promise<void> {
-    this.server.closeAllConnections();
-    await new Promise<void>((resolve) => {
-      this.server.close(() => resolve());
-    });
+    await endServer(this.server);
   }
 
   /**
--- a/packages/standins/src/sampleBackendServer.ts
+++ b/packages/standins/src/sampleBackendServer.ts
@@ -4,6 +4,7 @@
 import type { AddressInfo } from 'node:net';
 import type { Clock } from 'lentillb';
 import { request as httpRequest } from 'undici';
+import { listenOnLoopback } from './loopback.js';
 
 /** The properties of a backend server. */
 export interface SampleBackendServerOptions {
@@ -45,9 +46,7 @@
 
   /** Starts answering, and announces itself until it stops. */
   async start(): Promise<void> {
-    await new Promise<void>((resolve) => {
-      this.server.listen(0, '127.0.0.1', resolve);
-    });
+    await listenOnLoopback(this.server);
     const leaseMs = await this.announce();
     this.keepAnnounced(leaseMs);
   }
--- a/packages/standins/src/scriptedBackendServer.ts
+++ b/packages/standins/src/scriptedBackendServer.ts
@@ -2,7 +2,7 @@
 import { runInBackground } from 'lentillb/sidecar';
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import { endServer, listenOnLoopback, loopbackAddress } from './loopback.js';
 import { readWhole } from './readWhole.js';
 
 /** One run of a request. */
@@ -39,7 +39,7 @@
   }
 
   get address(): string {
-    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    return loopbackAddress(this.server);
   }
 
   /** @param behaviour - how it answers from now on */
@@ -48,16 +48,11 @@
   }
 
   async listen(): Promise<void> {
-    await new Promise<void>((resolve) => {
-      this.server.listen(0, '127.0.0.1', resolve);
-    });
+    await listenOnLoopback(this.server);
   }
 
   async close(): Promise<void> {
-    this.server.closeAllConnections();
-    await new Promise<void>((resolve) => {
-      this.server.close(() => resolve());
-    });
+    await endServer(this.server);
   }
 
   private async run(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/soak/src/relay.ts
+++ b/soak/src/relay.ts
@@ -1,7 +1,7 @@
 /** Passes TCP connections on, and disturbs them on request. */
 import { connect, createServer } from 'node:net';
 import type { Server, Socket } from 'node:net';
-import { parseAddress } from 'lentillb/sidecar';
+import { listenAt, parseAddress } from 'lentillb/sidecar';
 import type { Clock } from 'lentillb/sidecar';
 
 /** What a relay does to its connections. */
@@ -68,11 +68,7 @@
 
   /** @param address - where to listen */
   async listen(address: string): Promise<void> {
-    const { host, port } = parseAddress(address);
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, resolve);
-    });
+    await listenAt(this.server, parseAddress(address));
   }
 
   /** @param fault - what to do from now on; undefined passes everything on */
--- a/tests/log/log.spec.ts
+++ b/tests/log/log.spec.ts
@@ -1,6 +1,6 @@
 import { createServer } from 'node:net';
-import type { AddressInfo, Server } from 'node:net';
-import { LogServer, MemoryLog } from '@lentillb/standins';
+import type { Server } from 'node:net';
+import { listenOnLoopback, LogServer, MemoryLog } from '@lentillb/standins';
 import type { Log } from 'lentillb';
 import { Deadline, HttpLog, LogFailureKind, LogStream, SystemClock } from 'lentillb';
 import { afterEach, describe, expect, it } from 'vitest';
@@ -149,10 +149,7 @@
 describe('log client', () => {
   async function listen(onConnection: Parameters<typeof createServer>[1]): Promise<HttpLog> {
     const server: Server = createServer(onConnection);
-    await new Promise<void>((resolve) => {
-      server.listen(0, '127.0.0.1', resolve);
-    });
-    const log = new HttpLog(`http://127.0.0.1:${(server.address() as AddressInfo).port}`);
+    const log = new HttpLog(`http://${await listenOnLoopback(server)}`);
     closers.push(
       () => log.close(),
       async () => server.close(),
--- a/tests/peers/stateTransfer.spec.ts
+++ b/tests/peers/stateTransfer.spec.ts
@@ -1,5 +1,5 @@
 import { createServer } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import { listenOnLoopback } from '@lentillb/standins';
 import { request } from 'undici';
 import { ConfigurationHolder } from 'lentillb/configuration/configurationHolder.js';
 import type { MeshRoute } from 'lentillb/configuration/meshConfiguration.js';
@@ -79,11 +79,7 @@
 
   it('should be an error where the answer is not compressed knowledge', async () => {
     const server = createServer((_, response) => response.end('plain'));
-    await new Promise<void>((resolve) => {
-      server.listen(0, '127.0.0.1', resolve);
-    });
-    const { port } = server.address() as AddressInfo;
-    const fetched = await fetchState(`127.0.0.1:${port}`, 0);
+    const fetched = await fetchState(await listenOnLoopback(server), 0);
     server.closeAllConnections();
     server.close();
     expect(fetched.unwrapErr()).toContain('not compressed as expected');
--- a/tests/serving/connectionPool.spec.ts
+++ b/tests/serving/connectionPool.spec.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:http';
 import type { Server } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import type { Socket } from 'node:net';
+import { listenOnLoopback } from '@lentillb/standins';
 import { SystemClock } from 'lentillb';
 import { Cancellation } from 'lentillb/calls/cancellation.js';
 import { BackendServerClient } from 'lentillb/serving/backendServerClient.js';
@@ -18,6 +19,7 @@
 const clock = new SystemClock();
 
 let server: Server;
+let serverAddress: string;
 let connections: number;
 let client: BackendServerClient;
 
@@ -52,8 +54,7 @@
 }
 
 async function send(): Promise<boolean> {
-  const { port } = server.address() as AddressInfo;
-  const target = { address: `127.0.0.1:${port}`, instanceId: 'i' };
+  const target = { address: serverAddress, instanceId: 'i' };
   return (await client.send(order(), target)).isOk();
 }
 
@@ -68,9 +69,7 @@
     connections += 1;
     forgetWhenIdle(socket);
   });
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
+  serverAddress = await listenOnLoopback(server);
 });
 
 afterEach(() => {
--- a/tests/serving/exchange.spec.ts
+++ b/tests/serving/exchange.spec.ts
@@ -1,6 +1,7 @@
 import { Agent } from 'node:http';
 import { createServer } from 'node:net';
-import type { AddressInfo, Server, Socket } from 'node:net';
+import type { Server, Socket } from 'node:net';
+import { listenOnLoopback } from '@lentillb/standins';
 import { SystemClock } from 'lentillb';
 import { Cancellation, CancelReason } from 'lentillb/calls/cancellation.js';
 import { exchange, ExchangeFailure } from 'lentillb/serving/exchange.js';
@@ -25,12 +26,10 @@
     socket.once('data', () => reply(socket));
   });
   const listening = server;
-  await new Promise<void>((resolve) => {
-    listening.listen(0, '127.0.0.1', resolve);
-  });
+  const address = await listenOnLoopback(listening);
   return exchange(clock, {
     agent,
-    address: `127.0.0.1:${(listening.address() as AddressInfo).port}`,
+    address,
     method: 'GET',
     target: '/',
     headers: { host: 'a.example' },
--- a/tests/soak/relay.spec.ts
+++ b/tests/soak/relay.spec.ts
@@ -1,5 +1,6 @@
 import { connect, createServer } from 'node:net';
-import type { AddressInfo, Server, Socket } from 'node:net';
+import type { Server, Socket } from 'node:net';
+import { listenOnLoopback } from '@lentillb/standins';
 import { SystemClock } from 'lentillb';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { Relay, RelayFault } from '../../soak/dist/relay.js';
@@ -38,11 +39,8 @@
       connection.write(chunk);
     });
   });
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const { port } = server.address() as AddressInfo;
-  relay = new Relay(clock, () => `127.0.0.1:${port}`, DELAY_MS);
+  const target = await listenOnLoopback(server);
+  relay = new Relay(clock, () => target, DELAY_MS);
   const address = await freeAddress();
   await relay.listen(address);
   socket = connect(Number(address.split(':')[1]), '127.0.0.1');
--- a/tests/standins/sampleBackendServer.spec.ts
+++ b/tests/standins/sampleBackendServer.spec.ts
@@ -1,7 +1,7 @@
 import { createServer } from 'node:http';
 import type { Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { SampleBackendServer } from '@lentillb/standins';
+import { listenOnLoopback, SampleBackendServer } from '@lentillb/standins';
 import { SystemClock } from 'lentillb';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 
@@ -18,9 +18,7 @@
     const inFlight = request.method === 'GET' ? (underWay.shift() ?? 0) : 0;
     response.end(JSON.stringify({ leaseMs: 60_000, inFlight }));
   });
-  await new Promise<void>((resolve) => {
-    node.listen(0, '127.0.0.1', resolve);
-  });
+  await listenOnLoopback(node);
 });
 
 afterEach(() => {
--- a/tests/support/freeAddress.ts
+++ b/tests/support/freeAddress.ts
@@ -1,16 +1,13 @@
 /** Addresses that nobody listens on. */
 import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
+import { listenOnLoopback } from '@lentillb/standins';
 
 /** @returns an address and port on loopback that was free just now */
 export async function freeAddress(): Promise<string> {
   const server = createServer();
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const { port } = server.address() as AddressInfo;
+  const address = await listenOnLoopback(server);
   await new Promise<void>((resolve) => {
     server.close(() => resolve());
   });
-  return `127.0.0.1:${port}`;
+  return address;
 }
--- a/tests/support/scriptedServer.ts
+++ b/tests/support/scriptedServer.ts
@@ -1,6 +1,7 @@
 /** A backend server that misbehaves in a chosen way, below the level of HTTP libraries. */
 import { createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
+import { listenOnLoopback } from '@lentillb/standins';
 
 /** What the server does with a whole request. */
 export type Script = (socket: Socket, requests: number) => void;
@@ -25,9 +26,7 @@
 
   /** @returns the port it listens on */
   async listen(): Promise<number> {
-    await new Promise<void>((resolve) => {
-      this.server.listen(0, '127.0.0.1', resolve);
-    });
+    await listenOnLoopback(this.server);
     return (this.server.address() as AddressInfo).port;
   }
 
