Look a gate's observation up without making its key each time

Cause: choosing a gate made the key of every candidate three times (reachable, typical time, expectation), for each request and each further gate asked. Change: the observation is found by the endpoint itself, which the directory keeps until it changes; the table is emptied then. Ruled out by a test that failed: keeping it over a change, which would remember a backend server that another one has replaced. Choices are the same.

--- a/packages/lentillb/src/serving/gateObservations.ts
+++ b/packages/lentillb/src/serving/gateObservations.ts
@@ -7,6 +7,9 @@
 export class GateObservations {
   private readonly byGate = new Map<string, GateObservation>();
 
+  /** Spares making the key of every gate for every request; emptied with each change of the directory. */
+  private byEndpoint = new WeakMap<GateEndpoint, GateObservation>();
+
   constructor(
     private readonly clock: Clock,
     private readonly defaultServiceMs: number,
@@ -16,14 +19,16 @@
    * @param endpoint - a gate
    * @returns what was seen of it
    */
-  of({ host, backendServer }: GateEndpoint): GateObservation {
-    const key = `${host} ${backendServer.id} ${backendServer.startedAtMs}`;
-    const held = this.byGate.get(key);
-    if (held !== undefined) {
-      return held;
+  of(endpoint: GateEndpoint): GateObservation {
+    const known = this.byEndpoint.get(endpoint);
+    if (known !== undefined) {
+      return known;
     }
-    const observation = new GateObservation(this.clock);
+    const { backendServer, host } = endpoint;
+    const key = `${host} ${backendServer.id} ${backendServer.startedAtMs}`;
+    const observation = this.byGate.get(key) ?? new GateObservation(this.clock);
     this.byGate.set(key, observation);
+    this.byEndpoint.set(endpoint, observation);
     return observation;
   }
 
@@ -55,6 +60,7 @@
    * @param currentId - the identity of the one that runs there now, if any
    */
   forgetOthers(host: string, currentId: string | undefined): void {
+    this.byEndpoint = new WeakMap();
     [...this.byGate.keys()]
       .filter((key) => key.startsWith(`${host} `) && !key.startsWith(`${host} ${currentId} `))
       .forEach((key) => this.byGate.delete(key));
