--- a/packages/cli/src/commands/trace.ts
+++ b/packages/cli/src/commands/trace.ts
@@ -1,6 +1,6 @@
 /** `lentillb trace`: what became of one request, from the logs of all nodes. */
 import { Option } from 'commander';
-import { Result } from 'ts-results-es';
+import { Ok, Result } from 'ts-results-es';
 import { z } from 'zod';
 import { defineCommand } from '../command.js';
 import type { Console } from '../console.js';
@@ -42,6 +42,16 @@
   };
 }
 
+/** Only the request's own lines tell which others are near, so the files are read once more. */
+async function readAround(
+  files: readonly string[],
+  id: string,
+  isNear: (line: LogLine) => boolean,
+): Promise<Result<readonly LogLine[], string>> {
+  const read = await readAll(files, (line) => line.requestId === id || isNear(line));
+  return read.map((all) => mergeLogs(all.map(({ lines }) => lines)));
+}
+
 function printLine({ event, host, time, zone, ...others }: LogLine): string {
   const fields = Object.entries(others)
     .filter(([name]) => !unprinted.has(name))
@@ -81,17 +91,16 @@
       );
       return ExitCode.Refused;
     }
-    const isNear = isAround(own, context);
-    const again = await readAll(
-      files,
-      (line) => line.requestId === id || (context > 0 && isNear(line)),
-    );
-    const lines = mergeLogs(again.unwrapOr(read.value).map(({ lines: kept }) => kept));
+    const lines = context > 0 ? await readAround(files, id, isAround(own, context)) : Ok(own);
+    if (lines.isErr()) {
+      console.note(lines.error);
+      return ExitCode.Usage;
+    }
     const outcomes = describeOutcomes(own);
     if (json) {
-      console.print(JSON.stringify({ id, lines, outcomes }));
+      console.print(JSON.stringify({ id, lines: lines.value, outcomes }));
     } else {
-      lines.forEach((line) => console.print(printLine(line)));
+      lines.value.forEach((line) => console.print(printLine(line)));
       outcomes.forEach((outcome) => console.print(outcome));
     }
     return ExitCode.Ok;
--- a/packages/lentillb/src/observability/lineWriter.ts
+++ b/packages/lentillb/src/observability/lineWriter.ts
@@ -74,7 +74,7 @@
   }
 
   private collect(): void {
-    if (this.collecting || this.writing) {
+    if (this.collecting || this.writing || this.waiting.length === 0) {
       return;
     }
     this.collecting = true;
@@ -109,16 +109,10 @@
       this.writing = false;
       this.waitingBytes = this.waiting.reduce((sum, line) => sum + line.length, 0);
       if (this.flushed === undefined) {
-        this.collectRest();
+        this.collect();
       } else {
         this.writeNext();
       }
     });
   }
-
-  private collectRest(): void {
-    if (this.waiting.length > 0) {
-      this.collect();
-    }
-  }
 }
