Log how long the event loop was held and how long a request waited at the gate

No line told a request that lay unread in a socket from one that waited for a slot or one whose cancellation went astray: all three end with caller-gone. A timer that fires late now gives event-loop-held and a histogram; the gate's line says how much time the request had when it was read (givenMs) and how long it waited (queuedMs); the entry's line says how much was left (leftMs). No decision changes.

--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -310,14 +310,19 @@
       return this.deliver(request, attempts, fallback);
     }
     const cause = failure?.cause ?? 'no-backend-server';
-    const fields = { route: route.name, service: forwarded.service, sent: attempts.sent };
+    const leftMs = forwarded.deadlineAtMs - clock.monotonicMs();
+    const fields = {
+      route: route.name,
+      service: forwarded.service,
+      sent: attempts.sent,
+      leftMs: Math.round(leftMs),
+    };
     if (mayHaveRun) {
       const timedOut = cause === FailureCause.DeadlinePassed;
       const status = timedOut ? HttpStatus.GatewayTimeout : HttpStatus.BadGateway;
       this.note(request, cause, status, fields);
       return { status, headers: {}, body: EMPTY };
     }
-    const leftMs = forwarded.deadlineAtMs - clock.monotonicMs();
     const waitMs = Number.isFinite(leastWaitMs)
       ? leastWaitMs
       : (returnWaits[cause] ?? UNSERVED_RETURN_MS);
--- a/packages/lentillb/src/serving/gate.ts
+++ b/packages/lentillb/src/serving/gate.ts
@@ -25,6 +25,15 @@
   readonly figures: Figures;
 }
 
+/** What a request's time went into, in milliseconds. */
+interface GateTimes {
+  /** How long it had until its deadline when it arrived. */
+  readonly givenMs: number;
+  readonly queuedMs: number;
+  /** How long the backend server had it; 0 where it was not sent. */
+  readonly serviceMs: number;
+}
+
 /** How long requests are refused after the backend server took no connection, in milliseconds. */
 const UNREACHABLE_MS = 200;
 
@@ -68,17 +77,20 @@
    * @returns the answer or the failure, and how busy the gate is
    */
   async serve(request: ForwardedRequest): Promise<GateReply> {
+    const { clock } = this.services;
+    const arrivedMs = clock.monotonicMs();
     this.active += 1;
     let serviceMs = 0;
     const result = await this.admit(request, async (slot) => {
-      const startedMs = this.services.clock.monotonicMs();
+      const startedMs = clock.monotonicMs();
       const sent = await this.send(request);
-      serviceMs = this.services.clock.monotonicMs() - startedMs;
+      serviceMs = clock.monotonicMs() - startedMs;
       slot.release(ranToAnEnd(sent));
       return sent;
     });
     this.active -= 1;
-    this.note(request, result, serviceMs);
+    const queuedMs = clock.monotonicMs() - arrivedMs - serviceMs;
+    this.note(request, result, { givenMs: request.deadlineAtMs - arrivedMs, queuedMs, serviceMs });
     const { queued, running } = this.services.slots.load;
     return { result, report: { load: running + queued, serviceMs: result.isOk() ? serviceMs : 0 } };
   }
@@ -172,9 +184,12 @@
     return result;
   }
 
-  private note(request: ForwardedRequest, result: GateResult, serviceMs: number): void {
+  private note(
+    { requestId, route, service }: ForwardedRequest,
+    result: GateResult,
+    { givenMs, queuedMs, serviceMs }: GateTimes,
+  ): void {
     const { figures, log, slots } = this.services;
-    const { requestId, route, service } = request;
     if (result.isOk()) {
       figures.observe('gate_service_ms', serviceMs, { route });
       return;
@@ -188,6 +203,8 @@
       cause,
       outcome,
       waitMs,
+      givenMs: Math.round(givenMs),
+      queuedMs: Math.round(queuedMs),
       serviceMs: Math.round(serviceMs),
       running,
       queued,
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -13,6 +13,7 @@
 import type { Randomness } from '../kernel/randomness.js';
 import { DecisionLog, Weight } from '../observability/decisionLog.js';
 import type { LineLogger } from '../observability/decisionLog.js';
+import { EventLoopWatch } from '../observability/eventLoopWatch.js';
 import { Figures } from '../observability/figures.js';
 import { BackendServerClient } from '../serving/backendServerClient.js';
 import { CallerListener } from '../serving/callerListener.js';
@@ -83,6 +84,8 @@
 
   private readonly log: DecisionLog;
 
+  private readonly eventLoopWatch: EventLoopWatch;
+
   private readonly knowledge: Knowledge;
 
   private readonly backendServer: LocalBackendServer;
@@ -122,6 +125,7 @@
     const { figures } = this;
     this.log = new DecisionLog(clock, logger);
     const { log } = this;
+    this.eventLoopWatch = new EventLoopWatch(clock, log, figures);
     this.knowledge = new Knowledge(
       { clock, randomness, store, log },
       { ...identity, configurationKey, decodeConfiguration },
@@ -235,6 +239,7 @@
     await this.callers.listen(this.options.callerAddress);
     await this.peerListener.listen(this.options.identity.peerAddress);
     await this.peerSocket.bind(this.options.identity.peerAddress);
+    this.eventLoopWatch.start();
     runInBackground(this.gossip.run());
     this.knowledge.start();
     clock.after(RECALL_MS, () => this.announcer.start());
@@ -308,6 +313,7 @@
   /** Ends all listeners, connections and loops at once. */
   close(): void {
     this.stopping = true;
+    this.eventLoopWatch.stop();
     this.gossip.stop();
     this.knowledge.stop();
     this.callers.close();
--- a/tests/serving/exchange.spec.ts
+++ b/tests/serving/exchange.spec.ts
@@ -6,6 +6,7 @@
 import { Cancellation, CancelReason } from 'lentillb/calls/cancellation.js';
 import { exchange, ExchangeFailure } from 'lentillb/serving/exchange.js';
 import { afterEach, describe, expect, it } from 'vitest';
+import { holdEventLoop } from '../support/holdEventLoop.js';
 
 const HEAD = 'HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\n';
 const clock = new SystemClock();
@@ -13,12 +14,6 @@
 let server: Server | undefined;
 let agent: Agent;
 
-/** Keeps the event loop busy, so that what arrives meanwhile is read at once. */
-function holdEventLoop(durationMs: number): void {
-  const endMs = performance.now() + durationMs;
-  while (performance.now() < endMs);
-}
-
 async function send(reply: (socket: Socket) => void, cancellation = new Cancellation()) {
   agent = new Agent({ keepAlive: true });
   server = createServer((socket) => {
