Reproduce runs for callers that left before a node read their requests

A caller writes a whole request on a kept connection and closes it in the same turn of the event loop, so that the request and the close lie together in the node's receive buffer: the backend server gets the request all the same, at the entry, at the gate, and in the earlier call path (as the fourth test shows). A request that waits for a slot gets one that is freed in the same poll in which its close is still unread.

--- a/tests/routing/calls.spec.ts
+++ b/tests/routing/calls.spec.ts
@@ -5,6 +5,7 @@
 import { EventKind, SystemClock } from 'lentillb';
 import { request } from 'undici';
 import { afterAll, afterEach, beforeAll, describe, expect, it } from 'vitest';
+import { RawConnection } from '../support/rawConnection.js';
 import { logRecord, publishRecord } from '../support/records.js';
 import type { Script } from '../support/scriptedServer.js';
 import { answerText, ScriptedServer } from '../support/scriptedServer.js';
@@ -437,4 +438,17 @@
     await delay(100);
     expect(server.requests).toEqual([]);
   });
+
+  it('should not send on a call whose caller left while the call lay unread', async () => {
+    const server = await announce((socket) => {
+      socket.write(answerText('ran'));
+    });
+    const caller = await RawConnection.open(`127.0.0.1:${entry.ports.callPort}`);
+    caller.write({ target: '/pages/first', headers: { host: 'x' } });
+    await waitFor(() => caller.answers.includes('ran'), 'the first answer');
+    caller.write({ target: '/pages/left', headers: { host: 'x' } });
+    caller.close();
+    await delay(200);
+    expect(server.requests).toEqual(['GET /pages/first HTTP/1.1']);
+  });
 });
--- /dev/null
+++ b/tests/sidecar/absentCallers.spec.ts
@@ -0,0 +1,121 @@
+import type { ServerResponse } from 'node:http';
+import { answerWell } from '@lentillb/standins';
+import type { Run } from '@lentillb/standins';
+import { Cancellation } from 'lentillb/calls/cancellation.js';
+import { requestHeaders } from 'lentillb/serving/gateProtocol.js';
+import { Patience } from 'lentillb/serving/slotQueue.js';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { RawConnection } from '../support/rawConnection.js';
+import type { RawRequest } from '../support/rawConnection.js';
+import type { FleetHost } from '../support/sidecarFleet.js';
+import { SidecarFleet } from '../support/sidecarFleet.js';
+
+const SETTLE_MS = 200;
+const SLOTS = 4;
+
+let fleet: SidecarFleet;
+let connections: RawConnection[];
+
+beforeEach(async () => {
+  connections = [];
+  fleet = new SidecarFleet();
+  await fleet.start();
+  fleet.publish();
+});
+
+afterEach(async () => {
+  connections.forEach((connection) => connection.close());
+  await fleet.close();
+});
+
+async function open(address: string): Promise<RawConnection> {
+  const connection = await RawConnection.open(address);
+  connections.push(connection);
+  return connection;
+}
+
+function requestOf(id: string): RawRequest {
+  return {
+    target: '/a/page',
+    headers: { host: 'pages.example', 'x-attempt-id': id, 'x-deadline-ms': '1400' },
+  };
+}
+
+/** A request as the node of another host sends it to the gate. */
+function forwardedRequestOf(id: string): RawRequest {
+  const nowMs = fleet.clock.monotonicMs();
+  const headers = requestHeaders(fleet.clock, {
+    requestId: id,
+    method: 'GET',
+    target: '/a/page',
+    headers: { host: 'pages.example', 'x-attempt-id': id },
+    body: Buffer.alloc(0),
+    service: 'pages',
+    route: 'pages',
+    priority: 1,
+    repeatable: true,
+    targetLatencyMs: 400,
+    targetAtMs: nowMs + 400,
+    deadlineAtMs: nowMs + 1_400,
+    patience: Patience.UntilDeadline,
+    cancellation: new Cancellation(),
+  });
+  return { target: '/a/page', headers: headers as Record<string, string> };
+}
+
+function runsOf({ backendServer }: FleetHost, id: string): readonly Run[] {
+  return backendServer.runs.filter(({ requestId }) => requestId === id);
+}
+
+describe('a request whose caller left while the request lay unread', () => {
+  it('should not be run by the node that the caller sent it to', async () => {
+    const host = await fleet.addHost('front', 'pages');
+    await fleet.untilServed(host, 'pages');
+    const caller = await open(host.callerAddress);
+    caller.write(requestOf('r-first'));
+    await fleet.until(() => caller.answers.includes('ran'));
+    caller.write(requestOf('r-left'));
+    caller.close();
+    await fleet.clock.sleep(SETTLE_MS);
+    expect(runsOf(host, 'r-first')).toHaveLength(1);
+    expect(runsOf(host, 'r-left')).toEqual([]);
+  });
+
+  it('should not be run by the gate that another node withdrew it from', async () => {
+    const host = await fleet.addHost('back', 'pages');
+    await fleet.untilServed(host, 'pages');
+    const node = await open(host.sidecar.identity.gateAddress);
+    node.write(forwardedRequestOf('r-first'));
+    await fleet.until(() => node.answers.includes('ran'));
+    node.write(forwardedRequestOf('r-withdrawn'));
+    node.close();
+    await fleet.clock.sleep(SETTLE_MS);
+    expect(runsOf(host, 'r-first')).toHaveLength(1);
+    expect(runsOf(host, 'r-withdrawn')).toEqual([]);
+  });
+});
+
+describe('a request whose caller left while it waited for a slot', () => {
+  it('should not get a slot that is freed before the close is read', async () => {
+    const host = await fleet.addHost('front', 'pages');
+    await fleet.untilServed(host, 'pages');
+    const held: (() => void)[] = [];
+    host.backendServer.behave((response: ServerResponse, run) => {
+      held.push(() => answerWell(response, run));
+    });
+    const runs = Array.from({ length: SLOTS }, () => fleet.send(host, 'pages'));
+    await fleet.until(() => held.length === SLOTS);
+    const waiting = await open(host.callerAddress);
+    waiting.write(requestOf('r-waiting'));
+    await fleet.clock.sleep(SETTLE_MS);
+    expect(waiting.answers).toBe('');
+    // The answer that frees the slot and the close reach the node before it reads either.
+    held[0]!();
+    waiting.close();
+    await fleet.clock.sleep(SETTLE_MS);
+    expect(runsOf(host, 'r-waiting')).toEqual([]);
+    held.slice(1).forEach((answer) => answer());
+    const told = await Promise.all(runs.map((run) => run.told));
+    expect(told.map(({ status }) => status)).toEqual(Array<number>(SLOTS).fill(200));
+  });
+});
