Pass a request on only after what its caller sent since has been read

Callers saw nothing; backend servers ran requests of callers that had left up to two seconds before (GONE), each run cut after a few milliseconds.

Cause: a node acted on a request in the turn of the event loop in which it read it. The end of its connection, which lay behind it all the while, is read in the next turn, and reported some turns later. While connections wait to be accepted (one a turn in Node.js 20) or bytes lie unread, every request of a caller that has left is sent on, and so costs the next node a connection too. Class of fault: a decision on state that is older than input which has already arrived.

Change: before a request leaves a node, for a gate or for the backend server, the loop polls all sockets once more (two turns), and the request is dropped as not run if its connection has ended. The end of a connection now cancels by itself, not only the close of the response. The gate does so once the slot is held, so that a slot freed before a close is read is given on. The earlier call path is the same. It works whatever the reason that input was read late, and needs no clock.

--- a/packages/lentillb/src/calls/call.ts
+++ b/packages/lentillb/src/calls/call.ts
@@ -4,8 +4,10 @@
 import type { Deadline } from '../kernel/deadline.js';
 import type { Priority } from '../rules/ruleForms.js';
 import { AdmissionRefusal } from './admissionQueue.js';
-import type { HeaderFields, Outcome } from './callHeaders.js';
+import type { HeaderFields } from './callHeaders.js';
+import { Outcome } from './callHeaders.js';
 import type { Cancellation } from './cancellation.js';
+import { CancelReason } from './cancellation.js';
 
 /** A request as it is sent on. */
 export interface CallRequest {
@@ -69,6 +71,12 @@
   [AdmissionRefusal.Cancelled]: FailureReason.CallerGone,
 };
 
+/** Why a call that was cancelled got no answer. */
+export const failureReasons: Record<CancelReason, FailureReason> = {
+  [CancelReason.DeadlinePassed]: FailureReason.DeadlinePassed,
+  [CancelReason.CallerGone]: FailureReason.CallerGone,
+};
+
 /** A call that got no answer. */
 export interface CallFailure {
   readonly outcome: Outcome;
@@ -79,5 +87,14 @@
   readonly retryAfterMs?: number;
 }
 
+/**
+ * @param request - a call that was given up before it was sent on
+ * @returns why it got no answer
+ */
+export function withdrawn({ cancellation }: CallRequest): CallFailure {
+  const reason = failureReasons[cancellation.reason ?? CancelReason.CallerGone];
+  return { outcome: Outcome.NotRun, reason, message: `${reason}; the call was not sent on` };
+}
+
 /** What became of a call. */
 export type CallResult = Result<CallAnswer, CallFailure>;
--- a/packages/lentillb/src/calls/httpExchange.ts
+++ b/packages/lentillb/src/calls/httpExchange.ts
@@ -4,11 +4,10 @@
 import { Err, Ok } from 'ts-results-es';
 import type { Dispatcher } from 'undici';
 import type { CallFailure, CallResult } from './call.js';
-import { FailureReason } from './call.js';
+import { FailureReason, failureReasons } from './call.js';
 import type { HeaderFields } from './callHeaders.js';
 import { CallHeader, numberIn, Outcome, passedOnHeaders } from './callHeaders.js';
 import type { Cancellation } from './cancellation.js';
-import { CancelReason } from './cancellation.js';
 
 /** A request to one origin. */
 export interface ExchangeRequest {
@@ -26,11 +25,6 @@
 const MAX_WHOLE_BYTES = 64 * 1024;
 const MS_PER_SECOND = 1_000;
 
-const cancelReasons: Record<CancelReason, FailureReason> = {
-  [CancelReason.DeadlinePassed]: FailureReason.DeadlinePassed,
-  [CancelReason.CallerGone]: FailureReason.CallerGone,
-};
-
 /** Errors of connections that failed before anything was written. */
 const NOTHING_WRITTEN = new Set([
   'ECONNREFUSED',
@@ -163,7 +157,7 @@
     const cancelled = this.request.cancellation.reason;
     if (this.controller === undefined && cancelled !== undefined) {
       const detail = `${cancelled} before a connection to ${origin} was free; not sent`;
-      return { outcome: Outcome.NotRun, reason: cancelReasons[cancelled], message: detail };
+      return { outcome: Outcome.NotRun, reason: failureReasons[cancelled], message: detail };
     }
     if (NOTHING_WRITTEN.has(code)) {
       const detail = `connect to ${origin}: ${code}; the request was not sent`;
--- a/packages/lentillb/src/gate/gate.ts
+++ b/packages/lentillb/src/gate/gate.ts
@@ -1,9 +1,10 @@
 /** Admits calls to the backend servers of this host. */
 import { Err } from 'ts-results-es';
 import type { CallFailure, CallRequest, CallResult } from '../calls/call.js';
-import { FailureReason, refusalReasons, whenPassedOn } from '../calls/call.js';
+import { FailureReason, refusalReasons, whenPassedOn, withdrawn } from '../calls/call.js';
 import type { Release } from '../calls/admissionQueue.js';
 import { CallHeader, Outcome } from '../calls/callHeaders.js';
+import { isStillWanted } from '../calls/callerWatch.js';
 import { exchange } from '../calls/httpExchange.js';
 import type { Services } from '../kernel/services.js';
 import { ANY_PORT } from '../rules/valueCodecs.js';
@@ -67,6 +68,10 @@
       const message = `backend server ${server.id}: ${admitted.error}; the call was not run`;
       return Err(notRun(refusalReasons[admitted.error], message, FULL_RETRY_AFTER_MS));
     }
+    if (!(await isStillWanted(request.cancellation))) {
+      admitted.value();
+      return Err(withdrawn(request));
+    }
     const after = this.refusalOf(request, backendServerRegistry.get(server.id));
     if (after !== undefined) {
       admitted.value();
--- a/packages/lentillb/src/gate/gateListener.ts
+++ b/packages/lentillb/src/gate/gateListener.ts
@@ -5,7 +5,8 @@
 import type { Services } from '../kernel/services.js';
 import { CallHeader, numberIn, Outcome, passedOnHeaders } from '../calls/callHeaders.js';
 import { FailureReason } from '../calls/call.js';
-import { CancelReason, Cancellation } from '../calls/cancellation.js';
+import { watchCaller } from '../calls/callerWatch.js';
+import { CancelReason } from '../calls/cancellation.js';
 import { readBody } from '../calls/requestBody.js';
 import { respondAnswer, respondFailure } from '../calls/respond.js';
 import { HttpListener } from '../utils/httpListener.js';
@@ -47,7 +48,7 @@
 
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const { clock, gate } = this.services;
-    const cancellation = new Cancellation();
+    const cancellation = watchCaller(request, response);
     const body = await readBody(request);
     if (body.isErr()) {
       const message = `request body was cut short: ${body.error}`;
@@ -58,10 +59,7 @@
     const deadlineMs = numberIn(request.headers, CallHeader.DeadlineMs) ?? DEFAULT_DEADLINE_MS;
     // The other node may have gone silent: the deadline holds here as well.
     const forget = clock.after(deadlineMs, () => cancellation.cancel(CancelReason.DeadlinePassed));
-    response.once('close', () => {
-      forget();
-      cancellation.cancel(CancelReason.CallerGone);
-    });
+    response.once('close', forget);
     const result = await gate.call({
       requestId: headerOf(request, CallHeader.RequestId),
       method: request.method ?? 'GET',
--- a/packages/lentillb/src/routing/callListener.ts
+++ b/packages/lentillb/src/routing/callListener.ts
@@ -2,7 +2,7 @@
 import { randomUUID } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { CallHeader } from '../calls/callHeaders.js';
-import { CancelReason, Cancellation } from '../calls/cancellation.js';
+import { watchCaller } from '../calls/callerWatch.js';
 import { readBody } from '../calls/requestBody.js';
 import { respondAnswer, respondFailure } from '../calls/respond.js';
 import type { Services } from '../kernel/services.js';
@@ -45,8 +45,7 @@
     const { callRouter, clock, logger, metrics } = this.services;
     const startedMs = clock.monotonicMs();
     const requestId = requestIdOf(request);
-    const cancellation = new Cancellation();
-    response.once('close', () => cancellation.cancel(CancelReason.CallerGone));
+    const cancellation = watchCaller(request, response);
     const { result, version } = await callRouter.route({
       requestId,
       method: request.method ?? 'GET',
--- a/packages/lentillb/src/routing/gateClient.ts
+++ b/packages/lentillb/src/routing/gateClient.ts
@@ -1,6 +1,9 @@
 /** Sends calls to the gate beside a backend server: in this process, or on another host. */
 import { Agent } from 'undici';
+import { Err } from 'ts-results-es';
 import type { CallRequest, CallResult } from '../calls/call.js';
+import { withdrawn } from '../calls/call.js';
+import { isStillWanted } from '../calls/callerWatch.js';
 import { CallHeader } from '../calls/callHeaders.js';
 import { exchange } from '../calls/httpExchange.js';
 import type { HeaderFields } from '../calls/callHeaders.js';
@@ -50,6 +53,9 @@
   }
 
   private async callRemote(endpoint: Endpoint, request: CallRequest): Promise<CallResult> {
+    if (!(await isStillWanted(request.cancellation))) {
+      return Err(withdrawn(request));
+    }
     const headers: HeaderFields = {
       ...request.headers,
       [CallHeader.RequestId]: request.requestId,
--- a/packages/lentillb/src/serving/callerListener.ts
+++ b/packages/lentillb/src/serving/callerListener.ts
@@ -4,7 +4,7 @@
 import { parseAddress } from '../utils/networkAddress.js';
 import { runInBackground } from '../utils/background.js';
 import { listenAt, stopAccepting } from '../utils/listening.js';
-import { Cancellation, CancelReason } from '../calls/cancellation.js';
+import { watchCaller } from '../calls/callerWatch.js';
 import type { CallerLimits } from '../configuration/meshConfiguration.js';
 import type { Clock } from '../kernel/clock.js';
 import type { CallerRequest, EntryAnswer } from './entry.js';
@@ -126,13 +126,10 @@
 
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const arrivedAtMs = this.clock.monotonicMs();
-    const cancellation = new Cancellation();
+    const cancellation = watchCaller(request, response);
     this.active += 1;
     response.once('close', () => {
       this.active -= 1;
-      if (!response.writableFinished) {
-        cancellation.cancel(CancelReason.CallerGone);
-      }
     });
     const body = await this.readBody(request);
     if (!Buffer.isBuffer(body)) {
--- a/packages/lentillb/src/serving/gate.ts
+++ b/packages/lentillb/src/serving/gate.ts
@@ -2,6 +2,7 @@
 import { Err } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import { Outcome } from '../calls/callHeaders.js';
+import { isStillWanted } from '../calls/callerWatch.js';
 import type { Clock } from '../kernel/clock.js';
 import type { DecisionLog } from '../observability/decisionLog.js';
 import { Weight } from '../observability/decisionLog.js';
@@ -164,13 +165,13 @@
 
   private async send(request: ForwardedRequest): Promise<GateResult> {
     const { backendServer, client, clock } = this.services;
+    if (!(await isStillWanted(request.cancellation))) {
+      return notRun(FailureCause.CallerGone);
+    }
     const { heartbeat } = backendServer;
     if (!backendServer.ready || heartbeat === undefined) {
       return notRun(FailureCause.NotServing);
     }
-    if (request.cancellation.reason !== undefined) {
-      return notRun(FailureCause.CallerGone);
-    }
     const { address, id } = heartbeat;
     const result = await client.send(request, { address, instanceId: id });
     if (result.isErr()) {
--- a/packages/lentillb/src/serving/gateDialer.ts
+++ b/packages/lentillb/src/serving/gateDialer.ts
@@ -1,6 +1,8 @@
 /** Brings requests to gates: to the own one directly, to others over HTTP. */
 import { Err } from 'ts-results-es';
 import { forwardFailures } from './exchangeFailures.js';
+import { Outcome } from '../calls/callHeaders.js';
+import { isStillWanted } from '../calls/callerWatch.js';
 import { Cancellation, CancelReason } from '../calls/cancellation.js';
 import type { GateEndpoint } from '../directory/directory.js';
 import type { Clock } from '../kernel/clock.js';
@@ -9,6 +11,7 @@
 import type { Gate } from './gate.js';
 import { decodeReply, requestHeaders } from './gateProtocol.js';
 import type { ForwardedRequest, GateReply } from './messages.js';
+import { FailureCause } from './messages.js';
 
 /** How long connections between nodes are kept idle, in milliseconds; gates keep theirs longer. */
 const IDLE_MS = 30_000;
@@ -60,6 +63,10 @@
     if (endpoint.host === this.ownHost) {
       return gate.serve(request);
     }
+    if (!(await isStillWanted(request.cancellation))) {
+      const withdrawn = { outcome: Outcome.NotRun, cause: FailureCause.CallerGone };
+      return { result: Err(withdrawn), report: undefined };
+    }
     const leftMs = Math.max(0, request.deadlineAtMs - clock.monotonicMs());
     const abandoned = new Cancellation();
     const stopCancel = request.cancellation.onCancel(() =>
--- a/tests/sidecar/absentCallers.spec.ts
+++ b/tests/sidecar/absentCallers.spec.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events';
 import type { ServerResponse } from 'node:http';
 import { answerWell } from '@lentillb/standins';
 import type { Run } from '@lentillb/standins';
@@ -5,6 +6,8 @@
 import { requestHeaders } from 'lentillb/serving/gateProtocol.js';
 import { Patience } from 'lentillb/serving/slotQueue.js';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { holdEventLoop } from '../support/holdEventLoop.js';
+import { startLeavingCallers } from '../support/leavingCallers.js';
 import { RawConnection } from '../support/rawConnection.js';
 import type { RawRequest } from '../support/rawConnection.js';
 import type { FleetHost } from '../support/sidecarFleet.js';
@@ -95,6 +98,25 @@
   });
 });
 
+describe('requests whose callers left while their connections waited to be accepted', () => {
+  it('should not be run once they are accepted', async () => {
+    const host = await fleet.addHost('front', 'pages');
+    await fleet.untilServed(host, 'pages');
+    const before = host.backendServer.runs.length;
+    const requests = Array.from({ length: 100 }, (_, index) => requestOf(`r-${index}`));
+    const callers = startLeavingCallers(host.callerAddress, requests);
+    const left = once(callers, 'exit');
+    await once(callers, 'online');
+    holdEventLoop(1_000);
+    await left;
+    await fleet.clock.sleep(SETTLE_MS);
+    expect(host.backendServer.runs.length - before).toBe(0);
+    expect(host.log).toContainEqual(
+      expect.objectContaining({ event: 'request-refused', cause: 'caller-gone' }),
+    );
+  });
+});
+
 describe('a request whose caller left while it waited for a slot', () => {
   it('should not get a slot that is freed before the close is read', async () => {
     const host = await fleet.addHost('front', 'pages');
--- a/tests/support/rawConnection.ts
+++ b/tests/support/rawConnection.ts
@@ -9,7 +9,8 @@
   readonly headers: Readonly<Record<string, string>>;
 }
 
-function encode({ headers, target }: RawRequest): string {
+/** @param request - a request @returns its bytes on the wire */
+export function encodeRequest({ headers, target }: RawRequest): string {
   const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
   return `GET ${target} HTTP/1.1\r\n${lines.join('')}\r\n`;
 }
@@ -42,7 +43,7 @@
 
   /** @param request - the request to write */
   write(request: RawRequest): void {
-    this.socket.write(encode(request));
+    this.socket.write(encodeRequest(request));
   }
 
   /** Closes the connection at once; what was written stays readable for the other side. */
