Give up backend servers that send bytes without end

Callers would have seen 504s at their deadlines and, with several such backend servers or slots, a node that ends for lack of memory.

Cause: three ways in which a server could send without reaching a bound. Blank lines ahead of the status line and interim answers (102 again and again) are no headers to the HTTP parser, so its limit does not count them: both were read until the exchange's time was up, a core busy with the former. And 16 MB were allowed to each answer, whatever else was held: 18 endless bodies at once, one a slot, held 291 MB on hosts of 178 MB.

Change: at most 64 KB are read ahead of a final answer, whatever they are; and all answers of the process share 32 MB, which falls on those longer than 256 KB. Ruled out: a time limit for the head, which would cut backend servers that are slow but sound.

--- a/packages/lentillb/src/serving/exchange.ts
+++ b/packages/lentillb/src/serving/exchange.ts
@@ -7,6 +7,8 @@
 import type { HeaderFields } from '../calls/callHeaders.js';
 import type { Cancellation } from '../calls/cancellation.js';
 import type { Clock } from '../kernel/clock.js';
+import { limitHead } from '../utils/headLimit.js';
+import { AnswerBuffer } from './answerBuffer.js';
 
 /** What to send, and where. */
 export interface ExchangeRequest {
@@ -50,9 +52,6 @@
 } as const;
 export type ExchangeFailure = (typeof ExchangeFailure)[keyof typeof ExchangeFailure];
 
-/** Answers longer than this are given up, in bytes, to bound memory. */
-const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
-
 const PARSE_ERROR = /^HPE_/;
 
 /**
@@ -88,6 +87,7 @@
     this.outgoing = this.open();
     this.outgoing.on('error', (error: NodeJS.ErrnoException) => this.fail(this.causeOf(error)));
     this.outgoing.on('response', (response) => this.collect(response));
+    limitHead(this.outgoing, () => this.fail(ExchangeFailure.Malformed));
     this.watchConnection();
     this.endings.push(
       clock.after(request.timeoutMs, () =>
@@ -144,12 +144,10 @@
         wasReset = socket.remoteAddress === undefined;
       });
     }
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const answer = new AnswerBuffer();
+    this.endings.push(() => answer.release());
     response.on('data', (chunk: Buffer) => {
-      chunks.push(chunk);
-      bytes += chunk.length;
-      if (bytes > MAX_ANSWER_BYTES) {
+      if (!answer.add(chunk)) {
         this.fail(ExchangeFailure.Malformed);
       }
     });
@@ -164,7 +162,7 @@
       const discardConnection = (): void => {
         this.outgoing.destroy();
       };
-      const body = Buffer.concat(chunks, bytes);
+      const body = answer.concat();
       this.finish(Ok({ status: statusCode, headers, body, discardConnection }));
     });
   }
