Give up stores and nodes that answer without end

The client of the platform's store moved its time-out on with each piece of an answer, so that an endless body was never given up and filled the memory of the node; one whose head has no end was read until the deadline. What another node gives of its knowledge was bounded by two seconds only, and not at all once it was decompressed.

--- a/packages/lentillb/src/serving/exchange.ts
+++ b/packages/lentillb/src/serving/exchange.ts
@@ -7,7 +7,7 @@
 import type { HeaderFields } from '../calls/callHeaders.js';
 import type { Cancellation } from '../calls/cancellation.js';
 import type { Clock } from '../kernel/clock.js';
-import { limitHead } from '../utils/headLimit.js';
+import { limitHead } from '../utils/answerLimits.js';
 import { AnswerBuffer } from './answerBuffer.js';
 
 /** What to send, and where. */
--- a/packages/lentillb/src/sidecar/index.ts
+++ b/packages/lentillb/src/sidecar/index.ts
@@ -1,4 +1,5 @@
 /** What an adapter to a platform builds a node with. */
+export { limitBody, limitHead } from '../utils/answerLimits.js';
 export type {
   CallerLimits,
   Destination,
--- a/packages/lentillb/src/utils/headLimit.ts
+++ b/packages/lentillb/src/utils/answerLimits.ts
@@ -1,5 +1,5 @@
-/** Ends exchanges with servers that send bytes without end ahead of an answer. */
-import type { ClientRequest } from 'node:http';
+/** Bounds what is read from a server that sends bytes without end. */
+import type { ClientRequest, IncomingMessage } from 'node:http';
 
 /**
  * The most bytes that are read ahead of a final answer, in bytes: header lines are bounded by the HTTP
@@ -33,3 +33,24 @@
     outgoing.once('close', stop);
   });
 }
+
+/**
+ * Bounds the body of an answer.
+ *
+ * @param response - an answer whose body was not read yet
+ * @param maxBytes - how long the body may be, in bytes
+ * @param onExceeded - called for each piece beyond it
+ */
+export function limitBody(
+  response: IncomingMessage,
+  maxBytes: number,
+  onExceeded: () => void,
+): void {
+  let bytes = 0;
+  response.on('data', (chunk: Buffer) => {
+    bytes += chunk.length;
+    if (bytes > maxBytes) {
+      onExceeded();
+    }
+  });
+}
--- a/tests/peers/stateTransfer.spec.ts
+++ b/tests/peers/stateTransfer.spec.ts
@@ -1,5 +1,7 @@
 import { createServer } from 'node:http';
+import { gzipSync } from 'node:zlib';
 import { listenOnLoopback } from '@lentillb/standins';
+import { SystemClock } from 'lentillb';
 import { request } from 'undici';
 import { ConfigurationHolder } from 'lentillb/configuration/configurationHolder.js';
 import type { MeshRoute } from 'lentillb/configuration/meshConfiguration.js';
@@ -9,6 +11,7 @@
 import { fetchState } from 'lentillb/peers/stateClient.js';
 import { Repetition } from 'lentillb/rules/ruleForms.js';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { endlessAnswers, EndlessServer } from '../support/endlessServer.js';
 import { freeAddress } from '../support/freeAddress.js';
 
 const ROUTES = 1_600;
@@ -84,4 +87,24 @@
     server.close();
     expect(fetched.unwrapErr()).toContain('not compressed as expected');
   });
+
+  it.each(Object.entries(endlessAnswers))(
+    'should be given up where it has no end: %s',
+    async (_, answer) => {
+      const endless = new EndlessServer(answer);
+      const fetching = fetchState(await endless.listen(), 0);
+      const fetched = await Promise.race([fetching, new SystemClock().sleep(1_500)]);
+      expect(fetched?.isErr()).toBe(true);
+      endless.close();
+    },
+  );
+
+  it('should be an error where it is far longer once it is decompressed', async () => {
+    const body = gzipSync(Buffer.alloc(128 * 1024 * 1024));
+    const server = createServer((_, response) => response.end(body));
+    const fetched = await fetchState(await listenOnLoopback(server), 0);
+    server.closeAllConnections();
+    server.close();
+    expect(fetched.unwrapErr()).toContain('not compressed as expected');
+  });
 });
--- a/tests/platform/logStore.spec.ts
+++ b/tests/platform/logStore.spec.ts
@@ -3,6 +3,7 @@
 import { Deadline, SystemClock } from 'lentillb';
 import { StoreFailureKind, Topic } from 'lentillb/store/keyedStore.js';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { endlessAnswers, EndlessServer } from '../support/endlessServer.js';
 
 const clock = new SystemClock();
 let server: KeyedLogServer;
@@ -59,3 +60,17 @@
     expect(written.unwrapErr().kind).toBe(kind);
   });
 });
+
+describe('store of the platform that answers without end', () => {
+  it.each(Object.entries(endlessAnswers))('should be given up: %s', async (_, answer) => {
+    const endless = new EndlessServer(answer);
+    const client = new LogStore(clock, await endless.listen());
+    const startedMs = clock.monotonicMs();
+    const read = await client.follow(Topic.Operator, 0, 0, soon(5_000));
+    expect(read.unwrapErr().kind).toBe(StoreFailureKind.Unknown);
+    expect(clock.monotonicMs() - startedMs).toBeLessThan(1_500);
+    await clock.sleep(100);
+    expect(endless.open).toBe(0);
+    endless.close();
+  });
+});
