Let input that has arrived be read before a time-out acts

Change: these time-outs poll all sockets once more before they act (afterPendingInput). Left as they are: deadlines of requests that wait for a slot, which hold whatever arrives, and the earlier path's.

exchange.spec.ts "should take in an answer that lay unread when its time was up" failed before with timed-out, linkWatch.spec.ts "should not take a host as silent whose answer lies unread" with silent, then heard.

--- a/packages/lentillb/src/peers/linkWatch.ts
+++ b/packages/lentillb/src/peers/linkWatch.ts
@@ -5,6 +5,7 @@
  * cost follows the traffic, not the number of hosts.
  */
 import type { Clock } from '../kernel/clock.js';
+import { afterPendingInput } from '../utils/pendingInput.js';
 import { Link } from './link.js';
 
 /** How long a host with requests under way may be unheard of before it is asked, in milliseconds. */
@@ -100,7 +101,8 @@
   private look(): void {
     if (!this.looking) {
       this.looking = true;
-      this.clock.after(LOOK_MS, () => {
+      // An answer that lies unread is heard first.
+      afterPendingInput(this.clock, LOOK_MS, () => {
         this.looking = false;
         this.lookOnce();
       });
--- a/packages/lentillb/src/serving/exchange.ts
+++ b/packages/lentillb/src/serving/exchange.ts
@@ -3,6 +3,7 @@
 import type { Agent, ClientRequest, IncomingMessage } from 'node:http';
 import type { Result } from 'ts-results-es';
 import { Err, Ok } from 'ts-results-es';
+import { afterPendingInput } from '../utils/pendingInput.js';
 import { parseAddress } from '../utils/networkAddress.js';
 import type { HeaderFields } from '../calls/callHeaders.js';
 import type { Cancellation } from '../calls/cancellation.js';
@@ -90,7 +91,7 @@
     limitHead(this.outgoing, () => this.fail(ExchangeFailure.Malformed));
     this.watchConnection();
     this.endings.push(
-      clock.after(request.timeoutMs, () =>
+      afterPendingInput(clock, request.timeoutMs, () =>
         this.fail(this.connected ? ExchangeFailure.TimedOut : ExchangeFailure.NotSent),
       ),
       request.cancellation.onCancel(() => this.fail(ExchangeFailure.Cancelled)),
@@ -122,7 +123,7 @@
         this.connected = true;
         return;
       }
-      const stopTimer = this.clock.after(this.request.connectTimeoutMs, () =>
+      const stopTimer = afterPendingInput(this.clock, this.request.connectTimeoutMs, () =>
         this.fail(ExchangeFailure.NotSent),
       );
       this.endings.push(stopTimer);
--- a/packages/lentillb/src/sidecar/index.ts
+++ b/packages/lentillb/src/sidecar/index.ts
@@ -1,5 +1,6 @@
 /** What an adapter to a platform builds a node with. */
 export { limitBody, limitHead } from '../utils/answerLimits.js';
+export { afterPendingInput } from '../utils/pendingInput.js';
 export type {
   CallerLimits,
   Destination,
--- a/packages/lentillb/src/utils/pendingInput.ts
+++ b/packages/lentillb/src/utils/pendingInput.ts
@@ -1,4 +1,6 @@
 /** Input that has arrived at this process and has not been read yet. */
+import type { Clock } from '../kernel/clock.js';
+import { runInBackground } from './background.js';
 
 /**
  * Waits until the event loop has read what its sockets held when this was called. A loop that was
@@ -11,3 +13,29 @@
     setImmediate(() => setImmediate(resolve));
   });
 }
+
+/**
+ * Does something once a time is up, unless input that has arrived by then takes it back: after the
+ * event loop was held, timers fire before that input is read.
+ *
+ * @param clock - the clock that the time goes by
+ * @param delayMs - how much later, in milliseconds
+ * @param action - what to do
+ * @returns takes the action back
+ */
+export function afterPendingInput(clock: Clock, delayMs: number, action: () => void): () => void {
+  let isDue = true;
+  const stopTimer = clock.after(delayMs, () => {
+    runInBackground(
+      untilPendingInputIsRead().then(() => {
+        if (isDue) {
+          action();
+        }
+      }),
+    );
+  });
+  return () => {
+    isDue = false;
+    stopTimer();
+  };
+}
--- a/tests/peers/linkWatch.spec.ts
+++ b/tests/peers/linkWatch.spec.ts
@@ -1,5 +1,9 @@
+import { createSocket } from 'node:dgram';
+import { once } from 'node:events';
+import { SystemClock } from 'lentillb';
 import { LinkWatch } from 'lentillb/peers/linkWatch.js';
 import { describe, expect, it } from 'vitest';
+import { holdEventLoop } from '../support/holdEventLoop.js';
 import { ManualClock } from '../support/manualClock.js';
 
 const HOST = '10.0.0.2';
@@ -75,4 +79,32 @@
     expect(changes).toEqual([`${HOST} silent`, `${HOST} heard`]);
     expect(links.isSilent(HOST)).toBe(false);
   });
+
+  it('should not take a host as silent whose answer lies unread', async () => {
+    const clock = new SystemClock();
+    const changes: string[] = [];
+    const own = createSocket('udp4').bind(0, '127.0.0.1');
+    const other = createSocket('udp4').bind(0, '127.0.0.1');
+    await Promise.all([once(own, 'listening'), once(other, 'listening')]);
+    let asked = 0;
+    const links: LinkWatch = new LinkWatch(
+      clock,
+      () => {
+        asked += 1;
+      },
+      (host, silent) => changes.push(`${host} ${silent ? 'silent' : 'heard'}`),
+    );
+    own.on('message', () => links.hear(HOST));
+    const stop = links.watch(HOST, PEER, () => undefined);
+    while (asked < 3) {
+      await clock.sleep(10);
+    }
+    other.send('here', own.address().port, '127.0.0.1');
+    holdEventLoop(300);
+    await clock.sleep(100);
+    stop();
+    own.close();
+    other.close();
+    expect(changes).toEqual([]);
+  });
 });
--- a/tests/serving/exchange.spec.ts
+++ b/tests/serving/exchange.spec.ts
@@ -101,4 +101,12 @@
     await clock.sleep(50);
     expect(closed).toBe(true);
   });
+
+  it('should take in an answer that lay unread when its time was up', async () => {
+    const result = await send((socket) => {
+      socket.write(`${HEAD}Content-Length: 4\r\n\r\nbody`);
+      holdEventLoop(1_200);
+    });
+    expect(result.unwrap().body.toString()).toBe('body');
+  });
 });
