Let some callers of the soak leave early and check that nothing runs for them

One in six now leaves after 5 to 305 ms, and no run may begin more than 500 ms after it. Freezes are a disturbance of their own that does not excuse it: the request and the end of its connection are both there when the node wakes up.

--- a/soak/src/caller.ts
+++ b/soak/src/caller.ts
@@ -1,6 +1,6 @@
 /** A caller on one host, which keeps its connections open until the node's process is gone. */
 import { Agent, request as openRequest } from 'node:http';
-import type { IncomingMessage } from 'node:http';
+import type { ClientRequest, IncomingMessage } from 'node:http';
 import type { Clock, Randomness } from 'lentillb/sidecar';
 import { parseAddress } from 'lentillb/sidecar';
 import { Header, RouteName } from './platformDocuments.js';
@@ -20,6 +20,10 @@
 const DEADLINE_MS = 800;
 /** How long after its deadline a caller still takes an answer, in milliseconds. */
 const PATIENCE_MS = 700;
+/** One request in this many is of a caller that leaves early. */
+const LEAVES_ONE_IN = 6;
+/** How long it stays, in milliseconds. */
+const STAY_MS = { least: 5, spread: 300 } as const;
 
 const HttpStatus = { ServerError: 500, Unavailable: 503 } as const;
 
@@ -101,12 +105,15 @@
           'content-length': Buffer.byteLength(id),
         },
       });
+      const stopStaying = this.leaveEarly(outgoing, resolve);
       const stopWaiting = this.services.clock.after(DEADLINE_MS + PATIENCE_MS, () => {
+        stopStaying();
         resolve({ told: Told.Silent, detail: 'no answer in time', isOwnAnswer: false });
         outgoing.destroy();
       });
       outgoing.on('error', (error: NodeJS.ErrnoException) => {
         stopWaiting();
+        stopStaying();
         const told = error.code === 'ECONNREFUSED' ? Told.Unreached : Told.Broken;
         resolve({ told, detail: error.code ?? error.message, isOwnAnswer: false });
       });
@@ -116,6 +123,7 @@
         response.on('error', () => undefined);
         response.on('close', () => {
           stopWaiting();
+          stopStaying();
           const body = Buffer.concat(chunks).toString('utf8');
           resolve(
             response.complete
@@ -127,4 +135,17 @@
       outgoing.end(id);
     });
   }
+
+  /** Lets some callers leave before they are answered; the result takes that back. */
+  private leaveEarly(outgoing: ClientRequest, settle: (outcome: Outcome) => void): () => void {
+    const { clock, randomness } = this.services;
+    if (randomness.integer(LEAVES_ONE_IN) > 0) {
+      return () => undefined;
+    }
+    const stayMs = STAY_MS.least + randomness.integer(STAY_MS.spread);
+    return clock.after(stayMs, () => {
+      settle({ told: Told.Left, detail: `after ${stayMs} ms`, isOwnAnswer: false });
+      outgoing.destroy();
+    });
+  }
 }
--- a/soak/src/faults.ts
+++ b/soak/src/faults.ts
@@ -85,7 +85,7 @@
     },
   },
   'node freeze': {
-    kind: DisturbanceKind.Trouble,
+    kind: DisturbanceKind.Pause,
     everywhere: false,
     play: async ({ clock, forMs, host }) => {
       host.freeze(true);
--- a/soak/src/platformDocuments.ts
+++ b/soak/src/platformDocuments.ts
@@ -10,6 +10,8 @@
   rollbackSlackMs: 250,
   /** From a confirmed departure until nothing reaches the backend server. */
   drainMs: 2_500,
+  /** From the moment a caller has left until none of its requests reaches a backend server. */
+  absentMs: 500,
   /** How long a planned stop may take. */
   graceMs: 6_000,
   /** From the end of all trouble until everything is known everywhere again. */
--- a/soak/src/promises.ts
+++ b/soak/src/promises.ts
@@ -9,7 +9,7 @@
   readonly detail: string;
 }
 
-const TROUBLE_ONLY = [DisturbanceKind.Trouble];
+const TROUBLE_ONLY = [DisturbanceKind.Trouble, DisturbanceKind.Pause];
 
 type Check = (record: SoakRecord) => readonly string[];
 
@@ -81,6 +81,28 @@
       }),
   );
 
+/** A freeze is no excuse: the request and the end of its connection are read together after it. */
+const checkAbsentCallers: Check = (record) => {
+  const runs = runsById(record);
+  return record.requests
+    .filter(({ told }) => told === Told.Left || told === Told.Silent)
+    .flatMap((request) =>
+      (runs.get(request.id) ?? [])
+        .filter(({ atMs }) => atMs > request.endedAtMs + Bounds.absentMs)
+        .filter(({ atMs, host }) =>
+          [request.host, host].every((one) =>
+            record.isCalm(one, request.sentAtMs - Bounds.contactMs, atMs, [
+              DisturbanceKind.Trouble,
+            ]),
+          ),
+        )
+        .map(({ atMs, backendServer }) => {
+          const afterMs = Math.round(atMs - request.endedAtMs);
+          return `reached ${backendServer} ${afterMs} ms after its caller left: ${describeRequest(request)}`;
+        }),
+    );
+};
+
 function lastWhere<Item>(items: readonly Item[], holds: (item: Item) => boolean): Item | undefined {
   return items.filter(holds).at(-1);
 }
@@ -143,7 +165,7 @@
 const checkRecovery: Check = (record) =>
   record.requests
     .filter(({ sentAtMs }) => sentAtMs > record.calmFromMs + Bounds.catchUpMs)
-    .filter(({ told }) => told !== Told.Answered)
+    .filter(({ told }) => told !== Told.Answered && told !== Told.Left)
     .map((request) => `still failing after all trouble: ${describeRequest(request)}`);
 
 const checkEnds: Check = ({ oddEnds }) =>
@@ -155,6 +177,7 @@
   'an answer is that of its request': checkAnswers,
   'nothing runs that was not sent': checkOrigins,
   'nothing reaches a backend server that left': checkDepartures,
+  'nothing runs for a caller that left': checkAbsentCallers,
   'a version is in force in time': checkConfiguration,
   'no older version comes back': checkRegress,
   'a planned stop loses nothing': checkStops,
--- a/soak/src/record.ts
+++ b/soak/src/record.ts
@@ -11,6 +11,8 @@
   Failed: 'failed',
   /** The connection ended without an answer. */
   Broken: 'broken',
+  /** The caller left before an answer came. */
+  Left: 'left',
   /** No answer came in time. */
   Silent: 'silent',
   /** No connection could be opened. */
@@ -38,13 +40,17 @@
   readonly requestId: string;
   readonly service: Service;
   readonly backendServer: string;
+  /** The index of the host that the backend server is on. */
+  readonly host: number;
   readonly atMs: number;
 }
 
 /** What a disturbance excuses. */
 export const DisturbanceKind = {
-  /** A kill, a freeze or a disturbed connection: bounds of time do not hold. */
+  /** A kill or a disturbed connection: bounds of time do not hold. */
   Trouble: 'trouble',
+  /** A freeze: bounds of time do not hold, but all that arrived meanwhile is there afterwards. */
+  Pause: 'pause',
   /** The store alone; requests already taken must not suffer. */
   Store: 'store',
   /** A planned stop; nothing may be lost, but the next process starts anew. */
--- a/soak/src/soakHost.ts
+++ b/soak/src/soakHost.ts
@@ -256,7 +256,7 @@
     await server.listen();
     server.behave((response, { body, requestId }) => {
       const atMs = clock.monotonicMs();
-      record.runs.push({ requestId, service, backendServer, atMs });
+      record.runs.push({ requestId, service, backendServer, host: index, atMs });
       clock.after(WORK_MS.least + randomness.integer(WORK_MS.spread), () => {
         response.writeHead(200, { 'x-attempt-id': requestId, 'x-server-seal': 'seal' });
         response.end(`ran ${body}`);
--- a/tests/soak/promises.spec.ts
+++ b/tests/soak/promises.spec.ts
@@ -15,7 +15,13 @@
   detail: '',
 };
 
-const ran: ObservedRun = { requestId: 'r1', service: 'desk', backendServer: 'b-1', atMs: 100_010 };
+const ran: ObservedRun = {
+  requestId: 'r1',
+  service: 'desk',
+  backendServer: 'b-1',
+  host: 1,
+  atMs: 100_010,
+};
 
 function recordOf(
   requests: readonly Partial<SentRequest>[],
@@ -76,6 +82,17 @@
     expect(broken(record)).toEqual([]);
   });
 
+  it('should find a run for a caller that left, also after a freeze, unless a link was disturbed', () => {
+    const left = { told: Told.Left, isOwnAnswer: false, endedAtMs: 100_050 };
+    expect(broken(recordOf([left], [{ atMs: 100_540 }]))).toEqual([]);
+    const record = recordOf([left], [{ atMs: 100_560 }]);
+    const span = { host: 1, fromMs: 99_000, untilMs: 101_000 };
+    record.disturbances.push({ kind: DisturbanceKind.Pause, ...span });
+    expect(broken(record)).toEqual(['nothing runs for a caller that left']);
+    record.disturbances.push({ kind: DisturbanceKind.Trouble, ...span });
+    expect(broken(record)).toEqual([]);
+  });
+
   it('should find a version that is not in force in time at a calm node', () => {
     const record = recordOf([{ route: 'probe' }], [{ service: 'desk' }]);
     record.publications.push({ version: 1, atMs: 0 }, { version: 2, atMs: 97_000 });
