Bound what is read ahead of an answer in the earlier call path

The HTTP client of this path has no bound on blank lines, interim answers and a status line that goes on; a call was answered at its deadline, and the bytes read until then.

Change: each connection to a backend server counts what it reads between a request and the head of its final answer, and closes beyond 64 KB, as serving/exchange does.

--- a/packages/lentillb/src/calls/httpExchange.ts
+++ b/packages/lentillb/src/calls/httpExchange.ts
@@ -6,6 +6,7 @@
 import type { CallFailure, CallResult } from './call.js';
 import { FailureReason, failureReasons } from './call.js';
 import type { HeaderFields } from './callHeaders.js';
+import { LOWEST_FINAL_STATUS } from './headHandler.js';
 import { CallHeader, numberIn, Outcome, passedOnHeaders } from './callHeaders.js';
 import type { Cancellation } from './cancellation.js';
 
@@ -24,8 +25,6 @@
 /** Answers up to this length are taken in whole before they are passed on, in bytes. */
 const MAX_WHOLE_BYTES = 64 * 1024;
 const MS_PER_SECOND = 1_000;
-/** The lowest status of a final answer; lower ones say that another follows. */
-const LOWEST_FINAL_STATUS = 200;
 
 /** Errors of connections that failed before anything was written. */
 const NOTHING_WRITTEN = new Set([
--- a/packages/lentillb/src/gate/backendServerRegistry.ts
+++ b/packages/lentillb/src/gate/backendServerRegistry.ts
@@ -3,6 +3,7 @@
 import { BackendServerSchema, BackendServerState } from '@lentillb/protocol';
 import { Pool } from 'undici';
 import { AdmissionQueue } from '../calls/admissionQueue.js';
+import { BoundedClient } from '../calls/boundedClient.js';
 import type { Services } from '../kernel/services.js';
 import { EventKind } from '../timeline/event.js';
 
@@ -174,7 +175,7 @@
       connect: { timeout: CONNECT_TIMEOUT_MS },
       keepAliveTimeout: KEEP_ALIVE_MS,
       keepAliveMaxTimeout: KEEP_ALIVE_MS,
-      pipelining: 1,
+      factory: (origin, options) => new BoundedClient(origin, options),
     });
   }
 
--- a/packages/lentillb/src/utils/answerLimits.ts
+++ b/packages/lentillb/src/utils/answerLimits.ts
@@ -5,7 +5,7 @@
  * The most bytes that are read ahead of a final answer, in bytes: header lines are bounded by the HTTP
  * parser, blank lines and interim answers are not.
  */
-const MAX_HEAD_BYTES = 64 * 1024;
+export const MAX_HEAD_BYTES = 64 * 1024;
 
 /**
  * Bounds what a server may send ahead of its answer.
