Do not take the soak's own lateness for a run after its caller left

The relays, the backend servers and the callers of a run share the soak's process, which read the request late and noted that time. A check of the soak may thus not rest on its own times while it is held.

Change: the soak notes when its own timers are more than 50 ms late, and excuses a run that was noted then, in this check only. The check is as strict otherwise: promises.spec.ts has a case on each side.

--- a/soak/src/promises.ts
+++ b/soak/src/promises.ts
@@ -96,6 +96,9 @@
             ]),
           ),
         )
+        .filter(({ atMs }) =>
+          record.isCalm(request.host, request.sentAtMs, atMs, [DisturbanceKind.LateObservation]),
+        )
         .map(({ atMs, backendServer }) => {
           const afterMs = Math.round(atMs - request.endedAtMs);
           return `reached ${backendServer} ${afterMs} ms after its caller left: ${describeRequest(request)}`;
--- a/soak/src/record.ts
+++ b/soak/src/record.ts
@@ -55,9 +55,16 @@
   Store: 'store',
   /** A planned stop; nothing may be lost, but the next process starts anew. */
   Planned: 'planned',
+  /** The soak's own process read late: the times it noted are later than what they are of. */
+  LateObservation: 'late-observation',
 } as const;
 export type DisturbanceKind = (typeof DisturbanceKind)[keyof typeof DisturbanceKind];
 
+/** What is done to the fleet. */
+const DONE_TO_FLEET = Object.values(DisturbanceKind).filter(
+  (kind) => kind !== DisturbanceKind.LateObservation,
+);
+
 /** Something done to a host, or to all of them. */
 export interface Disturbance {
   readonly kind: DisturbanceKind;
@@ -114,7 +121,7 @@
     host: number,
     fromMs: number,
     untilMs: number,
-    excusing: readonly DisturbanceKind[] = Object.values(DisturbanceKind),
+    excusing: readonly DisturbanceKind[] = DONE_TO_FLEET,
   ): boolean {
     return !this.disturbances.some(
       (one) =>
--- a/soak/src/soakRun.ts
+++ b/soak/src/soakRun.ts
@@ -16,7 +16,7 @@
 } from './platformDocuments.js';
 import type { Finding } from './promises.js';
 import { findBroken } from './promises.js';
-import { SoakRecord } from './record.js';
+import { DisturbanceKind, SoakRecord } from './record.js';
 import type { ScheduledFault } from './schedule.js';
 import { drawSchedule } from './schedule.js';
 import { SoakHost } from './soakHost.js';
@@ -48,6 +48,10 @@
 const SETTLE_MS = 6_000;
 /** How long requests go on after the last bound has passed, in milliseconds. */
 const AFTERWARDS_MS = 2_000;
+/** How often the soak looks whether its own process is late, in milliseconds. */
+const OBSERVE_EVERY_MS = 20;
+/** How late it may be, in milliseconds: a fifth of the shortest bound it checks. */
+const TOLERATED_DELAY_MS = 50;
 
 /** One run. */
 export class SoakRun {
@@ -61,6 +65,8 @@
 
   private version = 0;
 
+  private isOver = false;
+
   constructor(
     private readonly clock: Clock,
     private readonly options: SoakOptions,
@@ -77,6 +83,7 @@
     const callers = this.hosts.map(
       (host) => new Caller({ clock, randomness: this.randomness, record }, () => host.called),
     );
+    const observing = this.observeOwnDelays();
     const sending = callers.map((caller) => caller.run());
     await Promise.all([
       ...schedule.faults.map((fault) => this.disturb(fault)),
@@ -86,6 +93,8 @@
     await clock.sleep(Bounds.catchUpMs + AFTERWARDS_MS);
     callers.forEach((caller) => caller.stop());
     await Promise.all(sending);
+    this.isOver = true;
+    await observing;
     await this.close();
     const { requests } = record;
     const answered = requests.filter(({ isOwnAnswer }) => isOwnAnswer).length;
@@ -139,6 +148,20 @@
     });
   }
 
+  /** Relays, callers and backend servers share this process; one that is held falsifies their times. */
+  private async observeOwnDelays(): Promise<void> {
+    const { clock, record } = this;
+    while (!this.isOver) {
+      const fromMs = clock.monotonicMs();
+      await clock.sleep(OBSERVE_EVERY_MS);
+      const untilMs = clock.monotonicMs();
+      if (untilMs - fromMs > OBSERVE_EVERY_MS + TOLERATED_DELAY_MS) {
+        const kind = DisturbanceKind.LateObservation;
+        record.disturbances.push({ kind, host: undefined, fromMs, untilMs });
+      }
+    }
+  }
+
   private publish(): void {
     this.version += 1;
     const { record, version } = this;
--- a/tests/soak/promises.spec.ts
+++ b/tests/soak/promises.spec.ts
@@ -93,6 +93,19 @@
     expect(broken(record)).toEqual([]);
   });
 
+  it('should excuse a late run only where the soak itself read late, and no other promise by that', () => {
+    const left = { told: Told.Left, isOwnAnswer: false, endedAtMs: 100_050 };
+    const record = recordOf([left], [{ atMs: 100_560 }]);
+    const late = { kind: DisturbanceKind.LateObservation, host: undefined };
+    record.disturbances.push({ ...late, fromMs: 98_000, untilMs: 99_000 });
+    expect(broken(record)).toEqual(['nothing runs for a caller that left']);
+    record.disturbances.push({ ...late, fromMs: 100_400, untilMs: 100_500 });
+    expect(broken(record)).toEqual([]);
+    const refused = recordOf([{ told: Told.NotRun, isOwnAnswer: false }], [{}]);
+    refused.disturbances.push({ ...late, fromMs: 100_000, untilMs: 101_000 });
+    expect(broken(refused)).toEqual(['a refused request has not run']);
+  });
+
   it('should find a version that is not in force in time at a calm node', () => {
     const record = recordOf([{ route: 'probe' }], [{ service: 'desk' }]);
     record.publications.push({ version: 1, atMs: 0 }, { version: 2, atMs: 97_000 });
