--- a/soak/src/promises.ts
+++ b/soak/src/promises.ts
@@ -9,7 +9,7 @@
   readonly detail: string;
 }
 
-const TROUBLE_ONLY = [DisturbanceKind.Trouble, DisturbanceKind.Pause];
+const UNPLANNED = [DisturbanceKind.Trouble, DisturbanceKind.Pause];
 
 type Check = (record: SoakRecord) => readonly string[];
 
@@ -74,7 +74,7 @@
       .filter((run) => run.backendServer === backendServer)
       .filter(({ atMs }) => atMs > confirmedAtMs + Bounds.drainMs)
       // Bytes that a disturbed link held up arrive late.
-      .filter(({ atMs }) => record.isCalm(host, atMs - Bounds.contactMs, atMs, TROUBLE_ONLY))
+      .filter(({ atMs }) => record.isCalm(host, atMs - Bounds.contactMs, atMs, UNPLANNED))
       .map(({ atMs, requestId }) => {
         const afterMs = Math.round(atMs - confirmedAtMs);
         return `${requestId} reached ${backendServer} ${afterMs} ms after its departure was confirmed`;
@@ -160,7 +160,7 @@
   return record.requests
     .filter(({ id, told }) => told === Told.Broken && runs.has(id))
     .filter(({ endedAtMs, host, sentAtMs }) =>
-      record.isCalm(host, sentAtMs - Bounds.contactMs, endedAtMs, TROUBLE_ONLY),
+      record.isCalm(host, sentAtMs - Bounds.contactMs, endedAtMs, UNPLANNED),
     )
     .map(describeRequest);
 };
