--- a/tests/serving/endlessAnswers.spec.ts
+++ b/tests/serving/endlessAnswers.spec.ts
@@ -1,8 +1,8 @@
 import { Agent } from 'node:http';
 import { SystemClock } from 'lentillb';
-import { Cancellation } from 'lentillb/calls/cancellation.js';
-import { exchange, ExchangeFailure } from 'lentillb/serving/exchange.js';
+import { ExchangeFailure } from 'lentillb/serving/exchange.js';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { askServer } from '../support/askServer.js';
 import type { EndlessAnswer } from '../support/endlessServer.js';
 import { endlessAnswers, EndlessServer } from '../support/endlessServer.js';
 
@@ -27,26 +27,12 @@
   servers.forEach((server) => server.close());
 });
 
-function askAt(address: string) {
-  return exchange(clock, {
-    agent,
-    address,
-    method: 'GET',
-    target: '/',
-    headers: { host: 'a.example' },
-    body: Buffer.alloc(0),
-    connectTimeoutMs: 500,
-    timeoutMs: TIMEOUT_MS,
-    cancellation: new Cancellation(),
-  });
-}
-
 /** Starts a server that answers so. */
 async function start(answer: EndlessAnswer) {
   const server = new EndlessServer(answer);
   servers.push(server);
   const address = await server.listen();
-  return { server, ask: () => askAt(address) };
+  return { server, ask: () => askServer(address, { agent, timeoutMs: TIMEOUT_MS }) };
 }
 
 describe('an answer without end', () => {
--- a/tests/serving/exchange.spec.ts
+++ b/tests/serving/exchange.spec.ts
@@ -6,6 +6,7 @@
 import { Cancellation, CancelReason } from 'lentillb/calls/cancellation.js';
 import { exchange, ExchangeFailure } from 'lentillb/serving/exchange.js';
 import { afterEach, describe, expect, it } from 'vitest';
+import { askServer } from '../support/askServer.js';
 import { holdEventLoop } from '../support/holdEventLoop.js';
 
 const HEAD = 'HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\n';
@@ -22,17 +23,7 @@
   });
   const listening = server;
   const address = await listenOnLoopback(listening);
-  return exchange(clock, {
-    agent,
-    address,
-    method: 'GET',
-    target: '/',
-    headers: { host: 'a.example' },
-    body: Buffer.alloc(0),
-    connectTimeoutMs: 500,
-    timeoutMs: 1_000,
-    cancellation,
-  });
+  return askServer(address, { agent, cancellation, timeoutMs: 1_000 });
 }
 
 afterEach(() => {
