Do not warn of a leak where a caller pipelines requests

Change: no bound on the listeners of such a connection; each is taken off with its response. pipelinedRequests.spec.ts failed before with MaxListenersExceededWarning.

--- a/packages/lentillb/src/calls/callerWatch.ts
+++ b/packages/lentillb/src/calls/callerWatch.ts
@@ -17,6 +17,8 @@
       cancellation.cancel(CancelReason.CallerGone);
     }
   };
+  // A caller may pipeline any number of requests, each of which listens.
+  socket.setMaxListeners(0);
   // Read some turns of the event loop before the response is closed.
   socket.once('end', leave);
   response.once('close', () => {
--- /dev/null
+++ b/tests/serving/pipelinedRequests.spec.ts
@@ -0,0 +1,40 @@
+import { once } from 'node:events';
+import { connect } from 'node:net';
+import { parseAddress } from 'lentillb/utils/networkAddress.js';
+import { wireHeaders } from '@lentillb/platform';
+import { SystemClock } from 'lentillb';
+import { CallerListener } from 'lentillb/serving/callerListener.js';
+import { InputWatch } from 'lentillb/utils/pendingInput.js';
+import { expect, it } from 'vitest';
+import { freeAddress } from '../support/freeAddress.js';
+
+const REQUESTS = 30;
+
+it('should answer many requests that wait on one connection without a warning of the runtime', async () => {
+  const clock = new SystemClock();
+  const warnings: Error[] = [];
+  const keep = (warning: Error): void => {
+    warnings.push(warning);
+  };
+  process.on('warning', keep);
+  const serve = async () => {
+    await clock.sleep(50);
+    return { status: 200, headers: {}, body: Buffer.from('ran') };
+  };
+  const options = { requestIdName: wireHeaders.requestId };
+  const listener = new CallerListener(clock, new InputWatch(clock), serve, options);
+  const address = await freeAddress();
+  await listener.listen(address);
+  const caller = connect(parseAddress(address));
+  await once(caller, 'connect');
+  caller.write('GET / HTTP/1.1\r\nhost: a.example\r\n\r\n'.repeat(REQUESTS));
+  let received = '';
+  while (received.split('ran').length - 1 < REQUESTS) {
+    const [chunk] = (await once(caller, 'data')) as [Buffer];
+    received += chunk.toString('latin1');
+  }
+  caller.destroy();
+  listener.close();
+  process.off('warning', keep);
+  expect(warnings).toEqual([]);
+});
