Read each topic of the store by as few nodes of a zone as it needs

Cause: while a fleet starts, every node counted as a reader until it had announced itself, so each change of the hosts woke every node; afterwards two nodes of each zone read the hosts as well as the configuration, every 400 ms while anything changed.

Now a node that is not announced relies on the readers of its zone and asks them, one node a zone reads the hosts, once a second at most, and a node of another zone is asked for its announcements only by the reader of a zone and only for a difference that lasts. The earlier comparison kept the time of a difference by sender, so with hundreds of hosts two contacts far apart looked like a lasting difference and the whole directory crossed the zones.

Ruled out: one reader of the configuration a zone (a reader that is cut off from the store notices only after its long poll, and the zone would miss the time allowed for a change); long polls of over 3 s (the same).

--- a/packages/lentillb/src/peers/gossip.ts
+++ b/packages/lentillb/src/peers/gossip.ts
@@ -12,6 +12,8 @@
 import type { Randomness } from '../kernel/randomness.js';
 import type { DecisionLog } from '../observability/decisionLog.js';
 import { Importance } from '../observability/decisionLog.js';
+import { Topic } from '../store/keyedStore.js';
+import { DigestComparison } from './digestComparison.js';
 import type { GossipMessage } from './gossipMessage.js';
 import { GossipMessageKind } from './gossipMessage.js';
 import type { NodeState } from './nodeState.js';
@@ -60,8 +62,7 @@
   /** A version that another node has and this one lacks, and since when this is known. */
   private newerVersion: { readonly version: number; readonly sinceMs: number } | undefined;
 
-  /** Since when the announcements of other nodes differ from those of this node, by peer address. */
-  private readonly digestDiffersSinceMs = new Map<string, number>();
+  private readonly digestComparison: DigestComparison;
 
   private fetching = false;
 
@@ -76,7 +77,9 @@
     private readonly services: GossipServices,
     private readonly location: NodeLocation,
     private readonly onState: (state: NodeState) => void,
-  ) {}
+  ) {
+    this.digestComparison = new DigestComparison(services.clock);
+  }
 
   /** Runs gossip rounds until `stop` is called. */
   async run(): Promise<void> {
@@ -154,12 +157,23 @@
     const sameZone = this.otherNodes(true);
     const otherZones = this.otherNodes(false);
     this.broadcast();
-    this.pingRandom(sameZone);
+    this.pingRandom(this.isAnnounced ? sameZone : this.readersAmong(sameZone));
     if (sameZone.length === 0 || this.rounds % ROUNDS_PER_OTHER_ZONE_PING === 0) {
       this.pingRandom(otherZones);
     }
   }
 
+  private get isAnnounced(): boolean {
+    const { directory } = this.services;
+    return directory.announcementOf(this.location.host) !== undefined;
+  }
+
+  /** A node that is not announced yet gets no broadcasts, so it has to ask the readers. */
+  private readersAmong(announcements: readonly Announcement[]): readonly Announcement[] {
+    const { role } = this.services;
+    return announcements.filter(({ host }) => role.isReaderOf(Topic.Operator, host));
+  }
+
   private pingRandom(announcements: readonly Announcement[]): void {
     if (announcements.length > 0) {
       const selected = announcements[this.services.randomness.integer(announcements.length)];
@@ -168,7 +182,7 @@
   }
 
   private fetchIfBehind(from: string, message: GossipMessage, inOwnZone: boolean): void {
-    const { clock, configuration, role } = this.services;
+    const { clock, configuration, directory, role } = this.services;
     const nowMs = clock.monotonicMs();
     const { configurationVersion, directoryDigest } = message;
     if (this.newerVersion === undefined || this.newerVersion.version <= configuration.version) {
@@ -177,9 +191,12 @@
           ? { version: configurationVersion, sinceMs: nowMs }
           : undefined;
     }
-    const digestDiffers = this.hasDigestDiffered(from, directoryDigest, nowMs);
+    // Traffic between zones is charged, so only the reader of a zone compares it with other zones.
+    const digestDiffers =
+      this.digestComparison.differsLastingly(from, directoryDigest, directory.digest) &&
+      (inOwnZone || role.shouldRead(Topic.Hosts));
     const lacksConfiguration = configuration.version === 0 && configurationVersion > 0;
-    const reliesOnSender = inOwnZone && message.readsStore && !role.shouldRead;
+    const reliesOnSender = inOwnZone && message.readsStore && !role.shouldRead(Topic.Operator);
     const isOutdated =
       configurationVersion > configuration.version && (reliesOnSender || this.isBehind(nowMs));
     if (lacksConfiguration || isOutdated || digestDiffers) {
@@ -191,17 +208,6 @@
     return this.newerVersion !== undefined && nowMs - this.newerVersion.sinceMs >= STORE_GRACE_MS;
   }
 
-  /** Returns whether the announcements of another node have differed for longer than `STORE_GRACE_MS`. */
-  private hasDigestDiffered(from: string, digest: number, nowMs: number): boolean {
-    if (digest === this.services.directory.digest) {
-      this.digestDiffersSinceMs.delete(from);
-      return false;
-    }
-    const sinceMs = this.digestDiffersSinceMs.get(from) ?? nowMs;
-    this.digestDiffersSinceMs.set(from, sinceMs);
-    return nowMs - sinceMs >= STORE_GRACE_MS;
-  }
-
   private fetch(from: string): void {
     const { clock } = this.services;
     if (this.fetching || clock.monotonicMs() - this.fetchedAtMs < FETCH_INTERVAL_MS) {
@@ -225,6 +231,6 @@
     const { baseVersion, version } = state.change ?? {};
     log.record(Importance.Notable, 'state-fetched', { from, baseVersion, version, hosts });
     this.onState(state);
-    this.digestDiffersSinceMs.delete(from);
+    this.digestComparison.reset(from);
   }
 }
--- a/packages/lentillb/src/peers/storeReaderRole.ts
+++ b/packages/lentillb/src/peers/storeReaderRole.ts
@@ -1,16 +1,28 @@
 /**
- * Decides whether a node reads the store itself. If all nodes read it, every change would be sent to
- * all of them at once, and a configuration can saturate a small link for a second. Therefore only the
- * two nodes of each zone with the widest links read the store and pass its records on. If both are
- * lost, one of the other nodes takes over.
+ * Decides whether a node reads a topic of the store itself. If all nodes read it, every change would
+ * be sent to all of them at once, a configuration can saturate a small link for a second, and each
+ * call to the store is charged. Therefore only the nodes of each zone with the widest links read the
+ * store and pass its records on. If they are lost, one of the other nodes takes over.
  */
 import type { Announcement } from '../directory/announcement.js';
 import type { Directory } from '../directory/directory.js';
 import type { Clock } from '../kernel/clock.js';
+import { Topic } from '../store/keyedStore.js';
 import { hash32 } from '../utils/hash.js';
 
-/** Number of nodes of a zone that read the store; one of them may be lost without a gap. */
-const READERS_PER_ZONE = 2;
+/** Number of nodes of a zone that read each topic, unless they are lost. */
+const readersPerZone: Readonly<Record<Topic, number>> = {
+  // One of them may be lost without delaying a configuration.
+  [Topic.Operator]: 2,
+  // A gate refuses what it cannot serve, so other nodes may learn of a changed host a second later.
+  [Topic.Hosts]: 1,
+};
+/**
+ * How long a node waits for the first announcement of its zone before it reads the configuration
+ * from the store, in milliseconds. While a fleet starts, backend servers send their first heartbeat
+ * within one heartbeat interval, and then one reader of the zone suffices.
+ */
+const FIRST_ANNOUNCEMENT_TIMEOUT_MS = 2_000;
 /** How long a node waits for a message from a reader before it takes over, in milliseconds: three messages. */
 const READER_TIMEOUT_MS = 1_600;
 /** Additional wait for each lower rank, in milliseconds: one gossip round. */
@@ -29,17 +41,25 @@
   );
 }
 
+/** The hosts of a zone by rank, for one state of the directory. */
+interface ZoneRanking {
+  readonly digest: number;
+  readonly hosts: readonly string[];
+}
+
 /** The role of this node as a reader of the store. */
 export class StoreReaderRole {
+  private readonly startedAtMs: number;
+
   /** When a reader of a higher rank was last heard, or when this node started. */
   private heardAtMs: number;
 
   private storeAnsweredAtMs = -Infinity;
 
-  private readonly unavailableTopics = new Set<string>();
+  private readonly unavailableTopics = new Set<Topic>();
 
-  /** The hosts of the zone by rank; recomputed when the digest of the directory changes. */
-  private ranking: { readonly digest: number; readonly hosts: readonly string[] } | undefined;
+  /** Recomputed when the digest of the directory changes. */
+  private ranking: ZoneRanking | undefined;
 
   /**
    * @param services - the clock, and the directory of known hosts
@@ -51,23 +71,36 @@
   ) {
     // A starting node allows the readers of its zone the full timeout to send it a message.
     this.heardAtMs = services.clock.monotonicMs();
+    this.startedAtMs = this.heardAtMs;
   }
 
-  /** Whether this node is one of the readers of its zone. */
-  get isReader(): boolean {
-    return this.rank < READERS_PER_ZONE;
+  /**
+   * @param topic - a topic of the store
+   * @param host - the address of a host; by default the one of this node
+   * @returns whether its node is one of the readers of this zone
+   */
+  isReaderOf(topic: Topic, host = this.location.host): boolean {
+    const rank = this.currentRanking.hosts.indexOf(host);
+    return rank >= 0 && rank < readersPerZone[topic];
   }
 
-  /** Whether this node should read the store now. */
-  get shouldRead(): boolean {
-    return this.isReader || this.services.clock.monotonicMs() - this.heardAtMs > this.timeoutMs;
+  /**
+   * @param topic - a topic of the store
+   * @returns whether this node should read the topic now
+   */
+  shouldRead(topic: Topic): boolean {
+    const nowMs = this.services.clock.monotonicMs();
+    if (this.currentRanking.hosts.length === 0) {
+      return topic === Topic.Hosts || nowMs - this.startedAtMs > FIRST_ANNOUNCEMENT_TIMEOUT_MS;
+    }
+    return this.isReaderOf(topic) || nowMs - this.heardAtMs > this.timeoutMs(topic);
   }
 
   /** Whether other nodes may rely on this node for the content of the store. */
   get readsStore(): boolean {
     const isRecent =
       this.services.clock.monotonicMs() - this.storeAnsweredAtMs < STORE_ANSWER_MAX_AGE_MS;
-    return this.unavailableTopics.size === 0 && this.shouldRead && isRecent;
+    return this.unavailableTopics.size === 0 && this.shouldRead(Topic.Operator) && isRecent;
   }
 
   /**
@@ -77,7 +110,8 @@
    * @param host - the address of its host
    */
   noteReader(host: string): void {
-    if (this.rankOf(host) < this.rank) {
+    const rank = this.currentRanking.hosts.indexOf(host);
+    if (rank >= 0 && rank < this.rank) {
       this.heardAtMs = this.services.clock.monotonicMs();
     }
   }
@@ -88,7 +122,7 @@
    * @param topic - the topic that was read
    * @param answered - whether the store answered
    */
-  noteStoreResult(topic: string, answered: boolean): void {
+  noteStoreResult(topic: Topic, answered: boolean): void {
     if (answered) {
       this.unavailableTopics.delete(topic);
       this.storeAnsweredAtMs = this.services.clock.monotonicMs();
@@ -97,18 +131,18 @@
     }
   }
 
-  /** The rank of this node among those of its zone; -1 if it has not announced itself yet. */
+  /**
+   * The rank of this node among those of its zone. A node that has not announced itself yet ranks
+   * behind all others, because they can tell it what they read.
+   */
   private get rank(): number {
-    return this.rankOf(this.location.host);
-  }
-
-  /** Longer for lower ranks, so that the nodes of a zone do not all replace a lost reader at once. */
-  private get timeoutMs(): number {
-    const steps = Math.min(MAX_TIMEOUT_STEPS, Math.max(0, this.rank - READERS_PER_ZONE));
-    return READER_TIMEOUT_MS + steps * READER_TIMEOUT_STEP_MS;
+    const { hosts } = this.currentRanking;
+    const rank = hosts.indexOf(this.location.host);
+    return rank < 0 ? hosts.length : rank;
   }
 
-  private rankOf(host: string): number {
+  /** The hosts of the zone by rank. */
+  private get currentRanking(): ZoneRanking {
     const { announcements, digest } = this.services.directory;
     if (this.ranking?.digest !== digest) {
       const hosts = announcements
@@ -117,6 +151,12 @@
         .map((announcement) => announcement.host);
       this.ranking = { digest, hosts };
     }
-    return this.ranking.hosts.indexOf(host);
+    return this.ranking;
+  }
+
+  /** Longer for lower ranks, so that the nodes of a zone do not all replace a lost reader at once. */
+  private timeoutMs(topic: Topic): number {
+    const steps = Math.min(MAX_TIMEOUT_STEPS, Math.max(0, this.rank - readersPerZone[topic]));
+    return READER_TIMEOUT_MS + steps * READER_TIMEOUT_STEP_MS;
   }
 }
--- a/packages/lentillb/src/sidecar/meshState.ts
+++ b/packages/lentillb/src/sidecar/meshState.ts
@@ -19,7 +19,7 @@
 
 /** Delays between two reads, in milliseconds; a part of the time allowed until a change is in force. */
 const CONFIGURATION_BATCH_DELAY_MS = 500;
-const HOSTS_BATCH_DELAY_MS = 400;
+const HOSTS_BATCH_DELAY_MS = 1_000;
 /** How long a starting node waits at most for the hosts before it reads the configuration, in milliseconds. */
 const HOSTS_HEAD_START_MS = 600;
 
@@ -89,7 +89,7 @@
       {
         topic: Topic.Operator,
         batchDelayMs: CONFIGURATION_BATCH_DELAY_MS,
-        shouldRead: () => role.shouldRead,
+        shouldRead: () => role.shouldRead(Topic.Operator),
       },
       (records) => this.acceptConfigurations(records),
     );
@@ -97,7 +97,7 @@
       {
         topic: Topic.Hosts,
         batchDelayMs: HOSTS_BATCH_DELAY_MS,
-        shouldRead: () => !this.hostsLoaded || role.shouldRead,
+        shouldRead: () => !this.hostsLoaded || role.shouldRead(Topic.Hosts),
       },
       (records) => this.acceptAnnouncements(records),
     );
--- a/tests/peers/gossip.spec.ts
+++ b/tests/peers/gossip.spec.ts
@@ -11,6 +11,7 @@
   GossipMessageKind,
 } from 'lentillb/peers/gossipMessage.js';
 import { StoreReaderRole } from 'lentillb/peers/storeReaderRole.js';
+import { Topic } from 'lentillb/store/keyedStore.js';
 import { Err, Ok } from 'ts-results-es';
 import { describe, expect, it } from 'vitest';
 import { ManualClock } from '../support/manualClock.js';
@@ -98,8 +99,10 @@
   const readStore = async (): Promise<void> => {
     for (;;) {
       nodes
-        .filter(({ role }) => role.shouldRead)
-        .forEach(({ host, role }) => role.noteStoreResult('operator', !storeUnreachable.has(host)));
+        .filter(({ role }) => role.shouldRead(Topic.Operator))
+        .forEach(({ host, role }) =>
+          role.noteStoreResult(Topic.Operator, !storeUnreachable.has(host)),
+        );
       await clock.sleep(READ_INTERVAL_MS);
     }
   };
@@ -133,11 +136,13 @@
     const clock = new ManualClock();
     const { gossips, nodes } = network(clock, TWO_ZONES);
     await clock.advance(2_000);
-    const reader = nodes.find(({ role, zone }) => zone === 'a' && role.isReader);
+    const reader = nodes.find(({ role, zone }) => zone === 'a' && role.isReaderOf(Topic.Operator));
     reader?.configuration.activateIfNewer({ version: 5, routes: [], limits: LIMITS });
     gossips.get(reader?.host ?? '')?.broadcast();
     await clock.advance(50);
-    const others = nodes.filter(({ role, zone }) => zone === 'a' && !role.isReader);
+    const others = nodes.filter(
+      ({ role, zone }) => zone === 'a' && !role.isReaderOf(Topic.Operator),
+    );
     expect(others.length).toBe(2);
     others.forEach(({ configuration }) => expect(configuration.version).toBe(5));
   });
@@ -170,13 +175,17 @@
     const clock = new ManualClock();
     const { disconnected, gossips, nodes } = network(clock, TWO_ZONES);
     await clock.advance(2_000);
-    const readers = nodes.filter(({ role, zone }) => zone === 'a' && role.isReader);
-    const others = nodes.filter(({ role, zone }) => zone === 'a' && !role.isReader);
+    const readers = nodes.filter(
+      ({ role, zone }) => zone === 'a' && role.isReaderOf(Topic.Operator),
+    );
+    const others = nodes.filter(
+      ({ role, zone }) => zone === 'a' && !role.isReaderOf(Topic.Operator),
+    );
     expect(readers.length).toBe(2);
-    others.forEach(({ role }) => expect(role.shouldRead).toBe(false));
+    others.forEach(({ role }) => expect(role.shouldRead(Topic.Operator)).toBe(false));
     readers.forEach(({ host }) => disconnected.add(host));
     await clock.advance(2_500);
-    const [newReader, ...rest] = others.filter(({ role }) => role.shouldRead);
+    const [newReader, ...rest] = others.filter(({ role }) => role.shouldRead(Topic.Operator));
     expect(newReader?.role.readsStore).toBe(true);
     expect(rest).toEqual([]);
     // The new reader distributes what it reads to the other nodes of the zone.
@@ -191,13 +200,13 @@
     const hosts = Array.from({ length: 15 }, (_, index) => [`a${index}`, 'a'] as const);
     const { disconnected, nodes } = network(clock, Object.fromEntries(hosts));
     await clock.advance(2_000);
-    const readers = nodes.filter(({ role }) => role.isReader);
+    const readers = nodes.filter(({ role }) => role.isReaderOf(Topic.Operator));
     readers.forEach(({ host }) => disconnected.add(host));
     let activeReaderSamples = 0;
     for (let step = 0; step < 40; step += 1) {
       await clock.advance(250);
       activeReaderSamples += nodes.filter(
-        ({ host, role }) => !disconnected.has(host) && role.shouldRead,
+        ({ host, role }) => !disconnected.has(host) && role.shouldRead(Topic.Operator),
       ).length;
     }
     const remaining = nodes.filter(({ host, role }) => !disconnected.has(host) && role.readsStore);
@@ -210,11 +219,11 @@
     const clock = new ManualClock();
     const { storeUnreachable, nodes } = network(clock, TWO_ZONES);
     await clock.advance(2_000);
-    const readers = nodes.filter(({ role }) => role.isReader);
+    const readers = nodes.filter(({ role }) => role.isReaderOf(Topic.Operator));
     readers.forEach(({ host }) => storeUnreachable.add(host));
     await clock.advance(4_000);
     // The readers keep trying, and in each zone one other node reads the store.
-    readers.forEach(({ role }) => expect(role.shouldRead).toBe(true));
+    readers.forEach(({ role }) => expect(role.shouldRead(Topic.Operator)).toBe(true));
     ['a', 'b'].forEach((zone) => {
       const activeReaders = nodes.filter(
         ({ role, ...node }) => node.zone === zone && role.readsStore,
@@ -253,8 +262,8 @@
         sequence: 1,
       }),
     );
-    const readers = Object.keys(links).filter(
-      (host) => new StoreReaderRole({ clock, directory }, { host, zone: 'z' }).isReader,
+    const readers = Object.keys(links).filter((host) =>
+      new StoreReaderRole({ clock, directory }, { host, zone: 'z' }).isReaderOf(Topic.Operator),
     );
     expect(readers).toEqual(['b', 'd']);
   });
@@ -262,9 +271,41 @@
   it('should have time to send a message to a node that has just started', async () => {
     const clock = new ManualClock();
     const { nodes } = network(clock, TWO_ZONES);
-    const other = nodes.find(({ role, zone }) => zone === 'a' && !role.isReader);
-    expect(other?.role.shouldRead).toBe(false);
+    const other = nodes.find(({ role, zone }) => zone === 'a' && !role.isReaderOf(Topic.Operator));
+    expect(other?.role.shouldRead(Topic.Operator)).toBe(false);
     await clock.advance(5_000);
-    expect(other?.role.shouldRead).toBe(false);
+    expect(other?.role.shouldRead(Topic.Operator)).toBe(false);
+  });
+
+  it('should be one node of each zone for the hosts, until it is lost', async () => {
+    const clock = new ManualClock();
+    const { disconnected, nodes } = network(clock, TWO_ZONES);
+    await clock.advance(2_000);
+    const readers = nodes.filter(({ role }) => role.shouldRead(Topic.Hosts));
+    expect(readers.map(({ zone }) => zone).sort()).toEqual(['a', 'b']);
+    readers.forEach(({ host }) => disconnected.add(host));
+    await clock.advance(2_500);
+    const others = nodes.filter(
+      ({ host, role }) => !disconnected.has(host) && role.shouldRead(Topic.Hosts),
+    );
+    expect(others.map(({ zone }) => zone).sort()).toEqual(['a', 'b']);
+  });
+
+  it('should include no node that is not announced yet while its zone has a reader', async () => {
+    const clock = new ManualClock();
+    const { nodes } = network(clock, TWO_ZONES);
+    const directory = new Directory();
+    nodes[0]?.directory.announcements.forEach((announcement) => directory.merge(announcement));
+    const role = new StoreReaderRole({ clock, directory }, { host: 'new', zone: 'a' });
+    expect([role.shouldRead(Topic.Operator), role.shouldRead(Topic.Hosts)]).toEqual([false, false]);
+  });
+
+  it('should leave the configuration to the first announced node while a whole fleet starts', async () => {
+    const clock = new ManualClock();
+    const directory = new Directory();
+    const role = new StoreReaderRole({ clock, directory }, { host: 'new', zone: 'a' });
+    expect([role.shouldRead(Topic.Operator), role.shouldRead(Topic.Hosts)]).toEqual([false, true]);
+    await clock.advance(2_100);
+    expect(role.shouldRead(Topic.Operator)).toBe(true);
   });
 });
