Serve a store that comes back from an older copy

What would have been seen: the platform's store may return from an outage with a copy some seconds old. Its offsets go back and are given out again, and Store-Era rises in its answers. The header was read nowhere; a record once acknowledged counted as written for ever, and a reader kept its offset, so that records written at offsets given out again were skipped, and a node that started afterwards could read that a departed backend server still served.

Now every answer of the store, refusals included, carries its era into the product. A higher one voids offsets: both topics are read again from their newest records, every node writes its record again, and the zone's reader writes departures again whose hosts are gone. Gossip messages carry the era, so nodes that do not read the store hear of it. Answers of an earlier era change nothing. A starting node asks two others for their state before the records of the store count, and its gate stays closed until then, so a delayed heartbeat cannot make a departed backend server ready. Configurations and announcements are only ever replaced by newer ones, as before.

Ruled out: comparing the end of the topic (offsets may already have grown past the old end); writing again only what is recent (nothing bounds the age of the copy).

--- a/packages/lentillb/src/peers/gossip.ts
+++ b/packages/lentillb/src/peers/gossip.ts
@@ -13,6 +13,7 @@
 import type { DecisionLog } from '../observability/decisionLog.js';
 import { Importance } from '../observability/decisionLog.js';
 import { Topic } from '../store/keyedStore.js';
+import type { StoreEraTracker } from '../store/storeEraTracker.js';
 import { DigestComparison } from './digestComparison.js';
 import type { GossipMessage } from './gossipMessage.js';
 import { GossipMessageKind } from './gossipMessage.js';
@@ -29,6 +30,11 @@
 /** Minimum time between the end of one state transfer and the next request, in milliseconds. */
 const FETCH_INTERVAL_MS = 400;
 
+/** The number of nodes that a starting node asks for their state. */
+const MAX_ASKED_PEERS = 2;
+/** How long a starting node waits for their state, in milliseconds. */
+const PEERS_TIMEOUT_MS = 700;
+
 /** Fetches the state of another node, or returns why that failed. */
 export type StateFetcher = (
   peerAddress: string,
@@ -44,6 +50,7 @@
   readonly transport: GossipTransport;
   readonly fetchState: StateFetcher;
   readonly role: StoreReaderRole;
+  readonly era: StoreEraTracker;
   readonly log: DecisionLog;
 }
 
@@ -79,6 +86,8 @@
     private readonly onState: (state: NodeState) => void,
   ) {
     this.digestComparison = new DigestComparison(services.clock);
+    // Every node has to write its announcement again soon after the store went back.
+    services.era.subscribe(() => this.sendStatusToZone());
   }
 
   /** Runs gossip rounds until `stop` is called. */
@@ -116,7 +125,8 @@
     if (message.kind === GossipMessageKind.Ping) {
       this.services.transport.send(from, this.createMessage(GossipMessageKind.Status));
     }
-    const { directory, role } = this.services;
+    const { directory, era, role } = this.services;
+    era.observe(message.storeEra === 0 ? undefined : message.storeEra);
     const senderInZone = directory.announcements.find(
       ({ peerAddress, zone }) => peerAddress === from && zone === this.location.zone,
     );
@@ -127,22 +137,59 @@
   }
 
   private createMessage(kind: GossipMessageKind): GossipMessage {
-    const { configuration, directory, role } = this.services;
+    const { configuration, directory, era, role } = this.services;
     return {
       kind,
       readsStore: role.readsStore,
       configurationVersion: configuration.version,
       directoryDigest: directory.digest,
+      storeEra: era.current ?? 0,
     };
   }
 
   /** Sends the status of a reader to all nodes of its zone, so that they fetch new records at once. */
   broadcast(): void {
-    const { transport, role } = this.services;
+    const { role } = this.services;
     if (role.readsStore) {
-      const message = this.createMessage(GossipMessageKind.Status);
-      this.otherNodes(true).forEach(({ peerAddress }) => transport.send(peerAddress, message));
+      this.sendStatusToZone();
+    }
+  }
+
+  /**
+   * Fetches the state of other nodes and waits for the first one, so that a starting node does not
+   * rely on the store alone: it may have gone back to an older copy.
+   */
+  async learnFromPeers(): Promise<void> {
+    const inZone = this.otherNodes(true);
+    const peers = this.sample(inZone.length > 0 ? inZone : this.otherNodes(false), MAX_ASKED_PEERS);
+    if (peers.length === 0) {
+      return;
     }
+    const answers = peers.map(({ peerAddress }) => this.fetchFrom(peerAddress));
+    const firstSuccess = Promise.any(
+      answers.map(async (answer) => {
+        if (!(await answer)) {
+          throw new Error('the state of the node was not fetched');
+        }
+      }),
+    ).catch(() => undefined);
+    await Promise.race([firstSuccess, this.services.clock.sleep(PEERS_TIMEOUT_MS)]);
+  }
+
+  private sendStatusToZone(): void {
+    const message = this.createMessage(GossipMessageKind.Status);
+    this.otherNodes(true).forEach(({ peerAddress }) =>
+      this.services.transport.send(peerAddress, message),
+    );
+  }
+
+  /** Returns up to `count` different announcements, chosen at random. */
+  private sample(announcements: readonly Announcement[], count: number): readonly Announcement[] {
+    const { randomness } = this.services;
+    const rest = [...announcements];
+    return Array.from({ length: Math.min(count, rest.length) }).flatMap(() =>
+      rest.splice(randomness.integer(rest.length), 1),
+    );
   }
 
   private otherNodes(inOwnZone: boolean): readonly Announcement[] {
@@ -175,10 +222,7 @@
   }
 
   private pingRandom(announcements: readonly Announcement[]): void {
-    if (announcements.length > 0) {
-      const selected = announcements[this.services.randomness.integer(announcements.length)];
-      this.ping((selected as Announcement).peerAddress);
-    }
+    this.sample(announcements, 1).forEach(({ peerAddress }) => this.ping(peerAddress));
   }
 
   private fetchIfBehind(from: string, message: GossipMessage, inOwnZone: boolean): void {
@@ -214,17 +258,18 @@
       return;
     }
     this.fetching = true;
-    runInBackground(this.fetchFrom(from));
+    runInBackground(this.fetchFrom(from).then(() => undefined));
   }
 
-  private async fetchFrom(from: string): Promise<void> {
+  /** Returns whether the state was fetched. */
+  private async fetchFrom(from: string): Promise<boolean> {
     const { clock, configuration, fetchState, log } = this.services;
     const fetched = await fetchState(from, configuration.version);
     this.fetching = false;
     this.fetchedAtMs = clock.monotonicMs();
     if (fetched.isErr()) {
       log.record(Importance.Notable, 'state-not-fetched', { from, reason: fetched.error });
-      return;
+      return false;
     }
     const state = fetched.value;
     const { length: hosts } = state.announcements;
@@ -232,5 +277,6 @@
     log.record(Importance.Notable, 'state-fetched', { from, baseVersion, version, hosts });
     this.onState(state);
     this.digestComparison.reset(from);
+    return true;
   }
 }
--- a/packages/lentillb/src/peers/gossipMessage.ts
+++ b/packages/lentillb/src/peers/gossipMessage.ts
@@ -13,13 +13,16 @@
   readonly configurationVersion: number;
   /** A digest of the announcements that the sender holds. */
   readonly directoryDigest: number;
+  /** The era of the store, as far as the sender knows; 0 if it does not. */
+  readonly storeEra: number;
 }
 
 const MAGIC = 0x6c;
-const MESSAGE_BYTES = 10;
+const MESSAGE_BYTES = 14;
 const READS_STORE_FLAG = 0x10;
 const VERSION_OFFSET = 2;
 const DIGEST_OFFSET = 6;
+const ERA_OFFSET = 10;
 
 const kinds = Object.values(GossipMessageKind);
 
@@ -35,6 +38,7 @@
   bytes.writeUInt8(message.kind + (message.readsStore ? READS_STORE_FLAG : 0), 1);
   bytes.writeUInt32BE(message.configurationVersion, VERSION_OFFSET);
   bytes.writeUInt32BE(message.directoryDigest, DIGEST_OFFSET);
+  bytes.writeUInt32BE(message.storeEra, ERA_OFFSET);
   return bytes;
 }
 
@@ -57,5 +61,6 @@
         readsStore: flags >= READS_STORE_FLAG,
         configurationVersion: bytes.readUInt32BE(VERSION_OFFSET),
         directoryDigest: bytes.readUInt32BE(DIGEST_OFFSET),
+        storeEra: bytes.readUInt32BE(ERA_OFFSET),
       };
 }
--- a/packages/lentillb/src/peers/gossipSocket.ts
+++ b/packages/lentillb/src/peers/gossipSocket.ts
@@ -61,7 +61,9 @@
 
   /** Closes the socket. */
   close(): void {
-    this.closed = true;
-    this.socket.close();
+    if (!this.closed) {
+      this.closed = true;
+      this.socket.close();
+    }
   }
 }
--- a/packages/lentillb/src/serving/localBackendServer.ts
+++ b/packages/lentillb/src/serving/localBackendServer.ts
@@ -76,6 +76,9 @@
 export class LocalBackendServer {
   private run: BackendServerRun | undefined;
 
+  /** Whether the departures that an earlier run of this node confirmed are still being looked up. */
+  private restoring = true;
+
   /** The confirmed departures by backend server identity. */
   private readonly departed = new Map<string, Departure>();
 
@@ -95,7 +98,7 @@
 
   /** Whether requests may be sent to the backend server. */
   get ready(): boolean {
-    return this.run?.state === BackendServerState.Ready;
+    return !this.restoring && this.run?.state === BackendServerState.Ready;
   }
 
   /** Whether the backend server is still warming up. */
@@ -178,6 +181,17 @@
     }
   }
 
+  /**
+   * Allows requests from now on. Until the departures confirmed before a restart are known, a delayed
+   * heartbeat could make a backend server ready that has already departed.
+   */
+  finishRestoring(): void {
+    if (this.restoring) {
+      this.restoring = false;
+      this.onChange();
+    }
+  }
+
   /** Closes the gate because another backend server uses the address; a heartbeat reopens it. */
   recordMisdirectedRequest(): void {
     if (this.run !== undefined) {
--- a/packages/lentillb/src/sidecar/index.ts
+++ b/packages/lentillb/src/sidecar/index.ts
@@ -17,7 +17,14 @@
 export type { HeaderNames } from '../serving/headerNames.js';
 export type { Heartbeat } from '../serving/localBackendServer.js';
 export type { RetryTerms } from '../serving/retryAllowance.js';
-export type { KeyedBatch, KeyedRecord, KeyedStore, StoreFailure } from '../store/keyedStore.js';
+export type {
+  KeyedBatch,
+  KeyedRecord,
+  KeyedStore,
+  StoreEra,
+  StoreFailure,
+  WrittenRecord,
+} from '../store/keyedStore.js';
 export { StoreFailureKind, Topic } from '../store/keyedStore.js';
 export { runInBackground } from '../utils/background.js';
 export { listenAt } from '../utils/listening.js';
--- a/packages/lentillb/src/sidecar/meshState.ts
+++ b/packages/lentillb/src/sidecar/meshState.ts
@@ -13,6 +13,7 @@
 import { StoreReaderRole } from '../peers/storeReaderRole.js';
 import type { KeyedRecord, KeyedStore } from '../store/keyedStore.js';
 import { Topic } from '../store/keyedStore.js';
+import type { StoreEraTracker } from '../store/storeEraTracker.js';
 import type { FollowerOptions } from '../store/topicFollower.js';
 import { TopicFollower } from '../store/topicFollower.js';
 import { runInBackground } from '../utils/background.js';
@@ -28,6 +29,7 @@
   readonly clock: Clock;
   readonly randomness: Randomness;
   readonly store: KeyedStore;
+  readonly era: StoreEraTracker;
   readonly log: DecisionLog;
 }
 
@@ -43,12 +45,18 @@
 
 /** The callbacks for changes of the mesh state. */
 export interface MeshStateListener {
-  /** Called once the records of all hosts have been read for the first time. */
+  /**
+   * Called when the records of all hosts have been read from the store for the first time. It may
+   * have gone back to an older copy, so other nodes are asked before its records count.
+   */
+  readonly askPeers: () => Promise<void>;
+  /** Called once the announcements of all hosts are known for the first time. */
   readonly onHostsLoaded: () => void;
   /** Called after records have been read from the store. */
   readonly onStoreRead: () => void;
   /**
-   * Called when a newer record of this host arrives from the store or from another node.
+   * Called when a newer record of this host arrives from the store or from another node, and with
+   * the newest one once the hosts are known for the first time.
    *
    * @param announcement - a record of this host that this run of the node did not write
    */
@@ -70,6 +78,9 @@
 
   private hostsLoaded = false;
 
+  /** The record of this host that the store had when it was read last. */
+  private ownStoredRecord: Announcement | undefined;
+
   /** Resolves the wait for the first read of the hosts. */
   private resolveHostsRead: (() => void) | undefined;
 
@@ -101,6 +112,7 @@
       },
       (records) => this.acceptAnnouncements(records),
     );
+    services.era.subscribe((era) => this.handleOlderCopy(era));
   }
 
   /** Whether the state suffices to serve callers. */
@@ -108,6 +120,15 @@
     return this.configuration.current !== undefined && this.hostsLoaded;
   }
 
+  /**
+   * @param announcement - an announcement of this host
+   * @returns whether it was the record of this host when the store was read last
+   */
+  isStored({ incarnation, sequence }: Announcement): boolean {
+    const stored = this.ownStoredRecord;
+    return stored?.incarnation === incarnation && stored.sequence === sequence;
+  }
+
   /** Starts following the store. */
   start(): void {
     runInBackground(this.hostsFollower.run());
@@ -127,7 +148,7 @@
    */
   acceptState({ announcements, change }: NodeState): void {
     announcements.forEach((announcement) => this.acceptAnnouncement(announcement));
-    this.hostsLoaded = true;
+    this.completeHosts();
     if (change !== undefined) {
       const { baseVersion, version } = change;
       const inForce = this.configuration.applyIfNewer(change);
@@ -172,9 +193,8 @@
       },
       onCaughtUp: () => {
         if (topic === Topic.Hosts) {
-          this.hostsLoaded = true;
           this.resolveHostsRead?.();
-          this.listener.onHostsLoaded();
+          runInBackground(this.listener.askPeers().then(() => this.completeHosts()));
         }
       },
       onUnavailable: ({ kind, message }) => {
@@ -215,14 +235,40 @@
         this.reject(`announcement of host ${key}`, decoded.error);
         return;
       }
+      if (decoded.value.host === this.options.host) {
+        this.ownStoredRecord = decoded.value;
+      }
       this.acceptAnnouncement(decoded.value);
     });
   }
 
   private acceptAnnouncement(announcement: Announcement): void {
     const accepted = this.directory.merge(announcement);
-    if (accepted && announcement.host === this.options.host) {
+    if (accepted && this.hostsLoaded && announcement.host === this.options.host) {
       this.listener.onOwnRecord(announcement);
     }
   }
+
+  private completeHosts(): void {
+    if (this.hostsLoaded) {
+      return;
+    }
+    this.hostsLoaded = true;
+    const own = this.directory.announcementOf(this.options.host);
+    if (own !== undefined) {
+      this.listener.onOwnRecord(own);
+    }
+    this.listener.onHostsLoaded();
+  }
+
+  /**
+   * Reads both topics again after the store went back to an older copy. What this node holds stays in
+   * force: only newer configurations and announcements replace it.
+   */
+  private handleOlderCopy(era: number): void {
+    this.services.log.record(Importance.Notable, 'store-went-back', { era });
+    this.ownStoredRecord = undefined;
+    this.hostsFollower.restart();
+    this.operatorFollower.restart();
+  }
 }
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -31,7 +31,10 @@
 import { RetryAllowance } from '../serving/retryAllowance.js';
 import type { RetryTerms } from '../serving/retryAllowance.js';
 import { SlotQueue } from '../serving/slotQueue.js';
+import { EraCheckedStore } from '../store/eraCheckedStore.js';
 import type { KeyedStore } from '../store/keyedStore.js';
+import { StoreEraTracker } from '../store/storeEraTracker.js';
+import { DepartureRestorer } from './departureRestorer.js';
 import { StoreAnnouncer } from './storeAnnouncer.js';
 import type { HostIdentity } from './storeAnnouncer.js';
 import { MeshState } from './meshState.js';
@@ -107,6 +110,8 @@
 
   private readonly announcer: StoreAnnouncer;
 
+  private readonly departureRestorer: DepartureRestorer;
+
   private readonly failureDetector: FailureDetector;
 
   private readonly gossip: Gossip;
@@ -125,18 +130,21 @@
     private readonly services: SidecarServices,
     private readonly options: SidecarOptions,
   ) {
-    const { clock, logger, randomness, store } = services;
+    const { clock, logger, randomness } = services;
     const { configurationKey, decodeConfiguration, identity, headerNames, retryTerms, service } =
       options;
     const { metrics } = this;
     this.log = new DecisionLog(clock, logger);
     const { log } = this;
     this.eventLoopMonitor = new EventLoopMonitor(clock, log, metrics);
+    const era = new StoreEraTracker();
+    const store = new EraCheckedStore(services.store, era);
     this.meshState = new MeshState(
-      { clock, randomness, store, log },
+      { clock, randomness, store, era, log },
       { ...identity, configurationKey, decodeConfiguration },
       {
-        onHostsLoaded: () => this.announcer.start(),
+        askPeers: () => this.gossip.learnFromPeers(),
+        onHostsLoaded: () => this.startAnnouncing(),
         onStoreRead: () => this.gossip.broadcast(),
         onOwnRecord: (announcement) => this.restoreOwnRecord(announcement),
       },
@@ -166,6 +174,7 @@
         transport: this.gossipSocket,
         fetchState,
         role,
+        era,
         log,
       },
       identity,
@@ -218,9 +227,14 @@
     );
     configuration.subscribe(({ limits }) => this.callers.applyLimits(limits));
     this.announcer = new StoreAnnouncer(
-      { clock, randomness, store, directory, log },
+      { clock, randomness, store, directory, log, era },
       identity,
       () => backendServer.announced,
+      (announcement) => this.meshState.isStored(announcement),
+    );
+    this.departureRestorer = new DepartureRestorer(
+      { clock, store, directory, role, era, log },
+      identity.zone,
     );
     directory.subscribe(({ backendServer: announced, host }) =>
       observations.removeOthers(host, announced?.id),
@@ -258,7 +272,7 @@
     this.eventLoopMonitor.start();
     runInBackground(this.gossip.run());
     this.meshState.start();
-    clock.after(OWN_RECORD_TIMEOUT_MS, () => this.announcer.start());
+    clock.after(OWN_RECORD_TIMEOUT_MS, () => this.startAnnouncing());
     const { host, zone } = this.options.identity;
     this.log.record(Importance.Notable, 'started', { host, zone, service: this.options.service });
   }
@@ -367,6 +381,12 @@
     return encodeReply(await this.gate.serve(forwarded));
   }
 
+  /** Opens the gate and announces the backend server, now that the record of an earlier run is known. */
+  private startAnnouncing(): void {
+    this.backendServer.finishRestoring();
+    this.announcer.start();
+  }
+
   /** Restores the backend server that an earlier run of this node announced. */
   private restoreOwnRecord({ backendServer }: Announcement): void {
     if (backendServer !== undefined) {
--- a/packages/lentillb/src/sidecar/storeAnnouncer.ts
+++ b/packages/lentillb/src/sidecar/storeAnnouncer.ts
@@ -10,10 +10,16 @@
 import { Importance } from '../observability/decisionLog.js';
 import type { KeyedStore } from '../store/keyedStore.js';
 import { Topic } from '../store/keyedStore.js';
+import type { StoreEraTracker } from '../store/storeEraTracker.js';
 import { Backoff } from '../utils/backoff.js';
 
 /** Delay before a write, in which several changes collect to one record, in milliseconds. */
 const BATCH_DELAY_MS = 20;
+/**
+ * The time over which the nodes spread their writes after the store went back to an older copy, in
+ * milliseconds.
+ */
+const RESTORE_SPREAD_MS = 300;
 /** Timeout of one write, in milliseconds. */
 const WRITE_TIMEOUT_MS = 1_200;
 /** Shortest and longest delay after a failed write, in milliseconds. */
@@ -37,6 +43,7 @@
   readonly store: KeyedStore;
   readonly directory: Directory;
   readonly log: DecisionLog;
+  readonly era: StoreEraTracker;
 }
 
 function isSameBackendServer(
@@ -62,12 +69,17 @@
    * @param services - the services that the announcer depends on
    * @param identity - the addresses and properties of this host
    * @param backendServer - returns the state of the backend server to announce
+   * @param isStored - returns whether an announcement of an earlier run has been read from the store;
+   *   another node may know a newer one than the store
    */
   constructor(
     private readonly services: AnnouncerServices,
     private readonly identity: HostIdentity,
     private readonly backendServer: () => AnnouncedBackendServer | undefined,
-  ) {}
+    private readonly isStored: (announcement: Announcement) => boolean,
+  ) {
+    services.era.subscribe((era) => this.writeAgain(era));
+  }
 
   /** Starts announcing. By then, the records of earlier runs have been read if the store was available. */
   start(): void {
@@ -80,7 +92,11 @@
     const backendServer = this.backendServer();
     const { directory } = this.services;
     const known = directory.announcementOf(this.identity.host);
-    if (!this.started || backendServer === undefined) {
+    if (!this.started) {
+      return;
+    }
+    if (backendServer === undefined) {
+      this.keepEarlierAnnouncement(known);
       return;
     }
     if (
@@ -95,13 +111,23 @@
       this.currentAnnouncement === undefined &&
       this.isAlreadyAnnounced(known, backendServer)
     ) {
-      this.currentAnnouncement = known;
-      this.writtenAnnouncement = known;
+      this.keepEarlierAnnouncement(known);
       return;
     }
     this.currentAnnouncement = this.nextAnnouncement(known, backendServer);
     directory.merge(this.currentAnnouncement);
-    this.startWriting();
+    this.startWriting(BATCH_DELAY_MS);
+  }
+
+  /** Writes the announcement again, because the store may have lost it. */
+  private writeAgain(era: number): void {
+    if (this.currentAnnouncement === undefined) {
+      return;
+    }
+    const { log, randomness } = this.services;
+    log.record(Importance.Notable, 'announcement-written-again', { era });
+    this.writtenAnnouncement = undefined;
+    this.startWriting(RESTORE_SPREAD_MS * randomness.fraction());
   }
 
   /**
@@ -122,6 +148,19 @@
     });
   }
 
+  /** Keeps what an earlier run of this node announced, and writes it if the store does not have it. */
+  private keepEarlierAnnouncement(known: Announcement | undefined): void {
+    if (known === undefined || this.currentAnnouncement !== undefined) {
+      return;
+    }
+    this.currentAnnouncement = known;
+    if (this.isStored(known)) {
+      this.writtenAnnouncement = known;
+    } else {
+      this.startWriting(BATCH_DELAY_MS);
+    }
+  }
+
   private isAlreadyAnnounced(known: Announcement, backendServer: AnnouncedBackendServer): boolean {
     const { gateAddress, peerAddress, zone } = this.identity;
     return (
@@ -145,17 +184,17 @@
     return { ...this.identity, incarnation, sequence, backendServer };
   }
 
-  private startWriting(): void {
+  private startWriting(delayMs: number): void {
     if (!this.writing) {
       this.writing = true;
-      runInBackground(this.writeUntilDone());
+      runInBackground(this.writeUntilDone(delayMs));
     }
   }
 
-  private async writeUntilDone(): Promise<void> {
-    const { clock, randomness, store, log } = this.services;
+  private async writeUntilDone(delayMs: number): Promise<void> {
+    const { clock, era, randomness, store, log } = this.services;
     const backoff = new Backoff(randomness, MIN_RETRY_DELAY_MS, MAX_RETRY_DELAY_MS);
-    await clock.sleep(BATCH_DELAY_MS);
+    await clock.sleep(delayMs);
     while (
       this.writtenAnnouncement !== this.currentAnnouncement &&
       this.currentAnnouncement !== undefined
@@ -165,7 +204,8 @@
       const deadline = Deadline.after(clock, WRITE_TIMEOUT_MS);
       const result = await store.write(Topic.Hosts, announcement.host, value, deadline);
       if (result.isOk()) {
-        this.writtenAnnouncement = announcement;
+        const isCurrentEra = (result.value.era ?? era.current) === era.current;
+        this.writtenAnnouncement = isCurrentEra ? announcement : undefined;
       } else {
         log.record(Importance.Notable, 'announcement-not-written', {
           reason: result.error.message,
--- a/packages/lentillb/src/store/keyedStore.ts
+++ b/packages/lentillb/src/store/keyedStore.ts
@@ -18,10 +18,23 @@
   readonly offset: number;
 }
 
+/**
+ * The era of the store in an answer; it rises each time the store continues from an older copy of
+ * its records. Undefined if the answer does not name it.
+ */
+export type StoreEra = number | undefined;
+
 /** The records of one read, and the offset at which the next read continues. */
 export interface KeyedBatch {
   readonly records: readonly KeyedRecord[];
   readonly nextOffset: number;
+  readonly era: StoreEra;
+}
+
+/** The result of a write. */
+export interface WrittenRecord {
+  readonly offset: number;
+  readonly era: StoreEra;
 }
 
 /** The kinds of failed calls to the store. */
@@ -30,8 +43,10 @@
   NotExecuted: 'not-done',
   /** No answer arrived: the store may have executed the call, or may still execute it. */
   Unknown: 'unknown',
-  /** The store no longer retains the requested records. */
+  /** The store does not have the requested records, or no longer retains them. */
   NotRetained: 'not-retained',
+  /** The answer is from before the store continued from an older copy, so it is no longer true. */
+  EarlierEra: 'earlier-era',
 } as const;
 export type StoreFailureKind = (typeof StoreFailureKind)[keyof typeof StoreFailureKind];
 
@@ -40,6 +55,7 @@
   readonly kind: StoreFailureKind;
   /** Names the call and what went wrong. */
   readonly message: string;
+  readonly era?: StoreEra;
 }
 
 /** The platform's store of keyed records. */
@@ -76,12 +92,12 @@
    * @param key - the key, at most 255 bytes
    * @param value - the content of the record
    * @param deadline - the deadline of the call
-   * @returns the offset of the record, or why it is not known
+   * @returns the offset of the record and the era, or why they are not known
    */
   write(
     topic: Topic,
     key: string,
     value: Uint8Array,
     deadline: Deadline,
-  ): Promise<Result<number, StoreFailure>>;
+  ): Promise<Result<WrittenRecord, StoreFailure>>;
 }
--- a/packages/lentillb/src/store/topicFollower.ts
+++ b/packages/lentillb/src/store/topicFollower.ts
@@ -1,4 +1,5 @@
 /** Follows one topic of the store until it is stopped, and retries failed reads. */
+import type { Result } from 'ts-results-es';
 import type { Clock } from '../kernel/clock.js';
 import { Deadline } from '../kernel/deadline.js';
 import type { Randomness } from '../kernel/randomness.js';
@@ -14,7 +15,7 @@
 const ROLE_CHECK_INTERVAL_MS = 250;
 /** Shortest and longest delay after a failed call, in milliseconds. */
 const MIN_RETRY_DELAY_MS = 200;
-const MAX_RETRY_DELAY_MS = 1_500;
+const MAX_RETRY_DELAY_MS = 1_000;
 
 /** The callbacks of a follower. */
 export interface TopicListener {
@@ -57,6 +58,11 @@
 
   private stopped = false;
 
+  private restarts = 0;
+
+  /** Resolves the wait for the current read. */
+  private abandonRead: (() => void) | undefined;
+
   private readonly backoff: Backoff;
 
   /**
@@ -84,10 +90,14 @@
         await clock.sleep(ROLE_CHECK_INTERVAL_MS);
         continue;
       }
-      const read = await this.read();
+      const { restarts } = this;
+      const read = await this.readUnlessRestarted();
       if (this.stopped) {
         return;
       }
+      if (read === undefined || restarts !== this.restarts) {
+        continue;
+      }
       if (read.isErr()) {
         this.handleFailure(read.error);
         await clock.sleep(this.backoff.nextMs());
@@ -103,7 +113,24 @@
     this.stopped = true;
   }
 
-  private read(): ReturnType<KeyedStore['follow']> {
+  /**
+   * Reads the topic from its newest records on. Offsets known so far are void, and the answer to a
+   * read in flight is ignored.
+   */
+  restart(): void {
+    this.nextOffset = undefined;
+    this.restarts += 1;
+    this.abandonRead?.();
+  }
+
+  private readUnlessRestarted(): Promise<Result<KeyedBatch, StoreFailure> | undefined> {
+    const restarted = new Promise<undefined>((resolve) => {
+      this.abandonRead = () => resolve(undefined);
+    });
+    return Promise.race([this.read(), restarted]);
+  }
+
+  private read(): Promise<Result<KeyedBatch, StoreFailure>> {
     const { clock, store } = this.services;
     const { topic } = this.options;
     if (this.nextOffset === undefined) {
--- a/packages/standins/src/keyedLogServer.ts
+++ b/packages/standins/src/keyedLogServer.ts
@@ -5,6 +5,8 @@
 import { closeServer, listenOnLoopback, loopbackAddress } from './loopback.js';
 import { readRequestBody } from './readRequestBody.js';
 
+const ERA_HEADER = 'store-era';
+const FIRST_ERA = 1;
 const LENGTH_BYTES = 4;
 const OFFSET_BYTES = 8;
 
@@ -89,8 +91,11 @@
 
   private callCount = 0;
 
+  private era = FIRST_ERA;
+
   constructor() {
     this.server = createServer((request, response) => {
+      response.setHeader(ERA_HEADER, `${this.era}`);
       runInBackground(this.serve(request, response));
     });
   }
@@ -144,6 +149,32 @@
     [...stored.waiters].forEach((wake) => wake());
   }
 
+  /**
+   * Continues from an older copy, as after an outage: the last records of a topic are lost and their
+   * offsets are given out again. Waiting reads end without an answer.
+   *
+   * @param topic - the name of the topic
+   * @param lostRecords - the number of lost records
+   */
+  restoreOlderCopy(topic: string, lostRecords: number): void {
+    const stored = this.getOrCreateTopic(topic);
+    stored.records.splice(Math.max(0, stored.records.length - lostRecords));
+    this.era += 1;
+    this.server.closeAllConnections();
+  }
+
+  /**
+   * Returns the newest record of a key, as it would be read.
+   *
+   * @param topic - the name of the topic
+   * @param key - the key of the record
+   * @returns the value of the record; undefined if there is none
+   */
+  newestValue(topic: string, key: string): string | undefined {
+    const { records } = this.getOrCreateTopic(topic);
+    return records.findLast((record) => record.key === key)?.value.toString('utf8');
+  }
+
   private getOrCreateTopic(name: string): StoredTopic {
     const existing = this.topics.get(name);
     if (existing !== undefined) {
@@ -195,6 +226,10 @@
   private async read(query: URLSearchParams, response: ServerResponse): Promise<void> {
     const stored = this.getOrCreateTopic(query.get('topic') ?? '');
     const from = Number(query.get('from'));
+    if (from > stored.records.length) {
+      sendJson(response, HttpStatus.Gone, { first: stored.firstOffset });
+      return;
+    }
     if (from >= stored.records.length) {
       await this.waitForRecord(stored, Number(query.get('wait-ms') ?? 0));
     }
--- a/tests/peers/gossip.spec.ts
+++ b/tests/peers/gossip.spec.ts
@@ -12,6 +12,7 @@
 } from 'lentillb/peers/gossipMessage.js';
 import { StoreReaderRole } from 'lentillb/peers/storeReaderRole.js';
 import { Topic } from 'lentillb/store/keyedStore.js';
+import { StoreEraTracker } from 'lentillb/store/storeEraTracker.js';
 import { Err, Ok } from 'ts-results-es';
 import { describe, expect, it } from 'vitest';
 import { ManualClock } from '../support/manualClock.js';
@@ -25,6 +26,8 @@
 
   readonly configuration = new ConfigurationHolder();
 
+  readonly era = new StoreEraTracker();
+
   readonly role: StoreReaderRole;
 
   constructor(
@@ -66,6 +69,7 @@
         configuration: node.configuration,
         directory: node.directory,
         role: node.role,
+        era: node.era,
         log,
         transport: {
           send: (address, message: GossipMessage) => {
@@ -119,11 +123,12 @@
       readsStore: true,
       configurationVersion: 4_000_000_000,
       directoryDigest: 7,
+      storeEra: 3,
     };
     expect(decodeGossipMessage(encodeGossipMessage(message))).toEqual(message);
   });
 
-  it.each([[Buffer.alloc(0)], [Buffer.alloc(10)], [Buffer.from('l123456789012')]])(
+  it.each([[Buffer.alloc(0)], [Buffer.alloc(14)], [Buffer.from('l123456789012')]])(
     'should not be decoded from %s',
     (bytes) => {
       expect(decodeGossipMessage(bytes)).toBeUndefined();
@@ -171,6 +176,17 @@
     nodes.forEach(({ directory }) => expect(directory.announcementOf('c1')).toBeDefined());
   });
 
+  it('should tell all nodes of a zone within 600 ms that the store went back to an older copy', async () => {
+    const clock = new ManualClock();
+    const { nodes } = network(clock, TWO_ZONES);
+    nodes.forEach(({ era }) => era.observe(1));
+    await clock.advance(2_000);
+    const reader = nodes.find(({ role, zone }) => zone === 'a' && role.isReaderOf(Topic.Operator));
+    reader?.era.observe(2);
+    await clock.advance(600);
+    nodes.filter(({ zone }) => zone === 'a').forEach(({ era }) => expect(era.current).toBe(2));
+  });
+
   it('should make one node read the store when no reader is heard', async () => {
     const clock = new ManualClock();
     const { disconnected, gossips, nodes } = network(clock, TWO_ZONES);
--- a/tests/platform/logStore.spec.ts
+++ b/tests/platform/logStore.spec.ts
@@ -25,7 +25,7 @@
   it('should write a record and read the newest one of its key', async () => {
     await store.write(Topic.Hosts, 'a', Buffer.from('one'), deadlineAfter());
     const written = await store.write(Topic.Hosts, 'a', Buffer.from('two'), deadlineAfter());
-    expect(written.unwrap()).toBe(1);
+    expect(written.unwrap().offset).toBe(1);
     const { nextOffset: next, records } = (
       await store.readNewest(Topic.Hosts, deadlineAfter())
     ).unwrap();
@@ -63,6 +63,29 @@
   });
 });
 
+describe('era of the store', () => {
+  it('should be read from the answers to reads and writes, and from refusals', async () => {
+    const written = await store.write(Topic.Hosts, 'a', Buffer.from('one'), deadlineAfter());
+    expect(written.unwrap().era).toBe(1);
+    server.restoreOlderCopy('keyed.lentillb-hosts', 1);
+    await clock.sleep(20);
+    expect((await store.readNewest(Topic.Hosts, deadlineAfter())).unwrap().era).toBe(2);
+    expect((await store.follow(Topic.Operator, 0, 0, deadlineAfter())).unwrap().era).toBe(2);
+    server.setFault(StoreFault.Refuse);
+    const refused = await store.readNewest(Topic.Hosts, deadlineAfter());
+    expect(refused.unwrapErr()).toMatchObject({ kind: StoreFailureKind.NotExecuted, era: 2 });
+  });
+
+  it('should come with the refusal of an offset that an older copy does not have', async () => {
+    await store.write(Topic.Hosts, 'a', Buffer.from('one'), deadlineAfter());
+    await store.write(Topic.Hosts, 'b', Buffer.from('two'), deadlineAfter());
+    server.restoreOlderCopy('keyed.lentillb-hosts', 1);
+    await clock.sleep(20);
+    const read = await store.follow(Topic.Hosts, 2, 0, deadlineAfter());
+    expect(read.unwrapErr()).toMatchObject({ kind: StoreFailureKind.NotRetained, era: 2 });
+  });
+});
+
 describe('store of the platform with an endless answer', () => {
   it.each(Object.entries(endlessAnswers))('should be aborted: %s', async (_, answer) => {
     const endless = new EndlessServer(answer);
--- a/tests/serving/backendServerRuns.spec.ts
+++ b/tests/serving/backendServerRuns.spec.ts
@@ -48,6 +48,10 @@
 
   private readonly confirmedDepartures = new Set<string>();
 
+  constructor() {
+    this.node.finishRestoring();
+  }
+
   async apply({ choice, kind }: DrawnStep): Promise<void> {
     await this.clock.advance(STEP_MS);
     const handlers: Readonly<Record<DrawnStep['kind'], () => void>> = {
--- a/tests/serving/localBackendServer.spec.ts
+++ b/tests/serving/localBackendServer.spec.ts
@@ -21,9 +21,34 @@
   const server = new LocalBackendServer(clock, () => {
     changes += 1;
   });
+  server.finishRestoring();
+  changes = 0;
   return { clock, server, changes: () => changes };
 }
 
+describe('local backend server of a restarted node', () => {
+  it('should not be ready by a delayed heartbeat before its confirmed departure is known', () => {
+    const server = new LocalBackendServer(new ManualClock(), () => undefined);
+    server.accept(FIRST);
+    expect(server.ready).toBe(false);
+    const { id, service, slots, startedAtMs } = FIRST;
+    server.restore({ id, service, slots, startedAtMs, state: 'leaving' }, FIRST.address);
+    server.finishRestoring();
+    expect(server.ready).toBe(false);
+  });
+
+  it('should be ready once the records of earlier runs are known', () => {
+    let changes = 0;
+    const server = new LocalBackendServer(new ManualClock(), () => {
+      changes += 1;
+    });
+    server.accept(FIRST);
+    server.finishRestoring();
+    expect(server.ready).toBe(true);
+    expect(changes).toBe(2);
+  });
+});
+
 describe('local backend server', () => {
   it('should be ready from its first heartbeat on, and announce the change once', () => {
     const { changes, server } = fixture();
--- a/tests/support/sidecarFleet.ts
+++ b/tests/support/sidecarFleet.ts
@@ -7,6 +7,7 @@
 import { SeededRandomness, SystemClock } from 'lentillb';
 import type { Heartbeat } from 'lentillb/serving/localBackendServer.js';
 import { Sidecar } from 'lentillb/sidecar/index.js';
+import type { SidecarOptions } from 'lentillb/sidecar/index.js';
 import { freeAddress } from './freeAddress.js';
 
 const TARGET_LATENCY_MS = 400;
@@ -19,12 +20,16 @@
   readonly body: string;
 }
 
+/** The settings that differ between the nodes of a fleet. */
+type NodeSetup = Pick<
+  SidecarOptions,
+  'identity' | 'callerAddress' | 'backendServerAddress' | 'service'
+>;
+
 /** The node and the backend server of one host. */
-export interface FleetHost {
+export interface FleetHost extends NodeSetup {
   readonly name: string;
   readonly sidecar: Sidecar;
-  readonly callerAddress: string;
-  readonly service: string;
   readonly backendServer: ScriptedBackendServer;
   readonly heartbeat: Heartbeat;
   readonly log: object[];
@@ -102,12 +107,49 @@
       freeAddress(),
       freeAddress(),
     ]);
+    const identity = { host: name, zone: 'a', gateAddress, peerAddress };
+    const setup = { identity, callerAddress, backendServerAddress: backendServer.address, service };
     const log: object[] = [];
+    const sidecar = this.createSidecar(setup, log);
+    await sidecar.start();
+    const heartbeat: Heartbeat = {
+      id: backendServer.id,
+      service,
+      address: backendServer.address,
+      slots: 4,
+      draining: false,
+      warmupLeftMs: 0,
+      sequence: 1,
+      startedAtMs: 1_000,
+    };
+    if (announce) {
+      await sidecar.acceptHeartbeat(heartbeat);
+    }
+    const host = { ...setup, name, sidecar, backendServer, heartbeat, log };
+    this.hosts.push(host);
+    return host;
+  }
+
+  /**
+   * Starts the node of a host again after its process has ended. Its backend server keeps running.
+   *
+   * @param host - the host, whose node must be closed
+   * @returns the host with its new node
+   */
+  async restartNode(host: FleetHost): Promise<FleetHost> {
+    const log: object[] = [];
+    const restarted = { ...host, log, sidecar: this.createSidecar(host, log) };
+    await restarted.sidecar.start();
+    this.hosts.splice(this.hosts.indexOf(host), 1, restarted);
+    return restarted;
+  }
+
+  private createSidecar(setup: NodeSetup, log: object[]): Sidecar {
     const logger = {
       info: (fields: object) => log.push(fields),
       warn: (fields: object) => log.push(fields),
     };
-    const sidecar = new Sidecar(
+    return new Sidecar(
       {
         clock: this.clock,
         logger,
@@ -115,10 +157,7 @@
         store: new LogStore(this.clock, this.store.address),
       },
       {
-        identity: { host: name, zone: 'a', gateAddress, peerAddress },
-        callerAddress,
-        backendServerAddress: backendServer.address,
-        service,
+        ...setup,
         headerNames: wireHeaders,
         retryTerms: { ratio: 0.2, extra: 60, windowMs: 10_000 },
         stopTimeoutMs: 6_000,
@@ -126,23 +165,6 @@
         decodeConfiguration,
       },
     );
-    await sidecar.start();
-    const heartbeat: Heartbeat = {
-      id: backendServer.id,
-      service,
-      address: backendServer.address,
-      slots: 4,
-      draining: false,
-      warmupLeftMs: 0,
-      sequence: 1,
-      startedAtMs: 1_000,
-    };
-    if (announce) {
-      await sidecar.acceptHeartbeat(heartbeat);
-    }
-    const host = { name, sidecar, callerAddress, service, backendServer, heartbeat, log };
-    this.hosts.push(host);
-    return host;
   }
 
   /**
