Let gates report their load and speed to the nodes of their zone

Cause: with a hundred backend servers of a service, a node sends each of them a request every twenty seconds or so. What it measured itself had expired by then, so every gate of the own zone looked the same and was chosen at random, though speeds differ by a factor of 2.3.

Each node now sends its status to its whole zone every 500 ms (up to 64 nodes), with the load of its gate, its recent share of failures, and its mean service times by route. Placement uses these before what the node itself has seen. A request that a backend server cut off at its deadline now counts as a lower bound of the service time: so far a slow backend server was measured by the few requests that it still completed.

--- a/packages/lentillb/src/directory/directory.ts
+++ b/packages/lentillb/src/directory/directory.ts
@@ -26,6 +26,8 @@
 
   private readonly listeners: DirectoryListener[] = [];
 
+  private readonly hostsByPeerAddress = new Map<string, string>();
+
   /** The announcements as a list; cleared by every change. */
   private cachedAnnouncements: readonly Announcement[] | undefined;
 
@@ -56,6 +58,7 @@
       return false;
     }
     this.announcementsByHost.set(announcement.host, announcement);
+    this.hostsByPeerAddress.set(announcement.peerAddress, announcement.host);
     const replacedDigest = current === undefined ? 0 : digestOf(current);
     this.currentDigest = (this.currentDigest ^ replacedDigest ^ digestOf(announcement)) >>> 0;
     this.cachedAnnouncements = undefined;
@@ -74,6 +77,18 @@
     return this.announcementsByHost.get(host);
   }
 
+  /**
+   * Returns the announcement of the node that answers other nodes at an address.
+   *
+   * @param peerAddress - the address and port
+   * @returns the newest announcement of its host, if any
+   */
+  announcementAt(peerAddress: string): Announcement | undefined {
+    const host = this.hostsByPeerAddress.get(peerAddress);
+    const announcement = host === undefined ? undefined : this.announcementOf(host);
+    return announcement?.peerAddress === peerAddress ? announcement : undefined;
+  }
+
   /**
    * Returns the backend servers of a service that accept requests.
    *
--- /dev/null
+++ b/packages/lentillb/src/directory/gateLoad.ts
@@ -0,0 +1,18 @@
+/** Describes the load of a gate as its node reports it to the other nodes of its availability zone. */
+
+/** The mean service time of one route at a backend server. */
+export interface RouteServiceTime {
+  /** A hash of the route's name, which is shorter than the name. */
+  readonly routeHash: number;
+  readonly meanMs: number;
+}
+
+/** The load and the speed of one backend server. */
+export interface GateLoad {
+  /** The number of requests that run or wait at the gate. */
+  readonly load: number;
+  /** The recent share of requests that the backend server failed or turned away, from 0 to 1. */
+  readonly failureShare: number;
+  /** The mean service times of the routes that the backend server has served lately. */
+  readonly serviceTimes: readonly RouteServiceTime[];
+}
--- /dev/null
+++ b/packages/lentillb/src/emulation/emulatedFleet.ts
@@ -0,0 +1,297 @@
+/**
+ * Plays a load against the real decisions of entries and gates, on emulated hosts and callers, in
+ * simulated time. Runs with equal seeds are equal.
+ */
+import { Err } from 'ts-results-es';
+import { Outcome } from '../calls/callHeaders.js';
+import { Cancellation, CancelReason } from '../calls/cancellation.js';
+import { ConfigurationHolder } from '../configuration/configurationHolder.js';
+import { BackendServerState } from '../directory/announcement.js';
+import { Directory } from '../directory/directory.js';
+import { SeededRandomness } from '../kernel/randomness.js';
+import { Repetition } from '../rules/ruleForms.js';
+import type { EntryAnswer } from '../serving/entry.js';
+import type { ForwardedRequest, GateReply } from '../serving/messages.js';
+import { FailureCause } from '../serving/messages.js';
+import { runInBackground } from '../utils/background.js';
+import { CallerResult, CallerTally } from './callerTally.js';
+import { EmulatedBackendServer } from './emulatedBackendServer.js';
+import { EmulatedHost, emulatedHeaderNames } from './emulatedHost.js';
+import { EventClock } from './eventClock.js';
+import type { Disturbance, RequestKind, Scenario } from './scenario.js';
+
+const MS_PER_SECOND = 1_000;
+/** The interval at which gates report their load to their zone, as the gossip between nodes does. */
+const REPORT_INTERVAL_MS = 500;
+/** The share of the time left up to which callers wait before they try again. */
+const MAX_RETRY_WAIT_SHARE = 1 / 3;
+/** The allowance for a reply in transit when the deadline passes, in milliseconds. */
+const REPLY_GRACE_MS = 90;
+
+const HttpStatus = { Ok: 200, Unavailable: 503 } as const;
+
+const LIMITS = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+
+/** The settings of a run beside the scenario. */
+export interface RunOptions {
+  readonly seed: number;
+  /** Whether gates report their load and speed to the nodes of their zone. */
+  readonly sharesLoad: boolean;
+}
+
+interface Attempt {
+  readonly kind: string;
+  readonly deadlineAtMs: number;
+  readonly host: EmulatedHost;
+}
+
+function resultOf(
+  { status }: EntryAnswer,
+  elapsedMs: number,
+  { deadlineMs, targetMs }: RequestKind,
+): CallerResult {
+  if (status === HttpStatus.Unavailable) {
+    return CallerResult.Refused;
+  }
+  if (status !== HttpStatus.Ok || elapsedMs > deadlineMs) {
+    return CallerResult.Failed;
+  }
+  return elapsedMs <= targetMs ? CallerResult.InTime : CallerResult.Late;
+}
+
+/** A fleet of emulated hosts with their callers. */
+export class EmulatedFleet {
+  /** What callers got, by kind of request. */
+  readonly byKind = new CallerTally();
+
+  /** What callers got, by zone. */
+  readonly byZone = new CallerTally();
+
+  private readonly clock = new EventClock();
+
+  private readonly randomness: SeededRandomness;
+
+  private readonly configuration = new ConfigurationHolder();
+
+  private readonly directory = new Directory();
+
+  private readonly hosts: readonly EmulatedHost[];
+
+  private readonly hostsByName: ReadonlyMap<string, EmulatedHost>;
+
+  private loadFactor = 1;
+
+  private requestCount = 0;
+
+  constructor(
+    private readonly scenario: Scenario,
+    private readonly options: RunOptions,
+  ) {
+    this.randomness = new SeededRandomness(options.seed);
+    this.configuration.activateIfNewer({
+      version: 1,
+      limits: LIMITS,
+      routes: Object.entries(scenario.requests).map(([name, kind]) => ({
+        name,
+        hostname: `${name}.example`,
+        pathPrefix: '/',
+        destinations: [{ service: kind.service, weight: 1 }],
+        repetition: kind.repeatable ? Repetition.Repeat : Repetition.Once,
+        maxBackendServers: 2,
+        timeoutMs: kind.timeoutMs,
+        targetLatencyMs: kind.targetMs,
+        priority: kind.priority,
+      })),
+    });
+    this.hosts = this.createHosts();
+    this.hostsByName = new Map(this.hosts.map((host) => [host.options.host, host]));
+  }
+
+  /** Plays the scenario to its end. */
+  async run(): Promise<void> {
+    const { disturbances = [], durationMs, requests, zones } = this.scenario;
+    if (this.options.sharesLoad) {
+      this.hosts.forEach((host) => this.scheduleReport(host));
+    }
+    disturbances.forEach((disturbance) => this.schedule(disturbance));
+    Object.entries(requests).forEach(([kind, { perSecond }]) => {
+      for (let zone = 0; zone < zones && perSecond > 0; zone += 1) {
+        this.scheduleArrival(kind, `z${zone}`);
+      }
+    });
+    const longestMs = Math.max(...Object.values(requests).map(({ deadlineMs }) => deadlineMs));
+    await this.clock.runUntil(durationMs + longestMs);
+  }
+
+  private createHosts(): readonly EmulatedHost[] {
+    const { scenario } = this;
+    const hosts: EmulatedHost[] = [];
+    Object.entries(scenario.services).forEach(([service, { serversPerZone, slots, speeds }]) => {
+      for (let index = 0; index < serversPerZone * scenario.zones; index += 1) {
+        const zone = `z${index % scenario.zones}`;
+        const host = `${service}-${index}`;
+        const speed = speeds[Math.floor(index / scenario.zones) % speeds.length] as number;
+        const { clock, configuration, directory, randomness } = this;
+        const backendServer = new EmulatedBackendServer(
+          {
+            clock,
+            randomness,
+            kinds: scenario.requests,
+            call: (kind, deadlineAtMs) => this.callInsideRun(host, kind, deadlineAtMs),
+          },
+          speed,
+        );
+        directory.merge({
+          host,
+          zone,
+          gateAddress: host,
+          peerAddress: host,
+          incarnation: 1,
+          sequence: 1,
+          backendServer: {
+            id: `i-${host}`,
+            startedAtMs: 1,
+            service,
+            slots,
+            state: BackendServerState.Ready,
+          },
+        });
+        const forward = (to: string, request: ForwardedRequest): Promise<GateReply> =>
+          this.forward(to, request);
+        hosts.push(
+          new EmulatedHost(
+            { clock, configuration, directory, randomness, forward },
+            { host, zone, service, slots },
+            backendServer,
+          ),
+        );
+      }
+    });
+    return hosts;
+  }
+
+  private scheduleReport(host: EmulatedHost): void {
+    const delayMs = REPORT_INTERVAL_MS * (1 + (this.randomness.fraction() - 1 / 2) / 2);
+    this.clock.after(delayMs, () => {
+      const load = host.gate.reportLoad();
+      if (load !== undefined) {
+        this.hosts
+          .filter(({ options }) => options.zone === host.options.zone)
+          .forEach(({ observations }) => observations.recordSharedLoad(host.options.host, load));
+      }
+      this.scheduleReport(host);
+    });
+  }
+
+  private schedule({ atMs, failing, forMs, load = 1, slow }: Disturbance): void {
+    const slowServers = this.shareOf(slow?.service, slow?.share);
+    const failingServers = this.shareOf(failing?.service, failing?.share);
+    this.clock.after(atMs, () => {
+      this.loadFactor *= load;
+      slowServers.forEach((server) => server.slowDown(slow?.factor ?? 1));
+      failingServers.forEach((server) => server.fail(failing?.failures ?? 0));
+    });
+    this.clock.after(atMs + forMs, () => {
+      this.loadFactor /= load;
+      slowServers.forEach((server) => server.slowDown(1));
+      failingServers.forEach((server) => server.fail(0));
+    });
+  }
+
+  private shareOf(service: string | undefined, share = 0): readonly EmulatedBackendServer[] {
+    return this.hosts
+      .filter(({ options }) => options.service === service)
+      .filter((_, index, all) => index < all.length * share)
+      .map(({ backendServer }) => backendServer);
+  }
+
+  private scheduleArrival(kind: string, zone: string): void {
+    const { perSecond } = this.scenario.requests[kind] as RequestKind;
+    const meanMs = MS_PER_SECOND / (perSecond * this.loadFactor);
+    const delayMs = -Math.log(1 - this.randomness.fraction()) * meanMs;
+    this.clock.after(delayMs, () => {
+      if (this.clock.monotonicMs() < this.scenario.durationMs) {
+        runInBackground(this.request(kind, zone));
+        this.scheduleArrival(kind, zone);
+      }
+    });
+  }
+
+  /** Sends a request as a caller does, with further attempts after refusals. */
+  private async request(kindName: string, zone: string): Promise<void> {
+    const { clock, randomness } = this;
+    const kind = this.scenario.requests[kindName] as RequestKind;
+    const zoneHosts = this.hosts.filter(({ options }) => options.zone === zone);
+    const host = zoneHosts[randomness.integer(zoneHosts.length)] as EmulatedHost;
+    const startedMs = clock.monotonicMs();
+    const deadlineAtMs = startedMs + kind.deadlineMs;
+    let answer = await this.attempt({ kind: kindName, deadlineAtMs, host });
+    for (let retry = 0; retry < kind.retries; retry += 1) {
+      const remainingMs = deadlineAtMs - clock.monotonicMs();
+      if (answer.status !== HttpStatus.Unavailable || remainingMs <= 0) {
+        break;
+      }
+      const retryAfterMs = Number(answer.headers['retry-after'] ?? 0) * MS_PER_SECOND;
+      await clock.sleep(Math.min(retryAfterMs, remainingMs * MAX_RETRY_WAIT_SHARE));
+      answer = await this.attempt({ kind: kindName, deadlineAtMs, host });
+    }
+    if (startedMs >= this.scenario.warmUpMs) {
+      const result = resultOf(answer, clock.monotonicMs() - startedMs, kind);
+      this.byKind.add(kindName, result);
+      this.byZone.add(zone, result);
+    }
+  }
+
+  private async callInsideRun(
+    hostName: string,
+    kind: string,
+    deadlineAtMs: number,
+  ): Promise<boolean> {
+    const host = this.hostsByName.get(hostName) as EmulatedHost;
+    const { deadlineMs } = this.scenario.requests[kind] as RequestKind;
+    const earlierMs = Math.min(deadlineAtMs, this.clock.monotonicMs() + deadlineMs);
+    const { status } = await this.attempt({ kind, deadlineAtMs: earlierMs, host });
+    return status === HttpStatus.Ok;
+  }
+
+  private async attempt({ deadlineAtMs, host, kind }: Attempt): Promise<EntryAnswer> {
+    const { clock } = this;
+    const cancellation = new Cancellation();
+    const arrivedAtMs = clock.monotonicMs();
+    const remainingMs = Math.max(0, Math.floor(deadlineAtMs - arrivedAtMs));
+    this.requestCount += 1;
+    const stopTimer = clock.after(remainingMs, () => cancellation.cancel(CancelReason.CallerGone));
+    const answer = await host.entry.serve({
+      method: 'GET',
+      target: '/',
+      headers: {
+        host: `${kind}.example`,
+        [emulatedHeaderNames.requestId]: `r-${this.requestCount}`,
+        [emulatedHeaderNames.deadlineMs]: `${remainingMs}`,
+      },
+      body: Buffer.alloc(0),
+      cancellation,
+      arrivedAtMs,
+    });
+    stopTimer();
+    return answer;
+  }
+
+  private async forward(to: string, request: ForwardedRequest): Promise<GateReply> {
+    const { clock } = this;
+    const { linkMs } = this.scenario;
+    await clock.sleep(linkMs);
+    const remainingMs = Math.max(0, request.deadlineAtMs - clock.monotonicMs());
+    const reply = await Promise.race([
+      (this.hostsByName.get(to) as EmulatedHost).gate.serve(request),
+      clock.sleep(remainingMs + REPLY_GRACE_MS),
+    ]);
+    await clock.sleep(linkMs);
+    return (
+      reply ?? {
+        result: Err({ outcome: Outcome.Unknown, cause: FailureCause.DeadlinePassed }),
+        report: undefined,
+      }
+    );
+  }
+}
--- /dev/null
+++ b/packages/lentillb/src/emulation/emulatedHost.ts
@@ -0,0 +1,115 @@
+/** Emulates a host: the entry and the gate of its node, with the real decisions, and its backend server. */
+import { SmoothWeightedRoundRobin } from '../configuration/smoothWeightedRoundRobin.js';
+import type { ConfigurationHolder } from '../configuration/configurationHolder.js';
+import type { Directory, GateEndpoint } from '../directory/directory.js';
+import type { Clock } from '../kernel/clock.js';
+import type { Randomness } from '../kernel/randomness.js';
+import { DecisionLog } from '../observability/decisionLog.js';
+import { MetricsRegistry } from '../observability/metricsRegistry.js';
+import { Entry } from '../serving/entry.js';
+import { Gate } from '../serving/gate.js';
+import { GateObservations } from '../serving/gateObservations.js';
+import { GateSelector } from '../serving/gateSelector.js';
+import { LocalBackendServer } from '../serving/localBackendServer.js';
+import type { ForwardedRequest, GateReply } from '../serving/messages.js';
+import { RetryAllowance } from '../serving/retryAllowance.js';
+import { SlotQueue } from '../serving/slotQueue.js';
+import type { EmulatedBackendServer } from './emulatedBackendServer.js';
+
+const DEFAULT_SERVICE_TIME_MS = 80;
+const RETRY_TERMS = { ratio: 0.2, extra: 60, windowMs: 10_000 };
+
+/** The names of the headers between the emulated callers and nodes. */
+export const emulatedHeaderNames = {
+  requestId: 'request-id',
+  deadlineMs: 'deadline-ms',
+  seal: 'seal',
+  expectedInstance: 'expected-instance',
+  notRun: 'not-run',
+  callerService: 'caller-service',
+} as const;
+
+/** The services that an emulated host depends on. */
+export interface EmulatedHostServices {
+  readonly clock: Clock;
+  readonly randomness: Randomness;
+  readonly configuration: ConfigurationHolder;
+  readonly directory: Directory;
+  /** Carries a request to the gate of another host and its reply back. */
+  readonly forward: (host: string, request: ForwardedRequest) => Promise<GateReply>;
+}
+
+/** The properties of an emulated host. */
+export interface EmulatedHostOptions {
+  readonly host: string;
+  readonly zone: string;
+  readonly service: string;
+  readonly slots: number;
+}
+
+/** A node with its backend server. */
+export class EmulatedHost {
+  readonly entry: Entry;
+
+  readonly gate: Gate;
+
+  readonly observations: GateObservations;
+
+  constructor(
+    services: EmulatedHostServices,
+    readonly options: EmulatedHostOptions,
+    readonly backendServer: EmulatedBackendServer,
+  ) {
+    const { clock, configuration, directory, forward, randomness } = services;
+    const { host, service, slots: slotCount, zone } = options;
+    const log = new DecisionLog(clock, { info: () => undefined, warn: () => undefined });
+    const metrics = new MetricsRegistry();
+    const local = new LocalBackendServer(clock, () => undefined);
+    local.finishRestoring();
+    local.accept({
+      id: `i-${host}`,
+      service,
+      address: host,
+      slots: slotCount,
+      draining: false,
+      warmupLeftMs: 0,
+      sequence: 1,
+      startedAtMs: 1,
+    });
+    const slots = new SlotQueue(clock, () => false);
+    slots.resize(slotCount);
+    const input = { waitUntilRecentlyRead: () => Promise.resolve() };
+    this.gate = new Gate({
+      clock,
+      input,
+      slots,
+      backendServer: local,
+      client: backendServer,
+      log,
+      metrics,
+    });
+    this.observations = new GateObservations(clock, DEFAULT_SERVICE_TIME_MS);
+    this.entry = new Entry(
+      {
+        clock,
+        randomness,
+        configuration,
+        rotation: new SmoothWeightedRoundRobin(randomness),
+        directory,
+        observations: this.observations,
+        gateSelector: new GateSelector(
+          { randomness, observations: this.observations, isSilent: () => false },
+          zone,
+        ),
+        gateForwarder: {
+          call: (endpoint: GateEndpoint, request: ForwardedRequest) =>
+            endpoint.host === host ? this.gate.serve(request) : forward(endpoint.host, request),
+        },
+        allowance: new RetryAllowance(clock, RETRY_TERMS, () => directory.announcements.length),
+        log,
+        metrics,
+      },
+      { names: emulatedHeaderNames, callerService: service },
+    );
+  }
+}
--- a/packages/lentillb/src/peers/gossip.ts
+++ b/packages/lentillb/src/peers/gossip.ts
@@ -8,6 +8,7 @@
 import type { ConfigurationHolder } from '../configuration/configurationHolder.js';
 import type { Directory } from '../directory/directory.js';
 import type { Announcement } from '../directory/announcement.js';
+import type { GateLoad } from '../directory/gateLoad.js';
 import type { Clock } from '../kernel/clock.js';
 import type { Randomness } from '../kernel/randomness.js';
 import type { DecisionLog } from '../observability/decisionLog.js';
@@ -23,6 +24,8 @@
 
 /** Interval between gossip rounds, in milliseconds; two a second, so that one datagram may be lost. */
 const ROUND_INTERVAL_MS = 500;
+/** The maximum number of nodes of its zone to which a node sends its status in a round. */
+const MAX_STATUS_RECEIVERS = 64;
 /** A node of another zone is also pinged in one of this many rounds. */
 const ROUNDS_PER_OTHER_ZONE_PING = 2;
 /** How long a node that is behind waits for the store before it asks another node, in milliseconds. */
@@ -52,6 +55,16 @@
   readonly role: StoreReaderRole;
   readonly era: StoreEraTracker;
   readonly log: DecisionLog;
+  /** Returns the load of the gate of this host; undefined if it accepts no requests. */
+  readonly gateLoad: () => GateLoad | undefined;
+}
+
+/** The callbacks for what other nodes report. */
+export interface GossipListener {
+  /** Called with the state that was fetched from another node. */
+  readonly onState: (state: NodeState) => void;
+  /** Called with the load of the gate of another host. */
+  readonly onGateLoad: (host: string, load: GateLoad) => void;
 }
 
 /** The host and the zone of this node. */
@@ -78,12 +91,12 @@
   /**
    * @param services - the services that gossip depends on
    * @param location - the host and the zone of this node
-   * @param onState - called with the state that was fetched from another node
+   * @param listener - the callbacks for what other nodes report
    */
   constructor(
     private readonly services: GossipServices,
     private readonly location: NodeLocation,
-    private readonly onState: (state: NodeState) => void,
+    private readonly listener: GossipListener,
   ) {
     this.digestComparison = new DigestComparison(services.clock);
     // Every node has to write its announcement again soon after the store went back.
@@ -127,23 +140,26 @@
     }
     const { directory, era, role } = this.services;
     era.observe(message.storeEra === 0 ? undefined : message.storeEra);
-    const senderInZone = directory.announcements.find(
-      ({ peerAddress, zone }) => peerAddress === from && zone === this.location.zone,
-    );
-    if (message.readsStore && senderInZone !== undefined) {
-      role.noteReader(senderInZone.host);
+    const sender = directory.announcementAt(from);
+    const inOwnZone = sender?.zone === this.location.zone;
+    if (message.readsStore && sender !== undefined && inOwnZone) {
+      role.noteReader(sender.host);
+    }
+    if (message.gateLoad !== undefined && sender !== undefined) {
+      this.listener.onGateLoad(sender.host, message.gateLoad);
     }
-    this.fetchIfBehind(from, message, senderInZone !== undefined);
+    this.fetchIfBehind(from, message, inOwnZone);
   }
 
   private createMessage(kind: GossipMessageKind): GossipMessage {
-    const { configuration, directory, era, role } = this.services;
+    const { configuration, directory, era, gateLoad, role } = this.services;
     return {
       kind,
       readsStore: role.readsStore,
       configurationVersion: configuration.version,
       directoryDigest: directory.digest,
       storeEra: era.current ?? 0,
+      gateLoad: gateLoad(),
     };
   }
 
@@ -177,10 +193,12 @@
   }
 
   private sendStatusToZone(): void {
+    this.sendStatus(this.otherNodes(true));
+  }
+
+  private sendStatus(receivers: readonly Announcement[]): void {
     const message = this.createMessage(GossipMessageKind.Status);
-    this.otherNodes(true).forEach(({ peerAddress }) =>
-      this.services.transport.send(peerAddress, message),
-    );
+    receivers.forEach(({ peerAddress }) => this.services.transport.send(peerAddress, message));
   }
 
   /** Returns up to `count` different announcements, chosen at random. */
@@ -203,7 +221,8 @@
     this.rounds += 1;
     const sameZone = this.otherNodes(true);
     const otherZones = this.otherNodes(false);
-    this.broadcast();
+    // The gates of other zones are used only if those of the own zone are overloaded.
+    this.sendStatus(this.sample(sameZone, MAX_STATUS_RECEIVERS));
     this.pingRandom(this.isAnnounced ? sameZone : this.readersAmong(sameZone));
     if (sameZone.length === 0 || this.rounds % ROUNDS_PER_OTHER_ZONE_PING === 0) {
       this.pingRandom(otherZones);
@@ -275,7 +294,7 @@
     const { length: hosts } = state.announcements;
     const { baseVersion, version } = state.change ?? {};
     log.record(Importance.Notable, 'state-fetched', { from, baseVersion, version, hosts });
-    this.onState(state);
+    this.listener.onState(state);
     this.digestComparison.reset(from);
     return true;
   }
--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -16,6 +16,7 @@
 import { Importance } from '../observability/decisionLog.js';
 import type { MetricsRegistry } from '../observability/metricsRegistry.js';
 import { Repetition } from '../rules/ruleForms.js';
+import { hash32 } from '../utils/hash.js';
 import type { GateForwarder } from './gateForwarder.js';
 import type { GateObservations } from './gateObservations.js';
 import type { HeaderNames } from './headerNames.js';
@@ -218,7 +219,12 @@
   ): Placement | undefined {
     const { directory, gateSelector } = this.services;
     const candidates = directory.endpointsOf(request.service);
-    return gateSelector.choose({ candidates, excluded, targetMs: route.targetLatencyMs });
+    return gateSelector.choose({
+      candidates,
+      excluded,
+      targetMs: route.targetLatencyMs,
+      routeHash: hash32(route.name),
+    });
   }
 
   private async sendToGate(
@@ -278,6 +284,7 @@
     }
     const typicalMs = this.services.observations.typicalServiceMs(
       this.services.directory.endpointsOf(request.service),
+      hash32(route.name),
     );
     if (request.deadlineAtMs - clock.monotonicMs() < typicalMs * MIN_RETRY_TIME_SHARE) {
       return false;
--- a/packages/lentillb/src/serving/gate.ts
+++ b/packages/lentillb/src/serving/gate.ts
@@ -6,23 +6,26 @@
 import type { DecisionLog } from '../observability/decisionLog.js';
 import { Importance } from '../observability/decisionLog.js';
 import type { MetricsRegistry } from '../observability/metricsRegistry.js';
+import { hash32 } from '../utils/hash.js';
+import type { GateLoad } from '../directory/gateLoad.js';
 import type { PendingInputTracker } from '../utils/pendingInput.js';
 import type { BackendServerClient } from './backendServerClient.js';
+import { FailureShare } from './failureShare.js';
 import type { LocalBackendServer } from './localBackendServer.js';
 import type { BackendAnswer, ForwardedRequest, ForwardFailure, GateReply } from './messages.js';
 import { FailureCause } from './messages.js';
 import type { Slot, SlotQueue } from './slotQueue.js';
-import { Admission } from './slotQueue.js';
+import { Admission, ServiceTimeSample } from './slotQueue.js';
 
 type GateResult = Result<BackendAnswer, ForwardFailure>;
 
 /** The services that a gate depends on. */
 export interface GateServices {
   readonly clock: Clock;
-  readonly input: PendingInputTracker;
+  readonly input: Pick<PendingInputTracker, 'waitUntilRecentlyRead'>;
   readonly slots: SlotQueue;
   readonly backendServer: LocalBackendServer;
-  readonly client: BackendServerClient;
+  readonly client: Pick<BackendServerClient, 'send'>;
   readonly log: DecisionLog;
   readonly metrics: MetricsRegistry;
 }
@@ -39,17 +42,39 @@
 /** The time for which requests are refused after a failed connection, in milliseconds. */
 const CONNECT_BACKOFF_MS = 200;
 
+/**
+ * The maximum age of a reported service time, in milliseconds. A backend server that seems slow gets
+ * few requests; once its service time expires, it is tried again.
+ */
+const MAX_REPORTED_TIME_AGE_MS = 3_000;
+
 const SERVER_ERROR = 500;
+/** The status by which a backend server reports that the deadline passed while it ran the request. */
+const GATEWAY_TIMEOUT = 504;
 
 function notRun(cause: FailureCause, waitMs?: number): GateResult {
   return Err({ outcome: Outcome.NotRun, cause, waitMs });
 }
 
-/** Returns whether the duration of a request counts as a service time sample. */
-function isServiceTimeSample(result: GateResult): boolean {
+/** Returns what the duration of a request says about the service time. */
+function serviceTimeSampleOf(result: GateResult): ServiceTimeSample {
+  if (result.isErr()) {
+    return result.error.cause === FailureCause.DeadlinePassed
+      ? ServiceTimeSample.AtLeast
+      : ServiceTimeSample.None;
+  }
+  const { status } = result.value;
+  if (status === GATEWAY_TIMEOUT) {
+    return ServiceTimeSample.AtLeast;
+  }
+  return status < SERVER_ERROR ? ServiceTimeSample.Exact : ServiceTimeSample.None;
+}
+
+/** Returns whether the backend server failed a request, or turned it away. */
+function isServerFailure(result: GateResult): boolean {
   return result.isOk()
-    ? result.value.status < SERVER_ERROR
-    : result.error.cause === FailureCause.DeadlinePassed;
+    ? result.value.status >= SERVER_ERROR
+    : result.error.cause !== FailureCause.CallerGone;
 }
 
 /** Admits requests to the backend server on this host. */
@@ -60,7 +85,11 @@
 
   private unreachableUntilMs = -Infinity;
 
-  constructor(private readonly services: GateServices) {}
+  private readonly failureShare: FailureShare;
+
+  constructor(private readonly services: GateServices) {
+    this.failureShare = new FailureShare(services.clock);
+  }
 
   /** The number of requests that wait or run. */
   get inFlight(): number {
@@ -72,6 +101,23 @@
     this.closing = true;
   }
 
+  /**
+   * Returns the load to report to other nodes.
+   *
+   * @returns the load; undefined if the gate accepts no requests
+   */
+  reportLoad(): GateLoad | undefined {
+    const { backendServer, slots } = this.services;
+    if (this.closing || !backendServer.ready) {
+      return undefined;
+    }
+    const { queued, running } = slots.load;
+    const serviceTimes = slots
+      .recentServiceTimes(MAX_REPORTED_TIME_AGE_MS)
+      .map(([route, meanMs]) => ({ routeHash: hash32(route), meanMs }));
+    return { load: running + queued, failureShare: this.failureShare.value, serviceTimes };
+  }
+
   /**
    * Runs a request on the backend server once it gets a slot.
    *
@@ -87,7 +133,8 @@
       const startedMs = clock.monotonicMs();
       const sent = await this.send(request);
       serviceMs = clock.monotonicMs() - startedMs;
-      slot.release(isServiceTimeSample(sent));
+      slot.release(serviceTimeSampleOf(sent));
+      this.failureShare.record(isServerFailure(sent));
       return sent;
     });
     this.active -= 1;
--- a/packages/lentillb/src/serving/gateObservation.ts
+++ b/packages/lentillb/src/serving/gateObservation.ts
@@ -1,15 +1,18 @@
 /** Records this node's observations of one gate. */
 import type { Clock } from '../kernel/clock.js';
+import type { GateLoad } from '../directory/gateLoad.js';
+import { FailureShare } from './failureShare.js';
 import { SmoothedMean } from './smoothedMean.js';
 
 /** The maximum age of a mean service time; an idle gate is tried again once its mean expires. */
 const MAX_SERVICE_TIME_AGE_MS = 2_000;
 /** The maximum age of a load report, about the duration of one request. */
 const MAX_LOAD_AGE_MS = 1_000;
-/** The half-life of the failure share, in milliseconds. */
-const FAILURE_HALF_LIFE_MS = 1_000;
-/** The weight of one request in the failure share. */
-const FAILURE_WEIGHT = 0.15;
+/**
+ * The maximum age of the load that the node of a gate reported by itself, in milliseconds: a few
+ * report intervals, of which some may be lost.
+ */
+const MAX_SHARED_LOAD_AGE_MS = 2_000;
 /** The time for which an unreachable gate is first avoided; it doubles up to the maximum. */
 const MIN_AVOIDANCE_MS = 250;
 const MAX_AVOIDANCE_MS = 2_000;
@@ -29,15 +32,21 @@
   /** The number of requests started less those ended since the last load report. */
   private inFlightChange = 0;
 
-  private failures = 0;
+  private sharedServiceMs: ReadonlyMap<number, number> = new Map();
 
-  private failuresAtMs = 0;
+  private sharedAtMs = -Infinity;
+
+  private sharedFailureShare = 0;
+
+  private readonly ownFailureShare: FailureShare;
 
   private avoidUntilMs = -Infinity;
 
   private avoidMs = MIN_AVOIDANCE_MS;
 
-  constructor(private readonly clock: Clock) {}
+  constructor(private readonly clock: Clock) {
+    this.ownFailureShare = new FailureShare(clock);
+  }
 
   /** Whether requests may be sent to the gate. */
   get reachable(): boolean {
@@ -52,13 +61,25 @@
   }
 
   /**
-   * Estimates the service time at the gate.
+   * Returns the service time that the node of the gate reported for a route.
    *
+   * @param routeHash - the hash of the route's name
+   * @returns the mean service time in milliseconds; undefined if there is no recent report of it
+   */
+  reportedServiceMs(routeHash: number): number | undefined {
+    return this.hasSharedLoad ? this.sharedServiceMs.get(routeHash) : undefined;
+  }
+
+  /**
+   * Estimates the service time at the gate. Its node has measured the route by the requests of all
+   * hosts; this node has seen few of them, and those of other routes as well.
+   *
+   * @param routeHash - the hash of the name of the request's route
    * @param typicalMs - the typical service time at the gates of the service, in milliseconds
    * @returns the expected service time at this gate, in milliseconds
    */
-  serviceMs(typicalMs: number): number {
-    return this.measuredMs ?? typicalMs;
+  serviceMs(routeHash: number, typicalMs: number): number {
+    return this.reportedServiceMs(routeHash) ?? this.measuredMs ?? typicalMs;
   }
 
   /** @returns the number of requests at the gate, as far as this node knows */
@@ -67,10 +88,9 @@
     return fresh ? Math.max(this.inFlight, this.reportedLoad + this.inFlightChange) : this.inFlight;
   }
 
-  /** @returns the recent share of failures, from 0 to 1 */
+  /** @returns the recent share of failures that this node or the node of the gate saw, from 0 to 1 */
   failureShare(): number {
-    const ageMs = this.clock.monotonicMs() - this.failuresAtMs;
-    return this.failures * 0.5 ** (ageMs / FAILURE_HALF_LIFE_MS);
+    return Math.max(this.ownFailureShare.value, this.hasSharedLoad ? this.sharedFailureShare : 0);
   }
 
   /** Records that a request is sent. */
@@ -98,6 +118,23 @@
     this.avoidMs = MIN_AVOIDANCE_MS;
   }
 
+  /**
+   * Records the load and the service times that the node of the gate reported to all nodes of its
+   * zone. It does not show whether the gate itself is reachable.
+   *
+   * @param report - the report
+   */
+  recordSharedLoad({ failureShare, load, serviceTimes }: GateLoad): void {
+    this.sharedServiceMs = new Map(
+      serviceTimes.map(({ meanMs, routeHash }) => [routeHash, meanMs]),
+    );
+    this.sharedFailureShare = failureShare;
+    this.sharedAtMs = this.clock.monotonicMs();
+    this.reportedLoad = load;
+    this.reportedAtMs = this.sharedAtMs;
+    this.inFlightChange = 0;
+  }
+
   /**
    * Records the service time of a request.
    *
@@ -114,9 +151,7 @@
    * @param failed - whether the request failed
    */
   recordOutcome(failed: boolean): void {
-    const share = this.failureShare();
-    this.failures = share + ((failed ? 1 : 0) - share) * FAILURE_WEIGHT;
-    this.failuresAtMs = this.clock.monotonicMs();
+    this.ownFailureShare.record(failed);
   }
 
   /** Records that the gate could not be reached, and avoids it for a while. */
@@ -126,4 +161,8 @@
       this.avoidMs = Math.min(MAX_AVOIDANCE_MS, this.avoidMs * 2);
     }
   }
+
+  private get hasSharedLoad(): boolean {
+    return this.clock.monotonicMs() - this.sharedAtMs < MAX_SHARED_LOAD_AGE_MS;
+  }
 }
--- a/packages/lentillb/src/serving/gateSelector.ts
+++ b/packages/lentillb/src/serving/gateSelector.ts
@@ -17,6 +17,8 @@
   readonly excluded: ReadonlySet<string>;
   /** The target latency of the request, in milliseconds. */
   readonly targetMs: number;
+  /** The hash of the name of the request's route. */
+  readonly routeHash: number;
 }
 
 /** A gate and the estimates for a request sent to it. */
@@ -44,6 +46,9 @@
 /** The difference from the lowest risk up to which placements are chosen between at random. */
 const RISK_TOLERANCE = 0.004;
 
+/** The maximum number of gates of the own zone, and of other zones, that are compared. */
+const MAX_COMPARED_GATES = 5;
+
 /** Returns the probability that a log-normal service time exceeds the remaining time. */
 function lateRisk(meanMs: number, remainingMs: number): number {
   if (remainingMs <= 0) {
@@ -81,12 +86,13 @@
    * @param request - the request to place
    * @returns the placement, or undefined if no gate is available
    */
-  choose({ candidates, excluded, targetMs }: PlacementRequest): Placement | undefined {
+  choose({ candidates, excluded, routeHash, targetMs }: PlacementRequest): Placement | undefined {
     const { isSilent, observations } = this.services;
     // Skips silent hosts: the failure detector probes them, and a request sent there would only wait.
     const available = candidates.filter(({ host }) => !excluded.has(host) && !isSilent(host));
     const reachable = available.filter((endpoint) => observations.isReachable(endpoint));
-    return this.chooseLeastRisk(reachable.length > 0 ? reachable : available, targetMs);
+    const endpoints = reachable.length > 0 ? reachable : available;
+    return this.chooseLeastRisk(endpoints, { routeHash, targetMs });
   }
 
   /**
@@ -106,23 +112,51 @@
 
   private chooseLeastRisk(
     endpoints: readonly GateEndpoint[],
-    targetMs: number,
+    request: Pick<PlacementRequest, 'routeHash' | 'targetMs'>,
   ): Placement | undefined {
     const { observations, randomness } = this.services;
     if (endpoints.length === 0) {
       return undefined;
     }
-    const typicalMs = observations.typicalServiceMs(endpoints);
-    const placements = endpoints.map((endpoint) => this.estimate(endpoint, typicalMs, targetMs));
+    const typicalMs = observations.typicalServiceMs(endpoints, request.routeHash);
+    const placements = this.sample(endpoints).map((endpoint) =>
+      this.estimate(endpoint, typicalMs, request),
+    );
     const minRisk = placements.reduce((lowest, { risk }) => Math.min(lowest, risk), Infinity);
     const tied = placements.filter(({ risk }) => risk <= minRisk + RISK_TOLERANCE);
     return tied[randomness.integer(tied.length)];
   }
 
-  private estimate(endpoint: GateEndpoint, typicalMs: number, targetMs: number): Placement {
+  /**
+   * Draws gates to choose from. The loads that gates report are up to one interval old and the same
+   * for all nodes; if each node compared all gates, they would all send to the same one meanwhile.
+   */
+  private sample(endpoints: readonly GateEndpoint[]): readonly GateEndpoint[] {
+    const near = endpoints.filter(({ zone }) => zone === this.zone);
+    const far = endpoints.filter(({ zone }) => zone !== this.zone);
+    return [...this.draw(near), ...this.draw(far)];
+  }
+
+  private draw(endpoints: readonly GateEndpoint[]): readonly GateEndpoint[] {
+    if (endpoints.length <= MAX_COMPARED_GATES) {
+      return endpoints;
+    }
+    const drawn = new Set<GateEndpoint>();
+    while (drawn.size < MAX_COMPARED_GATES) {
+      const index = this.services.randomness.integer(endpoints.length);
+      drawn.add(endpoints[index] as GateEndpoint);
+    }
+    return [...drawn];
+  }
+
+  private estimate(
+    endpoint: GateEndpoint,
+    typicalMs: number,
+    { routeHash, targetMs }: Pick<PlacementRequest, 'routeHash' | 'targetMs'>,
+  ): Placement {
     const observation = this.services.observations.of(endpoint);
     const { slots } = endpoint.backendServer;
-    const serviceMs = observation.serviceMs(typicalMs);
+    const serviceMs = observation.serviceMs(routeHash, typicalMs);
     const load = observation.load();
     const waitMs = Math.max(0, ((load + 1 - slots) * serviceMs) / slots);
     const expectedMs = serviceMs + waitMs;
--- a/packages/lentillb/src/serving/slotQueue.ts
+++ b/packages/lentillb/src/serving/slotQueue.ts
@@ -35,14 +35,27 @@
   readonly onDropped: () => void;
 }
 
+/** What the time that a slot was occupied says about the service time. */
+export const ServiceTimeSample = {
+  /** The request ran to its end. */
+  Exact: 'exact',
+  /**
+   * The request was cut off at its deadline, so its service time is longer. Without these samples a
+   * backend server that became slow would be measured by the few requests that it still completes.
+   */
+  AtLeast: 'at-least',
+  None: 'none',
+} as const;
+export type ServiceTimeSample = (typeof ServiceTimeSample)[keyof typeof ServiceTimeSample];
+
 /** The slot that a running request occupies. */
 export interface Slot {
   /**
    * Frees the slot.
    *
-   * @param served - whether the time that the slot was occupied counts as a service time
+   * @param sample - what the time that the slot was occupied says about the service time
    */
-  readonly release: (served: boolean) => void;
+  readonly release: (sample: ServiceTimeSample) => void;
 }
 
 /** The possible decisions on an arriving request. */
@@ -109,6 +122,9 @@
 
   private readonly meanServiceMsByKey = new Map<string, SmoothedMean>();
 
+  /** When each key last got a sample, oldest first. */
+  private readonly measuredAtMsByKey = new Map<string, number>();
+
   private readonly meanServiceMs = new SmoothedMean();
 
   /**
@@ -124,6 +140,20 @@
     return { slots: this.slots, running: this.running, queued: this.waiting.length };
   }
 
+  /**
+   * Returns the service times to expect for the keys that were measured lately.
+   *
+   * @param maxAgeMs - the maximum age of the last sample, in milliseconds
+   * @returns the mean service times in milliseconds by key, the one measured last first
+   */
+  recentServiceTimes(maxAgeMs: number): readonly (readonly [string, number])[] {
+    const sinceMs = this.clock.monotonicMs() - maxAgeMs;
+    return [...this.measuredAtMsByKey]
+      .filter(([, measuredAtMs]) => measuredAtMs >= sinceMs)
+      .reverse()
+      .map(([key]) => [key, this.expectedServiceMs(key)] as const);
+  }
+
   /**
    * Sets the number of slots and grants free ones to waiting requests.
    *
@@ -221,25 +251,36 @@
     const startedMs = this.clock.monotonicMs();
     let isHeld = true;
     return {
-      release: (served) => {
+      release: (sample) => {
         if (!isHeld) {
           return;
         }
         isHeld = false;
         this.running -= 1;
-        if (served) {
-          this.recordServiceTime(serviceTimeKey, this.clock.monotonicMs() - startedMs);
+        const durationMs = this.clock.monotonicMs() - startedMs;
+        if (this.isInformative(sample, serviceTimeKey, durationMs)) {
+          this.recordServiceTime(serviceTimeKey, durationMs);
         }
         this.grantNext();
       },
     };
   }
 
+  /** A lower bound below the expected service time says nothing. */
+  private isInformative(sample: ServiceTimeSample, key: string, durationMs: number): boolean {
+    return (
+      sample === ServiceTimeSample.Exact ||
+      (sample === ServiceTimeSample.AtLeast && durationMs > this.expectedServiceMs(key))
+    );
+  }
+
   private recordServiceTime(serviceTimeKey: string, durationMs: number): void {
     const warmMs = this.isWarmingUp() ? durationMs / WARM_UP_FACTOR : durationMs;
     const mean = this.meanServiceMsByKey.get(serviceTimeKey) ?? new SmoothedMean();
     this.meanServiceMsByKey.set(serviceTimeKey, mean);
     mean.add(warmMs);
+    this.measuredAtMsByKey.delete(serviceTimeKey);
+    this.measuredAtMsByKey.set(serviceTimeKey, this.clock.monotonicMs());
     this.meanServiceMs.add(warmMs);
   }
 
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -5,6 +5,7 @@
 import type { MeshConfiguration } from '../configuration/meshConfiguration.js';
 import { SmoothWeightedRoundRobin } from '../configuration/smoothWeightedRoundRobin.js';
 import type { Announcement } from '../directory/announcement.js';
+import type { GateLoad } from '../directory/gateLoad.js';
 import { Gossip } from '../peers/gossip.js';
 import { FailureDetector } from '../peers/failureDetector.js';
 import { StateServer } from '../peers/stateServer.js';
@@ -157,6 +158,7 @@
     this.client = new BackendServerClient(clock, headerNames);
     const { client } = this;
     const input = new PendingInputTracker(clock);
+    const observations = new GateObservations(clock, DEFAULT_SERVICE_TIME_MS);
     this.gate = new Gate({ clock, input, slots, backendServer, client, log, metrics });
     this.gossipSocket = new GossipSocket(
       (from, message) => {
@@ -176,9 +178,13 @@
         role,
         era,
         log,
+        gateLoad: () => this.reportGateLoad(observations),
       },
       identity,
-      (state) => this.meshState.acceptState(state),
+      {
+        onState: (state) => this.meshState.acceptState(state),
+        onGateLoad: (host, load) => observations.recordSharedLoad(host, load),
+      },
     );
     this.failureDetector = new FailureDetector(
       clock,
@@ -193,7 +199,6 @@
       identity.host,
     );
     const isSilent = (host: string): boolean => failureDetector.isSilent(host);
-    const observations = new GateObservations(clock, DEFAULT_SERVICE_TIME_MS);
     const nodeCount = (): number => directory.announcements.length;
     this.entry = new Entry(
       {
@@ -362,6 +367,15 @@
     this.client.close();
   }
 
+  /** Returns the load of the own gate to report to others, and takes it into account here, too. */
+  private reportGateLoad(observations: GateObservations): GateLoad | undefined {
+    const load = this.gate.reportLoad();
+    if (load !== undefined) {
+      observations.recordSharedLoad(this.identity.host, load);
+    }
+    return load;
+  }
+
   private onBackendServerChange(): void {
     const { heartbeat, ready } = this.backendServer;
     if (ready && heartbeat !== undefined) {
--- a/tests/peers/gossip.spec.ts
+++ b/tests/peers/gossip.spec.ts
@@ -1,6 +1,7 @@
 import { runInBackground } from 'lentillb/utils/background.js';
 import { SeededRandomness } from 'lentillb';
 import { ConfigurationHolder } from 'lentillb/configuration/configurationHolder.js';
+import type { GateLoad } from 'lentillb/directory/gateLoad.js';
 import { Directory } from 'lentillb/directory/directory.js';
 import { DecisionLog } from 'lentillb/observability/decisionLog.js';
 import { Gossip } from 'lentillb/peers/gossip.js';
@@ -49,6 +50,8 @@
   const storeUnreachable = new Set<string>();
   const sentCounts = new Map<string, number>();
   const gossips = new Map<string, Gossip>();
+  /** The loads that each host has received, by the host that sent them. */
+  const receivedLoads = new Map(nodes.map(({ host }) => [host, new Map<string, GateLoad>()]));
   nodes.forEach((node, index) => {
     nodes.forEach(({ host, zone }) => {
       node.directory.merge({
@@ -70,6 +73,7 @@
         directory: node.directory,
         role: node.role,
         era: node.era,
+        gateLoad: () => ({ load: index, failureShare: 0, serviceTimes: [] }),
         log,
         transport: {
           send: (address, message: GossipMessage) => {
@@ -90,11 +94,14 @@
         },
       },
       { host: node.host, zone: node.zone },
-      ({ announcements, change }) => {
-        announcements.forEach((announcement) => node.directory.merge(announcement));
-        if (change !== undefined) {
-          node.configuration.applyIfNewer(change);
-        }
+      {
+        onState: ({ announcements, change }) => {
+          announcements.forEach((announcement) => node.directory.merge(announcement));
+          if (change !== undefined) {
+            node.configuration.applyIfNewer(change);
+          }
+        },
+        onGateLoad: (host, load) => receivedLoads.get(node.host)?.set(host, load),
       },
     );
     gossips.set(node.host, gossip);
@@ -111,7 +118,7 @@
     }
   };
   runInBackground(readStore());
-  return { storeUnreachable, disconnected, gossips, nodes, sentCounts };
+  return { storeUnreachable, disconnected, gossips, nodes, receivedLoads, sentCounts };
 }
 
 const TWO_ZONES = { a1: 'a', a2: 'a', a3: 'a', a4: 'a', b1: 'b', b2: 'b', b3: 'b' };
@@ -124,10 +131,30 @@
       configurationVersion: 4_000_000_000,
       directoryDigest: 7,
       storeEra: 3,
+      gateLoad: undefined,
     };
     expect(decodeGossipMessage(encodeGossipMessage(message))).toEqual(message);
   });
 
+  it('should carry the load of a gate with at most four service times', () => {
+    const serviceTimes = Array.from({ length: 6 }, (_, index) => ({
+      routeHash: 4_000_000_000 + index,
+      meanMs: 100 * index,
+    }));
+    const message: GossipMessage = {
+      kind: GossipMessageKind.Status,
+      readsStore: false,
+      configurationVersion: 1,
+      directoryDigest: 7,
+      storeEra: 0,
+      gateLoad: { load: 70_000, failureShare: 0.2, serviceTimes },
+    };
+    expect(decodeGossipMessage(encodeGossipMessage(message))).toEqual({
+      ...message,
+      gateLoad: { load: 65_535, failureShare: 0.2, serviceTimes: serviceTimes.slice(0, 4) },
+    });
+  });
+
   it.each([[Buffer.alloc(0)], [Buffer.alloc(14)], [Buffer.from('l123456789012')]])(
     'should not be decoded from %s',
     (bytes) => {
@@ -248,6 +275,15 @@
     });
   });
 
+  it('should tell every node of a zone the load of every gate of it within 700 ms', async () => {
+    const clock = new ManualClock();
+    const { receivedLoads } = network(clock, TWO_ZONES);
+    await clock.advance(700);
+    expect([...(receivedLoads.get('a1')?.keys() ?? [])]).toEqual(
+      expect.arrayContaining(['a2', 'a3', 'a4']),
+    );
+  });
+
   it('should send fewer than 250 messages per node in ten seconds', async () => {
     const clock = new ManualClock();
     const { sentCounts } = network(clock, TWO_ZONES);
--- a/tests/serving/placement.spec.ts
+++ b/tests/serving/placement.spec.ts
@@ -7,6 +7,7 @@
 
 const SLOTS = 10;
 const TARGET_MS = 500;
+const ROUTE_HASH = 7;
 const NO_HOSTS: ReadonlySet<string> = new Set();
 
 function endpoint(host: string, zone: string): GateEndpoint {
@@ -34,7 +35,12 @@
   const near = endpoint('near', 'a');
   const far = endpoint('far', 'b');
   const choose = (excluded = NO_HOSTS): string | undefined =>
-    gateSelector.choose({ candidates: [near, far], excluded, targetMs: TARGET_MS })?.endpoint.host;
+    gateSelector.choose({
+      candidates: [near, far],
+      excluded,
+      targetMs: TARGET_MS,
+      routeHash: ROUTE_HASH,
+    })?.endpoint.host;
   return { choose, clock, far, near, observations, gateSelector, silent };
 }
 
@@ -131,4 +137,58 @@
       avoidedHosts: 1,
     });
   });
+
+  it('should prefer the gate whose node reports a short service time for the route', () => {
+    const { choose, far, near, observations } = fixture();
+    observations.of(near).recordServiceTime(100);
+    const report = { load: 0, failureShare: 0 };
+    observations.recordSharedLoad('near', {
+      ...report,
+      serviceTimes: [{ routeHash: ROUTE_HASH, meanMs: 600 }],
+    });
+    observations.of(far);
+    observations.recordSharedLoad('far', {
+      ...report,
+      serviceTimes: [{ routeHash: ROUTE_HASH, meanMs: 100 }],
+    });
+    expect(choose()).toBe('far');
+    observations.recordSharedLoad('near', { ...report, serviceTimes: [] });
+    expect(choose()).toBe('near');
+  });
+
+  it('should avoid a gate whose node reports failures, until the report is out of date', async () => {
+    const { choose, clock, near, observations } = fixture();
+    observations.of(near);
+    observations.recordSharedLoad('near', { load: 0, failureShare: 0.5, serviceTimes: [] });
+    expect(choose()).toBe('far');
+    await clock.advance(2_100);
+    expect(choose()).toBe('near');
+  });
+
+  it('should compare only some of many gates, so that nodes with the same reports choose differently', () => {
+    const clock = new ManualClock();
+    const observations = new GateObservations(clock, 100);
+    const candidates = Array.from({ length: 30 }, (_, index) => endpoint(`h${index}`, 'a'));
+    candidates.forEach((one, index) => {
+      observations.of(one);
+      observations.recordSharedLoad(one.host, {
+        load: 0,
+        failureShare: 0,
+        serviceTimes: [{ routeHash: ROUTE_HASH, meanMs: 100 + index * 10 }],
+      });
+    });
+    const selector = new GateSelector(
+      { observations, randomness: new SeededRandomness(3), isSilent: () => false },
+      'a',
+    );
+    const chosen = Array.from({ length: 40 }, () =>
+      selector.choose({
+        candidates,
+        excluded: NO_HOSTS,
+        targetMs: TARGET_MS,
+        routeHash: ROUTE_HASH,
+      }),
+    ).map((placement) => placement?.endpoint.host);
+    expect(new Set(chosen).size).toBeGreaterThan(3);
+  });
 });
--- a/tests/serving/slotQueue.spec.ts
+++ b/tests/serving/slotQueue.spec.ts
@@ -1,5 +1,5 @@
 import { SeededRandomness } from 'lentillb';
-import { Admission, WaitLimit, SlotQueue } from 'lentillb/serving/slotQueue.js';
+import { Admission, ServiceTimeSample, SlotQueue, WaitLimit } from 'lentillb/serving/slotQueue.js';
 import { describe, expect, it } from 'vitest';
 import { ManualClock } from '../support/manualClock.js';
 import { createRecordedRequest } from '../support/slotRequests.js';
@@ -13,7 +13,7 @@
   const sample = createRecordedRequest({ deadlineAtMs: Infinity, targetAtMs: Infinity });
   queue.admit(sample.request);
   await clock.advance(SERVICE_MS);
-  sample.slot?.release(true);
+  sample.slot?.release(ServiceTimeSample.Exact);
   return queue;
 }
 
@@ -88,7 +88,7 @@
     const order = [running, most, call, sooner, later, least];
     order.slice(1).forEach((expected, index) => {
       expect(expected.slot).toBeUndefined();
-      order[index]?.slot?.release(true);
+      order[index]?.slot?.release(ServiceTimeSample.Exact);
       expect(expected.slot).toBeDefined();
     });
   });
@@ -102,7 +102,7 @@
     const waiting = createRecordedRequest({ targetAtMs: nowMs + 200, deadlineAtMs: nowMs + 200 });
     queue.admit(waiting.request);
     await clock.advance(190);
-    running.slot?.release(true);
+    running.slot?.release(ServiceTimeSample.Exact);
     expect(waiting.dropped).toBe(true);
     expect(waiting.slot).toBeUndefined();
   });
@@ -116,7 +116,7 @@
     const waiting = createRecordedRequest({ targetAtMs: nowMs + 400, deadlineAtMs: nowMs + 500 });
     const { cancel } = queue.admit(waiting.request);
     cancel();
-    running.slot?.release(true);
+    running.slot?.release(ServiceTimeSample.Exact);
     expect(waiting.slot).toBeUndefined();
     expect(waiting.dropped).toBe(false);
   });
@@ -157,7 +157,7 @@
           onGranted: (slot) => {
             mostRunning = Math.max(mostRunning, queue.load.running);
             clock.after(SERVICE_MS * (0.5 + randomness.fraction()), () => {
-              slot.release(true);
+              slot.release(ServiceTimeSample.Exact);
               if (clock.monotonicMs() <= targetAtMs) {
                 onTime += 1;
               } else {
@@ -180,4 +180,22 @@
     expect(late).toBeLessThan(capacity * 0.05);
     expect(dropped).toBeLessThan(capacity * 0.02);
   });
+
+  it('should expect long service times once requests are cut off at their deadline', async () => {
+    const clock = new ManualClock();
+    const queue = await measuredQueue(clock, 4);
+    const cutOff = createRecordedRequest({ deadlineAtMs: Infinity, targetAtMs: Infinity });
+    queue.admit(cutOff.request);
+    await clock.advance(SERVICE_MS * 9);
+    cutOff.slot?.release(ServiceTimeSample.AtLeast);
+    const { serviceTimeKey } = cutOff.request;
+    expect(queue.recentServiceTimes(1_000)).toEqual([[serviceTimeKey, SERVICE_MS * 5]]);
+    const short = createRecordedRequest({ deadlineAtMs: Infinity, targetAtMs: Infinity });
+    queue.admit(short.request);
+    await clock.advance(SERVICE_MS);
+    short.slot?.release(ServiceTimeSample.AtLeast);
+    expect(queue.recentServiceTimes(1_000)).toEqual([[serviceTimeKey, SERVICE_MS * 5]]);
+    await clock.advance(2_000);
+    expect(queue.recentServiceTimes(1_000)).toEqual([]);
+  });
 });
