Check deadline and caller again after a pause, before a request is sent

Cause: a request to a new connection was handed to the socket at once, which writes it as soon as the connection stands. A gate sent a request that it had admitted before a pause although its deadline had passed, with 0 ms left. A time-out before anything was written was reported as an unknown outcome.

Now the request is written once the connection stands and, after a pause, the pending input has been read and the time is not over; what was not written is reported as not sent. The gate compares the deadline at the moment of sending.

--- a/packages/lentillb/src/serving/exchange.ts
+++ b/packages/lentillb/src/serving/exchange.ts
@@ -3,7 +3,8 @@
 import type { Agent, ClientRequest, IncomingMessage } from 'node:http';
 import type { Result } from 'ts-results-es';
 import { Err, Ok } from 'ts-results-es';
-import { afterPendingInput } from '../utils/pendingInput.js';
+import { runInBackground } from '../utils/background.js';
+import { afterPendingInput, MAX_INPUT_AGE_MS, waitForPendingInput } from '../utils/pendingInput.js';
 import { parseAddress } from '../utils/networkAddress.js';
 import type { HeaderFields } from '../calls/callHeaders.js';
 import type { Cancellation } from '../calls/cancellation.js';
@@ -30,6 +31,11 @@
    * charged.
    */
   readonly isTerse?: boolean;
+  /**
+   * Returns whether an answer clearly belongs to this request. If not, its connection is not reused:
+   * another answer may follow and be taken for the next one. By default, every answer does.
+   */
+  readonly isOwnAnswer?: (headers: IncomingMessage['headers'], status: number) => boolean;
 }
 
 /** A complete answer. */
@@ -37,8 +43,6 @@
   readonly status: number;
   readonly headers: IncomingMessage['headers'];
   readonly body: Buffer;
-  /** Closes the connection instead of keeping it for reuse. */
-  readonly discardConnection: () => void;
 }
 
 /** The reasons why there is no complete answer. */
@@ -75,9 +79,11 @@
 
   private readonly outgoing: ClientRequest;
 
+  private readonly openedAtMs: number;
+
   private readonly cleanups: (() => void)[] = [];
 
-  private connected = false;
+  private sent = false;
 
   private hasResponse = false;
 
@@ -90,6 +96,7 @@
     this.result = new Promise((resolve) => {
       this.settle = resolve;
     });
+    this.openedAtMs = clock.monotonicMs();
     this.outgoing = this.open();
     this.outgoing.on('error', (error: NodeJS.ErrnoException) => this.fail(this.failureOf(error)));
     this.outgoing.on('response', (response) => this.readResponse(response));
@@ -97,13 +104,10 @@
     this.watchConnection();
     this.cleanups.push(
       afterPendingInput(clock, request.timeoutMs, () =>
-        this.fail(this.connected ? ExchangeFailure.TimedOut : ExchangeFailure.NotSent),
+        this.fail(this.sent ? ExchangeFailure.TimedOut : ExchangeFailure.NotSent),
       ),
       request.cancellation.onCancel(() => this.fail(ExchangeFailure.Cancelled)),
     );
-    if (!this.done) {
-      this.outgoing.end(request.body);
-    }
   }
 
   private open(): ClientRequest {
@@ -125,7 +129,7 @@
   private watchConnection(): void {
     this.outgoing.on('socket', (socket) => {
       if (!socket.connecting) {
-        this.connected = true;
+        this.send();
         return;
       }
       const stopTimer = afterPendingInput(this.clock, this.request.connectTimeoutMs, () =>
@@ -133,14 +137,41 @@
       );
       this.cleanups.push(stopTimer);
       socket.once('connect', () => {
-        this.connected = true;
         stopTimer();
+        runInBackground(this.sendOnNewConnection());
       });
     });
   }
 
+  /**
+   * Sends the request on a connection that has just been established. If the process was paused
+   * meanwhile, the caller may have left or the time may be over, and this has not been read yet.
+   */
+  private async sendOnNewConnection(): Promise<void> {
+    const { clock, openedAtMs, request } = this;
+    if (clock.monotonicMs() - openedAtMs > MAX_INPUT_AGE_MS) {
+      await waitForPendingInput();
+    }
+    if (clock.monotonicMs() - openedAtMs >= request.timeoutMs) {
+      this.fail(ExchangeFailure.NotSent);
+    }
+    this.send();
+  }
+
+  private send(): void {
+    if (!this.done) {
+      this.sent = true;
+      this.outgoing.end(this.request.body);
+    }
+  }
+
   private readResponse(response: IncomingMessage): void {
     this.hasResponse = true;
+    const { isOwnAnswer } = this.request;
+    if (isOwnAnswer?.(response.headers, response.statusCode ?? 0) === false) {
+      // Destroying the request has no effect any more once its answer is complete.
+      this.outgoing.shouldKeepAlive = false;
+    }
     let wasReset = false;
     // Data that arrives together with a reset is reported as a regular end. Only the missing remote
     // address reveals the reset.
@@ -165,16 +196,13 @@
         return;
       }
       const { headers, statusCode = 0 } = response;
-      const discardConnection = (): void => {
-        this.outgoing.destroy();
-      };
       const body = answer.concat();
-      this.finish(Ok({ status: statusCode, headers, body, discardConnection }));
+      this.finish(Ok({ status: statusCode, headers, body }));
     });
   }
 
   private failureOf({ code = '' }: NodeJS.ErrnoException): ExchangeFailure {
-    if (!this.connected) {
+    if (!this.sent) {
       return ExchangeFailure.NotSent;
     }
     if (PARSE_ERROR.test(code)) {
--- a/packages/lentillb/src/serving/gate.ts
+++ b/packages/lentillb/src/serving/gate.ts
@@ -224,6 +224,9 @@
     if (request.cancellation.reason !== undefined) {
       return notRun(FailureCause.CallerGone);
     }
+    if (clock.monotonicMs() >= request.deadlineAtMs) {
+      return notRun(FailureCause.WaitedTooLong);
+    }
     const { heartbeat } = backendServer;
     if (!backendServer.ready || heartbeat === undefined) {
       return notRun(FailureCause.NotServing);
--- a/packages/lentillb/src/utils/pendingInput.ts
+++ b/packages/lentillb/src/utils/pendingInput.ts
@@ -15,7 +15,7 @@
 }
 
 /** The maximum age of the state of a connection on which a decision is based, in milliseconds. */
-const MAX_INPUT_AGE_MS = 20;
+export const MAX_INPUT_AGE_MS = 20;
 
 /** Tracks the time up to which the input of this process has been read. */
 export class PendingInputTracker {
--- /dev/null
+++ b/tests/serving/pausedProcess.spec.ts
@@ -0,0 +1,135 @@
+import { Agent, createServer } from 'node:http';
+import type { Server } from 'node:http';
+import { connect } from 'node:net';
+import { listenOnLoopback } from '@lentillb/standins';
+import { SystemClock } from 'lentillb';
+import { Cancellation, CancelReason } from 'lentillb/calls/cancellation.js';
+import { DecisionLog } from 'lentillb/observability/decisionLog.js';
+import { MetricsRegistry } from 'lentillb/observability/metricsRegistry.js';
+import { Gate } from 'lentillb/serving/gate.js';
+import { ExchangeFailure } from 'lentillb/serving/exchange.js';
+import { LocalBackendServer } from 'lentillb/serving/localBackendServer.js';
+import type { ForwardedRequest } from 'lentillb/serving/messages.js';
+import { FailureCause } from 'lentillb/serving/messages.js';
+import { SlotQueue, WaitLimit } from 'lentillb/serving/slotQueue.js';
+import { parseAddress } from 'lentillb/utils/networkAddress.js';
+import { Ok } from 'ts-results-es';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { blockEventLoop } from '../support/blockEventLoop.js';
+import { ManualClock } from '../support/manualClock.js';
+import { sendRequest } from '../support/sendRequest.js';
+
+const PAUSE_MS = 150;
+const DEADLINE_MS = 1_000;
+
+let backend: Server;
+let backendAddress: string;
+let runs: number;
+
+beforeEach(async () => {
+  runs = 0;
+  backend = createServer((_, response) => {
+    runs += 1;
+    response.end();
+  });
+  backendAddress = await listenOnLoopback(backend);
+});
+
+afterEach(() => {
+  backend.closeAllConnections();
+  backend.close();
+});
+
+describe('a process that was paused while it connected to another', () => {
+  it('should not send a request whose caller left meanwhile', async () => {
+    const cancellation = new Cancellation();
+    const agent = new Agent();
+    agent.createConnection = () => {
+      const socket = connect(parseAddress(backendAddress));
+      // The end of the caller's connection is read right after the new connection is established.
+      socket.once('connect', () =>
+        setImmediate(() => cancellation.cancel(CancelReason.CallerGone)),
+      );
+      return socket;
+    };
+    const sent = sendRequest(backendAddress, { agent, cancellation, timeoutMs: 2_000 });
+    await new Promise<void>((resolve) => {
+      process.nextTick(resolve);
+    });
+    blockEventLoop(PAUSE_MS);
+    expect((await sent).isErr()).toBe(true);
+    await new SystemClock().sleep(50);
+    expect(runs).toBe(0);
+  });
+
+  it('should not send a request whose time is over, and report that it did not run', async () => {
+    const sent = sendRequest(backendAddress, { agent: new Agent(), timeoutMs: PAUSE_MS / 2 });
+    await new Promise<void>((resolve) => {
+      process.nextTick(resolve);
+    });
+    blockEventLoop(PAUSE_MS);
+    expect((await sent).unwrapErr()).toBe(ExchangeFailure.NotSent);
+    await new SystemClock().sleep(50);
+    expect(runs).toBe(0);
+  });
+});
+
+describe('a process that was paused after it admitted a request', () => {
+  it('should refuse the request as not run when its deadline has passed meanwhile', async () => {
+    const clock = new ManualClock();
+    const backendServer = new LocalBackendServer(clock, () => undefined);
+    backendServer.finishRestoring();
+    backendServer.accept({
+      id: 'i',
+      service: 's',
+      address: 'b:1',
+      slots: 2,
+      draining: false,
+      warmupLeftMs: 0,
+      sequence: 1,
+      startedAtMs: 1,
+    });
+    const slots = new SlotQueue(clock, () => false);
+    slots.resize(2);
+    let sent = 0;
+    const gate = new Gate({
+      clock,
+      slots,
+      backendServer,
+      log: new DecisionLog(clock, { info: () => undefined, warn: () => undefined }),
+      metrics: new MetricsRegistry(),
+      input: { waitUntilRecentlyRead: () => clock.advance(DEADLINE_MS + 1) },
+      client: {
+        send: () => {
+          sent += 1;
+          return Promise.resolve(
+            Ok({ status: 200, headers: {}, body: Buffer.alloc(0), unframed: false }),
+          );
+        },
+      },
+    });
+    const request: ForwardedRequest = {
+      requestId: 'r',
+      method: 'POST',
+      target: '/',
+      headers: {},
+      body: Buffer.alloc(0),
+      service: 's',
+      route: 'order',
+      priority: 1,
+      repeatable: false,
+      targetLatencyMs: 500,
+      targetAtMs: clock.monotonicMs() + 500,
+      deadlineAtMs: clock.monotonicMs() + DEADLINE_MS,
+      waitLimit: WaitLimit.OnTime,
+      cancellation: new Cancellation(),
+    };
+    const { result } = await gate.serve(request);
+    expect(result.unwrapErr()).toMatchObject({
+      outcome: 'not-run',
+      cause: FailureCause.WaitedTooLong,
+    });
+    expect(sent).toBe(0);
+    expect(slots.load.running).toBe(0);
+  });
+});
