Use no connection again whose answer may be another request's

Found: data that arrived on an idle connection was dropped unread, so the rest of such a copy met the next request and cost it its answer; a connection was meant to be closed after an answer with another identity, but destroying a request whose answer is complete has no effect, so it was reused; a failure without any identity was delivered to whoever came next; and after a rejection, which may lack the identity, a late copy would have refused the next request as not run while it ran.

Now data on an idle connection closes it, an answer that does not name its request ends the reuse of its connection before it is freed, and only a rejection is accepted without the identity.

Ruled out: an identity on every rejection (the platform's have none). A backend server that hangs when it is full costs one request its answer and no later one: shown by a test that passed before, too.

--- a/packages/lentillb/src/serving/backendServerClient.ts
+++ b/packages/lentillb/src/serving/backendServerClient.ts
@@ -96,28 +96,38 @@
       connectTimeoutMs: Math.min(remainingMs, CONNECT_TIMEOUT_MS),
       timeoutMs: remainingMs + ANSWER_GRACE_MS,
       cancellation,
+      isOwnAnswer: (answerHeaders, status) => this.isOwnAnswer(request, answerHeaders, status),
     });
   }
 
+  /** A rejection may lack the identity; it is valid, but a late copy of it could not be recognized. */
+  private isOwnAnswer(
+    request: ForwardedRequest,
+    headers: ExchangeAnswer['headers'],
+    status: number,
+  ): boolean {
+    const { requestId, seal } = this.names;
+    const isUnsealed = status >= 200 && status < 300 && headers[seal] === undefined;
+    return (
+      headers[requestId] === request.requestId &&
+      headers['content-encoding'] === undefined &&
+      !isUnsealed
+    );
+  }
+
   private toBackendAnswer(
     request: ForwardedRequest,
-    { body, discardConnection, headers, status }: ExchangeAnswer,
+    { body, headers, status }: ExchangeAnswer,
   ): Result<BackendAnswer, ForwardFailure> {
-    const { notRun, requestId, seal } = this.names;
+    const { notRun, requestId } = this.names;
     const echoed = headers[requestId];
-    if (echoed !== undefined && echoed !== request.requestId) {
-      discardConnection();
-      return Err({ outcome: Outcome.Unknown, cause: FailureCause.InvalidAnswer });
-    }
-    if (headers[notRun] !== undefined || status === MISDIRECTED_REQUEST) {
+    const isOfAnother = echoed !== undefined && echoed !== request.requestId;
+    if (!isOfAnother && (headers[notRun] !== undefined || status === MISDIRECTED_REQUEST)) {
       const cause =
         status === MISDIRECTED_REQUEST ? FailureCause.NotServing : FailureCause.Rejected;
       return Err({ outcome: Outcome.NotRun, cause });
     }
-    const success = status >= 200 && status < 300;
-    const unsealed = headers[seal] === undefined || echoed === undefined;
-    if (headers['content-encoding'] !== undefined || (success && unsealed)) {
-      discardConnection();
+    if (!this.isOwnAnswer(request, headers, status)) {
       return Err({ outcome: Outcome.Unknown, cause: FailureCause.InvalidAnswer });
     }
     const unframed = isUnframed(headers);
--- a/packages/lentillb/src/serving/connectionPool.ts
+++ b/packages/lentillb/src/serving/connectionPool.ts
@@ -28,6 +28,10 @@
   readonly maxIdle: number;
 }
 
+function destroyOnData(this: Socket): void {
+  this.destroy();
+}
+
 function peerIdleMs(socket: Socket): number {
   const message =
     // eslint-disable-next-line no-underscore-dangle -- Node's Agent reads the header from here, too
@@ -73,11 +77,14 @@
     }
     socket.setTimeout(idleMs);
     socket.unref();
+    // Nothing was asked for, so what arrives now would be taken for the next answer, or spoil it.
+    socket.on('data', destroyOnData);
     return true;
   }
 
   override reuseSocket(stream: Duplex, request: ClientRequest): void {
     (stream as Socket).setTimeout(0);
+    stream.off('data', destroyOnData);
     super.reuseSocket(stream, request);
   }
 }
--- a/tests/serving/connectionPool.spec.ts
+++ b/tests/serving/connectionPool.spec.ts
@@ -13,6 +13,7 @@
 import { wireHeaders } from '@lentillb/platform';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { freeAddress } from '../support/freeAddress.js';
+import { encodeResponse, ScriptedServer } from '../support/scriptedServer.js';
 
 /** The idle time after which the backend server resets a connection without announcing it. */
 const SERVER_IDLE_TIMEOUT_MS = 60;
@@ -98,6 +99,78 @@
   });
 });
 
+describe('a connection to a backend server that sends a second copy of an answer', () => {
+  it('should not be used again when the copy arrived while it was idle', async () => {
+    let markSent: (() => void) | undefined;
+    const copySent = new Promise<void>((resolve) => {
+      markSent = resolve;
+    });
+    let spoiltPort: number | undefined;
+    const scripted = new ScriptedServer((socket, count) => {
+      const head = `${wireHeaders.requestId}: r\r\n${wireHeaders.seal}: seal\r\n`;
+      if (socket.remotePort === spoiltPort) {
+        socket.write('rest of the copy\r\n\r\n');
+      }
+      socket.write(encodeResponse(`answer ${count}`, head));
+      if (count === 1) {
+        spoiltPort = socket.remotePort;
+        setTimeout(() => socket.write('HTTP/1.1 200 OK\r\nx-late: ', markSent), 30);
+      }
+    });
+    serverAddress = `127.0.0.1:${await scripted.listen()}`;
+    expect(await send()).toBe(true);
+    await copySent;
+    await clock.sleep(20);
+    expect(await send()).toBe(true);
+    scripted.close();
+  });
+
+  it.each([
+    ['a rejection that names no request', `HTTP/1.1 503 Busy\r\n${wireHeaders.notRun}: 1`],
+    ['the answer to another request', `HTTP/1.1 200 OK\r\n${wireHeaders.requestId}: other`],
+  ])('should not be used again after %s', async (_, head) => {
+    const ports = new Set<number | undefined>();
+    const scripted = new ScriptedServer((socket) => {
+      socket.write(`${head}\r\ncontent-length: 0\r\n\r\n`);
+      ports.add(socket.remotePort);
+    });
+    serverAddress = `127.0.0.1:${await scripted.listen()}`;
+    expect([await send(), await send()]).toEqual([false, false]);
+    expect(ports.size).toBe(2);
+    scripted.close();
+  });
+
+  it('should not deliver a failure that names no request', async () => {
+    const scripted = new ScriptedServer((socket) => {
+      socket.write('HTTP/1.1 500 Failed\r\ncontent-length: 0\r\n\r\n');
+    });
+    serverAddress = `127.0.0.1:${await scripted.listen()}`;
+    expect(await send()).toBe(false);
+    scripted.close();
+  });
+});
+
+describe('a backend server that never answers what it cannot queue', () => {
+  it('should cost one request its answer, and its connection, but no later request', async () => {
+    const silentPorts = new Set<number | undefined>();
+    const scripted = new ScriptedServer((socket, count) => {
+      if (count === 1) {
+        silentPorts.add(socket.remotePort);
+      }
+      if (!silentPorts.has(socket.remotePort)) {
+        const head = `${wireHeaders.requestId}: r\r\n${wireHeaders.seal}: seal\r\n`;
+        socket.write(encodeResponse('answer', head));
+      }
+    });
+    serverAddress = `127.0.0.1:${await scripted.listen()}`;
+    const request = { ...forwardedRequest(), deadlineAtMs: clock.monotonicMs() + 200 };
+    const unanswered = await client.send(request, { address: serverAddress, instanceId: 'i' });
+    expect(unanswered.unwrapErr()).toEqual({ outcome: 'unknown', cause: 'deadline-passed' });
+    expect([await send(), await send()]).toEqual([true, true]);
+    scripted.close();
+  });
+});
+
 describe('connections between nodes', () => {
   it('should omit headers that HTTP/1.1 implies, and be kept alive', async () => {
     const seen: string[] = [];
