Add lentillb experiment, which plays a scenario on an emulated fleet

The load player behind the tests of placement becomes a command: a checked scenario file in, a table or JSON of what callers of each kind and zone get out, with seeds.

--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -6,6 +6,7 @@
 import { check } from './commands/check.js';
 import { dev } from './commands/dev.js';
 import { diff } from './commands/diff.js';
+import { experiment } from './commands/experiment.js';
 import { explain } from './commands/explain.js';
 import { history } from './commands/history.js';
 import { node } from './commands/node.js';
@@ -29,6 +30,7 @@
   trace,
   node,
   dev,
+  experiment,
 ];
 
 const HELP = `
--- a/packages/lentillb/src/index.ts
+++ b/packages/lentillb/src/index.ts
@@ -43,3 +43,8 @@
 export { MessageQueue } from './utils/messageQueue.js';
 export { readJson } from './utils/readJson.js';
 export { Repetition } from './rules/ruleForms.js';
+export { EmulatedFleet } from './emulation/emulatedFleet.js';
+export type { RunOptions } from './emulation/emulatedFleet.js';
+export type { ResultCounts } from './emulation/callerTally.js';
+export { checkScenario } from './emulation/scenario.js';
+export type { Scenario } from './emulation/scenario.js';
