Answer what has arrived when a planned stop closes the listener

Found, twice: closing idle connections closed kept ones on which a request had arrived but had not been read, and closing the listener reset connections that callers had established but Node.js, which accepts one a turn, had not accepted.

The listener now first accepts what waits, then stops accepting, reads what has arrived, and closes what is idle after that. At this point of a stop the entry refuses new requests as not run, so callers get a true refusal in place of a reset.

--- a/packages/lentillb/src/serving/callerListener.ts
+++ b/packages/lentillb/src/serving/callerListener.ts
@@ -4,6 +4,7 @@
 import { parseAddress } from '../utils/networkAddress.js';
 import { runInBackground } from '../utils/background.js';
 import { listenAt, stopAccepting } from '../utils/listening.js';
+import { waitForPendingInput } from '../utils/pendingInput.js';
 import type { PendingInputTracker } from '../utils/pendingInput.js';
 import { cancelOnDisconnect } from '../calls/callerDisconnect.js';
 import type { CallerLimits } from '../configuration/meshConfiguration.js';
@@ -23,6 +24,8 @@
  * at once.
  */
 const ACCEPT_BACKLOG = 1_024;
+/** The maximum number of turns of the event loop in which connections are accepted at a stop. */
+const MAX_ACCEPT_TURNS = 2 * ACCEPT_BACKLOG;
 const DEFAULT_IDLE_MS = 60_000;
 
 const HttpStatus = {
@@ -76,6 +79,8 @@
 
   private active = 0;
 
+  private acceptedCount = 0;
+
   constructor(
     private readonly clock: Clock,
     private readonly input: PendingInputTracker,
@@ -94,6 +99,9 @@
         runInBackground(this.serve(request, response));
       },
     );
+    this.server.on('connection', () => {
+      this.acceptedCount += 1;
+    });
   }
 
   /** The number of requests in flight. */
@@ -128,7 +136,25 @@
     this.leaving = true;
   }
 
-  /** Stops accepting connections and closes idle ones. */
+  /**
+   * Stops accepting connections at a planned stop, and closes idle ones. Connections that callers have
+   * already established are accepted first, since closing the listener would reset them. A connection
+   * is not idle if a request has arrived on it but has not been read yet.
+   */
+  async stopGracefully(): Promise<void> {
+    for (let turn = 0; turn < MAX_ACCEPT_TURNS; turn += 1) {
+      const { acceptedCount } = this;
+      await waitForPendingInput();
+      if (this.acceptedCount === acceptedCount) {
+        break;
+      }
+    }
+    stopAccepting(this.server);
+    await waitForPendingInput();
+    this.server.closeIdleConnections();
+  }
+
+  /** Stops accepting connections at once, and closes idle ones. */
   close(): void {
     stopAccepting(this.server);
     this.server.closeIdleConnections();
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -343,7 +343,7 @@
     await clock.sleep(CALLER_DRAIN_MS);
     this.entry.close();
     this.gate.close();
-    this.callers.close();
+    await this.callers.stopGracefully();
     const endMs = startedMs + this.options.stopTimeoutMs - SHUTDOWN_RESERVE_MS;
     while (clock.monotonicMs() < endMs && this.gate.inFlight + this.callers.inFlight > 0) {
       await clock.sleep(IDLE_POLL_MS);
