Keep the run on a silent host while another backend server is tried

Found: a repeatable request in flight to a host that had answered nothing for 450 ms was cancelled there, which ended its run, and began anew elsewhere, or ended with 502 if no retry was left.

Now the request goes on at the silent host while another is tried, the first answer is delivered and the other attempt ends. If nothing else can be tried, the answer is awaited for a third of the remaining time, so that the caller of a dead host still has time to try again. Non-repeatable requests waited before and still do.

--- a/packages/lentillb/src/calls/call.ts
+++ b/packages/lentillb/src/calls/call.ts
@@ -77,6 +77,7 @@
 export const cancellationFailureReasons: Record<CancelReason, FailureReason> = {
   [CancelReason.DeadlinePassed]: FailureReason.DeadlinePassed,
   [CancelReason.CallerGone]: FailureReason.CallerGone,
+  [CancelReason.AnsweredElsewhere]: FailureReason.CallerGone,
 };
 
 /** A call that got no response. */
--- a/packages/lentillb/src/calls/cancellation.ts
+++ b/packages/lentillb/src/calls/cancellation.ts
@@ -7,6 +7,8 @@
 export const CancelReason = {
   DeadlinePassed: 'deadline-passed',
   CallerGone: 'caller-gone',
+  /** Another backend server answered the request. */
+  AnsweredElsewhere: 'answered-elsewhere',
 } as const;
 export type CancelReason = (typeof CancelReason)[keyof typeof CancelReason];
 
--- a/packages/lentillb/src/serving/attempts.ts
+++ b/packages/lentillb/src/serving/attempts.ts
@@ -1,6 +1,7 @@
 /** Tracks the attempts to serve one request. */
 import { Outcome } from '../calls/callHeaders.js';
 import type { MeshRoute } from '../configuration/meshConfiguration.js';
+import { LateAnswers } from './lateAnswers.js';
 import type { BackendAnswer, ForwardedRequest, ForwardFailure } from './messages.js';
 import { FailureCause } from './messages.js';
 
@@ -27,6 +28,8 @@
   /** Whether any backend server may have run the request. */
   mayHaveRun = false;
 
+  readonly lateAnswers = new LateAnswers();
+
   /**
    * @param request - the request as it is forwarded
    * @param route - the route that the request matches
--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -5,7 +5,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import { parseIntegerHeader, Outcome, forwardedHeaders } from '../calls/callHeaders.js';
 import type { HeaderFields } from '../calls/callHeaders.js';
-import type { Cancellation } from '../calls/cancellation.js';
+import { Cancellation, CancelReason } from '../calls/cancellation.js';
 import type { ConfigurationHolder } from '../configuration/configurationHolder.js';
 import type { MeshRoute } from '../configuration/meshConfiguration.js';
 import type { SmoothWeightedRoundRobin } from '../configuration/smoothWeightedRoundRobin.js';
@@ -100,8 +100,19 @@
   [FailureCause.ConnectFailed]: 50,
 };
 
+/**
+ * The share of the remaining time for which the answer of a host that stopped responding is awaited
+ * once no other attempt is possible; the rest remains for the caller to try again.
+ */
+const MAX_LATE_WAIT_SHARE = 1 / 3;
+
 const EMPTY_BODY = Buffer.alloc(0);
 
+/** Cancels a request when its caller leaves, until the returned function is called. */
+function linkCancellation(caller: Cancellation, attempts: Cancellation): () => void {
+  return caller.onCancel(() => attempts.cancel(caller.reason ?? CancelReason.CallerGone));
+}
+
 /** Forwards the requests of the callers on this host. */
 export class Entry {
   private closing = false;
@@ -144,15 +155,35 @@
     const forwarded = this.toForwardedRequest(request, route);
     this.services.allowance.recordRequest(forwarded.service);
     const attempts = new Attempts(forwarded, route);
-    const answer = await this.tryGates(attempts);
+    const stopLink = linkCancellation(request.cancellation, forwarded.cancellation);
+    const answer = await this.firstAnswer(attempts);
+    stopLink();
+    // Ends the attempts that are still under way.
+    forwarded.cancellation.cancel(CancelReason.AnsweredElsewhere);
     return answer === undefined
       ? this.answerFailure(request, attempts)
       : this.deliverAnswer(request, attempts, answer);
   }
 
+  /** Returns the first answer of the attempts; undefined if there is none. */
+  private async firstAnswer(attempts: Attempts): Promise<BackendAnswer | undefined> {
+    const { lateAnswers, request } = attempts;
+    const answer = await Promise.race([this.tryGates(attempts), lateAnswers.first]);
+    if (answer !== undefined || lateAnswers.isEmpty) {
+      return answer;
+    }
+    const { clock } = this.services;
+    const remainingMs = Math.max(0, request.deadlineAtMs - clock.monotonicMs());
+    return Promise.race([
+      lateAnswers.first,
+      lateAnswers.untilEnded(),
+      clock.sleep(remainingMs * MAX_LATE_WAIT_SHARE).then(() => undefined),
+    ]);
+  }
+
   private toForwardedRequest(request: CallerRequest, route: MeshRoute): ForwardedRequest {
     const { callerService, names } = this.options;
-    const { arrivedAtMs, body, cancellation, headers, method, target } = request;
+    const { arrivedAtMs, body, headers, method, target } = request;
     const requestedMs = parseIntegerHeader(headers, names.deadlineMs) ?? route.timeoutMs;
     const longestMs = Math.max(requestedMs, this.longestDeadlineMsByRoute.get(route.name) ?? 0);
     this.longestDeadlineMsByRoute.set(route.name, longestMs);
@@ -179,7 +210,7 @@
       targetAtMs: arrivedAtMs + route.targetLatencyMs - (longestMs - requestedMs),
       deadlineAtMs: arrivedAtMs + Math.min(requestedMs, route.timeoutMs),
       waitLimit: WaitLimit.OnTime,
-      cancellation,
+      cancellation: new Cancellation(),
     };
   }
 
@@ -238,6 +269,9 @@
     const reply = await gateForwarder.call(endpoint, { ...attempts.request, waitLimit });
     observation.recordEnd();
     this.recordReply(endpoint, reply);
+    if (reply.lateReply !== undefined) {
+      attempts.lateAnswers.add(this.lateAnswer(endpoint, reply.lateReply));
+    }
     if (reply.result.isErr()) {
       attempts.recordFailure(endpoint.host, reply.result.error);
       return undefined;
@@ -251,6 +285,16 @@
     return undefined;
   }
 
+  private async lateAnswer(
+    endpoint: Placement['endpoint'],
+    lateReply: Promise<GateReply>,
+  ): Promise<BackendAnswer | undefined> {
+    const reply = await lateReply;
+    this.recordReply(endpoint, reply);
+    const { result } = reply;
+    return result.isOk() && result.value.status < HttpStatus.ServerError ? result.value : undefined;
+  }
+
   private recordReply(endpoint: Placement['endpoint'], { report, result }: GateReply): void {
     const observation = this.services.observations.of(endpoint);
     if (report !== undefined) {
--- a/packages/lentillb/src/serving/gateForwarder.ts
+++ b/packages/lentillb/src/serving/gateForwarder.ts
@@ -2,7 +2,6 @@
 import { Err } from 'ts-results-es';
 import { forwardFailures } from './exchangeFailures.js';
 import { Outcome } from '../calls/callHeaders.js';
-import { Cancellation, CancelReason } from '../calls/cancellation.js';
 import type { GateEndpoint } from '../directory/directory.js';
 import type { Clock } from '../kernel/clock.js';
 import type { PendingInputTracker } from '../utils/pendingInput.js';
@@ -10,7 +9,7 @@
 import { exchange, ExchangeFailure } from './exchange.js';
 import type { Gate } from './gate.js';
 import { decodeReply, requestHeaders } from './gateProtocol.js';
-import type { ForwardedRequest, GateReply } from './messages.js';
+import type { ForwardedRequest, ForwardFailure, GateReply } from './messages.js';
 import { FailureCause } from './messages.js';
 
 /** The maximum idle time of connections between nodes; gates keep theirs open longer. */
@@ -47,6 +46,10 @@
   markHeard(host: string): void;
 }
 
+function unreported(failure: ForwardFailure): GateReply {
+  return { result: Err(failure), report: undefined };
+}
+
 /** Sends requests to the gates of all hosts. */
 export class GateForwarder {
   private readonly pool: ConnectionPool;
@@ -74,26 +77,42 @@
    * @returns the reply of the gate, or a failure without a report if none arrived
    */
   async call(endpoint: GateEndpoint, request: ForwardedRequest): Promise<GateReply> {
-    const { clock, gate, input, links } = this.services;
+    const { gate, input, links } = this.services;
     if (endpoint.host === this.ownHost) {
       return gate.serve(request);
     }
     await input.waitUntilRecentlyRead();
     if (request.cancellation.reason !== undefined) {
-      const cancelledFailure = { outcome: Outcome.NotRun, cause: FailureCause.CallerGone };
-      return { result: Err(cancelledFailure), report: undefined };
+      return unreported({ outcome: Outcome.NotRun, cause: FailureCause.CallerGone });
     }
-    const remainingMs = Math.max(0, request.deadlineAtMs - clock.monotonicMs());
-    const exchangeCancellation = new Cancellation();
-    const stopCancel = request.cancellation.onCancel(() =>
-      exchangeCancellation.cancel(CancelReason.CallerGone),
-    );
-    // A request that may not be repeated keeps waiting, because its answer may still arrive.
-    const stopWatch = links.watch(endpoint.host, endpoint.peerAddress, () => {
-      if (request.repeatable) {
-        exchangeCancellation.cancel(CancelReason.DeadlinePassed);
-      }
+    let stopWatch: (() => void) | undefined;
+    const silence = new Promise<'silent'>((resolve) => {
+      stopWatch = links.watch(endpoint.host, endpoint.peerAddress, () => {
+        // A request that may not be repeated keeps waiting, because its answer may still arrive.
+        if (request.repeatable) {
+          resolve('silent');
+        }
+      });
     });
+    const reply = this.exchangeWith(endpoint, request);
+    const first = await Promise.race([reply, silence]);
+    stopWatch?.();
+    return first === 'silent'
+      ? { ...unreported(forwardFailures[ExchangeFailure.Lost]), lateReply: reply }
+      : first;
+  }
+
+  /** Closes all connections. */
+  close(): void {
+    this.pool.destroy();
+  }
+
+  private async exchangeWith(
+    endpoint: GateEndpoint,
+    request: ForwardedRequest,
+  ): Promise<GateReply> {
+    const { clock, links } = this.services;
+    const remainingMs = Math.max(0, request.deadlineAtMs - clock.monotonicMs());
     const answer = await exchange(clock, {
       agent: this.pool,
       address: endpoint.gateAddress,
@@ -106,22 +125,13 @@
       body: request.body,
       connectTimeoutMs: Math.min(remainingMs, CONNECT_TIMEOUT_MS),
       timeoutMs: remainingMs + ANSWER_GRACE_MS,
-      cancellation: exchangeCancellation,
+      cancellation: request.cancellation,
       isTerse: true,
     });
-    stopWatch();
-    stopCancel();
     if (answer.isErr()) {
-      const isHostSilent = exchangeCancellation.reason === CancelReason.DeadlinePassed;
-      const cause = isHostSilent ? ExchangeFailure.Lost : answer.error;
-      return { result: Err(forwardFailures[cause]), report: undefined };
+      return unreported(forwardFailures[answer.error]);
     }
     links.markHeard(endpoint.host);
     return decodeReply(answer.value);
   }
-
-  /** Closes all connections. */
-  close(): void {
-    this.pool.destroy();
-  }
 }
--- a/packages/lentillb/src/serving/messages.ts
+++ b/packages/lentillb/src/serving/messages.ts
@@ -85,4 +85,9 @@
 export interface GateReply {
   readonly result: Result<BackendAnswer, ForwardFailure>;
   readonly report: GateReport | undefined;
+  /**
+   * The reply that may still arrive from a host that stopped responding. The request keeps running
+   * there, so another backend server is tried without giving it up.
+   */
+  readonly lateReply?: Promise<GateReply>;
 }
--- a/tests/serving/entry.spec.ts
+++ b/tests/serving/entry.spec.ts
@@ -26,6 +26,8 @@
 const RUNS = Number(process.env.LENTILLB_MODEL_RUNS ?? DEFAULT_RUNS);
 const HOSTS = ['a', 'b', 'c', 'd', 'e'];
 const MAX_BACKEND_SERVERS = 3;
+/** Longer than any test advances its clock, in milliseconds. */
+const NEVER_MS = 1_000_000;
 
 /** The possible replies of a gate. */
 const ScriptedReply = {
@@ -107,6 +109,9 @@
   const observations = new GateObservations(clock, 20);
   const terms = { ratio: 0, extra: retriesAllowed / 0.8, windowMs: 10_000 };
   const askedHosts: string[] = [];
+  const cancellations: Cancellation[] = [];
+  /** Replies that a test controls itself, in place of scripted ones. */
+  const silentReplies: (Promise<GateReply> | undefined)[] = [];
   let script: readonly ScriptedReply[] = [];
   const entry = new Entry(
     {
@@ -118,7 +123,13 @@
       observations,
       gateSelector: new GateSelector({ randomness, observations, isSilent: () => false }, 'z'),
       gateForwarder: {
-        call: ({ host }) => {
+        call: ({ host }, { cancellation }) => {
+          cancellations.push(cancellation);
+          const scripted = silentReplies[askedHosts.length];
+          if (scripted !== undefined) {
+            askedHosts.push(host);
+            return scripted;
+          }
           const reply = script[askedHosts.length] ?? ScriptedReply.Answered;
           askedHosts.push(host);
           return Promise.resolve(replies[reply]());
@@ -145,7 +156,7 @@
   /** Returns the replies of the gates that were asked. */
   const receivedReplies = (): readonly ScriptedReply[] =>
     askedHosts.map((_, index) => script[index] ?? ScriptedReply.Answered);
-  return { askedHosts, receivedReplies, serve };
+  return { askedHosts, cancellations, clock, receivedReplies, serve, silentReplies };
 }
 
 const scripts = fc.array(fc.constantFrom(...Object.values(ScriptedReply)), { maxLength: 6 });
@@ -207,4 +218,51 @@
     }
     expect(outcomes).toEqual([2, 2, 2, 2, 1, 1]);
   });
+
+  describe('when a host stopped responding', () => {
+    const lost = replies[ScriptedReply.Lost]();
+
+    it('should deliver its late answer, and end the attempt that began elsewhere', async () => {
+      const { askedHosts, cancellations, clock, serve, silentReplies } = fixture(
+        Repetition.Repeat,
+        4,
+      );
+      let answerLate: ((reply: GateReply) => void) | undefined;
+      const lateReply = new Promise<GateReply>((resolve) => {
+        answerLate = resolve;
+      });
+      silentReplies.push(
+        Promise.resolve({ ...lost, lateReply }),
+        clock.sleep(NEVER_MS).then(() => lost),
+      );
+      const served = serve([]);
+      await new Promise((resolve) => {
+        setImmediate(resolve);
+      });
+      expect(askedHosts).toHaveLength(2);
+      expect(cancellations[0]?.reason).toBeUndefined();
+      answerLate?.(answer(200));
+      expect((await served).status).toBe(200);
+      expect(cancellations.every(({ reason }) => reason !== undefined)).toBe(true);
+    });
+
+    it('should wait for its answer for a third of the remaining time when nothing else can be tried', async () => {
+      const { askedHosts, clock, serve, silentReplies } = fixture(Repetition.Repeat, 0);
+      silentReplies.push(
+        Promise.resolve({ ...lost, lateReply: clock.sleep(200).then(() => answer(200)) }),
+      );
+      const answered = serve([]);
+      await clock.advance(250);
+      expect((await answered).status).toBe(200);
+      expect(askedHosts).toHaveLength(1);
+      askedHosts.length = 0;
+      silentReplies[0] = Promise.resolve({
+        ...lost,
+        lateReply: clock.sleep(NEVER_MS).then(() => lost),
+      });
+      const failed = serve([]);
+      await clock.advance(350);
+      expect((await failed).status).toBe(502);
+    });
+  });
 });
--- /dev/null
+++ b/tests/serving/gateForwarder.spec.ts
@@ -0,0 +1,108 @@
+import { createServer } from 'node:http';
+import type { Server, ServerResponse } from 'node:http';
+import { listenOnLoopback } from '@lentillb/standins';
+import { SystemClock } from 'lentillb';
+import { Cancellation } from 'lentillb/calls/cancellation.js';
+import type { GateEndpoint } from 'lentillb/directory/directory.js';
+import type { Gate } from 'lentillb/serving/gate.js';
+import { GateForwarder } from 'lentillb/serving/gateForwarder.js';
+import { encodeReply } from 'lentillb/serving/gateProtocol.js';
+import type { ForwardedRequest, GateReply } from 'lentillb/serving/messages.js';
+import { PendingInputTracker } from 'lentillb/utils/pendingInput.js';
+import { Ok } from 'ts-results-es';
+import { afterEach, beforeEach, expect, it } from 'vitest';
+
+const clock = new SystemClock();
+
+let server: Server;
+let endpoint: GateEndpoint;
+let forwarder: GateForwarder;
+let markSilent: () => void;
+let pendingResponse: Promise<ServerResponse>;
+
+const answered: GateReply = {
+  report: { load: 1, serviceMs: 5 },
+  result: Ok({ status: 200, headers: {}, body: Buffer.from('ran'), unframed: false }),
+};
+
+function requestOf(repeatable: boolean): ForwardedRequest {
+  const nowMs = clock.monotonicMs();
+  return {
+    requestId: 'r',
+    method: 'GET',
+    target: '/',
+    headers: { host: 'a.example' },
+    body: Buffer.alloc(0),
+    service: 's',
+    route: 'r',
+    priority: 1,
+    repeatable,
+    targetLatencyMs: 500,
+    targetAtMs: nowMs + 500,
+    deadlineAtMs: nowMs + 2_000,
+    waitLimit: 'on-time',
+    cancellation: new Cancellation(),
+  };
+}
+
+async function respond(): Promise<void> {
+  const response = await pendingResponse;
+  const { body, headers, status } = encodeReply(answered);
+  response.writeHead(status, headers);
+  response.end(body);
+}
+
+beforeEach(async () => {
+  let receive: (response: ServerResponse) => void;
+  pendingResponse = new Promise((resolve) => {
+    receive = resolve;
+  });
+  server = createServer((_, response) => receive(response));
+  endpoint = {
+    host: 'other',
+    zone: 'a',
+    gateAddress: await listenOnLoopback(server),
+    peerAddress: 'other:2',
+    backendServer: { id: 'i', startedAtMs: 1, service: 's', slots: 4, state: 'ready' },
+  };
+  forwarder = new GateForwarder(
+    {
+      clock,
+      input: new PendingInputTracker(clock),
+      gate: {} as Gate,
+      links: {
+        isSilent: () => false,
+        markHeard: () => undefined,
+        watch: (_host, _peerAddress, onSilent) => {
+          markSilent = onSilent;
+          return () => undefined;
+        },
+      },
+    },
+    'own',
+  );
+});
+
+afterEach(() => {
+  forwarder.close();
+  server.closeAllConnections();
+  server.close();
+});
+
+it('should not give up a repeatable request that runs on a host that is only slow to respond', async () => {
+  const called = forwarder.call(endpoint, requestOf(true));
+  await pendingResponse;
+  markSilent();
+  const { lateReply, result } = await called;
+  expect(result.unwrapErr().outcome).toBe('unknown');
+  await respond();
+  expect((await lateReply)?.result.unwrap().body.toString()).toBe('ran');
+});
+
+it('should wait for the answer to a non-repeatable request while its host is silent', async () => {
+  const called = forwarder.call(endpoint, requestOf(false));
+  await pendingResponse;
+  markSilent();
+  await respond();
+  expect((await called).result.isOk()).toBe(true);
+});
