Let the readers of a zone collect the loads of its gates and pass them on

Cause: each node sent its load to its whole zone, 32 datagrams twice a second and as many received, so the cost grew with the square of the zone, and every node compared its digest with every other one and fetched whole states.

Now each node sends its load to the two readers of its zone, and these send what they collected to the zone with the status that they sent before. Hosts whose backend server leaves rank last as readers, since they are about to be removed. A relayed report does not say which requests of this node it counts, so those sent since the last reply count in addition.

--- a/packages/lentillb/src/directory/directory.ts
+++ b/packages/lentillb/src/directory/directory.ts
@@ -28,6 +28,8 @@
 
   private readonly hostsByPeerAddress = new Map<string, string>();
 
+  private readonly hostsByHash = new Map<number, string>();
+
   /** The announcements as a list; cleared by every change. */
   private cachedAnnouncements: readonly Announcement[] | undefined;
 
@@ -59,6 +61,7 @@
     }
     this.announcementsByHost.set(announcement.host, announcement);
     this.hostsByPeerAddress.set(announcement.peerAddress, announcement.host);
+    this.hostsByHash.set(hash32(announcement.host), announcement.host);
     const replacedDigest = current === undefined ? 0 : digestOf(current);
     this.currentDigest = (this.currentDigest ^ replacedDigest ^ digestOf(announcement)) >>> 0;
     this.cachedAnnouncements = undefined;
@@ -77,6 +80,16 @@
     return this.announcementsByHost.get(host);
   }
 
+  /**
+   * Returns the announced host with a hash.
+   *
+   * @param hostHash - the hash of its address
+   * @returns the address of the host, if any has the hash
+   */
+  hostOf(hostHash: number): string | undefined {
+    return this.hostsByHash.get(hostHash);
+  }
+
   /**
    * Returns the announcement of the node that answers other nodes at an address.
    *
--- a/packages/lentillb/src/directory/gateLoad.ts
+++ b/packages/lentillb/src/directory/gateLoad.ts
@@ -16,3 +16,9 @@
   /** The mean service times of the routes that the backend server has served lately. */
   readonly serviceTimes: readonly RouteServiceTime[];
 }
+
+/** The load of the gate of a host, as one node passes it on to others. */
+export interface HostGateLoad extends GateLoad {
+  /** A hash of the host's address, which is shorter than the address. */
+  readonly hostHash: number;
+}
--- a/packages/lentillb/src/emulation/emulatedFleet.ts
+++ b/packages/lentillb/src/emulation/emulatedFleet.ts
@@ -8,6 +8,7 @@
 import { ConfigurationHolder } from '../configuration/configurationHolder.js';
 import { BackendServerState } from '../directory/announcement.js';
 import { Directory } from '../directory/directory.js';
+import type { GateLoad } from '../directory/gateLoad.js';
 import { SeededRandomness } from '../kernel/randomness.js';
 import { Repetition } from '../rules/ruleForms.js';
 import type { EntryAnswer } from '../serving/entry.js';
@@ -21,8 +22,9 @@
 import type { Disturbance, RequestKind, Scenario } from './scenario.js';
 
 const MS_PER_SECOND = 1_000;
-/** The interval at which gates report their load to their zone, as the gossip between nodes does. */
+/** The interval at which gates report their load, and readers pass the reports on: a gossip round. */
 const REPORT_INTERVAL_MS = 500;
+const READERS_PER_ZONE = 2;
 /** The share of the time left up to which callers wait before they try again. */
 const MAX_RETRY_WAIT_SHARE = 1 / 3;
 /** The allowance for a reply in transit when the deadline passes, in milliseconds. */
@@ -79,6 +81,8 @@
 
   private readonly hostsByName: ReadonlyMap<string, EmulatedHost>;
 
+  private readonly collectedLoads = new Map<EmulatedHost, GateLoad>();
+
   private loadFactor = 1;
 
   private requestCount = 0;
@@ -112,6 +116,9 @@
     const { disturbances = [], durationMs, requests, zones } = this.scenario;
     if (this.options.sharesLoad) {
       this.hosts.forEach((host) => this.scheduleReport(host));
+      for (let reader = 0; reader < zones * READERS_PER_ZONE; reader += 1) {
+        this.scheduleRelay(`z${reader % zones}`);
+      }
     }
     disturbances.forEach((disturbance) => this.schedule(disturbance));
     Object.entries(requests).forEach(([kind, { perSecond }]) => {
@@ -170,19 +177,36 @@
     return hosts;
   }
 
+  /** Each gate reports to the readers of its zone. */
   private scheduleReport(host: EmulatedHost): void {
-    const delayMs = REPORT_INTERVAL_MS * (1 + (this.randomness.fraction() - 1 / 2) / 2);
-    this.clock.after(delayMs, () => {
+    this.clock.after(this.sampleIntervalMs(), () => {
       const load = host.gate.reportLoad();
       if (load !== undefined) {
-        this.hosts
-          .filter(({ options }) => options.zone === host.options.zone)
-          .forEach(({ observations }) => observations.recordSharedLoad(host.options.host, load));
+        this.collectedLoads.set(host, load);
       }
       this.scheduleReport(host);
     });
   }
 
+  /** A reader of a zone passes the reports of its gates on. */
+  private scheduleRelay(zone: string): void {
+    this.clock.after(this.sampleIntervalMs(), () => {
+      const zoneHosts = this.hosts.filter(({ options }) => options.zone === zone);
+      zoneHosts.forEach((reporter) => {
+        const load = this.collectedLoads.get(reporter);
+        if (load !== undefined) {
+          const { host } = reporter.options;
+          zoneHosts.forEach(({ observations }) => observations.recordSharedLoad(host, load));
+        }
+      });
+      this.scheduleRelay(zone);
+    });
+  }
+
+  private sampleIntervalMs(): number {
+    return REPORT_INTERVAL_MS * (1 + (this.randomness.fraction() - 1 / 2) / 2);
+  }
+
   private schedule({ atMs, failing, forMs, load = 1, slow }: Disturbance): void {
     const slowServers = this.shareOf(slow?.service, slow?.share);
     const failingServers = this.shareOf(failing?.service, failing?.share);
--- a/packages/lentillb/src/peers/gossip.ts
+++ b/packages/lentillb/src/peers/gossip.ts
@@ -8,7 +8,7 @@
 import type { ConfigurationHolder } from '../configuration/configurationHolder.js';
 import type { Directory } from '../directory/directory.js';
 import type { Announcement } from '../directory/announcement.js';
-import type { GateLoad } from '../directory/gateLoad.js';
+import type { GateLoad, HostGateLoad } from '../directory/gateLoad.js';
 import type { Clock } from '../kernel/clock.js';
 import type { Randomness } from '../kernel/randomness.js';
 import type { DecisionLog } from '../observability/decisionLog.js';
@@ -17,15 +17,15 @@
 import type { StoreEraTracker } from '../store/storeEraTracker.js';
 import { DigestComparison } from './digestComparison.js';
 import type { GossipMessage } from './gossipMessage.js';
-import { GossipMessageKind } from './gossipMessage.js';
+import { GossipMessageKind, MAX_GATES_PER_MESSAGE } from './gossipMessage.js';
+import { ZoneLoads } from './zoneLoads.js';
+import { hash32 } from '../utils/hash.js';
 import type { NodeState } from './nodeState.js';
 import type { GossipTransport } from './gossipSocket.js';
 import type { StoreReaderRole } from './storeReaderRole.js';
 
 /** Interval between gossip rounds, in milliseconds; two a second, so that one datagram may be lost. */
 const ROUND_INTERVAL_MS = 500;
-/** The maximum number of nodes of its zone to which a node sends its status in a round. */
-const MAX_STATUS_RECEIVERS = 64;
 /** A node of another zone is also pinged in one of this many rounds. */
 const ROUNDS_PER_OTHER_ZONE_PING = 2;
 /** How long a node that is behind waits for the store before it asks another node, in milliseconds. */
@@ -84,6 +84,8 @@
 
   private readonly digestComparison: DigestComparison;
 
+  private readonly zoneLoads: ZoneLoads;
+
   private fetching = false;
 
   private fetchedAtMs = -Infinity;
@@ -99,6 +101,7 @@
     private readonly listener: GossipListener,
   ) {
     this.digestComparison = new DigestComparison(services.clock);
+    this.zoneLoads = new ZoneLoads(services.clock);
     // Every node has to write its announcement again soon after the store went back.
     services.era.subscribe(() => this.sendStatusToZone());
   }
@@ -145,21 +148,35 @@
     if (message.readsStore && sender !== undefined && inOwnZone) {
       role.noteReader(sender.host);
     }
-    if (message.gateLoad !== undefined && sender !== undefined) {
-      this.listener.onGateLoad(sender.host, message.gateLoad);
-    }
+    message.gateLoads.forEach((load) => this.receiveGateLoad(sender, load));
     this.fetchIfBehind(from, message, inOwnZone);
   }
 
-  private createMessage(kind: GossipMessageKind): GossipMessage {
-    const { configuration, directory, era, gateLoad, role } = this.services;
+  private receiveGateLoad(sender: Announcement | undefined, load: HostGateLoad): void {
+    const host = this.services.directory.hostOf(load.hostHash);
+    if (host === undefined || host === this.location.host) {
+      return;
+    }
+    if (host === sender?.host && sender.zone === this.location.zone) {
+      this.zoneLoads.record(load);
+    }
+    this.listener.onGateLoad(host, load);
+  }
+
+  private ownLoads(): readonly HostGateLoad[] {
+    const load = this.services.gateLoad();
+    return load === undefined ? [] : [{ ...load, hostHash: hash32(this.location.host) }];
+  }
+
+  private createMessage(kind: GossipMessageKind, gateLoads = this.ownLoads()): GossipMessage {
+    const { configuration, directory, era, role } = this.services;
     return {
       kind,
       readsStore: role.readsStore,
       configurationVersion: configuration.version,
       directoryDigest: directory.digest,
       storeEra: era.current ?? 0,
-      gateLoad: gateLoad(),
+      gateLoads,
     };
   }
 
@@ -192,12 +209,18 @@
     await Promise.race([firstSuccess, this.services.clock.sleep(PEERS_TIMEOUT_MS)]);
   }
 
+  /** Sends the status to the zone, with the loads of its gates if this node collects them. */
   private sendStatusToZone(): void {
-    this.sendStatus(this.otherNodes(true));
+    const receivers = this.otherNodes(true);
+    const loads = [...this.ownLoads(), ...this.zoneLoads.recent()];
+    this.sendStatus(receivers, loads.slice(0, MAX_GATES_PER_MESSAGE));
+    for (let index = MAX_GATES_PER_MESSAGE; index < loads.length; index += MAX_GATES_PER_MESSAGE) {
+      this.sendStatus(receivers, loads.slice(index, index + MAX_GATES_PER_MESSAGE));
+    }
   }
 
-  private sendStatus(receivers: readonly Announcement[]): void {
-    const message = this.createMessage(GossipMessageKind.Status);
+  private sendStatus(receivers: readonly Announcement[], gateLoads: readonly HostGateLoad[]): void {
+    const message = this.createMessage(GossipMessageKind.Status, gateLoads);
     receivers.forEach(({ peerAddress }) => this.services.transport.send(peerAddress, message));
   }
 
@@ -221,9 +244,10 @@
     this.rounds += 1;
     const sameZone = this.otherNodes(true);
     const otherZones = this.otherNodes(false);
-    // The gates of other zones are used only if those of the own zone are overloaded.
-    this.sendStatus(this.sample(sameZone, MAX_STATUS_RECEIVERS));
-    this.pingRandom(this.isAnnounced ? sameZone : this.readersAmong(sameZone));
+    const readers = this.readersAmong(sameZone);
+    this.broadcast();
+    this.sendStatus(readers, this.ownLoads());
+    this.pingRandom(this.isAnnounced ? sameZone : readers);
     if (sameZone.length === 0 || this.rounds % ROUNDS_PER_OTHER_ZONE_PING === 0) {
       this.pingRandom(otherZones);
     }
--- a/packages/lentillb/src/peers/gossipMessage.ts
+++ b/packages/lentillb/src/peers/gossipMessage.ts
@@ -1,8 +1,8 @@
 /**
  * Encodes the datagrams by which nodes report that they run, how recent their state is, and how loaded
- * the gate of their host is.
+ * gates are.
  */
-import type { GateLoad } from '../directory/gateLoad.js';
+import type { HostGateLoad } from '../directory/gateLoad.js';
 
 /** The kinds of gossip messages. A ping asks for a status message; a status message expects no reply. */
 export const GossipMessageKind = { Ping: 1, Status: 2 } as const;
@@ -19,8 +19,8 @@
   readonly directoryDigest: number;
   /** The era of the store, as far as the sender knows; 0 if it does not. */
   readonly storeEra: number;
-  /** The load of the sender's gate; undefined if its backend server accepts no requests. */
-  readonly gateLoad?: GateLoad | undefined;
+  /** The loads of gates: that of the sender, or those of its zone if the sender collects them. */
+  readonly gateLoads: readonly HostGateLoad[];
 }
 
 const MAGIC = 0x6c;
@@ -30,53 +30,67 @@
 const DIGEST_OFFSET = 6;
 const ERA_OFFSET = 10;
 
-const LOAD_OFFSET = MESSAGE_BYTES;
-const LOAD_BYTES = 3;
+// Of each gate: the hash of the host, the load, the share of failures, the number of service times.
+const LOAD_OFFSET = 4;
+const FAILURE_SHARE_OFFSET = 6;
+const TIME_COUNT_OFFSET = 7;
+const GATE_BYTES = 8;
 const FAILURE_SHARE_STEPS = 255;
-const SERVICE_TIMES_OFFSET = LOAD_OFFSET + LOAD_BYTES;
 const SERVICE_TIME_BYTES = 6;
-/** The maximum number of service times in a message. */
+/** The maximum number of service times of one gate in a message. */
 const MAX_SERVICE_TIMES = 4;
+/** The maximum number of gates in a message, so that it fits into one packet with two times each. */
+export const MAX_GATES_PER_MESSAGE = 60;
 const MAX_UINT16 = 0xffff;
 
 const kinds = Object.values(GossipMessageKind);
 
-function encodeGateLoad({ failureShare, load, serviceTimes }: GateLoad): Buffer {
+function encodeGateLoad({ failureShare, hostHash, load, serviceTimes }: HostGateLoad): Buffer {
   const times = serviceTimes.slice(0, MAX_SERVICE_TIMES);
-  const bytes = Buffer.alloc(LOAD_BYTES + times.length * SERVICE_TIME_BYTES);
-  bytes.writeUInt16BE(Math.min(MAX_UINT16, load), 0);
-  bytes.writeUInt8(Math.round(failureShare * FAILURE_SHARE_STEPS), 2);
+  const bytes = Buffer.alloc(GATE_BYTES + times.length * SERVICE_TIME_BYTES);
+  bytes.writeUInt32BE(hostHash, 0);
+  bytes.writeUInt16BE(Math.min(MAX_UINT16, load), LOAD_OFFSET);
+  bytes.writeUInt8(Math.round(failureShare * FAILURE_SHARE_STEPS), FAILURE_SHARE_OFFSET);
+  bytes.writeUInt8(times.length, TIME_COUNT_OFFSET);
   times.forEach(({ meanMs, routeHash }, index) => {
-    const offset = LOAD_BYTES + index * SERVICE_TIME_BYTES;
+    const offset = GATE_BYTES + index * SERVICE_TIME_BYTES;
     bytes.writeUInt32BE(routeHash, offset);
     bytes.writeUInt16BE(Math.min(MAX_UINT16, Math.round(meanMs)), offset + 4);
   });
   return bytes;
 }
 
-function decodeGateLoad(bytes: Buffer): GateLoad | undefined {
-  if (bytes.length < SERVICE_TIMES_OFFSET) {
-    return undefined;
-  }
-  const count = Math.floor((bytes.length - SERVICE_TIMES_OFFSET) / SERVICE_TIME_BYTES);
+/** Returns the length of the encoded load of a gate; undefined if it is cut off or too long. */
+function gateLoadLength(bytes: Buffer): number | undefined {
+  const times = bytes.length < GATE_BYTES ? Infinity : bytes.readUInt8(TIME_COUNT_OFFSET);
+  const length = GATE_BYTES + times * SERVICE_TIME_BYTES;
+  return times <= MAX_SERVICE_TIMES && length <= bytes.length ? length : undefined;
+}
+
+function decodeGateLoad(bytes: Buffer): HostGateLoad {
   return {
+    hostHash: bytes.readUInt32BE(0),
     load: bytes.readUInt16BE(LOAD_OFFSET),
-    failureShare: bytes.readUInt8(LOAD_OFFSET + 2) / FAILURE_SHARE_STEPS,
-    serviceTimes: Array.from({ length: count }, (_, index) => {
-      const offset = SERVICE_TIMES_OFFSET + index * SERVICE_TIME_BYTES;
+    failureShare: bytes.readUInt8(FAILURE_SHARE_OFFSET) / FAILURE_SHARE_STEPS,
+    serviceTimes: Array.from({ length: bytes.readUInt8(TIME_COUNT_OFFSET) }, (_, index) => {
+      const offset = GATE_BYTES + index * SERVICE_TIME_BYTES;
       return { routeHash: bytes.readUInt32BE(offset), meanMs: bytes.readUInt16BE(offset + 4) };
     }),
   };
 }
 
-function isValidLength(length: number): boolean {
-  const timesLength = length - SERVICE_TIMES_OFFSET;
-  return (
-    length === MESSAGE_BYTES ||
-    (timesLength >= 0 &&
-      timesLength % SERVICE_TIME_BYTES === 0 &&
-      timesLength <= MAX_SERVICE_TIMES * SERVICE_TIME_BYTES)
-  );
+function decodeGateLoads(bytes: Buffer): readonly HostGateLoad[] | undefined {
+  const loads: HostGateLoad[] = [];
+  let rest = bytes;
+  while (rest.length > 0) {
+    const length = gateLoadLength(rest);
+    if (length === undefined) {
+      return undefined;
+    }
+    loads.push(decodeGateLoad(rest.subarray(0, length)));
+    rest = rest.subarray(length);
+  }
+  return loads;
 }
 
 /**
@@ -92,9 +106,8 @@
   bytes.writeUInt32BE(message.configurationVersion, VERSION_OFFSET);
   bytes.writeUInt32BE(message.directoryDigest, DIGEST_OFFSET);
   bytes.writeUInt32BE(message.storeEra, ERA_OFFSET);
-  return message.gateLoad === undefined
-    ? bytes
-    : Buffer.concat([bytes, encodeGateLoad(message.gateLoad)]);
+  const loads = message.gateLoads.slice(0, MAX_GATES_PER_MESSAGE).map(encodeGateLoad);
+  return Buffer.concat([bytes, ...loads]);
 }
 
 /**
@@ -104,12 +117,13 @@
  * @returns the message, or undefined if the datagram is not a gossip message
  */
 export function decodeGossipMessage(bytes: Buffer): GossipMessage | undefined {
-  if (!isValidLength(bytes.length) || bytes[0] !== MAGIC) {
+  if (bytes.length < MESSAGE_BYTES || bytes[0] !== MAGIC) {
     return undefined;
   }
   const flags = bytes.readUInt8(1);
   const kind = kinds.find((candidate) => candidate === flags % READS_STORE_FLAG);
-  return kind === undefined
+  const gateLoads = decodeGateLoads(bytes.subarray(MESSAGE_BYTES));
+  return kind === undefined || gateLoads === undefined
     ? undefined
     : {
         kind,
@@ -117,6 +131,6 @@
         configurationVersion: bytes.readUInt32BE(VERSION_OFFSET),
         directoryDigest: bytes.readUInt32BE(DIGEST_OFFSET),
         storeEra: bytes.readUInt32BE(ERA_OFFSET),
-        gateLoad: decodeGateLoad(bytes),
+        gateLoads,
       };
 }
--- a/packages/lentillb/src/peers/storeReaderRole.ts
+++ b/packages/lentillb/src/peers/storeReaderRole.ts
@@ -5,6 +5,7 @@
  * store and pass its records on. If they are lost, one of the other nodes takes over.
  */
 import type { Announcement } from '../directory/announcement.js';
+import { BackendServerState } from '../directory/announcement.js';
 import type { Directory } from '../directory/directory.js';
 import type { Clock } from '../kernel/clock.js';
 import { Topic } from '../store/keyedStore.js';
@@ -32,9 +33,18 @@
 /** How long an answer of the store counts as recent, in milliseconds; longer than a long poll lasts. */
 const STORE_ANSWER_MAX_AGE_MS = 6_000;
 
-/** Orders nodes by link bandwidth, then by a hash of the host, so that all nodes compute the same order. */
+/** A host whose backend server leaves is about to be removed. */
+function isLeaving({ backendServer }: Announcement): boolean {
+  return backendServer?.state === BackendServerState.Leaving;
+}
+
+/**
+ * Orders nodes by link bandwidth, then by a hash of the host, so that all nodes compute the same order;
+ * hosts that are about to be removed come last.
+ */
 function compareReaderPriority(left: Announcement, right: Announcement): number {
   return (
+    Number(isLeaving(left)) - Number(isLeaving(right)) ||
     (right.linkMegabits ?? 0) - (left.linkMegabits ?? 0) ||
     hash32(left.host) - hash32(right.host) ||
     (left.host < right.host ? -1 : 1)
--- a/packages/lentillb/src/serving/gateObservation.ts
+++ b/packages/lentillb/src/serving/gateObservation.ts
@@ -120,7 +120,8 @@
 
   /**
    * Records the load and the service times that the node of the gate reported to all nodes of its
-   * zone. It does not show whether the gate itself is reachable.
+   * zone. It does not show whether the gate itself is reachable, nor which requests of this node it
+   * counts, so those that this node has sent since the last reply still count in addition.
    *
    * @param report - the report
    */
@@ -132,7 +133,6 @@
     this.sharedAtMs = this.clock.monotonicMs();
     this.reportedLoad = load;
     this.reportedAtMs = this.sharedAtMs;
-    this.inFlightChange = 0;
   }
 
   /**
