--- a/soak/src/faults.ts
+++ b/soak/src/faults.ts
@@ -7,6 +7,12 @@
 import type { SoakHost } from './soakHost.js';
 import { DisturbanceKind } from './soakRecord.js';
 
+const HOSTS_TOPIC = 'keyed.lentillb-hosts';
+/** How long the store is away at most before it returns with an older copy, in milliseconds. */
+const MAX_ABSENCE_MS = 1_500;
+/** The number of host records that the older copy lacks. */
+const LOST_RECORDS = 4;
+
 /** The parts of the fleet that a fault acts on, and its duration. */
 export interface FaultTarget {
   readonly clock: Clock;
@@ -65,6 +71,31 @@
   (fault) => [`store ${fault}`, createStoreFault(fault)] as const,
 );
 
+/**
+ * Faults that were added after seeds had been kept as regression cases. They are drawn separately, so
+ * that the earlier faults of a seed stay the same; a seed selects them by their order.
+ */
+export const additionalFaults: Readonly<Record<string, Fault>> = {
+  'store older copy': {
+    kind: DisturbanceKind.StoreFault,
+    affectsAllHosts: true,
+    inject: async ({ clock, durationMs, store }) => {
+      store.setFault(StoreFault.Refuse);
+      await clock.sleep(Math.min(durationMs, MAX_ABSENCE_MS));
+      store.restoreOlderCopy(HOSTS_TOPIC, LOST_RECORDS);
+      store.setFault(undefined);
+    },
+  },
+  'settings reload': {
+    kind: DisturbanceKind.Planned,
+    affectsAllHosts: false,
+    inject: async ({ host }) => {
+      host.reloadSettings();
+      await Promise.resolve();
+    },
+  },
+};
+
 /** The faults by printed name; a seed selects them by their order. */
 export const faults: Readonly<Record<string, Fault>> = {
   ...Object.fromEntries([...relayFaults, ...storeFaults]),
--- a/soak/src/schedule.ts
+++ b/soak/src/schedule.ts
@@ -1,6 +1,6 @@
 /** Draws the faults and publications of one soak run from its seed. */
 import type { Randomness } from 'lentillb/sidecar';
-import { faults } from './faults.js';
+import { additionalFaults, faults } from './faults.js';
 
 /** A fault with the time, the host and the duration of its injection. */
 export interface ScheduledFault {
@@ -29,6 +29,8 @@
 /** The time within which the faults of one series start, so that they can overlap. */
 const SERIES_WINDOW_MS = 1_500;
 const MAX_FAULTS_PER_SERIES = 3;
+/** One in this many seeds has each of the additional faults. */
+const ADDITIONAL_FAULT_INTERVAL = 3;
 
 /**
  * @param randomness - the seeded source of random numbers
@@ -48,8 +50,17 @@
     }));
   });
   const firstPublicationMs = randomness.integer(PUBLICATION_INTERVAL_MS);
+  const additional = Object.keys(additionalFaults)
+    .filter(() => randomness.integer(ADDITIONAL_FAULT_INTERVAL) === 0)
+    .map((name) => ({
+      name,
+      host: randomness.integer(hostCount),
+      atMs: randomness.integer(FAULT_WINDOW_MS),
+      durationMs:
+        MIN_FAULT_DURATION_MS + randomness.integer(MAX_FAULT_DURATION_MS - MIN_FAULT_DURATION_MS),
+    }));
   return {
-    faults: series.flat().sort((left, right) => left.atMs - right.atMs),
+    faults: [...series.flat(), ...additional].sort((left, right) => left.atMs - right.atMs),
     publications: [0, 1, 2].map((index) => firstPublicationMs + index * PUBLICATION_INTERVAL_MS),
   };
 }
--- a/soak/src/soakHost.ts
+++ b/soak/src/soakHost.ts
@@ -198,6 +198,11 @@
     this.child?.kill(frozen ? 'SIGSTOP' : 'SIGCONT');
   }
 
+  /** Tells the node that its settings file changed. */
+  reloadSettings(): void {
+    this.child?.kill('SIGHUP');
+  }
+
   /** Closes the backend server without notice to the node and replaces it at once. */
   async replaceBackendServer(): Promise<void> {
     const { backendServer } = this;
--- a/tests/soak/schedule.spec.ts
+++ b/tests/soak/schedule.spec.ts
@@ -1,6 +1,6 @@
 import { SeededRandomness } from 'lentillb';
 import { describe, expect, it } from 'vitest';
-import { faults } from '../../soak/dist/faults.js';
+import { additionalFaults, faults } from '../../soak/dist/faults.js';
 import { drawSchedule } from '../../soak/dist/schedule.js';
 
 describe('schedule of the soak test', () => {
@@ -13,7 +13,9 @@
     const drawn = Array.from({ length: 200 }, (_, seed) =>
       drawSchedule(new SeededRandomness(seed), 6),
     ).flatMap((schedule) => schedule.faults);
-    expect(new Set(drawn.map(({ name }) => name))).toEqual(new Set(Object.keys(faults)));
+    expect(new Set(drawn.map(({ name }) => name))).toEqual(
+      new Set(Object.keys({ ...faults, ...additionalFaults })),
+    );
     expect(drawn.every(({ host }) => host >= 0 && host < 6)).toBe(true);
   });
 });
