--- a/packages/lentillb/src/peers/gossip.ts
+++ b/packages/lentillb/src/peers/gossip.ts
@@ -209,14 +209,13 @@
     await Promise.race([firstSuccess, this.services.clock.sleep(PEERS_TIMEOUT_MS)]);
   }
 
-  /** Sends the status to the zone, with the loads of its gates if this node collects them. */
+  /**
+   * Sends the status to the zone, with the loads of its gates if this node collects them. In a large
+   * zone each message has a random part of them, so that it fits into one packet.
+   */
   private sendStatusToZone(): void {
-    const receivers = this.otherNodes(true);
-    const loads = [...this.ownLoads(), ...this.zoneLoads.recent()];
-    this.sendStatus(receivers, loads.slice(0, MAX_GATES_PER_MESSAGE));
-    for (let index = MAX_GATES_PER_MESSAGE; index < loads.length; index += MAX_GATES_PER_MESSAGE) {
-      this.sendStatus(receivers, loads.slice(index, index + MAX_GATES_PER_MESSAGE));
-    }
+    const loads = this.sample(this.zoneLoads.recent(), MAX_GATES_PER_MESSAGE - 1);
+    this.sendStatus(this.otherNodes(true), [...this.ownLoads(), ...loads]);
   }
 
   private sendStatus(receivers: readonly Announcement[], gateLoads: readonly HostGateLoad[]): void {
@@ -224,10 +223,10 @@
     receivers.forEach(({ peerAddress }) => this.services.transport.send(peerAddress, message));
   }
 
-  /** Returns up to `count` different announcements, chosen at random. */
-  private sample(announcements: readonly Announcement[], count: number): readonly Announcement[] {
+  /** Returns up to `count` different items, chosen at random. */
+  private sample<Item>(items: readonly Item[], count: number): readonly Item[] {
     const { randomness } = this.services;
-    const rest = [...announcements];
+    const rest = [...items];
     return Array.from({ length: Math.min(count, rest.length) }).flatMap(() =>
       rest.splice(randomness.integer(rest.length), 1),
     );
--- a/tests/peers/gossip.spec.ts
+++ b/tests/peers/gossip.spec.ts
@@ -298,6 +298,14 @@
     sentCounts.forEach((count) => expect(count).toBeLessThan(250));
   });
 
+  it('should tell a node of a zone of 100 hosts the loads of most gates within five seconds', async () => {
+    const clock = new ManualClock();
+    const hosts = Array.from({ length: 100 }, (_, index) => [`a${index}`, 'a'] as const);
+    const { receivedLoads } = network(clock, Object.fromEntries(hosts));
+    await clock.advance(5_000);
+    expect(receivedLoads.get('a7')?.size).toBeGreaterThan(80);
+  });
+
   it('should send fewer than 250 messages in ten seconds per node of a zone of 40, but for its readers', async () => {
     const clock = new ManualClock();
     const hosts = Array.from({ length: 40 }, (_, index) => [`a${index}`, 'a'] as const);
