Compute a route's hash once a request, and share the forwarded request of tests

Found on reading the whole change: the hash of the route's name was computed for each gate asked and for each retry decision, though it belongs to the request's attempts; three specs wrote the same forwarded request, two of them new, so tests/support has one now; a promise was mapped to nothing before it ran in the background, which takes any promise.

--- a/packages/lentillb/src/peers/gossip.ts
+++ b/packages/lentillb/src/peers/gossip.ts
@@ -300,7 +300,7 @@
       return;
     }
     this.fetching = true;
-    runInBackground(this.fetchFrom(from).then(() => undefined));
+    runInBackground(this.fetchFrom(from));
   }
 
   /** Returns whether the state was fetched. */
--- a/packages/lentillb/src/serving/attempts.ts
+++ b/packages/lentillb/src/serving/attempts.ts
@@ -1,6 +1,7 @@
 /** Tracks the attempts to serve one request. */
 import { Outcome } from '../calls/callHeaders.js';
 import type { MeshRoute } from '../configuration/meshConfiguration.js';
+import { hash32 } from '../utils/hash.js';
 import { LateAnswers } from './lateAnswers.js';
 import type { BackendAnswer, ForwardedRequest, ForwardFailure } from './messages.js';
 import { FailureCause } from './messages.js';
@@ -25,6 +26,9 @@
   /** The failure of the last attempt. */
   failure: ForwardFailure | undefined;
 
+  /** The hash of the route's name, by which gates report service times. */
+  readonly routeHash: number;
+
   /** Whether any backend server may have run the request. */
   mayHaveRun = false;
 
@@ -37,7 +41,9 @@
   constructor(
     readonly request: ForwardedRequest,
     readonly route: MeshRoute,
-  ) {}
+  ) {
+    this.routeHash = hash32(route.name);
+  }
 
   /**
    * Records an attempt without an answer.
--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -16,7 +16,6 @@
 import { Importance } from '../observability/decisionLog.js';
 import type { MetricsRegistry } from '../observability/metricsRegistry.js';
 import { Repetition } from '../rules/ruleForms.js';
-import { hash32 } from '../utils/hash.js';
 import type { GateForwarder } from './gateForwarder.js';
 import type { GateObservations } from './gateObservations.js';
 import type { HeaderNames } from './headerNames.js';
@@ -245,7 +244,7 @@
   }
 
   private choosePlacement(
-    { request, route }: Attempts,
+    { request, route, routeHash }: Attempts,
     excluded: ReadonlySet<string>,
   ): Placement | undefined {
     const { directory, gateSelector } = this.services;
@@ -254,7 +253,7 @@
       candidates,
       excluded,
       targetMs: route.targetLatencyMs,
-      routeHash: hash32(route.name),
+      routeHash,
     });
   }
 
@@ -319,7 +318,7 @@
 
   private mayRetry(attempts: Attempts): boolean {
     const { allowance, clock } = this.services;
-    const { failure, mayHaveRun, request, route, sent } = attempts;
+    const { failure, mayHaveRun, request, route, routeHash, sent } = attempts;
     if (failure === undefined || request.cancellation.reason !== undefined) {
       return false;
     }
@@ -328,7 +327,7 @@
     }
     const typicalMs = this.services.observations.typicalServiceMs(
       this.services.directory.endpointsOf(request.service),
-      hash32(route.name),
+      routeHash,
     );
     if (request.deadlineAtMs - clock.monotonicMs() < typicalMs * MIN_RETRY_TIME_SHARE) {
       return false;
--- a/tests/serving/connectionPool.spec.ts
+++ b/tests/serving/connectionPool.spec.ts
@@ -12,6 +12,7 @@
 import type { ForwardedRequest } from 'lentillb/serving/messages.js';
 import { wireHeaders } from '@lentillb/platform';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { createForwardedRequest } from '../support/forwardedRequest.js';
 import { freeAddress } from '../support/freeAddress.js';
 import { encodeResponse, ScriptedServer } from '../support/scriptedServer.js';
 
@@ -37,22 +38,8 @@
 }
 
 function forwardedRequest(): ForwardedRequest {
-  return {
-    requestId: 'r',
-    method: 'POST',
-    target: '/',
-    headers: { host: 'a.example', [wireHeaders.requestId]: 'r' },
-    body: Buffer.alloc(0),
-    service: 's',
-    route: 'order',
-    priority: 1,
-    repeatable: false,
-    targetLatencyMs: 500,
-    targetAtMs: clock.monotonicMs() + 500,
-    deadlineAtMs: clock.monotonicMs() + 1_000,
-    waitLimit: 'on-time',
-    cancellation: new Cancellation(),
-  };
+  const headers = { host: 'a.example', [wireHeaders.requestId]: 'r' };
+  return createForwardedRequest(clock, { headers });
 }
 
 async function send(): Promise<boolean> {
--- a/tests/serving/gateForwarder.spec.ts
+++ b/tests/serving/gateForwarder.spec.ts
@@ -2,7 +2,6 @@
 import type { Server, ServerResponse } from 'node:http';
 import { listenOnLoopback } from '@lentillb/standins';
 import { SystemClock } from 'lentillb';
-import { Cancellation } from 'lentillb/calls/cancellation.js';
 import type { GateEndpoint } from 'lentillb/directory/directory.js';
 import type { Gate } from 'lentillb/serving/gate.js';
 import { GateForwarder } from 'lentillb/serving/gateForwarder.js';
@@ -11,6 +10,7 @@
 import { PendingInputTracker } from 'lentillb/utils/pendingInput.js';
 import { Ok } from 'ts-results-es';
 import { afterEach, beforeEach, expect, it } from 'vitest';
+import { createForwardedRequest } from '../support/forwardedRequest.js';
 
 const clock = new SystemClock();
 
@@ -26,23 +26,10 @@
 };
 
 function requestOf(repeatable: boolean): ForwardedRequest {
-  const nowMs = clock.monotonicMs();
-  return {
-    requestId: 'r',
-    method: 'GET',
-    target: '/',
-    headers: { host: 'a.example' },
-    body: Buffer.alloc(0),
-    service: 's',
-    route: 'r',
-    priority: 1,
+  return createForwardedRequest(clock, {
     repeatable,
-    targetLatencyMs: 500,
-    targetAtMs: nowMs + 500,
-    deadlineAtMs: nowMs + 2_000,
-    waitLimit: 'on-time',
-    cancellation: new Cancellation(),
-  };
+    deadlineAtMs: clock.monotonicMs() + 2_000,
+  });
 }
 
 async function respond(): Promise<void> {
--- a/tests/serving/pausedProcess.spec.ts
+++ b/tests/serving/pausedProcess.spec.ts
@@ -9,13 +9,13 @@
 import { Gate } from 'lentillb/serving/gate.js';
 import { ExchangeFailure } from 'lentillb/serving/exchange.js';
 import { LocalBackendServer } from 'lentillb/serving/localBackendServer.js';
-import type { ForwardedRequest } from 'lentillb/serving/messages.js';
 import { FailureCause } from 'lentillb/serving/messages.js';
-import { SlotQueue, WaitLimit } from 'lentillb/serving/slotQueue.js';
+import { SlotQueue } from 'lentillb/serving/slotQueue.js';
 import { parseAddress } from 'lentillb/utils/networkAddress.js';
 import { Ok } from 'ts-results-es';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { blockEventLoop } from '../support/blockEventLoop.js';
+import { createForwardedRequest } from '../support/forwardedRequest.js';
 import { ManualClock } from '../support/manualClock.js';
 import { sendRequest } from '../support/sendRequest.js';
 
@@ -108,22 +108,9 @@
         },
       },
     });
-    const request: ForwardedRequest = {
-      requestId: 'r',
-      method: 'POST',
-      target: '/',
-      headers: {},
-      body: Buffer.alloc(0),
-      service: 's',
-      route: 'order',
-      priority: 1,
-      repeatable: false,
-      targetLatencyMs: 500,
-      targetAtMs: clock.monotonicMs() + 500,
+    const request = createForwardedRequest(clock, {
       deadlineAtMs: clock.monotonicMs() + DEADLINE_MS,
-      waitLimit: WaitLimit.OnTime,
-      cancellation: new Cancellation(),
-    };
+    });
     const { result } = await gate.serve(request);
     expect(result.unwrapErr()).toMatchObject({
       outcome: 'not-run',
