Log the request limit that a backend server states, and what is sent under it

Gates now read Server-Limit and Server-Leaving from answers of the expected run (not from late answers to other requests, nor from 421), log each change of the limit, and once a second how many requests were granted a slot, were sent, got an answer and got one with a limit. Nothing is decided by it yet. Values that are no decimal number are told apart; of several the lowest counts. tests/serving, tests/emulation: 108 passed.

--- a/packages/lentillb/src/emulation/emulatedHost.ts
+++ b/packages/lentillb/src/emulation/emulatedHost.ts
@@ -14,6 +14,7 @@
 import type { ForwardedRequest, GateReply } from '../serving/messages.js';
 import { RetryAllowance } from '../serving/retryAllowance.js';
 import { SlotQueue } from '../serving/slotQueue.js';
+import { StatedLimit } from '../serving/statedLimit.js';
 import type { EmulatedBackendServer } from './emulatedBackendServer.js';
 
 const DEFAULT_SERVICE_TIME_MS = 80;
@@ -27,6 +28,8 @@
   expectedInstance: 'expected-instance',
   notRun: 'not-run',
   callerService: 'caller-service',
+  requestLimit: 'request-limit',
+  leaving: 'leaving',
 } as const;
 
 /** The services that an emulated host depends on. */
@@ -76,7 +79,8 @@
       sequence: 1,
       startedAtMs: 1,
     });
-    const slots = new SlotQueue(clock, () => false);
+    const statedLimit = new StatedLimit(clock, log);
+    const slots = new SlotQueue(clock, () => false, statedLimit);
     slots.resize(slotCount);
     const input = { waitUntilRecentlyRead: () => Promise.resolve() };
     this.gate = new Gate({
--- a/packages/lentillb/src/serving/backendServerClient.ts
+++ b/packages/lentillb/src/serving/backendServerClient.ts
@@ -10,6 +10,8 @@
 import type { HeaderNames } from './headerNames.js';
 import type { BackendAnswer, ForwardedRequest, ForwardFailure } from './messages.js';
 import { FailureCause } from './messages.js';
+import type { ServerStatement } from './serverStatement.js';
+import { readStatement } from './serverStatement.js';
 
 /** The maximum idle time of a reused connection; backend servers may drop idle ones early. */
 const MAX_IDLE_MS = 1_000;
@@ -28,13 +30,33 @@
   readonly instanceId: string;
 }
 
+/** The callbacks for what happens between this node and its backend server. */
+export interface BackendServerListener {
+  /** Called when a request is sent, for the first time or again. */
+  readonly onSent: () => void;
+  /**
+   * Called with what a run of the backend server states in an answer of its own.
+   *
+   * @param statement - the statement
+   * @param instanceId - the identity of the run
+   * @param sentAtMs - when the request was sent, in milliseconds of the monotonic clock
+   */
+  readonly onStatement: (statement: ServerStatement, instanceId: string, sentAtMs: number) => void;
+}
+
 /** Sends requests to one backend server over reused connections. */
 export class BackendServerClient {
   private readonly pool: ConnectionPool;
 
+  /**
+   * @param clock - the clock for time-outs
+   * @param names - the header names of callers and backend servers
+   * @param listener - the callbacks for requests sent and for statements
+   */
   constructor(
     private readonly clock: Clock,
     private readonly names: HeaderNames,
+    private readonly listener: BackendServerListener,
   ) {
     this.pool = new ConnectionPool(clock, { idleMs: MAX_IDLE_MS, maxIdle: MAX_IDLE_CONNECTIONS });
   }
@@ -75,13 +97,15 @@
     return request.repeatable ? this.sendOnce(request, target) : first;
   }
 
-  private sendOnce(
+  private async sendOnce(
     request: ForwardedRequest,
     { address, instanceId }: BackendTarget,
   ): Promise<Result<ExchangeAnswer, ExchangeFailure>> {
-    const remainingMs = Math.max(0, Math.floor(request.deadlineAtMs - this.clock.monotonicMs()));
+    const sentAtMs = this.clock.monotonicMs();
+    const remainingMs = Math.max(0, Math.floor(request.deadlineAtMs - sentAtMs));
     const { body, cancellation, headers, method, target } = request;
-    return exchange(this.clock, {
+    this.listener.onSent();
+    const answer = await exchange(this.clock, {
       agent: this.pool,
       address,
       method,
@@ -98,6 +122,19 @@
       cancellation,
       isOwnAnswer: (answerHeaders, status) => this.isOwnAnswer(request, answerHeaders, status),
     });
+    if (answer.isOk() && this.isOfExpectedRun(request, answer.value)) {
+      const statement = readStatement(answer.value.headers, this.names);
+      this.listener.onStatement(statement, instanceId, sentAtMs);
+    }
+    return answer;
+  }
+
+  /** Excludes late answers to other requests, and the rejection by which another run answers. */
+  private isOfExpectedRun(request: ForwardedRequest, { headers, status }: ExchangeAnswer): boolean {
+    const { notRun, requestId } = this.names;
+    const isRejection = headers[notRun] !== undefined && headers[requestId] === undefined;
+    const isAnswer = isRejection || headers[requestId] === request.requestId;
+    return isAnswer && status !== MISDIRECTED_REQUEST;
   }
 
   /** A rejection may lack the identity; it is valid, but a late copy of it could not be recognized. */
--- /dev/null
+++ b/packages/lentillb/src/serving/serverStatement.ts
@@ -0,0 +1,46 @@
+/** Reads what a backend server states about itself in the headers of an answer. */
+import type { IncomingHttpHeaders } from 'node:http';
+import type { HeaderNames } from './headerNames.js';
+
+/** What a backend server states about itself in one answer. */
+export interface ServerStatement {
+  /** The requests per second that it takes from all hosts together; undefined if not limited. */
+  readonly limitPerSecond: number | undefined;
+  /** Whether it states a limit that is not a decimal number. */
+  readonly hasMalformedLimit: boolean;
+  /** Whether it is about to leave. */
+  readonly leaving: boolean;
+}
+
+const DECIMAL = /^\d+(\.\d+)?$/;
+const LEAVING_VALUE = '1';
+
+/** Returns the values of a header, which Node.js joins by commas if it occurs more than once. */
+function valuesOf(headers: IncomingHttpHeaders, name: string): readonly string[] {
+  const value = headers[name];
+  return value === undefined
+    ? []
+    : String(value)
+        .split(',')
+        .map((part) => part.trim());
+}
+
+/**
+ * Reads the statement of a backend server.
+ *
+ * @param headers - the headers of its answer
+ * @param names - the header names of backend servers
+ * @returns the statement, with the lowest limit if the answer states several
+ */
+export function readStatement(
+  headers: IncomingHttpHeaders,
+  names: Pick<HeaderNames, 'leaving' | 'requestLimit'>,
+): ServerStatement {
+  const limits = valuesOf(headers, names.requestLimit);
+  const valid = limits.filter((value) => DECIMAL.test(value)).map(Number);
+  return {
+    limitPerSecond: valid.length === 0 ? undefined : Math.min(...valid),
+    hasMalformedLimit: valid.length < limits.length,
+    leaving: valuesOf(headers, names.leaving).includes(LEAVING_VALUE),
+  };
+}
--- a/packages/lentillb/src/serving/slotQueue.ts
+++ b/packages/lentillb/src/serving/slotQueue.ts
@@ -8,6 +8,7 @@
  */
 import type { Clock } from '../kernel/clock.js';
 import { SmoothedMean } from './smoothedMean.js';
+import type { StatedLimit } from './statedLimit.js';
 
 /** The limit up to which a request may wait for a slot. */
 export const WaitLimit = {
@@ -130,10 +131,12 @@
   /**
    * @param clock - the clock for deadlines and service times
    * @param isWarmingUp - returns whether the backend server is still warming up
+   * @param statedLimit - the request limit of the backend server
    */
   constructor(
     private readonly clock: Clock,
     private readonly isWarmingUp: () => boolean,
+    private readonly statedLimit: StatedLimit,
   ) {}
 
   get load(): SlotLoad {
@@ -248,6 +251,7 @@
 
   private occupySlot({ serviceTimeKey }: SlotRequest): Slot {
     this.running += 1;
+    this.statedLimit.recordGranted();
     const startedMs = this.clock.monotonicMs();
     let isHeld = true;
     return {
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -32,6 +32,7 @@
 import { RetryAllowance } from '../serving/retryAllowance.js';
 import type { RetryTerms } from '../serving/retryAllowance.js';
 import { SlotQueue } from '../serving/slotQueue.js';
+import { StatedLimit } from '../serving/statedLimit.js';
 import { EraCheckedStore } from '../store/eraCheckedStore.js';
 import type { KeyedStore } from '../store/keyedStore.js';
 import { StoreEraTracker } from '../store/storeEraTracker.js';
@@ -153,9 +154,13 @@
     const { configuration, directory, role } = this.meshState;
     this.backendServer = new LocalBackendServer(clock, () => this.onBackendServerChange());
     const { backendServer } = this;
-    this.slots = new SlotQueue(clock, () => backendServer.warmingUp);
+    const statedLimit = new StatedLimit(clock, log);
+    this.slots = new SlotQueue(clock, () => backendServer.warmingUp, statedLimit);
     const { slots } = this;
-    this.client = new BackendServerClient(clock, headerNames);
+    this.client = new BackendServerClient(clock, headerNames, {
+      onSent: () => statedLimit.recordSent(),
+      onStatement: (statement) => statedLimit.recordAnswer(statement),
+    });
     const { client } = this;
     const input = new PendingInputTracker(clock);
     const observations = new GateObservations(clock, DEFAULT_SERVICE_TIME_MS);
--- a/tests/serving/connectionPool.spec.ts
+++ b/tests/serving/connectionPool.spec.ts
@@ -49,7 +49,10 @@
 
 beforeEach(async () => {
   connections = 0;
-  client = new BackendServerClient(clock, wireHeaders);
+  client = new BackendServerClient(clock, wireHeaders, {
+    onSent: () => undefined,
+    onStatement: () => undefined,
+  });
   server = createServer((_, response) => {
     response.writeHead(200, { [wireHeaders.requestId]: 'r', [wireHeaders.seal]: 'seal' });
     response.end();
--- a/tests/serving/pausedProcess.spec.ts
+++ b/tests/serving/pausedProcess.spec.ts
@@ -10,7 +10,6 @@
 import { ExchangeFailure } from 'lentillb/serving/exchange.js';
 import { LocalBackendServer } from 'lentillb/serving/localBackendServer.js';
 import { FailureCause } from 'lentillb/serving/messages.js';
-import { SlotQueue } from 'lentillb/serving/slotQueue.js';
 import { parseAddress } from 'lentillb/utils/networkAddress.js';
 import { Ok } from 'ts-results-es';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
@@ -18,6 +17,7 @@
 import { createForwardedRequest } from '../support/forwardedRequest.js';
 import { ManualClock } from '../support/manualClock.js';
 import { sendRequest } from '../support/sendRequest.js';
+import { createSlotQueue } from '../support/slotQueue.js';
 
 const PAUSE_MS = 150;
 const DEADLINE_MS = 1_000;
@@ -89,7 +89,7 @@
       sequence: 1,
       startedAtMs: 1,
     });
-    const slots = new SlotQueue(clock, () => false);
+    const slots = createSlotQueue(clock);
     slots.resize(2);
     let sent = 0;
     const gate = new Gate({
--- a/tests/serving/slotQueue.spec.ts
+++ b/tests/serving/slotQueue.spec.ts
@@ -1,14 +1,16 @@
 import { SeededRandomness } from 'lentillb';
-import { Admission, ServiceTimeSample, SlotQueue, WaitLimit } from 'lentillb/serving/slotQueue.js';
+import { Admission, ServiceTimeSample, WaitLimit } from 'lentillb/serving/slotQueue.js';
+import type { SlotQueue } from 'lentillb/serving/slotQueue.js';
 import { describe, expect, it } from 'vitest';
 import { ManualClock } from '../support/manualClock.js';
+import { createSlotQueue } from '../support/slotQueue.js';
 import { createRecordedRequest } from '../support/slotRequests.js';
 
 const SERVICE_MS = 60;
 
 /** Creates a queue that has one service time sample. */
 async function measuredQueue(clock: ManualClock, slots: number): Promise<SlotQueue> {
-  const queue = new SlotQueue(clock, () => false);
+  const queue = createSlotQueue(clock);
   queue.resize(slots);
   const sample = createRecordedRequest({ deadlineAtMs: Infinity, targetAtMs: Infinity });
   queue.admit(sample.request);
@@ -19,7 +21,7 @@
 
 describe('slot queue', () => {
   it('should grant a free slot at once', async () => {
-    const queue = new SlotQueue(new ManualClock(), () => false);
+    const queue = createSlotQueue(new ManualClock());
     queue.resize(1);
     const first = createRecordedRequest();
     expect(queue.admit(first.request).admission).toBe(Admission.Granted);
