Keep backend servers within the request limit that they state

Cause: admission knew slots only, and the statement was passed on to callers unread. So the statement is not lost on the way, and nothing bypasses the gate. Class of fault: a capacity that the other side states is not an input of admission.

Change: the gate of a host, where all requests to its backend server pass, gives out permits at the stated rate; a slot needs one. They go by priority like slots, and a request that would wait too long for one is refused at once with the expected wait, from which Retry-After follows. Gates report the limit with replies and to their zone; placement counts only as many slots as the limit keeps busy, so requests go where there is room. A request sent again on a lost connection needs a permit. An answer lifts the limit only if its request was sent after the limit was stated last; a malformed one changes nothing; a backend server that states 0 gets a request every two seconds, since only an answer can take it back. Another run at the address starts without one. Older nodes read the limit as the service time of an unknown route.

--- a/packages/lentillb/src/directory/gateLoad.ts
+++ b/packages/lentillb/src/directory/gateLoad.ts
@@ -15,6 +15,8 @@
   readonly failureShare: number;
   /** The mean service times of the routes that the backend server has served lately. */
   readonly serviceTimes: readonly RouteServiceTime[];
+  /** The requests per second that the backend server takes; undefined if it states no limit. */
+  readonly limitPerSecond?: number;
 }
 
 /** The load of the gate of a host, as one node passes it on to others. */
--- a/packages/lentillb/src/emulation/emulatedBackendServer.ts
+++ b/packages/lentillb/src/emulation/emulatedBackendServer.ts
@@ -6,6 +6,7 @@
 import type { Randomness } from '../kernel/randomness.js';
 import type { BackendAnswer, ForwardedRequest, ForwardFailure } from '../serving/messages.js';
 import { FailureCause } from '../serving/messages.js';
+import type { ServerStatement } from '../serving/serverStatement.js';
 import type { RequestKind } from './scenario.js';
 
 const HttpStatus = { Ok: 200, ServerError: 500, GatewayTimeout: 504 } as const;
@@ -34,6 +35,8 @@
 
   private failures = 0;
 
+  private limitPerSecond: number | undefined;
+
   constructor(
     private readonly services: BackendServerServices,
     private readonly speed: number,
@@ -44,6 +47,16 @@
     this.slowdown = factor;
   }
 
+  /** What the backend server states in its answers. */
+  get statement(): ServerStatement {
+    return { limitPerSecond: this.limitPerSecond, hasMalformedLimit: false, leaving: false };
+  }
+
+  /** @param perSecond - the request limit to state from now on, if any */
+  stateLimit(perSecond: number | undefined): void {
+    this.limitPerSecond = perSecond;
+  }
+
   /** @param share - the share of requests that fail at once from now on */
   fail(share: number): void {
     this.failures = share;
--- a/packages/lentillb/src/emulation/emulatedFleet.ts
+++ b/packages/lentillb/src/emulation/emulatedFleet.ts
@@ -207,18 +207,21 @@
     return REPORT_INTERVAL_MS * (1 + (this.randomness.fraction() - 1 / 2) / 2);
   }
 
-  private schedule({ atMs, failing, forMs, load = 1, slow }: Disturbance): void {
+  private schedule({ atMs, failing, forMs, limited, load = 1, slow }: Disturbance): void {
     const slowServers = this.shareOf(slow?.service, slow?.share);
     const failingServers = this.shareOf(failing?.service, failing?.share);
+    const limitedServers = this.shareOf(limited?.service, limited?.share);
     this.clock.after(atMs, () => {
       this.loadFactor *= load;
       slowServers.forEach((server) => server.slowDown(slow?.factor ?? 1));
       failingServers.forEach((server) => server.fail(failing?.failures ?? 0));
+      limitedServers.forEach((server) => server.stateLimit(limited?.perSecond));
     });
     this.clock.after(atMs + forMs, () => {
       this.loadFactor /= load;
       slowServers.forEach((server) => server.slowDown(1));
       failingServers.forEach((server) => server.fail(0));
+      limitedServers.forEach((server) => server.stateLimit(undefined));
     });
   }
 
--- a/packages/lentillb/src/emulation/emulatedHost.ts
+++ b/packages/lentillb/src/emulation/emulatedHost.ts
@@ -87,8 +87,18 @@
       clock,
       input,
       slots,
+      statedLimit,
       backendServer: local,
-      client: backendServer,
+      client: {
+        send: async (request) => {
+          const sentAtMs = clock.monotonicMs();
+          const answer = await backendServer.send(request);
+          if (answer.isOk()) {
+            statedLimit.recordAnswer(backendServer.statement, sentAtMs);
+          }
+          return answer;
+        },
+      },
       log,
       metrics,
     });
--- a/packages/lentillb/src/emulation/scenario.ts
+++ b/packages/lentillb/src/emulation/scenario.ts
@@ -43,6 +43,10 @@
   slow: z.optional(z.strictObject({ service: z.string(), share, factor: positive })),
   /** The share of requests that the given share of the backend servers of a service fails at once. */
   failing: z.optional(z.strictObject({ service: z.string(), share, failures: share })),
+  /** The request limit that the given share of the backend servers of a service states. */
+  limited: z.optional(
+    z.strictObject({ service: z.string(), share, perSecond: z.number().check(z.minimum(0)) }),
+  ),
 });
 
 const scenarioSchema = z.strictObject({
@@ -71,6 +75,7 @@
     ...Object.entries(requests).map(([kind, { service }]) => [`requests.${kind}`, service]),
     ...disturbances.map(({ slow }) => ['disturbances.slow', slow?.service]),
     ...disturbances.map(({ failing }) => ['disturbances.failing', failing?.service]),
+    ...disturbances.map(({ limited }) => ['disturbances.limited', limited?.service]),
   ];
   const unknownService = usedServices.find(([, name]) => name !== undefined && !services[name]);
   if (unknownService !== undefined) {
--- a/packages/lentillb/src/peers/gossipMessage.ts
+++ b/packages/lentillb/src/peers/gossipMessage.ts
@@ -2,7 +2,7 @@
  * Encodes the datagrams by which nodes report that they run, how recent their state is, and how loaded
  * gates are.
  */
-import type { HostGateLoad } from '../directory/gateLoad.js';
+import type { GateLoad, HostGateLoad, RouteServiceTime } from '../directory/gateLoad.js';
 
 /** The kinds of gossip messages. A ping asks for a status message; a status message expects no reply. */
 export const GossipMessageKind = { Ping: 1, Status: 2 } as const;
@@ -43,10 +43,29 @@
 export const MAX_GATES_PER_MESSAGE = 60;
 const MAX_UINT16 = 0xffff;
 
+/**
+ * The route hash under which the limit of a gate is sent, in tenths of a request per second. Nodes
+ * that do not know limits take it for the service time of an unknown route.
+ */
+const LIMIT_HASH = 0;
+const LIMIT_STEPS = 10;
+
 const kinds = Object.values(GossipMessageKind);
 
-function encodeGateLoad({ failureShare, hostHash, load, serviceTimes }: HostGateLoad): Buffer {
-  const times = serviceTimes.slice(0, MAX_SERVICE_TIMES);
+function encodeLimit(limitPerSecond: number | undefined): readonly RouteServiceTime[] {
+  return limitPerSecond === undefined
+    ? []
+    : [{ routeHash: LIMIT_HASH, meanMs: limitPerSecond * LIMIT_STEPS }];
+}
+
+function decodeLimit(times: readonly RouteServiceTime[]): Pick<GateLoad, 'limitPerSecond'> {
+  const limit = times.find(({ routeHash }) => routeHash === LIMIT_HASH);
+  return limit === undefined ? {} : { limitPerSecond: limit.meanMs / LIMIT_STEPS };
+}
+
+function encodeGateLoad(gateLoad: HostGateLoad): Buffer {
+  const { failureShare, hostHash, limitPerSecond, load, serviceTimes } = gateLoad;
+  const times = [...encodeLimit(limitPerSecond), ...serviceTimes].slice(0, MAX_SERVICE_TIMES);
   const bytes = Buffer.alloc(GATE_BYTES + times.length * SERVICE_TIME_BYTES);
   bytes.writeUInt32BE(hostHash, 0);
   bytes.writeUInt16BE(Math.min(MAX_UINT16, load), LOAD_OFFSET);
@@ -68,14 +87,16 @@
 }
 
 function decodeGateLoad(bytes: Buffer): HostGateLoad {
+  const times = Array.from({ length: bytes.readUInt8(TIME_COUNT_OFFSET) }, (_, index) => {
+    const offset = GATE_BYTES + index * SERVICE_TIME_BYTES;
+    return { routeHash: bytes.readUInt32BE(offset), meanMs: bytes.readUInt16BE(offset + 4) };
+  });
   return {
     hostHash: bytes.readUInt32BE(0),
     load: bytes.readUInt16BE(LOAD_OFFSET),
     failureShare: bytes.readUInt8(FAILURE_SHARE_OFFSET) / FAILURE_SHARE_STEPS,
-    serviceTimes: Array.from({ length: bytes.readUInt8(TIME_COUNT_OFFSET) }, (_, index) => {
-      const offset = GATE_BYTES + index * SERVICE_TIME_BYTES;
-      return { routeHash: bytes.readUInt32BE(offset), meanMs: bytes.readUInt16BE(offset + 4) };
-    }),
+    serviceTimes: times.filter(({ routeHash }) => routeHash !== LIMIT_HASH),
+    ...decodeLimit(times),
   };
 }
 
--- a/packages/lentillb/src/serving/backendServerClient.ts
+++ b/packages/lentillb/src/serving/backendServerClient.ts
@@ -34,6 +34,8 @@
 export interface BackendServerListener {
   /** Called when a request is sent, for the first time or again. */
   readonly onSent: () => void;
+  /** Returns whether the backend server may get a request again whose connection was lost. */
+  readonly mayResend: () => boolean;
   /**
    * Called with what a run of the backend server states in an answer of its own.
    *
@@ -94,7 +96,8 @@
       return first;
     }
     this.pool.recordConnectionLoss();
-    return request.repeatable ? this.sendOnce(request, target) : first;
+    const mayResend = request.repeatable && this.listener.mayResend();
+    return mayResend ? this.sendOnce(request, target) : first;
   }
 
   private async sendOnce(
--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -297,7 +297,7 @@
   private recordReply(endpoint: Placement['endpoint'], { report, result }: GateReply): void {
     const observation = this.services.observations.of(endpoint);
     if (report !== undefined) {
-      observation.recordLoad(report.load);
+      observation.recordLoad(report.load, report.limitPerSecond);
     }
     if (result.isOk()) {
       const failed = result.value.status >= HttpStatus.ServerError;
--- a/packages/lentillb/src/serving/gate.ts
+++ b/packages/lentillb/src/serving/gate.ts
@@ -12,10 +12,17 @@
 import type { BackendServerClient } from './backendServerClient.js';
 import { FailureShare } from './failureShare.js';
 import type { LocalBackendServer } from './localBackendServer.js';
-import type { BackendAnswer, ForwardedRequest, ForwardFailure, GateReply } from './messages.js';
+import type {
+  BackendAnswer,
+  ForwardedRequest,
+  ForwardFailure,
+  GateReply,
+  GateReport,
+} from './messages.js';
 import { FailureCause } from './messages.js';
 import type { Slot, SlotQueue } from './slotQueue.js';
 import { Admission, ServiceTimeSample } from './slotQueue.js';
+import type { StatedLimit } from './statedLimit.js';
 
 type GateResult = Result<BackendAnswer, ForwardFailure>;
 
@@ -24,6 +31,7 @@
   readonly clock: Clock;
   readonly input: Pick<PendingInputTracker, 'waitUntilRecentlyRead'>;
   readonly slots: SlotQueue;
+  readonly statedLimit: Pick<StatedLimit, 'reportedPerSecond'>;
   readonly backendServer: LocalBackendServer;
   readonly client: Pick<BackendServerClient, 'send'>;
   readonly log: DecisionLog;
@@ -115,7 +123,12 @@
     const serviceTimes = slots
       .recentServiceTimes(MAX_REPORTED_TIME_AGE_MS)
       .map(([route, meanMs]) => ({ routeHash: hash32(route), meanMs }));
-    return { load: running + queued, failureShare: this.failureShare.value, serviceTimes };
+    return {
+      load: running + queued,
+      failureShare: this.failureShare.value,
+      serviceTimes,
+      limitPerSecond: this.services.statedLimit.reportedPerSecond,
+    };
   }
 
   /**
@@ -144,8 +157,13 @@
       queuedMs,
       serviceMs,
     });
-    const { queued, running } = this.services.slots.load;
-    return { result, report: { load: running + queued, serviceMs: result.isOk() ? serviceMs : 0 } };
+    return { result, report: this.createReport(result.isOk() ? serviceMs : 0) };
+  }
+
+  private createReport(serviceMs: number): GateReport {
+    const { slots, statedLimit } = this.services;
+    const { queued, running } = slots.load;
+    return { load: running + queued, serviceMs, limitPerSecond: statedLimit.reportedPerSecond };
   }
 
   private admit(
--- a/packages/lentillb/src/serving/gateObservation.ts
+++ b/packages/lentillb/src/serving/gateObservation.ts
@@ -40,6 +40,8 @@
 
   private readonly ownFailureShare: FailureShare;
 
+  private reportedLimit: number | undefined;
+
   private avoidUntilMs = -Infinity;
 
   private avoidMs = MIN_AVOIDANCE_MS;
@@ -93,6 +95,12 @@
     return Math.max(this.ownFailureShare.value, this.hasSharedLoad ? this.sharedFailureShare : 0);
   }
 
+  /** @returns the requests per second that the backend server takes, if it stated a limit lately */
+  limitPerSecond(): number | undefined {
+    const ageMs = this.clock.monotonicMs() - this.reportedAtMs;
+    return ageMs < MAX_SHARED_LOAD_AGE_MS ? this.reportedLimit : undefined;
+  }
+
   /** Records that a request is sent. */
   recordStart(): void {
     this.inFlight += 1;
@@ -109,9 +117,11 @@
    * Records the load that the gate reported with an answer, which shows that it is reachable.
    *
    * @param load - the number of requests that run or wait at the gate
+   * @param limitPerSecond - the requests per second that the backend server takes, if limited
    */
-  recordLoad(load: number): void {
+  recordLoad(load: number, limitPerSecond?: number): void {
     this.reportedLoad = load;
+    this.reportedLimit = limitPerSecond;
     this.reportedAtMs = this.clock.monotonicMs();
     this.inFlightChange = 0;
     this.avoidUntilMs = -Infinity;
@@ -125,13 +135,14 @@
    *
    * @param report - the report
    */
-  recordSharedLoad({ failureShare, load, serviceTimes }: GateLoad): void {
+  recordSharedLoad({ failureShare, limitPerSecond, load, serviceTimes }: GateLoad): void {
     this.sharedServiceMs = new Map(
       serviceTimes.map(({ meanMs, routeHash }) => [routeHash, meanMs]),
     );
     this.sharedFailureShare = failureShare;
     this.sharedAtMs = this.clock.monotonicMs();
     this.reportedLoad = load;
+    this.reportedLimit = limitPerSecond;
     this.reportedAtMs = this.sharedAtMs;
   }
 
--- a/packages/lentillb/src/serving/gateProtocol.ts
+++ b/packages/lentillb/src/serving/gateProtocol.ts
@@ -99,6 +99,11 @@
   readonly body: Buffer;
 }
 
+function encodeReport({ limitPerSecond, load, serviceMs }: GateReport): string {
+  const limit = limitPerSecond === undefined ? [] : [limitPerSecond];
+  return [load, Math.round(serviceMs), ...limit].join(' ');
+}
+
 /**
  * Encodes the reply of a gate.
  *
@@ -107,9 +112,7 @@
  */
 export function encodeReply({ report, result }: GateReply): EncodedReply {
   const reported: HeaderFields =
-    report === undefined
-      ? {}
-      : { [REPORT_HEADER]: `${report.load} ${Math.round(report.serviceMs)}` };
+    report === undefined ? {} : { [REPORT_HEADER]: encodeReport(report) };
   if (result.isOk()) {
     const { body, headers, status, unframed } = result.value;
     const framing: HeaderFields = unframed ? { [UNFRAMED_HEADER]: '1' } : {};
@@ -126,10 +129,13 @@
 
 function decodeReport(headers: IncomingHttpHeaders): GateReport | undefined {
   const value = headers[REPORT_HEADER];
-  const [load, serviceMs] = typeof value === 'string' ? value.split(' ').map(Number) : [];
-  return load === undefined || serviceMs === undefined || Number.isNaN(load + serviceMs)
-    ? undefined
-    : { load, serviceMs };
+  const [load, serviceMs, limitPerSecond] =
+    typeof value === 'string' ? value.split(' ').map(Number) : [];
+  if (load === undefined || serviceMs === undefined) {
+    return undefined;
+  }
+  const isNumeric = !Number.isNaN(load + serviceMs + (limitPerSecond ?? 0));
+  return isNumeric ? { load, serviceMs, limitPerSecond } : undefined;
 }
 
 const outcomes = Object.values(Outcome);
--- a/packages/lentillb/src/serving/gateSelector.ts
+++ b/packages/lentillb/src/serving/gateSelector.ts
@@ -46,6 +46,10 @@
 /** The difference from the lowest risk up to which placements are chosen between at random. */
 const RISK_TOLERANCE = 0.004;
 
+/** The usable slots of a backend server that states a limit of 0; keeps the estimates finite. */
+const MIN_USABLE_SLOTS = 0.01;
+const MS_PER_SECOND = 1_000;
+
 /** The maximum number of gates of the own zone, and of other zones, that are compared. */
 const MAX_COMPARED_GATES = 5;
 
@@ -60,6 +64,12 @@
   return 1 / (1 + Math.exp(1.702 * deviations));
 }
 
+/** Returns the number of slots that requests at the stated limit keep occupied on average. */
+function usableSlots(slots: number, limitPerSecond: number | undefined, serviceMs: number): number {
+  const occupied = ((limitPerSecond ?? Infinity) * serviceMs) / MS_PER_SECOND;
+  return Math.min(slots, Math.max(MIN_USABLE_SLOTS, occupied));
+}
+
 /** The numbers of candidate gates of a request and of excluded ones, for the log. */
 export interface CandidateCount {
   readonly hosts: number;
@@ -155,8 +165,12 @@
     { routeHash, targetMs }: Pick<PlacementRequest, 'routeHash' | 'targetMs'>,
   ): Placement {
     const observation = this.services.observations.of(endpoint);
-    const { slots } = endpoint.backendServer;
     const serviceMs = observation.serviceMs(routeHash, typicalMs);
+    const slots = usableSlots(
+      endpoint.backendServer.slots,
+      observation.limitPerSecond(),
+      serviceMs,
+    );
     const load = observation.load();
     const waitMs = Math.max(0, ((load + 1 - slots) * serviceMs) / slots);
     const expectedMs = serviceMs + waitMs;
--- a/packages/lentillb/src/serving/messages.ts
+++ b/packages/lentillb/src/serving/messages.ts
@@ -79,6 +79,8 @@
   readonly load: number;
   /** The time spent at the backend server, in milliseconds; 0 if it gave no answer. */
   readonly serviceMs: number;
+  /** The requests per second that the backend server takes; undefined if it states no limit. */
+  readonly limitPerSecond?: number;
 }
 
 /** The reply of a gate to a request. */
--- a/packages/lentillb/src/serving/slotQueue.ts
+++ b/packages/lentillb/src/serving/slotQueue.ts
@@ -1,6 +1,6 @@
 /**
  * Decides which requests get the slots of one backend server, in which order, and which are
- * refused. The load may exceed the slots for seconds at a time, and an answer loses most of its
+ * refused. If the backend server states a request limit, a slot also needs a permit. The load may exceed the slots for seconds at a time, and an answer loses most of its
  * value once the target latency has passed. A request that cannot be answered in time is therefore
  * refused on arrival: its caller can still try another backend server, and the slots serve requests
  * whose answers count. Calls made inside a run have short target latencies, so they precede new
@@ -128,6 +128,8 @@
 
   private readonly meanServiceMs = new SmoothedMean();
 
+  private stopAwaitingPermit: () => void = noop;
+
   /**
    * @param clock - the clock for deadlines and service times
    * @param isWarmingUp - returns whether the backend server is still warming up
@@ -174,7 +176,7 @@
    * @returns the decision; if a slot was free, `onGranted` has already been called
    */
   admit(request: SlotRequest): AdmissionDecision {
-    if (this.running < this.slots && this.waiting.length === 0) {
+    if (this.running < this.slots && this.waiting.length === 0 && this.statedLimit.tryTake()) {
       request.onGranted(this.occupySlot(request));
       return { admission: Admission.Granted, waitMs: 0, cancel: noop };
     }
@@ -183,6 +185,7 @@
       return { admission: Admission.Refused, waitMs, cancel: noop };
     }
     this.enqueue(request);
+    this.awaitPermit();
     const cancel = (): void => {
       this.remove(request);
     };
@@ -191,6 +194,7 @@
 
   /** Drops all queued requests. */
   dropAll(): void {
+    this.stopAwaitingPermit();
     this.waiting.splice(0).forEach(({ onDropped }) => onDropped());
   }
 
@@ -213,8 +217,12 @@
     return this.isWarmingUp() ? measured * WARM_UP_FACTOR : measured;
   }
 
-  /** Estimates the wait for a slot behind the given requests, in milliseconds. */
+  /** Estimates the wait for a slot and a permit behind the given requests, in milliseconds. */
   private expectedWaitMs(ahead: readonly SlotRequest[]): number {
+    return Math.max(this.expectedSlotWaitMs(ahead), this.statedLimit.waitMs(ahead.length));
+  }
+
+  private expectedSlotWaitMs(ahead: readonly SlotRequest[]): number {
     if (this.slots === 0) {
       return Infinity;
     }
@@ -251,7 +259,6 @@
 
   private occupySlot({ serviceTimeKey }: SlotRequest): Slot {
     this.running += 1;
-    this.statedLimit.recordGranted();
     const startedMs = this.clock.monotonicMs();
     let isHeld = true;
     return {
@@ -291,12 +298,22 @@
   private grantNext(): void {
     while (this.running < this.slots && this.waiting.length > 0) {
       this.dropTooLate();
-      const next = this.dequeue();
-      if (next === undefined) {
-        return;
+      if (this.waiting.length === 0 || !this.statedLimit.tryTake()) {
+        break;
       }
+      const next = this.dequeue() as SlotRequest;
       next.onGranted(this.occupySlot(next));
     }
+    this.awaitPermit();
+  }
+
+  /** Schedules the next grant if requests wait only for a permit. */
+  private awaitPermit(): void {
+    this.stopAwaitingPermit();
+    if (this.waiting.length > 0 && this.running < this.slots) {
+      const delayMs = Math.ceil(this.statedLimit.waitMs(0));
+      this.stopAwaitingPermit = this.clock.after(delayMs, () => this.grantNext());
+    }
   }
 
   /** Drops requests that can no longer be answered before their deadline. */
--- a/packages/lentillb/src/serving/statedLimit.ts
+++ b/packages/lentillb/src/serving/statedLimit.ts
@@ -1,11 +1,30 @@
-/** Tracks the request limit that the backend server of this host states in its answers. */
+/**
+ * Keeps a backend server within the request limit that it states in its answers. Every request to it
+ * passes the gate of its host, so this is the one place where all of them are counted. Under a load
+ * beyond the limit, permits become due at the stated rate, and the slot queue orders the requests
+ * that wait for them.
+ */
 import type { Clock } from '../kernel/clock.js';
 import type { DecisionLog } from '../observability/decisionLog.js';
 import { Importance } from '../observability/decisionLog.js';
 import type { ServerStatement } from './serverStatement.js';
 
+const MS_PER_SECOND = 1_000;
 /** The interval of log lines while a limit is in force, in milliseconds. */
 const LOG_INTERVAL_MS = 1_000;
+/** The time whose permits may be saved for a burst, in milliseconds. */
+const MAX_SAVED_MS = 250;
+/**
+ * The lowest rate, in requests per second. A backend server that states 0 can only take that back in
+ * an answer, so it gets a request now and then.
+ */
+const MIN_PER_SECOND = 0.5;
+/** Stated limits above this many requests per second have no effect. */
+const MAX_PER_SECOND = 1_000_000;
+/** The largest rounding error of a permit count. */
+const PERMIT_TOLERANCE = 1e-6;
+/** How long a limit is reported to other nodes after an answer stated it, in milliseconds. */
+const MAX_REPORTED_AGE_MS = 3_000;
 
 interface IntervalCounts {
   readonly startedAtMs: number;
@@ -19,10 +38,21 @@
 export class StatedLimit {
   private limit: number | undefined;
 
+  /** When an answer stated the limit last, in milliseconds of the monotonic clock. */
+  private statedAtMs = -Infinity;
+
+  private permits = 0;
+
+  private refilledAtMs = -Infinity;
+
+  private isMalformed = false;
+
+  private runId: string | undefined;
+
   private counts: IntervalCounts;
 
   /**
-   * @param clock - the clock for the log interval
+   * @param clock - the clock by which permits become due
    * @param log - the log for changes of the limit
    */
   constructor(
@@ -32,14 +62,40 @@
     this.counts = this.startInterval();
   }
 
-  /** The requests per second that the backend server takes; undefined if it is not limited. */
-  get perSecond(): number | undefined {
-    return this.limit;
+  /** The limit to report to other nodes; undefined if none was stated lately. */
+  get reportedPerSecond(): number | undefined {
+    return this.clock.monotonicMs() - this.statedAtMs < MAX_REPORTED_AGE_MS
+      ? this.limit
+      : undefined;
+  }
+
+  /**
+   * Returns how long a request waits for a permit.
+   *
+   * @param ahead - the number of requests that get a permit earlier
+   * @returns the wait, in milliseconds; 0 if there is no limit
+   */
+  waitMs(ahead: number): number {
+    if (this.limit === undefined) {
+      return 0;
+    }
+    this.refill();
+    const missing = ahead + 1 - this.permits - PERMIT_TOLERANCE;
+    return Math.max(0, (missing * MS_PER_SECOND) / this.ratePerSecond);
   }
 
-  /** Records that a request got a slot. */
-  recordGranted(): void {
+  /**
+   * Takes the permit for one request.
+   *
+   * @returns whether a permit was available
+   */
+  tryTake(): boolean {
+    if (this.waitMs(0) > 0) {
+      return false;
+    }
+    this.permits -= this.limit === undefined ? 0 : 1;
     this.counts.granted += 1;
+    return true;
   }
 
   /** Records that a request was sent to the backend server, for the first time or again. */
@@ -49,20 +105,66 @@
   }
 
   /**
-   * Records an answer of the backend server.
+   * Records an answer of the backend server. The limit holds for as long as answers state it; an
+   * answer to a request that was sent before it was stated last says nothing about it.
    *
-   * @param statement - what the backend server states in it
+   * @param statement - what the backend server states in the answer
+   * @param sentAtMs - when the request was sent, in milliseconds of the monotonic clock
    */
-  recordAnswer({ limitPerSecond }: ServerStatement): void {
+  recordAnswer({ hasMalformedLimit, limitPerSecond }: ServerStatement, sentAtMs: number): void {
     this.counts.answers += 1;
-    this.counts.statingAnswers += limitPerSecond === undefined ? 0 : 1;
-    if (limitPerSecond !== this.limit) {
-      this.log.record(Importance.Notable, 'stated-limit-changed', {
-        perSecond: limitPerSecond,
-        previousPerSecond: this.limit,
-      });
-      this.limit = limitPerSecond;
+    if (hasMalformedLimit !== this.isMalformed) {
+      this.isMalformed = hasMalformedLimit;
+      this.log.record(Importance.Notable, 'stated-limit-malformed', { hasMalformedLimit });
+    }
+    if (limitPerSecond !== undefined) {
+      this.counts.statingAnswers += 1;
+      this.statedAtMs = this.clock.monotonicMs();
+      this.changeTo(limitPerSecond <= MAX_PER_SECOND ? limitPerSecond : undefined);
+    } else if (!hasMalformedLimit && sentAtMs > this.statedAtMs) {
+      this.changeTo(undefined);
+    }
+  }
+
+  /**
+   * Drops the limit when another run of a backend server takes over the address.
+   *
+   * @param runId - the identity of the run that gets requests from now on
+   */
+  startRun(runId: string): void {
+    if (this.runId !== runId) {
+      this.runId = runId;
+      this.statedAtMs = -Infinity;
+      this.changeTo(undefined);
+    }
+  }
+
+  private get ratePerSecond(): number {
+    return Math.max(MIN_PER_SECOND, this.limit ?? Infinity);
+  }
+
+  private changeTo(limit: number | undefined): void {
+    if (limit === this.limit) {
+      return;
+    }
+    this.refill();
+    this.log.record(Importance.Notable, 'stated-limit-changed', {
+      perSecond: limit,
+      previousPerSecond: this.limit,
+    });
+    // Requests sent before the first statement count, so no permits are saved yet.
+    this.permits = this.limit === undefined ? 0 : this.permits;
+    this.limit = limit;
+  }
+
+  private refill(): void {
+    const nowMs = this.clock.monotonicMs();
+    if (this.limit !== undefined) {
+      const perMs = this.ratePerSecond / MS_PER_SECOND;
+      const capacity = Math.max(1, perMs * MAX_SAVED_MS);
+      this.permits = Math.min(capacity, this.permits + (nowMs - this.refilledAtMs) * perMs);
     }
+    this.refilledAtMs = nowMs;
   }
 
   private startInterval(): IntervalCounts {
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -96,6 +96,8 @@
 
   private readonly backendServer: LocalBackendServer;
 
+  private readonly statedLimit: StatedLimit;
+
   private readonly slots: SlotQueue;
 
   private readonly client: BackendServerClient;
@@ -154,17 +156,23 @@
     const { configuration, directory, role } = this.meshState;
     this.backendServer = new LocalBackendServer(clock, () => this.onBackendServerChange());
     const { backendServer } = this;
-    const statedLimit = new StatedLimit(clock, log);
+    this.statedLimit = new StatedLimit(clock, log);
+    const { statedLimit } = this;
     this.slots = new SlotQueue(clock, () => backendServer.warmingUp, statedLimit);
     const { slots } = this;
     this.client = new BackendServerClient(clock, headerNames, {
       onSent: () => statedLimit.recordSent(),
-      onStatement: (statement) => statedLimit.recordAnswer(statement),
+      mayResend: () => statedLimit.tryTake(),
+      onStatement: (statement, instanceId, sentAtMs) => {
+        if (backendServer.heartbeat?.id === instanceId) {
+          statedLimit.recordAnswer(statement, sentAtMs);
+        }
+      },
     });
     const { client } = this;
     const input = new PendingInputTracker(clock);
     const observations = new GateObservations(clock, DEFAULT_SERVICE_TIME_MS);
-    this.gate = new Gate({ clock, input, slots, backendServer, client, log, metrics });
+    this.gate = new Gate({ clock, input, slots, statedLimit, backendServer, client, log, metrics });
     this.gossipSocket = new GossipSocket(
       (from, message) => {
         this.failureDetector.markAddressHeard(from);
@@ -384,6 +392,7 @@
   private onBackendServerChange(): void {
     const { heartbeat, ready } = this.backendServer;
     if (ready && heartbeat !== undefined) {
+      this.statedLimit.startRun(`${heartbeat.id} ${heartbeat.startedAtMs}`);
       this.slots.resize(heartbeat.slots);
     } else {
       this.slots.dropAll();
--- a/tests/emulation/sharedLoad.spec.ts
+++ b/tests/emulation/sharedLoad.spec.ts
@@ -63,6 +63,18 @@
     expect(aware['in-time'] / aware.asked).toBeGreaterThan(unaware['in-time'] / unaware.asked);
   });
 
+  it('should be served where there is room when half of the backend servers state a low limit', async () => {
+    const limited = [
+      { atMs: 4_000, forMs: 9_000, limited: { service: 'pages', share: 0.5, perSecond: 3 } },
+    ];
+    const unlimited = await play(true);
+    const aware = await play(true, limited);
+    expect(aware.refused / aware.asked).toBeLessThan(0.01);
+    expect(aware['in-time'] / aware.asked).toBeGreaterThan(
+      (0.95 * unlimited['in-time']) / unlimited.asked,
+    );
+  });
+
   it('should not lose answers in time to a burst of load', async () => {
     const burst = [{ atMs: 5_000, forMs: 3_000, load: 1.7 }];
     const unaware = await play(false, burst);
--- a/tests/peers/gossip.spec.ts
+++ b/tests/peers/gossip.spec.ts
@@ -161,6 +161,19 @@
     expect(decodeGossipMessage(encoded.subarray(0, encoded.length - 1))).toBeUndefined();
   });
 
+  it('should carry the request limits of gates in tenths', () => {
+    const load = { hostHash: 5, load: 7, failureShare: 0, serviceTimes: [] };
+    const message: GossipMessage = {
+      kind: GossipMessageKind.Status,
+      readsStore: false,
+      configurationVersion: 1,
+      directoryDigest: 7,
+      storeEra: 0,
+      gateLoads: [{ ...load, limitPerSecond: 12.7 }, { ...load, limitPerSecond: 0 }, load],
+    };
+    expect(decodeGossipMessage(encodeGossipMessage(message))).toEqual(message);
+  });
+
   it.each([[Buffer.alloc(0)], [Buffer.alloc(14)], [Buffer.from('l123456789012')]])(
     'should not be decoded from %s',
     (bytes) => {
--- a/tests/serving/connectionPool.spec.ts
+++ b/tests/serving/connectionPool.spec.ts
@@ -51,6 +51,7 @@
   connections = 0;
   client = new BackendServerClient(clock, wireHeaders, {
     onSent: () => undefined,
+    mayResend: () => true,
     onStatement: () => undefined,
   });
   server = createServer((_, response) => {
--- a/tests/serving/gateForwarder.spec.ts
+++ b/tests/serving/gateForwarder.spec.ts
@@ -32,9 +32,9 @@
   });
 }
 
-async function respond(): Promise<void> {
+async function respond(reply = answered): Promise<void> {
   const response = await pendingResponse;
-  const { body, headers, status } = encodeReply(answered);
+  const { body, headers, status } = encodeReply(reply);
   response.writeHead(status, headers);
   response.end(body);
 }
@@ -93,3 +93,13 @@
   await respond();
   expect((await called).result.isOk()).toBe(true);
 });
+
+it.each([{ limitPerSecond: 12.7 }, { limitPerSecond: 0 }, {}])(
+  'should receive the request limit that a gate reports: %o',
+  async (limit) => {
+    const report = { load: 3, serviceMs: 40, ...limit };
+    const called = forwarder.call(endpoint, requestOf(true));
+    await respond({ ...answered, report });
+    expect((await called).report).toEqual(report);
+  },
+);
--- a/tests/serving/pausedProcess.spec.ts
+++ b/tests/serving/pausedProcess.spec.ts
@@ -4,12 +4,12 @@
 import { listenOnLoopback } from '@lentillb/standins';
 import { SystemClock } from 'lentillb';
 import { Cancellation, CancelReason } from 'lentillb/calls/cancellation.js';
-import { DecisionLog } from 'lentillb/observability/decisionLog.js';
 import { MetricsRegistry } from 'lentillb/observability/metricsRegistry.js';
 import { Gate } from 'lentillb/serving/gate.js';
 import { ExchangeFailure } from 'lentillb/serving/exchange.js';
 import { LocalBackendServer } from 'lentillb/serving/localBackendServer.js';
 import { FailureCause } from 'lentillb/serving/messages.js';
+import { StatedLimit } from 'lentillb/serving/statedLimit.js';
 import { parseAddress } from 'lentillb/utils/networkAddress.js';
 import { Ok } from 'ts-results-es';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
@@ -17,7 +17,7 @@
 import { createForwardedRequest } from '../support/forwardedRequest.js';
 import { ManualClock } from '../support/manualClock.js';
 import { sendRequest } from '../support/sendRequest.js';
-import { createSlotQueue } from '../support/slotQueue.js';
+import { createSilentLog, createSlotQueue } from '../support/slotQueue.js';
 
 const PAUSE_MS = 150;
 const DEADLINE_MS = 1_000;
@@ -89,14 +89,16 @@
       sequence: 1,
       startedAtMs: 1,
     });
-    const slots = createSlotQueue(clock);
+    const statedLimit = new StatedLimit(clock, createSilentLog(clock));
+    const slots = createSlotQueue(clock, statedLimit);
     slots.resize(2);
     let sent = 0;
     const gate = new Gate({
       clock,
       slots,
+      statedLimit,
       backendServer,
-      log: new DecisionLog(clock, { info: () => undefined, warn: () => undefined }),
+      log: createSilentLog(clock),
       metrics: new MetricsRegistry(),
       input: { waitUntilRecentlyRead: () => clock.advance(DEADLINE_MS + 1) },
       client: {
--- a/tests/serving/placement.spec.ts
+++ b/tests/serving/placement.spec.ts
@@ -165,6 +165,20 @@
     expect(choose()).toBe('near');
   });
 
+  it.each([2, 0])(
+    'should choose another zone when the backend server of its own states a limit of %s, until it lifts it',
+    async (limitPerSecond) => {
+      const { choose, clock, near, observations } = fixture();
+      observations.of(near).recordLoad(2, limitPerSecond);
+      expect(choose()).toBe('far');
+      observations.of(near).recordLoad(2);
+      expect(choose()).toBe('near');
+      observations.of(near).recordLoad(2, limitPerSecond);
+      await clock.advance(2_000);
+      expect(choose()).toBe('near');
+    },
+  );
+
   it('should compare only some of many gates, so that nodes with the same reports choose differently', () => {
     const clock = new ManualClock();
     const observations = new GateObservations(clock, 100);
