Send nothing more to a backend server whose answers say that it is leaving

A statement in an answer was passed on unread, here the departure: where the heartbeat is late or lost, or is never sent, requests went on to a backend server that had told every caller that it leaves.

Change: the gate takes such an answer for the departure of that run, drops what waits in its queue as not run, refuses what still arrives, and announces it; a later heartbeat of the same run doesn't reopen it, another run does. A node that passed such an answer on also remembers it itself, since the node beside the backend server may restart and forget it while the store is away.

The model of backend server runs has the step, too. tests/sidecar, tests/serving: passed.

--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -23,6 +23,7 @@
 import type { BackendAnswer, ForwardedRequest, GateReply } from './messages.js';
 import { FailureCause } from './messages.js';
 import type { Placement, GateSelector } from './gateSelector.js';
+import { readStatement } from './serverStatement.js';
 import type { RetryAllowance } from './retryAllowance.js';
 import { chooseRetryAfterMs } from './retryAfter.js';
 import { WaitLimit } from './slotQueue.js';
@@ -300,6 +301,10 @@
       observation.recordLoad(report.load, report.limitPerSecond);
     }
     if (result.isOk()) {
+      if (readStatement(result.value.headers, this.options.names).leaving) {
+        // The node beside the backend server may be restarted and forget it, or be late to tell.
+        observation.recordLeaving();
+      }
       const failed = result.value.status >= HttpStatus.ServerError;
       observation.recordOutcome(failed);
       if (!failed && report !== undefined) {
--- a/packages/lentillb/src/serving/gateObservation.ts
+++ b/packages/lentillb/src/serving/gateObservation.ts
@@ -42,6 +42,8 @@
 
   private reportedLimit: number | undefined;
 
+  private hasStatedDeparture = false;
+
   private avoidUntilMs = -Infinity;
 
   private avoidMs = MIN_AVOIDANCE_MS;
@@ -50,6 +52,11 @@
     this.ownFailureShare = new FailureShare(clock);
   }
 
+  /** Whether the backend server stated in an answer to this node that it is leaving. */
+  get leaving(): boolean {
+    return this.hasStatedDeparture;
+  }
+
   /** Whether requests may be sent to the gate. */
   get reachable(): boolean {
     return this.clock.monotonicMs() >= this.avoidUntilMs;
@@ -101,6 +108,11 @@
     return ageMs < MAX_SHARED_LOAD_AGE_MS ? this.reportedLimit : undefined;
   }
 
+  /** Records that the backend server stated in an answer that it is leaving. */
+  recordLeaving(): void {
+    this.hasStatedDeparture = true;
+  }
+
   /** Records that a request is sent. */
   recordStart(): void {
     this.inFlight += 1;
--- a/packages/lentillb/src/serving/gateSelector.ts
+++ b/packages/lentillb/src/serving/gateSelector.ts
@@ -99,7 +99,12 @@
   choose({ candidates, excluded, routeHash, targetMs }: PlacementRequest): Placement | undefined {
     const { isSilent, observations } = this.services;
     // Skips silent hosts: the failure detector probes them, and a request sent there would only wait.
-    const available = candidates.filter(({ host }) => !excluded.has(host) && !isSilent(host));
+    const available = candidates.filter(
+      (endpoint) =>
+        !excluded.has(endpoint.host) &&
+        !isSilent(endpoint.host) &&
+        !observations.of(endpoint).leaving,
+    );
     const reachable = available.filter((endpoint) => observations.isReachable(endpoint));
     const endpoints = reachable.length > 0 ? reachable : available;
     return this.chooseLeastRisk(endpoints, { routeHash, targetMs });
--- a/packages/lentillb/src/serving/localBackendServer.ts
+++ b/packages/lentillb/src/serving/localBackendServer.ts
@@ -192,6 +192,23 @@
     }
   }
 
+  /**
+   * Records that the current run stated in an answer that it is leaving. Its heartbeats may say so
+   * later, or never.
+   *
+   * @param id - the identity of the run that stated it
+   * @returns the effect of the statement
+   */
+  recordStatedDeparture(id: string): HeartbeatEffect {
+    const current = this.run;
+    if (current === undefined || current.heartbeat.id !== id) {
+      return HeartbeatEffect.Outdated;
+    }
+    const { startedAtMs } = current.heartbeat;
+    this.recordDeparture(id, startedAtMs, startedAtMs);
+    return this.markLeaving(current);
+  }
+
   /** Closes the gate because another backend server uses the address; a heartbeat reopens it. */
   recordMisdirectedRequest(): void {
     if (this.run !== undefined) {
--- a/packages/lentillb/src/serving/serverStatement.ts
+++ b/packages/lentillb/src/serving/serverStatement.ts
@@ -1,5 +1,5 @@
 /** Reads what a backend server states about itself in the headers of an answer. */
-import type { IncomingHttpHeaders } from 'node:http';
+import type { HeaderFields } from '../calls/callHeaders.js';
 import type { HeaderNames } from './headerNames.js';
 
 /** What a backend server states about itself in one answer. */
@@ -12,11 +12,13 @@
   readonly leaving: boolean;
 }
 
+type AnswerHeaders = Readonly<Partial<HeaderFields>>;
+
 const DECIMAL = /^\d+(\.\d+)?$/;
 const LEAVING_VALUE = '1';
 
 /** Returns the values of a header, which Node.js joins by commas if it occurs more than once. */
-function valuesOf(headers: IncomingHttpHeaders, name: string): readonly string[] {
+function valuesOf(headers: AnswerHeaders, name: string): readonly string[] {
   const value = headers[name];
   return value === undefined
     ? []
@@ -33,7 +35,7 @@
  * @returns the statement, with the lowest limit if the answer states several
  */
 export function readStatement(
-  headers: IncomingHttpHeaders,
+  headers: AnswerHeaders,
   names: Pick<HeaderNames, 'leaving' | 'requestLimit'>,
 ): ServerStatement {
   const limits = valuesOf(headers, names.requestLimit);
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -31,6 +31,7 @@
 import { GateSelector } from '../serving/gateSelector.js';
 import { RetryAllowance } from '../serving/retryAllowance.js';
 import type { RetryTerms } from '../serving/retryAllowance.js';
+import type { ServerStatement } from '../serving/serverStatement.js';
 import { SlotQueue } from '../serving/slotQueue.js';
 import { StatedLimit } from '../serving/statedLimit.js';
 import { EraCheckedStore } from '../store/eraCheckedStore.js';
@@ -163,11 +164,7 @@
     this.client = new BackendServerClient(clock, headerNames, {
       onSent: () => statedLimit.recordSent(),
       mayResend: () => statedLimit.tryTake(),
-      onStatement: (statement, instanceId, sentAtMs) => {
-        if (backendServer.heartbeat?.id === instanceId) {
-          statedLimit.recordAnswer(statement, sentAtMs);
-        }
-      },
+      onStatement: (...statement) => this.acceptStatement(...statement),
     });
     const { client } = this;
     const input = new PendingInputTracker(clock);
@@ -389,6 +386,19 @@
     return load;
   }
 
+  private acceptStatement(statement: ServerStatement, instanceId: string, sentAtMs: number): void {
+    if (this.backendServer.heartbeat?.id !== instanceId) {
+      return;
+    }
+    this.statedLimit.recordAnswer(statement, sentAtMs);
+    if (statement.leaving) {
+      const effect = this.backendServer.recordStatedDeparture(instanceId);
+      if (effect === HeartbeatEffect.Changed) {
+        this.log.record(Importance.Notable, 'departure-stated', { id: instanceId });
+      }
+    }
+  }
+
   private onBackendServerChange(): void {
     const { heartbeat, ready } = this.backendServer;
     if (ready && heartbeat !== undefined) {
--- a/tests/serving/backendServerRuns.spec.ts
+++ b/tests/serving/backendServerRuns.spec.ts
@@ -18,6 +18,8 @@
   Drain: 'drain',
   /** The departure of the current run reaches the node, which confirms it. */
   Depart: 'depart',
+  /** The current run states in an answer that it is leaving. */
+  State: 'state',
   /** An arbitrary heartbeat in transit arrives. */
   Arrive: 'arrive',
 } as const;
@@ -59,6 +61,7 @@
       [Step.Heartbeat]: () => this.send(this.isLeaving),
       [Step.Drain]: () => this.drain(),
       [Step.Depart]: () => this.depart(),
+      [Step.State]: () => this.stateDeparture(),
       [Step.Arrive]: () => this.arrive(choice),
     };
     handlers[kind]();
@@ -114,6 +117,16 @@
     this.confirmedDepartures.add(`${this.current.id} ${this.current.startedAtMs}`);
   }
 
+  private stateDeparture(): void {
+    const { id, startedAtMs } = this.current;
+    const { heartbeat } = this.node;
+    if (heartbeat?.id === id && heartbeat.startedAtMs === startedAtMs) {
+      this.isLeaving = true;
+      this.node.recordStatedDeparture(id);
+      this.confirmedDepartures.add(`${id} ${startedAtMs}`);
+    }
+  }
+
   private arrive(choice: number): void {
     const [heartbeat] = this.inTransit.splice(choice % Math.max(1, this.inTransit.length), 1);
     if (heartbeat === undefined) {
--- a/tests/serving/localBackendServer.spec.ts
+++ b/tests/serving/localBackendServer.spec.ts
@@ -58,6 +58,25 @@
     expect(changes()).toBe(1);
   });
 
+  it('should not become ready by a heartbeat after the run stated its departure in an answer', () => {
+    const { changes, server } = fixture();
+    server.accept(FIRST);
+    expect(server.recordStatedDeparture('i-1')).toBe(HeartbeatEffect.Changed);
+    expect(server.recordStatedDeparture('i-1')).toBe(HeartbeatEffect.Unchanged);
+    expect(server.accept({ ...FIRST, sequence: 2 })).toBe(HeartbeatEffect.Outdated);
+    expect(server.ready).toBe(false);
+    expect(changes()).toBe(2);
+    server.accept({ ...FIRST, sequence: 1, startedAtMs: 2_000 });
+    expect(server.ready).toBe(true);
+  });
+
+  it('should ignore the departure that another run stated', () => {
+    const { server } = fixture();
+    server.accept(FIRST);
+    expect(server.recordStatedDeparture('i-0')).toBe(HeartbeatEffect.Outdated);
+    expect(server.ready).toBe(true);
+  });
+
   it('should not become ready by a delayed heartbeat after a draining heartbeat', () => {
     const { server } = fixture();
     server.accept(FIRST);
