Don't report a request as not run after its run was lost on a kept connection

Only repeatable requests are sent again there, so nothing ran twice for it; callers were told what was not true, and most ended runs were not to be seen in the lines.

Change: when the second sending is certainly not run, the result is that of the first. Tests first: 'should not report a request as not run after its run was lost and the server then refuses connections', and '... rejects the request', both got not-run. tests/serving: 127 passed.

--- a/packages/lentillb/src/serving/backendServerClient.ts
+++ b/packages/lentillb/src/serving/backendServerClient.ts
@@ -74,10 +74,19 @@
     request: ForwardedRequest,
     target: BackendTarget,
   ): Promise<Result<BackendAnswer, ForwardFailure>> {
-    const answer = await this.sendWithRetry(request, target);
-    return answer
-      .mapErr((cause) => forwardFailures[cause])
-      .andThen((received) => this.toBackendAnswer(request, received));
+    const first = await this.sendOnce(request, target);
+    // A reused connection that was reset either delivered no request, or lost its answer.
+    const isConnectionLost = first.isErr() && first.error === ExchangeFailure.KeptConnectionLost;
+    if (!isConnectionLost) {
+      return this.toResult(request, first);
+    }
+    this.pool.recordConnectionLoss();
+    if (!request.repeatable || !this.listener.mayResend()) {
+      return this.toResult(request, first);
+    }
+    const second = this.toResult(request, await this.sendOnce(request, target));
+    const isNotRun = second.isErr() && second.error.outcome === Outcome.NotRun;
+    return isNotRun ? this.toResult(request, first) : second;
   }
 
   /** Closes all connections. */
@@ -85,19 +94,13 @@
     this.pool.destroy();
   }
 
-  private async sendWithRetry(
+  private toResult(
     request: ForwardedRequest,
-    target: BackendTarget,
-  ): Promise<Result<ExchangeAnswer, ExchangeFailure>> {
-    const first = await this.sendOnce(request, target);
-    // A reused connection that was reset either delivered no request, or lost its answer.
-    const lostKeptConnection = first.isErr() && first.error === ExchangeFailure.KeptConnectionLost;
-    if (!lostKeptConnection) {
-      return first;
-    }
-    this.pool.recordConnectionLoss();
-    const mayResend = request.repeatable && this.listener.mayResend();
-    return mayResend ? this.sendOnce(request, target) : first;
+    exchanged: Result<ExchangeAnswer, ExchangeFailure>,
+  ): Result<BackendAnswer, ForwardFailure> {
+    return exchanged
+      .mapErr((cause) => forwardFailures[cause])
+      .andThen((received) => this.toBackendAnswer(request, received));
   }
 
   private async sendOnce(
