--- a/packages/lentillb/src/emulation/emulatedHost.ts
+++ b/packages/lentillb/src/emulation/emulatedHost.ts
@@ -88,6 +88,7 @@
       input,
       slots,
       statedLimit,
+      listenProbe: { hasEnded: () => Promise.resolve(false) },
       backendServer: local,
       client: {
         send: async (request) => {
--- a/packages/lentillb/src/serving/gate.ts
+++ b/packages/lentillb/src/serving/gate.ts
@@ -11,7 +11,8 @@
 import type { PendingInputTracker } from '../utils/pendingInput.js';
 import type { BackendServerClient } from './backendServerClient.js';
 import { FailureShare } from './failureShare.js';
-import type { LocalBackendServer } from './localBackendServer.js';
+import type { ListenProbe } from './listenProbe.js';
+import type { Heartbeat, LocalBackendServer } from './localBackendServer.js';
 import type {
   BackendAnswer,
   ForwardedRequest,
@@ -20,6 +21,7 @@
   GateReport,
 } from './messages.js';
 import { FailureCause } from './messages.js';
+import { hashContent } from './requestContent.js';
 import type { Slot, SlotQueue } from './slotQueue.js';
 import { Admission, ServiceTimeSample } from './slotQueue.js';
 import type { StatedLimit } from './statedLimit.js';
@@ -34,6 +36,7 @@
   readonly statedLimit: Pick<StatedLimit, 'reportedPerSecond'>;
   readonly backendServer: LocalBackendServer;
   readonly client: Pick<BackendServerClient, 'send'>;
+  readonly listenProbe: Pick<ListenProbe, 'hasEnded'>;
   readonly log: DecisionLog;
   readonly metrics: MetricsRegistry;
 }
@@ -250,7 +253,8 @@
       return notRun(FailureCause.NotServing);
     }
     const { address, id } = heartbeat;
-    const result = await client.send(request, { address, instanceId: id });
+    const sent = await client.send(request, { address, instanceId: id });
+    const result = await this.explainLostConnection(request, heartbeat, sent);
     if (result.isErr()) {
       if (result.error.cause === FailureCause.NotServing) {
         backendServer.recordMisdirectedRequest();
@@ -262,6 +266,23 @@
     return result;
   }
 
+  /** Tells a backend server that ended while it ran the request from a connection that was lost. */
+  private async explainLostConnection(
+    request: ForwardedRequest,
+    { address, id }: Heartbeat,
+    result: GateResult,
+  ): Promise<GateResult> {
+    if (result.isOk() || result.error.cause !== FailureCause.ConnectionLost) {
+      return result;
+    }
+    const { listenProbe, log } = this.services;
+    const ended = await listenProbe.hasEnded(address);
+    const { requestId } = request;
+    const contentHash = hashContent(request);
+    log.record(Importance.Notable, 'run-interrupted', { requestId, contentHash, id, ended });
+    return ended ? Err({ ...result.error, cause: FailureCause.ServerEnded }) : result;
+  }
+
   private recordResult(
     { requestId, route, service }: ForwardedRequest,
     result: GateResult,
--- a/packages/lentillb/src/serving/messages.ts
+++ b/packages/lentillb/src/serving/messages.ts
@@ -56,6 +56,8 @@
   ConnectFailed: 'connect-failed',
   /** The connection ended after the request was sent and before the answer was complete. */
   ConnectionLost: 'connection-lost',
+  /** The backend server ended while it ran the request. */
+  ServerEnded: 'backend-server-ended',
   /** The response is not a valid answer to this request. */
   InvalidAnswer: 'broken-answer',
   /** The backend server ran the request and returned a server error. */
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -26,6 +26,7 @@
 import { GateObservations } from '../serving/gateObservations.js';
 import { decodeRequest, encodeReply } from '../serving/gateProtocol.js';
 import type { HeaderNames } from '../serving/headerNames.js';
+import { ListenProbe } from '../serving/listenProbe.js';
 import { HeartbeatEffect, LocalBackendServer } from '../serving/localBackendServer.js';
 import type { Heartbeat } from '../serving/localBackendServer.js';
 import { GateSelector } from '../serving/gateSelector.js';
@@ -169,7 +170,18 @@
     const { client } = this;
     const input = new PendingInputTracker(clock);
     const observations = new GateObservations(clock, DEFAULT_SERVICE_TIME_MS);
-    this.gate = new Gate({ clock, input, slots, statedLimit, backendServer, client, log, metrics });
+    const listenProbe = new ListenProbe();
+    this.gate = new Gate({
+      clock,
+      input,
+      slots,
+      statedLimit,
+      backendServer,
+      client,
+      listenProbe,
+      log,
+      metrics,
+    });
     this.gossipSocket = new GossipSocket(
       (from, message) => {
         this.failureDetector.markAddressHeard(from);
--- a/tests/serving/pausedProcess.spec.ts
+++ b/tests/serving/pausedProcess.spec.ts
@@ -97,6 +97,7 @@
       clock,
       slots,
       statedLimit,
+      listenProbe: { hasEnded: () => Promise.resolve(false) },
       backendServer,
       log: createSilentLog(clock),
       metrics: new MetricsRegistry(),
