Block a request on all hosts once three backend servers have ended under it

Cause: nothing was remembered from one request to the next. Class of fault: evidence about an input is dropped with the attempt that found it.

Change: a gate that loses a connection and finds its backend server gone records the end under the hash of method, path, caller and body, and reports it by datagram: to its zone, to two nodes of each other zone, which pass on what they did not know, and again to random nodes for ten seconds. From three ends on no entry sends that content and no gate runs it; refused at once as not run, with the time until its trial as Retry-After. Any answer clears it everywhere, so content that many ask for is cleared by its other runs. Otherwise one of the hosts concerned tries it after 10 s, then 30, 90, 240. Memory is bounded (4,096 contents, ten minutes); while nothing is suspect no hash is computed and nothing is sent.

'should be sent again, and later requests with its content too' guards bystanders.

--- a/packages/lentillb/src/emulation/emulatedHost.ts
+++ b/packages/lentillb/src/emulation/emulatedHost.ts
@@ -15,6 +15,8 @@
 import { RetryAllowance } from '../serving/retryAllowance.js';
 import { SlotQueue } from '../serving/slotQueue.js';
 import { StatedLimit } from '../serving/statedLimit.js';
+import { SuspectGuard } from '../serving/suspectGuard.js';
+import { SuspectRequests } from '../serving/suspectRequests.js';
 import type { EmulatedBackendServer } from './emulatedBackendServer.js';
 
 const DEFAULT_SERVICE_TIME_MS = 80;
@@ -79,6 +81,8 @@
       sequence: 1,
       startedAtMs: 1,
     });
+    const suspects = new SuspectRequests(clock);
+    const suspectGuard = new SuspectGuard({ suspects, log, report: () => undefined }, host);
     const statedLimit = new StatedLimit(clock, log);
     const slots = new SlotQueue(clock, () => false, statedLimit);
     slots.resize(slotCount);
@@ -89,6 +93,7 @@
       slots,
       statedLimit,
       listenProbe: { hasEnded: () => Promise.resolve(false) },
+      suspectGuard,
       backendServer: local,
       client: {
         send: async (request) => {
@@ -121,6 +126,7 @@
             endpoint.host === host ? this.gate.serve(request) : forward(endpoint.host, request),
         },
         allowance: new RetryAllowance(clock, RETRY_TERMS, () => directory.announcements.length),
+        suspectGuard,
         log,
         metrics,
       },
--- a/packages/lentillb/src/peers/gossip.ts
+++ b/packages/lentillb/src/peers/gossip.ts
@@ -20,6 +20,7 @@
 import { GossipMessageKind, MAX_GATES_PER_MESSAGE } from './gossipMessage.js';
 import { ZoneLoads } from './zoneLoads.js';
 import { hash32 } from '../utils/hash.js';
+import { sample } from '../utils/sample.js';
 import type { NodeState } from './nodeState.js';
 import type { GossipTransport } from './gossipSocket.js';
 import type { StoreReaderRole } from './storeReaderRole.js';
@@ -194,7 +195,11 @@
    */
   async learnFromPeers(): Promise<void> {
     const inZone = this.otherNodes(true);
-    const peers = this.sample(inZone.length > 0 ? inZone : this.otherNodes(false), MAX_ASKED_PEERS);
+    const peers = sample(
+      this.services.randomness,
+      inZone.length > 0 ? inZone : this.otherNodes(false),
+      MAX_ASKED_PEERS,
+    );
     if (peers.length === 0) {
       return;
     }
@@ -214,7 +219,11 @@
    * zone each message has a random part of them, so that it fits into one packet.
    */
   private sendStatusToZone(): void {
-    const loads = this.sample(this.zoneLoads.recent(), MAX_GATES_PER_MESSAGE - 1);
+    const loads = sample(
+      this.services.randomness,
+      this.zoneLoads.recent(),
+      MAX_GATES_PER_MESSAGE - 1,
+    );
     this.sendStatus(this.otherNodes(true), [...this.ownLoads(), ...loads]);
   }
 
@@ -223,15 +232,6 @@
     receivers.forEach(({ peerAddress }) => this.services.transport.send(peerAddress, message));
   }
 
-  /** Returns up to `count` different items, chosen at random. */
-  private sample<Item>(items: readonly Item[], count: number): readonly Item[] {
-    const { randomness } = this.services;
-    const rest = [...items];
-    return Array.from({ length: Math.min(count, rest.length) }).flatMap(() =>
-      rest.splice(randomness.integer(rest.length), 1),
-    );
-  }
-
   private otherNodes(inOwnZone: boolean): readonly Announcement[] {
     return this.services.directory.announcements.filter(
       ({ host, zone }) =>
@@ -264,7 +264,9 @@
   }
 
   private pingRandom(announcements: readonly Announcement[]): void {
-    this.sample(announcements, 1).forEach(({ peerAddress }) => this.ping(peerAddress));
+    sample(this.services.randomness, announcements, 1).forEach(({ peerAddress }) =>
+      this.ping(peerAddress),
+    );
   }
 
   private fetchIfBehind(from: string, message: GossipMessage, inOwnZone: boolean): void {
--- a/packages/lentillb/src/peers/gossipSocket.ts
+++ b/packages/lentillb/src/peers/gossipSocket.ts
@@ -1,12 +1,22 @@
 /** Sends and receives gossip messages as datagrams. */
 import { createSocket } from 'node:dgram';
 import type { Socket } from 'node:dgram';
+import type { SuspectReport } from '../directory/suspectReport.js';
 import { parseAddress } from '../utils/networkAddress.js';
 import type { GossipMessage } from './gossipMessage.js';
 import { decodeGossipMessage, encodeGossipMessage } from './gossipMessage.js';
+import { decodeSuspectReports, encodeSuspectReports } from './suspectReportMessage.js';
+import type { SuspectReportTransport } from './suspectReportRelay.js';
 
-/** Called with each gossip message and the address and port of its sender. */
-export type GossipMessageHandler = (from: string, message: GossipMessage) => void;
+/** The callbacks for datagrams of other nodes. */
+export interface GossipSocketListener {
+  /** Called with each gossip message and the address and port of its sender. */
+  readonly onMessage: (from: string, message: GossipMessage) => void;
+  /** Called with each report about a suspect request. */
+  readonly onSuspectReport: (report: SuspectReport) => void;
+  /** Called if a datagram could not be sent. */
+  readonly onError: (error: Error) => void;
+}
 
 /** Sends gossip messages to other nodes without guaranteed delivery. */
 export interface GossipTransport {
@@ -19,24 +29,23 @@
   send(address: string, message: GossipMessage): void;
 }
 
-/** The UDP socket of a node for gossip messages. */
-export class GossipSocket implements GossipTransport {
+/** The UDP socket of a node for gossip messages and reports about suspect requests. */
+export class GossipSocket implements GossipTransport, SuspectReportTransport {
   private readonly socket: Socket = createSocket('udp4');
 
   private closed = false;
 
-  /**
-   * @param onMessage - called with each gossip message
-   * @param onError - called if a datagram could not be sent
-   */
-  constructor(onMessage: GossipMessageHandler, onError: (error: Error) => void) {
+  /** @param listener - the callbacks for datagrams of other nodes */
+  constructor(listener: GossipSocketListener) {
     this.socket.on('message', (bytes, { address, port }) => {
       const message = decodeGossipMessage(bytes);
       if (message !== undefined) {
-        onMessage(`${address}:${port}`, message);
+        listener.onMessage(`${address}:${port}`, message);
+        return;
       }
+      decodeSuspectReports(bytes)?.forEach((report) => listener.onSuspectReport(report));
     });
-    this.socket.on('error', onError);
+    this.socket.on('error', listener.onError);
   }
 
   /**
@@ -52,11 +61,11 @@
   }
 
   send(address: string, message: GossipMessage): void {
-    if (this.closed) {
-      return;
-    }
-    const { host, port } = parseAddress(address);
-    this.socket.send(encodeGossipMessage(message), port, host);
+    this.sendDatagram(address, encodeGossipMessage(message));
+  }
+
+  sendSuspectReports(address: string, reports: readonly SuspectReport[]): void {
+    this.sendDatagram(address, encodeSuspectReports(reports));
   }
 
   /** Closes the socket. */
@@ -66,4 +75,11 @@
       this.socket.close();
     }
   }
+
+  private sendDatagram(address: string, bytes: Buffer): void {
+    if (!this.closed) {
+      const { host, port } = parseAddress(address);
+      this.socket.send(bytes, port, host);
+    }
+  }
 }
--- a/packages/lentillb/src/serving/attempts.ts
+++ b/packages/lentillb/src/serving/attempts.ts
@@ -37,10 +37,13 @@
   /**
    * @param request - the request as it is forwarded
    * @param route - the route that the request matches
+   * @param trialHostHash - the hash of the address of the only host that may get the request, if its
+   *   content is blocked and tried there
    */
   constructor(
     readonly request: ForwardedRequest,
     readonly route: MeshRoute,
+    readonly trialHostHash?: number,
   ) {
     this.routeHash = hash32(route.name);
   }
--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -9,13 +9,14 @@
 import type { ConfigurationHolder } from '../configuration/configurationHolder.js';
 import type { MeshRoute } from '../configuration/meshConfiguration.js';
 import type { SmoothWeightedRoundRobin } from '../configuration/smoothWeightedRoundRobin.js';
-import type { Directory } from '../directory/directory.js';
+import type { Directory, GateEndpoint } from '../directory/directory.js';
 import type { Clock } from '../kernel/clock.js';
 import type { Randomness } from '../kernel/randomness.js';
 import type { DecisionLog } from '../observability/decisionLog.js';
 import { Importance } from '../observability/decisionLog.js';
 import type { MetricsRegistry } from '../observability/metricsRegistry.js';
 import { Repetition } from '../rules/ruleForms.js';
+import { hash32 } from '../utils/hash.js';
 import type { GateForwarder } from './gateForwarder.js';
 import type { GateObservations } from './gateObservations.js';
 import type { HeaderNames } from './headerNames.js';
@@ -27,6 +28,8 @@
 import type { RetryAllowance } from './retryAllowance.js';
 import { chooseRetryAfterMs } from './retryAfter.js';
 import { WaitLimit } from './slotQueue.js';
+import type { SuspectGuard } from './suspectGuard.js';
+import { SuspectVerdict } from './suspectRequests.js';
 
 /** A request of a caller with its complete body. */
 export interface CallerRequest {
@@ -59,6 +62,7 @@
   readonly gateSelector: GateSelector;
   readonly gateForwarder: Pick<GateForwarder, 'call'>;
   readonly allowance: RetryAllowance;
+  readonly suspectGuard: SuspectGuard;
   readonly log: DecisionLog;
   readonly metrics: MetricsRegistry;
 }
@@ -154,7 +158,11 @@
     }
     const forwarded = this.toForwardedRequest(request, route);
     this.services.allowance.recordRequest(forwarded.service);
-    const attempts = new Attempts(forwarded, route);
+    const { trialHostHash, trialInMs, verdict } = this.services.suspectGuard.judge(forwarded);
+    if (verdict === SuspectVerdict.Blocked) {
+      return this.refuse(request, FailureCause.SuspectRequest, trialInMs);
+    }
+    const attempts = new Attempts(forwarded, route, trialHostHash);
     const stopLink = linkCancellation(request.cancellation, forwarded.cancellation);
     const answer = await this.firstAnswer(attempts);
     stopLink();
@@ -165,6 +173,14 @@
       : this.deliverAnswer(request, attempts, answer);
   }
 
+  /** Returns the gates that may get a request: those of its service, in a trial only one of them. */
+  private candidatesFor({ request, trialHostHash }: Attempts): readonly GateEndpoint[] {
+    const candidates = this.services.directory.endpointsOf(request.service);
+    return trialHostHash === undefined
+      ? candidates
+      : candidates.filter(({ host }) => hash32(host) === trialHostHash);
+  }
+
   /** Returns the first answer of the attempts; undefined if there is none. */
   private async firstAnswer(attempts: Attempts): Promise<BackendAnswer | undefined> {
     const { lateAnswers, request } = attempts;
@@ -245,13 +261,12 @@
   }
 
   private choosePlacement(
-    { request, route, routeHash }: Attempts,
+    attempts: Attempts,
     excluded: ReadonlySet<string>,
   ): Placement | undefined {
-    const { directory, gateSelector } = this.services;
-    const candidates = directory.endpointsOf(request.service);
-    return gateSelector.choose({
-      candidates,
+    const { route, routeHash } = attempts;
+    return this.services.gateSelector.choose({
+      candidates: this.candidatesFor(attempts),
       excluded,
       targetMs: route.targetLatencyMs,
       routeHash,
@@ -327,6 +342,9 @@
     if (failure === undefined || request.cancellation.reason !== undefined) {
       return false;
     }
+    if (failure.cause === FailureCause.SuspectRequest || attempts.trialHostHash !== undefined) {
+      return false;
+    }
     if (mayHaveRun && !request.repeatable) {
       return false;
     }
--- a/packages/lentillb/src/serving/gate.ts
+++ b/packages/lentillb/src/serving/gate.ts
@@ -23,6 +23,7 @@
 import { FailureCause } from './messages.js';
 import { hashContent } from './requestContent.js';
 import type { Slot, SlotQueue } from './slotQueue.js';
+import type { SuspectGuard } from './suspectGuard.js';
 import { Admission, ServiceTimeSample } from './slotQueue.js';
 import type { StatedLimit } from './statedLimit.js';
 
@@ -37,6 +38,7 @@
   readonly backendServer: LocalBackendServer;
   readonly client: Pick<BackendServerClient, 'send'>;
   readonly listenProbe: Pick<ListenProbe, 'hasEnded'>;
+  readonly suspectGuard: SuspectGuard;
   readonly log: DecisionLog;
   readonly metrics: MetricsRegistry;
 }
@@ -225,8 +227,9 @@
     );
   }
 
-  private refusalCause({ cancellation, service }: ForwardedRequest): FailureCause | undefined {
-    const { backendServer, clock } = this.services;
+  private refusalCause(request: ForwardedRequest): FailureCause | undefined {
+    const { backendServer, clock, suspectGuard } = this.services;
+    const { cancellation, service } = request;
     if (cancellation.reason !== undefined) {
       return FailureCause.CallerGone;
     }
@@ -236,11 +239,14 @@
     if (!backendServer.ready || backendServer.heartbeat?.service !== service) {
       return FailureCause.NotServing;
     }
+    if (!suspectGuard.mayRun(request)) {
+      return FailureCause.SuspectRequest;
+    }
     return clock.monotonicMs() < this.unreachableUntilMs ? FailureCause.ConnectFailed : undefined;
   }
 
   private async send(request: ForwardedRequest): Promise<GateResult> {
-    const { backendServer, client, clock, input } = this.services;
+    const { backendServer, client, clock, input, suspectGuard } = this.services;
     await input.waitUntilRecentlyRead();
     if (request.cancellation.reason !== undefined) {
       return notRun(FailureCause.CallerGone);
@@ -252,9 +258,12 @@
     if (!backendServer.ready || heartbeat === undefined) {
       return notRun(FailureCause.NotServing);
     }
+    if (!suspectGuard.admit(request)) {
+      return notRun(FailureCause.SuspectRequest);
+    }
     const { address, id } = heartbeat;
     const sent = await client.send(request, { address, instanceId: id });
-    const result = await this.explainLostConnection(request, heartbeat, sent);
+    const result = await this.recordRun(request, heartbeat, sent);
     if (result.isErr()) {
       if (result.error.cause === FailureCause.NotServing) {
         backendServer.recordMisdirectedRequest();
@@ -266,21 +275,36 @@
     return result;
   }
 
-  /** Tells a backend server that ended while it ran the request from a connection that was lost. */
-  private async explainLostConnection(
+  /**
+   * Records the outcome of a run for the judgement of requests with its content. Tells a backend
+   * server that ended from a connection that was lost otherwise.
+   */
+  private async recordRun(
     request: ForwardedRequest,
-    { address, id }: Heartbeat,
+    heartbeat: Heartbeat,
     result: GateResult,
   ): Promise<GateResult> {
-    if (result.isOk() || result.error.cause !== FailureCause.ConnectionLost) {
+    const { listenProbe, log, suspectGuard } = this.services;
+    if (result.isOk()) {
+      suspectGuard.recordAnswered(request);
       return result;
     }
-    const { listenProbe, log } = this.services;
+    if (result.error.cause !== FailureCause.ConnectionLost) {
+      return result;
+    }
+    const { address, id } = heartbeat;
     const ended = await listenProbe.hasEnded(address);
     const { requestId } = request;
     const contentHash = hashContent(request);
     log.record(Importance.Notable, 'run-interrupted', { requestId, contentHash, id, ended });
-    return ended ? Err({ ...result.error, cause: FailureCause.ServerEnded }) : result;
+    if (!ended) {
+      return result;
+    }
+    suspectGuard.recordInterrupted(request, heartbeat);
+    const cause = suspectGuard.mayRun(request)
+      ? FailureCause.ServerEnded
+      : FailureCause.SuspectRequest;
+    return Err({ ...result.error, cause });
   }
 
   private recordResult(
--- a/packages/lentillb/src/serving/messages.ts
+++ b/packages/lentillb/src/serving/messages.ts
@@ -62,6 +62,8 @@
   InvalidAnswer: 'broken-answer',
   /** The backend server ran the request and returned a server error. */
   RunFailed: 'run-failed',
+  /** Backend servers end under requests with this content. */
+  SuspectRequest: 'suspect-request',
   DeadlinePassed: 'deadline-passed',
   CallerGone: 'caller-gone',
 } as const;
--- a/packages/lentillb/src/serving/requestContent.ts
+++ b/packages/lentillb/src/serving/requestContent.ts
@@ -1,11 +1,10 @@
 /** Identifies requests with the same content, whatever their identity and the host they arrive at. */
 import { createHash } from 'node:crypto';
+import { CONTENT_HASH_DIGITS } from '../directory/suspectReport.js';
 import type { ForwardedRequest } from './messages.js';
 
 /** The headers that identify a caller; others differ between attempts or hosts. */
 const CALLER_HEADERS = ['host', 'authorization', 'cookie'] as const;
-/** The length of a content hash, in hexadecimal digits. */
-export const CONTENT_HASH_DIGITS = 16;
 
 /**
  * Hashes what makes two requests the same one: method, path, caller and body.
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -10,6 +10,7 @@
 import { FailureDetector } from '../peers/failureDetector.js';
 import { StateServer } from '../peers/stateServer.js';
 import { GossipSocket } from '../peers/gossipSocket.js';
+import { SuspectReportRelay } from '../peers/suspectReportRelay.js';
 import { fetchState } from '../peers/stateClient.js';
 import type { Clock } from '../kernel/clock.js';
 import type { Randomness } from '../kernel/randomness.js';
@@ -35,6 +36,8 @@
 import type { ServerStatement } from '../serving/serverStatement.js';
 import { SlotQueue } from '../serving/slotQueue.js';
 import { StatedLimit } from '../serving/statedLimit.js';
+import { SuspectGuard } from '../serving/suspectGuard.js';
+import { SuspectRequests } from '../serving/suspectRequests.js';
 import { EraCheckedStore } from '../store/eraCheckedStore.js';
 import type { KeyedStore } from '../store/keyedStore.js';
 import { StoreEraTracker } from '../store/storeEraTracker.js';
@@ -124,6 +127,8 @@
 
   private readonly gossipSocket: GossipSocket;
 
+  private readonly suspectRelay: SuspectReportRelay;
+
   private readonly peerListener: StateServer;
 
   private stopping = false;
@@ -171,6 +176,11 @@
     const input = new PendingInputTracker(clock);
     const observations = new GateObservations(clock, DEFAULT_SERVICE_TIME_MS);
     const listenProbe = new ListenProbe();
+    const suspects = new SuspectRequests(clock);
+    const suspectGuard = new SuspectGuard(
+      { suspects, log, report: (report) => this.suspectRelay.spread(report) },
+      identity.host,
+    );
     this.gate = new Gate({
       clock,
       input,
@@ -179,15 +189,22 @@
       backendServer,
       client,
       listenProbe,
+      suspectGuard,
       log,
       metrics,
     });
-    this.gossipSocket = new GossipSocket(
-      (from, message) => {
+    this.gossipSocket = new GossipSocket({
+      onMessage: (from, message) => {
         this.failureDetector.markAddressHeard(from);
         this.gossip.receive(from, message);
       },
-      ({ message }) => log.record(Importance.Notable, 'greeting-not-sent', { reason: message }),
+      onSuspectReport: (report) => suspectGuard.receive(report),
+      onError: ({ message }) =>
+        log.record(Importance.Notable, 'greeting-not-sent', { reason: message }),
+    });
+    this.suspectRelay = new SuspectReportRelay(
+      { clock, randomness, directory, transport: this.gossipSocket },
+      identity,
     );
     this.gossip = new Gossip(
       {
@@ -233,6 +250,7 @@
         gateSelector: new GateSelector({ randomness, observations, isSilent }, identity.zone),
         gateForwarder: this.gateForwarder,
         allowance: new RetryAllowance(clock, retryTerms, nodeCount),
+        suspectGuard,
         log,
         metrics,
       },
@@ -267,6 +285,7 @@
       observations.removeOthers(host, announced?.id),
     );
     metrics.gauge('configuration_version', () => configuration.version);
+    metrics.gauge('suspect_requests', () => suspects.size);
     metrics.gauge('known_hosts', () => directory.announcements.length);
   }
 
@@ -371,6 +390,7 @@
       await clock.sleep(IDLE_POLL_MS);
     }
     this.gossip.stop();
+    this.suspectRelay.stop();
     this.meshState.stop();
     this.log.record(Importance.Notable, 'stopped', { inFlight: this.callers.inFlight });
   }
@@ -380,6 +400,7 @@
     this.stopping = true;
     this.eventLoopMonitor.stop();
     this.gossip.stop();
+    this.suspectRelay.stop();
     this.meshState.stop();
     this.callers.close();
     this.gateListener.close();
--- a/tests/serving/entry.spec.ts
+++ b/tests/serving/entry.spec.ts
@@ -18,7 +18,11 @@
 import { wireHeaders } from '@lentillb/platform';
 import { Err, Ok } from 'ts-results-es';
 import { describe, expect, it } from 'vitest';
+import { hashContent } from 'lentillb/serving/requestContent.js';
+import { SuspectReportKind } from 'lentillb/directory/suspectReport.js';
+import { hash32 } from 'lentillb/utils/hash.js';
 import { ManualClock } from '../support/manualClock.js';
+import { createSuspectGuard } from '../support/suspectGuard.js';
 
 const SEED = 17;
 const DEFAULT_RUNS = 1_000;
@@ -72,9 +76,19 @@
   [ScriptedReply.Lost]: () => failure(Outcome.Unknown, FailureCause.ConnectionLost),
 };
 
+const REQUEST = {
+  method: 'GET',
+  target: '/',
+  headers: { host: 'a.example', [wireHeaders.requestId]: 'r1' },
+  body: Buffer.alloc(0),
+};
+const ENDS_BEFORE_BLOCK = 3;
+const FIRST_TRIAL_MS = 10_000;
+
 /** Creates an entry whose gates return scripted replies in turn. */
 function fixture(repetition: Repetition, retriesAllowed: number) {
   const clock = new ManualClock();
+  const suspectGuard = createSuspectGuard(clock);
   const randomness = new SeededRandomness(SEED);
   const configuration = new ConfigurationHolder();
   configuration.activateIfNewer({
@@ -136,6 +150,7 @@
         },
       },
       allowance: new RetryAllowance(clock, terms, () => 1),
+      suspectGuard,
       log: new DecisionLog(clock, { info: () => undefined, warn: () => undefined }),
       metrics: new MetricsRegistry(),
     },
@@ -145,10 +160,7 @@
     script = replyScript;
     askedHosts.length = 0;
     return entry.serve({
-      method: 'GET',
-      target: '/',
-      headers: { host: 'a.example', [wireHeaders.requestId]: 'r1' },
-      body: Buffer.alloc(0),
+      ...REQUEST,
       cancellation: new Cancellation(),
       arrivedAtMs: clock.monotonicMs(),
     });
@@ -156,7 +168,19 @@
   /** Returns the replies of the gates that were asked. */
   const receivedReplies = (): readonly ScriptedReply[] =>
     askedHosts.map((_, index) => script[index] ?? ScriptedReply.Answered);
-  return { askedHosts, cancellations, clock, receivedReplies, serve, silentReplies };
+  /** Reports that backend servers ended under the request, one on each host. */
+  const blockContent = (): void => {
+    const { method, target } = REQUEST;
+    const headers = { host: REQUEST.headers.host };
+    const contentHash = hashContent({ method, target, headers, body: REQUEST.body });
+    HOSTS.slice(0, ENDS_BEFORE_BLOCK).forEach((host, runHash) =>
+      suspectGuard.receive({
+        kind: SuspectReportKind.Interrupted,
+        run: { contentHash, runHash, hostHash: hash32(host) },
+      }),
+    );
+  };
+  return { askedHosts, blockContent, cancellations, clock, receivedReplies, serve, silentReplies };
 }
 
 const scripts = fc.array(fc.constantFrom(...Object.values(ScriptedReply)), { maxLength: 6 });
@@ -219,6 +243,26 @@
     expect(outcomes).toEqual([2, 2, 2, 2, 1, 1]);
   });
 
+  it('should refuse a request at once under whose content backend servers end, until its trial', async () => {
+    const { askedHosts, blockContent, serve } = fixture(Repetition.Repeat, 100);
+    blockContent();
+    const { headers, status } = await serve([]);
+    expect(status).toBe(503);
+    expect(headers).toEqual({ 'retry-after': '10.000' });
+    expect(askedHosts).toEqual([]);
+  });
+
+  it('should send the trial of a blocked request to one host once', async () => {
+    const { askedHosts, blockContent, clock, serve } = fixture(Repetition.Repeat, 100);
+    blockContent();
+    await clock.advance(FIRST_TRIAL_MS);
+    expect((await serve([ScriptedReply.Lost])).status).toBe(502);
+    const [tried] = askedHosts;
+    expect(askedHosts).toEqual([tried]);
+    expect((await serve([ScriptedReply.Answered])).status).toBe(200);
+    expect(askedHosts).toEqual([tried]);
+  });
+
   describe('when a host stopped responding', () => {
     const lost = replies[ScriptedReply.Lost]();
 
--- a/tests/serving/pausedProcess.spec.ts
+++ b/tests/serving/pausedProcess.spec.ts
@@ -18,6 +18,7 @@
 import { ManualClock } from '../support/manualClock.js';
 import { sendRequest } from '../support/sendRequest.js';
 import { createSilentLog, createSlotQueue } from '../support/slotQueue.js';
+import { createSuspectGuard } from '../support/suspectGuard.js';
 
 const PAUSE_MS = 150;
 const DEADLINE_MS = 1_000;
@@ -97,6 +98,7 @@
       clock,
       slots,
       statedLimit,
+      suspectGuard: createSuspectGuard(clock),
       listenProbe: { hasEnded: () => Promise.resolve(false) },
       backendServer,
       log: createSilentLog(clock),
--- a/tests/sidecar/deadlyRequests.spec.ts
+++ b/tests/sidecar/deadlyRequests.spec.ts
@@ -1,4 +1,5 @@
 import { respondSuccessfully } from '@lentillb/standins';
+import { runInBackground } from 'lentillb/utils/background.js';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { SidecarFleet } from '../support/sidecarFleet.js';
 import type { FleetHost } from '../support/sidecarFleet.js';
@@ -9,6 +10,16 @@
 /** The backend servers that may end before the fleet must have learned of it. */
 const MAX_ENDS = 3;
 
+const ONCE_ROUTE = {
+  hostname: 'once.example',
+  'path-prefix': '/',
+  'route-type': 'non_idempotent',
+  timeout: '1500ms',
+  'target-latency': '400ms',
+  priority: 1,
+  'max-attempts': 2,
+};
+
 let fleet: SidecarFleet;
 let fronts: FleetHost[];
 let servers: FleetHost[];
@@ -22,16 +33,16 @@
       return;
     }
     ends += 1;
-    void host.backendServer.close();
+    runInBackground(host.backendServer.close());
   });
 }
 
 /** Sends the deadly request from the entries in turn, each time as a request of its own. */
-async function sendDeadly(count: number): Promise<number[]> {
+async function sendDeadly(count: number, service = SERVICE): Promise<number[]> {
   const statuses: number[] = [];
   for (let request = 0; request < count; request += 1) {
     const front = fronts[request % fronts.length] as FleetHost;
-    statuses.push((await fleet.send(front, SERVICE, DEADLY).answer).status);
+    statuses.push((await fleet.send(front, service, DEADLY).answer).status);
     await fleet.clock.sleep(50);
   }
   return statuses;
@@ -65,4 +76,43 @@
     );
     expect(other.map(({ status }) => status)).toEqual([200, 200]);
   }, 20_000);
+
+  it('should not be given to one backend server after another by callers that may not repeat it', async () => {
+    fleet.publish({ once: { ...ONCE_ROUTE, service: SERVICE } });
+    await Promise.all(fronts.map((front) => fleet.waitUntilServed(front, 'once')));
+    const statuses = await sendDeadly(12, 'once');
+    expect(ends).toBeLessThanOrEqual(MAX_ENDS);
+    expect(statuses.slice(0, ends)).toEqual(Array(ends).fill(502));
+    expect(statuses.slice(ends)).toEqual(Array(12 - ends).fill(503));
+  }, 20_000);
+
+  it('should be blocked by a node that was restarted after the ends', async () => {
+    await sendDeadly(4);
+    const endsBefore = ends;
+    const [front] = fronts as [FleetHost];
+    front.sidecar.close();
+    const restarted = await fleet.restartNode(front);
+    await fleet.waitUntilServed(restarted, SERVICE);
+    fronts = [restarted];
+    await sendDeadly(6);
+    expect(ends).toBe(endsBefore);
+  }, 20_000);
+});
+
+describe('request that runs when backend servers end for other reasons', () => {
+  it('should be sent again, and later requests with its content too', async () => {
+    const [first, second] = servers as [FleetHost, FleetHost];
+    const requests = Array.from({ length: 12 }, (_, index) => `letter ${index}`);
+    // Holds requests until the backend server ends.
+    [first, second].forEach(({ backendServer }) => backendServer.setHandler(() => undefined));
+    const answers = requests.map((body) => {
+      const front = fronts[requests.indexOf(body) % fronts.length] as FleetHost;
+      return fleet.send(front, SERVICE, body).answer;
+    });
+    await fleet.waitUntil(() => first.backendServer.runs.length > 1);
+    await Promise.all([first, second].map(({ backendServer }) => backendServer.close()));
+    expect((await Promise.all(answers)).map(({ status }) => status)).toEqual(Array(12).fill(200));
+    const again = requests.map((body) => fleet.send(fronts[0] as FleetHost, SERVICE, body).answer);
+    expect((await Promise.all(again)).map(({ status }) => status)).toEqual(Array(12).fill(200));
+  }, 20_000);
 });
