Keep contents blocked over restarts, and hash and report only where needed

Two things were left of the block. Nodes that restart know nothing of it: after a restart of all of them the test 'should stay blocked by what the hosts have announced' had three more backend servers ended.

Change: a host announces the ends on it under blocked contents (16 at most, with their time), so they are in the store and in what nodes transfer, and count for ten minutes. The first part of a content's hash stands for method and path and is cheap; the whole is computed only if a suspect content has the same. Between zones only the node that saw an end sends, six times in twelve seconds; inside a zone each node that learnt of it repeats it for some seconds. tests/peers/suspectReportRelay.spec.ts: all 48 nodes know within 3 s with a third of the messages lost, with at most 8 messages to each other zone.

--- a/packages/lentillb/src/directory/announcement.ts
+++ b/packages/lentillb/src/directory/announcement.ts
@@ -21,6 +21,13 @@
   state: z.enum(BackendServerState),
 });
 
+/** A backend server of the host that ended while it ran a request that is blocked since. */
+const interruptedRunSchema = z.object({
+  contentHash: z.string().check(z.regex(/^[0-9a-f]{24}$/)),
+  runHash: z.uint32(),
+  endedAtMs: z.int().check(z.nonnegative()),
+});
+
 /** The schema of an announcement. */
 export const announcementSchema = z.object({
   /** The address of the host. */
@@ -37,11 +44,15 @@
   /** Increases with every announcement within one incarnation. */
   sequence: z.number(),
   backendServer: z.optional(backendServerSchema),
+  interruptedRuns: z.optional(z.array(interruptedRunSchema)),
 });
 
 /** One instance of a backend server, as its node announces it. */
 export type AnnouncedBackendServer = z.infer<typeof backendServerSchema>;
 
+/** An interrupted run, as the node of its host announces it. */
+export type AnnouncedInterruptedRun = z.infer<typeof interruptedRunSchema>;
+
 /** The state of one host. */
 export type Announcement = z.infer<typeof announcementSchema>;
 
--- a/packages/lentillb/src/emulation/emulatedHost.ts
+++ b/packages/lentillb/src/emulation/emulatedHost.ts
@@ -82,7 +82,10 @@
       startedAtMs: 1,
     });
     const suspects = new SuspectRequests(clock);
-    const suspectGuard = new SuspectGuard({ suspects, log, report: () => undefined }, host);
+    const suspectGuard = new SuspectGuard(
+      { clock, suspects, log, report: () => undefined, onBlockChange: () => undefined },
+      host,
+    );
     const statedLimit = new StatedLimit(clock, log);
     const slots = new SlotQueue(clock, () => false, statedLimit);
     slots.resize(slotCount);
--- a/packages/lentillb/src/peers/gossipSocket.ts
+++ b/packages/lentillb/src/peers/gossipSocket.ts
@@ -12,8 +12,8 @@
 export interface GossipSocketListener {
   /** Called with each gossip message and the address and port of its sender. */
   readonly onMessage: (from: string, message: GossipMessage) => void;
-  /** Called with each report about a suspect request. */
-  readonly onSuspectReport: (report: SuspectReport) => void;
+  /** Called with reports about suspect requests and the address and port of their sender. */
+  readonly onSuspectReports: (from: string, reports: readonly SuspectReport[]) => void;
   /** Called if a datagram could not be sent. */
   readonly onError: (error: Error) => void;
 }
@@ -38,12 +38,16 @@
   /** @param listener - the callbacks for datagrams of other nodes */
   constructor(listener: GossipSocketListener) {
     this.socket.on('message', (bytes, { address, port }) => {
+      const from = `${address}:${port}`;
       const message = decodeGossipMessage(bytes);
       if (message !== undefined) {
-        listener.onMessage(`${address}:${port}`, message);
+        listener.onMessage(from, message);
         return;
       }
-      decodeSuspectReports(bytes)?.forEach((report) => listener.onSuspectReport(report));
+      const reports = decodeSuspectReports(bytes);
+      if (reports !== undefined) {
+        listener.onSuspectReports(from, reports);
+      }
     });
     this.socket.on('error', listener.onError);
   }
--- a/packages/lentillb/src/peers/suspectReportMessage.ts
+++ b/packages/lentillb/src/peers/suspectReportMessage.ts
@@ -5,13 +5,15 @@
 const MAGIC = 0x6d;
 const HEAD_BYTES = 1;
 
-// Of each report: the kind, the content, the run and the host; the last two are 0 if not needed.
+// Of each report: the kind, the content, the run, the host and the time; 0 where not needed.
 const CONTENT_OFFSET = 1;
-const RUN_OFFSET = 9;
-const HOST_OFFSET = 13;
-const REPORT_BYTES = 17;
+const RUN_OFFSET = 13;
+const HOST_OFFSET = 17;
+const TIME_OFFSET = 21;
+const TIME_BYTES = 6;
+const REPORT_BYTES = 27;
 /** The maximum number of reports in a message, so that it fits into one packet. */
-export const MAX_REPORTS_PER_MESSAGE = 64;
+export const MAX_REPORTS_PER_MESSAGE = 40;
 
 const kindCodes: Readonly<Record<SuspectReportKind, number>> = {
   [SuspectReportKind.Interrupted]: 1,
@@ -27,6 +29,7 @@
   if (isInterrupted) {
     bytes.writeUInt32BE(report.run.runHash, RUN_OFFSET);
     bytes.writeUInt32BE(report.run.hostHash, HOST_OFFSET);
+    bytes.writeUIntBE(report.run.endedAtMs, TIME_OFFSET, TIME_BYTES);
   }
   return bytes;
 }
@@ -43,7 +46,9 @@
   }
   const runHash = bytes.readUInt32BE(RUN_OFFSET);
   const hostHash = bytes.readUInt32BE(HOST_OFFSET);
-  return { kind: SuspectReportKind.Interrupted, run: { contentHash, runHash, hostHash } };
+  const endedAtMs = bytes.readUIntBE(TIME_OFFSET, TIME_BYTES);
+  const run = { contentHash, runHash, hostHash, endedAtMs };
+  return { kind: SuspectReportKind.Interrupted, run };
 }
 
 /**
--- a/packages/lentillb/src/peers/suspectReportRelay.ts
+++ b/packages/lentillb/src/peers/suspectReportRelay.ts
@@ -1,11 +1,13 @@
 /**
- * Spreads reports about suspect requests over the fleet. A node sends a new report to all nodes of
- * its zone and to a few of each other zone, and each node passes on what it did not know, so a
- * report needs two hops. For some seconds after, a few random nodes get it again, because datagrams
- * may be lost and nodes may have been unreachable. Without reports nothing is sent.
+ * Spreads reports about suspect requests over the fleet. The node that saw what it reports tells its
+ * zone and a few nodes of each other zone, and these tell theirs. Datagrams may be lost and nodes may
+ * be unreachable, so reports are sent again for some seconds: inside a zone by every node that has
+ * them, and between zones, where traffic is charged, only by the first node, less and less often.
+ * Without reports nothing is sent.
  */
 import type { Announcement } from '../directory/announcement.js';
 import type { Directory } from '../directory/directory.js';
+import { ReportSource } from '../directory/suspectReport.js';
 import type { SuspectReport } from '../directory/suspectReport.js';
 import type { Clock } from '../kernel/clock.js';
 import type { Randomness } from '../kernel/randomness.js';
@@ -16,14 +18,12 @@
 const BATCH_DELAY_MS = 2;
 /** The number of nodes of each other zone that get a new report directly. */
 const NODES_PER_OTHER_ZONE = 2;
-/** The interval at which recent reports are sent again, in milliseconds. */
-const REPEAT_INTERVAL_MS = 500;
-/** How long a report is sent again, in milliseconds. */
-const REPEAT_FOR_MS = 10_000;
-/** The number of random nodes of the own zone, and of other zones, that get recent reports again. */
-const REPEAT_RECEIVERS = 2;
-/** The maximum number of recent reports that are kept; the oldest are dropped. */
-const MAX_RECENT_REPORTS = 512;
+/** The delays after which reports are sent again inside the zone, in milliseconds. */
+const ZONE_REPEAT_DELAYS_MS = [300, 600, 900, 1_300, 1_800, 2_400];
+/** The number of random nodes of the zone that get them then. */
+const ZONE_REPEAT_RECEIVERS = 2;
+/** The delays after which reports are sent again to one node of each other zone, in milliseconds. */
+const OTHER_ZONE_REPEAT_DELAYS_MS = [400, 1_000, 2_000, 4_500, 7_500, 12_000];
 
 /** Sends reports to another node without guaranteed delivery. */
 export interface SuspectReportTransport {
@@ -44,21 +44,24 @@
   readonly transport: SuspectReportTransport;
 }
 
-interface RecentReport {
-  readonly report: SuspectReport;
-  readonly receivedAtMs: number;
-}
-
 /** Spreads reports between the nodes. */
 export class SuspectReportRelay {
-  private batch: SuspectReport[] = [];
-
-  private recent: RecentReport[] = [];
-
-  private isRepeating = false;
+  private readonly batches = new Map<ReportSource, SuspectReport[]>();
 
   private stopped = false;
 
+  private readonly sendNew: Readonly<
+    Record<ReportSource, (reports: readonly SuspectReport[]) => void>
+  > = {
+    [ReportSource.Own]: (reports) => this.sendOwn(reports),
+    [ReportSource.OtherZone]: (reports) => {
+      this.send(this.nodesOfOwnZone(), reports);
+      this.repeatInZone(reports);
+    },
+    // Its sender has told the zone.
+    [ReportSource.SameZone]: (reports) => this.repeatInZone(reports),
+  };
+
   /**
    * @param services - the services that the relay depends on
    * @param location - the host and the zone of this node
@@ -74,56 +77,52 @@
   }
 
   /**
-   * Sends a report that this node did not know before.
+   * Returns where a report came from.
    *
-   * @param report - the report
+   * @param address - the address and port of the node that sent it
+   * @returns whether it is a node of this zone; unknown nodes count as nodes of another one
    */
-  spread(report: SuspectReport): void {
-    const { clock } = this.services;
-    if (this.batch.length === 0) {
-      clock.after(BATCH_DELAY_MS, () => this.sendBatch());
-    }
-    this.batch.push(report);
-    this.recent.push({ report, receivedAtMs: clock.monotonicMs() });
-    this.recent = this.recent.slice(-MAX_RECENT_REPORTS);
-    this.startRepeating();
-  }
-
-  private sendBatch(): void {
-    const reports = this.batch;
-    this.batch = [];
-    const { near, farByZone } = this.otherNodes();
-    const far = farByZone.flatMap((nodes) => this.choose(nodes, NODES_PER_OTHER_ZONE));
-    this.send([...near, ...far], reports);
+  sourceOf(address: string): ReportSource {
+    const zone = this.services.directory.announcementAt(address)?.zone;
+    return zone === this.location.zone ? ReportSource.SameZone : ReportSource.OtherZone;
   }
 
-  private startRepeating(): void {
-    if (!this.isRepeating) {
-      this.isRepeating = true;
-      this.services.clock.after(REPEAT_INTERVAL_MS, () => this.repeat());
+  /**
+   * Sends a report that this node did not know before.
+   *
+   * @param report - the report
+   * @param source - where it came from
+   */
+  spread(report: SuspectReport, source: ReportSource): void {
+    const batch = this.batches.get(source);
+    if (batch !== undefined) {
+      batch.push(report);
+      return;
     }
+    const reports = [report];
+    this.batches.set(source, reports);
+    this.services.clock.after(BATCH_DELAY_MS, () => {
+      this.batches.delete(source);
+      this.sendNew[source](reports);
+    });
   }
 
-  private repeat(): void {
-    this.isRepeating = false;
-    const sinceMs = this.services.clock.monotonicMs() - REPEAT_FOR_MS;
-    this.recent = this.recent.filter(({ receivedAtMs }) => receivedAtMs > sinceMs);
-    if (this.stopped || this.recent.length === 0) {
-      return;
-    }
-    const { near, farByZone } = this.otherNodes();
-    const receivers = [near, farByZone.flat()].flatMap((nodes) =>
-      this.choose(nodes, REPEAT_RECEIVERS),
+  private sendOwn(reports: readonly SuspectReport[]): void {
+    this.send(this.nodesOfOwnZone(), reports);
+    this.send(this.sampleOtherZones(NODES_PER_OTHER_ZONE), reports);
+    this.repeatInZone(reports);
+    OTHER_ZONE_REPEAT_DELAYS_MS.forEach((delayMs) =>
+      this.services.clock.after(delayMs, () => this.send(this.sampleOtherZones(1), reports)),
     );
-    this.send(
-      receivers,
-      this.recent.map(({ report }) => report),
-    );
-    this.startRepeating();
   }
 
-  private choose(nodes: readonly Announcement[], count: number): readonly Announcement[] {
-    return sample(this.services.randomness, nodes, count);
+  private repeatInZone(reports: readonly SuspectReport[]): void {
+    const { clock, randomness } = this.services;
+    ZONE_REPEAT_DELAYS_MS.forEach((delayMs) =>
+      clock.after(delayMs, () =>
+        this.send(sample(randomness, this.nodesOfOwnZone(), ZONE_REPEAT_RECEIVERS), reports),
+      ),
+    );
   }
 
   private send(receivers: readonly Announcement[], reports: readonly SuspectReport[]): void {
@@ -138,20 +137,23 @@
     }
   }
 
-  private otherNodes(): {
-    readonly near: readonly Announcement[];
-    readonly farByZone: readonly (readonly Announcement[])[];
-  } {
+  private nodesOfOwnZone(): readonly Announcement[] {
+    const { host: ownHost, zone: ownZone } = this.location;
+    return this.services.directory.announcements.filter(
+      ({ host, zone }) => host !== ownHost && zone === ownZone,
+    );
+  }
+
+  /** Draws a number of nodes of each other zone. */
+  private sampleOtherZones(count: number): readonly Announcement[] {
     const byZone = new Map<string, Announcement[]>();
     this.services.directory.announcements
-      .filter(({ host }) => host !== this.location.host)
+      .filter(({ zone }) => zone !== this.location.zone)
       .forEach((announcement) => {
         const nodes = byZone.get(announcement.zone) ?? [];
         nodes.push(announcement);
         byZone.set(announcement.zone, nodes);
       });
-    const near = byZone.get(this.location.zone) ?? [];
-    byZone.delete(this.location.zone);
-    return { near, farByZone: [...byZone.values()] };
+    return [...byZone.values()].flatMap((nodes) => sample(this.services.randomness, nodes, count));
   }
 }
--- a/packages/lentillb/src/serving/requestContent.ts
+++ b/packages/lentillb/src/serving/requestContent.ts
@@ -1,27 +1,39 @@
 /** Identifies requests with the same content, whatever their identity and the host they arrive at. */
 import { createHash } from 'node:crypto';
-import { CONTENT_HASH_DIGITS } from '../directory/suspectReport.js';
+import { CONTENT_HASH_DIGITS, TARGET_HASH_DIGITS } from '../directory/suspectReport.js';
+import { hash32 } from '../utils/hash.js';
 import type { ForwardedRequest } from './messages.js';
 
 /** The headers that identify a caller; others differ between attempts or hosts. */
 const CALLER_HEADERS = ['host', 'authorization', 'cookie'] as const;
 
+const HEXADECIMAL = 16;
+
+/** What the content of a request consists of. */
+export type RequestContent = Pick<ForwardedRequest, 'body' | 'headers' | 'method' | 'target'>;
+
+/**
+ * Hashes the method and the path of a request, which is much cheaper than its whole content.
+ *
+ * @param request - the request as it is forwarded
+ * @returns the first digits of the hash of its content
+ */
+export function hashTarget({ method, target }: Pick<RequestContent, 'method' | 'target'>): string {
+  return hash32(`${method} ${target}`).toString(HEXADECIMAL).padStart(TARGET_HASH_DIGITS, '0');
+}
+
 /**
  * Hashes what makes two requests the same one: method, path, caller and body.
  *
  * @param request - the request as it is forwarded
  * @returns the hash, equal on every host
  */
-export function hashContent({
-  body,
-  headers,
-  method,
-  target,
-}: Pick<ForwardedRequest, 'body' | 'headers' | 'method' | 'target'>): string {
+export function hashContent(request: RequestContent): string {
+  const { body, headers, method, target } = request;
   const caller = CALLER_HEADERS.map((name) => headers[name] ?? null);
-  return createHash('sha256')
+  const digest = createHash('sha256')
     .update(JSON.stringify([method, target, ...caller]))
     .update(body)
-    .digest('hex')
-    .slice(0, CONTENT_HASH_DIGITS);
+    .digest('hex');
+  return hashTarget(request) + digest.slice(0, CONTENT_HASH_DIGITS - TARGET_HASH_DIGITS);
 }
--- a/packages/lentillb/src/serving/suspectGuard.ts
+++ b/packages/lentillb/src/serving/suspectGuard.ts
@@ -1,21 +1,29 @@
 /** Keeps requests away from backend servers that would end under them, and reports what it sees. */
+import type { AnnouncedInterruptedRun, Announcement } from '../directory/announcement.js';
 import type { InterruptedRun, SuspectReport } from '../directory/suspectReport.js';
-import { SuspectReportKind } from '../directory/suspectReport.js';
+import { ReportSource, SuspectReportKind } from '../directory/suspectReport.js';
+import type { Clock } from '../kernel/clock.js';
 import type { DecisionLog } from '../observability/decisionLog.js';
 import { Importance } from '../observability/decisionLog.js';
 import { hash32 } from '../utils/hash.js';
 import type { Heartbeat } from './localBackendServer.js';
 import type { ForwardedRequest } from './messages.js';
-import { hashContent } from './requestContent.js';
+import { hashContent, hashTarget } from './requestContent.js';
 import type { SuspectJudgement, SuspectRequests } from './suspectRequests.js';
 import { ALLOWED, SuspectVerdict } from './suspectRequests.js';
 
+/** The maximum number of ends that a host announces, to bound the size of its announcement. */
+const MAX_ANNOUNCED_RUNS = 16;
+
 /** The services that the guard depends on. */
 export interface SuspectGuardServices {
+  readonly clock: Clock;
   readonly suspects: SuspectRequests;
   readonly log: DecisionLog;
   /** Tells other nodes. */
-  readonly report: (report: SuspectReport) => void;
+  readonly report: (report: SuspectReport, source: ReportSource) => void;
+  /** Called when an end under a blocked content on this host became known, or its content is cleared. */
+  readonly onBlockChange: () => void;
 }
 
 /** Judges requests by what backend servers have ended under, on any host. */
@@ -37,7 +45,7 @@
    */
   judge(request: ForwardedRequest): SuspectJudgement {
     const { suspects } = this.services;
-    return suspects.size === 0 ? ALLOWED : suspects.judge(hashContent(request));
+    return this.mayBeSuspect(request) ? suspects.judge(hashContent(request)) : ALLOWED;
   }
 
   /**
@@ -80,6 +88,7 @@
         contentHash: hashContent(request),
         runHash: hash32(`${id} ${startedAtMs}`),
         hostHash: hash32(this.host),
+        endedAtMs: this.services.clock.now().getTime(),
       },
     });
   }
@@ -90,7 +99,7 @@
    * @param request - the request
    */
   recordAnswered(request: ForwardedRequest): void {
-    if (this.services.suspects.size > 0) {
+    if (this.mayBeSuspect(request)) {
       this.receive({ kind: SuspectReportKind.Answered, contentHash: hashContent(request) });
     }
   }
@@ -99,17 +108,42 @@
    * Takes a report of this or another node into account, and passes it on if it is new.
    *
    * @param report - the report
+   * @param source - where it came from
    */
-  receive(report: SuspectReport): void {
+  receive(report: SuspectReport, source: ReportSource = ReportSource.Own): void {
     const isNew =
       report.kind === SuspectReportKind.Interrupted
         ? this.recordEnd(report.run)
         : this.services.suspects.recordAnswer(report.contentHash);
     if (isNew) {
-      this.services.report(report);
+      this.services.report(report, source);
+      this.services.onBlockChange();
     }
   }
 
+  /**
+   * Takes into account what the node of a host announced, possibly before a restart of this node.
+   *
+   * @param announcement - the announcement
+   */
+  learn({ host, interruptedRuns = [] }: Announcement): void {
+    const hostHash = hash32(host);
+    interruptedRuns.forEach((run) => this.recordEnd({ ...run, hostHash }));
+  }
+
+  /** The ends on this host to announce: the newest ones under contents that are blocked. */
+  get announced(): readonly AnnouncedInterruptedRun[] {
+    return this.services.suspects
+      .blockingEndsOn(hash32(this.host))
+      .slice(-MAX_ANNOUNCED_RUNS)
+      .map(({ contentHash, endedAtMs, runHash }) => ({ contentHash, endedAtMs, runHash }));
+  }
+
+  private mayBeSuspect(request: ForwardedRequest): boolean {
+    const { suspects } = this.services;
+    return suspects.size > 0 && suspects.mayKnow(hashTarget(request));
+  }
+
   private startTrial(request: ForwardedRequest): void {
     const contentHash = hashContent(request);
     this.services.suspects.startTrial(contentHash);
--- a/packages/lentillb/src/serving/suspectRequests.ts
+++ b/packages/lentillb/src/serving/suspectRequests.ts
@@ -9,6 +9,7 @@
  * and clears it.
  */
 import type { InterruptedRun } from '../directory/suspectReport.js';
+import { TARGET_HASH_DIGITS } from '../directory/suspectReport.js';
 import type { Clock } from '../kernel/clock.js';
 
 /** What may be done with a request. */
@@ -32,8 +33,9 @@
 }
 
 interface Suspect {
-  /** The hashes of the hosts whose backend servers ended, by the hash of the run. */
-  readonly hostsByRun: Map<number, number>;
+  /** The backend servers that ended, by the hash of the run. */
+  readonly runs: Map<number, InterruptedRun>;
+  /** When the last end became known, in milliseconds of the monotonic clock. */
   endedAtMs: number;
   /** Until when the outcome of a trial is awaited, in milliseconds of the monotonic clock. */
   trialUntilMs: number;
@@ -57,11 +59,11 @@
 export const ALLOWED: SuspectJudgement = { verdict: SuspectVerdict.Allowed, trialInMs: 0 };
 
 function createSuspect(): Suspect {
-  return { hostsByRun: new Map(), endedAtMs: -Infinity, trialUntilMs: -Infinity };
+  return { runs: new Map(), endedAtMs: -Infinity, trialUntilMs: -Infinity };
 }
 
-function trialDelayMs({ hostsByRun }: Suspect): number {
-  const furtherEnds = hostsByRun.size - BLOCKING_ENDS;
+function trialDelayMs({ runs }: Suspect): number {
+  const furtherEnds = runs.size - BLOCKING_ENDS;
   return Math.min(MAX_TRIAL_DELAY_MS, FIRST_TRIAL_DELAY_MS * TRIAL_DELAY_FACTOR ** furtherEnds);
 }
 
@@ -69,17 +71,16 @@
  * Chooses one of the hosts whose backend servers ended, the same wherever these are known. The next one
  * takes its turn if there was no outcome, since the host may be gone.
  */
-function chooseTrialHost({ hostsByRun }: Suspect, overdueMs: number): number | undefined {
-  const hosts = [...new Set(hostsByRun.values())].sort((left, right) => left - right);
+function chooseTrialHost({ runs }: Suspect, overdueMs: number): number | undefined {
+  const hosts = [...new Set([...runs.values()].map(({ hostHash }) => hostHash))].sort(
+    (left, right) => left - right,
+  );
   const turn = Math.max(0, Math.floor(overdueMs / TRIAL_TIMEOUT_MS));
   return hosts[turn % hosts.length];
 }
 
-function dropOldest(entries: Map<string, unknown>, maxSize: number): void {
-  const [oldest] = entries.keys();
-  if (entries.size > maxSize && oldest !== undefined) {
-    entries.delete(oldest);
-  }
+function oldestKey(entries: ReadonlyMap<string, unknown>): string {
+  return entries.keys().next().value as string;
 }
 
 /** Remembers contents that were running when backend servers ended. */
@@ -87,6 +88,9 @@
   /** The suspects by content hash; the one that ended a backend server last comes last. */
   private readonly suspects = new Map<string, Suspect>();
 
+  /** The number of suspects by the first part of their content hash. */
+  private readonly countsByTarget = new Map<string, number>();
+
   /** The ends that were recorded, also of contents that have been cleared since. */
   private readonly knownEnds = new Map<string, true>();
 
@@ -102,22 +106,27 @@
    * Records that a backend server ended while it ran a request.
    *
    * @param run - the interrupted run
-   * @returns whether it was not known yet
+   * @returns whether it was not known yet, and is not too old to matter
    */
-  recordEnd({ contentHash, hostHash, runHash }: InterruptedRun): boolean {
+  recordEnd(run: InterruptedRun): boolean {
+    const { contentHash, endedAtMs, runHash } = run;
+    if (this.clock.now().getTime() - endedAtMs >= MEMORY_MS) {
+      return false;
+    }
     const key = `${contentHash} ${runHash}`;
     if (this.knownEnds.has(key)) {
       return false;
     }
     this.knownEnds.set(key, true);
-    dropOldest(this.knownEnds, MAX_KNOWN_ENDS);
+    if (this.knownEnds.size > MAX_KNOWN_ENDS) {
+      this.knownEnds.delete(oldestKey(this.knownEnds));
+    }
     const suspect = this.find(contentHash) ?? createSuspect();
-    suspect.hostsByRun.set(runHash, hostHash);
+    this.remove(contentHash);
+    suspect.runs.set(runHash, run);
     suspect.endedAtMs = this.clock.monotonicMs();
     suspect.trialUntilMs = -Infinity;
-    this.suspects.delete(contentHash);
-    this.suspects.set(contentHash, suspect);
-    dropOldest(this.suspects, MAX_SUSPECTS);
+    this.add(contentHash, suspect);
     return true;
   }
 
@@ -128,7 +137,18 @@
    * @returns whether the content was suspect
    */
   recordAnswer(contentHash: string): boolean {
-    return this.suspects.delete(contentHash);
+    return this.remove(contentHash);
+  }
+
+  /**
+   * Checks whether any suspect content has a method and path. Nearly all requests have others, and their
+   * contents need not be hashed.
+   *
+   * @param targetHash - the first part of the content hash
+   * @returns whether the content may be suspect
+   */
+  mayKnow(targetHash: string): boolean {
+    return this.countsByTarget.has(targetHash);
   }
 
   /**
@@ -138,7 +158,20 @@
    * @returns the number of ends
    */
   endsOf(contentHash: string): number {
-    return this.find(contentHash)?.hostsByRun.size ?? 0;
+    return this.find(contentHash)?.runs.size ?? 0;
+  }
+
+  /**
+   * Returns the ends on one host under contents that are blocked.
+   *
+   * @param hostHash - the hash of the address of the host
+   * @returns the ends, the oldest first
+   */
+  blockingEndsOn(hostHash: number): readonly InterruptedRun[] {
+    return [...this.suspects.keys()].flatMap((contentHash) => {
+      const runs = [...(this.find(contentHash)?.runs.values() ?? [])];
+      return runs.length < BLOCKING_ENDS ? [] : runs.filter((run) => run.hostHash === hostHash);
+    });
   }
 
   /**
@@ -149,7 +182,7 @@
    */
   judge(contentHash: string): SuspectJudgement {
     const suspect = this.find(contentHash);
-    if (suspect === undefined || suspect.hostsByRun.size < BLOCKING_ENDS) {
+    if (suspect === undefined || suspect.runs.size < BLOCKING_ENDS) {
       return ALLOWED;
     }
     const nowMs = this.clock.monotonicMs();
@@ -181,9 +214,32 @@
     }
     const ageMs = this.clock.monotonicMs() - suspect.endedAtMs;
     if (ageMs >= MEMORY_MS) {
-      this.suspects.delete(contentHash);
+      this.remove(contentHash);
       return undefined;
     }
     return suspect;
   }
+
+  private add(contentHash: string, suspect: Suspect): void {
+    this.suspects.set(contentHash, suspect);
+    const target = contentHash.slice(0, TARGET_HASH_DIGITS);
+    this.countsByTarget.set(target, (this.countsByTarget.get(target) ?? 0) + 1);
+    if (this.suspects.size > MAX_SUSPECTS) {
+      this.remove(oldestKey(this.suspects));
+    }
+  }
+
+  private remove(contentHash: string): boolean {
+    if (!this.suspects.delete(contentHash)) {
+      return false;
+    }
+    const target = contentHash.slice(0, TARGET_HASH_DIGITS);
+    const count = (this.countsByTarget.get(target) ?? 0) - 1;
+    if (count > 0) {
+      this.countsByTarget.set(target, count);
+    } else {
+      this.countsByTarget.delete(target);
+    }
+    return true;
+  }
 }
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -43,7 +43,7 @@
 import { StoreEraTracker } from '../store/storeEraTracker.js';
 import { DepartureRestorer } from './departureRestorer.js';
 import { StoreAnnouncer } from './storeAnnouncer.js';
-import type { HostIdentity } from './storeAnnouncer.js';
+import type { HostIdentity, HostState } from './storeAnnouncer.js';
 import { MeshState } from './meshState.js';
 
 /** How long a starting node waits for its own earlier record before it announces itself, in milliseconds. */
@@ -103,6 +103,8 @@
 
   private readonly statedLimit: StatedLimit;
 
+  private readonly suspectGuard: SuspectGuard;
+
   private readonly slots: SlotQueue;
 
   private readonly client: BackendServerClient;
@@ -177,10 +179,17 @@
     const observations = new GateObservations(clock, DEFAULT_SERVICE_TIME_MS);
     const listenProbe = new ListenProbe();
     const suspects = new SuspectRequests(clock);
-    const suspectGuard = new SuspectGuard(
-      { suspects, log, report: (report) => this.suspectRelay.spread(report) },
+    this.suspectGuard = new SuspectGuard(
+      {
+        clock,
+        suspects,
+        log,
+        report: (report, source) => this.suspectRelay.spread(report, source),
+        onBlockChange: () => this.announcer.update(),
+      },
       identity.host,
     );
+    const { suspectGuard } = this;
     this.gate = new Gate({
       clock,
       input,
@@ -198,7 +207,10 @@
         this.failureDetector.markAddressHeard(from);
         this.gossip.receive(from, message);
       },
-      onSuspectReport: (report) => suspectGuard.receive(report),
+      onSuspectReports: (from, reports) => {
+        const source = this.suspectRelay.sourceOf(from);
+        reports.forEach((report) => suspectGuard.receive(report, source));
+      },
       onError: ({ message }) =>
         log.record(Importance.Notable, 'greeting-not-sent', { reason: message }),
     });
@@ -274,16 +286,17 @@
     this.announcer = new StoreAnnouncer(
       { clock, randomness, store, directory, log, era },
       identity,
-      () => backendServer.announced,
+      () => this.describeHost(),
       (announcement) => this.meshState.isStored(announcement),
     );
     this.departureRestorer = new DepartureRestorer(
       { clock, store, directory, role, era, log },
       identity.zone,
     );
-    directory.subscribe(({ backendServer: announced, host }) =>
-      observations.removeOthers(host, announced?.id),
-    );
+    directory.subscribe((announcement) => {
+      observations.removeOthers(announcement.host, announcement.backendServer?.id);
+      suspectGuard.learn(announcement);
+    });
     metrics.gauge('configuration_version', () => configuration.version);
     metrics.gauge('suspect_requests', () => suspects.size);
     metrics.gauge('known_hosts', () => directory.announcements.length);
@@ -432,6 +445,13 @@
     }
   }
 
+  private describeHost(): HostState | undefined {
+    const { announced } = this.backendServer;
+    return announced === undefined
+      ? undefined
+      : { backendServer: announced, interruptedRuns: this.suspectGuard.announced };
+  }
+
   private onBackendServerChange(): void {
     const { heartbeat, ready } = this.backendServer;
     if (ready && heartbeat !== undefined) {
--- a/packages/lentillb/src/sidecar/storeAnnouncer.ts
+++ b/packages/lentillb/src/sidecar/storeAnnouncer.ts
@@ -1,6 +1,10 @@
 /** Keeps the announcement of this host in the store up to date. */
 import { runInBackground } from '../utils/background.js';
-import type { Announcement, AnnouncedBackendServer } from '../directory/announcement.js';
+import type {
+  AnnouncedBackendServer,
+  AnnouncedInterruptedRun,
+  Announcement,
+} from '../directory/announcement.js';
 import { encodeAnnouncement } from '../directory/announcement.js';
 import type { Directory } from '../directory/directory.js';
 import type { Clock } from '../kernel/clock.js';
@@ -46,11 +50,17 @@
   readonly era: StoreEraTracker;
 }
 
-function isSameBackendServer(
-  left: AnnouncedBackendServer | undefined,
-  right: AnnouncedBackendServer | undefined,
-): boolean {
-  return JSON.stringify(left) === JSON.stringify(right);
+/** What a node announces of its host, beside its identity. */
+export interface HostState {
+  readonly backendServer: AnnouncedBackendServer;
+  readonly interruptedRuns: readonly AnnouncedInterruptedRun[];
+}
+
+function isSameState(known: Announcement, { backendServer, interruptedRuns }: HostState): boolean {
+  return (
+    JSON.stringify(known.backendServer) === JSON.stringify(backendServer) &&
+    JSON.stringify(known.interruptedRuns ?? []) === JSON.stringify(interruptedRuns)
+  );
 }
 
 /** Announces the host of this node in the directory and in the store. */
@@ -68,14 +78,14 @@
   /**
    * @param services - the services that the announcer depends on
    * @param identity - the addresses and properties of this host
-   * @param backendServer - returns the state of the backend server to announce
+   * @param hostState - returns the state to announce; undefined before the first heartbeat
    * @param isStored - returns whether an announcement of an earlier run has been read from the store;
    *   another node may know a newer one than the store
    */
   constructor(
     private readonly services: AnnouncerServices,
     private readonly identity: HostIdentity,
-    private readonly backendServer: () => AnnouncedBackendServer | undefined,
+    private readonly hostState: () => HostState | undefined,
     private readonly isStored: (announcement: Announcement) => boolean,
   ) {
     services.era.subscribe((era) => this.writeAgain(era));
@@ -87,34 +97,30 @@
     this.update();
   }
 
-  /** Announces the state of the backend server if it changed. */
+  /** Announces the state of the host if it changed. */
   update(): void {
-    const backendServer = this.backendServer();
+    const state = this.hostState();
     const { directory } = this.services;
     const known = directory.announcementOf(this.identity.host);
     if (!this.started) {
       return;
     }
-    if (backendServer === undefined) {
+    if (state === undefined) {
       this.keepEarlierAnnouncement(known);
       return;
     }
-    if (
-      known !== undefined &&
-      known === this.currentAnnouncement &&
-      isSameBackendServer(known.backendServer, backendServer)
-    ) {
+    if (known !== undefined && known === this.currentAnnouncement && isSameState(known, state)) {
       return;
     }
     if (
       known !== undefined &&
       this.currentAnnouncement === undefined &&
-      this.isAlreadyAnnounced(known, backendServer)
+      this.isAlreadyAnnounced(known, state)
     ) {
       this.keepEarlierAnnouncement(known);
       return;
     }
-    this.currentAnnouncement = this.nextAnnouncement(known, backendServer);
+    this.currentAnnouncement = this.nextAnnouncement(known, state);
     directory.merge(this.currentAnnouncement);
     this.startWriting(BATCH_DELAY_MS);
   }
@@ -161,19 +167,19 @@
     }
   }
 
-  private isAlreadyAnnounced(known: Announcement, backendServer: AnnouncedBackendServer): boolean {
+  private isAlreadyAnnounced(known: Announcement, state: HostState): boolean {
     const { gateAddress, peerAddress, zone } = this.identity;
     return (
       known.gateAddress === gateAddress &&
       known.peerAddress === peerAddress &&
       known.zone === zone &&
-      isSameBackendServer(known.backendServer, backendServer)
+      isSameState(known, state)
     );
   }
 
   private nextAnnouncement(
     known: Announcement | undefined,
-    backendServer: AnnouncedBackendServer,
+    { backendServer, interruptedRuns }: HostState,
   ): Announcement {
     const incarnation =
       known !== undefined && known === this.currentAnnouncement
@@ -181,7 +187,13 @@
         : Math.max((known?.incarnation ?? 0) + 1, this.services.clock.now().getTime());
     const sequence =
       known !== undefined && known === this.currentAnnouncement ? known.sequence + 1 : 1;
-    return { ...this.identity, incarnation, sequence, backendServer };
+    return {
+      ...this.identity,
+      incarnation,
+      sequence,
+      backendServer,
+      ...(interruptedRuns.length > 0 ? { interruptedRuns: [...interruptedRuns] } : {}),
+    };
   }
 
   private startWriting(delayMs: number): void {
--- a/tests/peers/suspectReportRelay.spec.ts
+++ b/tests/peers/suspectReportRelay.spec.ts
@@ -1,7 +1,7 @@
 import { SeededRandomness } from 'lentillb';
 import { Directory } from 'lentillb/directory/directory.js';
 import type { SuspectReport } from 'lentillb/directory/suspectReport.js';
-import { SuspectReportKind } from 'lentillb/directory/suspectReport.js';
+import { ReportSource, SuspectReportKind } from 'lentillb/directory/suspectReport.js';
 import {
   decodeSuspectReports,
   encodeSuspectReports,
@@ -16,18 +16,21 @@
 /** The time within which nodes that can reach each other must know of an end, in milliseconds. */
 const CONTACT_MS = 3_000;
 const MAX_PACKET_BYTES = 1_200;
+/** Traffic between zones is charged. */
+const MAX_MESSAGES_TO_OTHER_ZONE = 8;
 
 function interrupted(index: number): SuspectReport {
-  const contentHash = index.toString(16).padStart(16, '0');
-  const run = { contentHash, runHash: 4_000_000_000 + index, hostHash: index };
+  const contentHash = index.toString(16).padStart(24, '0');
+  const runHash = 4_000_000_000 + index;
+  const run = { contentHash, runHash, hostHash: index, endedAtMs: 1_800_000_000_000 };
   return { kind: SuspectReportKind.Interrupted, run };
 }
 
 interface Network {
   readonly relays: readonly SuspectReportRelay[];
   readonly known: readonly Set<string>[];
-  /** Returns the number of messages that were sent. */
-  readonly sentCount: () => number;
+  /** Returns the number of messages that were sent, and of those between zones. */
+  readonly sentCounts: () => { readonly all: number; readonly betweenZones: number };
 }
 
 /** Creates nodes that pass on reports that they did not know. */
@@ -49,17 +52,19 @@
     }),
   );
   const known = hosts.map(() => new Set<string>());
-  const receivers: ((reports: readonly SuspectReport[]) => void)[] = [];
-  let sent = 0;
+  const receivers: ((from: string, reports: readonly SuspectReport[]) => void)[] = [];
+  let all = 0;
+  let betweenZones = 0;
   const relays: SuspectReportRelay[] = hosts.map((host, index) => {
     const transport = {
       sendSuspectReports: (address: string, reports: readonly SuspectReport[]): void => {
-        sent += 1;
         const to = hosts.indexOf(address);
+        all += 1;
+        betweenZones += index % ZONES === to % ZONES ? 0 : 1;
         const bytes = encodeSuspectReports(reports);
         expect(bytes.length).toBeLessThanOrEqual(MAX_PACKET_BYTES);
         if (!isCut(index, to) && randomness.fraction() >= lossShare) {
-          clock.after(1, () => receivers[to]?.(decodeSuspectReports(bytes) ?? []));
+          clock.after(1, () => receivers[to]?.(host, decodeSuspectReports(bytes) ?? []));
         }
       },
     };
@@ -69,17 +74,17 @@
     );
   });
   relays.forEach((relay, node) => {
-    receivers.push((reports) =>
+    receivers.push((from, reports) =>
       reports.forEach((report) => {
         const key = JSON.stringify(report);
         if (known[node]?.has(key) === false) {
           known[node]?.add(key);
-          relay.spread(report);
+          relay.spread(report, relay.sourceOf(from));
         }
       }),
     );
   });
-  return { relays, known, sentCount: () => sent };
+  return { relays, known, sentCounts: () => ({ all, betweenZones }) };
 }
 
 function countKnowing({ known }: Network, report: SuspectReport): number {
@@ -90,7 +95,7 @@
   it('should be decoded as it was encoded', () => {
     const reports: readonly SuspectReport[] = [
       interrupted(1),
-      { kind: SuspectReportKind.Answered, contentHash: 'ffeeddccbbaa9988' },
+      { kind: SuspectReportKind.Answered, contentHash: 'ffeeddccbbaa998877665544' },
     ];
     expect(decodeSuspectReports(encodeSuspectReports(reports))).toEqual(reports);
     const most = Array.from({ length: MAX_REPORTS_PER_MESSAGE }, (_, index) => interrupted(index));
@@ -113,7 +118,7 @@
   it('should reach all nodes of all zones within 20 ms', async () => {
     const clock = new ManualClock();
     const fleet = network(clock);
-    fleet.relays[5]?.spread(interrupted(1));
+    fleet.relays[5]?.spread(interrupted(1), ReportSource.Own);
     await clock.advance(20);
     expect(countKnowing(fleet, interrupted(1))).toBeGreaterThanOrEqual(ZONES * NODES_PER_ZONE - 1);
   });
@@ -121,7 +126,7 @@
   it('should reach all nodes in time though a third of the messages is lost', async () => {
     const clock = new ManualClock();
     const fleet = network(clock, { lossShare: 1 / 3 });
-    fleet.relays[5]?.spread(interrupted(1));
+    fleet.relays[5]?.spread(interrupted(1), ReportSource.Own);
     await clock.advance(CONTACT_MS);
     expect(countKnowing(fleet, interrupted(1))).toBeGreaterThanOrEqual(ZONES * NODES_PER_ZONE - 1);
   });
@@ -132,7 +137,7 @@
     const isCut = (from: number, to: number): boolean =>
       isCutOff && (from % ZONES === 0) !== (to % ZONES === 0);
     const fleet = network(clock, { isCut });
-    fleet.relays[5]?.spread(interrupted(1));
+    fleet.relays[5]?.spread(interrupted(1), ReportSource.Own);
     await clock.advance(5_000);
     expect(countKnowing(fleet, interrupted(1))).toBeLessThan(ZONES * NODES_PER_ZONE - 1);
     isCutOff = false;
@@ -143,19 +148,20 @@
   it('should no longer be sent some seconds after all nodes know it', async () => {
     const clock = new ManualClock();
     const fleet = network(clock);
-    fleet.relays[5]?.spread(interrupted(1));
+    fleet.relays[5]?.spread(interrupted(1), ReportSource.Own);
     await clock.advance(15_000);
-    const sent = fleet.sentCount();
+    const sent = fleet.sentCounts();
     await clock.advance(60_000);
-    expect(fleet.sentCount()).toBe(sent);
+    expect(fleet.sentCounts()).toEqual(sent);
+    expect(sent.betweenZones).toBeLessThanOrEqual(MAX_MESSAGES_TO_OTHER_ZONE * (ZONES - 1));
   });
 
   it('should not be sent by a node that has stopped', async () => {
     const clock = new ManualClock();
     const fleet = network(clock);
     fleet.relays[5]?.stop();
-    fleet.relays[5]?.spread(interrupted(1));
+    fleet.relays[5]?.spread(interrupted(1), ReportSource.Own);
     await clock.advance(2_000);
-    expect(fleet.sentCount()).toBe(0);
+    expect(fleet.sentCounts().all).toBe(0);
   });
 });
--- a/tests/serving/entry.spec.ts
+++ b/tests/serving/entry.spec.ts
@@ -176,7 +176,7 @@
     HOSTS.slice(0, ENDS_BEFORE_BLOCK).forEach((host, runHash) =>
       suspectGuard.receive({
         kind: SuspectReportKind.Interrupted,
-        run: { contentHash, runHash, hostHash: hash32(host) },
+        run: { contentHash, runHash, hostHash: hash32(host), endedAtMs: clock.now().getTime() },
       }),
     );
   };
--- a/tests/serving/suspectRequests.spec.ts
+++ b/tests/serving/suspectRequests.spec.ts
@@ -9,8 +9,8 @@
 import { ManualClock } from '../support/manualClock.js';
 import { createSilentLog } from '../support/slotQueue.js';
 
-const CONTENT = '00112233445566aa';
-const OTHER_CONTENT = '00112233445566bb';
+const CONTENT = '00112233445566778899aabb';
+const OTHER_CONTENT = '00112233445566778899aacc';
 const FIRST_TRIAL_MS = 10_000;
 const TRIAL_TIMEOUT_MS = 10_000;
 
@@ -20,7 +20,8 @@
 /** Records that backend servers with consecutive run hashes ended on a host. */
 function recordEnds(count: number, { contentHash = CONTENT, firstRun = 0, hostHash = 5 } = {}) {
   for (let runHash = firstRun; runHash < firstRun + count; runHash += 1) {
-    suspects.recordEnd({ contentHash, runHash, hostHash });
+    const endedAtMs = clock.now().getTime();
+    suspects.recordEnd({ contentHash, runHash, hostHash, endedAtMs });
   }
 }
 
@@ -108,14 +109,22 @@
     expect(suspects.size).toBe(0);
   });
 
+  it('should not become suspect by the ends of long ago that a host still announces', () => {
+    const endedAtMs = clock.now().getTime() - 600_000;
+    for (let runHash = 0; runHash < 3; runHash += 1) {
+      suspects.recordEnd({ contentHash: CONTENT, runHash, hostHash: 1, endedAtMs });
+    }
+    expect(verdict()).toBe(SuspectVerdict.Allowed);
+  });
+
   it('should take bounded memory, and drop the oldest first', () => {
     for (let index = 0; index < 5_000; index += 1) {
-      recordEnds(1, { contentHash: index.toString(16).padStart(16, '0') });
+      recordEnds(1, { contentHash: index.toString(16).padStart(24, '0') });
     }
     recordEnds(3, { contentHash: OTHER_CONTENT });
     expect(suspects.size).toBe(4_096);
     expect(verdict(OTHER_CONTENT)).toBe(SuspectVerdict.Blocked);
-    expect(suspects.endsOf('0'.repeat(16))).toBe(0);
+    expect(suspects.endsOf('0'.repeat(24))).toBe(0);
   });
 });
 
@@ -139,7 +148,10 @@
     const report = (one: SuspectReport): void => {
       reports.push(one);
     };
-    guard = new SuspectGuard({ suspects, log, report }, 'own');
+    guard = new SuspectGuard(
+      { clock, suspects, log, report, onBlockChange: () => undefined },
+      'own',
+    );
   });
 
   it('should report each end and each answer of a suspect once, and no other answer', () => {
@@ -158,13 +170,28 @@
   });
 
   it('should pass a report of another node on once', () => {
-    const run = { contentHash: CONTENT, runHash: 1, hostHash: 2 };
+    const endedAtMs = clock.now().getTime();
+    const run = { contentHash: CONTENT, runHash: 1, hostHash: 2, endedAtMs };
     const report: SuspectReport = { kind: SuspectReportKind.Interrupted, run };
     guard.receive(report);
     guard.receive(report);
     expect(reports).toEqual([report]);
   });
 
+  it('should announce the ends on its host once they block a content, until it is cleared', () => {
+    const request = createForwardedRequest(clock);
+    const contentHash = hashContent(request);
+    guard.recordInterrupted(request, heartbeat);
+    recordEnds(1, { contentHash });
+    expect(guard.announced).toEqual([]);
+    recordEnds(1, { contentHash, firstRun: 1 });
+    expect(guard.announced).toEqual([
+      { contentHash, runHash: hash32('i-1 1000'), endedAtMs: clock.now().getTime() },
+    ]);
+    guard.recordAnswered(request);
+    expect(guard.announced).toEqual([]);
+  });
+
   it('should admit one blocked request on the host where its trial is due', async () => {
     const request = createForwardedRequest(clock);
     ['i-1', 'i-2', 'i-3'].forEach((id) => guard.recordInterrupted(request, { ...heartbeat, id }));
--- a/tests/sidecar/deadlyRequests.spec.ts
+++ b/tests/sidecar/deadlyRequests.spec.ts
@@ -99,6 +99,26 @@
   }, 20_000);
 });
 
+describe('request under which backend servers ended before all nodes were restarted', () => {
+  it('should stay blocked by what the hosts have announced', async () => {
+    await sendDeadly(6);
+    const endsBefore = ends;
+    // The announcements must have been written to the store.
+    await fleet.clock.sleep(500);
+    const before = [...fleet.hosts];
+    before.forEach(({ sidecar }) => sidecar.close());
+    const restarted = await Promise.all(before.map((host) => fleet.restartNode(host)));
+    fronts = restarted.slice(0, fronts.length);
+    await Promise.all(fronts.map((front) => fleet.waitUntil(() => front.sidecar.ready)));
+    const running = restarted.find(({ name }) => name === `b${BACKEND_SERVERS - 1}`) as FleetHost;
+    await running.sidecar.acceptHeartbeat({ ...running.heartbeat, sequence: 2 });
+    await fleet.waitUntilServed(fronts[0] as FleetHost, SERVICE);
+    const statuses = await sendDeadly(6);
+    expect(ends).toBe(endsBefore);
+    expect(statuses).toEqual(Array(6).fill(503));
+  }, 20_000);
+});
+
 describe('request that runs when backend servers end for other reasons', () => {
   it('should be sent again, and later requests with its content too', async () => {
     const [first, second] = servers as [FleetHost, FleetHost];
--- a/tests/sidecar/storeHistory.spec.ts
+++ b/tests/sidecar/storeHistory.spec.ts
@@ -72,7 +72,10 @@
     this.announcer = new StoreAnnouncer(
       { clock, randomness, store, directory, log, era },
       identity,
-      () => this.backendServer.announced,
+      () => {
+        const { announced } = this.backendServer;
+        return announced && { backendServer: announced, interruptedRuns: [] };
+      },
       (announcement) => this.state.isStored(announcement),
     );
     this.gossip = new Gossip(
--- a/tests/support/suspectGuard.ts
+++ b/tests/support/suspectGuard.ts
@@ -12,5 +12,8 @@
 export function createSuspectGuard(clock: Clock, host = 'h'): SuspectGuard {
   const suspects = new SuspectRequests(clock);
   const log = createSilentLog(clock);
-  return new SuspectGuard({ suspects, log, report: () => undefined }, host);
+  return new SuspectGuard(
+    { clock, suspects, log, report: () => undefined, onBlockChange: () => undefined },
+    host,
+  );
 }
