Count nodes that end under a request, too

A request under which nodes end was given to one node after another just as well. An entry that loses its connection to another host's node, and finds nothing listening there, records the end under the request's content, with the node's incarnation in place of the backend server's run.

Tests: 'should record a request as suspect if the node that it was sent to ended', and not 'if only its connection was lost'. A first test in one process could not show the fault, since a closed node there still answers what it runs. Left: an entry that ends under a request read from its caller tells nobody.

--- a/packages/lentillb/src/serving/gateForwarder.ts
+++ b/packages/lentillb/src/serving/gateForwarder.ts
@@ -2,15 +2,18 @@
 import { Err } from 'ts-results-es';
 import { forwardFailures } from './exchangeFailures.js';
 import { Outcome } from '../calls/callHeaders.js';
-import type { GateEndpoint } from '../directory/directory.js';
+import type { Directory, GateEndpoint } from '../directory/directory.js';
 import type { Clock } from '../kernel/clock.js';
+import { runInBackground } from '../utils/background.js';
 import type { PendingInputTracker } from '../utils/pendingInput.js';
 import { ConnectionPool } from './connectionPool.js';
 import { exchange, ExchangeFailure } from './exchange.js';
 import type { Gate } from './gate.js';
 import { decodeReply, requestHeaders } from './gateProtocol.js';
+import type { ListenProbe } from './listenProbe.js';
 import type { ForwardedRequest, ForwardFailure, GateReply } from './messages.js';
 import { FailureCause } from './messages.js';
+import type { SuspectGuard } from './suspectGuard.js';
 
 /** The maximum idle time of connections between nodes; gates keep theirs open longer. */
 const MAX_IDLE_MS = 30_000;
@@ -60,6 +63,9 @@
       readonly input: PendingInputTracker;
       readonly gate: Gate;
       readonly links: SilenceWatch;
+      readonly directory: Pick<Directory, 'announcementOf'>;
+      readonly listenProbe: Pick<ListenProbe, 'hasEnded'>;
+      readonly suspectGuard: Pick<SuspectGuard, 'recordNodeEnded'>;
     },
     private readonly ownHost: string,
   ) {
@@ -129,9 +135,25 @@
       isTerse: true,
     });
     if (answer.isErr()) {
-      return unreported(forwardFailures[answer.error]);
+      const failure = forwardFailures[answer.error];
+      if (failure.cause === FailureCause.ConnectionLost) {
+        runInBackground(this.recordEndOfNode(endpoint, request));
+      }
+      return unreported(failure);
     }
     links.markHeard(endpoint.host);
     return decodeReply(answer.value);
   }
+
+  /** Records the request as suspect if the node that it was sent to has ended. */
+  private async recordEndOfNode(
+    { gateAddress, host }: GateEndpoint,
+    request: ForwardedRequest,
+  ): Promise<void> {
+    const { directory, listenProbe, suspectGuard } = this.services;
+    const announcement = directory.announcementOf(host);
+    if ((await listenProbe.hasEnded(gateAddress)) && announcement !== undefined) {
+      suspectGuard.recordNodeEnded(request, announcement);
+    }
+  }
 }
--- a/packages/lentillb/src/serving/listenProbe.ts
+++ b/packages/lentillb/src/serving/listenProbe.ts
@@ -1,8 +1,8 @@
-/** Checks whether a backend server still listens after a connection to it was lost. */
+/** Checks whether a process still listens after a connection to it was lost. */
 import { connect } from 'node:net';
 import { parseAddress } from '../utils/networkAddress.js';
 
-/** How long the probe waits for a connection on the same host, in milliseconds. */
+/** How long the probe waits for a connection, in milliseconds. */
 const PROBE_TIMEOUT_MS = 250;
 const CONNECTION_REFUSED = 'ECONNREFUSED';
 
@@ -17,21 +17,22 @@
   return refused;
 }
 
-/** Tells a backend server that has ended from a connection that was lost for another reason. */
+/** Tells a process that has ended from a connection that was lost for another reason. */
 export class ListenProbe {
-  private running: Promise<boolean> | undefined;
+  private readonly runningByAddress = new Map<string, Promise<boolean>>();
 
   /**
    * Checks whether nothing listens at an address any more. All requests that lose their connections
    * at the same moment share one check.
    *
-   * @param address - the address and port of the backend server
+   * @param address - the address and port that the process listened on
    * @returns whether connections are refused
    */
   async hasEnded(address: string): Promise<boolean> {
-    this.running ??= isRefused(address);
-    const ended = await this.running;
-    this.running = undefined;
+    const running = this.runningByAddress.get(address) ?? isRefused(address);
+    this.runningByAddress.set(address, running);
+    const ended = await running;
+    this.runningByAddress.delete(address);
     return ended;
   }
 }
--- a/packages/lentillb/src/serving/suspectGuard.ts
+++ b/packages/lentillb/src/serving/suspectGuard.ts
@@ -93,6 +93,24 @@
     });
   }
 
+  /**
+   * Records that the node of another host ended while a request was under way there.
+   *
+   * @param request - the request
+   * @param announcement - what the node announced
+   */
+  recordNodeEnded(request: ForwardedRequest, { host, incarnation }: Announcement): void {
+    this.receive({
+      kind: SuspectReportKind.Interrupted,
+      run: {
+        contentHash: hashContent(request),
+        runHash: hash32(`node ${host} ${incarnation}`),
+        hostHash: hash32(host),
+        endedAtMs: this.services.clock.now().getTime(),
+      },
+    });
+  }
+
   /**
    * Records that the backend server of this host answered a request.
    *
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -246,7 +246,15 @@
     const { failureDetector } = this;
     this.peerListener = new StateServer(metrics, configuration, directory);
     this.gateForwarder = new GateForwarder(
-      { clock, input, gate: this.gate, links: failureDetector },
+      {
+        clock,
+        input,
+        gate: this.gate,
+        links: failureDetector,
+        directory,
+        listenProbe,
+        suspectGuard,
+      },
       identity.host,
     );
     const isSilent = (host: string): boolean => failureDetector.isSilent(host);
--- a/tests/serving/gateForwarder.spec.ts
+++ b/tests/serving/gateForwarder.spec.ts
@@ -7,6 +7,7 @@
 import { GateForwarder } from 'lentillb/serving/gateForwarder.js';
 import { encodeReply } from 'lentillb/serving/gateProtocol.js';
 import type { ForwardedRequest, GateReply } from 'lentillb/serving/messages.js';
+import { ListenProbe } from 'lentillb/serving/listenProbe.js';
 import { PendingInputTracker } from 'lentillb/utils/pendingInput.js';
 import { Ok } from 'ts-results-es';
 import { afterEach, beforeEach, expect, it } from 'vitest';
@@ -14,6 +15,11 @@
 
 const clock = new SystemClock();
 
+const ANNOUNCEMENT = { host: 'other', zone: 'a', peerAddress: 'o:2', incarnation: 7, sequence: 1 };
+/** Longer than a probe takes on loopback. */
+const PROBE_MS = 100;
+
+let endedNodes: string[];
 let server: Server;
 let endpoint: GateEndpoint;
 let forwarder: GateForwarder;
@@ -40,6 +46,7 @@
 }
 
 beforeEach(async () => {
+  endedNodes = [];
   let receive: (response: ServerResponse) => void;
   pendingResponse = new Promise((resolve) => {
     receive = resolve;
@@ -57,6 +64,13 @@
       clock,
       input: new PendingInputTracker(clock),
       gate: {} as Gate,
+      directory: { announcementOf: () => ({ ...ANNOUNCEMENT, gateAddress: endpoint.gateAddress }) },
+      listenProbe: new ListenProbe(),
+      suspectGuard: {
+        recordNodeEnded: ({ requestId }, { host, incarnation }) => {
+          endedNodes.push(`${requestId} ${host} ${incarnation}`);
+        },
+      },
       links: {
         isSilent: () => false,
         markHeard: () => undefined,
@@ -103,3 +117,21 @@
     expect((await called).report).toEqual(report);
   },
 );
+
+it('should record a request as suspect if the node that it was sent to ended', async () => {
+  const called = forwarder.call(endpoint, requestOf(true));
+  const response = await pendingResponse;
+  server.close();
+  response.socket?.resetAndDestroy();
+  expect((await called).result.unwrapErr().outcome).toBe('unknown');
+  await clock.sleep(PROBE_MS);
+  expect(endedNodes).toEqual(['r other 7']);
+});
+
+it('should not record a request as suspect if only its connection was lost', async () => {
+  const called = forwarder.call(endpoint, requestOf(true));
+  (await pendingResponse).socket?.resetAndDestroy();
+  expect((await called).result.unwrapErr().outcome).toBe('unknown');
+  await clock.sleep(PROBE_MS);
+  expect(endedNodes).toEqual([]);
+});
