--- a/soak/src/faults.ts
+++ b/soak/src/faults.ts
@@ -13,6 +13,12 @@
 /** The number of host records that the older copy lacks. */
 const LOST_RECORDS = 4;
 
+/** The shortest time for which a backend server states a limit, in milliseconds. */
+const MIN_LIMIT_MS = 3_000;
+/** The shortest time for which a deadly request comes again, and how often, in milliseconds. */
+const MIN_DEADLY_MS = 4_000;
+const DEADLY_INTERVAL_MS = 150;
+
 /** The parts of the fleet that a fault acts on, and its duration. */
 export interface FaultTarget {
   readonly clock: Clock;
@@ -96,6 +102,31 @@
   },
 };
 
+/** What backend servers state or do under requests; drawn after the additional faults. */
+export const statementFaults: Readonly<Record<string, Fault>> = {
+  'stated limit': {
+    kind: DisturbanceKind.Planned,
+    affectsAllHosts: false,
+    inject: ({ durationMs, host }) => host.stateLimit(durationMs + MIN_LIMIT_MS),
+  },
+  'stated departure': {
+    kind: DisturbanceKind.Planned,
+    affectsAllHosts: false,
+    inject: ({ host }) => host.leaveByStatement(),
+  },
+  'deadly request': {
+    kind: DisturbanceKind.Failure,
+    affectsAllHosts: true,
+    inject: async ({ clock, durationMs, host }) => {
+      const endMs = clock.monotonicMs() + durationMs + MIN_DEADLY_MS;
+      while (clock.monotonicMs() < endMs) {
+        await host.sendDeadlyRequest();
+        await clock.sleep(DEADLY_INTERVAL_MS);
+      }
+    },
+  },
+};
+
 /** The faults by printed name; a seed selects them by their order. */
 export const faults: Readonly<Record<string, Fault>> = {
   ...Object.fromEntries([...relayFaults, ...storeFaults]),
--- a/soak/src/invariants.ts
+++ b/soak/src/invariants.ts
@@ -9,6 +9,8 @@
   readonly detail: string;
 }
 
+const MS_PER_SECOND = 1_000;
+
 /** The unplanned disturbances of processes and connections. */
 const UNPLANNED_KINDS = [DisturbanceKind.Failure, DisturbanceKind.Freeze];
 
@@ -119,6 +121,53 @@
     );
 };
 
+/** Finds backend servers that got more requests than their stated limit allows. */
+const checkLimits: Check = (record) =>
+  record.limitPeriods.flatMap(({ backendServerId, fromMs, host, perSecond, untilMs }) => {
+    const arrivals = record.executions.filter(
+      (execution) =>
+        execution.backendServerId === backendServerId &&
+        execution.atMs >= fromMs + Bounds.statementMs &&
+        execution.atMs <= untilMs,
+    );
+    const windowSeconds = Bounds.limitWindowMs / MS_PER_SECOND;
+    const allowed = Bounds.limitFactor * perSecond * windowSeconds + Bounds.limitExtra;
+    return (
+      arrivals
+        .map(({ atMs }) => ({
+          atMs,
+          count: arrivals.filter(
+            (other) => other.atMs >= atMs && other.atMs < atMs + Bounds.limitWindowMs,
+          ).length,
+        }))
+        .filter(({ count }) => count > allowed)
+        // Skips requests that a faulty connection or a late observer may have bunched.
+        .filter(({ atMs }) =>
+          record.isUndisturbed(host, atMs - Bounds.undisturbedMs, atMs + Bounds.limitWindowMs, [
+            ...UNPLANNED_KINDS,
+            DisturbanceKind.ObserverDelay,
+          ]),
+        )
+        .slice(0, 1)
+        .map(
+          ({ count }) =>
+            `${backendServerId} got ${count} requests in ${Bounds.limitWindowMs} ms at a limit of ${perSecond}`,
+        )
+    );
+  });
+
+/** Finds contents that reach backend servers after they have ended several of them. */
+const checkServerEnds: Check = ({ serverEnds }) =>
+  [...groupBy(serverEnds, ({ content }) => content)].flatMap(([content, ends]) => {
+    const blockedFromMs = (ends[Bounds.blockingEnds - 1]?.atMs ?? Infinity) + Bounds.contactMs;
+    const later = ends.filter(({ atMs }) => atMs > blockedFromMs).length;
+    return later > Bounds.laterEnds
+      ? [
+          `${content} ended ${later} backend servers after all hosts could know, ${ends.length} in all`,
+        ]
+      : [];
+  });
+
 function findLast<Item>(
   items: readonly Item[],
   matches: (item: Item) => boolean,
@@ -219,6 +268,8 @@
   'nothing runs that was not sent': checkUnsentRequests,
   'nothing reaches a backend server that left': checkDepartures,
   'nothing runs for a caller that left': checkAbortedRequests,
+  'a stated limit is kept': checkLimits,
+  'a request ends few backend servers': checkServerEnds,
   'a version is in force in time': checkPropagation,
   'no older version comes back': checkVersionOrder,
   'a planned stop loses nothing': checkPlannedStops,
--- a/soak/src/platformDocuments.ts
+++ b/soak/src/platformDocuments.ts
@@ -12,6 +12,17 @@
   drainMs: 2_500,
   /** The maximum time for which requests may reach a backend server after their caller left. */
   callerLeftMs: 500,
+  /** The time after which all hosts must know of a statement, or of ends under a request. */
+  statementMs: 500,
+  contactMs: 3_000,
+  /** The time in which the requests to a backend server with a limit are counted. */
+  limitWindowMs: 2_000,
+  /** How far they may exceed the limit, and by how many more. */
+  limitFactor: 1.5,
+  limitExtra: 5,
+  /** The ends under one content from which on it may not be sent, and how many more may follow. */
+  blockingEnds: 3,
+  laterEnds: 3,
   /** The maximum duration of a planned stop. */
   graceMs: 6_000,
   /** The maximum time from the end of all faults until every node has the current state. */
@@ -23,6 +34,8 @@
   requestId: 'x-attempt-id',
   deadlineMs: 'x-deadline-ms',
   seal: 'x-server-seal',
+  limit: 'server-limit',
+  leaving: 'server-leaving',
 } as const;
 
 /** The topic that holds the operator's configuration. */
--- a/soak/src/schedule.ts
+++ b/soak/src/schedule.ts
@@ -1,6 +1,6 @@
 /** Draws the faults and publications of one soak run from its seed. */
 import type { Randomness } from 'lentillb/sidecar';
-import { additionalFaults, faults } from './faults.js';
+import { additionalFaults, faults, statementFaults } from './faults.js';
 
 /** A fault with the time, the host and the duration of its injection. */
 export interface ScheduledFault {
@@ -50,15 +50,17 @@
     }));
   });
   const firstPublicationMs = randomness.integer(PUBLICATION_INTERVAL_MS);
-  const additional = Object.keys(additionalFaults)
-    .filter(() => randomness.integer(ADDITIONAL_FAULT_INTERVAL) === 0)
-    .map((name) => ({
-      name,
-      host: randomness.integer(hostCount),
-      atMs: randomness.integer(FAULT_WINDOW_MS),
-      durationMs:
-        MIN_FAULT_DURATION_MS + randomness.integer(MAX_FAULT_DURATION_MS - MIN_FAULT_DURATION_MS),
-    }));
+  const additional = [additionalFaults, statementFaults].flatMap((group) =>
+    Object.keys(group)
+      .filter(() => randomness.integer(ADDITIONAL_FAULT_INTERVAL) === 0)
+      .map((name) => ({
+        name,
+        host: randomness.integer(hostCount),
+        atMs: randomness.integer(FAULT_WINDOW_MS),
+        durationMs:
+          MIN_FAULT_DURATION_MS + randomness.integer(MAX_FAULT_DURATION_MS - MIN_FAULT_DURATION_MS),
+      })),
+  );
   return {
     faults: [...series.flat(), ...additional].sort((left, right) => left.atMs - right.atMs),
     publications: [0, 1, 2].map((index) => firstPublicationMs + index * PUBLICATION_INTERVAL_MS),
--- a/soak/src/soakHost.ts
+++ b/soak/src/soakHost.ts
@@ -12,9 +12,16 @@
 import type { ChildProcess } from './childProcesses.js';
 import { spawnChildProcess } from './childProcesses.js';
 import type { HostAddresses, Service } from './platformDocuments.js';
-import { Bounds, heartbeatDocument, settingsDocument } from './platformDocuments.js';
+import {
+  Bounds,
+  Header,
+  heartbeatDocument,
+  RouteName,
+  settingsDocument,
+} from './platformDocuments.js';
 import { Relay } from './relay.js';
 import type { SoakRecord } from './soakRecord.js';
+import { RequestOutcome } from './soakRecord.js';
 
 export interface HostOptions {
   readonly index: number;
@@ -41,6 +48,7 @@
 } as const;
 
 const SLOTS = 8;
+const UNAVAILABLE = 503;
 const HEARTBEAT_MS = 300;
 /** The maximum duration of a call to the node's control address. */
 const CONTROL_TIMEOUT_MS = 1_500;
@@ -52,12 +60,23 @@
  * it.
  */
 const CLOSE_DELAY_MS = Bounds.drainMs + 2_000;
+/** The request limit that a backend server states, about a quarter of what it gets otherwise. */
+const LIMIT_PER_SECOND = 6;
+/** The start of the body of requests under which backend servers end. */
+const DEADLY_PREFIX = 'deadly';
+/** The time after which a backend server that ended is replaced, in milliseconds. */
+const REPLACEMENT_DELAY_MS = 800;
+const DEADLY_TIMEOUT_MS = 1_500;
 
 /** A backend server together with the state that its heartbeats report. */
 interface RunningBackendServer {
   readonly server: ScriptedBackendServer;
   readonly startedAt: Date;
   draining: boolean;
+  /** The request limit that answers state, if any. */
+  limitPerSecond?: number;
+  /** Whether answers state that the backend server is leaving. */
+  isLeaving: boolean;
 }
 
 /** Runs the processes and relays of one host. */
@@ -82,6 +101,11 @@
 
   private heartbeatSequence = 0;
 
+  private deadlyCount = 0;
+
+  /** When answers of a backend server stated its limit or its departure first, by its identity. */
+  private readonly statedAtMs = new Map<string, number>();
+
   private backendServerCount = 0;
 
   private closed = false;
@@ -230,6 +254,72 @@
     await backendServer.server.close();
   }
 
+  /**
+   * Lets the backend server state a request limit for a while.
+   *
+   * @param durationMs - for how long, in milliseconds
+   */
+  async stateLimit(durationMs: number): Promise<void> {
+    const { backendServer } = this;
+    if (backendServer === undefined) {
+      return;
+    }
+    const { clock, record } = this.services;
+    backendServer.limitPerSecond = LIMIT_PER_SECOND;
+    this.statedAtMs.delete(backendServer.server.id);
+    await clock.sleep(durationMs);
+    backendServer.limitPerSecond = undefined;
+    record.limitPeriods.push({
+      host: this.options.index,
+      backendServerId: backendServer.server.id,
+      perSecond: LIMIT_PER_SECOND,
+      fromMs: this.statedAtMs.get(backendServer.server.id) ?? Infinity,
+      untilMs: clock.monotonicMs(),
+    });
+  }
+
+  /** Lets the backend server leave without a word but in its answers, and replaces it. */
+  async leaveByStatement(): Promise<void> {
+    const { backendServer } = this;
+    if (backendServer === undefined) {
+      return;
+    }
+    const { clock, record } = this.services;
+    backendServer.isLeaving = true;
+    this.statedAtMs.delete(backendServer.server.id);
+    await clock.sleep(CLOSE_DELAY_MS);
+    const statedAtMs = this.statedAtMs.get(backendServer.server.id);
+    if (statedAtMs !== undefined) {
+      const { index: host } = this.options;
+      const backendServerId = backendServer.server.id;
+      record.departures.push({ host, backendServerId, confirmedAtMs: statedAtMs });
+    }
+    await this.startBackendServer();
+    await backendServer.server.close();
+  }
+
+  /** Sends a request to the node under which each backend server that runs it ends. */
+  async sendDeadlyRequest(): Promise<void> {
+    const { clock, record } = this.services;
+    const { index } = this.options;
+    this.deadlyCount += 1;
+    const id = `deadly-${index}-${this.deadlyCount}`;
+    const content = `${DEADLY_PREFIX}-${index}`;
+    const sentAtMs = clock.monotonicMs();
+    const status = await this.postToNode(id, content);
+    record.requests.push({
+      id,
+      route: RouteName.Browse,
+      host: index,
+      processNumber: this.processNumber,
+      sentAtMs,
+      endedAtMs: clock.monotonicMs(),
+      outcome: status === UNAVAILABLE ? RequestOutcome.NotRun : RequestOutcome.Failed,
+      isMatchingResponse: false,
+      detail: `status ${status ?? 'none'}`,
+    });
+  }
+
   /** Kills the node and closes everything else on the host. */
   async close(): Promise<void> {
     this.closed = true;
@@ -268,16 +358,82 @@
     const backendServerId = `b-${index}-${this.backendServerCount}`;
     const server = new ScriptedBackendServer(backendServerId);
     await server.listen();
+    const running: RunningBackendServer = {
+      server,
+      startedAt: clock.now(),
+      draining: false,
+      isLeaving: false,
+    };
     server.setHandler((response, { body, requestId }) => {
       const atMs = clock.monotonicMs();
       record.executions.push({ requestId, service, backendServerId, host: index, atMs });
+      if (body.startsWith(DEADLY_PREFIX)) {
+        record.serverEnds.push({ content: body, backendServerId, atMs });
+        runInBackground(this.endBackendServer(running));
+        return;
+      }
       clock.after(HANDLING_MS.min + randomness.integer(HANDLING_MS.spread), () => {
-        response.writeHead(200, { 'x-attempt-id': requestId, 'x-server-seal': 'seal' });
+        response.writeHead(200, {
+          [Header.requestId]: requestId,
+          [Header.seal]: 'seal',
+          ...this.statementHeaders(running),
+        });
         response.end(`ran ${body}`);
       });
     });
     this.backendServerAddress = server.address;
-    this.backendServer = { server, startedAt: clock.now(), draining: false };
+    this.backendServer = running;
+  }
+
+  /** Returns the headers by which the backend server states its limit or its departure. */
+  private statementHeaders(running: RunningBackendServer): Record<string, string> {
+    const { isLeaving, limitPerSecond } = running;
+    if (isLeaving || limitPerSecond !== undefined) {
+      const { id } = running.server;
+      this.statedAtMs.set(id, this.statedAtMs.get(id) ?? this.services.clock.monotonicMs());
+    }
+    return {
+      ...(limitPerSecond === undefined ? {} : { [Header.limit]: `${limitPerSecond}` }),
+      ...(isLeaving ? { [Header.leaving]: '1' } : {}),
+    };
+  }
+
+  /** Ends a backend server at once, and replaces it after a while. */
+  private async endBackendServer(running: RunningBackendServer): Promise<void> {
+    if (this.backendServer !== running || this.closed) {
+      return;
+    }
+    this.backendServer = undefined;
+    this.toBackendServer.close();
+    await running.server.close();
+    await this.services.clock.sleep(REPLACEMENT_DELAY_MS);
+    if (!this.closed) {
+      await this.toBackendServer.listen(this.addressOf(Port.ToBackendServer));
+    }
+    // An overlapping fault may have replaced it.
+    if (!this.closed && this.backendServer === undefined) {
+      await this.startBackendServer();
+    }
+  }
+
+  /** Sends a request to the node; returns the status of the response, if there was one. */
+  private async postToNode(id: string, body: string): Promise<number | undefined> {
+    try {
+      const answer = await request(`http://${this.addressOf(Port.ToNode)}/${body}`, {
+        method: 'POST',
+        headers: {
+          host: `${RouteName.Browse}.example`,
+          [Header.requestId]: id,
+          [Header.deadlineMs]: `${DEADLY_TIMEOUT_MS}`,
+        },
+        body,
+        signal: AbortSignal.timeout(DEADLY_TIMEOUT_MS),
+      });
+      await answer.body.dump();
+      return answer.statusCode;
+    } catch {
+      return undefined;
+    }
   }
 
   private async sendHeartbeats(): Promise<void> {
--- a/soak/src/soakRecord.ts
+++ b/soak/src/soakRecord.ts
@@ -82,6 +82,23 @@
   readonly confirmedAtMs: number;
 }
 
+/** A request limit that a backend server stated in its answers. */
+export interface LimitPeriod {
+  readonly host: number;
+  readonly backendServerId: string;
+  readonly perSecond: number;
+  /** When an answer stated it first. */
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
+
+/** A backend server that ended because it ran a request with some content. */
+export interface ServerEnd {
+  readonly content: string;
+  readonly backendServerId: string;
+  readonly atMs: number;
+}
+
 /** A version of the configuration and the time at which the store accepted it. */
 export interface Publication {
   readonly version: number;
@@ -104,6 +121,10 @@
 
   readonly departures: Departure[] = [];
 
+  readonly limitPeriods: LimitPeriod[] = [];
+
+  readonly serverEnds: ServerEnd[] = [];
+
   readonly publications: Publication[] = [];
 
   readonly unexpectedExits: UnexpectedExit[] = [];
--- a/tests/soak/invariants.spec.ts
+++ b/tests/soak/invariants.spec.ts
@@ -170,6 +170,34 @@
     expect(findViolatedInvariants(record)).toEqual([]);
   });
 
+  it('should report more requests than a stated limit allows, unless a link failed', () => {
+    const arrivals = (count: number): Partial<Execution>[] =>
+      Array.from({ length: count }, (_, index) => ({
+        requestId: 'r1',
+        atMs: 101_000 + index * 40,
+      }));
+    const record = createRecord([{ route: 'browse' }], arrivals(24));
+    const period = { host: 1, backendServerId: 'b-1', perSecond: 6 };
+    record.limitPeriods.push({ ...period, fromMs: 100_000, untilMs: 110_000 });
+    expect(findViolatedInvariants(record)).toEqual(['a stated limit is kept']);
+    expect(findViolatedInvariants(createRecord([{ route: 'browse' }], arrivals(23)))).toEqual([]);
+    const kind = DisturbanceKind.Failure;
+    record.disturbances.push({ kind, host: 1, fromMs: 99_000, untilMs: 100_500 });
+    expect(findViolatedInvariants(record)).toEqual([]);
+  });
+
+  it('should report a content that ends more backend servers after all hosts could know', () => {
+    const record = createRecord([], []);
+    const addEnd = (atMs: number): void => {
+      record.serverEnds.push({ content: 'deadly-1', backendServerId: `b-${atMs}`, atMs });
+    };
+    [0, 100, 200, 2_000, 3_100].forEach(addEnd);
+    [4_000, 5_000, 6_000].forEach(addEnd);
+    expect(findViolatedInvariants(record)).toEqual([]);
+    addEnd(7_000);
+    expect(findViolatedInvariants(record)).toEqual(['a request ends few backend servers']);
+  });
+
   it('should report a node process that exited unexpectedly', () => {
     const record = createRecord([], []);
     record.unexpectedExits.push({ host: 0, detail: 'node process exited unexpectedly with 1' });
