--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -17,6 +17,7 @@
 import type { MetricsRegistry } from '../observability/metricsRegistry.js';
 import { Repetition } from '../rules/ruleForms.js';
 import { hash32 } from '../utils/hash.js';
+import { isServerFailure } from './failureShare.js';
 import type { GateForwarder } from './gateForwarder.js';
 import type { GateObservations } from './gateObservations.js';
 import type { HeaderNames } from './headerNames.js';
@@ -163,6 +164,9 @@
       return this.refuse(request, FailureCause.SuspectRequest, trialInMs);
     }
     const attempts = new Attempts(forwarded, route, trialHostHash);
+    if (trialHostHash !== undefined && this.candidatesFor(attempts).length === 0) {
+      return this.refuse(request, FailureCause.SuspectRequest, UNSERVED_RETRY_AFTER_MS);
+    }
     const stopLink = linkCancellation(request.cancellation, forwarded.cancellation);
     const answer = await this.firstAnswer(attempts);
     stopLink();
@@ -328,7 +332,7 @@
       return;
     }
     const { cause } = result.error;
-    if (cause !== FailureCause.CallerGone && cause !== FailureCause.NoSlotInTime) {
+    if (isServerFailure(result.error)) {
       observation.recordOutcome(true);
     }
     if (report === undefined && cause !== FailureCause.CallerGone) {
--- a/packages/lentillb/src/serving/failureShare.ts
+++ b/packages/lentillb/src/serving/failureShare.ts
@@ -1,11 +1,25 @@
 /** Tracks the recent share of failed requests. */
+import { Outcome } from '../calls/callHeaders.js';
 import type { Clock } from '../kernel/clock.js';
+import type { ForwardFailure } from './messages.js';
+import { FailureCause } from './messages.js';
 
 /** The half-life of the share, in milliseconds; after it, a failing backend server is tried again. */
 const HALF_LIFE_MS = 1_000;
 /** The weight of one request. */
 const REQUEST_WEIGHT = 0.15;
 
+/**
+ * Checks whether a request without an answer says something about the backend server that it was for.
+ *
+ * @param failure - the reason, and whether the request may have run
+ * @returns false if the caller left, the load was too high, or the request is blocked on all hosts
+ */
+export function isServerFailure({ cause, outcome }: ForwardFailure): boolean {
+  const isBlocked = cause === FailureCause.SuspectRequest && outcome === Outcome.NotRun;
+  return cause !== FailureCause.CallerGone && cause !== FailureCause.NoSlotInTime && !isBlocked;
+}
+
 /** A share of failures that fades with time, so that what failed is tried again. */
 export class FailureShare {
   private share = 0;
--- a/packages/lentillb/src/serving/gate.ts
+++ b/packages/lentillb/src/serving/gate.ts
@@ -10,7 +10,7 @@
 import type { GateLoad } from '../directory/gateLoad.js';
 import type { PendingInputTracker } from '../utils/pendingInput.js';
 import type { BackendServerClient } from './backendServerClient.js';
-import { FailureShare } from './failureShare.js';
+import { FailureShare, isServerFailure } from './failureShare.js';
 import type { ListenProbe } from './listenProbe.js';
 import type { Heartbeat, LocalBackendServer } from './localBackendServer.js';
 import type {
@@ -84,10 +84,8 @@
 }
 
 /** Returns whether the backend server failed a request, or turned it away. */
-function isServerFailure(result: GateResult): boolean {
-  return result.isOk()
-    ? result.value.status >= SERVER_ERROR
-    : result.error.cause !== FailureCause.CallerGone;
+function hasServerFailed(result: GateResult): boolean {
+  return result.isOk() ? result.value.status >= SERVER_ERROR : isServerFailure(result.error);
 }
 
 /** Admits requests to the backend server on this host. */
@@ -152,7 +150,7 @@
       const sent = await this.send(request);
       serviceMs = clock.monotonicMs() - startedMs;
       slot.release(serviceTimeSampleOf(sent));
-      this.failureShare.record(isServerFailure(sent));
+      this.failureShare.record(hasServerFailed(sent));
       return sent;
     });
     this.active -= 1;
--- a/tests/serving/entry.spec.ts
+++ b/tests/serving/entry.spec.ts
@@ -41,6 +41,10 @@
   Rejected: 'turned-away',
   ConnectFailed: 'connect-failed',
   Lost: 'lost',
+  /** The request is blocked on all hosts. */
+  Blocked: 'blocked',
+  /** The backend server ended, and the request is blocked since. */
+  BlockedSince: 'blocked-since',
 } as const;
 type ScriptedReply = (typeof ScriptedReply)[keyof typeof ScriptedReply];
 
@@ -49,6 +53,7 @@
   ScriptedReply.Answered,
   ScriptedReply.RunFailed,
   ScriptedReply.Lost,
+  ScriptedReply.BlockedSince,
 ]);
 /** The replies after which the request has reached a backend server. */
 const reached: ReadonlySet<ScriptedReply> = new Set<ScriptedReply>([
@@ -72,6 +77,8 @@
   [ScriptedReply.RunFailed]: () => answer(500),
   [ScriptedReply.Refused]: () => failure(Outcome.NotRun, FailureCause.NoSlotInTime),
   [ScriptedReply.Rejected]: () => failure(Outcome.NotRun, FailureCause.Rejected),
+  [ScriptedReply.Blocked]: () => failure(Outcome.NotRun, FailureCause.SuspectRequest),
+  [ScriptedReply.BlockedSince]: () => failure(Outcome.Unknown, FailureCause.SuspectRequest),
   [ScriptedReply.ConnectFailed]: () => failure(Outcome.NotRun, FailureCause.ConnectFailed, false),
   [ScriptedReply.Lost]: () => failure(Outcome.Unknown, FailureCause.ConnectionLost),
 };
@@ -169,11 +176,11 @@
   const receivedReplies = (): readonly ScriptedReply[] =>
     askedHosts.map((_, index) => script[index] ?? ScriptedReply.Answered);
   /** Reports that backend servers ended under the request, one on each host. */
-  const blockContent = (): void => {
+  const blockContent = (hosts: readonly string[] = HOSTS.slice(0, ENDS_BEFORE_BLOCK)): void => {
     const { method, target } = REQUEST;
     const headers = { host: REQUEST.headers.host };
     const contentHash = hashContent({ method, target, headers, body: REQUEST.body });
-    HOSTS.slice(0, ENDS_BEFORE_BLOCK).forEach((host, runHash) =>
+    hosts.forEach((host, runHash) =>
       suspectGuard.receive({
         kind: SuspectReportKind.Interrupted,
         run: { contentHash, runHash, hostHash: hash32(host), endedAtMs: clock.now().getTime() },
@@ -252,6 +259,22 @@
     expect(askedHosts).toEqual([]);
   });
 
+  it('should try no other backend server once a request is blocked', async () => {
+    for (const reply of [ScriptedReply.Blocked, ScriptedReply.BlockedSince]) {
+      const { askedHosts, serve } = fixture(Repetition.Repeat, 100);
+      await serve([reply]);
+      expect(askedHosts).toHaveLength(1);
+    }
+  });
+
+  it('should refuse the trial of a blocked request as such when its host is gone', async () => {
+    const { askedHosts, blockContent, clock, serve } = fixture(Repetition.Repeat, 100);
+    blockContent(['x', 'y', 'z']);
+    await clock.advance(FIRST_TRIAL_MS);
+    expect((await serve([])).status).toBe(503);
+    expect(askedHosts).toEqual([]);
+  });
+
   it('should send the trial of a blocked request to one host once', async () => {
     const { askedHosts, blockContent, clock, serve } = fixture(Repetition.Repeat, 100);
     blockContent();
--- /dev/null
+++ b/tests/serving/failureShare.spec.ts
@@ -0,0 +1,18 @@
+import { Outcome } from 'lentillb/calls/callHeaders.js';
+import { isServerFailure } from 'lentillb/serving/failureShare.js';
+import { FailureCause } from 'lentillb/serving/messages.js';
+import { describe, expect, it } from 'vitest';
+
+describe('failures that count against a backend server', () => {
+  it.each([
+    [FailureCause.ServerEnded, Outcome.Unknown, true],
+    [FailureCause.ConnectionLost, Outcome.Unknown, true],
+    [FailureCause.Rejected, Outcome.NotRun, true],
+    [FailureCause.SuspectRequest, Outcome.Unknown, true],
+    [FailureCause.SuspectRequest, Outcome.NotRun, false],
+    [FailureCause.NoSlotInTime, Outcome.NotRun, false],
+    [FailureCause.CallerGone, Outcome.Unknown, false],
+  ])('should be told for %s, %s: %s', (cause, outcome, expected) => {
+    expect(isServerFailure({ cause, outcome })).toBe(expected);
+  });
+});
