--- a/packages/lentillb/src/serving/gate.ts
+++ b/packages/lentillb/src/serving/gate.ts
@@ -284,7 +284,10 @@
   ): Promise<GateResult> {
     const { listenProbe, log, suspectGuard } = this.services;
     if (result.isOk()) {
-      suspectGuard.recordAnswered(request);
+      // A server error may be that of a run that was cut off at its deadline.
+      if (!hasServerFailed(result)) {
+        suspectGuard.recordAnswered(request);
+      }
       return result;
     }
     if (result.error.cause !== FailureCause.ConnectionLost) {
--- a/packages/lentillb/src/serving/suspectGuard.ts
+++ b/packages/lentillb/src/serving/suspectGuard.ts
@@ -112,7 +112,7 @@
   }
 
   /**
-   * Records that the backend server of this host answered a request.
+   * Records that the backend server of this host answered a request, and not by a server error.
    *
    * @param request - the request
    */
--- a/packages/lentillb/src/serving/suspectRequests.ts
+++ b/packages/lentillb/src/serving/suspectRequests.ts
@@ -5,8 +5,8 @@
  * answered since, is blocked on all hosts: each further run may end another backend server, with all
  * other requests on it. Two ends are not enough, because the requests that were interrupted together
  * are sent again together. After a delay that grows with every end, the backend server of one host,
- * the same for all, gets a blocked request for a trial. Any answer shows that the content is harmless,
- * and clears it.
+ * the same for all, gets a blocked request for a trial. Any answer but
+ * a server error shows that the content is harmless, and clears it.
  */
 import type { InterruptedRun } from '../directory/suspectReport.js';
 import { TARGET_HASH_DIGITS } from '../directory/suspectReport.js';
@@ -131,7 +131,7 @@
   }
 
   /**
-   * Records that a backend server answered a request.
+   * Records that a backend server answered a request, and not by a server error.
    *
    * @param contentHash - the hash of its content
    * @returns whether the content was suspect
--- a/tests/sidecar/deadlyRequests.spec.ts
+++ b/tests/sidecar/deadlyRequests.spec.ts
@@ -86,6 +86,24 @@
     expect(statuses.slice(ends)).toEqual(Array(12 - ends).fill(503));
   }, 20_000);
 
+  it('should not be taken for harmless when one run is cut off at its deadline', async () => {
+    let cutOff = 0;
+    servers.forEach(({ backendServer }) =>
+      backendServer.setHandler((response, run) => {
+        if (ends === MAX_ENDS - 1 && cutOff === 0) {
+          cutOff += 1;
+          response.writeHead(504, { 'x-attempt-id': run.requestId, 'x-server-seal': 'seal' }).end();
+          return;
+        }
+        ends += 1;
+        runInBackground(backendServer.close());
+      }),
+    );
+    await sendDeadly(12);
+    expect(cutOff).toBe(1);
+    expect(ends).toBeLessThanOrEqual(MAX_ENDS);
+  }, 20_000);
+
   it('should be blocked by a node that was restarted after the ends', async () => {
     await sendDeadly(4);
     const endsBefore = ends;
