Clear a content at the entry that gets its answer, forget old ones, and split the listener of statements

Contents expired only when they were looked up, so after one crash every request had its path hashed for good. Announced ends are in the order of their schema, or a restarted node would write its record once more. No bound or check changed.

--- a/packages/lentillb/src/serving/backendServerClient.ts
+++ b/packages/lentillb/src/serving/backendServerClient.ts
@@ -33,9 +33,13 @@
 /** The callbacks for what happens between this node and its backend server. */
 export interface BackendServerListener {
   /** Called when a request is sent, for the first time or again. */
-  readonly onSent: () => void;
-  /** Returns whether the backend server may get a request again whose connection was lost. */
-  readonly mayResend: () => boolean;
+  onSent(): void;
+  /**
+   * Called before a request is sent again whose connection was lost.
+   *
+   * @returns whether the backend server may get it
+   */
+  mayResend(): boolean;
   /**
    * Called with what a run of the backend server states in an answer of its own.
    *
@@ -43,7 +47,7 @@
    * @param instanceId - the identity of the run
    * @param sentAtMs - when the request was sent, in milliseconds of the monotonic clock
    */
-  readonly onStatement: (statement: ServerStatement, instanceId: string, sentAtMs: number) => void;
+  onStatement(statement: ServerStatement, instanceId: string, sentAtMs: number): void;
 }
 
 /** Sends requests to one backend server over reused connections. */
--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -298,6 +298,7 @@
     const answer = reply.result.value;
     attempts.recordRun(endpoint.host);
     if (answer.status < HttpStatus.ServerError) {
+      this.services.suspectGuard.recordAnswered(attempts.request);
       return answer;
     }
     attempts.recordFailedRun(answer);
--- a/packages/lentillb/src/serving/slotQueue.ts
+++ b/packages/lentillb/src/serving/slotQueue.ts
@@ -1,9 +1,9 @@
 /**
  * Decides which requests get the slots of one backend server, in which order, and which are
- * refused. If the backend server states a request limit, a slot also needs a permit. The load may exceed the slots for seconds at a time, and an answer loses most of its
- * value once the target latency has passed. A request that cannot be answered in time is therefore
- * refused on arrival: its caller can still try another backend server, and the slots serve requests
- * whose answers count. Calls made inside a run have short target latencies, so they precede new
+ * refused. The load may exceed the slots for seconds at a time, and an answer loses most of its value
+ * once the target latency has passed. A request that cannot be answered in time is therefore refused
+ * on arrival: its caller can still try another backend server, and the slots serve requests whose
+ * answers count. If the backend server states a request limit, a slot also needs a permit. Calls made inside a run have short target latencies, so they precede new
  * requests of the same priority: refusing such a call wastes the slot that its run holds.
  */
 import type { Clock } from '../kernel/clock.js';
--- /dev/null
+++ b/packages/lentillb/src/serving/statementListener.ts
@@ -0,0 +1,42 @@
+/** Applies what the backend server of this host states in its answers. */
+import type { DecisionLog } from '../observability/decisionLog.js';
+import { Importance } from '../observability/decisionLog.js';
+import type { BackendServerListener } from './backendServerClient.js';
+import type { LocalBackendServer } from './localBackendServer.js';
+import { HeartbeatEffect } from './localBackendServer.js';
+import type { ServerStatement } from './serverStatement.js';
+import type { StatedLimit } from './statedLimit.js';
+
+/** Keeps the stated limit and the stated departure of the current run. */
+export class StatementListener implements BackendServerListener {
+  /** @param services - the services that statements are applied to */
+  constructor(
+    private readonly services: {
+      readonly backendServer: LocalBackendServer;
+      readonly statedLimit: StatedLimit;
+      readonly log: DecisionLog;
+    },
+  ) {}
+
+  onSent(): void {
+    this.services.statedLimit.recordSent();
+  }
+
+  mayResend(): boolean {
+    return this.services.statedLimit.tryTake();
+  }
+
+  onStatement(statement: ServerStatement, instanceId: string, sentAtMs: number): void {
+    const { backendServer, log, statedLimit } = this.services;
+    if (backendServer.heartbeat?.id !== instanceId) {
+      return;
+    }
+    statedLimit.recordAnswer(statement, sentAtMs);
+    if (statement.leaving) {
+      const effect = backendServer.recordStatedDeparture(instanceId);
+      if (effect === HeartbeatEffect.Changed) {
+        log.record(Importance.Notable, 'departure-stated', { id: instanceId });
+      }
+    }
+  }
+}
--- a/packages/lentillb/src/serving/suspectGuard.ts
+++ b/packages/lentillb/src/serving/suspectGuard.ts
@@ -22,7 +22,7 @@
   readonly log: DecisionLog;
   /** Tells other nodes. */
   readonly report: (report: SuspectReport, source: ReportSource) => void;
-  /** Called when an end under a blocked content on this host became known, or its content is cleared. */
+  /** Called when what this host announces may have changed. */
   readonly onBlockChange: () => void;
 }
 
@@ -112,7 +112,7 @@
   }
 
   /**
-   * Records that the backend server of this host answered a request, and not by a server error.
+   * Records that a backend server answered a request, and not by a server error.
    *
    * @param request - the request
    */
@@ -154,7 +154,7 @@
     return this.services.suspects
       .blockingEndsOn(hash32(this.host))
       .slice(-MAX_ANNOUNCED_RUNS)
-      .map(({ contentHash, endedAtMs, runHash }) => ({ contentHash, endedAtMs, runHash }));
+      .map(({ contentHash, endedAtMs, runHash }) => ({ contentHash, runHash, endedAtMs }));
   }
 
   private mayBeSuspect(request: ForwardedRequest): boolean {
--- a/packages/lentillb/src/serving/suspectRequests.ts
+++ b/packages/lentillb/src/serving/suspectRequests.ts
@@ -121,7 +121,8 @@
     if (this.knownEnds.size > MAX_KNOWN_ENDS) {
       this.knownEnds.delete(oldestKey(this.knownEnds));
     }
-    const suspect = this.find(contentHash) ?? createSuspect();
+    this.removeExpired();
+    const suspect = this.suspects.get(contentHash) ?? createSuspect();
     this.remove(contentHash);
     suspect.runs.set(runHash, run);
     suspect.endedAtMs = this.clock.monotonicMs();
@@ -208,16 +209,19 @@
   }
 
   private find(contentHash: string): Suspect | undefined {
-    const suspect = this.suspects.get(contentHash);
-    if (suspect === undefined) {
-      return undefined;
-    }
-    const ageMs = this.clock.monotonicMs() - suspect.endedAtMs;
-    if (ageMs >= MEMORY_MS) {
+    this.removeExpired();
+    return this.suspects.get(contentHash);
+  }
+
+  /** Removes contents whose last end is too long ago; these come first. */
+  private removeExpired(): void {
+    const sinceMs = this.clock.monotonicMs() - MEMORY_MS;
+    for (const [contentHash, { endedAtMs }] of this.suspects) {
+      if (endedAtMs > sinceMs) {
+        return;
+      }
       this.remove(contentHash);
-      return undefined;
     }
-    return suspect;
   }
 
   private add(contentHash: string, suspect: Suspect): void {
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -33,9 +33,9 @@
 import { GateSelector } from '../serving/gateSelector.js';
 import { RetryAllowance } from '../serving/retryAllowance.js';
 import type { RetryTerms } from '../serving/retryAllowance.js';
-import type { ServerStatement } from '../serving/serverStatement.js';
 import { SlotQueue } from '../serving/slotQueue.js';
 import { StatedLimit } from '../serving/statedLimit.js';
+import { StatementListener } from '../serving/statementListener.js';
 import { SuspectGuard } from '../serving/suspectGuard.js';
 import { SuspectRequests } from '../serving/suspectRequests.js';
 import { EraCheckedStore } from '../store/eraCheckedStore.js';
@@ -169,11 +169,8 @@
     const { statedLimit } = this;
     this.slots = new SlotQueue(clock, () => backendServer.warmingUp, statedLimit);
     const { slots } = this;
-    this.client = new BackendServerClient(clock, headerNames, {
-      onSent: () => statedLimit.recordSent(),
-      mayResend: () => statedLimit.tryTake(),
-      onStatement: (...statement) => this.acceptStatement(...statement),
-    });
+    const statements = new StatementListener({ backendServer, statedLimit, log });
+    this.client = new BackendServerClient(clock, headerNames, statements);
     const { client } = this;
     const input = new PendingInputTracker(clock);
     const observations = new GateObservations(clock, DEFAULT_SERVICE_TIME_MS);
@@ -440,19 +437,6 @@
     return load;
   }
 
-  private acceptStatement(statement: ServerStatement, instanceId: string, sentAtMs: number): void {
-    if (this.backendServer.heartbeat?.id !== instanceId) {
-      return;
-    }
-    this.statedLimit.recordAnswer(statement, sentAtMs);
-    if (statement.leaving) {
-      const effect = this.backendServer.recordStatedDeparture(instanceId);
-      if (effect === HeartbeatEffect.Changed) {
-        this.log.record(Importance.Notable, 'departure-stated', { id: instanceId });
-      }
-    }
-  }
-
   private describeHost(): HostState | undefined {
     const { announced } = this.backendServer;
     return announced === undefined
--- a/tests/serving/entry.spec.ts
+++ b/tests/serving/entry.spec.ts
@@ -284,6 +284,9 @@
     expect(askedHosts).toEqual([tried]);
     expect((await serve([ScriptedReply.Answered])).status).toBe(200);
     expect(askedHosts).toEqual([tried]);
+    // The answer has cleared the content.
+    await serve([ScriptedReply.Lost, ScriptedReply.Answered]);
+    expect(askedHosts).toHaveLength(2);
   });
 
   describe('when a host stopped responding', () => {
--- a/tests/serving/suspectRequests.spec.ts
+++ b/tests/serving/suspectRequests.spec.ts
@@ -105,8 +105,9 @@
     recordEnds(3);
     expect(verdict()).toBe(SuspectVerdict.Blocked);
     await clock.advance(600_000);
+    recordEnds(1, { contentHash: OTHER_CONTENT });
+    expect(suspects.size).toBe(1);
     expect(verdict()).toBe(SuspectVerdict.Allowed);
-    expect(suspects.size).toBe(0);
   });
 
   it('should not become suspect by the ends of long ago that a host still announces', () => {
