Reject at once what a falling limit leaves no time for, and split the soak's hosts

Now they are dropped with the answer that states the limit, as not run, so their entries can still ask another gate. Test first: 'should drop at once what can no longer be served before its deadline when the limit falls' had none of six dropped, and has the four whose permits come too late.

--- a/packages/lentillb/src/serving/slotQueue.ts
+++ b/packages/lentillb/src/serving/slotQueue.ts
@@ -100,6 +100,9 @@
 /** The share of the remaining time within which a late request must finish to be queued. */
 const MAX_LATE_FINISH_SHARE = 0.5;
 
+/** The share of the expected service time that must remain before the deadline to run a request. */
+const MIN_RUN_SHARE = 0.5;
+
 const noop = (): void => undefined;
 
 /**
@@ -192,6 +195,22 @@
     return { admission: Admission.Queued, waitMs, cancel };
   }
 
+  /** Drops queued requests that can no longer get a slot and a permit in time for their deadline. */
+  dropUnservable(): void {
+    const nowMs = this.clock.monotonicMs();
+    const served: SlotRequest[] = [];
+    const unservable = this.waiting.filter((request) => {
+      const serviceMs = this.expectedServiceMs(request.serviceTimeKey);
+      const endMs = nowMs + this.expectedWaitMs(served) + serviceMs * MIN_RUN_SHARE;
+      if (endMs <= request.deadlineAtMs) {
+        served.push(request);
+        return false;
+      }
+      return true;
+    });
+    this.drop(unservable);
+  }
+
   /** Drops all queued requests. */
   dropAll(): void {
     this.stopAwaitingPermit();
@@ -321,9 +340,13 @@
     const nowMs = this.clock.monotonicMs();
     const tooLate = this.waiting.filter(
       ({ deadlineAtMs, serviceTimeKey }) =>
-        nowMs + this.expectedServiceMs(serviceTimeKey) / 2 > deadlineAtMs,
+        nowMs + this.expectedServiceMs(serviceTimeKey) * MIN_RUN_SHARE > deadlineAtMs,
     );
-    tooLate.forEach((request) => {
+    this.drop(tooLate);
+  }
+
+  private drop(requests: readonly SlotRequest[]): void {
+    requests.forEach((request) => {
       this.remove(request);
       request.onDropped();
     });
--- a/packages/lentillb/src/serving/statedLimit.ts
+++ b/packages/lentillb/src/serving/statedLimit.ts
@@ -110,8 +110,10 @@
    *
    * @param statement - what the backend server states in the answer
    * @param sentAtMs - when the request was sent, in milliseconds of the monotonic clock
+   * @returns whether the limit is lower than before
    */
-  recordAnswer({ hasMalformedLimit, limitPerSecond }: ServerStatement, sentAtMs: number): void {
+  recordAnswer({ hasMalformedLimit, limitPerSecond }: ServerStatement, sentAtMs: number): boolean {
+    const previous = this.limit ?? Infinity;
     this.counts.answers += 1;
     if (hasMalformedLimit !== this.isMalformed) {
       this.isMalformed = hasMalformedLimit;
@@ -124,6 +126,7 @@
     } else if (!hasMalformedLimit && sentAtMs > this.statedAtMs) {
       this.changeTo(undefined);
     }
+    return (this.limit ?? Infinity) < previous;
   }
 
   /**
--- a/packages/lentillb/src/serving/statementListener.ts
+++ b/packages/lentillb/src/serving/statementListener.ts
@@ -5,6 +5,7 @@
 import type { LocalBackendServer } from './localBackendServer.js';
 import { HeartbeatEffect } from './localBackendServer.js';
 import type { ServerStatement } from './serverStatement.js';
+import type { SlotQueue } from './slotQueue.js';
 import type { StatedLimit } from './statedLimit.js';
 
 /** Keeps the stated limit and the stated departure of the current run. */
@@ -14,6 +15,7 @@
     private readonly services: {
       readonly backendServer: LocalBackendServer;
       readonly statedLimit: StatedLimit;
+      readonly slots: Pick<SlotQueue, 'dropUnservable'>;
       readonly log: DecisionLog;
     },
   ) {}
@@ -27,11 +29,13 @@
   }
 
   onStatement(statement: ServerStatement, instanceId: string, sentAtMs: number): void {
-    const { backendServer, log, statedLimit } = this.services;
+    const { backendServer, log, slots, statedLimit } = this.services;
     if (backendServer.heartbeat?.id !== instanceId) {
       return;
     }
-    statedLimit.recordAnswer(statement, sentAtMs);
+    if (statedLimit.recordAnswer(statement, sentAtMs)) {
+      slots.dropUnservable();
+    }
     if (statement.leaving) {
       const effect = backendServer.recordStatedDeparture(instanceId);
       if (effect === HeartbeatEffect.Changed) {
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -169,7 +169,7 @@
     const { statedLimit } = this;
     this.slots = new SlotQueue(clock, () => backendServer.warmingUp, statedLimit);
     const { slots } = this;
-    const statements = new StatementListener({ backendServer, statedLimit, log });
+    const statements = new StatementListener({ backendServer, statedLimit, slots, log });
     this.client = new BackendServerClient(clock, headerNames, statements);
     const { client } = this;
     const input = new PendingInputTracker(clock);
--- a/soak/src/platformDocuments.ts
+++ b/soak/src/platformDocuments.ts
@@ -38,6 +38,9 @@
   leaving: 'server-leaving',
 } as const;
 
+/** The start of the body of requests under which backend servers end. */
+export const DEADLY_PREFIX = 'deadly';
+
 /** The topic that holds the operator's configuration. */
 export const OPERATOR_TOPIC = 'keyed.op';
 /** The key of the operator's configuration within its topic. */
--- /dev/null
+++ b/soak/src/soakBackendServer.ts
@@ -0,0 +1,116 @@
+/** A backend server of the soak test, which may state a limit or its departure, or end under a request. */
+import { ScriptedBackendServer } from '@lentillb/standins';
+import type { RequestHandler } from '@lentillb/standins';
+import type { Clock, Randomness } from 'lentillb/sidecar';
+import type { Service } from './platformDocuments.js';
+import { DEADLY_PREFIX, Header } from './platformDocuments.js';
+import type { SoakRecord } from './soakRecord.js';
+
+/** The range of the random time that a request runs: from `min`, less than `spread` more. */
+const HANDLING_MS = { min: 3, spread: 60 } as const;
+
+/** The services that a backend server depends on. */
+export interface BackendServerServices {
+  readonly clock: Clock;
+  readonly randomness: Randomness;
+  readonly record: SoakRecord;
+}
+
+/** Runs requests and records them. */
+export class SoakBackendServer {
+  readonly startedAt: Date;
+
+  /** Whether heartbeats report that the backend server is draining. */
+  draining = false;
+
+  /** When answers stated the limit or the departure first. */
+  statedAtMs: number | undefined;
+
+  private limitPerSecond: number | undefined;
+
+  private isLeaving = false;
+
+  private readonly server: ScriptedBackendServer;
+
+  /**
+   * @param services - the services that the backend server depends on
+   * @param options - the identity, the service and the index of the host of the backend server
+   * @param onDeadlyRequest - called when a request arrives under which it ends
+   */
+  constructor(
+    private readonly services: BackendServerServices,
+    private readonly options: {
+      readonly id: string;
+      readonly service: Service;
+      readonly host: number;
+    },
+    private readonly onDeadlyRequest: () => void,
+  ) {
+    this.startedAt = services.clock.now();
+    this.server = new ScriptedBackendServer(options.id);
+    this.server.setHandler((response, run) => this.handle(response, run));
+  }
+
+  get id(): string {
+    return this.options.id;
+  }
+
+  /** The address and port that the backend server listens on. */
+  get address(): string {
+    return this.server.address;
+  }
+
+  /** Starts listening on a free port. */
+  listen(): Promise<void> {
+    return this.server.listen();
+  }
+
+  /** Closes the backend server and its connections. */
+  close(): Promise<void> {
+    return this.server.close();
+  }
+
+  /** @param limitPerSecond - the request limit to state in answers from now on, if any */
+  stateLimit(limitPerSecond: number | undefined): void {
+    this.limitPerSecond = limitPerSecond;
+    this.statedAtMs = limitPerSecond === undefined ? this.statedAtMs : undefined;
+  }
+
+  /** States in answers from now on that the backend server is leaving. */
+  stateDeparture(): void {
+    this.isLeaving = true;
+    this.statedAtMs = undefined;
+  }
+
+  private handle(...[response, { body, requestId }]: Parameters<RequestHandler>): void {
+    const { clock, randomness, record } = this.services;
+    const { host, id: backendServerId, service } = this.options;
+    const atMs = clock.monotonicMs();
+    record.executions.push({ requestId, service, backendServerId, host, atMs });
+    if (body.startsWith(DEADLY_PREFIX)) {
+      record.serverEnds.push({ content: body, backendServerId, atMs });
+      this.onDeadlyRequest();
+      return;
+    }
+    clock.after(HANDLING_MS.min + randomness.integer(HANDLING_MS.spread), () => {
+      response.writeHead(200, {
+        [Header.requestId]: requestId,
+        [Header.seal]: 'seal',
+        ...this.statementHeaders(),
+      });
+      response.end(`ran ${body}`);
+    });
+  }
+
+  /** Returns the headers by which an answer states the limit or the departure. */
+  private statementHeaders(): Record<string, string> {
+    const { isLeaving, limitPerSecond } = this;
+    if (isLeaving || limitPerSecond !== undefined) {
+      this.statedAtMs ??= this.services.clock.monotonicMs();
+    }
+    return {
+      ...(limitPerSecond === undefined ? {} : { [Header.limit]: `${limitPerSecond}` }),
+      ...(isLeaving ? { [Header.leaving]: '1' } : {}),
+    };
+  }
+}
--- a/soak/src/soakHost.ts
+++ b/soak/src/soakHost.ts
@@ -5,23 +5,17 @@
 import { writeFile } from 'node:fs/promises';
 import path from 'node:path';
 import { request } from 'undici';
-import { ScriptedBackendServer } from '@lentillb/standins';
 import type { Clock, Randomness } from 'lentillb/sidecar';
 import { runInBackground } from 'lentillb/sidecar';
 import type { NodeTarget } from './caller.js';
+import { DeadlyCaller } from './deadlyCaller.js';
 import type { ChildProcess } from './childProcesses.js';
 import { spawnChildProcess } from './childProcesses.js';
 import type { HostAddresses, Service } from './platformDocuments.js';
-import {
-  Bounds,
-  Header,
-  heartbeatDocument,
-  RouteName,
-  settingsDocument,
-} from './platformDocuments.js';
+import { Bounds, heartbeatDocument, settingsDocument } from './platformDocuments.js';
 import { Relay } from './relay.js';
+import { SoakBackendServer } from './soakBackendServer.js';
 import type { SoakRecord } from './soakRecord.js';
-import { RequestOutcome } from './soakRecord.js';
 
 export interface HostOptions {
   readonly index: number;
@@ -48,12 +42,9 @@
 } as const;
 
 const SLOTS = 8;
-const UNAVAILABLE = 503;
 const HEARTBEAT_MS = 300;
 /** The maximum duration of a call to the node's control address. */
 const CONTROL_TIMEOUT_MS = 1_500;
-/** The range of the random time that a request runs: from `min`, less than `spread` more. */
-const HANDLING_MS = { min: 3, spread: 60 } as const;
 const RELAY_DELAY_MS = 120;
 /**
  * The time for which a departed backend server keeps listening, to record requests that still reach
@@ -62,22 +53,8 @@
 const CLOSE_DELAY_MS = Bounds.drainMs + 2_000;
 /** The request limit that a backend server states, about a quarter of what it gets otherwise. */
 const LIMIT_PER_SECOND = 6;
-/** The start of the body of requests under which backend servers end. */
-const DEADLY_PREFIX = 'deadly';
 /** The time after which a backend server that ended is replaced, in milliseconds. */
 const REPLACEMENT_DELAY_MS = 800;
-const DEADLY_TIMEOUT_MS = 1_500;
-
-/** A backend server together with the state that its heartbeats report. */
-interface RunningBackendServer {
-  readonly server: ScriptedBackendServer;
-  readonly startedAt: Date;
-  draining: boolean;
-  /** The request limit that answers state, if any. */
-  limitPerSecond?: number;
-  /** Whether answers state that the backend server is leaving. */
-  isLeaving: boolean;
-}
 
 /** Runs the processes and relays of one host. */
 export class SoakHost {
@@ -97,14 +74,11 @@
 
   private exitExpected = false;
 
-  private backendServer: RunningBackendServer | undefined;
+  private backendServer: SoakBackendServer | undefined;
 
   private heartbeatSequence = 0;
 
-  private deadlyCount = 0;
-
-  /** When answers of a backend server stated its limit or its departure first, by its identity. */
-  private readonly statedAtMs = new Map<string, number>();
+  private readonly deadlyCaller: DeadlyCaller;
 
   private backendServerCount = 0;
 
@@ -131,6 +105,7 @@
     this.toStore = new Relay(clock, () => storeAddress, RELAY_DELAY_MS);
     this.log = createWriteStream(path.join(folder, `host-${index}.log`));
     this.settingsFile = path.join(folder, `host-${index}.json`);
+    this.deadlyCaller = new DeadlyCaller(services, () => this.target);
   }
 
   /** The target of requests from the caller on this host. */
@@ -231,7 +206,7 @@
   async replaceBackendServer(): Promise<void> {
     const { backendServer } = this;
     await this.startBackendServer();
-    await backendServer?.server.close();
+    await backendServer?.close();
   }
 
   /** Drains the backend server, reports its departure to the node, and replaces it. */
@@ -243,7 +218,7 @@
     backendServer.draining = true;
     await this.sendHeartbeat(backendServer);
     const { clock, record } = this.services;
-    const backendServerId = backendServer.server.id;
+    const { id: backendServerId } = backendServer;
     const isConfirmed = await this.callControlAddress('DELETE', backendServerId);
     if (isConfirmed) {
       const { index: host } = this.options;
@@ -251,7 +226,7 @@
     }
     await clock.sleep(CLOSE_DELAY_MS);
     await this.startBackendServer();
-    await backendServer.server.close();
+    await backendServer.close();
   }
 
   /**
@@ -265,15 +240,14 @@
       return;
     }
     const { clock, record } = this.services;
-    backendServer.limitPerSecond = LIMIT_PER_SECOND;
-    this.statedAtMs.delete(backendServer.server.id);
+    backendServer.stateLimit(LIMIT_PER_SECOND);
     await clock.sleep(durationMs);
-    backendServer.limitPerSecond = undefined;
+    backendServer.stateLimit(undefined);
     record.limitPeriods.push({
       host: this.options.index,
-      backendServerId: backendServer.server.id,
+      backendServerId: backendServer.id,
       perSecond: LIMIT_PER_SECOND,
-      fromMs: this.statedAtMs.get(backendServer.server.id) ?? Infinity,
+      fromMs: backendServer.statedAtMs ?? Infinity,
       untilMs: clock.monotonicMs(),
     });
   }
@@ -285,39 +259,20 @@
       return;
     }
     const { clock, record } = this.services;
-    backendServer.isLeaving = true;
-    this.statedAtMs.delete(backendServer.server.id);
+    backendServer.stateDeparture();
     await clock.sleep(CLOSE_DELAY_MS);
-    const statedAtMs = this.statedAtMs.get(backendServer.server.id);
+    const { id: backendServerId, statedAtMs } = backendServer;
     if (statedAtMs !== undefined) {
       const { index: host } = this.options;
-      const backendServerId = backendServer.server.id;
       record.departures.push({ host, backendServerId, confirmedAtMs: statedAtMs });
     }
     await this.startBackendServer();
-    await backendServer.server.close();
+    await backendServer.close();
   }
 
   /** Sends a request to the node under which each backend server that runs it ends. */
-  async sendDeadlyRequest(): Promise<void> {
-    const { clock, record } = this.services;
-    const { index } = this.options;
-    this.deadlyCount += 1;
-    const id = `deadly-${index}-${this.deadlyCount}`;
-    const content = `${DEADLY_PREFIX}-${index}`;
-    const sentAtMs = clock.monotonicMs();
-    const status = await this.postToNode(id, content);
-    record.requests.push({
-      id,
-      route: RouteName.Browse,
-      host: index,
-      processNumber: this.processNumber,
-      sentAtMs,
-      endedAtMs: clock.monotonicMs(),
-      outcome: status === UNAVAILABLE ? RequestOutcome.NotRun : RequestOutcome.Failed,
-      isMatchingResponse: false,
-      detail: `status ${status ?? 'none'}`,
-    });
+  sendDeadlyRequest(): Promise<void> {
+    return this.deadlyCaller.send();
   }
 
   /** Kills the node and closes everything else on the host. */
@@ -326,7 +281,7 @@
     this.freeze(false);
     await this.killNode();
     [this.toNode, this.toBackendServer, this.toStore].forEach((relay) => relay.close());
-    await this.backendServer?.server.close();
+    await this.backendServer?.close();
     this.log.end();
   }
 
@@ -352,60 +307,26 @@
   }
 
   private async startBackendServer(): Promise<void> {
-    const { clock, randomness, record } = this.services;
     const { index, service } = this.options;
     this.backendServerCount += 1;
-    const backendServerId = `b-${index}-${this.backendServerCount}`;
-    const server = new ScriptedBackendServer(backendServerId);
-    await server.listen();
-    const running: RunningBackendServer = {
-      server,
-      startedAt: clock.now(),
-      draining: false,
-      isLeaving: false,
-    };
-    server.setHandler((response, { body, requestId }) => {
-      const atMs = clock.monotonicMs();
-      record.executions.push({ requestId, service, backendServerId, host: index, atMs });
-      if (body.startsWith(DEADLY_PREFIX)) {
-        record.serverEnds.push({ content: body, backendServerId, atMs });
-        runInBackground(this.endBackendServer(running));
-        return;
-      }
-      clock.after(HANDLING_MS.min + randomness.integer(HANDLING_MS.spread), () => {
-        response.writeHead(200, {
-          [Header.requestId]: requestId,
-          [Header.seal]: 'seal',
-          ...this.statementHeaders(running),
-        });
-        response.end(`ran ${body}`);
-      });
-    });
-    this.backendServerAddress = server.address;
-    this.backendServer = running;
-  }
-
-  /** Returns the headers by which the backend server states its limit or its departure. */
-  private statementHeaders(running: RunningBackendServer): Record<string, string> {
-    const { isLeaving, limitPerSecond } = running;
-    if (isLeaving || limitPerSecond !== undefined) {
-      const { id } = running.server;
-      this.statedAtMs.set(id, this.statedAtMs.get(id) ?? this.services.clock.monotonicMs());
-    }
-    return {
-      ...(limitPerSecond === undefined ? {} : { [Header.limit]: `${limitPerSecond}` }),
-      ...(isLeaving ? { [Header.leaving]: '1' } : {}),
-    };
+    const started = new SoakBackendServer(
+      this.services,
+      { id: `b-${index}-${this.backendServerCount}`, service, host: index },
+      () => runInBackground(this.endBackendServer(started)),
+    );
+    await started.listen();
+    this.backendServerAddress = started.address;
+    this.backendServer = started;
   }
 
   /** Ends a backend server at once, and replaces it after a while. */
-  private async endBackendServer(running: RunningBackendServer): Promise<void> {
+  private async endBackendServer(running: SoakBackendServer): Promise<void> {
     if (this.backendServer !== running || this.closed) {
       return;
     }
     this.backendServer = undefined;
     this.toBackendServer.close();
-    await running.server.close();
+    await running.close();
     await this.services.clock.sleep(REPLACEMENT_DELAY_MS);
     if (!this.closed) {
       await this.toBackendServer.listen(this.addressOf(Port.ToBackendServer));
@@ -416,26 +337,6 @@
     }
   }
 
-  /** Sends a request to the node; returns the status of the response, if there was one. */
-  private async postToNode(id: string, body: string): Promise<number | undefined> {
-    try {
-      const answer = await request(`http://${this.addressOf(Port.ToNode)}/${body}`, {
-        method: 'POST',
-        headers: {
-          host: `${RouteName.Browse}.example`,
-          [Header.requestId]: id,
-          [Header.deadlineMs]: `${DEADLY_TIMEOUT_MS}`,
-        },
-        body,
-        signal: AbortSignal.timeout(DEADLY_TIMEOUT_MS),
-      });
-      await answer.body.dump();
-      return answer.statusCode;
-    } catch {
-      return undefined;
-    }
-  }
-
   private async sendHeartbeats(): Promise<void> {
     while (!this.closed) {
       if (this.backendServer !== undefined) {
@@ -445,7 +346,7 @@
     }
   }
 
-  private async sendHeartbeat(backendServer: RunningBackendServer): Promise<void> {
+  private async sendHeartbeat(backendServer: SoakBackendServer): Promise<void> {
     const { service, zone } = this.options;
     this.heartbeatSequence += 1;
     const body = heartbeatDocument({
@@ -457,7 +358,7 @@
       sequence: this.heartbeatSequence,
       startedAt: backendServer.startedAt,
     });
-    await this.callControlAddress('PUT', backendServer.server.id, body);
+    await this.callControlAddress('PUT', backendServer.id, body);
   }
 
   /** Calls the node's control address; a failed call is not retried before the next heartbeat. */
--- a/tests/serving/statedLimit.spec.ts
+++ b/tests/serving/statedLimit.spec.ts
@@ -1,6 +1,8 @@
 import fc from 'fast-check';
 import type { ServerStatement } from 'lentillb/serving/serverStatement.js';
 import { Admission, ServiceTimeSample, WaitLimit } from 'lentillb/serving/slotQueue.js';
+import { LocalBackendServer } from 'lentillb/serving/localBackendServer.js';
+import { StatementListener } from 'lentillb/serving/statementListener.js';
 import { StatedLimit } from 'lentillb/serving/statedLimit.js';
 import { beforeEach, describe, expect, it } from 'vitest';
 import { ManualClock } from '../support/manualClock.js';
@@ -27,6 +29,23 @@
   limit.recordAnswer(statement(limitPerSecond), clock.monotonicMs());
 }
 
+/** Returns a backend server whose current run is `i`. */
+function runningServer(): LocalBackendServer {
+  const backendServer = new LocalBackendServer(clock, () => undefined);
+  backendServer.finishRestoring();
+  backendServer.accept({
+    id: 'i',
+    service: 's',
+    address: 'b:1',
+    slots: 1,
+    draining: false,
+    warmupLeftMs: 0,
+    sequence: 1,
+    startedAtMs: 1,
+  });
+  return backendServer;
+}
+
 /** Takes permits as soon as they are due, and returns how many. */
 async function takeAll(durationMs: number): Promise<number> {
   let taken = 0;
@@ -195,4 +214,25 @@
     running.slot?.release(ServiceTimeSample.None);
     expect(waiting.filter(({ slot }) => slot !== undefined)).toHaveLength(3);
   });
+
+  it('should drop at once what can no longer be served before its deadline when the limit falls', async () => {
+    const queue = createSlotQueue(clock, limit);
+    const statements = new StatementListener({
+      backendServer: runningServer(),
+      statedLimit: limit,
+      slots: queue,
+      log: createSilentLog(clock),
+    });
+    queue.resize(1);
+    queue.admit(createRecordedRequest().request);
+    const fields = { targetAtMs: 1_000, deadlineAtMs: 3_000 };
+    const waiting = Array.from({ length: 6 }, () => createRecordedRequest(fields));
+    waiting.forEach(({ request }) => queue.admit(request));
+    expect(queue.load.queued).toBe(6);
+    statements.onStatement(statement(1), 'i', clock.monotonicMs());
+    // One permit a second: the third is due at the deadline.
+    expect(waiting.map(({ dropped }) => dropped)).toEqual([false, false, true, true, true, true]);
+    statements.onStatement(statement(10), 'i', clock.monotonicMs());
+    expect(queue.load.queued).toBe(2);
+  });
 });
