--- a/soak/src/deadlyCaller.ts
+++ b/soak/src/crashingCaller.ts
@@ -2,7 +2,7 @@
 import { request } from 'undici';
 import type { Clock } from 'lentillb/sidecar';
 import type { NodeTarget } from './caller.js';
-import { DEADLY_PREFIX, Header, RouteName } from './platformDocuments.js';
+import { CRASHING_PREFIX, Header, RouteName } from './platformDocuments.js';
 import type { SoakRecord } from './soakRecord.js';
 import { RequestOutcome } from './soakRecord.js';
 
@@ -30,7 +30,7 @@
 }
 
 /** A caller whose requests have the same content, each with an identity of its own. */
-export class DeadlyCaller {
+export class CrashingCaller {
   private count = 0;
 
   /**
@@ -47,7 +47,7 @@
     const { clock, record } = this.services;
     const { address, hostIndex: host, processNumber } = this.target();
     this.count += 1;
-    const content = `${DEADLY_PREFIX}-${host}`;
+    const content = `${CRASHING_PREFIX}-${host}`;
     const id = `${content}-${this.count}`;
     const sentAtMs = clock.monotonicMs();
     const status = await post(address, id, content);
--- a/soak/src/faults.ts
+++ b/soak/src/faults.ts
@@ -15,9 +15,9 @@
 
 /** The shortest time for which a backend server states a limit, in milliseconds. */
 const MIN_LIMIT_MS = 3_000;
-/** The shortest time for which a deadly request comes again, and how often, in milliseconds. */
-const MIN_DEADLY_MS = 4_000;
-const DEADLY_INTERVAL_MS = 150;
+/** The shortest time for which a crashing request comes again, and how often, in milliseconds. */
+const MIN_CRASHING_MS = 4_000;
+const CRASHING_INTERVAL_MS = 150;
 
 /** The parts of the fleet that a fault acts on, and its duration. */
 export interface FaultTarget {
@@ -114,14 +114,14 @@
     affectsAllHosts: false,
     inject: ({ host }) => host.leaveByStatement(),
   },
-  'deadly request': {
+  'crashing request': {
     kind: DisturbanceKind.Failure,
     affectsAllHosts: true,
     inject: async ({ clock, durationMs, host }) => {
-      const endMs = clock.monotonicMs() + durationMs + MIN_DEADLY_MS;
+      const endMs = clock.monotonicMs() + durationMs + MIN_CRASHING_MS;
       while (clock.monotonicMs() < endMs) {
-        await host.sendDeadlyRequest();
-        await clock.sleep(DEADLY_INTERVAL_MS);
+        await host.sendCrashingRequest();
+        await clock.sleep(CRASHING_INTERVAL_MS);
       }
     },
   },
--- a/soak/src/platformDocuments.ts
+++ b/soak/src/platformDocuments.ts
@@ -39,7 +39,7 @@
 } as const;
 
 /** The start of the body of requests under which backend servers end. */
-export const DEADLY_PREFIX = 'deadly';
+export const CRASHING_PREFIX = 'crashing';
 
 /** The topic that holds the operator's configuration. */
 export const OPERATOR_TOPIC = 'keyed.op';
--- a/soak/src/soakBackendServer.ts
+++ b/soak/src/soakBackendServer.ts
@@ -3,7 +3,7 @@
 import type { RequestHandler } from '@lentillb/standins';
 import type { Clock, Randomness } from 'lentillb/sidecar';
 import type { Service } from './platformDocuments.js';
-import { DEADLY_PREFIX, Header } from './platformDocuments.js';
+import { CRASHING_PREFIX, Header } from './platformDocuments.js';
 import type { SoakRecord } from './soakRecord.js';
 
 /** The range of the random time that a request runs: from `min`, less than `spread` more. */
@@ -35,7 +35,7 @@
   /**
    * @param services - the services that the backend server depends on
    * @param options - the identity, the service and the index of the host of the backend server
-   * @param onDeadlyRequest - called when a request arrives under which it ends
+   * @param onCrashingRequest - called when a request arrives under which it ends
    */
   constructor(
     private readonly services: BackendServerServices,
@@ -44,7 +44,7 @@
       readonly service: Service;
       readonly host: number;
     },
-    private readonly onDeadlyRequest: () => void,
+    private readonly onCrashingRequest: () => void,
   ) {
     this.startedAt = services.clock.now();
     this.server = new ScriptedBackendServer(options.id);
@@ -87,9 +87,9 @@
     const { host, id: backendServerId, service } = this.options;
     const atMs = clock.monotonicMs();
     record.executions.push({ requestId, service, backendServerId, host, atMs });
-    if (body.startsWith(DEADLY_PREFIX)) {
+    if (body.startsWith(CRASHING_PREFIX)) {
       record.serverEnds.push({ content: body, backendServerId, atMs });
-      this.onDeadlyRequest();
+      this.onCrashingRequest();
       return;
     }
     clock.after(HANDLING_MS.min + randomness.integer(HANDLING_MS.spread), () => {
--- a/soak/src/soakHost.ts
+++ b/soak/src/soakHost.ts
@@ -8,7 +8,7 @@
 import type { Clock, Randomness } from 'lentillb/sidecar';
 import { runInBackground } from 'lentillb/sidecar';
 import type { NodeTarget } from './caller.js';
-import { DeadlyCaller } from './deadlyCaller.js';
+import { CrashingCaller } from './crashingCaller.js';
 import type { ChildProcess } from './childProcesses.js';
 import { spawnChildProcess } from './childProcesses.js';
 import type { HostAddresses, Service } from './platformDocuments.js';
@@ -78,7 +78,7 @@
 
   private heartbeatSequence = 0;
 
-  private readonly deadlyCaller: DeadlyCaller;
+  private readonly crashingCaller: CrashingCaller;
 
   private backendServerCount = 0;
 
@@ -105,7 +105,7 @@
     this.toStore = new Relay(clock, () => storeAddress, RELAY_DELAY_MS);
     this.log = createWriteStream(path.join(folder, `host-${index}.log`));
     this.settingsFile = path.join(folder, `host-${index}.json`);
-    this.deadlyCaller = new DeadlyCaller(services, () => this.target);
+    this.crashingCaller = new CrashingCaller(services, () => this.target);
   }
 
   /** The target of requests from the caller on this host. */
@@ -271,8 +271,8 @@
   }
 
   /** Sends a request to the node under which each backend server that runs it ends. */
-  sendDeadlyRequest(): Promise<void> {
-    return this.deadlyCaller.send();
+  sendCrashingRequest(): Promise<void> {
+    return this.crashingCaller.send();
   }
 
   /** Kills the node and closes everything else on the host. */
--- a/tests/sidecar/deadlyRequests.spec.ts
+++ b/tests/sidecar/crashingRequests.spec.ts
@@ -5,7 +5,7 @@
 import type { FleetHost } from '../support/sidecarFleet.js';
 
 const SERVICE = 'pages';
-const DEADLY = 'ends each backend server';
+const CRASHING = 'ends each backend server';
 const BACKEND_SERVERS = 6;
 /** The backend servers that may end before the fleet must have learned of it. */
 const MAX_ENDS = 3;
@@ -25,10 +25,10 @@
 let servers: FleetHost[];
 let ends: number;
 
-/** Ends the backend server of a host as soon as it runs the deadly request. */
-function endUnderDeadlyRequest(host: FleetHost): void {
+/** Ends the backend server of a host as soon as it runs the crashing request. */
+function crashUnderRequest(host: FleetHost): void {
   host.backendServer.setHandler((response, run) => {
-    if (run.body !== DEADLY) {
+    if (run.body !== CRASHING) {
       respondSuccessfully(response, run);
       return;
     }
@@ -37,12 +37,12 @@
   });
 }
 
-/** Sends the deadly request from the entries in turn, each time as a request of its own. */
-async function sendDeadly(count: number, service = SERVICE): Promise<number[]> {
+/** Sends the crashing request from the entries in turn, each time as a request of its own. */
+async function sendCrashing(count: number, service = SERVICE): Promise<number[]> {
   const statuses: number[] = [];
   for (let request = 0; request < count; request += 1) {
     const front = fronts[request % fronts.length] as FleetHost;
-    statuses.push((await fleet.send(front, service, DEADLY).answer).status);
+    statuses.push((await fleet.send(front, service, CRASHING).answer).status);
     await fleet.clock.sleep(50);
   }
   return statuses;
@@ -61,14 +61,14 @@
   await Promise.all(fronts.map((front) => fleet.waitUntilServed(front, SERVICE)));
   // Each of them must have learned of all backend servers.
   await fleet.clock.sleep(2_000);
-  servers.forEach(endUnderDeadlyRequest);
+  servers.forEach(crashUnderRequest);
 });
 
 afterEach(() => fleet.close());
 
 describe('request under which backend servers end', () => {
   it('should not be given to one backend server after another', async () => {
-    const statuses = await sendDeadly(12);
+    const statuses = await sendCrashing(12);
     expect(ends).toBeLessThanOrEqual(MAX_ENDS);
     expect(statuses.at(-1)).toBe(503);
     const other = await Promise.all(
@@ -80,7 +80,7 @@
   it('should not be given to one backend server after another by callers that may not repeat it', async () => {
     fleet.publish({ once: { ...ONCE_ROUTE, service: SERVICE } });
     await Promise.all(fronts.map((front) => fleet.waitUntilServed(front, 'once')));
-    const statuses = await sendDeadly(12, 'once');
+    const statuses = await sendCrashing(12, 'once');
     expect(ends).toBeLessThanOrEqual(MAX_ENDS);
     expect(statuses.slice(0, ends)).toEqual(Array(ends).fill(502));
     expect(statuses.slice(ends)).toEqual(Array(12 - ends).fill(503));
@@ -99,27 +99,27 @@
         runInBackground(backendServer.close());
       }),
     );
-    await sendDeadly(12);
+    await sendCrashing(12);
     expect(cutOff).toBe(1);
     expect(ends).toBeLessThanOrEqual(MAX_ENDS);
   }, 20_000);
 
   it('should be blocked by a node that was restarted after the ends', async () => {
-    await sendDeadly(4);
+    await sendCrashing(4);
     const endsBefore = ends;
     const [front] = fronts as [FleetHost];
     front.sidecar.close();
     const restarted = await fleet.restartNode(front);
     await fleet.waitUntilServed(restarted, SERVICE);
     fronts = [restarted];
-    await sendDeadly(6);
+    await sendCrashing(6);
     expect(ends).toBe(endsBefore);
   }, 20_000);
 });
 
 describe('request under which backend servers ended before all nodes were restarted', () => {
   it('should stay blocked by what the hosts have announced', async () => {
-    await sendDeadly(6);
+    await sendCrashing(6);
     const endsBefore = ends;
     // The announcements must have been written to the store.
     await fleet.clock.sleep(500);
@@ -131,7 +131,7 @@
     const running = restarted.find(({ name }) => name === `b${BACKEND_SERVERS - 1}`) as FleetHost;
     await running.sidecar.acceptHeartbeat({ ...running.heartbeat, sequence: 2 });
     await fleet.waitUntilServed(fronts[0] as FleetHost, SERVICE);
-    const statuses = await sendDeadly(6);
+    const statuses = await sendCrashing(6);
     expect(ends).toBe(endsBefore);
     expect(statuses).toEqual(Array(6).fill(503));
   }, 20_000);
--- a/tests/soak/invariants.spec.ts
+++ b/tests/soak/invariants.spec.ts
@@ -189,7 +189,7 @@
   it('should report a content that ends more backend servers after all hosts could know', () => {
     const record = createRecord([], []);
     const addEnd = (atMs: number): void => {
-      record.serverEnds.push({ content: 'deadly-1', backendServerId: `b-${atMs}`, atMs });
+      record.serverEnds.push({ content: 'crashing-1', backendServerId: `b-${atMs}`, atMs });
     };
     [0, 100, 200, 2_000, 3_100].forEach(addEnd);
     [4_000, 5_000, 6_000].forEach(addEnd);
