--- a/soak/src/faults.ts
+++ b/soak/src/faults.ts
@@ -115,8 +115,9 @@
     inject: ({ host }) => host.leaveByStatement(),
   },
   'crashing request': {
-    kind: DisturbanceKind.Failure,
-    affectsAllHosts: true,
+    // Each host whose backend server ends is recorded as disturbed by itself.
+    kind: DisturbanceKind.Planned,
+    affectsAllHosts: false,
     inject: async ({ clock, durationMs, host }) => {
       const endMs = clock.monotonicMs() + durationMs + MIN_CRASHING_MS;
       while (clock.monotonicMs() < endMs) {
--- a/soak/src/soakHost.ts
+++ b/soak/src/soakHost.ts
@@ -16,6 +16,7 @@
 import { Relay } from './relay.js';
 import { SoakBackendServer } from './soakBackendServer.js';
 import type { SoakRecord } from './soakRecord.js';
+import { DisturbanceKind } from './soakRecord.js';
 
 export interface HostOptions {
   readonly index: number;
@@ -324,10 +325,18 @@
     if (this.backendServer !== running || this.closed) {
       return;
     }
+    const { clock, record } = this.services;
+    const fromMs = clock.monotonicMs();
     this.backendServer = undefined;
     this.toBackendServer.close();
     await running.close();
-    await this.services.clock.sleep(REPLACEMENT_DELAY_MS);
+    await clock.sleep(REPLACEMENT_DELAY_MS);
+    record.disturbances.push({
+      kind: DisturbanceKind.Failure,
+      host: this.options.index,
+      fromMs,
+      untilMs: clock.monotonicMs(),
+    });
     if (!this.closed) {
       await this.toBackendServer.listen(this.addressOf(Port.ToBackendServer));
     }
