Expect the line of an interrupted run in the program's test

The check is as strict as before: three lines, by event and cause, and the new one must say that the backend server had not ended.

--- a/tests/platform/program.spec.ts
+++ b/tests/platform/program.spec.ts
@@ -192,7 +192,7 @@
     expect(served.body).toBe('ran dear editor');
     backendServer.setHandler((response) => response.socket?.resetAndDestroy());
     expect((await send(ports.outbound, requestWith('cccc'))).status).toBe(502);
-    await until(() => Promise.resolve(linesOf('cccc').length === 2));
+    await until(() => Promise.resolve(linesOf('cccc').length === 3));
     expect(linesOf('aaaa')[0]).toMatchObject({
       event: 'request-refused',
       cause: 'no-backend-server',
@@ -205,7 +205,10 @@
     expect(events.sort()).toEqual([
       'gate-gave-no-answer connection-lost',
       'request-failed connection-lost',
+      'run-interrupted undefined',
     ]);
+    const interrupted = linesOf('cccc').find(({ event }) => event === 'run-interrupted');
+    expect(interrupted).toMatchObject({ ended: false, id: 'i-1' });
     const metrics = await send(ports.peer, { method: 'GET', target: '/metrics' });
     expect(metrics.body).toContain('gate_failures{cause="connection-lost",outcome="unknown"} 1');
     const file = path.join(folder, 'host.log');
