Log the newest version that a node has heard of, and how old its view of the store is

A line request-failed with the cause no-route named the version in force only, so a node that nobody had told of the newer one (hypothesis 1) looked like one that could not get it (2); a reader that read several records and took one logged nothing of the others (3). ConfigurationStatus holds since when the version is in force, the newest version heard of, from whom and since when, and the age of the store's last answer. A line configuration-behind says when a node learns that it lacks a version; lentillb trace prints it with a missing route. No decision changes: gossip keeps its time of the first newer version there in place of its own field.

--- a/packages/cli/src/trace/requestOutcome.ts
+++ b/packages/cli/src/trace/requestOutcome.ts
@@ -13,6 +13,19 @@
     : 'within its target latency';
 }
 
+/** Describes a request without a route, and what the node knew of versions newer than its own. */
+function describeMissingRoute(line: LogLine): string {
+  const { configurationVersion, heardFrom, heardMs, inForceMs, newerVersion } = line;
+  const known =
+    newerVersion === undefined
+      ? 'no newer version was known'
+      : `version ${String(newerVersion)} was known from ${String(heardFrom)} for ${String(heardMs)} ms`;
+  return configurationVersion === undefined
+    ? 'refused: no route matches the request'
+    : `refused: no route of version ${String(configurationVersion)} matches the request; ` +
+        `it was in force for ${String(inForceMs)} ms, ${known}`;
+}
+
 /** A description of the outcome for each event with which an entry ends a request. */
 const outcomeDescriptions: Readonly<Record<string, DescribeOutcome>> = {
   'request-answered': (line) =>
@@ -22,7 +35,7 @@
     `the caller was asked to return in ${String(line.retryAfterMs)} ms`,
   'request-failed': (line) =>
     line.cause === 'no-route'
-      ? 'refused: no route matches the request'
+      ? describeMissingRoute(line)
       : `failed with ${String(line.status)} ${formatElapsed(line)}, it may have run: ${String(line.cause)}`,
 };
 
--- a/packages/lentillb/src/emulation/emulatedHost.ts
+++ b/packages/lentillb/src/emulation/emulatedHost.ts
@@ -1,6 +1,7 @@
 /** Emulates a host: the entry and the gate of its node, with the real decisions, and its backend server. */
 import { SmoothWeightedRoundRobin } from '../configuration/smoothWeightedRoundRobin.js';
 import type { ConfigurationHolder } from '../configuration/configurationHolder.js';
+import { ConfigurationStatus } from '../configuration/configurationStatus.js';
 import type { Directory, GateEndpoint } from '../directory/directory.js';
 import type { Clock } from '../kernel/clock.js';
 import type { Randomness } from '../kernel/randomness.js';
@@ -117,6 +118,7 @@
         clock,
         randomness,
         configuration,
+        status: new ConfigurationStatus(clock, configuration),
         rotation: new SmoothWeightedRoundRobin(randomness),
         directory,
         observations: this.observations,
--- a/packages/lentillb/src/peers/gossip.ts
+++ b/packages/lentillb/src/peers/gossip.ts
@@ -6,6 +6,7 @@
 import type { Result } from 'ts-results-es';
 import { runInBackground } from '../utils/background.js';
 import type { ConfigurationHolder } from '../configuration/configurationHolder.js';
+import type { ConfigurationStatus } from '../configuration/configurationStatus.js';
 import type { Directory } from '../directory/directory.js';
 import type { Announcement } from '../directory/announcement.js';
 import type { GateLoad, HostGateLoad } from '../directory/gateLoad.js';
@@ -50,6 +51,7 @@
   readonly clock: Clock;
   readonly randomness: Randomness;
   readonly configuration: ConfigurationHolder;
+  readonly status: ConfigurationStatus;
   readonly directory: Directory;
   readonly transport: GossipTransport;
   readonly fetchState: StateFetcher;
@@ -80,9 +82,6 @@
 
   private stopped = false;
 
-  /** A version that another node has and this one lacks, and since when this is known. */
-  private newerVersion: { readonly version: number; readonly sinceMs: number } | undefined;
-
   private readonly digestComparison: DigestComparison;
 
   private readonly zoneLoads: ZoneLoads;
@@ -150,9 +149,17 @@
       role.noteReader(sender.host);
     }
     message.gateLoads.forEach((load) => this.receiveGateLoad(sender, load));
+    this.noteVersion(from, message.configurationVersion);
     this.fetchIfBehind(from, message, inOwnZone);
   }
 
+  private noteVersion(from: string, version: number): void {
+    const { log, status } = this.services;
+    if (status.noteVersion(version, from)) {
+      log.record(Importance.Notable, 'configuration-behind', { ...status.fields });
+    }
+  }
+
   private receiveGateLoad(sender: Announcement | undefined, load: HostGateLoad): void {
     const host = this.services.directory.hostOf(load.hostHash);
     if (host === undefined || host === this.location.host) {
@@ -273,12 +280,6 @@
     const { clock, configuration, directory, role } = this.services;
     const nowMs = clock.monotonicMs();
     const { configurationVersion, directoryDigest } = message;
-    if (this.newerVersion === undefined || this.newerVersion.version <= configuration.version) {
-      this.newerVersion =
-        configurationVersion > configuration.version
-          ? { version: configurationVersion, sinceMs: nowMs }
-          : undefined;
-    }
     // Traffic between zones is charged, so only the reader of a zone compares it with other zones.
     const digestDiffers =
       this.digestComparison.differsLastingly(from, directoryDigest, directory.digest) &&
@@ -293,7 +294,8 @@
   }
 
   private isBehind(nowMs: number): boolean {
-    return this.newerVersion !== undefined && nowMs - this.newerVersion.sinceMs >= STORE_GRACE_MS;
+    const { newerVersion } = this.services.status;
+    return newerVersion !== undefined && nowMs - newerVersion.sinceMs >= STORE_GRACE_MS;
   }
 
   private fetch(from: string): void {
--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -7,6 +7,7 @@
 import type { HeaderFields } from '../calls/callHeaders.js';
 import { Cancellation, CancelReason } from '../calls/cancellation.js';
 import type { ConfigurationHolder } from '../configuration/configurationHolder.js';
+import type { ConfigurationStatus } from '../configuration/configurationStatus.js';
 import type { MeshRoute } from '../configuration/meshConfiguration.js';
 import type { SmoothWeightedRoundRobin } from '../configuration/smoothWeightedRoundRobin.js';
 import type { Directory, GateEndpoint } from '../directory/directory.js';
@@ -57,6 +58,7 @@
   readonly clock: Clock;
   readonly randomness: Randomness;
   readonly configuration: ConfigurationHolder;
+  readonly status: Pick<ConfigurationStatus, 'fields'>;
   readonly rotation: SmoothWeightedRoundRobin;
   readonly directory: Directory;
   readonly observations: GateObservations;
@@ -154,7 +156,7 @@
     }
     const route = table.find(request.headers.host ?? '', request.target);
     if (route === undefined) {
-      this.recordFailure(request, 'no-route', HttpStatus.NotFound, {});
+      this.recordFailure(request, 'no-route', HttpStatus.NotFound, this.services.status.fields);
       return { status: HttpStatus.NotFound, headers: {}, body: EMPTY_BODY };
     }
     const forwarded = this.toForwardedRequest(request, route);
--- a/packages/lentillb/src/sidecar/meshState.ts
+++ b/packages/lentillb/src/sidecar/meshState.ts
@@ -1,6 +1,7 @@
 /** Maintains the configuration and the host directory of a node, from the store and from other nodes. */
 import type { Result } from 'ts-results-es';
 import { ConfigurationHolder } from '../configuration/configurationHolder.js';
+import { ConfigurationStatus } from '../configuration/configurationStatus.js';
 import type { MeshConfiguration } from '../configuration/meshConfiguration.js';
 import type { Announcement } from '../directory/announcement.js';
 import { decodeAnnouncement } from '../directory/announcement.js';
@@ -67,6 +68,9 @@
 export class MeshState {
   readonly configuration = new ConfigurationHolder();
 
+  /** How current the configuration is. */
+  readonly status: ConfigurationStatus;
+
   readonly directory = new Directory();
 
   /** Decides whether this node reads the store itself. */
@@ -94,6 +98,7 @@
     private readonly options: MeshStateOptions,
     private readonly listener: MeshStateListener,
   ) {
+    this.status = new ConfigurationStatus(services.clock, this.configuration);
     this.role = new StoreReaderRole({ clock: services.clock, directory: this.directory }, options);
     const { role } = this;
     this.operatorFollower = this.follow(
@@ -151,12 +156,14 @@
     this.completeHosts();
     if (change !== undefined) {
       const { baseVersion, version } = change;
+      const { heardMs } = this.status.fields;
       const inForce = this.configuration.applyIfNewer(change);
       this.services.log.record(Importance.Notable, 'configuration', {
         version,
         baseVersion,
         inForce,
         source: 'node',
+        heardMs,
       });
     }
   }
@@ -201,7 +208,12 @@
         this.role.noteStoreResult(topic, false);
         log.record(Importance.Notable, 'store-lost', { topic, kind, message });
       },
-      onAnswered: () => this.role.noteStoreResult(topic, true),
+      onAnswered: () => {
+        this.role.noteStoreResult(topic, true);
+        if (topic === Topic.Operator) {
+          this.status.noteStoreAnswer();
+        }
+      },
       onRecovered: () => {
         log.record(Importance.Notable, 'store-regained', { topic });
       },
@@ -210,10 +222,12 @@
 
   private acceptConfigurations(records: readonly KeyedRecord[]): void {
     const { configurationKey, decodeConfiguration } = this.options;
-    const newest = records.findLast(({ key }) => key === configurationKey);
+    const configurations = records.filter(({ key }) => key === configurationKey);
+    const newest = configurations.at(-1);
     if (newest?.value === undefined) {
       return;
     }
+    const skipped = configurations.length - 1;
     const decoded = decodeConfiguration(newest.value);
     if (decoded.isErr()) {
       this.reject(`configuration at offset ${newest.offset}`, decoded.error);
@@ -222,7 +236,12 @@
     const { version } = decoded.value;
     const inForce = this.configuration.activateIfNewer(decoded.value);
     const { offset } = newest;
-    this.services.log.record(Importance.Notable, 'configuration', { version, inForce, offset });
+    this.services.log.record(Importance.Notable, 'configuration', {
+      version,
+      inForce,
+      offset,
+      skipped,
+    });
   }
 
   private acceptAnnouncements(records: readonly KeyedRecord[]): void {
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -162,7 +162,7 @@
         onOwnRecord: (announcement) => this.restoreOwnRecord(announcement),
       },
     );
-    const { configuration, directory, role } = this.meshState;
+    const { configuration, directory, role, status } = this.meshState;
     this.backendServer = new LocalBackendServer(clock, () => this.onBackendServerChange());
     const { backendServer } = this;
     this.statedLimit = new StatedLimit(clock, log);
@@ -220,6 +220,7 @@
         clock,
         randomness,
         configuration,
+        status,
         directory,
         transport: this.gossipSocket,
         fetchState,
@@ -261,6 +262,7 @@
         clock,
         randomness,
         configuration,
+        status,
         rotation: new SmoothWeightedRoundRobin(randomness),
         directory,
         observations,
--- a/tests/cli/trace.spec.ts
+++ b/tests/cli/trace.spec.ts
@@ -70,6 +70,22 @@
     ]);
   });
 
+  it('should tell which version had no route, and which newer one the node had heard of', async () => {
+    const missing = { requestId: 'r1', cause: 'no-route', configurationVersion: 4, inForceMs: 900 };
+    const heard = { newerVersion: 6, heardFrom: '10.0.0.2:7600', heardMs: 310 };
+    const file = await writeLogFile('no-route.log', [
+      createLine('10.0.0.1', 1, { event: 'request-failed', ...missing }),
+      createLine('10.0.0.1', 2, { event: 'request-failed', ...missing, ...heard }),
+    ]);
+    const traced = await trace('r1', file);
+    expect(traced.printed.slice(-2)).toEqual([
+      '10.0.0.1: refused: no route of version 4 matches the request; it was in force for 900 ms, ' +
+        'no newer version was known',
+      '10.0.0.1: refused: no route of version 4 matches the request; it was in force for 900 ms, ' +
+        'version 6 was known from 10.0.0.2:7600 for 310 ms',
+    ]);
+  });
+
   it('should keep the order of a file whose host set its clock back', async () => {
     const file = await writeLogFile('clock.log', [
       createLine('10.0.0.1', 50, { event: 'first', requestId: 'r1' }),
--- a/tests/peers/gossip.spec.ts
+++ b/tests/peers/gossip.spec.ts
@@ -1,6 +1,7 @@
 import { runInBackground } from 'lentillb/utils/background.js';
 import { SeededRandomness } from 'lentillb';
 import { ConfigurationHolder } from 'lentillb/configuration/configurationHolder.js';
+import { ConfigurationStatus } from 'lentillb/configuration/configurationStatus.js';
 import type { GateLoad } from 'lentillb/directory/gateLoad.js';
 import { Directory } from 'lentillb/directory/directory.js';
 import { DecisionLog } from 'lentillb/observability/decisionLog.js';
@@ -29,6 +30,8 @@
 
   readonly era = new StoreEraTracker();
 
+  readonly status: ConfigurationStatus;
+
   readonly role: StoreReaderRole;
 
   constructor(
@@ -36,6 +39,7 @@
     readonly host: string,
     readonly zone: string,
   ) {
+    this.status = new ConfigurationStatus(clock, this.configuration);
     this.role = new StoreReaderRole({ clock, directory: this.directory }, { host, zone });
   }
 }
@@ -70,6 +74,7 @@
         clock,
         randomness: new SeededRandomness(index + 1),
         configuration: node.configuration,
+        status: node.status,
         directory: node.directory,
         role: node.role,
         era: node.era,
--- a/tests/serving/entry.spec.ts
+++ b/tests/serving/entry.spec.ts
@@ -3,6 +3,7 @@
 import { Outcome } from 'lentillb/calls/callHeaders.js';
 import { Cancellation } from 'lentillb/calls/cancellation.js';
 import { ConfigurationHolder } from 'lentillb/configuration/configurationHolder.js';
+import { ConfigurationStatus } from 'lentillb/configuration/configurationStatus.js';
 import { SmoothWeightedRoundRobin } from 'lentillb/configuration/smoothWeightedRoundRobin.js';
 import { Directory } from 'lentillb/directory/directory.js';
 import { DecisionLog } from 'lentillb/observability/decisionLog.js';
@@ -139,6 +140,7 @@
       clock,
       randomness,
       configuration,
+      status: new ConfigurationStatus(clock, configuration),
       rotation: new SmoothWeightedRoundRobin(randomness),
       directory,
       observations,
--- a/tests/sidecar/storeHistory.spec.ts
+++ b/tests/sidecar/storeHistory.spec.ts
@@ -67,7 +67,7 @@
         },
       },
     );
-    const { configuration, directory, role } = this.state;
+    const { configuration, directory, role, status } = this.state;
     const identity = { host, zone, gateAddress: `${host}:1`, peerAddress: `${host}:2` };
     this.announcer = new StoreAnnouncer(
       { clock, randomness, store, directory, log, era },
@@ -83,6 +83,7 @@
         clock,
         randomness,
         configuration,
+        status,
         directory,
         role,
         era,
