Put the newest valid version of a read in force, in whatever order its records come

Callers saw: an added route is refused with 404 although its version was confirmed, and stays so until the next version. Cause: of all configuration records of one read (half a second of changes) only the last was decoded. If it was unreadable, or a write that the store had executed late, a valid newer version in the same read was dropped, and nobody read it again. A node that started behind an unreadable record got no configuration at all: the newest record of a key was taken for its newest valid one. Class of fault: the position in the log taken for validity and age. Now each record of a read is decoded by itself, and the newest valid version is activated. A node without any configuration whose newest record is unusable reads the retained records once, from the first that the store names; later records come as usual, so the calls to the store stay bounded.

--- a/packages/lentillb/src/sidecar/meshState.ts
+++ b/packages/lentillb/src/sidecar/meshState.ts
@@ -82,6 +82,9 @@
 
   private hostsLoaded = false;
 
+  /** Whether the last records of the configuration that were read held no valid version. */
+  private hasUnusableRecord = false;
+
   /** The record of this host that the store had when it was read last. */
   private ownStoredRecord: Announcement | undefined;
 
@@ -106,6 +109,7 @@
         topic: Topic.Operator,
         batchDelayMs: CONFIGURATION_BATCH_DELAY_MS,
         shouldRead: () => role.shouldRead(Topic.Operator),
+        needsHistory: () => this.hasUnusableRecord && this.configuration.current === undefined,
       },
       (records) => this.acceptConfigurations(records),
     );
@@ -220,30 +224,38 @@
     });
   }
 
+  /**
+   * Activates the newest valid version among the records of one read. Their order does not matter: a
+   * write that the store executed late stands behind a newer version.
+   */
   private acceptConfigurations(records: readonly KeyedRecord[]): void {
-    const { configurationKey, decodeConfiguration } = this.options;
-    const configurations = records.filter(({ key }) => key === configurationKey);
-    const newest = configurations.at(-1);
-    if (newest?.value === undefined) {
-      return;
-    }
-    const skipped = configurations.length - 1;
-    const decoded = decodeConfiguration(newest.value);
-    if (decoded.isErr()) {
-      this.reject(`configuration at offset ${newest.offset}`, decoded.error);
+    const { configurationKey } = this.options;
+    const written = records.filter(
+      ({ key, value }) => key === configurationKey && value !== undefined,
+    );
+    const valid = written.flatMap((record) => this.decodeRecord(record) ?? []);
+    this.hasUnusableRecord = written.length > 0 && valid.length === 0;
+    const [newest] = valid.sort((left, right) => right.version - left.version);
+    if (newest === undefined) {
       return;
     }
-    const { version } = decoded.value;
-    const inForce = this.configuration.activateIfNewer(decoded.value);
-    const { offset } = newest;
     this.services.log.record(Importance.Notable, 'configuration', {
-      version,
-      inForce,
-      offset,
-      skipped,
+      version: newest.version,
+      inForce: this.configuration.activateIfNewer(newest),
+      offset: records.at(-1)?.offset,
+      records: written.length,
     });
   }
 
+  private decodeRecord({ offset, value }: KeyedRecord): MeshConfiguration | undefined {
+    const decoded = this.options.decodeConfiguration(value ?? new Uint8Array());
+    if (decoded.isErr()) {
+      this.reject(`configuration at offset ${offset}`, decoded.error);
+      return undefined;
+    }
+    return decoded.value;
+  }
+
   private acceptAnnouncements(records: readonly KeyedRecord[]): void {
     records.forEach(({ key, value }) => {
       if (value === undefined) {
--- a/packages/lentillb/src/store/keyedStore.ts
+++ b/packages/lentillb/src/store/keyedStore.ts
@@ -56,6 +56,8 @@
   /** Names the call and what went wrong. */
   readonly message: string;
   readonly era?: StoreEra;
+  /** The offset of the first retained record, if the store names it when a record is not retained. */
+  readonly firstOffset?: number;
 }
 
 /** The platform's store of keyed records. */
--- a/packages/lentillb/src/store/topicFollower.ts
+++ b/packages/lentillb/src/store/topicFollower.ts
@@ -46,6 +46,11 @@
   readonly batchDelayMs: number;
   /** Returns whether to read now; called again after a pause if not. */
   readonly shouldRead: () => boolean;
+  /**
+   * Returns whether the newest records were unusable, so that all retained ones are read. Called
+   * after each read of the newest records; by default, they are never unusable.
+   */
+  readonly needsHistory?: () => boolean;
 }
 
 /** Reads the newest records of a topic, then waits for new ones. */
@@ -56,6 +61,9 @@
 
   private caughtUp = false;
 
+  /** Whether the retained records before the newest ones are being read. */
+  private readsHistory = false;
+
   private stopped = false;
 
   private restarts = 0;
@@ -119,6 +127,7 @@
    */
   restart(): void {
     this.nextOffset = undefined;
+    this.readsHistory = false;
     this.restarts += 1;
     this.abandonRead?.();
   }
@@ -153,10 +162,17 @@
       this.unavailable = false;
       this.listener.onRecovered();
     }
+    const isNewest = this.nextOffset === undefined;
     this.nextOffset = batch.nextOffset;
     if (batch.records.length > 0) {
       this.listener.onRecords(batch.records);
     }
+    if (isNewest && !this.readsHistory && this.options.needsHistory?.() === true) {
+      this.nextOffset = 0;
+      this.readsHistory = true;
+      return;
+    }
+    this.readsHistory = false;
     if (!this.caughtUp) {
       this.caughtUp = true;
       this.listener.onCaughtUp();
@@ -165,7 +181,7 @@
 
   private handleFailure(failure: StoreFailure): void {
     if (failure.kind === StoreFailureKind.NotRetained) {
-      this.nextOffset = undefined;
+      this.nextOffset = this.readsHistory ? failure.firstOffset : undefined;
       return;
     }
     if (!this.unavailable) {
--- a/tests/platform/logStore.spec.ts
+++ b/tests/platform/logStore.spec.ts
@@ -44,11 +44,14 @@
     expect(records[0]).toMatchObject({ key: 'config', offset: 0 });
   });
 
-  it('should report that records are no longer retained', async () => {
+  it('should report that records are no longer retained, and the first one that is', async () => {
     server.write('keyed.op', 'config', '1');
     server.compact('keyed.op');
     const read = await store.follow(Topic.Operator, 0, 0, deadlineAfter());
-    expect(read.unwrapErr().kind).toBe(StoreFailureKind.NotRetained);
+    expect(read.unwrapErr()).toMatchObject({
+      kind: StoreFailureKind.NotRetained,
+      firstOffset: 1,
+    });
   });
 
   it.each([
--- a/tests/support/memoryKeyedStore.ts
+++ b/tests/support/memoryKeyedStore.ts
@@ -20,8 +20,14 @@
   /** Whether the store answers. */
   available = true;
 
+  /** The number of calls so far. */
+  calls = 0;
+
   private era = 1;
 
+  /** The offset of the first operator record that can be read in order. */
+  private firstOffset = 0;
+
   private readonly recordsByTopic: Readonly<Record<Topic, KeyedRecord[]>> = {
     [Topic.Operator]: [],
     [Topic.Hosts]: [],
@@ -36,6 +42,11 @@
     this.era += 1;
   }
 
+  /** @param count - the number of operator records that are deleted, but for the newest of each key */
+  deleteFirst(count: number): void {
+    this.firstOffset = count;
+  }
+
   /** @returns the newest value of a host, as text */
   newestValue(host: string): string | undefined {
     const record = this.recordsByTopic[Topic.Hosts].findLast(({ key }) => key === host);
@@ -43,6 +54,7 @@
   }
 
   async readNewest(topic: Topic): Promise<Result<KeyedBatch, StoreFailure>> {
+    this.calls += 1;
     await this.clock.sleep(CALL_MS);
     if (!this.available) {
       return this.fail(StoreFailureKind.NotExecuted);
@@ -57,6 +69,7 @@
     from: number,
     waitMs: number,
   ): Promise<Result<KeyedBatch, StoreFailure>> {
+    this.calls += 1;
     const endMs = this.clock.monotonicMs() + waitMs;
     await this.clock.sleep(CALL_MS);
     const all = this.recordsByTopic[topic];
@@ -66,8 +79,9 @@
     if (!this.available) {
       return this.fail(StoreFailureKind.NotExecuted);
     }
-    return all.length < from
-      ? this.fail(StoreFailureKind.NotRetained)
+    const firstOffset = topic === Topic.Operator ? this.firstOffset : 0;
+    return all.length < from || from < firstOffset
+      ? this.fail(StoreFailureKind.NotRetained, firstOffset)
       : Ok({ records: all.slice(from), nextOffset: all.length, era: this.era });
   }
 
@@ -85,7 +99,7 @@
     return Ok({ offset: records.length - 1, era: this.era });
   }
 
-  private fail(kind: StoreFailureKind): Result<never, StoreFailure> {
-    return Err({ kind, message: 'the store failed the call', era: this.era });
+  private fail(kind: StoreFailureKind, firstOffset?: number): Result<never, StoreFailure> {
+    return Err({ kind, message: 'the store failed the call', era: this.era, firstOffset });
   }
 }
