Reject a configuration that could not be enforced, instead of putting it in force

Callers saw: requests of a route without a service or with weights of zero fail, a time-out beyond the longest timer fires at once, and limits of zero reject everything, for a version that no proxy should have taken. Cause: the decoder checked types, not whether values can be enforced. Class of fault: input that is checked where it is used, or nowhere, in place of once where it comes in. findConfigurationFault says what a version must meet: a route has a host name, a prefix between slashes, at least one service that the version defines, weights with a positive finite sum, time-outs that a timer can hold; limits are positive. The version is rejected whole, the one in force stays, the line input-rejected names the route, and the metric rejected_inputs counts it. Before: 17 of the new cases in decoding.spec.ts were taken as valid. The documents of tests and soak lacked the table of services, which the platform always sends; they have it now.

--- a/packages/lentillb/src/sidecar/index.ts
+++ b/packages/lentillb/src/sidecar/index.ts
@@ -7,6 +7,7 @@
   MeshConfiguration,
   MeshRoute,
 } from '../configuration/meshConfiguration.js';
+export { findConfigurationFault, MAX_TIMER_MS } from '../configuration/configurationFault.js';
 export { SystemClock } from '../kernel/clock.js';
 export type { Clock } from '../kernel/clock.js';
 export { Deadline } from '../kernel/deadline.js';
--- a/packages/lentillb/src/sidecar/meshState.ts
+++ b/packages/lentillb/src/sidecar/meshState.ts
@@ -82,6 +82,9 @@
 
   private hostsLoaded = false;
 
+  /** The number of records and other inputs that were rejected as invalid. */
+  rejectedInputs = 0;
+
   /** Whether the last records of the configuration that were read held no valid version. */
   private hasUnusableRecord = false;
 
@@ -179,6 +182,7 @@
    * @param reason - why the input is invalid
    */
   reject(source: string, reason: string): void {
+    this.rejectedInputs += 1;
     this.services.log.record(Importance.Notable, 'input-rejected', { source, reason });
   }
 
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -305,6 +305,7 @@
       suspectGuard.learn(announcement);
     });
     metrics.gauge('configuration_version', () => configuration.version);
+    metrics.gauge('rejected_inputs', () => this.meshState.rejectedInputs);
     metrics.gauge('suspect_requests', () => suspects.size);
     metrics.gauge('known_hosts', () => directory.announcements.length);
   }
--- a/soak/src/platformDocuments.ts
+++ b/soak/src/platformDocuments.ts
@@ -177,6 +177,7 @@
       [RouteName.Lodge]: route(RouteName.Lodge, 'desk', timeoutMs),
       [RouteName.Probe]: route(RouteName.Probe, probeServiceOf(version), timeoutMs),
     },
+    services: Object.fromEntries(services.map((service) => [service, {}])),
     limits: {
       'max-header-bytes': 16_384,
       'max-body-bytes': 65_536,
--- a/tests/platform/decoding.spec.ts
+++ b/tests/platform/decoding.spec.ts
@@ -15,7 +15,7 @@
 const CONFIGURATION = {
   version: '0000000c',
   routes: { lodge: ROUTE },
-  services: {},
+  services: { postbag: {}, old: {}, new: {} },
   limits: {
     'max-header-bytes': 16_384,
     'max-body-bytes': 1_000,
@@ -114,6 +114,43 @@
       'a duration without a unit',
       encode({ ...CONFIGURATION, routes: { lodge: { ...ROUTE, timeout: '600' } } }),
     ],
+    ['no table of services', encode({ ...CONFIGURATION, services: undefined })],
+    ...Object.entries({
+      'a route without a service': { service: undefined },
+      'a route to a service that is not defined': { service: 'elsewhere' },
+      'weights that are all zero': {
+        'weighted-services': [
+          { service: 'old', weight: 0 },
+          { service: 'new', weight: 0 },
+        ],
+      },
+      'weights whose sum is too large for a number': {
+        'weighted-services': [
+          { service: 'old', weight: 1e308 },
+          { service: 'new', weight: 1e308 },
+        ],
+      },
+      'a prefix that does not begin with a slash': { 'path-prefix': 'a/' },
+      'a prefix that does not end with a slash': { 'path-prefix': '/a' },
+      'a time-out of zero': { timeout: '0ms' },
+      'a time-out longer than any timer': { timeout: '2147484s' },
+      'a time-out too large for a number': { timeout: `${'9'.repeat(400)}ms` },
+      'a target latency of zero': { 'target-latency': '0s' },
+      'a negative priority': { priority: -1 },
+      'a host name of no letters': { hostname: '' },
+    }).map(([fault, fields]): [string, Buffer] => [
+      fault,
+      encode({ ...CONFIGURATION, routes: { lodge: ROUTE, bad: { ...ROUTE, ...fields } } }),
+    ]),
+    ...Object.entries({
+      'max-header-bytes': 0,
+      'max-body-bytes': -1,
+      'header-timeout': '0ms',
+      'idle-timeout': '0ms',
+    }).map(([limit, value]): [string, Buffer] => [
+      `the limit ${limit} of ${value}`,
+      encode({ ...CONFIGURATION, limits: { ...CONFIGURATION.limits, [limit]: value } }),
+    ]),
     [
       'one invalid route among valid ones',
       encode({ ...CONFIGURATION, routes: { lodge: ROUTE, bad: {} } }),
--- a/tests/platform/program.spec.ts
+++ b/tests/platform/program.spec.ts
@@ -129,7 +129,8 @@
     'header-timeout': '3s',
     'idle-timeout': '15s',
   };
-  const configuration = { version: '00000002', routes: { lodge: route }, limits };
+  const services = { postbag: {} };
+  const configuration = { version: '00000002', routes: { lodge: route }, services, limits };
   store.write('keyed.op', 'config', JSON.stringify(configuration));
   backendServer = new ScriptedBackendServer('i-1');
   await backendServer.listen();
--- a/tests/support/sidecarFleet.ts
+++ b/tests/support/sidecarFleet.ts
@@ -35,6 +35,9 @@
   readonly log: object[];
 }
 
+/** The services that every published configuration defines. */
+const SERVICES = ['pages', 'letters'];
+
 function createRoute(service: string, routeType: string): object {
   return {
     hostname: `${service}.example`,
@@ -80,6 +83,7 @@
         letters: createRoute('letters', 'non_idempotent'),
         ...extraRoutes,
       },
+      services: Object.fromEntries(SERVICES.map((name) => [name, {}])),
       limits: {
         'max-header-bytes': 16_384,
         'max-body-bytes': 100_000,
