Fetch a version only as long as the node that named it has it

A successful transfer from the holder that does not bring the version forgets it; the next status that names one counts again.

--- a/packages/lentillb/src/configuration/configurationStatus.ts
+++ b/packages/lentillb/src/configuration/configurationStatus.ts
@@ -77,6 +77,17 @@
     return true;
   }
 
+  /**
+   * Forgets a version that its node did not have when it was asked; it may have been restarted.
+   *
+   * @param version - the version
+   */
+  forgetVersion(version: number): void {
+    if (this.heard?.version === version) {
+      this.heard = undefined;
+    }
+  }
+
   /** Records that the store answered a read of the configuration. */
   noteStoreAnswer(): void {
     this.storeAnsweredAtMs = this.clock.monotonicMs();
--- a/packages/lentillb/src/peers/stateTransfers.ts
+++ b/packages/lentillb/src/peers/stateTransfers.ts
@@ -101,7 +101,8 @@
    * @returns whether the state was fetched
    */
   async fetch(from: string): Promise<boolean> {
-    const { clock, configuration, fetchState, log } = this.services;
+    const { clock, configuration, fetchState, log, status } = this.services;
+    const wanted = status.newerVersion;
     this.startTimesMs.set(from, clock.monotonicMs());
     const fetched = await fetchState(from, configuration.version);
     this.startTimesMs.delete(from);
@@ -115,6 +116,9 @@
     const { baseVersion, version = 0 } = state.change ?? {};
     log.record(Importance.Notable, 'state-fetched', { from, baseVersion, version, hosts });
     this.onState(state, from);
+    if (wanted !== undefined && this.holder?.address === from && version < wanted.version) {
+      status.forgetVersion(wanted.version);
+    }
     // Another version may have come into force during the transfer, so that the change does not fit.
     const isUnfit = version > configuration.version && baseVersion !== configuration.version;
     return isUnfit && baseVersion !== 0 ? this.fetch(from) : true;
--- a/tests/peers/gossip.spec.ts
+++ b/tests/peers/gossip.spec.ts
@@ -53,6 +53,7 @@
   /** Hosts that get no answer from the store. */
   const storeUnreachable = new Set<string>();
   const sentCounts = new Map<string, number>();
+  const fetchCounts = new Map<string, number>();
   const gossips = new Map<string, Gossip>();
   /** The loads that each host has received, by the host that sent them. */
   const receivedLoads = new Map(nodes.map(({ host }) => [host, new Map<string, GateLoad>()]));
@@ -90,6 +91,7 @@
           },
         },
         fetchState: (address, heldVersion) => {
+          fetchCounts.set(node.host, (fetchCounts.get(node.host) ?? 0) + 1);
           const other = byAddress.get(address);
           if (other === undefined || isDisconnected(other.host)) {
             return Promise.resolve(Err('not reached'));
@@ -130,7 +132,7 @@
     }
   };
   runInBackground(readStore());
-  return { storeUnreachable, disconnected, gossips, nodes, receivedLoads, sentCounts };
+  return { storeUnreachable, disconnected, fetchCounts, gossips, nodes, receivedLoads, sentCounts };
 }
 
 const TWO_ZONES = { a1: 'a', a2: 'a', a3: 'a', a4: 'a', b1: 'b', b2: 'b', b3: 'b' };
@@ -222,6 +224,27 @@
     nodes.forEach(({ configuration }) => expect(configuration.version).toBe(5));
   });
 
+  it('should not fetch a version again and again that its node does not have', async () => {
+    const clock = new ManualClock();
+    const { fetchCounts, gossips, nodes } = network(clock, TWO_ZONES);
+    await clock.advance(2_000);
+    nodes.forEach(({ configuration }) =>
+      configuration.activateIfNewer({ version: 5, routes: [], limits: LIMITS }),
+    );
+    gossips.get('a3')?.receive('a4:1', {
+      kind: GossipMessageKind.Status,
+      readsStore: true,
+      configurationVersion: 4_000_000_000,
+      directoryDigest: 0,
+      storeEra: 0,
+      readAgesMs: { operator: 0, hosts: 0 },
+      gateLoads: [],
+    });
+    await clock.advance(10_000);
+    expect(fetchCounts.get('a3')).toBeLessThanOrEqual(1);
+    expect(nodes.find(({ host }) => host === 'a3')?.status.newerVersion).toBeUndefined();
+  });
+
   it('should distribute an announcement to all nodes', async () => {
     const clock = new ManualClock();
     const { nodes } = network(clock, TWO_ZONES);
