Ask callers to come back, not away, while a newer version is known and not there yet

Callers saw: 404 on a route that the confirmed version has, which no client repeats. Cause: a node that had heard of a newer version and had not got it answered as if its own were the newest. Class of fault: an answer that is final on knowledge that is known to be outdated. Such a request gets 503 with Retry-After 0.2 s and the cause newer-configuration, true since it did not run; the version takes some 20 to 400 ms. Requests whose route exists are still served by the version in force: holding all of them back for a version that may not concern them would cost every caller. Test in entry.spec.ts, 404 in place of 503 before.

--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -58,7 +58,7 @@
   readonly clock: Clock;
   readonly randomness: Randomness;
   readonly configuration: ConfigurationHolder;
-  readonly status: Pick<ConfigurationStatus, 'fields'>;
+  readonly status: Pick<ConfigurationStatus, 'fields' | 'newerVersion'>;
   readonly rotation: SmoothWeightedRoundRobin;
   readonly directory: Directory;
   readonly observations: GateObservations;
@@ -94,6 +94,8 @@
 const MAX_ON_TIME_ATTEMPTS = 2;
 /** The retry delay sent to callers while the node has no configuration, in milliseconds. */
 const UNCONFIGURED_RETRY_AFTER_MS = 500;
+/** The retry delay sent to callers while the node fetches a newer version, in milliseconds. */
+const BEHIND_RETRY_AFTER_MS = 200;
 /** The retry delay sent to callers of a service without backend servers, in milliseconds. */
 const UNSERVED_RETRY_AFTER_MS = 250;
 /** The share of the typical service time that must remain before the deadline for a retry. */
@@ -156,8 +158,7 @@
     }
     const route = table.find(request.headers.host ?? '', request.target);
     if (route === undefined) {
-      this.recordFailure(request, 'no-route', HttpStatus.NotFound, this.services.status.fields);
-      return { status: HttpStatus.NotFound, headers: {}, body: EMPTY_BODY };
+      return this.answerMissingRoute(request);
     }
     const forwarded = this.toForwardedRequest(request, route);
     this.services.allowance.recordRequest(forwarded.service);
@@ -179,6 +180,16 @@
       : this.deliverAnswer(request, attempts, answer);
   }
 
+  /** A route that is missing may be one of a version that this node has heard of and not got yet. */
+  private answerMissingRoute(request: CallerRequest): EntryAnswer {
+    const { fields, newerVersion } = this.services.status;
+    if (newerVersion !== undefined) {
+      return this.refuse(request, 'newer-configuration', BEHIND_RETRY_AFTER_MS, fields);
+    }
+    this.recordFailure(request, 'no-route', HttpStatus.NotFound, fields);
+    return { status: HttpStatus.NotFound, headers: {}, body: EMPTY_BODY };
+  }
+
   /** Returns the gates that may get a request: those of its service, in a trial only one of them. */
   private candidatesFor({ request, trialHostHash }: Attempts): readonly GateEndpoint[] {
     const candidates = this.services.directory.endpointsOf(request.service);
--- a/tests/serving/entry.spec.ts
+++ b/tests/serving/entry.spec.ts
@@ -135,12 +135,13 @@
   /** Replies that a test controls itself, in place of scripted ones. */
   const silentReplies: (Promise<GateReply> | undefined)[] = [];
   let script: readonly ScriptedReply[] = [];
+  const status = new ConfigurationStatus(clock, configuration);
   const entry = new Entry(
     {
       clock,
       randomness,
       configuration,
-      status: new ConfigurationStatus(clock, configuration),
+      status,
       rotation: new SmoothWeightedRoundRobin(randomness),
       directory,
       observations,
@@ -165,11 +166,15 @@
     },
     { names: wireHeaders, callerService: 'c' },
   );
-  const serve = (replyScript: readonly ScriptedReply[]): Promise<EntryAnswer> => {
+  const serve = (
+    replyScript: readonly ScriptedReply[],
+    request: Partial<typeof REQUEST> = {},
+  ): Promise<EntryAnswer> => {
     script = replyScript;
     askedHosts.length = 0;
     return entry.serve({
       ...REQUEST,
+      ...request,
       cancellation: new Cancellation(),
       arrivedAtMs: clock.monotonicMs(),
     });
@@ -189,7 +194,17 @@
       }),
     );
   };
-  return { askedHosts, blockContent, cancellations, clock, receivedReplies, serve, silentReplies };
+  return {
+    askedHosts,
+    blockContent,
+    cancellations,
+    clock,
+    configuration,
+    receivedReplies,
+    serve,
+    silentReplies,
+    status,
+  };
 }
 
 const scripts = fc.array(fc.constantFrom(...Object.values(ScriptedReply)), { maxLength: 6 });
@@ -230,6 +245,20 @@
     );
   });
 
+  it('should not answer that a route does not exist while it lacks a newer version', async () => {
+    const { configuration, serve, status } = fixture(Repetition.Once, 0);
+    const unknown = { headers: { ...REQUEST.headers, host: 'added.example' } };
+    expect((await serve([], unknown)).status).toBe(404);
+    status.noteVersion(2, 'other:1');
+    const refused = await serve([], unknown);
+    expect(refused.status).toBe(503);
+    expect(Number(refused.headers['retry-after'])).toBeGreaterThan(0);
+    expect((await serve([])).status).toBe(200);
+    const { limits } = configuration.current!.configuration;
+    configuration.activateIfNewer({ version: 2, routes: [], limits });
+    expect((await serve([], unknown)).status).toBe(404);
+  });
+
   it('should reach no more backend servers than the route allows', async () => {
     await fc.assert(
       fc.asyncProperty(scripts, async (script) => {
