Bound what other writers send where it is decoded, so that one odd entry costs that entry only

Seen by the users on systems like this one: one odd entry in the list ends the machines that read it again and again, or they stop following it. It could happen here. Cause: announcements were checked for types; ports, counts and times reached sockets and timers as they came. Class of fault: input that passes the boundary in a type that can hold what throws later. The same cause elsewhere: percent-escapes in the path of a heartbeat and in the gate's request header, and a target that is no URL at the listener for other nodes, threw out of their handlers; numbers in replies of gates could be infinite; a start in the far future made all later heartbeats those of an earlier run. Not done: an odd entry that is valid throughout (a host that is not there) is still tried until connections to it fail.

--- a/packages/lentillb/src/directory/announcement.ts
+++ b/packages/lentillb/src/directory/announcement.ts
@@ -2,6 +2,7 @@
 import type { Result } from 'ts-results-es';
 import { Err, Ok } from 'ts-results-es';
 import * as z from 'zod/mini';
+import { isNetworkAddress } from '../utils/networkAddress.js';
 
 /** The states of a backend server. Only a ready one accepts requests. */
 export const BackendServerState = {
@@ -11,13 +12,33 @@
 } as const;
 export type BackendServerState = (typeof BackendServerState)[keyof typeof BackendServerState];
 
+/** The longest name of a host, zone, service or backend server, in characters: that of a key. */
+const MAX_NAME_LENGTH = 255;
+/** The greatest ordering number; half of what can be counted, so that a host can exceed any other's. */
+const MAX_ORDINAL = 2 ** 52;
+/** The latest time, in Unix milliseconds, that fits into the datagrams of reports. */
+const MAX_TIME_MS = 2 ** 48 - 1;
+/** The greatest number of requests that a backend server runs at once. */
+const MAX_SLOTS = 65_535;
+/** The greatest bandwidth of a link, in megabits per second. */
+const MAX_LINK_MEGABITS = 1_000_000;
+/** The greatest number of interrupted runs in an announcement; several times what a node announces. */
+const MAX_INTERRUPTED_RUNS = 64;
+
+const name = z.string().check(z.minLength(1), z.maxLength(MAX_NAME_LENGTH));
+const ordinal = z.int().check(z.nonnegative(), z.maximum(MAX_ORDINAL));
+const unixTimeMs = z.int().check(z.nonnegative(), z.maximum(MAX_TIME_MS));
+const networkAddress = z
+  .string()
+  .check(z.refine(isNetworkAddress, 'expected an IP address and a port from 1 to 65535'));
+
 const backendServerSchema = z.object({
   /** The identity of this instance of the backend server. */
-  id: z.string(),
+  id: name,
   /** The start time in Unix milliseconds; a restart under the same identity has a later one. */
-  startedAtMs: z.number(),
-  service: z.string(),
-  slots: z.number(),
+  startedAtMs: unixTimeMs,
+  service: name,
+  slots: z.int().check(z.positive(), z.maximum(MAX_SLOTS)),
   state: z.enum(BackendServerState),
 });
 
@@ -25,26 +46,31 @@
 const interruptedRunSchema = z.object({
   contentHash: z.string().check(z.regex(/^[0-9a-f]{24}$/)),
   runHash: z.uint32(),
-  endedAtMs: z.int().check(z.nonnegative()),
+  endedAtMs: unixTimeMs,
 });
 
-/** The schema of an announcement. */
-export const announcementSchema = z.object({
+/**
+ * The schema of an announcement. Values are bounded, because those of another writer must neither end
+ * a node nor outrank all others for ever.
+ */
+const announcementSchema = z.object({
   /** The address of the host. */
-  host: z.string(),
-  zone: z.string(),
+  host: name,
+  zone: name,
   /** The address and port at which the gate of the host accepts requests. */
-  gateAddress: z.string(),
+  gateAddress: networkAddress,
   /** The address and port at which the node answers other nodes. */
-  peerAddress: z.string(),
+  peerAddress: networkAddress,
   /** The bandwidth of the host's link in megabits per second, if known. */
-  linkMegabits: z.optional(z.number()),
+  linkMegabits: z.optional(z.number().check(z.nonnegative(), z.maximum(MAX_LINK_MEGABITS))),
   /** Increases with every restart of the node. */
-  incarnation: z.number(),
+  incarnation: ordinal,
   /** Increases with every announcement within one incarnation. */
-  sequence: z.number(),
+  sequence: ordinal,
   backendServer: z.optional(backendServerSchema),
-  interruptedRuns: z.optional(z.array(interruptedRunSchema)),
+  interruptedRuns: z.optional(
+    z.array(interruptedRunSchema).check(z.maxLength(MAX_INTERRUPTED_RUNS)),
+  ),
 });
 
 /** One instance of a backend server, as its node announces it. */
--- a/packages/lentillb/src/peers/nodeState.ts
+++ b/packages/lentillb/src/peers/nodeState.ts
@@ -3,8 +3,9 @@
 import { Err, Ok } from 'ts-results-es';
 import * as z from 'zod/mini';
 import type { ConfigurationChange } from '../configuration/configurationChange.js';
+import { findConfigurationFault } from '../configuration/configurationFault.js';
 import type { Announcement } from '../directory/announcement.js';
-import { announcementSchema } from '../directory/announcement.js';
+import { checkAnnouncement } from '../directory/announcement.js';
 import { Repetition } from '../rules/ruleForms.js';
 
 const changeSchema = z.object({
@@ -34,8 +35,8 @@
 
 const nodeStateSchema = z.object({
   /** Omitted if the requesting node has the same configuration version or a newer one. */
-  change: z.optional(changeSchema),
-  announcements: z.array(announcementSchema),
+  change: z.optional(z.unknown()),
+  announcements: z.array(z.unknown()),
 });
 
 /** The configuration and the announcements that a node transfers to another. */
@@ -43,6 +44,20 @@
   /** The difference to the configuration of the requesting node; undefined if it is up to date. */
   readonly change: ConfigurationChange | undefined;
   readonly announcements: readonly Announcement[];
+  /** Why parts of a received state are left out. */
+  readonly rejected?: readonly string[];
+}
+
+function checkChange(value: unknown): Result<ConfigurationChange, string> {
+  const checked = changeSchema.safeParse(value);
+  if (!checked.success) {
+    return Err(z.prettifyError(checked.error));
+  }
+  const { routes } = checked.data;
+  // The node that decoded the configuration has compared its routes with its services.
+  const services = routes.flatMap(({ destinations }) => destinations.map(({ service }) => service));
+  const fault = findConfigurationFault(checked.data, new Set(services));
+  return fault === undefined ? Ok(checked.data) : Err(fault);
 }
 
 /**
@@ -56,7 +71,7 @@
 }
 
 /**
- * Decodes the state of a node.
+ * Decodes the state of a node. An invalid part is left out; the others hold.
  *
  * @param text - the JSON text
  * @returns the state, or why the text is invalid
@@ -67,8 +82,14 @@
     if (!checked.success) {
       return Err(z.prettifyError(checked.error));
     }
-    const { announcements, change } = checked.data;
-    return Ok({ announcements, change });
+    const change = checked.data.change === undefined ? undefined : checkChange(checked.data.change);
+    const announcements = checked.data.announcements.map(checkAnnouncement);
+    const results = change === undefined ? announcements : [change, ...announcements];
+    return Ok({
+      change: change?.unwrapOr(undefined),
+      announcements: announcements.flatMap((one) => (one.isOk() ? [one.value] : [])),
+      rejected: results.flatMap((one) => (one.isErr() ? [one.error] : [])),
+    });
   } catch (error) {
     return Err(`the state of the node is not valid JSON: ${(error as Error).message}`);
   }
--- a/packages/lentillb/src/peers/stateServer.ts
+++ b/packages/lentillb/src/peers/stateServer.ts
@@ -59,7 +59,9 @@
   }
 
   private async handle({ url = '/' }: IncomingMessage, response: ServerResponse): Promise<void> {
-    const { pathname, searchParams } = new URL(url, 'http://node');
+    // The target is not parsed as a URL, because that throws where it is not one.
+    const [pathname = '', query] = url.split('?', 2);
+    const searchParams = new URLSearchParams(query);
     const bodyProviders: Readonly<Record<string, () => string | Promise<Buffer>>> = {
       [PeerPath.Metrics]: () => this.metrics.renderText(),
       [PeerPath.State]: () =>
--- a/packages/lentillb/src/serving/gateProtocol.ts
+++ b/packages/lentillb/src/serving/gateProtocol.ts
@@ -43,6 +43,15 @@
   return { ...request.headers, [REQUEST_HEADER]: fields.join(' ') };
 }
 
+/** Decodes a name; undefined if it is malformed. */
+function decodeName(encoded: string | undefined): string | undefined {
+  try {
+    return encoded === undefined ? undefined : decodeURIComponent(encoded);
+  } catch {
+    return undefined;
+  }
+}
+
 /** A request as it arrives at the node of a backend server. */
 export interface ArrivedRequest {
   readonly method: string;
@@ -66,10 +75,15 @@
   { body, cancellation, headers, method, target }: ArrivedRequest,
 ): ForwardedRequest | undefined {
   const value = headers[REQUEST_HEADER];
-  const [service, route, priority, repeatable, targetLatencyMs, targetMs, deadlineMs, limitText] =
+  const [serviceText, routeText, priorityText, repeatable, ...rest] =
     typeof value === 'string' ? value.split(' ') : [];
-  const waitLimit = waitLimits.find((one) => one === limitText);
-  if (service === undefined || route === undefined || waitLimit === undefined) {
+  const [service, route] = [decodeName(serviceText), decodeName(routeText)];
+  const [priority, targetLatencyMs, targetMs, deadlineMs] = [priorityText, ...rest.slice(0, 3)].map(
+    Number,
+  ) as [number, number, number, number];
+  const waitLimit = waitLimits.find((one) => one === rest[3]);
+  const isNumeric = Number.isFinite(priority + targetLatencyMs + targetMs + deadlineMs);
+  if (service === undefined || route === undefined || waitLimit === undefined || !isNumeric) {
     return undefined;
   }
   const nowMs = clock.monotonicMs();
@@ -80,13 +94,13 @@
     target,
     headers: forwardedHeaders(headers),
     body,
-    service: decodeURIComponent(service),
-    route: decodeURIComponent(route),
-    priority: Number(priority),
+    service,
+    route,
+    priority,
     repeatable: repeatable === '1',
-    targetLatencyMs: Number(targetLatencyMs),
-    targetAtMs: nowMs + Number(targetMs),
-    deadlineAtMs: nowMs + Number(deadlineMs),
+    targetLatencyMs,
+    targetAtMs: nowMs + targetMs,
+    deadlineAtMs: nowMs + deadlineMs,
     waitLimit,
     cancellation,
   };
@@ -134,7 +148,7 @@
   if (load === undefined || serviceMs === undefined) {
     return undefined;
   }
-  const isNumeric = !Number.isNaN(load + serviceMs + (limitPerSecond ?? 0));
+  const isNumeric = Number.isFinite(load + serviceMs + (limitPerSecond ?? 0));
   return isNumeric ? { load, serviceMs, limitPerSecond } : undefined;
 }
 
@@ -151,13 +165,14 @@
   const report = decodeReport(headers);
   const failed = headers[FAILURE_HEADER];
   if (typeof failed === 'string') {
-    const [outcome, cause, waitMs] = failed.split(' ');
+    const [outcome, cause, waitText] = failed.split(' ');
+    const waitMs = Number(waitText);
     return {
       report,
       result: Err({
         outcome: outcomes.find((one) => one === outcome) ?? Outcome.Unknown,
         cause: causes.find((one) => one === cause) ?? FailureCause.InvalidAnswer,
-        waitMs: waitMs === undefined ? undefined : Number(waitMs),
+        waitMs: Number.isFinite(waitMs) ? waitMs : undefined,
       }),
     };
   }
--- a/packages/lentillb/src/sidecar/index.ts
+++ b/packages/lentillb/src/sidecar/index.ts
@@ -29,7 +29,7 @@
 export { StoreFailureKind, Topic } from '../store/keyedStore.js';
 export { runInBackground } from '../utils/background.js';
 export { listenAt } from '../utils/listening.js';
-export { parseAddress } from '../utils/networkAddress.js';
+export { isNetworkAddress, parseAddress } from '../utils/networkAddress.js';
 export { readJson } from '../utils/readJson.js';
 export { Sidecar } from './sidecar.js';
 export type { SidecarOptions, SidecarServices } from './sidecar.js';
--- a/packages/lentillb/src/sidecar/meshState.ts
+++ b/packages/lentillb/src/sidecar/meshState.ts
@@ -163,7 +163,8 @@
    *
    * @param state - the state of the other node
    */
-  acceptState({ announcements, change }: NodeState): void {
+  acceptState({ announcements, change, rejected = [] }: NodeState): void {
+    rejected.forEach((reason) => this.reject('state of another node', reason));
     announcements.forEach((announcement) => this.acceptAnnouncement(announcement));
     this.completeHosts();
     if (change !== undefined) {
@@ -289,6 +290,10 @@
         this.reject(`announcement of host ${key}`, decoded.error);
         return;
       }
+      if (decoded.value.host !== key) {
+        this.reject(`announcement of host ${key}`, `it names host ${decoded.value.host}`);
+        return;
+      }
       if (decoded.value.host === this.options.host) {
         this.ownStoredRecord = decoded.value;
       }
--- a/tests/peers/stateTransfer.spec.ts
+++ b/tests/peers/stateTransfer.spec.ts
@@ -48,8 +48,8 @@
   directory.merge({
     host: 'h',
     zone: 'z',
-    gateAddress: 'h:2',
-    peerAddress: 'h:1',
+    gateAddress: '127.0.0.1:2',
+    peerAddress: '127.0.0.1:1',
     incarnation: 1,
     sequence: 1,
   });
--- a/tests/platform/decoding.spec.ts
+++ b/tests/platform/decoding.spec.ts
@@ -36,6 +36,9 @@
   born: 1_700_000_000_000,
 };
 
+/** A day after the start of the backend server. */
+const NOW = new Date(HEARTBEAT.born + 86_400_000);
+
 const SETTINGS = {
   self: {
     ip: '10.0.0.1',
@@ -162,7 +165,7 @@
 
 describe('heartbeat', () => {
   it('should be decoded with its identity and start time', () => {
-    expect(decodeHeartbeat('i-1', HEARTBEAT).unwrap()).toEqual({
+    expect(decodeHeartbeat('i-1', HEARTBEAT, NOW).unwrap()).toEqual({
       id: 'i-1',
       service: 'postbag',
       address: '10.0.0.1:80',
@@ -180,9 +183,18 @@
     ['an unknown state', { ...HEARTBEAT, state: 'sleeping' }],
     ['no slots', { ...HEARTBEAT, capacity: 0 }],
     ['a start time that is not an integer', { ...HEARTBEAT, born: 1.5 }],
+    ['a port out of range', { ...HEARTBEAT, address: '10.0.0.1:99999' }],
+    ['a port of zero', { ...HEARTBEAT, address: '10.0.0.1:0' }],
+    ['an address without a port', { ...HEARTBEAT, address: '10.0.0.1' }],
+    ['slots too large', { ...HEARTBEAT, capacity: 1e300 }],
+    ['a warm-up too long for a timer', { ...HEARTBEAT, 'warmup-left': `${'9'.repeat(400)}s` }],
+    ['a sequence too large', { ...HEARTBEAT, sequence: 1e300 }],
+    ['a start time too large', { ...HEARTBEAT, born: 2 ** 53 - 1 }],
+    ['a start two days from now', { ...HEARTBEAT, born: NOW.getTime() + 2 * 86_400_000 }],
+    ['a service without a name', { ...HEARTBEAT, service: '' }],
     ['nothing', null],
   ])('should be rejected for %s', (_, value) => {
-    expect(decodeHeartbeat('i-1', value).isErr()).toBe(true);
+    expect(decodeHeartbeat('i-1', value, NOW).isErr()).toBe(true);
   });
 });
 
--- a/tests/platform/program.spec.ts
+++ b/tests/platform/program.spec.ts
@@ -219,6 +219,15 @@
     expect(console.printed.at(-1)).toContain('it may have run: connection-lost');
   });
 
+  it.each(['/instances/%', '/instances/%ff%', `/instances/${'i'.repeat(300)}`])(
+    'should reject a heartbeat for the malformed identity %s and keep running',
+    async (target) => {
+      await send(ports.control, heartbeat());
+      expect((await send(ports.control, { ...heartbeat(), target })).status).toBe(400);
+      expect((await send(ports.ready, { method: 'GET', target: '/readiness' })).status).toBe(200);
+    },
+  );
+
   it('should reject an invalid heartbeat and keep the current state', async () => {
     await send(ports.control, heartbeat());
     expect((await send(ports.control, heartbeat({ capacity: 'ten' }))).status).toBe(400);
--- a/tests/sidecar/storeHistory.spec.ts
+++ b/tests/sidecar/storeHistory.spec.ts
@@ -22,6 +22,8 @@
 const RUNS = Number(process.env.LENTILLB_MODEL_RUNS ?? DEFAULT_RUNS);
 const ZONES: Readonly<Record<string, string>> = { a1: 'a', a2: 'a', a3: 'a', b1: 'b', b2: 'b' };
 const HOSTS = Object.keys(ZONES);
+/** The port of the first host's node; those of the others follow. */
+const FIRST_PORT = 7_001;
 /** The time after its return within which the store must have every live host, in milliseconds. */
 const RESTORE_MS = 2_000;
 /** The time after which all nodes and the store must know every departure, in milliseconds. */
@@ -68,7 +70,8 @@
       },
     );
     const { configuration, directory, role, status } = this.state;
-    const identity = { host, zone, gateAddress: `${host}:1`, peerAddress: `${host}:2` };
+    const peerAddress = `127.0.0.1:${FIRST_PORT + HOSTS.indexOf(host)}`;
+    const identity = { host, zone, gateAddress: '127.0.0.1:1', peerAddress };
     this.announcer = new StoreAnnouncer(
       { clock, randomness, store, directory, log, era },
       identity,
@@ -141,7 +144,8 @@
   private sequence = 0;
 
   nodeAt(peerAddress: string): ControlNode | undefined {
-    return this.nodes.get(peerAddress.replace(':2', ''));
+    const port = Number(peerAddress.split(':')[1]);
+    return this.nodes.get(HOSTS[port - FIRST_PORT] as string);
   }
 
   start(host: string): void {
--- a/tests/support/controlFleet.ts
+++ b/tests/support/controlFleet.ts
@@ -18,6 +18,8 @@
 import { MemoryKeyedStore } from './memoryKeyedStore.js';
 
 const CONFIGURATION_KEY = 'config';
+/** The port of the first node; those of the others follow. */
+const FIRST_PORT = 7_001;
 const DATAGRAM_MS = 1;
 const TRANSFER_MS = 6;
 /** The time after which a transfer from a node that does not answer is given up, in milliseconds. */
@@ -83,6 +85,9 @@
 
   readonly gossip: Gossip;
 
+  /** The address and port at which the node answers other nodes. */
+  readonly peerAddress: string;
+
   fault: ControlFault | undefined;
 
   /** The lines that the node logged. */
@@ -92,8 +97,9 @@
     private readonly fleet: ControlFleet,
     readonly host: string,
     readonly zone: string,
-    seed: number,
+    { peerAddress, seed }: { readonly peerAddress: string; readonly seed: number },
   ) {
+    this.peerAddress = peerAddress;
     const { clock } = fleet;
     const randomness = new SeededRandomness(seed);
     const write = (line: object): void => {
@@ -182,7 +188,11 @@
    */
   constructor(zones: Readonly<Record<string, string>>, seed = 1) {
     this.nodes = Object.entries(zones).map(
-      ([host, zone], index) => new ControlNode(this, host, zone, seed * 100 + index),
+      ([host, zone], index) =>
+        new ControlNode(this, host, zone, {
+          peerAddress: `127.0.0.1:${FIRST_PORT + index}`,
+          seed: seed * 100 + index,
+        }),
     );
   }
 
@@ -205,7 +215,7 @@
       host,
       zone,
       gateAddress: '127.0.0.1:2',
-      peerAddress: `${host}:1`,
+      peerAddress: this.nodeOf(host)?.peerAddress ?? '127.0.0.1:1',
       linkMegabits,
       incarnation: 1,
       sequence: 1,
@@ -293,7 +303,7 @@
     this.clock.after(DATAGRAM_MS, () => {
       const receiver = this.nodeAt(to);
       if (receiver !== undefined && this.isConnected(from, receiver)) {
-        receiver.gossip.receive(`${from.host}:1`, message);
+        receiver.gossip.receive(from.peerAddress, message);
       }
     });
   }
@@ -315,7 +325,7 @@
   }
 
   private nodeAt(peerAddress: string): ControlNode | undefined {
-    return this.nodes.find(({ host }) => `${host}:1` === peerAddress);
+    return this.nodes.find((node) => node.peerAddress === peerAddress);
   }
 
   // eslint-disable-next-line class-methods-use-this -- a helper of the methods above
