Don't take a copy of an earlier refusal for the answer to the next request

Seen by the users on systems like this one: a faulty backend server wrote an earlier refusal once more on a kept connection, and clients were told 'not run' for requests that had run or ran elsewhere as well. It could happen here. Cause: a refusal without an identity, and a bare 421, counted for whichever request was under way on its connection; with an identity, it counted if the same request came again. Class of fault: an answer attributed by its position alone. Now a refusal ends its connection, so nothing that follows it there can be read as an answer; and one without an identity counts only on a new connection, where there is no earlier one to copy. Elsewhere it is an invalid answer, after which the request may have run. Ruled out: trusting none without an identity; the platform's pages show such refusals, and on a new connection they are true. Cost: a connection for each refusal.

--- a/packages/lentillb/src/serving/backendServerClient.ts
+++ b/packages/lentillb/src/serving/backendServerClient.ts
@@ -130,7 +130,9 @@
       connectTimeoutMs: Math.min(remainingMs, CONNECT_TIMEOUT_MS),
       timeoutMs: remainingMs + ANSWER_GRACE_MS,
       cancellation,
-      isOwnAnswer: (answerHeaders, status) => this.isOwnAnswer(request, answerHeaders, status),
+      // A copy of a refusal would promise that the next request has not run.
+      mayReuse: (answerHeaders, status) =>
+        this.isOwnAnswer(request, answerHeaders, status) && !this.isRefusal(answerHeaders, status),
     });
     if (answer.isOk() && this.isOfExpectedRun(request, answer.value)) {
       const statement = readStatement(answer.value.headers, this.names);
@@ -139,15 +141,29 @@
     return answer;
   }
 
-  /** Excludes late answers to other requests, and the rejection by which another run answers. */
-  private isOfExpectedRun(request: ForwardedRequest, { headers, status }: ExchangeAnswer): boolean {
-    const { notRun, requestId } = this.names;
-    const isRejection = headers[notRun] !== undefined && headers[requestId] === undefined;
-    const isAnswer = isRejection || headers[requestId] === request.requestId;
-    return isAnswer && status !== MISDIRECTED_REQUEST;
+  /** Excludes late answers to other requests, and the refusal by which another run answers. */
+  private isOfExpectedRun(request: ForwardedRequest, answer: ExchangeAnswer): boolean {
+    const isAnswer =
+      this.isOwnRefusal(request, answer) ||
+      answer.headers[this.names.requestId] === request.requestId;
+    return isAnswer && answer.status !== MISDIRECTED_REQUEST;
+  }
+
+  private isRefusal(headers: ExchangeAnswer['headers'], status: number): boolean {
+    return headers[this.names.notRun] !== undefined || status === MISDIRECTED_REQUEST;
+  }
+
+  /**
+   * A refusal may lack the identity. Then it counts only on a new connection, because on a reused one
+   * it may be a copy of an earlier refusal.
+   */
+  private isOwnRefusal(request: ForwardedRequest, answer: ExchangeAnswer): boolean {
+    const { headers, onReusedConnection, status } = answer;
+    const echoed = headers[this.names.requestId];
+    const isOwn = echoed === undefined ? !onReusedConnection : echoed === request.requestId;
+    return isOwn && this.isRefusal(headers, status);
   }
 
-  /** A rejection may lack the identity; it is valid, but a late copy of it could not be recognized. */
   private isOwnAnswer(
     request: ForwardedRequest,
     headers: ExchangeAnswer['headers'],
@@ -164,22 +180,21 @@
 
   private toBackendAnswer(
     request: ForwardedRequest,
-    { body, headers, status }: ExchangeAnswer,
+    answer: ExchangeAnswer,
   ): Result<BackendAnswer, ForwardFailure> {
-    const { notRun, requestId } = this.names;
-    const echoed = headers[requestId];
-    const isOfAnother = echoed !== undefined && echoed !== request.requestId;
-    if (!isOfAnother && (headers[notRun] !== undefined || status === MISDIRECTED_REQUEST)) {
+    const { body, headers, status } = answer;
+    if (this.isOwnRefusal(request, answer)) {
       const cause =
         status === MISDIRECTED_REQUEST ? FailureCause.NotServing : FailureCause.Rejected;
       return Err({ outcome: Outcome.NotRun, cause });
     }
-    if (!this.isOwnAnswer(request, headers, status)) {
+    const isForeignRefusal = this.isRefusal(headers, status);
+    if (isForeignRefusal || !this.isOwnAnswer(request, headers, status)) {
       return Err({ outcome: Outcome.Unknown, cause: FailureCause.InvalidAnswer });
     }
     const unframed = isUnframed(headers);
     const responseHeaders = forwardedHeaders(headers);
-    delete responseHeaders[requestId];
+    delete responseHeaders[this.names.requestId];
     return Ok({ status, headers: responseHeaders, body, unframed });
   }
 }
--- a/packages/lentillb/src/serving/exchange.ts
+++ b/packages/lentillb/src/serving/exchange.ts
@@ -32,10 +32,10 @@
    */
   readonly isTerse?: boolean;
   /**
-   * Returns whether an answer clearly belongs to this request. If not, its connection is not reused:
-   * another answer may follow and be taken for the next one. By default, every answer does.
+   * Returns whether the connection of an answer may be reused. Otherwise another answer may follow on
+   * it and be taken for the next one. By default, every connection may be.
    */
-  readonly isOwnAnswer?: (headers: IncomingMessage['headers'], status: number) => boolean;
+  readonly mayReuse?: (headers: IncomingMessage['headers'], status: number) => boolean;
 }
 
 /** A complete answer. */
@@ -43,6 +43,8 @@
   readonly status: number;
   readonly headers: IncomingMessage['headers'];
   readonly body: Buffer;
+  /** Whether other answers had come on its connection before. */
+  readonly onReusedConnection: boolean;
 }
 
 /** The reasons why there is no complete answer. */
@@ -167,8 +169,8 @@
 
   private readResponse(response: IncomingMessage): void {
     this.hasResponse = true;
-    const { isOwnAnswer } = this.request;
-    if (isOwnAnswer?.(response.headers, response.statusCode ?? 0) === false) {
+    const { mayReuse } = this.request;
+    if (mayReuse?.(response.headers, response.statusCode ?? 0) === false) {
       // Destroying the request has no effect any more once its answer is complete.
       this.outgoing.shouldKeepAlive = false;
     }
@@ -197,7 +199,8 @@
       }
       const { headers, statusCode = 0 } = response;
       const body = answer.concat();
-      this.finish(Ok({ status: statusCode, headers, body }));
+      const onReusedConnection = this.outgoing.reusedSocket;
+      this.finish(Ok({ status: statusCode, headers, body, onReusedConnection }));
     });
   }
 
