Believe a refusal without an identity on a kept connection until its run has identified one

A true refusal without an identity on a kept connection was no longer believed, so a request that had not run was given up. A copy needs an earlier refusal. On the same connection there is none, since a refusal ends it; from another one it can come only if the run has refused before. What remains: a run that never identifies its refusals and copies one to another connection is believed.

--- a/packages/lentillb/src/serving/backendServerClient.ts
+++ b/packages/lentillb/src/serving/backendServerClient.ts
@@ -54,6 +54,12 @@
 export class BackendServerClient {
   private readonly pool: ConnectionPool;
 
+  /** The identity of the run that the last request was for. */
+  private instanceId: string | undefined;
+
+  /** Whether that run has refused a request with an identity. */
+  private hasIdentifiedRefusals = false;
+
   /**
    * @param clock - the clock for time-outs
    * @param names - the header names of callers and backend servers
@@ -134,6 +140,7 @@
       mayReuse: (answerHeaders, status) =>
         this.isOwnAnswer(request, answerHeaders, status) && !this.isRefusal(answerHeaders, status),
     });
+    this.trackRun(instanceId);
     if (answer.isOk() && this.isOfExpectedRun(request, answer.value)) {
       const statement = readStatement(answer.value.headers, this.names);
       this.listener.onStatement(statement, instanceId, sentAtMs);
@@ -141,6 +148,13 @@
     return answer;
   }
 
+  private trackRun(instanceId: string): void {
+    if (instanceId !== this.instanceId) {
+      this.instanceId = instanceId;
+      this.hasIdentifiedRefusals = false;
+    }
+  }
+
   /** Excludes late answers to other requests, and the refusal by which another run answers. */
   private isOfExpectedRun(request: ForwardedRequest, answer: ExchangeAnswer): boolean {
     const isAnswer =
@@ -154,14 +168,20 @@
   }
 
   /**
-   * A refusal may lack the identity. Then it counts only on a new connection, because on a reused one
-   * it may be a copy of an earlier refusal.
+   * A refusal may lack the identity. On a reused connection it may then be a copy of an earlier one, so
+   * it counts only if this run has not identified a refusal before. A run does not misdirect requests
+   * on a connection on which it has answered some.
    */
   private isOwnRefusal(request: ForwardedRequest, answer: ExchangeAnswer): boolean {
     const { headers, onReusedConnection, status } = answer;
+    if (!this.isRefusal(headers, status)) {
+      return false;
+    }
     const echoed = headers[this.names.requestId];
-    const isOwn = echoed === undefined ? !onReusedConnection : echoed === request.requestId;
-    return isOwn && this.isRefusal(headers, status);
+    if (echoed !== undefined) {
+      return echoed === request.requestId;
+    }
+    return !onReusedConnection || (status !== MISDIRECTED_REQUEST && !this.hasIdentifiedRefusals);
   }
 
   private isOwnAnswer(
@@ -184,6 +204,7 @@
   ): Result<BackendAnswer, ForwardFailure> {
     const { body, headers, status } = answer;
     if (this.isOwnRefusal(request, answer)) {
+      this.hasIdentifiedRefusals ||= headers[this.names.requestId] !== undefined;
       const cause =
         status === MISDIRECTED_REQUEST ? FailureCause.NotServing : FailureCause.Rejected;
       return Err({ outcome: Outcome.NotRun, cause });
--- a/tests/serving/copiedRefusals.spec.ts
+++ b/tests/serving/copiedRefusals.spec.ts
@@ -36,22 +36,21 @@
 }
 
 /**
- * Sends requests one after the other. The server answers the first one on a connection by the first
- * answer, and the later ones, which it runs, by the second.
+ * Sends requests one after the other.
+ *
+ * @param connections - the answers that the server gives on each connection; it runs all requests that
+ *   are not the first on theirs
+ * @returns the status or the outcome of each request
  */
 async function sendInTurn(
   requestIds: readonly string[],
-  firstAnswer: string,
-  laterAnswer: string,
+  connections: readonly (readonly string[])[],
 ): Promise<readonly string[]> {
-  const answered = new WeakSet<Socket>();
-  let connections = 0;
+  const answersOf = new Map<Socket, string[]>();
   server = new ScriptedServer((socket) => {
-    const isLater = answered.has(socket);
-    connections += isLater ? 0 : 1;
-    answered.add(socket);
-    const reply = connections > 1 ? success(requestIds.at(-1) ?? '') : firstAnswer;
-    socket.write(isLater ? laterAnswer : reply);
+    const answers = answersOf.get(socket) ?? [...(connections[answersOf.size] ?? [])];
+    answersOf.set(socket, answers);
+    socket.write(answers.shift() ?? '');
   });
   const address = `127.0.0.1:${await server.listen()}`;
   client = new BackendServerClient(clock, wireHeaders, {
@@ -74,28 +73,50 @@
 
 describe('a refusal that is written once more on a kept connection', () => {
   it.each([
-    ['without an identity, after a refusal with one', refusal('a'), refusal(), ['not-run', '200']],
-    ['with the identity of the earlier request', refusal('a'), refusal('a'), ['not-run', '200']],
-    ['without an identity, after an answer', success('a'), refusal(), ['200', 'unknown']],
-    ['as a bare 421, after an answer', success('a'), misdirected(), ['200', 'unknown']],
-    ['as a bare 421, after a 421', misdirected('a'), misdirected(), ['not-run', '200']],
-  ])('should not count as not run when it comes %s', async (_, first, later, expected) => {
-    expect(await sendInTurn(['a', 'b'], first, later)).toEqual(expected);
+    ['without an identity, after one with an identity', refusal('a'), refusal()],
+    ['with the identity of the earlier request', refusal('a'), refusal('a')],
+    ['without an identity, like the earlier one', refusal(), refusal()],
+    ['as a bare 421', misdirected('a'), misdirected()],
+  ])('should not be read as the next answer when it comes %s', async (_, first, copy) => {
+    const outcomes = await sendInTurn(['a', 'b'], [[first, copy], [success('b')]]);
+    expect(outcomes).toEqual(['not-run', '200']);
   });
 
   it('should not count as not run when the same request is sent there again', async () => {
-    expect(await sendInTurn(['a', 'a'], refusal('a'), refusal('a'))).toEqual(['not-run', '200']);
+    const outcomes = await sendInTurn(['a', 'a'], [[refusal('a'), refusal('a')], [success('a')]]);
+    expect(outcomes).toEqual(['not-run', '200']);
+  });
+
+  it.each([
+    ['without an identity', refusal()],
+    ['as a bare 421', misdirected()],
+    ['with another identity', refusal('a')],
+  ])('should not count as not run when it comes on another connection %s', async (_, copy) => {
+    const outcomes = await sendInTurn(
+      ['a', 'b', 'c', 'd'],
+      [[refusal('a')], [success('b'), copy], [success('d')]],
+    );
+    expect(outcomes).toEqual(['not-run', '200', 'unknown', '200']);
   });
 });
 
 describe('a refusal', () => {
   it.each([
-    ['without an identity on a new connection', [refusal()], FailureCause.Rejected],
-    ['with its identity on a kept connection', [success('a'), refusal('b')], FailureCause.Rejected],
-    ['as a bare 421 on a new connection', [misdirected()], FailureCause.NotServing],
-  ])('should count as not run when it comes %s', async (_, [first = '', later], cause) => {
-    const outcomes = await sendInTurn(later === undefined ? ['a'] : ['a', 'b'], first, later ?? '');
-    expect(outcomes.at(-1)).toBe('not-run');
+    ['without an identity on a new connection', [[refusal()]], FailureCause.Rejected],
+    [
+      'without an identity on a kept connection, the first of its run',
+      [[success('a'), refusal()]],
+      FailureCause.Rejected,
+    ],
+    [
+      'with its identity on a kept connection',
+      [[success('a'), refusal('b')]],
+      FailureCause.Rejected,
+    ],
+    ['as a bare 421 on a new connection', [[misdirected()]], FailureCause.NotServing],
+  ])('should count as not run when it comes %s', async (_, connections, cause) => {
+    const requestIds = ['a', 'b'].slice(0, connections[0]?.length);
+    expect((await sendInTurn(requestIds, connections)).at(-1)).toBe('not-run');
     expect(causes.at(-1)).toBe(cause);
   });
 });
