--- a/packages/lentillb/src/serving/backendServerClient.ts
+++ b/packages/lentillb/src/serving/backendServerClient.ts
@@ -21,6 +21,11 @@
 /** The allowance for an answer that is in transit when the deadline passes, in milliseconds. */
 const ANSWER_GRACE_MS = 60;
 const MISDIRECTED_REQUEST = 421;
+/** The statuses of final answers; Node.js throws where some of the others are passed on. */
+const MIN_FINAL_STATUS = 200;
+const MAX_STATUS = 599;
+/** The first status that is no success. */
+const MIN_FAILURE_STATUS = 300;
 
 /** The address and the run of a backend server. */
 export interface BackendTarget {
@@ -190,8 +195,10 @@
     status: number,
   ): boolean {
     const { requestId, seal } = this.names;
-    const isUnsealed = status >= 200 && status < 300 && headers[seal] === undefined;
+    const isUnsealed = status < MIN_FAILURE_STATUS && headers[seal] === undefined;
     return (
+      status >= MIN_FINAL_STATUS &&
+      status <= MAX_STATUS &&
       headers[requestId] === request.requestId &&
       headers['content-encoding'] === undefined &&
       !isUnsealed
