Compare a request with the service of its gate again after it has waited there

Cause: the gate compared the service on arrival only; after the wait for a slot it sent the request to whichever backend server was ready then, with that one's identity, so that the 421 of a wrong run did not protect it. Class of fault: what was checked before a wait is not checked after it. Shown before by replacedBackendServer.spec.ts: both waiting requests ran at the successor. Now the service is compared again before sending, and waiting requests are refused at once when it changes. The same class: a repeatable request whose kept connection was lost was sent again to a run that had stated its departure meanwhile (504 before), or after its deadline; now only to the same run, if it is still served, and in time.

--- a/packages/lentillb/src/serving/backendServerClient.ts
+++ b/packages/lentillb/src/serving/backendServerClient.ts
@@ -42,9 +42,10 @@
   /**
    * Called before a request is sent again whose connection was lost.
    *
+   * @param instanceId - the identity of the run that it was sent to
    * @returns whether the backend server may get it
    */
-  mayResend(): boolean;
+  mayResend(instanceId: string): boolean;
   /**
    * Called with what a run of the backend server states in an answer of its own.
    *
@@ -96,7 +97,9 @@
       return this.toResult(request, first);
     }
     this.pool.recordConnectionLoss();
-    if (!request.repeatable || !this.listener.mayResend()) {
+    const isInTime = this.clock.monotonicMs() < request.deadlineAtMs;
+    const mayResend = isInTime && request.cancellation.reason === undefined;
+    if (!request.repeatable || !mayResend || !this.listener.mayResend(target.instanceId)) {
       return this.toResult(request, first);
     }
     const second = this.toResult(request, await this.sendOnce(request, target));
--- a/packages/lentillb/src/serving/gate.ts
+++ b/packages/lentillb/src/serving/gate.ts
@@ -195,7 +195,10 @@
         deadlineAtMs: request.deadlineAtMs,
         waitLimit: request.waitLimit,
         onGranted: (slot) => settle(run(slot)),
-        onDropped: () => settle(notRun(FailureCause.WaitedTooLong)),
+        onDropped: () =>
+          settle(
+            notRun(this.serves(request) ? FailureCause.WaitedTooLong : FailureCause.NotServing),
+          ),
       });
       if (decision.admission === Admission.Refused) {
         settle(notRun(FailureCause.NoSlotInTime, decision.waitMs));
@@ -225,16 +228,22 @@
     );
   }
 
+  /** Whether the backend server of this host is ready for requests of the service now. */
+  private serves({ service }: ForwardedRequest): boolean {
+    const { heartbeat, ready } = this.services.backendServer;
+    return ready && heartbeat?.service === service;
+  }
+
   private refusalCause(request: ForwardedRequest): FailureCause | undefined {
-    const { backendServer, clock, suspectGuard } = this.services;
-    const { cancellation, service } = request;
+    const { clock, suspectGuard } = this.services;
+    const { cancellation } = request;
     if (cancellation.reason !== undefined) {
       return FailureCause.CallerGone;
     }
     if (this.closing) {
       return FailureCause.ShuttingDown;
     }
-    if (!backendServer.ready || backendServer.heartbeat?.service !== service) {
+    if (!this.serves(request)) {
       return FailureCause.NotServing;
     }
     if (!suspectGuard.mayRun(request)) {
@@ -253,7 +262,8 @@
       return notRun(FailureCause.WaitedTooLong);
     }
     const { heartbeat } = backendServer;
-    if (!backendServer.ready || heartbeat === undefined) {
+    // Another backend server may have taken the place of the one that the request waited for.
+    if (!this.serves(request) || heartbeat === undefined) {
       return notRun(FailureCause.NotServing);
     }
     if (!suspectGuard.admit(request)) {
--- a/packages/lentillb/src/serving/statementListener.ts
+++ b/packages/lentillb/src/serving/statementListener.ts
@@ -24,8 +24,11 @@
     this.services.statedLimit.recordSent();
   }
 
-  mayResend(): boolean {
-    return this.services.statedLimit.tryTake();
+  /** The run may have left, or been replaced, since the request was first sent. */
+  mayResend(instanceId: string): boolean {
+    const { backendServer, statedLimit } = this.services;
+    const isCurrent = backendServer.ready && backendServer.heartbeat?.id === instanceId;
+    return isCurrent && statedLimit.tryTake();
   }
 
   onStatement(statement: ServerStatement, instanceId: string, sentAtMs: number): void {
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -135,6 +135,9 @@
 
   private stopping = false;
 
+  /** The service of the backend server for which requests wait at the gate. */
+  private gatedService: string | undefined;
+
   /**
    * @param services - the services that the node depends on
    * @param options - the settings of the node
@@ -449,6 +452,10 @@
 
   private onBackendServerChange(): void {
     const { heartbeat, ready } = this.backendServer;
+    if (heartbeat?.service !== this.gatedService) {
+      this.gatedService = heartbeat?.service;
+      this.slots.dropAll();
+    }
     if (ready && heartbeat !== undefined) {
       this.statedLimit.startRun(`${heartbeat.id} ${heartbeat.startedAtMs}`);
       this.slots.resize(heartbeat.slots);
