Close all backend servers of the soak's host when it ends

Cause, shown by soakHost.spec.ts (one listener left before): a replacement that overlaps a release starts a third backend server, and the release closes the first one only; nobody closes the second. The host now closes all that it has started.

--- a/soak/src/soakHost.ts
+++ b/soak/src/soakHost.ts
@@ -91,6 +91,9 @@
 
   private backendServerAddress = '';
 
+  /** All backend servers so far; an overlapping fault may replace one that nothing else closes. */
+  private readonly backendServers: SoakBackendServer[] = [];
+
   constructor(
     private readonly services: {
       readonly clock: Clock;
@@ -282,7 +285,7 @@
     this.freeze(false);
     await this.killNode();
     [this.toNode, this.toBackendServer, this.toStore].forEach((relay) => relay.close());
-    await this.backendServer?.close();
+    await Promise.all(this.backendServers.map((backendServer) => backendServer.close()));
     this.log.end();
   }
 
@@ -315,6 +318,7 @@
       { id: `b-${index}-${this.backendServerCount}`, service, host: index },
       () => runInBackground(this.endBackendServer(started)),
     );
+    this.backendServers.push(started);
     await started.listen();
     this.backendServerAddress = started.address;
     this.backendServer = started;
