--- a/tests/soak/soakHost.spec.ts
+++ b/tests/soak/soakHost.spec.ts
@@ -18,6 +18,7 @@
 afterEach(() => rm(folder, { recursive: true }));
 
 function listeningCount(): number {
+  // eslint-disable-next-line n/no-unsupported-features/node-builtins -- experimental, and there since Node.js 17
   return process.getActiveResourcesInfo().filter((name) => name === 'TCPServerWrap').length;
 }
 
