--- a/tests/sidecar/sidecar.spec.ts
+++ b/tests/sidecar/sidecar.spec.ts
@@ -4,6 +4,8 @@
 
 let fleet: SidecarFleet;
 
+function noop(): void {}
+
 beforeEach(async () => {
   fleet = new SidecarFleet();
   await fleet.start();
@@ -138,8 +140,14 @@
     back.backendServer.setHandler(() => undefined);
     const before = back.backendServer.runs.length;
     const request = fleet.send(front, 'letters');
-    request.answer.catch(() => undefined);
-    await fleet.waitUntil(() => back.backendServer.runs.length > before);
+    let earlyStatus: number | undefined;
+    request.answer.then(({ status }) => {
+      earlyStatus = status;
+    }, noop);
+    await fleet.waitUntil(
+      () => back.backendServer.runs.length > before || earlyStatus !== undefined,
+    );
+    expect(earlyStatus).toBeUndefined();
     request.disconnect();
     await fleet.waitUntil(() => back.backendServer.runs.at(-1)?.abandoned === true, 500);
   });
