--- a/packages/lentillb/src/peers/gossip.ts
+++ b/packages/lentillb/src/peers/gossip.ts
@@ -219,17 +219,21 @@
     };
   }
 
-  /** Sends the status of a reader to all nodes of its zone, so that they fetch new records at once. */
+  /**
+   * Sends the status of a reader to all nodes of its zone, so that they fetch new records at once. The
+   * loads of other gates follow with the next round.
+   */
   broadcast(): void {
     const { clock, configuration, role } = this.services;
     if (!role.readsStore) {
       return;
     }
-    this.sendStatusToZone();
+    const send = (): void => this.sendStatus(this.otherNodes(true), this.ownLoads());
+    send();
     if (configuration.version !== this.broadcastVersion) {
       this.broadcastVersion = configuration.version;
       // A datagram may be lost, and the next round may come too late for the version.
-      clock.after(REPEAT_DELAY_MS, () => this.sendStatusToZone());
+      clock.after(REPEAT_DELAY_MS, send);
     }
   }
 
@@ -288,7 +292,9 @@
     const sameZone = this.otherNodes(true);
     const otherZones = this.otherNodes(false);
     const readers = this.readersAmong(sameZone);
-    this.broadcast();
+    if (this.services.role.readsStore) {
+      this.sendStatusToZone();
+    }
     this.sendStatus(readers, this.ownLoads());
     this.pingRandom(this.isAnnounced ? sameZone : readers);
     if (sameZone.length === 0 || this.rounds % ROUNDS_PER_OTHER_ZONE_PING === 0) {
