Count an empty answer as old as its request if it comes before its wait has passed

Cause: the time up to which a read proves the store's content was taken as the time of the request plus its wait, although the store may answer a waiting read before without any record, as it does when it drops history; the age reported to other nodes was negative then, and could not be encoded. Now such an answer proves no more than that nothing had been written when it was asked for, and an age is never below 0. configurationDelay.spec.ts, reads answered after 0, 150 and 600 ms: RangeError in each before. The fleet of that test encodes its messages now, so that it sees what cannot be sent. Looked for elsewhere: an era of the store above 32 bits could not be sent either; it counts as not named (logStore.spec.ts, failed before).

--- a/packages/lentillb/src/peers/gossipMessage.ts
+++ b/packages/lentillb/src/peers/gossipMessage.ts
@@ -95,7 +95,7 @@
 /** Encodes the ages of reads; nothing if the sender does not read. */
 function encodeReadAges({ readAgesMs }: GossipMessage): readonly Buffer[] {
   const [load, meanMs] = [Topic.Operator, Topic.Hosts].map((topic) =>
-    Math.min(UNKNOWN_AGE_MS, Math.ceil(readAgesMs[topic])),
+    Math.max(0, Math.min(UNKNOWN_AGE_MS, Math.ceil(readAgesMs[topic]))),
   ) as [number, number];
   const serviceTimes = [{ routeHash: HOSTS_AGE_HASH, meanMs }];
   return load === UNKNOWN_AGE_MS && meanMs === UNKNOWN_AGE_MS
--- a/packages/lentillb/src/store/topicFollower.ts
+++ b/packages/lentillb/src/store/topicFollower.ts
@@ -218,7 +218,9 @@
     const isEmpty = read.value.records.length === 0;
     this.overdueReads = 0;
     this.lastAnswer = { atMs: clock.monotonicMs(), sentAtMs };
-    this.handleBatch(read.value, isNewest, sentAtMs + (isEmpty ? waitMs : 0));
+    // An empty answer that comes before the wait has passed proves no more than one with records.
+    const hasWaited = isEmpty && clock.monotonicMs() >= sentAtMs + waitMs;
+    this.handleBatch(read.value, isNewest, sentAtMs + (hasWaited ? waitMs : 0));
     // While a fleet starts, the read after the first one returns the records of many hosts at once.
     const collects = isNewest || !isEmpty;
     return { delayMs: collects ? Math.min(this.options.batchDelayMs, schedule.pollMs()) : 0 };
--- a/tests/platform/logStore.spec.ts
+++ b/tests/platform/logStore.spec.ts
@@ -1,5 +1,6 @@
 import { LogStore } from '@lentillb/platform';
-import { KeyedLogServer, StoreFault } from '@lentillb/standins';
+import { createServer } from 'node:http';
+import { KeyedLogServer, listenOnLoopback, StoreFault } from '@lentillb/standins';
 import { Deadline, SystemClock } from 'lentillb';
 import { StoreFailureKind, Topic } from 'lentillb/store/keyedStore.js';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
@@ -67,6 +68,20 @@
 });
 
 describe('era of the store', () => {
+  it.each(['4294967296', '99999999999', '9'.repeat(400)])(
+    'should count as not named if it does not fit into a message: %s',
+    async (era) => {
+      const odd = createServer((_, response) => {
+        response.setHeader('store-era', era).end('{"items":[],"end":0}');
+      });
+      const address = await listenOnLoopback(odd);
+      const read = await new LogStore(clock, address).readNewest(Topic.Hosts, deadlineAfter());
+      odd.closeAllConnections();
+      odd.close();
+      expect(read.unwrap().era).toBeUndefined();
+    },
+  );
+
   it('should be read from the answers to reads and writes, and from refusals', async () => {
     const written = await store.write(Topic.Hosts, 'a', Buffer.from('one'), deadlineAfter());
     expect(written.unwrap().era).toBe(1);
--- a/tests/sidecar/configurationDelay.spec.ts
+++ b/tests/sidecar/configurationDelay.spec.ts
@@ -103,6 +103,17 @@
   );
 });
 
+describe('a store that answers waiting reads before their time', () => {
+  it.each([0, 150, 600])('should end no node and delay no version (%i ms)', async (maxWaitMs) => {
+    const running = await startFleet([5], 4);
+    running.store.maxWaitMs = maxWaitMs;
+    await running.advance(5_000);
+    expect(slowest(await running.measure(2, 10_000))).toBeLessThan(APPLY_MS);
+    running.setFault(running.readersOf('z0'), ControlFault.Silent);
+    expect(slowest(await running.measure(3, 10_000))).toBeLessThan(APPLY_MS);
+  });
+});
+
 describe('calls to the store', () => {
   it('should stay within two reads of each topic a second for a zone of any size', async () => {
     const running = await startFleet([3, 12], 1);
--- a/tests/support/controlFleet.ts
+++ b/tests/support/controlFleet.ts
@@ -7,6 +7,7 @@
 import { EventClock } from 'lentillb/emulation/eventClock.js';
 import { DecisionLog } from 'lentillb/observability/decisionLog.js';
 import { Gossip } from 'lentillb/peers/gossip.js';
+import { decodeGossipMessage, encodeGossipMessage } from 'lentillb/peers/gossipMessage.js';
 import type { NodeState } from 'lentillb/peers/nodeState.js';
 import { MeshState } from 'lentillb/sidecar/meshState.js';
 import type { KeyedBatch, KeyedStore, StoreFailure } from 'lentillb/store/keyedStore.js';
@@ -300,10 +301,11 @@
   }
 
   deliver(from: ControlNode, to: string, message: Parameters<Gossip['receive']>[1]): void {
+    const received = decodeGossipMessage(encodeGossipMessage(message));
     this.clock.after(DATAGRAM_MS, () => {
       const receiver = this.nodeAt(to);
-      if (receiver !== undefined && this.isConnected(from, receiver)) {
-        receiver.gossip.receive(from.peerAddress, message);
+      if (receiver !== undefined && received !== undefined && this.isConnected(from, receiver)) {
+        receiver.gossip.receive(from.peerAddress, received);
       }
     });
   }
--- a/tests/support/memoryKeyedStore.ts
+++ b/tests/support/memoryKeyedStore.ts
@@ -20,6 +20,9 @@
   /** Whether the store answers. */
   available = true;
 
+  /** After how long a waiting read is answered at the latest, in milliseconds. */
+  maxWaitMs = Infinity;
+
   /** The number of calls so far. */
   calls = 0;
 
@@ -70,7 +73,7 @@
     waitMs: number,
   ): Promise<Result<KeyedBatch, StoreFailure>> {
     this.calls += 1;
-    const endMs = this.clock.monotonicMs() + waitMs;
+    const endMs = this.clock.monotonicMs() + Math.min(waitMs, this.maxWaitMs);
     await this.clock.sleep(CALL_MS);
     const all = this.recordsByTopic[topic];
     while (this.available && all.length === from && this.clock.monotonicMs() < endMs) {
