Use one schema for names, slots and addresses, and one decoder of percent-escapes

The bounds of names and slots stood in announcement.ts and in heartbeatBody.ts: had they ever differed, a node would accept a heartbeat and announce what all others reject. The schema of an address stood in announcement.ts and platform/src/address.ts, the guarded decodeURIComponent in gateProtocol.ts and controlListeners.ts.

--- a/packages/lentillb/src/directory/announcement.ts
+++ b/packages/lentillb/src/directory/announcement.ts
@@ -25,20 +25,25 @@
 /** The greatest number of interrupted runs in an announcement; several times what a node announces. */
 const MAX_INTERRUPTED_RUNS = 64;
 
-const name = z.string().check(z.minLength(1), z.maxLength(MAX_NAME_LENGTH));
+/** The schema of a name. */
+export const boundedName = z.string().check(z.minLength(1), z.maxLength(MAX_NAME_LENGTH));
 const ordinal = z.int().check(z.nonnegative(), z.maximum(MAX_ORDINAL));
 const unixTimeMs = z.int().check(z.nonnegative(), z.maximum(MAX_TIME_MS));
-const networkAddress = z
+/** The schema of an IP address and a port. */
+export const networkAddress = z
   .string()
   .check(z.refine(isNetworkAddress, 'expected an IP address and a port from 1 to 65535'));
 
+/** The schema of a number of slots. */
+export const slotCount = z.int().check(z.positive(), z.maximum(MAX_SLOTS));
+
 const backendServerSchema = z.object({
   /** The identity of this instance of the backend server. */
-  id: name,
+  id: boundedName,
   /** The start time in Unix milliseconds; a restart under the same identity has a later one. */
   startedAtMs: unixTimeMs,
-  service: name,
-  slots: z.int().check(z.positive(), z.maximum(MAX_SLOTS)),
+  service: boundedName,
+  slots: slotCount,
   state: z.enum(BackendServerState),
 });
 
@@ -55,8 +60,8 @@
  */
 const announcementSchema = z.object({
   /** The address of the host. */
-  host: name,
-  zone: name,
+  host: boundedName,
+  zone: boundedName,
   /** The address and port at which the gate of the host accepts requests. */
   gateAddress: networkAddress,
   /** The address and port at which the node answers other nodes. */
--- a/packages/lentillb/src/serving/gateProtocol.ts
+++ b/packages/lentillb/src/serving/gateProtocol.ts
@@ -5,6 +5,7 @@
 import { Outcome, forwardedHeaders } from '../calls/callHeaders.js';
 import type { Cancellation } from '../calls/cancellation.js';
 import type { Clock } from '../kernel/clock.js';
+import { decodeEscapes } from '../utils/decodeEscapes.js';
 import type { ExchangeAnswer } from './exchange.js';
 import type { HeaderNames } from './headerNames.js';
 import type { ForwardedRequest, GateReply, GateReport } from './messages.js';
@@ -43,15 +44,6 @@
   return { ...request.headers, [REQUEST_HEADER]: fields.join(' ') };
 }
 
-/** Decodes a name; undefined if it is malformed. */
-function decodeName(encoded: string | undefined): string | undefined {
-  try {
-    return encoded === undefined ? undefined : decodeURIComponent(encoded);
-  } catch {
-    return undefined;
-  }
-}
-
 /** A request as it arrives at the node of a backend server. */
 export interface ArrivedRequest {
   readonly method: string;
@@ -77,7 +69,7 @@
   const value = headers[REQUEST_HEADER];
   const [serviceText, routeText, priorityText, repeatable, ...rest] =
     typeof value === 'string' ? value.split(' ') : [];
-  const [service, route] = [decodeName(serviceText), decodeName(routeText)];
+  const [service, route] = [serviceText, routeText].map((text) => text && decodeEscapes(text));
   const [priority, targetLatencyMs, targetMs, deadlineMs] = [priorityText, ...rest.slice(0, 3)].map(
     Number,
   ) as [number, number, number, number];
--- a/packages/lentillb/src/sidecar/index.ts
+++ b/packages/lentillb/src/sidecar/index.ts
@@ -8,6 +8,7 @@
   MeshRoute,
 } from '../configuration/meshConfiguration.js';
 export { findConfigurationFault, MAX_TIMER_MS } from '../configuration/configurationFault.js';
+export { boundedName, networkAddress, slotCount } from '../directory/announcement.js';
 export { SystemClock } from '../kernel/clock.js';
 export type { Clock } from '../kernel/clock.js';
 export { Deadline } from '../kernel/deadline.js';
@@ -29,7 +30,8 @@
 export { StoreFailureKind, Topic } from '../store/keyedStore.js';
 export { runInBackground } from '../utils/background.js';
 export { listenAt } from '../utils/listening.js';
-export { isNetworkAddress, parseAddress } from '../utils/networkAddress.js';
+export { decodeEscapes } from '../utils/decodeEscapes.js';
+export { parseAddress } from '../utils/networkAddress.js';
 export { readJson } from '../utils/readJson.js';
 export { Sidecar } from './sidecar.js';
 export type { SidecarOptions, SidecarServices } from './sidecar.js';
