Pass the time of a reported read on as it is, and end the wait for an overdue read with its read

The age in a status was turned into a time, back into an age and into a time again; noteReport takes the time. A read that had ended left its timer running for up to seconds, held back by a flag only; an abort signal, which the clock already takes, ends it. The field readsStore says that it is there for older nodes.

--- a/packages/lentillb/src/peers/gossip.ts
+++ b/packages/lentillb/src/peers/gossip.ts
@@ -163,19 +163,19 @@
 
   private noteReads(host: string, { configurationVersion, readAgesMs }: GossipMessage): void {
     const { clock, role } = this.services;
-    role.noteReport(Topic.Hosts, host, readAgesMs[Topic.Hosts]);
-    const readAtMs = clock.monotonicMs() - readAgesMs[Topic.Operator];
+    const nowMs = clock.monotonicMs();
+    role.noteReport(Topic.Hosts, host, nowMs - readAgesMs[Topic.Hosts]);
+    const readAtMs = nowMs - readAgesMs[Topic.Operator];
     this.configurationRead = { host, version: configurationVersion, readAtMs };
     this.applyConfigurationRead();
   }
 
   /** A read of the configuration by another node counts once this node has what was read. */
   private applyConfigurationRead(): void {
-    const { clock, configuration, role } = this.services;
+    const { configuration, role } = this.services;
     const { configurationRead } = this;
     if (configurationRead !== undefined && configuration.version >= configurationRead.version) {
-      const ageMs = clock.monotonicMs() - configurationRead.readAtMs;
-      role.noteReport(Topic.Operator, configurationRead.host, ageMs);
+      role.noteReport(Topic.Operator, configurationRead.host, configurationRead.readAtMs);
       this.configurationRead = undefined;
     }
   }
--- a/packages/lentillb/src/peers/gossipMessage.ts
+++ b/packages/lentillb/src/peers/gossipMessage.ts
@@ -12,7 +12,10 @@
 /** The content of one gossip datagram. */
 export interface GossipMessage {
   readonly kind: GossipMessageKind;
-  /** Whether the sender reads the store and gets answers from it. */
+  /**
+   * Whether the sender reads the store and gets answers from it; for older nodes, which do not know the
+   * ages of reads.
+   */
   readonly readsStore: boolean;
   /** The configuration version in force at the sender. */
   readonly configurationVersion: number;
--- a/packages/lentillb/src/peers/storeReaderRole.ts
+++ b/packages/lentillb/src/peers/storeReaderRole.ts
@@ -190,16 +190,15 @@
   }
 
   /**
-   * Records how old the view of another node of the zone is by its own reads. Only reads are reported,
+   * Records when another node of the zone has read a topic. Only reads are reported,
    * never reports of others, so that transit times do not add up.
    *
    * @param topic - the topic that the other node reads
    * @param host - the host of the other node
-   * @param ageMs - the age of its view, in milliseconds
+   * @param readAtMs - when it read, in milliseconds of the monotonic clock of this node
    */
-  noteReport(topic: Topic, host: string, ageMs: number): void {
+  noteReport(topic: Topic, host: string, readAtMs: number): void {
     const view = this.views[topic];
-    const readAtMs = this.services.clock.monotonicMs() - ageMs;
     view.reportedAtMs = Math.max(view.reportedAtMs, readAtMs);
     const rank = this.currentRanking.hosts.indexOf(host);
     if (rank >= 0 && rank < this.rank && readAtMs > view.leaderReadAtMs) {
--- a/packages/lentillb/src/store/topicFollower.ts
+++ b/packages/lentillb/src/store/topicFollower.ts
@@ -161,9 +161,10 @@
     const restarted = new Promise<undefined>((resolve) => {
       this.abandonRead = () => resolve(undefined);
     });
-    const ended = { current: false };
-    const outcome = await Promise.race([this.read(), restarted, this.waitUntilOverdue(ended)]);
-    ended.current = true;
+    const ended = new AbortController();
+    const overdue = this.waitUntilOverdue(ended.signal);
+    const outcome = await Promise.race([this.read(), restarted, overdue]);
+    ended.abort();
     if (outcome === 'overdue') {
       this.overdueReads += 1;
       return;
@@ -176,15 +177,15 @@
   }
 
   /** Resolves once the known content is too old although a read has had time to be answered. */
-  private async waitUntilOverdue(ended: { readonly current: boolean }): Promise<'overdue'> {
+  private async waitUntilOverdue(ended: AbortSignal): Promise<'overdue'> {
     const { clock } = this.services;
-    await clock.sleep(Math.min(MAX_PATIENCE_MS, MIN_PATIENCE_MS * 2 ** this.overdueReads));
-    while (!ended.current) {
+    await clock.sleep(Math.min(MAX_PATIENCE_MS, MIN_PATIENCE_MS * 2 ** this.overdueReads), ended);
+    while (!ended.aborted) {
       const untilOutdatedMs = this.options.schedule.untilOutdatedMs();
       if (untilOutdatedMs <= 0) {
         break;
       }
-      await clock.sleep(Math.max(MIN_SLEEP_MS, untilOutdatedMs));
+      await clock.sleep(Math.max(MIN_SLEEP_MS, untilOutdatedMs), ended);
     }
     return 'overdue';
   }
