Log which host and connection was not heard, and reads of the store that are overdue

Of the reads of the store only the first failure was logged; further ones and overdue reads are now, with the kind of connection. Test: gateForwarder.spec.ts, 'should log which host was not heard' (fails before: no such line). tests/serving, platform, store, sidecar delay: 107 passed.

--- a/packages/lentillb/src/serving/exchange.ts
+++ b/packages/lentillb/src/serving/exchange.ts
@@ -1,6 +1,7 @@
 /** Sends one HTTP request and reads its complete answer, or tells how the exchange failed. */
 import { request as openRequest } from 'node:http';
 import type { Agent, ClientRequest, IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
 import type { Result } from 'ts-results-es';
 import { Err, Ok } from 'ts-results-es';
 import { runInBackground } from '../utils/background.js';
@@ -12,6 +13,13 @@
 import { limitResponseHead } from '../utils/responseLimits.js';
 import { AnswerBuffer } from './answerBuffer.js';
 
+/** A request that has been sent, and the connection on which its answer is awaited. */
+export interface SentRequest {
+  readonly socket: Socket;
+  /** Whether other answers have come on the connection before. */
+  readonly onReusedConnection: boolean;
+}
+
 /** A request and its destination. */
 export interface ExchangeRequest {
   readonly agent: Agent;
@@ -36,6 +44,8 @@
    * it and be taken for the next one. By default, every connection may be.
    */
   readonly mayReuse?: (headers: IncomingMessage['headers'], status: number) => boolean;
+  /** Called once the request has been sent. */
+  readonly onSent?: (sent: SentRequest) => void;
 }
 
 /** A complete answer. */
@@ -131,7 +141,7 @@
   private watchConnection(): void {
     this.outgoing.on('socket', (socket) => {
       if (!socket.connecting) {
-        this.send();
+        this.send(socket);
         return;
       }
       const stopTimer = afterPendingInput(this.clock, this.request.connectTimeoutMs, () =>
@@ -140,7 +150,7 @@
       this.cleanups.push(stopTimer);
       socket.once('connect', () => {
         stopTimer();
-        runInBackground(this.sendOnNewConnection());
+        runInBackground(this.sendOnNewConnection(socket));
       });
     });
   }
@@ -149,7 +159,7 @@
    * Sends the request on a connection that has just been established. If the process was paused
    * meanwhile, the caller may have left or the time may be over, and this has not been read yet.
    */
-  private async sendOnNewConnection(): Promise<void> {
+  private async sendOnNewConnection(socket: Socket): Promise<void> {
     const { clock, openedAtMs, request } = this;
     if (clock.monotonicMs() - openedAtMs > MAX_INPUT_AGE_MS) {
       await waitForPendingInput();
@@ -157,13 +167,14 @@
     if (clock.monotonicMs() - openedAtMs >= request.timeoutMs) {
       this.fail(ExchangeFailure.NotSent);
     }
-    this.send();
+    this.send(socket);
   }
 
-  private send(): void {
+  private send(socket: Socket): void {
     if (!this.done) {
       this.sent = true;
       this.outgoing.end(this.request.body);
+      this.request.onSent?.({ socket, onReusedConnection: this.outgoing.reusedSocket });
     }
   }
 
--- a/packages/lentillb/src/serving/gateForwarder.ts
+++ b/packages/lentillb/src/serving/gateForwarder.ts
@@ -4,6 +4,8 @@
 import { Outcome } from '../calls/callHeaders.js';
 import type { Directory, GateEndpoint } from '../directory/directory.js';
 import type { Clock } from '../kernel/clock.js';
+import type { DecisionLog } from '../observability/decisionLog.js';
+import { Importance } from '../observability/decisionLog.js';
 import { runInBackground } from '../utils/background.js';
 import type { PendingInputTracker } from '../utils/pendingInput.js';
 import { ConnectionPool } from './connectionPool.js';
@@ -66,6 +68,7 @@
       readonly directory: Pick<Directory, 'announcementOf'>;
       readonly listenProbe: Pick<ListenProbe, 'hasEnded'>;
       readonly suspectGuard: Pick<SuspectGuard, 'recordNodeEnded'>;
+      readonly log: DecisionLog;
     },
     private readonly ownHost: string,
   ) {
@@ -118,7 +121,9 @@
     request: ForwardedRequest,
   ): Promise<GateReply> {
     const { clock, links } = this.services;
-    const remainingMs = Math.max(0, request.deadlineAtMs - clock.monotonicMs());
+    const startedMs = clock.monotonicMs();
+    const remainingMs = Math.max(0, request.deadlineAtMs - startedMs);
+    let onReusedConnection = false;
     const answer = await exchange(clock, {
       agent: this.pool,
       address: endpoint.gateAddress,
@@ -133,9 +138,21 @@
       timeoutMs: remainingMs + ANSWER_GRACE_MS,
       cancellation: request.cancellation,
       isTerse: true,
+      onSent: (sent) => {
+        onReusedConnection = sent.onReusedConnection;
+      },
     });
     if (answer.isErr()) {
       const failure = forwardFailures[answer.error];
+      this.services.log.record(Importance.Notable, 'gate-not-heard', {
+        requestId: request.requestId,
+        host: endpoint.host,
+        cause: failure.cause,
+        outcome: failure.outcome,
+        waitedMs: Math.round(clock.monotonicMs() - startedMs),
+        onReusedConnection,
+        hostSilent: links.isSilent(endpoint.host),
+      });
       if (failure.cause === FailureCause.ConnectionLost) {
         runInBackground(this.recordEndOfNode(endpoint, request));
       }
--- a/packages/lentillb/src/sidecar/meshState.ts
+++ b/packages/lentillb/src/sidecar/meshState.ts
@@ -229,9 +229,15 @@
       },
       onFailed: ({ kind, message }, isFirst) => {
         this.role.noteReadFailure(topic);
-        if (isFirst) {
-          log.record(Importance.Notable, 'store-lost', { topic, kind, message });
-        }
+        const event = isFirst ? 'store-lost' : 'store-read-failed';
+        log.record(Importance.Notable, event, { topic, kind, message });
+      },
+      onOverdue: (waitedMs, overdueReads) => {
+        log.record(Importance.Notable, 'store-read-overdue', {
+          topic,
+          waitedMs: Math.round(waitedMs),
+          overdueReads,
+        });
       },
       onAnswered: (currentAtMs, recordCount) => {
         this.role.noteRead(topic, currentAtMs);
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -255,6 +255,7 @@
         directory,
         listenProbe,
         suspectGuard,
+        log,
       },
       identity.host,
     );
--- a/packages/lentillb/src/store/topicFollower.ts
+++ b/packages/lentillb/src/store/topicFollower.ts
@@ -49,6 +49,13 @@
    * @param isFirst - whether the store was available before
    */
   readonly onFailed: (failure: StoreFailure, isFirst: boolean) => void;
+  /**
+   * Called when a read is left waiting and another one is sent, because the known content is too old.
+   *
+   * @param waitedMs - how long the read has been waiting, in milliseconds
+   * @param overdueReads - the number of reads in a row that were left waiting
+   */
+  readonly onOverdue: (waitedMs: number, overdueReads: number) => void;
   /** Called at the first success after failed calls. */
   readonly onRecovered: () => void;
 }
@@ -167,6 +174,7 @@
     ended.abort();
     if (outcome === 'overdue') {
       this.overdueReads += 1;
+      this.listener.onOverdue(clock.monotonicMs() - startedAtMs, this.overdueReads);
       return;
     }
     if (outcome === undefined || this.stopped) {
--- a/tests/serving/gateForwarder.spec.ts
+++ b/tests/serving/gateForwarder.spec.ts
@@ -2,6 +2,7 @@
 import type { Server, ServerResponse } from 'node:http';
 import { listenOnLoopback } from '@lentillb/standins';
 import { SystemClock } from 'lentillb';
+import { DecisionLog } from 'lentillb/observability/decisionLog.js';
 import type { GateEndpoint } from 'lentillb/directory/directory.js';
 import type { Gate } from 'lentillb/serving/gate.js';
 import { GateForwarder } from 'lentillb/serving/gateForwarder.js';
@@ -20,6 +21,7 @@
 const PROBE_MS = 100;
 
 let endedNodes: string[];
+let lines: object[];
 let server: Server;
 let endpoint: GateEndpoint;
 let forwarder: GateForwarder;
@@ -47,6 +49,7 @@
 
 beforeEach(async () => {
   endedNodes = [];
+  lines = [];
   let receive: (response: ServerResponse) => void;
   pendingResponse = new Promise((resolve) => {
     receive = resolve;
@@ -66,6 +69,10 @@
       gate: {} as Gate,
       directory: { announcementOf: () => ({ ...ANNOUNCEMENT, gateAddress: endpoint.gateAddress }) },
       listenProbe: new ListenProbe(),
+      log: new DecisionLog(clock, {
+        info: () => undefined,
+        warn: (line) => lines.push(line),
+      }),
       suspectGuard: {
         recordNodeEnded: ({ requestId }, { host, incarnation }) => {
           endedNodes.push(`${requestId} ${host} ${incarnation}`);
@@ -135,3 +142,20 @@
   await clock.sleep(PROBE_MS);
   expect(endedNodes).toEqual([]);
 });
+
+it('should log which host was not heard, on which kind of connection, and for how long', async () => {
+  const called = forwarder.call(endpoint, requestOf(true));
+  (await pendingResponse).socket?.resetAndDestroy();
+  await called;
+  expect(lines).toEqual([
+    expect.objectContaining({
+      event: 'gate-not-heard',
+      requestId: 'r',
+      host: 'other',
+      cause: 'connection-lost',
+      outcome: 'unknown',
+      onReusedConnection: false,
+      hostSilent: false,
+    }),
+  ]);
+});
