Reproduce CONFIG: each overdue read of the store takes the next silent connection

On the landed code: with four idle connections to the store that go silent for good, a confirmed version is in force at both nodes of a zone after 2,228 ms, the bound is 2,000; a second write, a call beside an overdue poll and a call after a pause get no answer either. The relay of the soak can silence open connections for that.

--- a/soak/src/relay.ts
+++ b/soak/src/relay.ts
@@ -52,6 +52,9 @@
 
   private readonly connections = new Set<Connection>();
 
+  /** The connections that went silent for good. */
+  private readonly silenced = new Set<Connection>();
+
   private fault: RelayFault | undefined;
 
   /**
@@ -86,10 +89,26 @@
     this.connections.forEach((connection) => this.applyFault(connection));
   }
 
+  /**
+   * Lets all open connections go silent for good, in both directions and without a reset, as when
+   * something between the two ends has lost track of them. New connections work.
+   */
+  silenceOpenConnections(): void {
+    this.connections.forEach((connection) => {
+      this.connections.delete(connection);
+      this.silenced.add(connection);
+      [connection.downstream, connection.upstream].forEach((socket) => {
+        socket.removeAllListeners('data');
+        socket.removeAllListeners('end');
+        socket.pause();
+      });
+    });
+  }
+
   /** Stops listening and closes all connections. */
   close(): void {
     this.server.close();
-    this.connections.forEach(({ downstream, upstream }) => {
+    [...this.connections, ...this.silenced].forEach(({ downstream, upstream }) => {
       downstream.destroy();
       upstream.destroy();
     });
@@ -121,10 +140,16 @@
     from.on('data', (chunk: Buffer) => enqueue(() => to.write(chunk)));
     from.on('end', () => enqueue(() => to.end()));
     // Resets the other side too, whichever side failed.
-    from.on('error', () => to.resetAndDestroy());
+    from.on('error', () => {
+      if (!this.silenced.has(connection)) {
+        to.resetAndDestroy();
+      }
+    });
     from.on('close', () => {
       this.connections.delete(connection);
-      to.destroySoon();
+      if (!this.silenced.has(connection)) {
+        to.destroySoon();
+      }
     });
   }
 
--- a/tests/support/sidecarFleet.ts
+++ b/tests/support/sidecarFleet.ts
@@ -33,6 +33,8 @@
   readonly backendServer: ScriptedBackendServer;
   readonly heartbeat: Heartbeat;
   readonly log: object[];
+  /** The node's client of the store. */
+  readonly storeClient: LogStore;
 }
 
 /** The services that every published configuration defines. */
@@ -59,6 +61,9 @@
 
   readonly clock = new SystemClock();
 
+  /** The address at which nodes that are added from now on reach the store; by default its own. */
+  storeAddress: string | undefined;
+
   private version = 0;
 
   private requestCount = 0;
@@ -114,7 +119,8 @@
     const identity = { host: name, zone: 'a', gateAddress, peerAddress };
     const setup = { identity, callerAddress, backendServerAddress: backendServer.address, service };
     const log: object[] = [];
-    const sidecar = this.createSidecar(setup, log);
+    const storeClient = this.createStoreClient();
+    const sidecar = this.createSidecar(setup, log, storeClient);
     await sidecar.start();
     const heartbeat: Heartbeat = {
       id: backendServer.id,
@@ -129,7 +135,7 @@
     if (announce) {
       await sidecar.acceptHeartbeat(heartbeat);
     }
-    const host = { ...setup, name, sidecar, backendServer, heartbeat, log };
+    const host = { ...setup, name, sidecar, backendServer, heartbeat, log, storeClient };
     this.hosts.push(host);
     return host;
   }
@@ -142,13 +148,19 @@
    */
   async restartNode(host: FleetHost): Promise<FleetHost> {
     const log: object[] = [];
-    const restarted = { ...host, log, sidecar: this.createSidecar(host, log) };
+    const storeClient = this.createStoreClient();
+    const sidecar = this.createSidecar(host, log, storeClient);
+    const restarted = { ...host, log, storeClient, sidecar };
     await restarted.sidecar.start();
     this.hosts.splice(this.hosts.indexOf(host), 1, restarted);
     return restarted;
   }
 
-  private createSidecar(setup: NodeSetup, log: object[]): Sidecar {
+  private createStoreClient(): LogStore {
+    return new LogStore(this.clock, this.storeAddress ?? this.store.address);
+  }
+
+  private createSidecar(setup: NodeSetup, log: object[], store: LogStore): Sidecar {
     const logger = {
       info: (fields: object) => log.push(fields),
       warn: (fields: object) => log.push(fields),
@@ -158,7 +170,7 @@
         clock: this.clock,
         logger,
         randomness: new SeededRandomness(this.hosts.length + 1),
-        store: new LogStore(this.clock, this.store.address),
+        store,
       },
       {
         ...setup,
