Don't use idle connections to the store that may be as silent as another one

What callers saw: 404 on a route that had been confirmed over 2,000 ms before (CONFIG). Cause: connections to the store were kept without a limit on idle time, and a call that timed out ended its own only; after connections had gone silent, each repeated read took the next silent one, 500 and 1,000 ms each. Class: the state of one thing (the store answers) believed of another (this connection). Ruled out: transfers between nodes, which open a connection each.

--- a/packages/lentillb/src/serving/connectionPool.ts
+++ b/packages/lentillb/src/serving/connectionPool.ts
@@ -4,6 +4,7 @@
 import type { Duplex } from 'node:stream';
 import type { Socket } from 'node:net';
 import type { Clock } from '../kernel/clock.js';
+import { parseAddress } from '../utils/networkAddress.js';
 
 const MS_PER_SECOND = 1_000;
 const KEEP_ALIVE_TIMEOUT = /(?:^|[,\s])timeout=(\d+)/i;
@@ -48,6 +49,9 @@
 export class ConnectionPool extends Agent {
   private reducedIdleUntilMs = -Infinity;
 
+  /** When each idle connection was last heard, in milliseconds of the monotonic clock. */
+  private readonly heardAtMs = new WeakMap<Duplex, number>();
+
   /**
    * @param clock - the clock for the period of the reduced idle limit
    * @param pool - the limits on idle connections
@@ -67,6 +71,21 @@
       .forEach((socket) => socket.destroy());
   }
 
+  /**
+   * Closes the idle connections to an address that have not been heard since a given time. Called when
+   * a connection seems to have gone silent without a reset: what has lost track of it may have lost
+   * track of the others, too, and each of them would cost a request of its own.
+   *
+   * @param address - the address and port that the connections lead to
+   * @param sinceMs - the time since which they must have been heard, in milliseconds of the clock
+   */
+  closeUnheard(address: string, sinceMs: number): void {
+    const idle = this.freeSockets[this.getName(parseAddress(address))] ?? [];
+    idle
+      .filter((socket) => (this.heardAtMs.get(socket) ?? -Infinity) < sinceMs)
+      .forEach((socket) => socket.destroy());
+  }
+
   override keepSocketAlive(stream: Duplex): boolean {
     const socket = stream as Socket;
     const isReduced = this.clock.monotonicMs() < this.reducedIdleUntilMs;
@@ -75,6 +94,7 @@
     if (idleMs <= 0) {
       return false;
     }
+    this.heardAtMs.set(socket, this.clock.monotonicMs());
     socket.setTimeout(idleMs);
     socket.unref();
     // Nothing was asked for, so what arrives now would be taken for the next answer, or spoil it.
--- a/packages/lentillb/src/sidecar/index.ts
+++ b/packages/lentillb/src/sidecar/index.ts
@@ -16,6 +16,7 @@
 export type { Randomness } from '../kernel/randomness.js';
 export { LineWriter, writeToDescriptor } from '../observability/lineWriter.js';
 export { Repetition } from '../rules/ruleForms.js';
+export { ConnectionPool } from '../serving/connectionPool.js';
 export type { HeaderNames } from '../serving/headerNames.js';
 export type { Heartbeat } from '../serving/localBackendServer.js';
 export type { RetryTerms } from '../serving/retryAllowance.js';
