Ask the node of an overdue request what has become of it, and give up silent connections

Cause: only hosts were judged, by datagrams; a host whose datagrams come is heard whatever its connections do, and an exchange that timed out said nothing about its idle neighbours.

Now a request that takes over twice its expected time (100 ms at least, a third of its remaining time at most) is asked for by datagram. A gate that has not got it says so and refuses it should it arrive, so it goes elsewhere, also one that may not be repeated; one whose answer has been sent and is not heard gets its end at once. The idle neighbours of a silent connection are closed, requests in flight to that host are asked for at once. The gate names its process once on each connection, and a sender that was suspended does not believe it, so not-run stays true over restarts and pauses.

Ruled out: interim answers on the connection and pings on it (a packet for each of 320,000 calls a second; this costs nothing within the usual time), a short time-out for the repeatable alone (leaves the others to wait).

--- a/packages/lentillb/src/serving/attempts.ts
+++ b/packages/lentillb/src/serving/attempts.ts
@@ -17,6 +17,9 @@
   /** The number of backend servers that the request reached. */
   sent = 0;
 
+  /** How often the request was sent to a gate. */
+  transmissions = 0;
+
   /** The shortest wait for a slot that a gate expected, in milliseconds. */
   minWaitMs = Infinity;
 
@@ -57,7 +60,11 @@
   recordFailure(host: string, failure: ForwardFailure): void {
     const { cause, outcome, waitMs } = failure;
     const isSaturated = cause === FailureCause.NoSlotInTime;
-    (isSaturated ? this.saturated : this.excluded).add(host);
+    const isUndelivered = cause === FailureCause.ConnectionSilent && outcome === Outcome.NotRun;
+    // Over another connection, the same gate may run the request.
+    if (!isUndelivered) {
+      (isSaturated ? this.saturated : this.excluded).add(host);
+    }
     this.failure = failure;
     this.minWaitMs = Math.min(this.minWaitMs, waitMs ?? Infinity);
     this.mayHaveRun ||= outcome === Outcome.Unknown;
--- a/packages/lentillb/src/serving/callerListener.ts
+++ b/packages/lentillb/src/serving/callerListener.ts
@@ -1,6 +1,7 @@
 /** Accepts HTTP requests from callers on this host, and from other nodes. */
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import { parseAddress } from '../utils/networkAddress.js';
 import { runInBackground } from '../utils/background.js';
 import { listenAt, stopAccepting } from '../utils/listening.js';
@@ -39,8 +40,17 @@
 
 const BODILESS_STATUSES = new Set<number>([HttpStatus.NoContent, HttpStatus.NotModified]);
 
-/** A function that handles one request and returns its answer. */
-export type RequestHandler = (request: CallerRequest) => Promise<EntryAnswer>;
+/**
+ * Handles one request.
+ *
+ * @param request - the request
+ * @param isFirstOnConnection - whether no other request has come on its connection before
+ * @returns the answer
+ */
+export type RequestHandler = (
+  request: CallerRequest,
+  isFirstOnConnection: boolean,
+) => Promise<EntryAnswer>;
 
 export interface ListenerOptions {
   /** The name of the header that carries the request identity. */
@@ -81,6 +91,9 @@
 
   private acceptedCount = 0;
 
+  /** The connections on which a request has arrived. */
+  private readonly usedConnections = new WeakSet<Socket>();
+
   constructor(
     private readonly clock: Clock,
     private readonly input: PendingInputTracker,
@@ -172,19 +185,17 @@
       this.answer(request, response, body);
       return;
     }
-    const { headers, method = 'GET', url = '/' } = request;
+    const { headers, method = 'GET', socket, url = '/' } = request;
+    const isFirstOnConnection = !this.usedConnections.has(socket);
+    this.usedConnections.add(socket);
     this.bufferedBytes += body.length;
     // If the request waited in the accept queue or a socket buffer, the event loop reads the end of
     // its connection only after the request. This wait notices callers that have already left.
     await this.input.waitUntilRead();
-    const answer = await this.handle({
-      method,
-      target: url,
-      headers,
-      body,
-      cancellation,
-      arrivedAtMs,
-    });
+    const answer = await this.handle(
+      { method, target: url, headers, body, cancellation, arrivedAtMs },
+      isFirstOnConnection,
+    );
     this.bufferedBytes -= body.length;
     this.answer(request, response, answer);
   }
--- /dev/null
+++ b/packages/lentillb/src/serving/deliveryMonitor.ts
@@ -0,0 +1,186 @@
+/**
+ * Finds connections to other nodes that have gone silent without a reset, while their hosts are
+ * heard. Nothing on a connection tells a long run from a lost request, so the node of a request that
+ * takes longer than usual is asked by datagram what has become of it. This costs nothing while
+ * requests are answered in their usual time.
+ */
+import type { Socket } from 'node:net';
+import type { DeliveryReply } from '../directory/delivery.js';
+import { DeliveryState } from '../directory/delivery.js';
+import type { Clock } from '../kernel/clock.js';
+import { afterPendingInput } from '../utils/pendingInput.js';
+
+/** Shortest and longest time between two inquiries about a request, in milliseconds. */
+const MIN_INTERVAL_MS = 80;
+const MAX_INTERVAL_MS = 400;
+/**
+ * The age from which a request is asked for at once when another connection to its host has gone
+ * silent, in milliseconds: many round trips between zones.
+ */
+const MIN_AGE_MS = 20;
+/**
+ * How long after a request was sent a node is believed that it has not run, in milliseconds: half of
+ * the time for which gates remember requests.
+ */
+const MAX_CLAIM_AGE_MS = 5_000;
+
+/** The possible fates of a request on a silent connection. */
+export const LostDelivery = {
+  /** The request has not run and will not run at this gate. */
+  NotRun: 'not-run',
+  /** The request may have run; its answer will not come. */
+  AnswerLost: 'answer-lost',
+} as const;
+export type LostDelivery = (typeof LostDelivery)[keyof typeof LostDelivery];
+
+/** A request that has been sent to another node. */
+export interface Delivery {
+  /** The key under which it was sent. */
+  readonly key: string;
+  /** The address and port at which the node answers other nodes. */
+  readonly peerAddress: string;
+  readonly socket: Socket;
+  /** The process that has answered on the connection; undefined if none has yet. */
+  readonly processId: number | undefined;
+  /** How long the request usually takes at most, in milliseconds. */
+  readonly usualMs: number;
+  /**
+   * Called once if the connection has gone silent.
+   *
+   * @param fate - the fate of the request
+   */
+  readonly onLost: (fate: LostDelivery) => void;
+}
+
+interface MonitoredDelivery extends Delivery {
+  readonly sentAtMs: number;
+  /** The wall-clock time of sending, in Unix milliseconds; it goes on while the host is suspended. */
+  readonly sentAtUnixMs: number;
+  /** What had been received on the connection when the request was sent, in bytes. */
+  readonly bytesBefore: number;
+  intervalMs: number;
+  /** Whether the node has said before that the answer had been sent. */
+  hasEnded: boolean;
+  stopTimer: () => void;
+}
+
+/** Asks what has become of requests that are not answered in their usual time. */
+export class DeliveryMonitor {
+  private readonly deliveries = new Map<string, MonitoredDelivery>();
+
+  /**
+   * @param clock - the clock for the intervals
+   * @param sendInquiry - asks the node at an address and port for the request with a key
+   */
+  constructor(
+    private readonly clock: Clock,
+    private readonly sendInquiry: (peerAddress: string, key: string) => void,
+  ) {}
+
+  /**
+   * Watches a request that has just been sent.
+   *
+   * @param delivery - the request
+   * @returns a function that ends the watch
+   */
+  watch(delivery: Delivery): () => void {
+    const { key, socket, usualMs } = delivery;
+    if (this.deliveries.has(key)) {
+      // Two requests with the same identity cannot be told apart.
+      return () => undefined;
+    }
+    const monitored: MonitoredDelivery = {
+      ...delivery,
+      sentAtMs: this.clock.monotonicMs(),
+      sentAtUnixMs: this.clock.now().getTime(),
+      bytesBefore: socket.bytesRead,
+      intervalMs: MIN_INTERVAL_MS,
+      hasEnded: false,
+      stopTimer: () => undefined,
+    };
+    this.deliveries.set(key, monitored);
+    this.inquireAfter(monitored, usualMs);
+    return () => this.end(monitored);
+  }
+
+  /**
+   * Handles the reply of a node.
+   *
+   * @param reply - what has become of a request
+   */
+  receive({ key, processId, state }: DeliveryReply): void {
+    const monitored = this.deliveries.get(key);
+    if (monitored === undefined || this.isHeard(monitored)) {
+      return;
+    }
+    if (monitored.processId !== undefined && monitored.processId !== processId) {
+      // The process that got the request has ended, and its connection with it.
+      this.lose(monitored, LostDelivery.AnswerLost);
+      return;
+    }
+    this.reactions[state](monitored);
+  }
+
+  private readonly reactions: Readonly<
+    Record<DeliveryState, (monitored: MonitoredDelivery) => void>
+  > = {
+    [DeliveryState.NotRun]: (monitored) => {
+      const isCertain = monitored.processId !== undefined && this.isRecent(monitored);
+      this.lose(monitored, isCertain ? LostDelivery.NotRun : LostDelivery.AnswerLost);
+    },
+    [DeliveryState.InProgress]: () => undefined,
+    [DeliveryState.Ended]: (monitored) => {
+      // The answer may still be in transit the first time.
+      if (monitored.hasEnded) {
+        this.lose(monitored, LostDelivery.AnswerLost);
+      }
+      Object.assign(monitored, { hasEnded: true, intervalMs: MIN_INTERVAL_MS });
+    },
+  };
+
+  /** Whether anything has been received on the connection since the request was sent. */
+  // eslint-disable-next-line class-methods-use-this -- a helper of the methods above
+  private isHeard({ bytesBefore, socket }: MonitoredDelivery): boolean {
+    return socket.bytesRead > bytesBefore;
+  }
+
+  /** Whether the request was sent so lately that its gate remembers it, by either clock. */
+  private isRecent({ sentAtMs, sentAtUnixMs }: MonitoredDelivery): boolean {
+    const wallClockAgeMs = Math.abs(this.clock.now().getTime() - sentAtUnixMs);
+    return Math.max(this.clock.monotonicMs() - sentAtMs, wallClockAgeMs) < MAX_CLAIM_AGE_MS;
+  }
+
+  private lose(monitored: MonitoredDelivery, fate: LostDelivery): void {
+    this.end(monitored);
+    monitored.onLost(fate);
+    const latestMs = this.clock.monotonicMs() - MIN_AGE_MS;
+    [...this.deliveries.values()]
+      .filter(({ peerAddress }) => peerAddress === monitored.peerAddress)
+      .filter(({ sentAtMs }) => sentAtMs <= latestMs)
+      .forEach((other) => this.inquire(other));
+  }
+
+  private end(monitored: MonitoredDelivery): void {
+    monitored.stopTimer();
+    if (this.deliveries.get(monitored.key) === monitored) {
+      this.deliveries.delete(monitored.key);
+    }
+  }
+
+  private inquireAfter(monitored: MonitoredDelivery, delayMs: number): void {
+    Object.assign(monitored, {
+      stopTimer: afterPendingInput(this.clock, delayMs, () => this.inquire(monitored)),
+    });
+  }
+
+  private inquire(monitored: MonitoredDelivery): void {
+    monitored.stopTimer();
+    if (this.isHeard(monitored)) {
+      return;
+    }
+    const { intervalMs, key, peerAddress } = monitored;
+    this.sendInquiry(peerAddress, key);
+    Object.assign(monitored, { intervalMs: Math.min(MAX_INTERVAL_MS, intervalMs * 2) });
+    this.inquireAfter(monitored, intervalMs);
+  }
+}
--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -106,6 +106,7 @@
   // The refusal says nothing about load, so another backend server is as likely to run it now.
   [FailureCause.Rejected]: 0,
   [FailureCause.ShuttingDown]: 0,
+  [FailureCause.ConnectionSilent]: 0,
   [FailureCause.ConnectFailed]: 50,
 };
 
@@ -243,6 +244,7 @@
       targetAtMs: arrivedAtMs + route.targetLatencyMs - (longestMs - requestedMs),
       deadlineAtMs: arrivedAtMs + Math.min(requestedMs, route.timeoutMs),
       waitLimit: WaitLimit.OnTime,
+      transmission: 0,
       cancellation: new Cancellation(),
     };
   }
@@ -292,13 +294,17 @@
 
   private async sendToGate(
     attempts: Attempts,
-    { endpoint }: Placement,
+    { endpoint, expectedMs }: Placement,
     waitLimit: WaitLimit,
   ): Promise<BackendAnswer | undefined> {
     const { gateForwarder, observations } = this.services;
     const observation = observations.of(endpoint);
     observation.recordStart();
-    const reply = await gateForwarder.call(endpoint, { ...attempts.request, waitLimit });
+    // eslint-disable-next-line no-param-reassign -- the attempts of one request are recorded in place
+    attempts.transmissions += 1;
+    const { transmissions: transmission } = attempts;
+    const sent = { ...attempts.request, transmission, waitLimit };
+    const reply = await gateForwarder.call(endpoint, sent, expectedMs);
     observation.recordEnd();
     this.recordReply(endpoint, reply);
     if (reply.lateReply !== undefined) {
@@ -349,7 +355,8 @@
     if (isServerFailure(result.error)) {
       observation.recordOutcome(true);
     }
-    if (report === undefined && cause !== FailureCause.CallerGone) {
+    const isConnectionFault = cause === FailureCause.ConnectionSilent;
+    if (report === undefined && cause !== FailureCause.CallerGone && !isConnectionFault) {
       observation.recordUnreachable();
     }
   }
--- a/packages/lentillb/src/serving/exchange.ts
+++ b/packages/lentillb/src/serving/exchange.ts
@@ -18,6 +18,12 @@
   readonly socket: Socket;
   /** Whether other answers have come on the connection before. */
   readonly onReusedConnection: boolean;
+  /**
+   * Gives the request up and resets its connection, so that nothing of it arrives later.
+   *
+   * @param failure - the failure of the exchange
+   */
+  readonly giveUp: (failure: ExchangeFailure) => void;
 }
 
 /** A request and its destination. */
@@ -68,6 +74,10 @@
   /** The answer is not valid HTTP, or exceeds a size limit. */
   Malformed: 'malformed',
   TimedOut: 'timed-out',
+  /** The connection has gone silent, and the request has certainly not run. */
+  SilentNotRun: 'silent-not-run',
+  /** The connection has gone silent, so no answer will come. */
+  Silent: 'silent',
   Cancelled: 'cancelled',
 } as const;
 export type ExchangeFailure = (typeof ExchangeFailure)[keyof typeof ExchangeFailure];
@@ -174,7 +184,16 @@
     if (!this.done) {
       this.sent = true;
       this.outgoing.end(this.request.body);
-      this.request.onSent?.({ socket, onReusedConnection: this.outgoing.reusedSocket });
+      this.request.onSent?.({
+        socket,
+        onReusedConnection: this.outgoing.reusedSocket,
+        giveUp: (failure) => {
+          if (!this.done) {
+            this.finish(Err(failure));
+            socket.resetAndDestroy();
+          }
+        },
+      });
     }
   }
 
--- a/packages/lentillb/src/serving/exchangeFailures.ts
+++ b/packages/lentillb/src/serving/exchangeFailures.ts
@@ -15,5 +15,7 @@
   [ExchangeFailure.Lost]: failure(Outcome.Unknown, FailureCause.ConnectionLost),
   [ExchangeFailure.Malformed]: failure(Outcome.Unknown, FailureCause.InvalidAnswer),
   [ExchangeFailure.TimedOut]: failure(Outcome.Unknown, FailureCause.DeadlinePassed),
+  [ExchangeFailure.SilentNotRun]: failure(Outcome.NotRun, FailureCause.ConnectionSilent),
+  [ExchangeFailure.Silent]: failure(Outcome.Unknown, FailureCause.ConnectionSilent),
   [ExchangeFailure.Cancelled]: failure(Outcome.Unknown, FailureCause.CallerGone),
 };
--- a/packages/lentillb/src/serving/gateForwarder.ts
+++ b/packages/lentillb/src/serving/gateForwarder.ts
@@ -1,4 +1,5 @@
 /** Sends requests to gates: directly to the gate of this node, over HTTP to others. */
+import type { Socket } from 'node:net';
 import { Err } from 'ts-results-es';
 import { forwardFailures } from './exchangeFailures.js';
 import { Outcome } from '../calls/callHeaders.js';
@@ -9,9 +10,12 @@
 import { runInBackground } from '../utils/background.js';
 import type { PendingInputTracker } from '../utils/pendingInput.js';
 import { ConnectionPool } from './connectionPool.js';
+import type { DeliveryMonitor } from './deliveryMonitor.js';
+import { LostDelivery } from './deliveryMonitor.js';
+import type { SentRequest } from './exchange.js';
 import { exchange, ExchangeFailure } from './exchange.js';
 import type { Gate } from './gate.js';
-import { decodeReply, requestHeaders } from './gateProtocol.js';
+import { decodeReply, deliveryKeyOf, processIdOf, requestHeaders } from './gateProtocol.js';
 import type { ListenProbe } from './listenProbe.js';
 import type { ForwardedRequest, ForwardFailure, GateReply } from './messages.js';
 import { FailureCause } from './messages.js';
@@ -25,6 +29,21 @@
 /** The allowance for an answer of the gate that is in transit when the deadline passes. */
 const ANSWER_GRACE_MS = 90;
 
+/** The factor on the expected time of a request after which its node is asked what has become of it. */
+const USUAL_TIME_FACTOR = 2;
+/** Shortest time after which the node of a request is asked what has become of it, in milliseconds. */
+const MIN_USUAL_MS = 100;
+/** The maximum share of the remaining time after which it is asked; the rest is for another attempt. */
+const MAX_USUAL_SHARE = 1 / 3;
+/** The bandwidth assumed for the body of a request, in bytes per millisecond: a megabit a second. */
+const MIN_BYTES_PER_MS = 125;
+
+/** The failure of an exchange by the fate of its request on a silent connection. */
+const failureOfFate: Readonly<Record<LostDelivery, ExchangeFailure>> = {
+  [LostDelivery.NotRun]: ExchangeFailure.SilentNotRun,
+  [LostDelivery.AnswerLost]: ExchangeFailure.Silent,
+};
+
 /** Detects hosts that stop responding while requests to them are in flight. */
 export interface SilenceWatch {
   /**
@@ -59,12 +78,16 @@
 export class GateForwarder {
   private readonly pool: ConnectionPool;
 
+  /** The processes that have answered, by connection. */
+  private readonly processIds = new WeakMap<Socket, number>();
+
   constructor(
     private readonly services: {
       readonly clock: Clock;
       readonly input: PendingInputTracker;
       readonly gate: Gate;
       readonly links: SilenceWatch;
+      readonly deliveries: Pick<DeliveryMonitor, 'watch'>;
       readonly directory: Pick<Directory, 'announcementOf'>;
       readonly listenProbe: Pick<ListenProbe, 'hasEnded'>;
       readonly suspectGuard: Pick<SuspectGuard, 'recordNodeEnded'>;
@@ -83,9 +106,14 @@
    *
    * @param endpoint - the gate to send the request to
    * @param request - the request to run
+   * @param expectedMs - how long the request is expected to wait and run there, in milliseconds
    * @returns the reply of the gate, or a failure without a report if none arrived
    */
-  async call(endpoint: GateEndpoint, request: ForwardedRequest): Promise<GateReply> {
+  async call(
+    endpoint: GateEndpoint,
+    request: ForwardedRequest,
+    expectedMs: number,
+  ): Promise<GateReply> {
     const { gate, input, links } = this.services;
     if (endpoint.host === this.ownHost) {
       return gate.serve(request);
@@ -103,7 +131,7 @@
         }
       });
     });
-    const reply = this.exchangeWith(endpoint, request);
+    const reply = this.exchangeWith(endpoint, request, expectedMs);
     const first = await Promise.race([reply, silence]);
     stopWatch?.();
     return first === 'silent'
@@ -119,11 +147,13 @@
   private async exchangeWith(
     endpoint: GateEndpoint,
     request: ForwardedRequest,
+    expectedMs: number,
   ): Promise<GateReply> {
     const { clock, links } = this.services;
     const startedMs = clock.monotonicMs();
     const remainingMs = Math.max(0, request.deadlineAtMs - startedMs);
-    let onReusedConnection = false;
+    let sent: SentRequest | undefined;
+    let stopWatch: (() => void) | undefined;
     const answer = await exchange(clock, {
       agent: this.pool,
       address: endpoint.gateAddress,
@@ -138,10 +168,12 @@
       timeoutMs: remainingMs + ANSWER_GRACE_MS,
       cancellation: request.cancellation,
       isTerse: true,
-      onSent: (sent) => {
-        onReusedConnection = sent.onReusedConnection;
+      onSent: (sentRequest) => {
+        sent = sentRequest;
+        stopWatch = this.watchDelivery(endpoint, request, { sent, expectedMs });
       },
     });
+    stopWatch?.();
     if (answer.isErr()) {
       const failure = forwardFailures[answer.error];
       this.services.log.record(Importance.Notable, 'gate-not-heard', {
@@ -150,7 +182,7 @@
         cause: failure.cause,
         outcome: failure.outcome,
         waitedMs: Math.round(clock.monotonicMs() - startedMs),
-        onReusedConnection,
+        onReusedConnection: sent?.onReusedConnection ?? false,
         hostSilent: links.isSilent(endpoint.host),
       });
       if (failure.cause === FailureCause.ConnectionLost) {
@@ -159,9 +191,44 @@
       return unreported(failure);
     }
     links.markHeard(endpoint.host);
+    const processId = processIdOf(answer.value.headers);
+    if (sent !== undefined && processId !== undefined) {
+      this.processIds.set(sent.socket, processId);
+    }
     return decodeReply(answer.value);
   }
 
+  /** Watches whether the connection of a request goes silent; returns a function that ends this. */
+  private watchDelivery(
+    { gateAddress, peerAddress }: GateEndpoint,
+    request: ForwardedRequest,
+    { expectedMs, sent }: { readonly sent: SentRequest; readonly expectedMs: number },
+  ): (() => void) | undefined {
+    const key = deliveryKeyOf(request);
+    if (key === undefined) {
+      return undefined;
+    }
+    const { clock, deliveries } = this.services;
+    const { giveUp, socket } = sent;
+    const sentAtMs = clock.monotonicMs();
+    const remainingMs = request.deadlineAtMs - sentAtMs;
+    const usualMs = Math.min(
+      Math.max(MIN_USUAL_MS, expectedMs * USUAL_TIME_FACTOR),
+      remainingMs * MAX_USUAL_SHARE,
+    );
+    return deliveries.watch({
+      key,
+      peerAddress,
+      socket,
+      processId: this.processIds.get(socket),
+      usualMs: usualMs + request.body.length / MIN_BYTES_PER_MS,
+      onLost: (fate) => {
+        this.pool.closeUnheard(gateAddress, sentAtMs);
+        giveUp(failureOfFate[fate]);
+      },
+    });
+  }
+
   /** Records the request as suspect if the node that it was sent to has ended. */
   private async recordEndOfNode(
     { gateAddress, host }: GateEndpoint,
--- a/packages/lentillb/src/serving/gateProtocol.ts
+++ b/packages/lentillb/src/serving/gateProtocol.ts
@@ -17,6 +17,9 @@
 const REPORT_HEADER = 'lentillb-r';
 const FAILURE_HEADER = 'lentillb-failure';
 const UNFRAMED_HEADER = 'lentillb-unframed';
+const PROCESS_HEADER = 'lentillb-p';
+/** The longest identity of a request that another node can be asked for; it must fit into a datagram. */
+const MAX_REQUEST_ID_LENGTH = 400;
 
 const HttpStatus = { Unavailable: 503 } as const;
 
@@ -40,6 +43,7 @@
     `${Math.round(request.targetAtMs - nowMs)}`,
     `${Math.round(request.deadlineAtMs - nowMs)}`,
     request.waitLimit,
+    ...(request.transmission > 1 ? [`${request.transmission}`] : []),
   ];
   return { ...request.headers, [REQUEST_HEADER]: fields.join(' ') };
 }
@@ -74,6 +78,7 @@
     Number,
   ) as [number, number, number, number];
   const waitLimit = waitLimits.find((one) => one === rest[3]);
+  const transmission = Number(rest[4] ?? 1);
   const isNumeric = Number.isFinite(priority + targetLatencyMs + targetMs + deadlineMs);
   if (service === undefined || route === undefined || waitLimit === undefined || !isNumeric) {
     return undefined;
@@ -94,10 +99,47 @@
     targetAtMs: nowMs + targetMs,
     deadlineAtMs: nowMs + deadlineMs,
     waitLimit,
+    transmission: Number.isInteger(transmission) ? transmission : 1,
     cancellation,
   };
 }
 
+/**
+ * Returns the key under which the node of the gate remembers a request.
+ *
+ * @param request - the request
+ * @returns the key; undefined if the caller gave the request no identity, or one that is too long
+ */
+export function deliveryKeyOf({
+  requestId,
+  transmission,
+}: Pick<ForwardedRequest, 'requestId' | 'transmission'>): string | undefined {
+  const isUsable = requestId !== '' && requestId.length <= MAX_REQUEST_ID_LENGTH;
+  return isUsable ? `${transmission} ${requestId}` : undefined;
+}
+
+/**
+ * Names the process that replies. Sent once on each connection, since it stays the same there.
+ *
+ * @param processId - the identity of the process
+ * @returns the header
+ */
+export function processHeader(processId: number): HeaderFields {
+  return { [PROCESS_HEADER]: processId.toString(36) };
+}
+
+/**
+ * Reads the identity of the process that replied.
+ *
+ * @param headers - the headers of its answer
+ * @returns the identity; undefined if the answer does not name it
+ */
+export function processIdOf(headers: IncomingHttpHeaders): number | undefined {
+  const value = headers[PROCESS_HEADER];
+  const processId = typeof value === 'string' ? Number.parseInt(value, 36) : NaN;
+  return Number.isInteger(processId) ? processId : undefined;
+}
+
 /** A reply in its HTTP form. */
 export interface EncodedReply {
   readonly status: number;
--- a/packages/lentillb/src/serving/messages.ts
+++ b/packages/lentillb/src/serving/messages.ts
@@ -27,6 +27,8 @@
   /** The monotonic time until which an answer has any value, in milliseconds. */
   readonly deadlineAtMs: number;
   readonly waitLimit: WaitLimit;
+  /** How often the request has been sent to a gate, this time included. */
+  readonly transmission: number;
   /** The cancellation, triggered when the caller disconnects. */
   readonly cancellation: Cancellation;
 }
@@ -64,6 +66,8 @@
   RunFailed: 'run-failed',
   /** Backend servers end under requests with this content. */
   SuspectRequest: 'suspect-request',
+  /** The connection to the node of the gate has gone silent. */
+  ConnectionSilent: 'connection-silent',
   DeadlinePassed: 'deadline-passed',
   CallerGone: 'caller-gone',
 } as const;
--- /dev/null
+++ b/packages/lentillb/src/serving/receivedRequests.ts
@@ -0,0 +1,90 @@
+/**
+ * Remembers which requests other nodes have sent to this gate. A connection can go silent without a
+ * reset, so that neither end learns whether a request or its answer has arrived. The sender then asks
+ * by other means. A request that it has asked for and that has not arrived will never run here, so the
+ * sender may send it again.
+ */
+import { DeliveryState } from '../directory/delivery.js';
+import type { Clock } from '../kernel/clock.js';
+
+/**
+ * How long a request is remembered after its end, in milliseconds. Data of a connection that its
+ * sender has reset does not arrive later than that.
+ */
+const RETENTION_MS = 10_000;
+
+interface ReceivedRequest {
+  /** The number of requests in progress with the same key; more than one only by a caller's mistake. */
+  inProgress: number;
+  /** What to tell of it when none is in progress. */
+  state: DeliveryState;
+  changedAtMs: number;
+}
+
+/** Knows the requests that have lately arrived from other nodes, or have been asked for. */
+export class ReceivedRequests {
+  /** The requests by key, the one that changed last at the end. */
+  private readonly requests = new Map<string, ReceivedRequest>();
+
+  /** @param clock - the clock for the time for which requests are remembered */
+  constructor(private readonly clock: Clock) {}
+
+  /**
+   * Records that a request has arrived.
+   *
+   * @param key - the key under which it was sent
+   * @returns whether it may run; not if its sender has already been told that it has not run
+   */
+  admit(key: string): boolean {
+    const known = this.requests.get(key);
+    if (known?.inProgress === 0 && known.state === DeliveryState.NotRun) {
+      return false;
+    }
+    this.change(key, DeliveryState.InProgress, 1);
+    return true;
+  }
+
+  /**
+   * Records the end of a request that was admitted.
+   *
+   * @param key - the key under which it was sent
+   * @param mayHaveRun - whether it may have run
+   */
+  recordEnd(key: string, mayHaveRun: boolean): void {
+    this.change(key, mayHaveRun ? DeliveryState.Ended : DeliveryState.NotRun, -1);
+  }
+
+  /**
+   * Tells what has become of a request. One that has not arrived is refused from now on.
+   *
+   * @param key - the key under which it was sent
+   * @returns the state of the request
+   */
+  inquire(key: string): DeliveryState {
+    const known = this.requests.get(key);
+    if (known === undefined) {
+      this.change(key, DeliveryState.NotRun, 0);
+      return DeliveryState.NotRun;
+    }
+    return known.inProgress > 0 ? DeliveryState.InProgress : known.state;
+  }
+
+  private change(key: string, state: DeliveryState, inProgressChange: number): void {
+    const inProgress = (this.requests.get(key)?.inProgress ?? 0) + inProgressChange;
+    this.requests.delete(key);
+    this.requests.set(key, { inProgress, state, changedAtMs: this.clock.monotonicMs() });
+    this.removeExpired();
+  }
+
+  private removeExpired(): void {
+    const limitMs = this.clock.monotonicMs() - RETENTION_MS;
+    for (const [key, { changedAtMs, inProgress }] of this.requests) {
+      if (changedAtMs > limitMs) {
+        break;
+      }
+      if (inProgress === 0) {
+        this.requests.delete(key);
+      }
+    }
+  }
+}
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -1,6 +1,9 @@
 /** Assembles the node that runs on the host of a backend server. */
+import { Err } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
+import { Outcome } from '../calls/callHeaders.js';
 import { PendingInputTracker } from '../utils/pendingInput.js';
+import { hash32 } from '../utils/hash.js';
 import { runInBackground } from '../utils/background.js';
 import type { MeshConfiguration } from '../configuration/meshConfiguration.js';
 import { SmoothWeightedRoundRobin } from '../configuration/smoothWeightedRoundRobin.js';
@@ -23,13 +26,22 @@
 import { Entry } from '../serving/entry.js';
 import type { CallerRequest, EntryAnswer } from '../serving/entry.js';
 import { Gate } from '../serving/gate.js';
+import { DeliveryMonitor } from '../serving/deliveryMonitor.js';
 import { GateForwarder } from '../serving/gateForwarder.js';
 import { GateObservations } from '../serving/gateObservations.js';
-import { decodeRequest, encodeReply } from '../serving/gateProtocol.js';
+import {
+  decodeRequest,
+  deliveryKeyOf,
+  encodeReply,
+  processHeader,
+} from '../serving/gateProtocol.js';
 import type { HeaderNames } from '../serving/headerNames.js';
 import { ListenProbe } from '../serving/listenProbe.js';
 import { HeartbeatEffect, LocalBackendServer } from '../serving/localBackendServer.js';
 import type { Heartbeat } from '../serving/localBackendServer.js';
+import type { ForwardedRequest, GateReply } from '../serving/messages.js';
+import { FailureCause } from '../serving/messages.js';
+import { ReceivedRequests } from '../serving/receivedRequests.js';
 import { GateSelector } from '../serving/gateSelector.js';
 import { RetryAllowance } from '../serving/retryAllowance.js';
 import type { RetryTerms } from '../serving/retryAllowance.js';
@@ -113,6 +125,13 @@
 
   private readonly gateForwarder: GateForwarder;
 
+  private readonly receivedRequests: ReceivedRequests;
+
+  private readonly deliveries: DeliveryMonitor;
+
+  /** Identifies this run of the node to others. */
+  private readonly processId: number;
+
   private readonly entry: Entry;
 
   private readonly callers: CallerListener;
@@ -150,6 +169,7 @@
     const { configurationKey, decodeConfiguration, identity, headerNames, retryTerms, service } =
       options;
     const { metrics } = this;
+    this.processId = hash32(`${identity.host} ${clock.now().getTime()} ${clock.monotonicMs()}`);
     this.log = new DecisionLog(clock, logger);
     const { log } = this;
     this.eventLoopMonitor = new EventLoopMonitor(clock, log, metrics);
@@ -202,6 +222,10 @@
       log,
       metrics,
     });
+    this.receivedRequests = new ReceivedRequests(clock);
+    this.deliveries = new DeliveryMonitor(clock, (peerAddress, key) =>
+      this.gossipSocket.sendDeliveryInquiry(peerAddress, key),
+    );
     this.gossipSocket = new GossipSocket({
       onMessage: (from, message) => {
         this.failureDetector.markAddressHeard(from);
@@ -211,6 +235,14 @@
         const source = this.suspectRelay.sourceOf(from);
         reports.forEach((report) => suspectGuard.receive(report, source));
       },
+      onDeliveryInquiry: (from, key) => {
+        const state = this.receivedRequests.inquire(key);
+        this.gossipSocket.sendDeliveryReply(from, { key, state, processId: this.processId });
+      },
+      onDeliveryReply: (from, reply) => {
+        this.failureDetector.markAddressHeard(from);
+        this.deliveries.receive(reply);
+      },
       onError: ({ message }) =>
         log.record(Importance.Notable, 'greeting-not-sent', { reason: message }),
     });
@@ -252,6 +284,7 @@
         input,
         gate: this.gate,
         links: failureDetector,
+        deliveries: this.deliveries,
         directory,
         listenProbe,
         suspectGuard,
@@ -286,7 +319,7 @@
     this.gateListener = new CallerListener(
       clock,
       input,
-      (request) => this.serveForwarded(request),
+      (request, isFirstOnConnection) => this.serveForwarded(request, isFirstOnConnection),
       {
         requestIdName,
         idleMs: GATE_IDLE_TIMEOUT_MS,
@@ -466,13 +499,34 @@
     this.announcer.update();
   }
 
-  private async serveForwarded(request: CallerRequest): Promise<EntryAnswer> {
+  private async serveForwarded(
+    request: CallerRequest,
+    isFirstOnConnection: boolean,
+  ): Promise<EntryAnswer> {
     const { clock } = this.services;
     const forwarded = decodeRequest(clock, this.options.headerNames, request);
     if (forwarded === undefined) {
       return { status: 400, headers: {}, body: Buffer.alloc(0) };
     }
-    return encodeReply(await this.gate.serve(forwarded));
+    const { body, headers, status } = encodeReply(await this.serveDelivered(forwarded));
+    const process = isFirstOnConnection ? processHeader(this.processId) : {};
+    return { status, headers: { ...headers, ...process }, body };
+  }
+
+  /** Serves a request of another node, unless that node was told that the request has not run. */
+  private async serveDelivered(request: ForwardedRequest): Promise<GateReply> {
+    const key = deliveryKeyOf(request);
+    if (key === undefined) {
+      return this.gate.serve(request);
+    }
+    if (!this.receivedRequests.admit(key)) {
+      const failure = { outcome: Outcome.NotRun, cause: FailureCause.ConnectionSilent };
+      return { result: Err(failure), report: undefined };
+    }
+    const reply = await this.gate.serve(request);
+    const isNotRun = reply.result.isErr() && reply.result.error.outcome === Outcome.NotRun;
+    this.receivedRequests.recordEnd(key, !isNotRun);
+    return reply;
   }
 
   /** Opens the gate and announces the backend server, now that the record of an earlier run is known. */
--- /dev/null
+++ b/tests/serving/deliveryMonitor.spec.ts
@@ -0,0 +1,189 @@
+import type { Socket } from 'node:net';
+import { DeliveryState } from 'lentillb/directory/delivery.js';
+import type { LostDelivery } from 'lentillb/serving/deliveryMonitor.js';
+import { DeliveryMonitor } from 'lentillb/serving/deliveryMonitor.js';
+import { ReceivedRequests } from 'lentillb/serving/receivedRequests.js';
+import { beforeEach, describe, expect, it } from 'vitest';
+import { ManualClock } from '../support/manualClock.js';
+
+const USUAL_MS = 100;
+const PROCESS = 7;
+
+/** A clock whose wall-clock time a test can move. */
+class SuspendedClock extends ManualClock {
+  suspendedMs = 0;
+
+  override now(): Date {
+    return new Date(super.now().getTime() + this.suspendedMs);
+  }
+}
+
+let clock: SuspendedClock;
+let monitor: DeliveryMonitor;
+let inquiries: string[];
+let fates: LostDelivery[];
+let socket: { bytesRead: number };
+
+function watch(
+  key: string,
+  processId: number | undefined = PROCESS,
+  peerAddress = 'p:1',
+): () => void {
+  return monitor.watch({
+    key,
+    peerAddress,
+    socket: socket as Socket,
+    processId,
+    usualMs: USUAL_MS,
+    onLost: (fate) => fates.push(fate),
+  });
+}
+
+function reply(key: string, state: DeliveryState, processId = PROCESS): void {
+  monitor.receive({ key, state, processId });
+}
+
+beforeEach(() => {
+  clock = new SuspendedClock();
+  inquiries = [];
+  fates = [];
+  socket = { bytesRead: 10 };
+  monitor = new DeliveryMonitor(clock, (peerAddress, key) => {
+    inquiries.push(`${peerAddress} ${key}`);
+  });
+});
+
+describe('a request that another node has not answered', () => {
+  it('should not be asked for within its usual time, nor after its end', async () => {
+    const end = watch('a');
+    await clock.advance(USUAL_MS - 1);
+    expect(inquiries).toEqual([]);
+    end();
+    await clock.advance(2_000);
+    expect(inquiries).toEqual([]);
+  });
+
+  it('should not be asked for while its answer arrives', async () => {
+    watch('a');
+    socket.bytesRead += 1;
+    await clock.advance(2_000);
+    expect(inquiries).toEqual([]);
+  });
+
+  it('should be asked for a few times only', async () => {
+    watch('a');
+    await clock.advance(2_000);
+    expect(inquiries.length).toBeGreaterThan(3);
+    expect(inquiries.length).toBeLessThan(9);
+  });
+
+  it('should be waited for while it is in progress', async () => {
+    watch('a');
+    await clock.advance(USUAL_MS);
+    reply('a', DeliveryState.InProgress);
+    expect(fates).toEqual([]);
+  });
+
+  it('should count as not run if its node says so', async () => {
+    watch('a');
+    await clock.advance(USUAL_MS);
+    reply('a', DeliveryState.NotRun);
+    expect(fates).toEqual(['not-run']);
+  });
+
+  it('should lose its answer if its node has sent it some time ago', async () => {
+    watch('a');
+    await clock.advance(USUAL_MS);
+    reply('a', DeliveryState.Ended);
+    expect(fates).toEqual([]);
+    await clock.advance(USUAL_MS);
+    reply('a', DeliveryState.Ended);
+    expect(fates).toEqual(['answer-lost']);
+  });
+
+  it('should not count as not run if its node has been restarted', async () => {
+    watch('a');
+    await clock.advance(USUAL_MS);
+    reply('a', DeliveryState.NotRun, PROCESS + 1);
+    expect(fates).toEqual(['answer-lost']);
+  });
+
+  it('should not count as not run if no process has answered on its connection', async () => {
+    monitor.watch({
+      key: 'a',
+      peerAddress: 'p:1',
+      socket: socket as Socket,
+      processId: undefined,
+      usualMs: USUAL_MS,
+      onLost: (fate) => fates.push(fate),
+    });
+    await clock.advance(USUAL_MS);
+    reply('a', DeliveryState.NotRun);
+    expect(fates).toEqual(['answer-lost']);
+  });
+
+  it('should not count as not run if this host was suspended for so long that its gate may forget', async () => {
+    watch('a');
+    clock.suspendedMs = 30_000;
+    await clock.advance(USUAL_MS);
+    reply('a', DeliveryState.NotRun);
+    expect(fates).toEqual(['answer-lost']);
+  });
+
+  it('should be asked for at once when another connection to its host has gone silent', async () => {
+    watch('a');
+    await clock.advance(USUAL_MS / 2);
+    watch('b');
+    watch('c', PROCESS, 'other:1');
+    await clock.advance(USUAL_MS / 2);
+    inquiries = [];
+    reply('a', DeliveryState.NotRun);
+    expect(inquiries).toEqual(['p:1 b']);
+  });
+});
+
+describe('requests that a gate has received', () => {
+  let received: ReceivedRequests;
+
+  beforeEach(() => {
+    received = new ReceivedRequests(clock);
+  });
+
+  it('should not run once their sender was told that they have not run', () => {
+    expect(received.inquire('a')).toBe(DeliveryState.NotRun);
+    expect(received.admit('a')).toBe(false);
+    expect(received.inquire('a')).toBe(DeliveryState.NotRun);
+  });
+
+  it('should be in progress until they end', () => {
+    expect(received.admit('a')).toBe(true);
+    expect(received.inquire('a')).toBe(DeliveryState.InProgress);
+    received.recordEnd('a', true);
+    expect(received.inquire('a')).toBe(DeliveryState.Ended);
+  });
+
+  it('should not run again after a refusal that their sender may have been told of', () => {
+    expect(received.admit('a')).toBe(true);
+    received.recordEnd('a', false);
+    expect(received.inquire('a')).toBe(DeliveryState.NotRun);
+    expect(received.admit('a')).toBe(false);
+  });
+
+  it('should be in progress while one of two with the same identity is', () => {
+    received.admit('a');
+    received.admit('a');
+    received.recordEnd('a', true);
+    expect(received.inquire('a')).toBe(DeliveryState.InProgress);
+  });
+
+  it('should be remembered for twice as long as senders ask, and forgotten then', async () => {
+    received.admit('a');
+    received.recordEnd('a', true);
+    await clock.advance(9_900);
+    received.admit('b');
+    expect(received.inquire('a')).toBe(DeliveryState.Ended);
+    await clock.advance(200);
+    received.admit('c');
+    expect(received.inquire('a')).toBe(DeliveryState.NotRun);
+  });
+});
--- a/tests/serving/gateForwarder.spec.ts
+++ b/tests/serving/gateForwarder.spec.ts
@@ -19,6 +19,7 @@
 const ANNOUNCEMENT = { host: 'other', zone: 'a', peerAddress: 'o:2', incarnation: 7, sequence: 1 };
 /** Longer than a probe takes on loopback. */
 const PROBE_MS = 100;
+const EXPECTED_MS = 50;
 
 let endedNodes: string[];
 let lines: object[];
@@ -78,6 +79,7 @@
           endedNodes.push(`${requestId} ${host} ${incarnation}`);
         },
       },
+      deliveries: { watch: () => () => undefined },
       links: {
         isSilent: () => false,
         markHeard: () => undefined,
@@ -98,7 +100,7 @@
 });
 
 it('should not give up a repeatable request that runs on a host that is only slow to respond', async () => {
-  const called = forwarder.call(endpoint, requestOf(true));
+  const called = forwarder.call(endpoint, requestOf(true), EXPECTED_MS);
   await pendingResponse;
   markSilent();
   const { lateReply, result } = await called;
@@ -108,7 +110,7 @@
 });
 
 it('should wait for the answer to a non-repeatable request while its host is silent', async () => {
-  const called = forwarder.call(endpoint, requestOf(false));
+  const called = forwarder.call(endpoint, requestOf(false), EXPECTED_MS);
   await pendingResponse;
   markSilent();
   await respond();
@@ -119,14 +121,14 @@
   'should receive the request limit that a gate reports: %o',
   async (limit) => {
     const report = { load: 3, serviceMs: 40, ...limit };
-    const called = forwarder.call(endpoint, requestOf(true));
+    const called = forwarder.call(endpoint, requestOf(true), EXPECTED_MS);
     await respond({ ...answered, report });
     expect((await called).report).toEqual(report);
   },
 );
 
 it('should record a request as suspect if the node that it was sent to ended', async () => {
-  const called = forwarder.call(endpoint, requestOf(true));
+  const called = forwarder.call(endpoint, requestOf(true), EXPECTED_MS);
   const response = await pendingResponse;
   server.close();
   response.socket?.resetAndDestroy();
@@ -136,7 +138,7 @@
 });
 
 it('should not record a request as suspect if only its connection was lost', async () => {
-  const called = forwarder.call(endpoint, requestOf(true));
+  const called = forwarder.call(endpoint, requestOf(true), EXPECTED_MS);
   (await pendingResponse).socket?.resetAndDestroy();
   expect((await called).result.unwrapErr().outcome).toBe('unknown');
   await clock.sleep(PROBE_MS);
@@ -144,7 +146,7 @@
 });
 
 it('should log which host was not heard, on which kind of connection, and for how long', async () => {
-  const called = forwarder.call(endpoint, requestOf(true));
+  const called = forwarder.call(endpoint, requestOf(true), EXPECTED_MS);
   (await pendingResponse).socket?.resetAndDestroy();
   await called;
   expect(lines).toEqual([
--- a/tests/sidecar/absentCallers.spec.ts
+++ b/tests/sidecar/absentCallers.spec.ts
@@ -61,6 +61,7 @@
     targetAtMs: nowMs + 400,
     deadlineAtMs: nowMs + 1_400,
     waitLimit: WaitLimit.UntilDeadline,
+    transmission: 1,
     cancellation: new Cancellation(),
   });
   return { target: '/a/page', headers: headers as Record<string, string> };
--- a/tests/sidecar/silentConnections.spec.ts
+++ b/tests/sidecar/silentConnections.spec.ts
@@ -1,6 +1,8 @@
+import { respondSuccessfully } from '@lentillb/standins';
 import { Deadline } from 'lentillb';
+import { CallerListener } from 'lentillb/serving/callerListener.js';
 import { Topic } from 'lentillb/store/keyedStore.js';
-import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { Relay } from '../../soak/dist/relay.js';
 import { freeAddress } from '../support/freeAddress.js';
 import type { FleetHost } from '../support/sidecarFleet.js';
@@ -55,3 +57,108 @@
     expect(fleet.clock.monotonicMs() - publishedMs).toBeLessThan(APPLY_MS);
   });
 });
+
+describe('connections to another node that go silent for good', () => {
+  const RUN_MS = 40;
+  const CALLERS = 6;
+
+  let relays: Readonly<Record<string, Relay>>;
+  let front: FleetHost;
+  let back: FleetHost;
+  let spare: FleetHost;
+
+  /** Adds a host whose gate other nodes reach through a relay. */
+  async function addRelayedHost(name: string): Promise<FleetHost> {
+    const gateAddress = await freeAddress();
+    const listen = vi.spyOn(CallerListener.prototype, 'listen');
+    // The first listener that a node opens is that of its gate.
+    listen.mockImplementationOnce(async function listenBehindRelay(
+      this: CallerListener,
+      address: string,
+    ) {
+      listen.mockRestore();
+      const relay = new Relay(fleet.clock, () => gateAddress, 0);
+      relays = { ...relays, [name]: relay };
+      await relay.listen(address);
+      return this.listen(gateAddress);
+    });
+    const host = await fleet.addHost(name, 'letters');
+    host.backendServer.setHandler((response, run) => {
+      setTimeout(() => respondSuccessfully(response, run), RUN_MS);
+    });
+    return host;
+  }
+
+  function sendAll(count: number, service: string): Promise<readonly number[]> {
+    return Promise.all(
+      Array.from({ length: count }, async () => (await fleet.send(front, service).answer).status),
+    );
+  }
+
+  function runCounts(): readonly number[] {
+    const ids = [back, spare].flatMap(({ backendServer }) =>
+      backendServer.runs.map(({ requestId }) => requestId),
+    );
+    return [...new Set(ids)].map((id) => ids.filter((other) => other === id).length);
+  }
+
+  beforeEach(async () => {
+    relays = {};
+    front = await fleet.addHost('front', 'pages');
+    back = await addRelayedHost('back');
+    spare = await addRelayedHost('spare');
+    await fleet.waitUntilServed(front, 'letters');
+    await fleet.waitUntil(() => [back, spare].every(({ sidecar }) => sidecar.ready));
+    // Leaves idle connections to both hosts.
+    await sendAll(CALLERS, 'letters');
+    await sendAll(CALLERS, 'letters');
+  });
+
+  afterEach(() => Object.values(relays).forEach((relay) => relay.close()));
+
+  it('should lose no request that is sent on one of them, and run none twice', async () => {
+    Object.values(relays).forEach((relay) => relay.silenceOpenConnections());
+    const statuses = [
+      ...(await sendAll(CALLERS, 'letters')),
+      ...(await sendAll(CALLERS, 'letters')),
+    ];
+    expect(statuses).toEqual(Array(2 * CALLERS).fill(200));
+    expect(Math.max(...runCounts())).toBe(1);
+  });
+
+  it('should lose no request to the only host of a service', async () => {
+    await spare.sidecar.acceptDeparture(spare.heartbeat.id);
+    await fleet.waitUntilServed(front, 'letters');
+    relays.back?.silenceOpenConnections();
+    expect(await sendAll(3, 'letters')).toEqual([200, 200, 200]);
+    expect(Math.max(...runCounts())).toBe(1);
+  });
+
+  it('should end a request whose answer is lost long before its deadline, and not run it again', async () => {
+    [back, spare].forEach(({ backendServer }) =>
+      backendServer.setHandler((response, run) => {
+        setTimeout(() => respondSuccessfully(response, run), 100);
+      }),
+    );
+    const before = back.backendServer.runs.length + spare.backendServer.runs.length;
+    const { answer } = fleet.send(front, 'letters');
+    await fleet.waitUntil(
+      () => back.backendServer.runs.length + spare.backendServer.runs.length > before,
+    );
+    Object.values(relays).forEach((relay) => relay.silenceOpenConnections());
+    const startedMs = fleet.clock.monotonicMs();
+    expect((await answer).status).toBe(502);
+    expect(fleet.clock.monotonicMs() - startedMs).toBeLessThan(1_000);
+    expect(Math.max(...runCounts())).toBe(1);
+  });
+
+  it('should not give up a long run on a connection that is alive', async () => {
+    [back, spare].forEach(({ backendServer }) =>
+      backendServer.setHandler((response, run) => {
+        setTimeout(() => respondSuccessfully(response, run), 900);
+      }),
+    );
+    expect(await sendAll(2, 'letters')).toEqual([200, 200]);
+    expect(Math.max(...runCounts())).toBe(1);
+  });
+});
--- a/tests/support/forwardedRequest.ts
+++ b/tests/support/forwardedRequest.ts
@@ -30,6 +30,7 @@
     targetAtMs: clock.monotonicMs() + TARGET_LATENCY_MS,
     deadlineAtMs: clock.monotonicMs() + DEADLINE_MS,
     waitLimit: WaitLimit.OnTime,
+    transmission: 1,
     cancellation: new Cancellation(),
     ...fields,
   };
