Don't use idle connections to a backend server that may be as silent as another one

A backend server can't be asked what has become of a request, and its run may just be a long one, so the request keeps its connection until its deadline; but once it takes three times the usual time of its kind (150 ms at least), idle connections that were not heard since it was sent are closed. Before, each of them cost a request of its own, within the second for which they are kept. Evidence: connectionPool.spec.ts, 'that go silent for good': without the change the second and third request get no answer, with it they do.

--- a/packages/lentillb/src/serving/backendServerClient.ts
+++ b/packages/lentillb/src/serving/backendServerClient.ts
@@ -4,6 +4,7 @@
 import { forwardFailures } from './exchangeFailures.js';
 import { Outcome, forwardedHeaders } from '../calls/callHeaders.js';
 import type { Clock } from '../kernel/clock.js';
+import { afterPendingInput } from '../utils/pendingInput.js';
 import { ConnectionPool } from './connectionPool.js';
 import type { ExchangeAnswer } from './exchange.js';
 import { exchange, ExchangeFailure, isUnframed } from './exchange.js';
@@ -20,6 +21,9 @@
 const CONNECT_TIMEOUT_MS = 250;
 /** The allowance for an answer that is in transit when the deadline passes, in milliseconds. */
 const ANSWER_GRACE_MS = 60;
+/** The factor on the usual time of a run after which its connection may have gone silent. */
+const SUSPICION_FACTOR = 3;
+const MIN_SUSPICION_MS = 150;
 const MISDIRECTED_REQUEST = 421;
 /** The statuses of final answers; Node.js throws where some of the others are passed on. */
 const MIN_FINAL_STATUS = 200;
@@ -33,6 +37,8 @@
   readonly address: string;
   /** The identity of the run that the request is for. */
   readonly instanceId: string;
+  /** How long a request of this kind usually runs, in milliseconds. */
+  readonly usualServiceMs: number;
 }
 
 /** The callbacks for what happens between this node and its backend server. */
@@ -123,12 +129,18 @@
 
   private async sendOnce(
     request: ForwardedRequest,
-    { address, instanceId }: BackendTarget,
+    { address, instanceId, usualServiceMs }: BackendTarget,
   ): Promise<Result<ExchangeAnswer, ExchangeFailure>> {
     const sentAtMs = this.clock.monotonicMs();
     const remainingMs = Math.max(0, Math.floor(request.deadlineAtMs - sentAtMs));
     const { body, cancellation, headers, method, target } = request;
     this.listener.onSent();
+    // The run may just be a long one, so its own connection is kept until the deadline.
+    const stopSuspicion = afterPendingInput(
+      this.clock,
+      Math.max(MIN_SUSPICION_MS, usualServiceMs * SUSPICION_FACTOR),
+      () => this.pool.closeUnheard(address, sentAtMs),
+    );
     const answer = await exchange(this.clock, {
       agent: this.pool,
       address,
@@ -148,6 +160,7 @@
       mayReuse: (answerHeaders, status) =>
         this.isOwnAnswer(request, answerHeaders, status) && !this.isRefusal(answerHeaders, status),
     });
+    stopSuspicion();
     this.trackRun(instanceId);
     if (answer.isOk() && this.isOfExpectedRun(request, answer.value)) {
       const statement = readStatement(answer.value.headers, this.names);
--- a/packages/lentillb/src/serving/gate.ts
+++ b/packages/lentillb/src/serving/gate.ts
@@ -253,7 +253,7 @@
   }
 
   private async send(request: ForwardedRequest): Promise<GateResult> {
-    const { backendServer, client, clock, input, suspectGuard } = this.services;
+    const { backendServer, client, clock, input, slots, suspectGuard } = this.services;
     await input.waitUntilRecentlyRead();
     if (request.cancellation.reason !== undefined) {
       return notRun(FailureCause.CallerGone);
@@ -270,7 +270,11 @@
       return notRun(FailureCause.SuspectRequest);
     }
     const { address, id } = heartbeat;
-    const sent = await client.send(request, { address, instanceId: id });
+    const sent = await client.send(request, {
+      address,
+      instanceId: id,
+      usualServiceMs: slots.expectedServiceMs(request.route),
+    });
     const result = await this.recordRun(request, heartbeat, sent);
     if (result.isErr()) {
       if (result.error.cause === FailureCause.NotServing) {
--- a/packages/lentillb/src/serving/slotQueue.ts
+++ b/packages/lentillb/src/serving/slotQueue.ts
@@ -162,6 +162,18 @@
       .map(([key]) => [key, this.expectedServiceMs(key)] as const);
   }
 
+  /**
+   * @param serviceTimeKey - the key that groups requests with similar service times
+   * @returns the service time to expect, in milliseconds
+   */
+  expectedServiceMs(serviceTimeKey: string): number {
+    const measured =
+      this.meanServiceMsByKey.get(serviceTimeKey)?.value ??
+      this.meanServiceMs.value ??
+      DEFAULT_SERVICE_MS;
+    return this.isWarmingUp() ? measured * WARM_UP_FACTOR : measured;
+  }
+
   /**
    * Sets the number of slots and grants free ones to waiting requests.
    *
@@ -228,14 +240,6 @@
       : finishMs <= (request.deadlineAtMs - nowMs) * MAX_LATE_FINISH_SHARE;
   }
 
-  private expectedServiceMs(serviceTimeKey: string): number {
-    const measured =
-      this.meanServiceMsByKey.get(serviceTimeKey)?.value ??
-      this.meanServiceMs.value ??
-      DEFAULT_SERVICE_MS;
-    return this.isWarmingUp() ? measured * WARM_UP_FACTOR : measured;
-  }
-
   /** Estimates the wait for a slot and a permit behind the given requests, in milliseconds. */
   private expectedWaitMs(ahead: readonly SlotRequest[]): number {
     return Math.max(this.expectedSlotWaitMs(ahead), this.statedLimit.waitMs(ahead.length));
--- a/tests/serving/backendServerClient.spec.ts
+++ b/tests/serving/backendServerClient.spec.ts
@@ -50,7 +50,7 @@
 function send() {
   const headers = { host: 'a.example', [wireHeaders.requestId]: 'r' };
   const request = createForwardedRequest(clock, { headers, repeatable: true });
-  return client.send(request, { address, instanceId: 'i' });
+  return client.send(request, { address, instanceId: 'i', usualServiceMs: 50 });
 }
 
 describe('backend server client', () => {
--- a/tests/serving/connectionPool.spec.ts
+++ b/tests/serving/connectionPool.spec.ts
@@ -43,7 +43,7 @@
 }
 
 async function send(): Promise<boolean> {
-  const target = { address: serverAddress, instanceId: 'i' };
+  const target = { address: serverAddress, instanceId: 'i', usualServiceMs: 50 };
   return (await client.send(forwardedRequest(), target)).isOk();
 }
 
@@ -155,13 +155,46 @@
     });
     serverAddress = `127.0.0.1:${await scripted.listen()}`;
     const request = { ...forwardedRequest(), deadlineAtMs: clock.monotonicMs() + 200 };
-    const unanswered = await client.send(request, { address: serverAddress, instanceId: 'i' });
+    const unanswered = await client.send(request, {
+      address: serverAddress,
+      instanceId: 'i',
+      usualServiceMs: 50,
+    });
     expect(unanswered.unwrapErr()).toEqual({ outcome: 'unknown', cause: 'deadline-passed' });
     expect([await send(), await send()]).toEqual([true, true]);
     scripted.close();
   });
 });
 
+describe('connections to a backend server that go silent for good', () => {
+  const CONNECTIONS = 4;
+  const IDLE_MS = 200;
+
+  it('should cost one request its answer, and its connection, but no later request', async () => {
+    let isSilent = false;
+    const silentPorts = new Set<number | undefined>();
+    const openPorts = new Set<number | undefined>();
+    const scripted = new ScriptedServer((socket) => {
+      openPorts.add(socket.remotePort);
+      if (!silentPorts.has(socket.remotePort)) {
+        const head = `${wireHeaders.requestId}: r\r\n${wireHeaders.seal}: seal\r\n`;
+        setTimeout(() => socket.write(encodeResponse('answer', head)), isSilent ? 0 : IDLE_MS / 10);
+      }
+    });
+    serverAddress = `127.0.0.1:${await scripted.listen()}`;
+    await Promise.all(Array.from({ length: CONNECTIONS }, send));
+    isSilent = true;
+    openPorts.forEach((port) => silentPorts.add(port));
+    const target = { address: serverAddress, instanceId: 'i', usualServiceMs: 50 };
+    const request = { ...forwardedRequest(), deadlineAtMs: clock.monotonicMs() + 1_000 };
+    const unanswered = client.send(request, target);
+    await clock.sleep(IDLE_MS);
+    expect([await send(), await send()]).toEqual([true, true]);
+    expect((await unanswered).isErr()).toBe(true);
+    scripted.close();
+  });
+});
+
 describe('connections between nodes', () => {
   it('should omit headers that HTTP/1.1 implies, and be kept alive', async () => {
     const seen: string[] = [];
--- a/tests/serving/copiedRefusals.spec.ts
+++ b/tests/serving/copiedRefusals.spec.ts
@@ -63,7 +63,7 @@
   for (const requestId of requestIds) {
     const headers = { host: 'a.example', [wireHeaders.requestId]: requestId };
     const request = createForwardedRequest(clock, { requestId, headers, repeatable: false });
-    const result = await client.send(request, { address, instanceId: 'i' });
+    const result = await client.send(request, { address, instanceId: 'i', usualServiceMs: 50 });
     causes.push(result.isErr() ? result.error.cause : undefined);
     outcomes.push(result.isOk() ? `${result.value.status}` : result.error.outcome);
     await clock.sleep(10);
--- a/tests/serving/cutHeads.spec.ts
+++ b/tests/serving/cutHeads.spec.ts
@@ -65,7 +65,7 @@
   return () => {
     const headers = { host: 'a.example', [wireHeaders.requestId]: 'r' };
     const request = createForwardedRequest(clock, { headers, repeatable: false });
-    return started.send(request, { address, instanceId: 'i' });
+    return started.send(request, { address, instanceId: 'i', usualServiceMs: 50 });
   };
 }
 
