Let a gate read what has arrived before it says that a request has not

A busy node reads datagrams before connections that wait to be accepted, so it denied requests that had arrived, and refused them then; it waits three turns of the event loop now. And on a new connection no process had been heard yet, so such a request counted as one that may have run; what counts now is the process that was heard at the gate, on any connection, before the request was sent: if it replies later, too, no other can have got the request. An answer and a reply about it that arrive together are both read before the request is given up. Evidence: silentConnections.spec.ts, 'its busy node reads after the inquiry': 503 without the wait, 200 with it; deliveryMonitor.spec.ts.

--- a/packages/lentillb/src/serving/deliveryMonitor.ts
+++ b/packages/lentillb/src/serving/deliveryMonitor.ts
@@ -8,7 +8,8 @@
 import type { DeliveryReply } from '../directory/delivery.js';
 import { DeliveryState } from '../directory/delivery.js';
 import type { Clock } from '../kernel/clock.js';
-import { afterPendingInput } from '../utils/pendingInput.js';
+import { runInBackground } from '../utils/background.js';
+import { afterPendingInput, waitForPendingInput } from '../utils/pendingInput.js';
 
 /** Shortest and longest time between two inquiries about a request, in milliseconds. */
 const MIN_INTERVAL_MS = 80;
@@ -40,7 +41,10 @@
   /** The address and port at which the node answers other nodes. */
   readonly peerAddress: string;
   readonly socket: Socket;
-  /** The process that has answered on the connection; undefined if none has yet. */
+  /**
+   * The process that was heard at the gate before the request was sent; undefined if none was. If it
+   * is heard after the request was sent, too, no other process can have got the request.
+   */
   readonly processId: number | undefined;
   /** How long the request usually takes at most, in milliseconds. */
   readonly usualMs: number;
@@ -110,9 +114,20 @@
    */
   receive({ key, processId, state }: DeliveryReply): void {
     const monitored = this.deliveries.get(key);
-    if (monitored === undefined || this.isHeard(monitored)) {
+    if (monitored === undefined) {
       return;
     }
+    // Its answer may have arrived as well, and not have been read yet.
+    runInBackground(
+      waitForPendingInput().then(() => {
+        if (this.deliveries.get(key) === monitored && !this.isHeard(monitored)) {
+          this.handleReply(monitored, { key, processId, state });
+        }
+      }),
+    );
+  }
+
+  private handleReply(monitored: MonitoredDelivery, { processId, state }: DeliveryReply): void {
     if (monitored.processId !== undefined && monitored.processId !== processId) {
       // The process that got the request has ended, and its connection with it.
       this.lose(monitored, LostDelivery.AnswerLost);
--- a/packages/lentillb/src/serving/gateForwarder.ts
+++ b/packages/lentillb/src/serving/gateForwarder.ts
@@ -1,5 +1,4 @@
 /** Sends requests to gates: directly to the gate of this node, over HTTP to others. */
-import type { Socket } from 'node:net';
 import { Err } from 'ts-results-es';
 import { forwardFailures } from './exchangeFailures.js';
 import { Outcome } from '../calls/callHeaders.js';
@@ -78,8 +77,8 @@
 export class GateForwarder {
   private readonly pool: ConnectionPool;
 
-  /** The processes that have answered, by connection. */
-  private readonly processIds = new WeakMap<Socket, number>();
+  /** The process that was heard last at each gate, by its address. */
+  private readonly processIds = new Map<string, number>();
 
   constructor(
     private readonly services: {
@@ -192,8 +191,8 @@
     }
     links.markHeard(endpoint.host);
     const processId = processIdOf(answer.value.headers);
-    if (sent !== undefined && processId !== undefined) {
-      this.processIds.set(sent.socket, processId);
+    if (processId !== undefined) {
+      this.processIds.set(endpoint.gateAddress, processId);
     }
     return decodeReply(answer.value);
   }
@@ -220,7 +219,7 @@
       key,
       peerAddress,
       socket,
-      processId: this.processIds.get(socket),
+      processId: this.processIds.get(gateAddress),
       usualMs: usualMs + request.body.length / MIN_BYTES_PER_MS,
       onLost: (fate) => {
         this.pool.closeUnheard(gateAddress, sentAtMs);
--- a/packages/lentillb/src/serving/receivedRequests.ts
+++ b/packages/lentillb/src/serving/receivedRequests.ts
@@ -54,6 +54,14 @@
     this.change(key, mayHaveRun ? DeliveryState.Ended : DeliveryState.NotRun, -1);
   }
 
+  /**
+   * @param key - the key under which a request was sent
+   * @returns whether the request has arrived, or has been asked for
+   */
+  isKnown(key: string): boolean {
+    return this.requests.has(key);
+  }
+
   /**
    * Tells what has become of a request. One that has not arrived is refused from now on.
    *
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -2,7 +2,7 @@
 import { Err } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import { Outcome } from '../calls/callHeaders.js';
-import { PendingInputTracker } from '../utils/pendingInput.js';
+import { PendingInputTracker, waitForPendingInput } from '../utils/pendingInput.js';
 import { hash32 } from '../utils/hash.js';
 import { runInBackground } from '../utils/background.js';
 import type { MeshConfiguration } from '../configuration/meshConfiguration.js';
@@ -73,6 +73,12 @@
 /** Part of the stop time reserved for exiting on a busy processor, in milliseconds: a ninth of it. */
 const SHUTDOWN_RESERVE_MS = 700;
 
+/**
+ * The turns of the event loop in which a request that another node asks for is awaited: its connection
+ * is accepted, it is read, and the end of its connection would be read.
+ */
+const MAX_ARRIVAL_TURNS = 3;
+
 /** The settings of a node. */
 export interface SidecarOptions {
   readonly identity: HostIdentity;
@@ -235,10 +241,7 @@
         const source = this.suspectRelay.sourceOf(from);
         reports.forEach((report) => suspectGuard.receive(report, source));
       },
-      onDeliveryInquiry: (from, key) => {
-        const state = this.receivedRequests.inquire(key);
-        this.gossipSocket.sendDeliveryReply(from, { key, state, processId: this.processId });
-      },
+      onDeliveryInquiry: (from, key) => runInBackground(this.replyToInquiry(from, key)),
       onDeliveryReply: (from, reply) => {
         this.failureDetector.markAddressHeard(from);
         this.deliveries.receive(reply);
@@ -513,6 +516,16 @@
     return { status, headers: { ...headers, ...process }, body };
   }
 
+  private async replyToInquiry(from: string, key: string): Promise<void> {
+    const { gossipSocket, processId, receivedRequests } = this;
+    // While this process is busy, it reads datagrams before connections that wait to be accepted.
+    for (let turn = 0; turn < MAX_ARRIVAL_TURNS && !receivedRequests.isKnown(key); turn += 1) {
+      await waitForPendingInput();
+    }
+    const state = receivedRequests.inquire(key);
+    gossipSocket.sendDeliveryReply(from, { key, state, processId });
+  }
+
   /** Serves a request of another node, unless that node was told that the request has not run. */
   private async serveDelivered(request: ForwardedRequest): Promise<GateReply> {
     const key = deliveryKeyOf(request);
--- a/tests/serving/deliveryMonitor.spec.ts
+++ b/tests/serving/deliveryMonitor.spec.ts
@@ -39,8 +39,9 @@
   });
 }
 
-function reply(key: string, state: DeliveryState, processId = PROCESS): void {
+async function reply(key: string, state: DeliveryState, processId = PROCESS): Promise<void> {
   monitor.receive({ key, state, processId });
+  await clock.advance(0);
 }
 
 beforeEach(() => {
@@ -70,6 +71,15 @@
     expect(inquiries).toEqual([]);
   });
 
+  it('should not be lost if its answer is read after the reply of its node', async () => {
+    watch('a');
+    await clock.advance(USUAL_MS);
+    monitor.receive({ key: 'a', state: DeliveryState.NotRun, processId: PROCESS });
+    socket.bytesRead += 1;
+    await clock.advance(0);
+    expect(fates).toEqual([]);
+  });
+
   it('should be asked for a few times only', async () => {
     watch('a');
     await clock.advance(2_000);
@@ -80,35 +90,35 @@
   it('should be waited for while it is in progress', async () => {
     watch('a');
     await clock.advance(USUAL_MS);
-    reply('a', DeliveryState.InProgress);
+    await reply('a', DeliveryState.InProgress);
     expect(fates).toEqual([]);
   });
 
   it('should count as not run if its node says so', async () => {
     watch('a');
     await clock.advance(USUAL_MS);
-    reply('a', DeliveryState.NotRun);
+    await reply('a', DeliveryState.NotRun);
     expect(fates).toEqual(['not-run']);
   });
 
   it('should lose its answer if its node has sent it some time ago', async () => {
     watch('a');
     await clock.advance(USUAL_MS);
-    reply('a', DeliveryState.Ended);
+    await reply('a', DeliveryState.Ended);
     expect(fates).toEqual([]);
     await clock.advance(USUAL_MS);
-    reply('a', DeliveryState.Ended);
+    await reply('a', DeliveryState.Ended);
     expect(fates).toEqual(['answer-lost']);
   });
 
   it('should not count as not run if its node has been restarted', async () => {
     watch('a');
     await clock.advance(USUAL_MS);
-    reply('a', DeliveryState.NotRun, PROCESS + 1);
+    await reply('a', DeliveryState.NotRun, PROCESS + 1);
     expect(fates).toEqual(['answer-lost']);
   });
 
-  it('should not count as not run if no process has answered on its connection', async () => {
+  it('should not count as not run if no process was heard at its gate before', async () => {
     monitor.watch({
       key: 'a',
       peerAddress: 'p:1',
@@ -118,7 +128,7 @@
       onLost: (fate) => fates.push(fate),
     });
     await clock.advance(USUAL_MS);
-    reply('a', DeliveryState.NotRun);
+    await reply('a', DeliveryState.NotRun);
     expect(fates).toEqual(['answer-lost']);
   });
 
@@ -126,7 +136,7 @@
     watch('a');
     clock.suspendedMs = 30_000;
     await clock.advance(USUAL_MS);
-    reply('a', DeliveryState.NotRun);
+    await reply('a', DeliveryState.NotRun);
     expect(fates).toEqual(['answer-lost']);
   });
 
@@ -137,7 +147,7 @@
     watch('c', PROCESS, 'other:1');
     await clock.advance(USUAL_MS / 2);
     inquiries = [];
-    reply('a', DeliveryState.NotRun);
+    await reply('a', DeliveryState.NotRun);
     expect(inquiries).toEqual(['p:1 b']);
   });
 });
--- a/tests/sidecar/silentConnections.spec.ts
+++ b/tests/sidecar/silentConnections.spec.ts
@@ -1,10 +1,17 @@
+import { createSocket } from 'node:dgram';
 import { respondSuccessfully } from '@lentillb/standins';
 import { Deadline } from 'lentillb';
+import { encodeDeliveryInquiry } from 'lentillb/peers/deliveryMessage.js';
 import { CallerListener } from 'lentillb/serving/callerListener.js';
+import { requestHeaders } from 'lentillb/serving/gateProtocol.js';
 import { Topic } from 'lentillb/store/keyedStore.js';
+import { parseAddress } from 'lentillb/utils/networkAddress.js';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { Relay } from '../../soak/dist/relay.js';
+import { blockEventLoop } from '../support/blockEventLoop.js';
+import { createForwardedRequest } from '../support/forwardedRequest.js';
 import { freeAddress } from '../support/freeAddress.js';
+import { RawConnection } from '../support/rawConnection.js';
 import type { FleetHost } from '../support/sidecarFleet.js';
 import { SidecarFleet } from '../support/sidecarFleet.js';
 
@@ -161,4 +168,28 @@
     expect(await sendAll(2, 'letters')).toEqual([200, 200]);
     expect(Math.max(...runCounts())).toBe(1);
   });
+
+  it('should not refuse a request that has arrived and that its busy node reads after the inquiry', async () => {
+    const { gateAddress, peerAddress } = back.sidecar.identity;
+    const connection = await RawConnection.open(gateAddress);
+    await fleet.clock.sleep(50);
+    const { host, port } = parseAddress(peerAddress);
+    const datagrams = createSocket('udp4');
+    await new Promise<void>((resolve) => {
+      datagrams.connect(port, host, resolve);
+    });
+    const request = createForwardedRequest(fleet.clock, {
+      requestId: 'late',
+      service: 'letters',
+      headers: { host: 'letters.example', 'x-attempt-id': 'late' },
+    });
+    const headers = requestHeaders(fleet.clock, request) as Record<string, string>;
+    datagrams.send(encodeDeliveryInquiry('1 late'));
+    connection.write({ target: '/', headers });
+    blockEventLoop(50);
+    await fleet.waitUntil(() => connection.receivedText !== '');
+    expect(connection.receivedText).toContain('HTTP/1.1 200');
+    datagrams.close();
+    connection.close();
+  });
 });
