Judge what a stopping node takes and keeps against its end, step by step

What callers saw (LOST): requests taken late in a planned stop were reset at its end, also ones that had not run and ones that may not be repeated; calls of runs that were let finish were refused. Cause: requests were admitted by their own deadline only, the closed gate kept what waited, and the listener closed by the clock. Class: a bound (the end of the process) that is known in one place and not where decisions depend on it.

Now a stop is a plan of four times within the stop time (stopPlan.ts). From its start the entry and the gate take only what is expected to end in time, by the usual time of its route, and reject the rest at once as not run, with a Retry-After by which callers have moved; deadlines end with the node. When callers have moved, the gate gives back what waits as not run, so that it runs elsewhere. The listener stays open until the last run on the host has ended, since runs make calls. What is still in flight at the end gets an answer, and a departure is confirmed before it. Ruled out: closing the gate at the start (loses the host's slots for 2.6 s, and other nodes waste an attempt each).

--- a/packages/lentillb/src/calls/call.ts
+++ b/packages/lentillb/src/calls/call.ts
@@ -78,6 +78,7 @@
   [CancelReason.DeadlinePassed]: FailureReason.DeadlinePassed,
   [CancelReason.CallerGone]: FailureReason.CallerGone,
   [CancelReason.AnsweredElsewhere]: FailureReason.CallerGone,
+  [CancelReason.NodeEnding]: FailureReason.Draining,
 };
 
 /** A call that got no response. */
--- a/packages/lentillb/src/calls/cancellation.ts
+++ b/packages/lentillb/src/calls/cancellation.ts
@@ -7,6 +7,8 @@
 export const CancelReason = {
   DeadlinePassed: 'deadline-passed',
   CallerGone: 'caller-gone',
+  /** The node of the request's entry is at the end of its planned stop. */
+  NodeEnding: 'node-ending',
   /** Another backend server answered the request. */
   AnsweredElsewhere: 'answered-elsewhere',
 } as const;
--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -30,6 +30,9 @@
 import type { RetryAllowance } from './retryAllowance.js';
 import { chooseRetryAfterMs } from './retryAfter.js';
 import { WaitLimit } from './slotQueue.js';
+import { SmoothedMean } from './smoothedMean.js';
+import type { StopTimes } from './stopTimes.js';
+import { endsInTime } from './stopTimes.js';
 import type { SuspectGuard } from './suspectGuard.js';
 import { SuspectVerdict } from './suspectRequests.js';
 
@@ -125,7 +128,14 @@
 
 /** Forwards the requests of the callers on this host. */
 export class Entry {
-  private closing = false;
+  /** The times of the planned stop of this node; undefined if it is not being stopped. */
+  private stopTimes: StopTimes | undefined;
+
+  /** The cancellations of the requests in flight. */
+  private readonly inFlight = new Set<Cancellation>();
+
+  /** How long answered requests took by route, in milliseconds. */
+  private readonly usualMsByRoute = new Map<string, SmoothedMean>();
 
   /** The longest deadline of callers by route, in milliseconds: that of a first attempt. */
   private readonly longestDeadlineMsByRoute = new Map<string, number>();
@@ -135,9 +145,24 @@
     private readonly options: EntryOptions,
   ) {}
 
-  /** Refuses new requests; requests in flight complete. */
-  close(): void {
-    this.closing = true;
+  /**
+   * Takes only requests that are expected to end before the node does.
+   *
+   * @param stopTimes - the times of the planned stop
+   */
+  startStopping(stopTimes: StopTimes): void {
+    this.stopTimes = stopTimes;
+  }
+
+  /**
+   * Ends the requests in flight, so that their callers get an answer before the process ends.
+   *
+   * @returns the number of requests that were in flight
+   */
+  endAll(): number {
+    const { size } = this.inFlight;
+    [...this.inFlight].forEach((cancellation) => cancellation.cancel(CancelReason.NodeEnding));
+    return size;
   }
 
   /**
@@ -150,9 +175,6 @@
     if (request.cancellation.reason !== undefined) {
       return this.refuse(request, FailureCause.CallerGone, 0);
     }
-    if (this.closing) {
-      return this.refuse(request, FailureCause.ShuttingDown, 0);
-    }
     const table = this.services.configuration.current;
     if (table === undefined) {
       return this.refuse(request, 'no-configuration', UNCONFIGURED_RETRY_AFTER_MS);
@@ -162,6 +184,9 @@
       return this.answerMissingRoute(request);
     }
     const forwarded = this.toForwardedRequest(request, route);
+    if (!this.endsInTime(forwarded)) {
+      return this.refuse(request, FailureCause.ShuttingDown, this.untilCallersMovedMs());
+    }
     this.services.allowance.recordRequest(forwarded.service);
     const { trialHostHash, trialInMs, verdict } = this.services.suspectGuard.judge(forwarded);
     if (verdict === SuspectVerdict.Blocked) {
@@ -172,7 +197,9 @@
       return this.refuse(request, FailureCause.SuspectRequest, UNSERVED_RETRY_AFTER_MS);
     }
     const stopLink = linkCancellation(request.cancellation, forwarded.cancellation);
+    this.inFlight.add(forwarded.cancellation);
     const answer = await this.firstAnswer(attempts);
+    this.inFlight.delete(forwarded.cancellation);
     stopLink();
     // Ends the attempts that are still under way.
     forwarded.cancellation.cancel(CancelReason.AnsweredElsewhere);
@@ -181,6 +208,26 @@
       : this.deliverAnswer(request, attempts, answer);
   }
 
+  /** Whether a request is expected to end before this node does. */
+  private endsInTime({ route, service }: ForwardedRequest): boolean {
+    const { clock, directory, observations } = this.services;
+    if (this.stopTimes === undefined) {
+      return true;
+    }
+    const endpoints = directory.endpointsOf(service);
+    const usualMs = Math.max(
+      observations.typicalServiceMs(endpoints, hash32(route)),
+      this.usualMsByRoute.get(route)?.value ?? 0,
+    );
+    return endsInTime(this.stopTimes, clock.monotonicMs(), usualMs);
+  }
+
+  /** The time until callers have moved to other nodes, before which they would be refused here again. */
+  private untilCallersMovedMs(): number {
+    const { gateClosesAtMs } = this.stopTimes ?? { gateClosesAtMs: 0 };
+    return Math.max(0, gateClosesAtMs - this.services.clock.monotonicMs());
+  }
+
   /** A route that is missing may be one of a version that this node has heard of and not got yet. */
   private answerMissingRoute(request: CallerRequest): EntryAnswer {
     const { fields, newerVersion } = this.services.status;
@@ -242,7 +289,10 @@
       targetLatencyMs: route.targetLatencyMs,
       // A shorter deadline than that of a first attempt shows how long the caller has been trying.
       targetAtMs: arrivedAtMs + route.targetLatencyMs - (longestMs - requestedMs),
-      deadlineAtMs: arrivedAtMs + Math.min(requestedMs, route.timeoutMs),
+      deadlineAtMs: Math.min(
+        arrivedAtMs + Math.min(requestedMs, route.timeoutMs),
+        this.stopTimes?.endsAtMs ?? Infinity,
+      ),
       waitLimit: WaitLimit.OnTime,
       transmission: 0,
       cancellation: new Cancellation(),
@@ -398,6 +448,9 @@
     metrics.count('entry_answers', { route: route.name, status: `${answer.status}` });
     metrics.observe('entry_latency_ms', elapsedMs, { route: route.name });
     const late = elapsedMs > route.targetLatencyMs;
+    const usualMs = this.usualMsByRoute.get(route.name) ?? new SmoothedMean();
+    this.usualMsByRoute.set(route.name, usualMs);
+    usualMs.add(elapsedMs);
     log.record(late ? Importance.Notable : Importance.Ordinary, 'request-answered', {
       requestId,
       route: route.name,
@@ -419,7 +472,8 @@
     if (fallback !== undefined) {
       return this.deliverAnswer(request, attempts, fallback);
     }
-    const cause = failure?.cause ?? 'no-backend-server';
+    const isEnding = forwarded.cancellation.reason === CancelReason.NodeEnding;
+    const cause = isEnding ? FailureCause.ShuttingDown : (failure?.cause ?? 'no-backend-server');
     const remainingMs = forwarded.deadlineAtMs - clock.monotonicMs();
     const fields = {
       route: route.name,
--- a/packages/lentillb/src/serving/gate.ts
+++ b/packages/lentillb/src/serving/gate.ts
@@ -26,6 +26,8 @@
 import type { SuspectGuard } from './suspectGuard.js';
 import { Admission, ServiceTimeSample } from './slotQueue.js';
 import type { StatedLimit } from './statedLimit.js';
+import type { StopTimes } from './stopTimes.js';
+import { endsInTime } from './stopTimes.js';
 
 type GateResult = Result<BackendAnswer, ForwardFailure>;
 
@@ -92,6 +94,9 @@
 export class Gate {
   private closing = false;
 
+  /** The times of the planned stop of this node; undefined if it is not being stopped. */
+  private stopTimes: StopTimes | undefined;
+
   private active = 0;
 
   private unreachableUntilMs = -Infinity;
@@ -107,9 +112,25 @@
     return this.active;
   }
 
-  /** Refuses new requests; admitted requests complete. */
-  close(): void {
+  /**
+   * Takes only requests that are expected to end before the node does.
+   *
+   * @param stopTimes - the times of the planned stop
+   */
+  startStopping(stopTimes: StopTimes): void {
+    this.stopTimes = stopTimes;
+  }
+
+  /**
+   * Refuses new requests and those that wait, as not run; running requests complete.
+   *
+   * @returns the number of requests that waited
+   */
+  close(): number {
     this.closing = true;
+    const { queued } = this.services.slots.load;
+    this.services.slots.dropAll();
+    return queued;
   }
 
   /**
@@ -137,12 +158,14 @@
   /**
    * Runs a request on the backend server once it gets a slot.
    *
-   * @param request - the request to run
+   * @param arrived - the request to run
    * @returns the answer or the failure, and the load of the gate
    */
-  async serve(request: ForwardedRequest): Promise<GateReply> {
+  async serve(arrived: ForwardedRequest): Promise<GateReply> {
     const { clock } = this.services;
     const arrivedMs = clock.monotonicMs();
+    const endsAtMs = this.stopTimes?.endsAtMs ?? Infinity;
+    const request = { ...arrived, deadlineAtMs: Math.min(arrived.deadlineAtMs, endsAtMs) };
     this.active += 1;
     let serviceMs = 0;
     const result = await this.admit(request, async (slot) => {
@@ -195,10 +218,7 @@
         deadlineAtMs: request.deadlineAtMs,
         waitLimit: request.waitLimit,
         onGranted: (slot) => settle(run(slot)),
-        onDropped: () =>
-          settle(
-            notRun(this.serves(request) ? FailureCause.WaitedTooLong : FailureCause.NotServing),
-          ),
+        onDropped: () => settle(notRun(this.dropCause(request))),
       });
       if (decision.admission === Admission.Refused) {
         settle(notRun(FailureCause.NoSlotInTime, decision.waitMs));
@@ -209,6 +229,14 @@
     });
   }
 
+  /** Returns why a request that waited is dropped. */
+  private dropCause(request: ForwardedRequest): FailureCause {
+    if (this.closing) {
+      return FailureCause.ShuttingDown;
+    }
+    return this.serves(request) ? FailureCause.WaitedTooLong : FailureCause.NotServing;
+  }
+
   private watchQueued(
     request: ForwardedRequest,
     cancel: () => void,
@@ -235,12 +263,13 @@
   }
 
   private refusalCause(request: ForwardedRequest): FailureCause | undefined {
-    const { clock, suspectGuard } = this.services;
+    const { clock, slots, suspectGuard } = this.services;
     const { cancellation } = request;
     if (cancellation.reason !== undefined) {
       return FailureCause.CallerGone;
     }
-    if (this.closing) {
+    const usualMs = slots.expectedServiceMs(request.route);
+    if (this.closing || !endsInTime(this.stopTimes, clock.monotonicMs(), usualMs)) {
       return FailureCause.ShuttingDown;
     }
     if (!this.serves(request)) {
--- /dev/null
+++ b/packages/lentillb/src/serving/stopTimes.ts
@@ -0,0 +1,24 @@
+/** Judges requests against the end of a node that is being stopped. */
+
+/** When the steps of a planned stop begin that requests are judged by, in milliseconds of the clock. */
+export interface StopTimes {
+  /** By when callers have moved to other nodes. */
+  readonly gateClosesAtMs: number;
+  /** When the node ends. */
+  readonly endsAtMs: number;
+}
+
+/** The factor on the usual time of a request within which it is expected to end. */
+const USUAL_TIME_FACTOR = 1.5;
+
+/**
+ * Checks whether a request is expected to end before its node does.
+ *
+ * @param stop - the times of the stop; undefined if the node is not being stopped
+ * @param nowMs - the current time, in milliseconds of the clock
+ * @param usualMs - how long the request usually takes, in milliseconds
+ * @returns whether it may be taken
+ */
+export function endsInTime(stop: StopTimes | undefined, nowMs: number, usualMs: number): boolean {
+  return stop === undefined || nowMs + usualMs * USUAL_TIME_FACTOR <= stop.endsAtMs;
+}
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -57,6 +57,7 @@
 import { StoreAnnouncer } from './storeAnnouncer.js';
 import type { HostIdentity, HostState } from './storeAnnouncer.js';
 import { MeshState } from './meshState.js';
+import { PlannedStop } from './plannedStop.js';
 
 /** How long a starting node waits for its own earlier record before it announces itself, in milliseconds. */
 const OWN_RECORD_TIMEOUT_MS = 1_500;
@@ -66,13 +67,6 @@
 const DEPARTURE_WRITE_TIMEOUT_MS = 600;
 /** Idle timeout of connections from other nodes, in milliseconds; longer than that of the other end. */
 const GATE_IDLE_TIMEOUT_MS = 60_000;
-/** Time for callers to move to other nodes at a stop, in milliseconds: two readiness checks. */
-const CALLER_DRAIN_MS = 2_600;
-/** Interval at which a stopping node checks whether it is idle, in milliseconds. */
-const IDLE_POLL_MS = 50;
-/** Part of the stop time reserved for exiting on a busy processor, in milliseconds: a ninth of it. */
-const SHUTDOWN_RESERVE_MS = 700;
-
 /**
  * The turns of the event loop in which a request that another node asks for is awaited: its connection
  * is accepted, it is read, and the end of its connection would be read.
@@ -158,7 +152,8 @@
 
   private readonly peerListener: StateServer;
 
-  private stopping = false;
+  /** The planned stop of this node, once it has begun. */
+  private plannedStop: PlannedStop | undefined;
 
   /** The service of the backend server for which requests wait at the gate. */
   private gatedService: string | undefined;
@@ -352,7 +347,7 @@
 
   /** Whether the node accepts callers. */
   get ready(): boolean {
-    return !this.stopping && this.meshState.isComplete;
+    return this.plannedStop === undefined && this.meshState.isComplete;
   }
 
   /** The addresses and properties of this host. */
@@ -404,7 +399,7 @@
       draining,
     });
     if (draining) {
-      await this.announcer.untilWritten(DEPARTURE_WRITE_TIMEOUT_MS);
+      await this.announcer.untilWritten(this.departureWriteTimeoutMs);
     }
   }
 
@@ -417,7 +412,7 @@
   async acceptDeparture(id: string): Promise<void> {
     const verdict = this.backendServer.markDeparted(id);
     this.log.record(Importance.Notable, 'departure', { verdict, id });
-    await this.announcer.untilWritten(DEPARTURE_WRITE_TIMEOUT_MS);
+    await this.announcer.untilWritten(this.departureWriteTimeoutMs);
   }
 
   /**
@@ -435,30 +430,22 @@
     this.log.record(Importance.Notable, 'settings-unchanged', {});
   }
 
-  /** Shuts down: lets callers move to other nodes, then waits for requests in flight within the stop time. */
+  /** Shuts down within the stop time; see `PlannedStop` for the steps. */
   async stop(): Promise<void> {
+    const { callers, entry, gate, log } = this;
     const { clock } = this.services;
-    const startedMs = clock.monotonicMs();
-    this.stopping = true;
-    this.log.record(Importance.Notable, 'stopping', { inFlight: this.callers.inFlight });
-    this.callers.startDraining();
-    await clock.sleep(CALLER_DRAIN_MS);
-    this.entry.close();
-    this.gate.close();
-    await this.callers.stopGracefully();
-    const endMs = startedMs + this.options.stopTimeoutMs - SHUTDOWN_RESERVE_MS;
-    while (clock.monotonicMs() < endMs && this.gate.inFlight + this.callers.inFlight > 0) {
-      await clock.sleep(IDLE_POLL_MS);
-    }
+    this.plannedStop ??= new PlannedStop(
+      { callers, clock, entry, gate, log },
+      this.options.stopTimeoutMs,
+    );
+    await this.plannedStop.run();
     this.gossip.stop();
     this.suspectRelay.stop();
     this.meshState.stop();
-    this.log.record(Importance.Notable, 'stopped', { inFlight: this.callers.inFlight });
   }
 
   /** Closes all listeners and connections and ends all loops immediately. */
   close(): void {
-    this.stopping = true;
     this.eventLoopMonitor.stop();
     this.gossip.stop();
     this.suspectRelay.stop();
@@ -471,6 +458,11 @@
     this.client.close();
   }
 
+  /** How long a departure waits for the store now; it must be confirmed before the node ends. */
+  private get departureWriteTimeoutMs(): number {
+    return Math.min(DEPARTURE_WRITE_TIMEOUT_MS, this.plannedStop?.remainingMs ?? Infinity);
+  }
+
   /** Returns the load of the own gate to report to others, and takes it into account here, too. */
   private reportGateLoad(observations: GateObservations): GateLoad | undefined {
     const load = this.gate.reportLoad();
--- /dev/null
+++ b/tests/sidecar/stopPlan.spec.ts
@@ -0,0 +1,24 @@
+import fc from 'fast-check';
+import { planStop } from 'lentillb/sidecar/stopPlan.js';
+import { expect, it } from 'vitest';
+
+it('should plan the steps of a stop in order, and within its time for any such time', () => {
+  fc.assert(
+    fc.property(
+      fc.double({ min: 0, max: 1e9, noNaN: true }),
+      fc.integer({ min: 100, max: 120_000 }),
+      (startsAtMs, timeoutMs) => {
+        const plan = planStop(startsAtMs, timeoutMs);
+        expect(plan.gateClosesAtMs).toBeGreaterThan(startsAtMs);
+        expect(plan.listenerClosesAtMs).toBeGreaterThan(plan.gateClosesAtMs);
+        expect(plan.endsAtMs).toBeGreaterThan(plan.listenerClosesAtMs);
+        expect(plan.endsAtMs).toBeLessThan(startsAtMs + timeoutMs);
+      },
+    ),
+  );
+});
+
+it('should leave callers two readiness checks, and the exit its reserve, in the usual time', () => {
+  const { endsAtMs, gateClosesAtMs, listenerClosesAtMs } = planStop(0, 6_000);
+  expect([gateClosesAtMs, listenerClosesAtMs, endsAtMs]).toEqual([2_600, 5_100, 5_300]);
+});
--- a/tests/support/sidecarFleet.ts
+++ b/tests/support/sidecarFleet.ts
@@ -40,12 +40,20 @@
 /** The services that every published configuration defines. */
 const SERVICES = ['pages', 'letters'];
 
-function createRoute(service: string, routeType: string): object {
+/**
+ * Creates a route of the configuration to the service of the same name.
+ *
+ * @param service - the service
+ * @param routeType - whether requests may be repeated, in the words of the platform
+ * @param timeoutMs - the timeout of the route, in milliseconds
+ * @returns the route
+ */
+export function createRoute(service: string, routeType: string, timeoutMs = TIMEOUT_MS): object {
   return {
     hostname: `${service}.example`,
     'path-prefix': '/',
     'route-type': routeType,
-    timeout: `${TIMEOUT_MS}ms`,
+    timeout: `${timeoutMs}ms`,
     'target-latency': `${TARGET_LATENCY_MS}ms`,
     priority: 1,
     service,
@@ -219,12 +227,14 @@
    * @param host - the host
    * @param service - the service to send to
    * @param body - the body of the request
+   * @param deadlineMs - how long the caller waits, in milliseconds
    * @returns the response, and a function that disconnects the caller
    */
   send(
     host: FleetHost,
     service: string,
     body = 'a letter',
+    deadlineMs = TIMEOUT_MS,
   ): { answer: Promise<CallerResponse>; disconnect: () => void } {
     this.requestCount += 1;
     const outgoing = openRequest({
@@ -235,7 +245,7 @@
       headers: {
         host: `${service}.example`,
         'x-attempt-id': `r-${this.requestCount}`,
-        'x-deadline-ms': '1500',
+        'x-deadline-ms': `${deadlineMs}`,
         'x-caller-service': 'forged',
       },
     });
