--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -15,8 +15,9 @@
   const node = await RunningNode.start(settings);
   const { logger, settings: effectiveSettings } = node.services;
   const stop = new AbortController();
-  process.once('SIGTERM', () => stop.abort());
-  process.once('SIGINT', () => stop.abort());
+  // Handled each time, because without a handler a repeated signal ends the process at once.
+  process.on('SIGTERM', () => stop.abort());
+  process.on('SIGINT', () => stop.abort());
   process.on('uncaughtException', (error) => {
     logger.fatal({ err: error }, 'uncaught exception; exiting');
     // eslint-disable-next-line n/no-process-exit -- the state of the process may be invalid
--- a/tests/node/processes.spec.ts
+++ b/tests/node/processes.spec.ts
@@ -121,6 +121,21 @@
   await logServer.close();
 }, TEST_TIMEOUT_MS);
 
+describe('a node process that is told to stop more than once', () => {
+  it(
+    'should complete its planned stop',
+    async () => {
+      const node = fleet[0]?.node as NodeProcess;
+      const stopped = node.stop();
+      await clock.sleep(100);
+      node.signal('SIGTERM');
+      node.signal('SIGINT');
+      expect(await stopped).toBe(0);
+    },
+    TEST_TIMEOUT_MS,
+  );
+});
+
 describe('node processes under load', () => {
   it(
     'should answer every call and run none twice while all nodes and backend servers are restarted',
--- a/tests/platform/program.spec.ts
+++ b/tests/platform/program.spec.ts
@@ -7,7 +7,7 @@
 import path from 'node:path';
 import { promisify } from 'node:util';
 import { ExitCode, runProgram } from '@lentillb/cli';
-import { KeyedLogServer, ScriptedBackendServer } from '@lentillb/standins';
+import { KeyedLogServer, respondSuccessfully, ScriptedBackendServer } from '@lentillb/standins';
 import { SystemClock } from 'lentillb';
 import { afterAll, afterEach, beforeAll, beforeEach, describe, expect, it } from 'vitest';
 import { freeAddress } from '../support/freeAddress.js';
@@ -252,6 +252,26 @@
     expect(backendServer.runs).toEqual([]);
   });
 
+  it('should complete its planned stop when it is told to stop more than once', async () => {
+    await send(ports.control, heartbeat());
+    backendServer.setHandler((response, run) => {
+      setTimeout(() => respondSuccessfully(response, run), 400);
+    });
+    const exited = new Promise<number | null>((resolve) => {
+      child.once('exit', resolve);
+    });
+    const running = send(ports.outbound, requestWith('gggg'));
+    await until(() => Promise.resolve(backendServer.runs.length === 1));
+    child.kill('SIGTERM');
+    child.kill('SIGHUP');
+    await new Promise((resolve) => {
+      setTimeout(resolve, 50);
+    });
+    child.kill('SIGTERM');
+    expect((await running).status).toBe(200);
+    expect(await exited).toBe(0);
+  });
+
   it('should exit by itself after a planned stop', async () => {
     const exited = new Promise<number | null>((resolve) => {
       child.once('exit', resolve);
