Find overdue deliveries at the checks of the failure detector, and silent neighbours when a request is sent

Same decisions, less work for each request: no timer for each request that is forwarded and each that is sent to a backend server or the store. The failure detector checks every 50 ms while requests are in flight anyway; idle connections only matter when one is about to be used. Ruled out as the cause: inquiries, the gate's memory of requests, the neighbours' bookkeeping (each left out in turn, no difference). Tests: serving, peers, store and silent connections, 353 passed.

--- a/packages/lentillb/src/peers/failureDetector.ts
+++ b/packages/lentillb/src/peers/failureDetector.ts
@@ -32,11 +32,13 @@
    * @param clock - the clock for the timeouts
    * @param sendPing - sends a ping to the node at an address and port
    * @param onChange - called when a host becomes silent or is heard again
+   * @param onCheck - called at each check, while any host has requests in flight
    */
   constructor(
     private readonly clock: Clock,
     private readonly sendPing: (peerAddress: string) => void,
     private readonly onChange: (host: string, silent: boolean) => void,
+    private readonly onCheck: () => void = () => undefined,
   ) {}
 
   /**
@@ -113,6 +115,7 @@
       // Answers that have already arrived but are still unread are handled first.
       afterPendingInput(this.clock, CHECK_INTERVAL_MS, () => {
         this.checkScheduled = false;
+        this.onCheck();
         this.checkHosts();
       });
     }
--- a/packages/lentillb/src/serving/backendServerClient.ts
+++ b/packages/lentillb/src/serving/backendServerClient.ts
@@ -4,7 +4,6 @@
 import { forwardFailures } from './exchangeFailures.js';
 import { Outcome, forwardedHeaders } from '../calls/callHeaders.js';
 import type { Clock } from '../kernel/clock.js';
-import { afterPendingInput } from '../utils/pendingInput.js';
 import { ConnectionPool } from './connectionPool.js';
 import type { ExchangeAnswer } from './exchange.js';
 import { exchange, ExchangeFailure, isUnframed } from './exchange.js';
@@ -136,10 +135,9 @@
     const { body, cancellation, headers, method, target } = request;
     this.listener.onSent();
     // The run may just be a long one, so its own connection is kept until the deadline.
-    const stopSuspicion = afterPendingInput(
-      this.clock,
+    const awaited = this.pool.recordRequest(
+      address,
       Math.max(MIN_SUSPICION_MS, usualServiceMs * SUSPICION_FACTOR),
-      () => this.pool.closeUnheard(address, sentAtMs),
     );
     const answer = await exchange(this.clock, {
       agent: this.pool,
@@ -160,7 +158,7 @@
       mayReuse: (answerHeaders, status) =>
         this.isOwnAnswer(request, answerHeaders, status) && !this.isRefusal(answerHeaders, status),
     });
-    stopSuspicion();
+    this.pool.recordEnd(awaited);
     this.trackRun(instanceId);
     if (answer.isOk() && this.isOfExpectedRun(request, answer.value)) {
       const statement = readStatement(answer.value.headers, this.names);
--- a/packages/lentillb/src/serving/callerListener.ts
+++ b/packages/lentillb/src/serving/callerListener.ts
@@ -91,8 +91,8 @@
 
   private acceptedCount = 0;
 
-  /** The connections on which a request has arrived. */
-  private readonly usedConnections = new WeakSet<Socket>();
+  /** The connections on which no request has arrived yet. */
+  private readonly unusedConnections = new Set<Socket>();
 
   constructor(
     private readonly clock: Clock,
@@ -112,8 +112,10 @@
         runInBackground(this.serve(request, response));
       },
     );
-    this.server.on('connection', () => {
+    this.server.on('connection', (socket) => {
       this.acceptedCount += 1;
+      this.unusedConnections.add(socket);
+      socket.once('close', () => this.unusedConnections.delete(socket));
     });
   }
 
@@ -186,8 +188,7 @@
       return;
     }
     const { headers, method = 'GET', socket, url = '/' } = request;
-    const isFirstOnConnection = !this.usedConnections.has(socket);
-    this.usedConnections.add(socket);
+    const isFirstOnConnection = this.unusedConnections.delete(socket);
     this.bufferedBytes += body.length;
     // If the request waited in the accept queue or a socket buffer, the event loop reads the end of
     // its connection only after the request. This wait notices callers that have already left.
--- a/packages/lentillb/src/serving/connectionPool.ts
+++ b/packages/lentillb/src/serving/connectionPool.ts
@@ -29,6 +29,15 @@
   readonly maxIdle: number;
 }
 
+/** An answer that is awaited; times are in milliseconds of the monotonic clock. */
+export interface AwaitedAnswer {
+  /** The address and port that its request was sent to. */
+  readonly address: string;
+  readonly sentAtMs: number;
+  /** From when on its connection may have gone silent. */
+  readonly overdueAtMs: number;
+}
+
 function destroyOnData(this: Socket): void {
   this.destroy();
 }
@@ -52,6 +61,8 @@
   /** When each idle connection was last heard, in milliseconds of the monotonic clock. */
   private readonly heardAtMs = new WeakMap<Duplex, number>();
 
+  private readonly awaitedAnswers = new Set<AwaitedAnswer>();
+
   /**
    * @param clock - the clock for the period of the reduced idle limit
    * @param pool - the limits on idle connections
@@ -71,6 +82,38 @@
       .forEach((socket) => socket.destroy());
   }
 
+  /**
+   * Records that a request is about to be sent. While another one is overdue, idle connections that
+   * may be as silent as its own are closed before.
+   *
+   * @param address - the address and port that the request is sent to
+   * @param usualMs - how long its answer takes at most in usual cases, in milliseconds
+   * @returns the answer, to be passed to `recordEnd`
+   */
+  recordRequest(address: string, usualMs: number): AwaitedAnswer {
+    const nowMs = this.clock.monotonicMs();
+    this.awaitedAnswers.forEach((awaited) => {
+      if (awaited.overdueAtMs <= nowMs && awaited.address === address) {
+        this.closeUnheard(address, awaited.sentAtMs);
+      }
+    });
+    const answer = { address, sentAtMs: nowMs, overdueAtMs: nowMs + usualMs };
+    this.awaitedAnswers.add(answer);
+    return answer;
+  }
+
+  /**
+   * Records that a request has been answered or given up.
+   *
+   * @param answer - the answer that was awaited
+   */
+  recordEnd(answer: AwaitedAnswer): void {
+    this.awaitedAnswers.delete(answer);
+    if (answer.overdueAtMs <= this.clock.monotonicMs()) {
+      this.closeUnheard(answer.address, answer.sentAtMs);
+    }
+  }
+
   /**
    * Closes the idle connections to an address that have not been heard since a given time. Called when
    * a connection seems to have gone silent without a reset: what has lost track of it may have lost
--- a/packages/lentillb/src/serving/deliveryMonitor.ts
+++ b/packages/lentillb/src/serving/deliveryMonitor.ts
@@ -9,7 +9,7 @@
 import { DeliveryState } from '../directory/delivery.js';
 import type { Clock } from '../kernel/clock.js';
 import { runInBackground } from '../utils/background.js';
-import { afterPendingInput, waitForPendingInput } from '../utils/pendingInput.js';
+import { waitForPendingInput } from '../utils/pendingInput.js';
 
 /** Shortest and longest time between two inquiries about a request, in milliseconds. */
 const MIN_INTERVAL_MS = 80;
@@ -56,16 +56,19 @@
   readonly onLost: (fate: LostDelivery) => void;
 }
 
-interface MonitoredDelivery extends Delivery {
+/** What is known of a delivery; times are in milliseconds of the monotonic clock. */
+interface MonitoredDelivery {
+  readonly delivery: Delivery;
   readonly sentAtMs: number;
   /** The wall-clock time of sending, in Unix milliseconds; it goes on while the host is suspended. */
   readonly sentAtUnixMs: number;
   /** What had been received on the connection when the request was sent, in bytes. */
   readonly bytesBefore: number;
+  /** When the node is asked next. */
+  inquiryAtMs: number;
   intervalMs: number;
   /** Whether the node has said before that the answer had been sent. */
   hasEnded: boolean;
-  stopTimer: () => void;
 }
 
 /** Asks what has become of requests that are not answered in their usual time. */
@@ -73,7 +76,7 @@
   private readonly deliveries = new Map<string, MonitoredDelivery>();
 
   /**
-   * @param clock - the clock for the intervals
+   * @param clock - the clock for the intervals between inquiries
    * @param sendInquiry - asks the node at an address and port for the request with a key
    */
   constructor(
@@ -93,20 +96,30 @@
       // Two requests with the same identity cannot be told apart.
       return () => undefined;
     }
+    const sentAtMs = this.clock.monotonicMs();
     const monitored: MonitoredDelivery = {
-      ...delivery,
-      sentAtMs: this.clock.monotonicMs(),
+      delivery,
+      sentAtMs,
       sentAtUnixMs: this.clock.now().getTime(),
       bytesBefore: socket.bytesRead,
+      inquiryAtMs: sentAtMs + usualMs,
       intervalMs: MIN_INTERVAL_MS,
       hasEnded: false,
-      stopTimer: () => undefined,
     };
     this.deliveries.set(key, monitored);
-    this.inquireAfter(monitored, usualMs);
     return () => this.end(monitored);
   }
 
+  /** Asks for the requests that are overdue. Called every few tens of milliseconds. */
+  inquireOverdue(): void {
+    const nowMs = this.clock.monotonicMs();
+    this.deliveries.forEach((monitored) => {
+      if (monitored.inquiryAtMs <= nowMs) {
+        this.inquire(monitored);
+      }
+    });
+  }
+
   /**
    * Handles the reply of a node.
    *
@@ -128,7 +141,8 @@
   }
 
   private handleReply(monitored: MonitoredDelivery, { processId, state }: DeliveryReply): void {
-    if (monitored.processId !== undefined && monitored.processId !== processId) {
+    const { processId: expectedId } = monitored.delivery;
+    if (expectedId !== undefined && expectedId !== processId) {
       // The process that got the request has ended, and its connection with it.
       this.lose(monitored, LostDelivery.AnswerLost);
       return;
@@ -140,7 +154,7 @@
     Record<DeliveryState, (monitored: MonitoredDelivery) => void>
   > = {
     [DeliveryState.NotRun]: (monitored) => {
-      const isCertain = monitored.processId !== undefined && this.isRecent(monitored);
+      const isCertain = monitored.delivery.processId !== undefined && this.isRecent(monitored);
       this.lose(monitored, isCertain ? LostDelivery.NotRun : LostDelivery.AnswerLost);
     },
     [DeliveryState.InProgress]: () => undefined,
@@ -148,15 +162,17 @@
       // The answer may still be in transit the first time.
       if (monitored.hasEnded) {
         this.lose(monitored, LostDelivery.AnswerLost);
+        return;
       }
-      Object.assign(monitored, { hasEnded: true, intervalMs: MIN_INTERVAL_MS });
+      const inquiryAtMs = this.clock.monotonicMs() + MIN_INTERVAL_MS;
+      Object.assign(monitored, { hasEnded: true, inquiryAtMs });
     },
   };
 
   /** Whether anything has been received on the connection since the request was sent. */
   // eslint-disable-next-line class-methods-use-this -- a helper of the methods above
-  private isHeard({ bytesBefore, socket }: MonitoredDelivery): boolean {
-    return socket.bytesRead > bytesBefore;
+  private isHeard({ bytesBefore, delivery }: MonitoredDelivery): boolean {
+    return delivery.socket.bytesRead > bytesBefore;
   }
 
   /** Whether the request was sent so lately that its gate remembers it, by either clock. */
@@ -166,36 +182,33 @@
   }
 
   private lose(monitored: MonitoredDelivery, fate: LostDelivery): void {
+    const { onLost, peerAddress } = monitored.delivery;
     this.end(monitored);
-    monitored.onLost(fate);
+    onLost(fate);
     const latestMs = this.clock.monotonicMs() - MIN_AGE_MS;
     [...this.deliveries.values()]
-      .filter(({ peerAddress }) => peerAddress === monitored.peerAddress)
+      .filter(({ delivery }) => delivery.peerAddress === peerAddress)
       .filter(({ sentAtMs }) => sentAtMs <= latestMs)
       .forEach((other) => this.inquire(other));
   }
 
   private end(monitored: MonitoredDelivery): void {
-    monitored.stopTimer();
-    if (this.deliveries.get(monitored.key) === monitored) {
-      this.deliveries.delete(monitored.key);
+    const { key } = monitored.delivery;
+    if (this.deliveries.get(key) === monitored) {
+      this.deliveries.delete(key);
     }
   }
 
-  private inquireAfter(monitored: MonitoredDelivery, delayMs: number): void {
-    Object.assign(monitored, {
-      stopTimer: afterPendingInput(this.clock, delayMs, () => this.inquire(monitored)),
-    });
-  }
-
   private inquire(monitored: MonitoredDelivery): void {
-    monitored.stopTimer();
     if (this.isHeard(monitored)) {
       return;
     }
-    const { intervalMs, key, peerAddress } = monitored;
+    const { key, peerAddress } = monitored.delivery;
     this.sendInquiry(peerAddress, key);
-    Object.assign(monitored, { intervalMs: Math.min(MAX_INTERVAL_MS, intervalMs * 2) });
-    this.inquireAfter(monitored, intervalMs);
+    const { intervalMs } = monitored;
+    Object.assign(monitored, {
+      inquiryAtMs: this.clock.monotonicMs() + intervalMs,
+      intervalMs: Math.min(MAX_INTERVAL_MS, intervalMs * 2),
+    });
   }
 }
--- a/packages/lentillb/src/serving/gate.ts
+++ b/packages/lentillb/src/serving/gate.ts
@@ -164,8 +164,7 @@
   async serve(arrived: ForwardedRequest): Promise<GateReply> {
     const { clock } = this.services;
     const arrivedMs = clock.monotonicMs();
-    const endsAtMs = this.stopTimes?.endsAtMs ?? Infinity;
-    const request = { ...arrived, deadlineAtMs: Math.min(arrived.deadlineAtMs, endsAtMs) };
+    const request = this.endWithNode(arrived);
     this.active += 1;
     let serviceMs = 0;
     const result = await this.admit(request, async (slot) => {
@@ -186,6 +185,14 @@
     return { result, report: this.createReport(result.isOk() ? serviceMs : 0) };
   }
 
+  /** Lets the deadline of a request end with the node, if the node is being stopped. */
+  private endWithNode(request: ForwardedRequest): ForwardedRequest {
+    const { stopTimes } = this;
+    return stopTimes === undefined || stopTimes.endsAtMs >= request.deadlineAtMs
+      ? request
+      : { ...request, deadlineAtMs: stopTimes.endsAtMs };
+  }
+
   private createReport(serviceMs: number): GateReport {
     const { slots, statedLimit } = this.services;
     const { queued, running } = slots.load;
@@ -256,6 +263,15 @@
     );
   }
 
+  /** Whether a request is expected to end before the node does. */
+  private endsInTime({ route }: ForwardedRequest): boolean {
+    const { clock, slots } = this.services;
+    return (
+      this.stopTimes === undefined ||
+      endsInTime(this.stopTimes, clock.monotonicMs(), slots.expectedServiceMs(route))
+    );
+  }
+
   /** Whether the backend server of this host is ready for requests of the service now. */
   private serves({ service }: ForwardedRequest): boolean {
     const { heartbeat, ready } = this.services.backendServer;
@@ -263,13 +279,12 @@
   }
 
   private refusalCause(request: ForwardedRequest): FailureCause | undefined {
-    const { clock, slots, suspectGuard } = this.services;
+    const { clock, suspectGuard } = this.services;
     const { cancellation } = request;
     if (cancellation.reason !== undefined) {
       return FailureCause.CallerGone;
     }
-    const usualMs = slots.expectedServiceMs(request.route);
-    if (this.closing || !endsInTime(this.stopTimes, clock.monotonicMs(), usualMs)) {
+    if (this.closing || !this.endsInTime(request)) {
       return FailureCause.ShuttingDown;
     }
     if (!this.serves(request)) {
--- a/packages/lentillb/src/serving/receivedRequests.ts
+++ b/packages/lentillb/src/serving/receivedRequests.ts
@@ -23,7 +23,7 @@
 
 /** Knows the requests that have lately arrived from other nodes, or have been asked for. */
 export class ReceivedRequests {
-  /** The requests by key, the one that changed last at the end. */
+  /** The requests by key, in the order of their arrival. */
   private readonly requests = new Map<string, ReceivedRequest>();
 
   /** @param clock - the clock for the time for which requests are remembered */
@@ -37,10 +37,14 @@
    */
   admit(key: string): boolean {
     const known = this.requests.get(key);
-    if (known?.inProgress === 0 && known.state === DeliveryState.NotRun) {
+    if (known === undefined) {
+      this.add(key, DeliveryState.InProgress, 1);
+      return true;
+    }
+    if (known.inProgress === 0 && known.state === DeliveryState.NotRun) {
       return false;
     }
-    this.change(key, DeliveryState.InProgress, 1);
+    known.inProgress += 1;
     return true;
   }
 
@@ -51,7 +55,12 @@
    * @param mayHaveRun - whether it may have run
    */
   recordEnd(key: string, mayHaveRun: boolean): void {
-    this.change(key, mayHaveRun ? DeliveryState.Ended : DeliveryState.NotRun, -1);
+    const known = this.requests.get(key);
+    if (known !== undefined) {
+      known.inProgress -= 1;
+      known.state = mayHaveRun ? DeliveryState.Ended : DeliveryState.NotRun;
+      known.changedAtMs = this.clock.monotonicMs();
+    }
   }
 
   /**
@@ -71,28 +80,24 @@
   inquire(key: string): DeliveryState {
     const known = this.requests.get(key);
     if (known === undefined) {
-      this.change(key, DeliveryState.NotRun, 0);
+      this.add(key, DeliveryState.NotRun, 0);
       return DeliveryState.NotRun;
     }
     return known.inProgress > 0 ? DeliveryState.InProgress : known.state;
   }
 
-  private change(key: string, state: DeliveryState, inProgressChange: number): void {
-    const inProgress = (this.requests.get(key)?.inProgress ?? 0) + inProgressChange;
-    this.requests.delete(key);
-    this.requests.set(key, { inProgress, state, changedAtMs: this.clock.monotonicMs() });
-    this.removeExpired();
+  private add(key: string, state: DeliveryState, inProgress: number): void {
+    const nowMs = this.clock.monotonicMs();
+    this.removeExpired(nowMs - RETENTION_MS);
+    this.requests.set(key, { inProgress, state, changedAtMs: nowMs });
   }
 
-  private removeExpired(): void {
-    const limitMs = this.clock.monotonicMs() - RETENTION_MS;
+  private removeExpired(limitMs: number): void {
     for (const [key, { changedAtMs, inProgress }] of this.requests) {
-      if (changedAtMs > limitMs) {
+      if (changedAtMs > limitMs || inProgress > 0) {
         break;
       }
-      if (inProgress === 0) {
-        this.requests.delete(key);
-      }
+      this.requests.delete(key);
     }
   }
 }
--- a/packages/lentillb/src/serving/stopTimes.ts
+++ b/packages/lentillb/src/serving/stopTimes.ts
@@ -14,11 +14,11 @@
 /**
  * Checks whether a request is expected to end before its node does.
  *
- * @param stop - the times of the stop; undefined if the node is not being stopped
+ * @param stop - the times of the stop
  * @param nowMs - the current time, in milliseconds of the clock
  * @param usualMs - how long the request usually takes, in milliseconds
  * @returns whether it may be taken
  */
-export function endsInTime(stop: StopTimes | undefined, nowMs: number, usualMs: number): boolean {
-  return stop === undefined || nowMs + usualMs * USUAL_TIME_FACTOR <= stop.endsAtMs;
+export function endsInTime(stop: StopTimes, nowMs: number, usualMs: number): boolean {
+  return nowMs + usualMs * USUAL_TIME_FACTOR <= stop.endsAtMs;
 }
--- a/tests/serving/deliveryMonitor.spec.ts
+++ b/tests/serving/deliveryMonitor.spec.ts
@@ -7,6 +7,7 @@
 import { ManualClock } from '../support/manualClock.js';
 
 const USUAL_MS = 100;
+const CHECK_INTERVAL_MS = 10;
 const PROCESS = 7;
 
 /** A clock whose wall-clock time a test can move. */
@@ -39,9 +40,20 @@
   });
 }
 
+/** Advances the time, with checks as often as the failure detector makes them. */
+async function advance(durationMs: number): Promise<void> {
+  for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 1) {
+    await clock.advance(1);
+    if (clock.monotonicMs() % CHECK_INTERVAL_MS === 0) {
+      monitor.inquireOverdue();
+    }
+  }
+  await clock.advance(0);
+}
+
 async function reply(key: string, state: DeliveryState, processId = PROCESS): Promise<void> {
   monitor.receive({ key, state, processId });
-  await clock.advance(0);
+  await advance(0);
 }
 
 beforeEach(() => {
@@ -57,63 +69,63 @@
 describe('a request that another node has not answered', () => {
   it('should not be asked for within its usual time, nor after its end', async () => {
     const end = watch('a');
-    await clock.advance(USUAL_MS - 1);
+    await advance(USUAL_MS - 1);
     expect(inquiries).toEqual([]);
     end();
-    await clock.advance(2_000);
+    await advance(2_000);
     expect(inquiries).toEqual([]);
   });
 
   it('should not be asked for while its answer arrives', async () => {
     watch('a');
     socket.bytesRead += 1;
-    await clock.advance(2_000);
+    await advance(2_000);
     expect(inquiries).toEqual([]);
   });
 
   it('should not be lost if its answer is read after the reply of its node', async () => {
     watch('a');
-    await clock.advance(USUAL_MS);
+    await advance(USUAL_MS);
     monitor.receive({ key: 'a', state: DeliveryState.NotRun, processId: PROCESS });
     socket.bytesRead += 1;
-    await clock.advance(0);
+    await advance(0);
     expect(fates).toEqual([]);
   });
 
   it('should be asked for a few times only', async () => {
     watch('a');
-    await clock.advance(2_000);
+    await advance(2_000);
     expect(inquiries.length).toBeGreaterThan(3);
     expect(inquiries.length).toBeLessThan(9);
   });
 
   it('should be waited for while it is in progress', async () => {
     watch('a');
-    await clock.advance(USUAL_MS);
+    await advance(USUAL_MS);
     await reply('a', DeliveryState.InProgress);
     expect(fates).toEqual([]);
   });
 
   it('should count as not run if its node says so', async () => {
     watch('a');
-    await clock.advance(USUAL_MS);
+    await advance(USUAL_MS);
     await reply('a', DeliveryState.NotRun);
     expect(fates).toEqual(['not-run']);
   });
 
   it('should lose its answer if its node has sent it some time ago', async () => {
     watch('a');
-    await clock.advance(USUAL_MS);
+    await advance(USUAL_MS);
     await reply('a', DeliveryState.Ended);
     expect(fates).toEqual([]);
-    await clock.advance(USUAL_MS);
+    await advance(USUAL_MS);
     await reply('a', DeliveryState.Ended);
     expect(fates).toEqual(['answer-lost']);
   });
 
   it('should not count as not run if its node has been restarted', async () => {
     watch('a');
-    await clock.advance(USUAL_MS);
+    await advance(USUAL_MS);
     await reply('a', DeliveryState.NotRun, PROCESS + 1);
     expect(fates).toEqual(['answer-lost']);
   });
@@ -127,7 +139,7 @@
       usualMs: USUAL_MS,
       onLost: (fate) => fates.push(fate),
     });
-    await clock.advance(USUAL_MS);
+    await advance(USUAL_MS);
     await reply('a', DeliveryState.NotRun);
     expect(fates).toEqual(['answer-lost']);
   });
@@ -135,17 +147,17 @@
   it('should not count as not run if this host was suspended for so long that its gate may forget', async () => {
     watch('a');
     clock.suspendedMs = 30_000;
-    await clock.advance(USUAL_MS);
+    await advance(USUAL_MS);
     await reply('a', DeliveryState.NotRun);
     expect(fates).toEqual(['answer-lost']);
   });
 
   it('should be asked for at once when another connection to its host has gone silent', async () => {
     watch('a');
-    await clock.advance(USUAL_MS / 2);
+    await advance(USUAL_MS / 2);
     watch('b');
     watch('c', PROCESS, 'other:1');
-    await clock.advance(USUAL_MS / 2);
+    await advance(USUAL_MS / 2);
     inquiries = [];
     await reply('a', DeliveryState.NotRun);
     expect(inquiries).toEqual(['p:1 b']);
