--- a/soak/src/caller.ts
+++ b/soak/src/caller.ts
@@ -14,13 +14,9 @@
   readonly processNumber: number;
 }
 
-const MAX_CONNECTIONS = 6;
 const REQUEST_INTERVAL_MS = 40;
-const DEADLINE_MS = 800;
 /** The time after the deadline until which a response is still accepted. */
 const LATE_RESPONSE_MS = 700;
-/** The number of requests of which, on average, one is aborted by its caller. */
-const ABORT_ONE_IN = 6;
 /**
  * The range of the random time after which the caller aborts: from `min`, less than `spread` more.
  */
@@ -30,6 +26,16 @@
 
 const routes: readonly RouteName[] = [RouteName.Browse, RouteName.Lodge, RouteName.Probe];
 
+/** How a caller sends its requests. */
+export interface CallerOptions {
+  readonly maxConnections: number;
+  readonly deadlineMs: number;
+  /** The number of requests of which, on average, one is aborted by its caller. */
+  readonly abortOneIn: number;
+}
+
+const DEFAULT_OPTIONS: CallerOptions = { maxConnections: 6, deadlineMs: 800, abortOneIn: 6 };
+
 /** The result of a request that has ended. */
 type RequestResult = Pick<SentRequest, 'outcome' | 'detail' | 'isMatchingResponse'>;
 
@@ -49,7 +55,7 @@
 
 /** Sends requests at a constant rate and records their outcomes. */
 export class Caller {
-  private readonly agent = new Agent({ keepAlive: true, maxSockets: MAX_CONNECTIONS });
+  private readonly agent: Agent;
 
   private readonly pending = new Set<Promise<void>>();
 
@@ -62,7 +68,10 @@
       readonly record: SoakRecord;
     },
     private readonly node: () => NodeTarget,
-  ) {}
+    private readonly options: CallerOptions = DEFAULT_OPTIONS,
+  ) {
+    this.agent = new Agent({ keepAlive: true, maxSockets: options.maxConnections });
+  }
 
   /** Sends requests until `stop` is called, then waits until the pending ones have ended. */
   async run(): Promise<void> {
@@ -76,6 +85,11 @@
       await clock.sleep(REQUEST_INTERVAL_MS);
     }
     await Promise.all(this.pending);
+    this.close();
+  }
+
+  /** Closes all connections. */
+  close(): void {
     this.agent.destroy();
   }
 
@@ -84,7 +98,13 @@
     this.stopped = true;
   }
 
-  private async send(id: string, route: RouteName): Promise<void> {
+  /**
+   * Sends one request and records its outcome.
+   *
+   * @param id - the identity of the request, which is also its body
+   * @param route - the route to send it on
+   */
+  async send(id: string, route: RouteName): Promise<void> {
     const { clock, record } = this.services;
     const { address, hostIndex, processNumber } = this.node();
     const sentAtMs = clock.monotonicMs();
@@ -111,20 +131,23 @@
         headers: {
           host: `${route}.example`,
           [Header.requestId]: id,
-          [Header.deadlineMs]: String(DEADLINE_MS),
+          [Header.deadlineMs]: String(this.options.deadlineMs),
           'content-length': Buffer.byteLength(id),
         },
       });
       const cancelAbort = this.scheduleAbort(outgoing, resolve);
-      const cancelTimeout = this.services.clock.after(DEADLINE_MS + LATE_RESPONSE_MS, () => {
-        cancelAbort();
-        resolve({
-          outcome: RequestOutcome.TimedOut,
-          detail: 'no response in time',
-          isMatchingResponse: false,
-        });
-        outgoing.destroy();
-      });
+      const cancelTimeout = this.services.clock.after(
+        this.options.deadlineMs + LATE_RESPONSE_MS,
+        () => {
+          cancelAbort();
+          resolve({
+            outcome: RequestOutcome.TimedOut,
+            detail: 'no response in time',
+            isMatchingResponse: false,
+          });
+          outgoing.destroy();
+        },
+      );
       outgoing.on('error', (error: NodeJS.ErrnoException) => {
         cancelTimeout();
         cancelAbort();
@@ -163,7 +186,8 @@
     resolve: (result: RequestResult) => void,
   ): () => void {
     const { clock, randomness } = this.services;
-    if (randomness.integer(ABORT_ONE_IN) > 0) {
+    const { abortOneIn } = this.options;
+    if (!Number.isFinite(abortOneIn) || randomness.integer(abortOneIn) > 0) {
       return () => undefined;
     }
     const delayMs = ABORT_DELAY_MS.min + randomness.integer(ABORT_DELAY_MS.spread);
--- a/soak/src/faults.ts
+++ b/soak/src/faults.ts
@@ -128,6 +128,33 @@
   },
 };
 
+/** How often open connections go silent in one fault, each time with those opened since. */
+const SILENCE_COUNT = 3;
+
+function createSilenceFault(selectRelay: (host: SoakHost) => Relay): Fault {
+  return {
+    kind: DisturbanceKind.Failure,
+    affectsAllHosts: false,
+    inject: async ({ clock, durationMs, host }) => {
+      for (let count = 0; count < SILENCE_COUNT; count += 1) {
+        selectRelay(host).silenceOpenConnections();
+        await clock.sleep(durationMs / SILENCE_COUNT);
+      }
+    },
+  };
+}
+
+/** Open connections that go silent for good, and long runs at a planned stop; drawn last. */
+export const silenceFaults: Readonly<Record<string, Fault>> = {
+  'silent store connections': createSilenceFault(relaySelectors['store-connection']),
+  'silent backend-server connections': createSilenceFault(relaySelectors['backend-server']),
+  'node stop under long runs': {
+    kind: DisturbanceKind.Planned,
+    affectsAllHosts: false,
+    inject: ({ host }) => host.stopNodeUnderLongRuns(),
+  },
+};
+
 /** The faults by printed name; a seed selects them by their order. */
 export const faults: Readonly<Record<string, Fault>> = {
   ...Object.fromEntries([...relayFaults, ...storeFaults]),
--- a/soak/src/platformDocuments.ts
+++ b/soak/src/platformDocuments.ts
@@ -38,6 +38,11 @@
   leaving: 'server-leaving',
 } as const;
 
+/** The start of the body of requests that run long; the time in milliseconds follows. */
+export const SLOW_PREFIX = 'slow-';
+/** The timeout of the route for them, in milliseconds: beyond the end of a planned stop. */
+export const SLOW_TIMEOUT_MS = 8_000;
+
 /** The start of the body of requests under which backend servers end. */
 export const CRASHING_PREFIX = 'crashing';
 
@@ -52,6 +57,8 @@
   Browse: 'browse',
   /** Not idempotent: a request must run once at most. */
   Lodge: 'lodge',
+  /** Not idempotent: runs that last for seconds. */
+  Slow: 'slow',
   /** Not idempotent; every version sends it to a different service than the version before. */
   Probe: 'probe',
 } as const;
@@ -175,6 +182,7 @@
     routes: {
       [RouteName.Browse]: route(RouteName.Browse, 'letters', timeoutMs),
       [RouteName.Lodge]: route(RouteName.Lodge, 'desk', timeoutMs),
+      [RouteName.Slow]: route(RouteName.Slow, 'letters', SLOW_TIMEOUT_MS),
       [RouteName.Probe]: route(RouteName.Probe, probeServiceOf(version), timeoutMs),
     },
     services: Object.fromEntries(services.map((service) => [service, {}])),
--- a/soak/src/soakBackendServer.ts
+++ b/soak/src/soakBackendServer.ts
@@ -3,7 +3,7 @@
 import type { RequestHandler } from '@lentillb/standins';
 import type { Clock, Randomness } from 'lentillb/sidecar';
 import type { Service } from './platformDocuments.js';
-import { CRASHING_PREFIX, Header } from './platformDocuments.js';
+import { CRASHING_PREFIX, Header, SLOW_PREFIX } from './platformDocuments.js';
 import type { SoakRecord } from './soakRecord.js';
 
 /** The range of the random time that a request runs: from `min`, less than `spread` more. */
@@ -92,7 +92,10 @@
       this.onCrashingRequest();
       return;
     }
-    clock.after(HANDLING_MS.min + randomness.integer(HANDLING_MS.spread), () => {
+    const handlingMs = body.startsWith(SLOW_PREFIX)
+      ? Number.parseInt(body.slice(SLOW_PREFIX.length), 10)
+      : HANDLING_MS.min + randomness.integer(HANDLING_MS.spread);
+    clock.after(handlingMs, () => {
       response.writeHead(200, {
         [Header.requestId]: requestId,
         [Header.seal]: 'seal',
--- a/soak/src/soakHost.ts
+++ b/soak/src/soakHost.ts
@@ -8,11 +8,19 @@
 import type { Clock, Randomness } from 'lentillb/sidecar';
 import { runInBackground } from 'lentillb/sidecar';
 import type { NodeTarget } from './caller.js';
+import { Caller } from './caller.js';
 import { CrashingCaller } from './crashingCaller.js';
 import type { ChildProcess } from './childProcesses.js';
 import { spawnChildProcess } from './childProcesses.js';
 import type { HostAddresses, Service } from './platformDocuments.js';
-import { Bounds, heartbeatDocument, settingsDocument } from './platformDocuments.js';
+import {
+  Bounds,
+  heartbeatDocument,
+  RouteName,
+  settingsDocument,
+  SLOW_PREFIX,
+  SLOW_TIMEOUT_MS,
+} from './platformDocuments.js';
 import { Relay } from './relay.js';
 import { SoakBackendServer } from './soakBackendServer.js';
 import type { SoakRecord } from './soakRecord.js';
@@ -54,6 +62,9 @@
 const CLOSE_DELAY_MS = Bounds.drainMs + 2_000;
 /** The request limit that a backend server states, about a quarter of what it gets otherwise. */
 const LIMIT_PER_SECOND = 6;
+/** The longest run under a planned stop, in milliseconds, and the time between two such requests. */
+const MAX_SLOW_MS = 4_500;
+const SLOW_INTERVAL_MS = 120;
 /** The time after which a backend server that ended is replaced, in milliseconds. */
 const REPLACEMENT_DELAY_MS = 800;
 
@@ -83,6 +94,8 @@
 
   private backendServerCount = 0;
 
+  private slowCount = 0;
+
   private closed = false;
 
   private readonly log: WriteStream;
@@ -196,6 +209,41 @@
     }
   }
 
+  /**
+   * Stops the node gracefully and starts it again, while long requests fill the slots and go on
+   * coming on open connections until the process is gone.
+   */
+  async stopNodeUnderLongRuns(): Promise<void> {
+    const { clock, randomness } = this.services;
+    const { index } = this.options;
+    const caller = new Caller(this.services, () => this.target, {
+      maxConnections: 64,
+      deadlineMs: SLOW_TIMEOUT_MS,
+      abortOneIn: Infinity,
+    });
+    const sent: Promise<void>[] = [];
+    const send = (): void => {
+      this.slowCount += 1;
+      const durationMs = randomness.integer(MAX_SLOW_MS);
+      const id = `${SLOW_PREFIX}${durationMs}-${index}-${this.slowCount}`;
+      sent.push(caller.send(id, RouteName.Slow));
+    };
+    Array.from({ length: SLOTS }, send);
+    await clock.sleep(SLOW_INTERVAL_MS);
+    let isStopping = true;
+    const stopped = this.stopNode().then(() => {
+      isStopping = false;
+    });
+    while (isStopping) {
+      send();
+      await clock.sleep(SLOW_INTERVAL_MS);
+    }
+    await stopped;
+    this.startNode();
+    await Promise.all(sent);
+    caller.close();
+  }
+
   /** @param frozen - whether to suspend the node process or to resume it */
   freeze(frozen: boolean): void {
     this.child?.kill(frozen ? 'SIGSTOP' : 'SIGCONT');
--- a/soak/src/soakRun.ts
+++ b/soak/src/soakRun.ts
@@ -6,7 +6,7 @@
 import type { Clock } from 'lentillb/sidecar';
 import { Caller } from './caller.js';
 import type { FaultTarget } from './faults.js';
-import { additionalFaults, faults, statementFaults } from './faults.js';
+import { additionalFaults, faults, silenceFaults, statementFaults } from './faults.js';
 import type { Finding } from './invariants.js';
 import { findViolations } from './invariants.js';
 import {
@@ -128,7 +128,7 @@
 
   private async injectFault({ atMs, durationMs, host, name }: ScheduledFault): Promise<void> {
     const { clock, record, store } = this;
-    const fault = faults[name] ?? additionalFaults[name] ?? statementFaults[name];
+    const fault = { ...faults, ...additionalFaults, ...statementFaults, ...silenceFaults }[name];
     const targetHost = this.hosts[host];
     if (fault === undefined || targetHost === undefined) {
       throw new Error(
