Ask for a request later, and less often once it is in progress

An inquiry costs two datagrams and wakes two processes. The time of day is read once a second, not for each request.

--- a/packages/lentillb/src/serving/deliveryMonitor.ts
+++ b/packages/lentillb/src/serving/deliveryMonitor.ts
@@ -14,6 +14,8 @@
 /** Shortest and longest time between two inquiries about a request, in milliseconds. */
 const MIN_INTERVAL_MS = 80;
 const MAX_INTERVAL_MS = 400;
+/** The time until the next inquiry about a request that is in progress, in milliseconds. */
+const IN_PROGRESS_INTERVAL_MS = 300;
 /**
  * The age from which a request is asked for at once when another connection to its host has gone
  * silent, in milliseconds: many round trips between zones.
@@ -25,6 +27,9 @@
  */
 const MAX_CLAIM_AGE_MS = 5_000;
 
+/** The longest age of the clock offset that is noted with a request, in milliseconds. */
+const OFFSET_INTERVAL_MS = 1_000;
+
 /** The possible fates of a request on a silent connection. */
 export const LostDelivery = {
   /** The request has not run and will not run at this gate. */
@@ -60,8 +65,8 @@
 interface MonitoredDelivery {
   readonly delivery: Delivery;
   readonly sentAtMs: number;
-  /** The wall-clock time of sending, in Unix milliseconds; it goes on while the host is suspended. */
-  readonly sentAtUnixMs: number;
+  /** How far the time of day was ahead of the monotonic clock then; it grows while a host is suspended. */
+  readonly clockOffsetMs: number;
   /** What had been received on the connection when the request was sent, in bytes. */
   readonly bytesBefore: number;
   /** When the node is asked next. */
@@ -75,6 +80,9 @@
 export class DeliveryMonitor {
   private readonly deliveries = new Map<string, MonitoredDelivery>();
 
+  /** Read now and then only, because the time of day is costly to read on some platforms. */
+  private clockOffset: { readonly offsetMs: number; readonly readAtMs: number };
+
   /**
    * @param clock - the clock for the intervals between inquiries
    * @param sendInquiry - asks the node at an address and port for the request with a key
@@ -82,7 +90,9 @@
   constructor(
     private readonly clock: Clock,
     private readonly sendInquiry: (peerAddress: string, key: string) => void,
-  ) {}
+  ) {
+    this.clockOffset = { offsetMs: this.readClockOffset(), readAtMs: clock.monotonicMs() };
+  }
 
   /**
    * Watches a request that has just been sent.
@@ -100,7 +110,7 @@
     const monitored: MonitoredDelivery = {
       delivery,
       sentAtMs,
-      sentAtUnixMs: this.clock.now().getTime(),
+      clockOffsetMs: this.clockOffset.offsetMs,
       bytesBefore: socket.bytesRead,
       inquiryAtMs: sentAtMs + usualMs,
       intervalMs: MIN_INTERVAL_MS,
@@ -113,6 +123,9 @@
   /** Asks for the requests that are overdue. Called every few tens of milliseconds. */
   inquireOverdue(): void {
     const nowMs = this.clock.monotonicMs();
+    if (nowMs - this.clockOffset.readAtMs > OFFSET_INTERVAL_MS) {
+      this.clockOffset = { offsetMs: this.readClockOffset(), readAtMs: nowMs };
+    }
     this.deliveries.forEach((monitored) => {
       if (monitored.inquiryAtMs <= nowMs) {
         this.inquire(monitored);
@@ -157,7 +170,10 @@
       const isCertain = monitored.delivery.processId !== undefined && this.isRecent(monitored);
       this.lose(monitored, isCertain ? LostDelivery.NotRun : LostDelivery.AnswerLost);
     },
-    [DeliveryState.InProgress]: () => undefined,
+    [DeliveryState.InProgress]: (monitored) => {
+      const inquiryAtMs = this.clock.monotonicMs() + IN_PROGRESS_INTERVAL_MS;
+      Object.assign(monitored, { inquiryAtMs });
+    },
     [DeliveryState.Ended]: (monitored) => {
       // The answer may still be in transit the first time.
       if (monitored.hasEnded) {
@@ -176,9 +192,13 @@
   }
 
   /** Whether the request was sent so lately that its gate remembers it, by either clock. */
-  private isRecent({ sentAtMs, sentAtUnixMs }: MonitoredDelivery): boolean {
-    const wallClockAgeMs = Math.abs(this.clock.now().getTime() - sentAtUnixMs);
-    return Math.max(this.clock.monotonicMs() - sentAtMs, wallClockAgeMs) < MAX_CLAIM_AGE_MS;
+  private isRecent({ clockOffsetMs, sentAtMs }: MonitoredDelivery): boolean {
+    const suspendedMs = Math.abs(this.readClockOffset() - clockOffsetMs);
+    return this.clock.monotonicMs() - sentAtMs + suspendedMs < MAX_CLAIM_AGE_MS;
+  }
+
+  private readClockOffset(): number {
+    return this.clock.now().getTime() - this.clock.monotonicMs();
   }
 
   private lose(monitored: MonitoredDelivery, fate: LostDelivery): void {
--- a/packages/lentillb/src/serving/gateForwarder.ts
+++ b/packages/lentillb/src/serving/gateForwarder.ts
@@ -29,11 +29,11 @@
 const ANSWER_GRACE_MS = 90;
 
 /** The factor on the expected time of a request after which its node is asked what has become of it. */
-const USUAL_TIME_FACTOR = 2;
+const USUAL_TIME_FACTOR = 3;
 /** Shortest time after which the node of a request is asked what has become of it, in milliseconds. */
-const MIN_USUAL_MS = 100;
+const MIN_USUAL_MS = 150;
 /** The maximum share of the remaining time after which it is asked; the rest is for another attempt. */
-const MAX_USUAL_SHARE = 1 / 3;
+const MAX_USUAL_SHARE = 0.4;
 /** The bandwidth assumed for the body of a request, in bytes per millisecond: a megabit a second. */
 const MIN_BYTES_PER_MS = 125;
 
--- a/tests/serving/deliveryMonitor.spec.ts
+++ b/tests/serving/deliveryMonitor.spec.ts
@@ -99,11 +99,15 @@
     expect(inquiries.length).toBeLessThan(9);
   });
 
-  it('should be waited for while it is in progress', async () => {
+  it('should be waited for while it is in progress, and be asked for now and then', async () => {
     watch('a');
     await advance(USUAL_MS);
     await reply('a', DeliveryState.InProgress);
     expect(fates).toEqual([]);
+    await advance(290);
+    expect(inquiries).toHaveLength(1);
+    await advance(20);
+    expect(inquiries).toHaveLength(2);
   });
 
   it('should count as not run if its node says so', async () => {
