Watch only requests that are still unanswered after 80 ms

Less work for each request: one entry in a set in place of a watch with its closures; the check of the failure detector takes over those that are still unanswered, and all at once when a connection to their host has gone silent. The process at a gate counts only if it was heard before the request was sent, and the clock offset that is compared is one read before that, so not-run is as strict as before (a test for the case of a suspension in between).

--- a/packages/lentillb/src/serving/deliveryMonitor.ts
+++ b/packages/lentillb/src/serving/deliveryMonitor.ts
@@ -30,6 +30,12 @@
 /** The longest age of the clock offset that is noted with a request, in milliseconds. */
 const OFFSET_INTERVAL_MS = 1_000;
 
+/** A reading of how far the time of day is ahead of the monotonic clock, both in milliseconds. */
+interface ClockOffset {
+  readonly offsetMs: number;
+  readonly readAtMs: number;
+}
+
 /** The possible fates of a request on a silent connection. */
 export const LostDelivery = {
   /** The request has not run and will not run at this gate. */
@@ -46,6 +52,8 @@
   /** The address and port at which the node answers other nodes. */
   readonly peerAddress: string;
   readonly socket: Socket;
+  /** When the request was sent, in milliseconds of the monotonic clock. */
+  readonly sentAtMs: number;
   /**
    * The process that was heard at the gate before the request was sent; undefined if none was. If it
    * is heard after the request was sent, too, no other process can have got the request.
@@ -64,10 +72,12 @@
 /** What is known of a delivery; times are in milliseconds of the monotonic clock. */
 interface MonitoredDelivery {
   readonly delivery: Delivery;
-  readonly sentAtMs: number;
-  /** How far the time of day was ahead of the monotonic clock then; it grows while a host is suspended. */
+  /**
+   * How far the time of day was ahead of the monotonic clock before the request was sent; it grows while
+   * a host is suspended.
+   */
   readonly clockOffsetMs: number;
-  /** What had been received on the connection when the request was sent, in bytes. */
+  /** What had been received on the connection when the watch began, in bytes. */
   readonly bytesBefore: number;
   /** When the node is asked next. */
   inquiryAtMs: number;
@@ -80,8 +90,10 @@
 export class DeliveryMonitor {
   private readonly deliveries = new Map<string, MonitoredDelivery>();
 
-  /** Read now and then only, because the time of day is costly to read on some platforms. */
-  private clockOffset: { readonly offsetMs: number; readonly readAtMs: number };
+  /** The last clock offset that was read; read now and then only. */
+  private clockOffset: ClockOffset;
+
+  private previousClockOffset: ClockOffset;
 
   /**
    * @param clock - the clock for the intervals between inquiries
@@ -92,25 +104,27 @@
     private readonly sendInquiry: (peerAddress: string, key: string) => void,
   ) {
     this.clockOffset = { offsetMs: this.readClockOffset(), readAtMs: clock.monotonicMs() };
+    this.previousClockOffset = this.clockOffset;
   }
 
   /**
-   * Watches a request that has just been sent.
+   * Watches a request that was sent lately, less than the interval between two readings of the offset
+   * of the clocks ago.
    *
    * @param delivery - the request
    * @returns a function that ends the watch
    */
   watch(delivery: Delivery): () => void {
-    const { key, socket, usualMs } = delivery;
+    const { key, sentAtMs, socket, usualMs } = delivery;
     if (this.deliveries.has(key)) {
       // Two requests with the same identity cannot be told apart.
       return () => undefined;
     }
-    const sentAtMs = this.clock.monotonicMs();
+    const wasReadBefore = this.clockOffset.readAtMs <= sentAtMs;
+    const { offsetMs } = wasReadBefore ? this.clockOffset : this.previousClockOffset;
     const monitored: MonitoredDelivery = {
       delivery,
-      sentAtMs,
-      clockOffsetMs: this.clockOffset.offsetMs,
+      clockOffsetMs: offsetMs,
       bytesBefore: socket.bytesRead,
       inquiryAtMs: sentAtMs + usualMs,
       intervalMs: MIN_INTERVAL_MS,
@@ -124,6 +138,7 @@
   inquireOverdue(): void {
     const nowMs = this.clock.monotonicMs();
     if (nowMs - this.clockOffset.readAtMs > OFFSET_INTERVAL_MS) {
+      this.previousClockOffset = this.clockOffset;
       this.clockOffset = { offsetMs: this.readClockOffset(), readAtMs: nowMs };
     }
     this.deliveries.forEach((monitored) => {
@@ -185,16 +200,16 @@
     },
   };
 
-  /** Whether anything has been received on the connection since the request was sent. */
+  /** Whether anything has been received on the connection since the watch began. */
   // eslint-disable-next-line class-methods-use-this -- a helper of the methods above
   private isHeard({ bytesBefore, delivery }: MonitoredDelivery): boolean {
     return delivery.socket.bytesRead > bytesBefore;
   }
 
   /** Whether the request was sent so lately that its gate remembers it, by either clock. */
-  private isRecent({ clockOffsetMs, sentAtMs }: MonitoredDelivery): boolean {
+  private isRecent({ clockOffsetMs, delivery }: MonitoredDelivery): boolean {
     const suspendedMs = Math.abs(this.readClockOffset() - clockOffsetMs);
-    return this.clock.monotonicMs() - sentAtMs + suspendedMs < MAX_CLAIM_AGE_MS;
+    return this.clock.monotonicMs() - delivery.sentAtMs + suspendedMs < MAX_CLAIM_AGE_MS;
   }
 
   private readClockOffset(): number {
@@ -208,7 +223,7 @@
     const latestMs = this.clock.monotonicMs() - MIN_AGE_MS;
     [...this.deliveries.values()]
       .filter(({ delivery }) => delivery.peerAddress === peerAddress)
-      .filter(({ sentAtMs }) => sentAtMs <= latestMs)
+      .filter(({ delivery }) => delivery.sentAtMs <= latestMs)
       .forEach((other) => this.inquire(other));
   }
 
--- a/packages/lentillb/src/serving/exchange.ts
+++ b/packages/lentillb/src/serving/exchange.ts
@@ -16,6 +16,8 @@
 /** A request that has been sent, and the connection on which its answer is awaited. */
 export interface SentRequest {
   readonly socket: Socket;
+  /** When it was sent, in milliseconds of the monotonic clock. */
+  readonly sentAtMs: number;
   /** Whether other answers have come on the connection before. */
   readonly onReusedConnection: boolean;
   /**
@@ -186,6 +188,7 @@
       this.outgoing.end(this.request.body);
       this.request.onSent?.({
         socket,
+        sentAtMs: this.clock.monotonicMs(),
         onReusedConnection: this.outgoing.reusedSocket,
         giveUp: (failure) => {
           if (!this.done) {
--- a/packages/lentillb/src/serving/gateForwarder.ts
+++ b/packages/lentillb/src/serving/gateForwarder.ts
@@ -37,6 +37,28 @@
 /** The bandwidth assumed for the body of a request, in bytes per millisecond: a megabit a second. */
 const MIN_BYTES_PER_MS = 125;
 
+/** How long a request may be unanswered before its connection is watched, in milliseconds. */
+const MIN_WATCHED_MS = 80;
+
+/** A request to another node whose answer is awaited. */
+interface UnansweredRequest {
+  readonly endpoint: GateEndpoint;
+  readonly request: ForwardedRequest;
+  /** How long the request was expected to wait and run, in milliseconds. */
+  readonly expectedMs: number;
+  /** Set once the request has been sent. */
+  sent?: SentRequest;
+  /** Ends the watch of its connection; set once that is watched. */
+  stopWatch?: () => void;
+}
+
+/** The process that answers at a gate. */
+interface GateProcess {
+  readonly id: number;
+  /** When it was heard first, in milliseconds of the monotonic clock. */
+  readonly heardAtMs: number;
+}
+
 /** The failure of an exchange by the fate of its request on a silent connection. */
 const failureOfFate: Readonly<Record<LostDelivery, ExchangeFailure>> = {
   [LostDelivery.NotRun]: ExchangeFailure.SilentNotRun,
@@ -78,7 +100,10 @@
   private readonly pool: ConnectionPool;
 
   /** The process that was heard last at each gate, by its address. */
-  private readonly processIds = new Map<string, number>();
+  private readonly processes = new Map<string, GateProcess>();
+
+  /** The requests that have been sent to other nodes and are not answered yet. */
+  private readonly unanswered = new Set<UnansweredRequest>();
 
   constructor(
     private readonly services: {
@@ -138,6 +163,20 @@
       : first;
   }
 
+  /** Watches the requests that are not answered after a short time. Called every few tens of milliseconds. */
+  watchUnanswered(): void {
+    this.watchSentBefore(this.services.clock.monotonicMs() - MIN_WATCHED_MS);
+  }
+
+  private watchSentBefore(sentBeforeMs: number): void {
+    this.unanswered.forEach((unanswered) => {
+      const { sent, stopWatch } = unanswered;
+      if (sent !== undefined && stopWatch === undefined && sent.sentAtMs <= sentBeforeMs) {
+        this.watchDelivery(unanswered, sent);
+      }
+    });
+  }
+
   /** Closes all connections. */
   close(): void {
     this.pool.destroy();
@@ -151,8 +190,8 @@
     const { clock, links } = this.services;
     const startedMs = clock.monotonicMs();
     const remainingMs = Math.max(0, request.deadlineAtMs - startedMs);
-    let sent: SentRequest | undefined;
-    let stopWatch: (() => void) | undefined;
+    const unanswered: UnansweredRequest = { endpoint, request, expectedMs };
+    this.unanswered.add(unanswered);
     const answer = await exchange(clock, {
       agent: this.pool,
       address: endpoint.gateAddress,
@@ -167,12 +206,12 @@
       timeoutMs: remainingMs + ANSWER_GRACE_MS,
       cancellation: request.cancellation,
       isTerse: true,
-      onSent: (sentRequest) => {
-        sent = sentRequest;
-        stopWatch = this.watchDelivery(endpoint, request, { sent, expectedMs });
+      onSent: (sent) => {
+        unanswered.sent = sent;
       },
     });
-    stopWatch?.();
+    this.unanswered.delete(unanswered);
+    unanswered.stopWatch?.();
     if (answer.isErr()) {
       const failure = forwardFailures[answer.error];
       this.services.log.record(Importance.Notable, 'gate-not-heard', {
@@ -181,7 +220,7 @@
         cause: failure.cause,
         outcome: failure.outcome,
         waitedMs: Math.round(clock.monotonicMs() - startedMs),
-        onReusedConnection: sent?.onReusedConnection ?? false,
+        onReusedConnection: unanswered.sent?.onReusedConnection ?? false,
         hostSilent: links.isSilent(endpoint.host),
       });
       if (failure.cause === FailureCause.ConnectionLost) {
@@ -191,38 +230,42 @@
     }
     links.markHeard(endpoint.host);
     const processId = processIdOf(answer.value.headers);
-    if (processId !== undefined) {
-      this.processIds.set(endpoint.gateAddress, processId);
+    if (processId !== undefined && this.processes.get(endpoint.gateAddress)?.id !== processId) {
+      this.processes.set(endpoint.gateAddress, { id: processId, heardAtMs: clock.monotonicMs() });
     }
     return decodeReply(answer.value);
   }
 
-  /** Watches whether the connection of a request goes silent; returns a function that ends this. */
-  private watchDelivery(
-    { gateAddress, peerAddress }: GateEndpoint,
-    request: ForwardedRequest,
-    { expectedMs, sent }: { readonly sent: SentRequest; readonly expectedMs: number },
-  ): (() => void) | undefined {
+  /**
+   * Watches whether the connection of a request goes silent. Most requests are answered before they are
+   * watched.
+   */
+  private watchDelivery(unanswered: UnansweredRequest, sent: SentRequest): void {
+    const { endpoint, expectedMs, request } = unanswered;
+    const { clock, deliveries } = this.services;
+    const { giveUp, sentAtMs, socket } = sent;
+    const { gateAddress, peerAddress } = endpoint;
     const key = deliveryKeyOf(request);
     if (key === undefined) {
-      return undefined;
+      return;
     }
-    const { clock, deliveries } = this.services;
-    const { giveUp, socket } = sent;
-    const sentAtMs = clock.monotonicMs();
-    const remainingMs = request.deadlineAtMs - sentAtMs;
+    const process = this.processes.get(gateAddress);
     const usualMs = Math.min(
       Math.max(MIN_USUAL_MS, expectedMs * USUAL_TIME_FACTOR),
-      remainingMs * MAX_USUAL_SHARE,
+      (request.deadlineAtMs - sentAtMs) * MAX_USUAL_SHARE,
     );
-    return deliveries.watch({
+    // eslint-disable-next-line no-param-reassign -- the state of one request is recorded in place
+    unanswered.stopWatch = deliveries.watch({
       key,
       peerAddress,
       socket,
-      processId: this.processIds.get(gateAddress),
+      sentAtMs,
+      processId: process !== undefined && process.heardAtMs <= sentAtMs ? process.id : undefined,
       usualMs: usualMs + request.body.length / MIN_BYTES_PER_MS,
       onLost: (fate) => {
         this.pool.closeUnheard(gateAddress, sentAtMs);
+        // The others to this host are asked for at once.
+        this.watchSentBefore(clock.monotonicMs());
         giveUp(failureOfFate[fate]);
       },
     });
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -273,7 +273,10 @@
       (peerAddress) => this.gossip.ping(peerAddress),
       (host, silent) =>
         log.record(Importance.Notable, silent ? 'host-silent' : 'host-heard', { host }),
-      () => this.deliveries.inquireOverdue(),
+      () => {
+        this.gateForwarder.watchUnanswered();
+        this.deliveries.inquireOverdue();
+      },
     );
     const { failureDetector } = this;
     this.peerListener = new StateServer(metrics, configuration, directory);
--- a/tests/serving/deliveryMonitor.spec.ts
+++ b/tests/serving/deliveryMonitor.spec.ts
@@ -34,6 +34,7 @@
     key,
     peerAddress,
     socket: socket as Socket,
+    sentAtMs: clock.monotonicMs(),
     processId,
     usualMs: USUAL_MS,
     onLost: (fate) => fates.push(fate),
@@ -139,6 +140,7 @@
       key: 'a',
       peerAddress: 'p:1',
       socket: socket as Socket,
+      sentAtMs: clock.monotonicMs(),
       processId: undefined,
       usualMs: USUAL_MS,
       onLost: (fate) => fates.push(fate),
@@ -156,6 +158,26 @@
     expect(fates).toEqual(['answer-lost']);
   });
 
+  it('should not count as not run if this host was suspended before the request was watched', async () => {
+    // Reads the offset of the clocks, and again once the request has been sent.
+    await advance(2_500);
+    const sentAtMs = clock.monotonicMs();
+    clock.suspendedMs = 30_000;
+    await advance(20);
+    monitor.watch({
+      key: 'a',
+      peerAddress: 'p:1',
+      socket: socket as Socket,
+      sentAtMs,
+      processId: PROCESS,
+      usualMs: USUAL_MS,
+      onLost: (fate) => fates.push(fate),
+    });
+    await advance(USUAL_MS);
+    await reply('a', DeliveryState.NotRun);
+    expect(fates).toEqual(['answer-lost']);
+  });
+
   it('should be asked for at once when another connection to its host has gone silent', async () => {
     watch('a');
     await advance(USUAL_MS / 2);
