Let runs make calls until they end in a planned stop on the older call path, too

It stays open now until no run is left on the host; answers close their connections meanwhile. The gate refused what waits at once already.

--- a/packages/lentillb/src/routing/plugin.ts
+++ b/packages/lentillb/src/routing/plugin.ts
@@ -19,6 +19,9 @@
   }
 }
 
+/** Interval at which a stopping node checks whether runs on its host have ended, in milliseconds. */
+const RUN_POLL_MS = 20;
+
 plugins.register({
   name: 'routing',
   needs: ['gate', 'membership', 'metrics', 'routing-table'],
@@ -30,8 +33,12 @@
     gateClient: asClass(GateClient).singleton(),
     limits: asClass(Limits).singleton(),
   },
-  leave: ({ callListener }) => callListener.http.stopAcceptingConnections(),
-  stop: async ({ callListener, gateClient }, deadline) => {
+  leave: ({ callListener }) => callListener.http.startClosing(),
+  stop: async ({ callListener, clock, gate, gateClient }, deadline) => {
+    // Runs on this host may make calls until they end.
+    while (gate.inFlight > 0 && !deadline.expired()) {
+      await clock.sleep(RUN_POLL_MS);
+    }
     await callListener.http.close(deadline);
     await gateClient.close();
   },
--- a/packages/lentillb/src/utils/httpListener.ts
+++ b/packages/lentillb/src/utils/httpListener.ts
@@ -26,6 +26,8 @@
 
   private closing = false;
 
+  private stoppedAccepting = false;
+
   /** @param handle - called for every request */
   constructor(handle: RequestListener) {
     this.server = createServer(
@@ -56,13 +58,19 @@
     return listenAt(this.server, { port, host: address });
   }
 
+  /** Asks clients to close their connection with every answer; still accepts new connections. */
+  startClosing(): void {
+    this.closing = true;
+  }
+
   /**
    * Stops accepting connections. Open connections are closed after the response to their next
    * request.
    */
-  stopAcceptingConnections(): void {
-    if (!this.closing) {
-      this.closing = true;
+  private stopAcceptingConnections(): void {
+    this.closing = true;
+    if (!this.stoppedAccepting) {
+      this.stoppedAccepting = true;
       stopAccepting(this.server);
     }
   }
--- a/tests/support/testFleet.ts
+++ b/tests/support/testFleet.ts
@@ -23,7 +23,7 @@
   listen: async (): Promise<void> => undefined,
   port: 0,
   http: {
-    stopAcceptingConnections: (): void => undefined,
+    startClosing: (): void => undefined,
     close: async (): Promise<void> => undefined,
   },
 };
