Move the gate as other nodes reach it out of the assembly of the node

No decision changes: decoding, the memory of requests that have arrived, and the reply to an inquiry were three methods of the sidecar; they are a class of their own. The table of reactions stands before the methods that use it.

--- a/packages/lentillb/src/serving/deliveryMonitor.ts
+++ b/packages/lentillb/src/serving/deliveryMonitor.ts
@@ -95,6 +95,28 @@
 
   private previousClockOffset: ClockOffset;
 
+  private readonly reactions: Readonly<
+    Record<DeliveryState, (monitored: MonitoredDelivery) => void>
+  > = {
+    [DeliveryState.NotRun]: (monitored) => {
+      const isCertain = monitored.delivery.processId !== undefined && this.isRecent(monitored);
+      this.lose(monitored, isCertain ? LostDelivery.NotRun : LostDelivery.AnswerLost);
+    },
+    [DeliveryState.InProgress]: (monitored) => {
+      const inquiryAtMs = this.clock.monotonicMs() + IN_PROGRESS_INTERVAL_MS;
+      Object.assign(monitored, { inquiryAtMs });
+    },
+    [DeliveryState.Ended]: (monitored) => {
+      // The answer may still be in transit the first time.
+      if (monitored.hasEnded) {
+        this.lose(monitored, LostDelivery.AnswerLost);
+        return;
+      }
+      const inquiryAtMs = this.clock.monotonicMs() + MIN_INTERVAL_MS;
+      Object.assign(monitored, { hasEnded: true, inquiryAtMs });
+    },
+  };
+
   /**
    * @param clock - the clock for the intervals between inquiries
    * @param sendInquiry - asks the node at an address and port for the request with a key
@@ -178,28 +200,6 @@
     this.reactions[state](monitored);
   }
 
-  private readonly reactions: Readonly<
-    Record<DeliveryState, (monitored: MonitoredDelivery) => void>
-  > = {
-    [DeliveryState.NotRun]: (monitored) => {
-      const isCertain = monitored.delivery.processId !== undefined && this.isRecent(monitored);
-      this.lose(monitored, isCertain ? LostDelivery.NotRun : LostDelivery.AnswerLost);
-    },
-    [DeliveryState.InProgress]: (monitored) => {
-      const inquiryAtMs = this.clock.monotonicMs() + IN_PROGRESS_INTERVAL_MS;
-      Object.assign(monitored, { inquiryAtMs });
-    },
-    [DeliveryState.Ended]: (monitored) => {
-      // The answer may still be in transit the first time.
-      if (monitored.hasEnded) {
-        this.lose(monitored, LostDelivery.AnswerLost);
-        return;
-      }
-      const inquiryAtMs = this.clock.monotonicMs() + MIN_INTERVAL_MS;
-      Object.assign(monitored, { hasEnded: true, inquiryAtMs });
-    },
-  };
-
   /** Whether anything has been received on the connection since the watch began. */
   // eslint-disable-next-line class-methods-use-this -- a helper of the methods above
   private isHeard({ bytesBefore, delivery }: MonitoredDelivery): boolean {
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -1,8 +1,6 @@
 /** Assembles the node that runs on the host of a backend server. */
-import { Err } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
-import { Outcome } from '../calls/callHeaders.js';
-import { PendingInputTracker, waitForPendingInput } from '../utils/pendingInput.js';
+import { PendingInputTracker } from '../utils/pendingInput.js';
 import { hash32 } from '../utils/hash.js';
 import { runInBackground } from '../utils/background.js';
 import type { MeshConfiguration } from '../configuration/meshConfiguration.js';
@@ -24,24 +22,15 @@
 import { BackendServerClient } from '../serving/backendServerClient.js';
 import { CallerListener } from '../serving/callerListener.js';
 import { Entry } from '../serving/entry.js';
-import type { CallerRequest, EntryAnswer } from '../serving/entry.js';
 import { Gate } from '../serving/gate.js';
 import { DeliveryMonitor } from '../serving/deliveryMonitor.js';
 import { GateForwarder } from '../serving/gateForwarder.js';
 import { GateObservations } from '../serving/gateObservations.js';
-import {
-  decodeRequest,
-  deliveryKeyOf,
-  encodeReply,
-  processHeader,
-} from '../serving/gateProtocol.js';
 import type { HeaderNames } from '../serving/headerNames.js';
 import { ListenProbe } from '../serving/listenProbe.js';
 import { HeartbeatEffect, LocalBackendServer } from '../serving/localBackendServer.js';
 import type { Heartbeat } from '../serving/localBackendServer.js';
-import type { ForwardedRequest, GateReply } from '../serving/messages.js';
-import { FailureCause } from '../serving/messages.js';
-import { ReceivedRequests } from '../serving/receivedRequests.js';
+import { GateServer } from '../serving/gateServer.js';
 import { GateSelector } from '../serving/gateSelector.js';
 import { RetryAllowance } from '../serving/retryAllowance.js';
 import type { RetryTerms } from '../serving/retryAllowance.js';
@@ -67,12 +56,6 @@
 const DEPARTURE_WRITE_TIMEOUT_MS = 600;
 /** Idle timeout of connections from other nodes, in milliseconds; longer than that of the other end. */
 const GATE_IDLE_TIMEOUT_MS = 60_000;
-/**
- * The turns of the event loop in which a request that another node asks for is awaited: its connection
- * is accepted, it is read, and the end of its connection would be read.
- */
-const MAX_ARRIVAL_TURNS = 3;
-
 /** The settings of a node. */
 export interface SidecarOptions {
   readonly identity: HostIdentity;
@@ -125,13 +108,10 @@
 
   private readonly gateForwarder: GateForwarder;
 
-  private readonly receivedRequests: ReceivedRequests;
+  private readonly gateServer: GateServer;
 
   private readonly deliveries: DeliveryMonitor;
 
-  /** Identifies this run of the node to others. */
-  private readonly processId: number;
-
   private readonly entry: Entry;
 
   private readonly callers: CallerListener;
@@ -170,7 +150,6 @@
     const { configurationKey, decodeConfiguration, identity, headerNames, retryTerms, service } =
       options;
     const { metrics } = this;
-    this.processId = hash32(`${identity.host} ${clock.now().getTime()} ${clock.monotonicMs()}`);
     this.log = new DecisionLog(clock, logger);
     const { log } = this;
     this.eventLoopMonitor = new EventLoopMonitor(clock, log, metrics);
@@ -223,7 +202,9 @@
       log,
       metrics,
     });
-    this.receivedRequests = new ReceivedRequests(clock);
+    // The start of this run of the node tells it from others on the same host.
+    const processId = hash32(`${identity.host} ${clock.now().getTime()} ${clock.monotonicMs()}`);
+    this.gateServer = new GateServer({ clock, gate: this.gate }, { names: headerNames, processId });
     this.deliveries = new DeliveryMonitor(clock, (peerAddress, key) =>
       this.gossipSocket.sendDeliveryInquiry(peerAddress, key),
     );
@@ -236,7 +217,12 @@
         const source = this.suspectRelay.sourceOf(from);
         reports.forEach((report) => suspectGuard.receive(report, source));
       },
-      onDeliveryInquiry: (from, key) => runInBackground(this.replyToInquiry(from, key)),
+      onDeliveryInquiry: (from, key) =>
+        runInBackground(
+          this.gateServer
+            .inquire(key)
+            .then((reply) => this.gossipSocket.sendDeliveryReply(from, reply)),
+        ),
       onDeliveryReply: (from, reply) => {
         this.failureDetector.markAddressHeard(from);
         this.deliveries.receive(reply);
@@ -321,7 +307,7 @@
     this.gateListener = new CallerListener(
       clock,
       input,
-      (request, isFirstOnConnection) => this.serveForwarded(request, isFirstOnConnection),
+      (request, isFirstOnConnection) => this.gateServer.serve(request, isFirstOnConnection),
       {
         requestIdName,
         idleMs: GATE_IDLE_TIMEOUT_MS,
@@ -498,46 +484,6 @@
     this.announcer.update();
   }
 
-  private async serveForwarded(
-    request: CallerRequest,
-    isFirstOnConnection: boolean,
-  ): Promise<EntryAnswer> {
-    const { clock } = this.services;
-    const forwarded = decodeRequest(clock, this.options.headerNames, request);
-    if (forwarded === undefined) {
-      return { status: 400, headers: {}, body: Buffer.alloc(0) };
-    }
-    const { body, headers, status } = encodeReply(await this.serveDelivered(forwarded));
-    const process = isFirstOnConnection ? processHeader(this.processId) : {};
-    return { status, headers: { ...headers, ...process }, body };
-  }
-
-  private async replyToInquiry(from: string, key: string): Promise<void> {
-    const { gossipSocket, processId, receivedRequests } = this;
-    // While this process is busy, it reads datagrams before connections that wait to be accepted.
-    for (let turn = 0; turn < MAX_ARRIVAL_TURNS && !receivedRequests.isKnown(key); turn += 1) {
-      await waitForPendingInput();
-    }
-    const state = receivedRequests.inquire(key);
-    gossipSocket.sendDeliveryReply(from, { key, state, processId });
-  }
-
-  /** Serves a request of another node, unless that node was told that the request has not run. */
-  private async serveDelivered(request: ForwardedRequest): Promise<GateReply> {
-    const key = deliveryKeyOf(request);
-    if (key === undefined) {
-      return this.gate.serve(request);
-    }
-    if (!this.receivedRequests.admit(key)) {
-      const failure = { outcome: Outcome.NotRun, cause: FailureCause.ConnectionSilent };
-      return { result: Err(failure), report: undefined };
-    }
-    const reply = await this.gate.serve(request);
-    const isNotRun = reply.result.isErr() && reply.result.error.outcome === Outcome.NotRun;
-    this.receivedRequests.recordEnd(key, !isNotRun);
-    return reply;
-  }
-
   /** Opens the gate and announces the backend server, now that the record of an earlier run is known. */
   private startAnnouncing(): void {
     this.backendServer.finishRestoring();
