--- a/tests/soak/schedule.spec.ts
+++ b/tests/soak/schedule.spec.ts
@@ -1,6 +1,11 @@
 import { SeededRandomness } from 'lentillb';
 import { describe, expect, it } from 'vitest';
-import { additionalFaults, faults, statementFaults } from '../../soak/dist/faults.js';
+import {
+  additionalFaults,
+  faults,
+  silenceFaults,
+  statementFaults,
+} from '../../soak/dist/faults.js';
 import { drawSchedule } from '../../soak/dist/schedule.js';
 
 describe('schedule of the soak test', () => {
@@ -14,7 +19,9 @@
       drawSchedule(new SeededRandomness(seed), 6),
     ).flatMap((schedule) => schedule.faults);
     expect(new Set(drawn.map(({ name }) => name))).toEqual(
-      new Set(Object.keys({ ...faults, ...additionalFaults, ...statementFaults })),
+      new Set(
+        Object.keys({ ...faults, ...additionalFaults, ...statementFaults, ...silenceFaults }),
+      ),
     );
     expect(drawn.every(({ host }) => host >= 0 && host < 6)).toBe(true);
   });
