Refuse a request that a caller sends again only if its sender was told that it has not run

Found on reading the change. Callers would have seen 503 for 10 s: a request that a gate had refused for want of a slot, sent again under the same identity by a caller that does not renew it, counted as one that its sender had been denied. And of two with one identity, the first run and the second refused, the gate would have said that it has not run. Now only an inquiry bars a request, and what may have run stays so.

--- a/packages/lentillb/src/serving/receivedRequests.ts
+++ b/packages/lentillb/src/serving/receivedRequests.ts
@@ -18,6 +18,8 @@
   inProgress: number;
   /** What to tell of it when none is in progress. */
   state: DeliveryState;
+  /** Whether its sender may have been told that it has not run. */
+  isDenied: boolean;
   changedAtMs: number;
 }
 
@@ -41,7 +43,7 @@
       this.add(key, DeliveryState.InProgress, 1);
       return true;
     }
-    if (known.inProgress === 0 && known.state === DeliveryState.NotRun) {
+    if (known.isDenied) {
       return false;
     }
     known.inProgress += 1;
@@ -58,7 +60,9 @@
     const known = this.requests.get(key);
     if (known !== undefined) {
       known.inProgress -= 1;
-      known.state = mayHaveRun ? DeliveryState.Ended : DeliveryState.NotRun;
+      // An earlier request with the same identity may have run.
+      const hasRun = mayHaveRun || known.state === DeliveryState.Ended;
+      known.state = hasRun ? DeliveryState.Ended : DeliveryState.NotRun;
       known.changedAtMs = this.clock.monotonicMs();
     }
   }
@@ -83,13 +87,21 @@
       this.add(key, DeliveryState.NotRun, 0);
       return DeliveryState.NotRun;
     }
-    return known.inProgress > 0 ? DeliveryState.InProgress : known.state;
+    if (known.inProgress > 0) {
+      return DeliveryState.InProgress;
+    }
+    if (known.state === DeliveryState.NotRun) {
+      known.isDenied = true;
+      known.changedAtMs = this.clock.monotonicMs();
+    }
+    return known.state;
   }
 
   private add(key: string, state: DeliveryState, inProgress: number): void {
     const nowMs = this.clock.monotonicMs();
     this.removeExpired(nowMs - RETENTION_MS);
-    this.requests.set(key, { inProgress, state, changedAtMs: nowMs });
+    const isDenied = state === DeliveryState.NotRun;
+    this.requests.set(key, { inProgress, state, isDenied, changedAtMs: nowMs });
   }
 
   private removeExpired(limitMs: number): void {
--- a/tests/serving/deliveryMonitor.spec.ts
+++ b/tests/serving/deliveryMonitor.spec.ts
@@ -217,6 +217,20 @@
     expect(received.admit('a')).toBe(false);
   });
 
+  it('should run if a caller sends a refused request again under its identity', () => {
+    received.admit('a');
+    received.recordEnd('a', false);
+    expect(received.admit('a')).toBe(true);
+  });
+
+  it('should not count as not run if only the second of two with the same identity was refused', () => {
+    received.admit('a');
+    received.recordEnd('a', true);
+    received.admit('a');
+    received.recordEnd('a', false);
+    expect(received.inquire('a')).toBe(DeliveryState.Ended);
+  });
+
   it('should be in progress while one of two with the same identity is', () => {
     received.admit('a');
     received.admit('a');
