Share the set-up of two stop tests, and say what the clock offset is for

Two tests of planned stops had the same six lines of set-up; they call one function now, their assertions are as before.

--- a/packages/lentillb/src/peers/deliveryMessage.ts
+++ b/packages/lentillb/src/peers/deliveryMessage.ts
@@ -9,7 +9,7 @@
 const INQUIRY_KEY_OFFSET = 1;
 const REPLY_KEY_OFFSET = 6;
 /** The maximum length of a key, so that a message fits into one packet. */
-export const MAX_KEY_BYTES = 512;
+const MAX_KEY_BYTES = 512;
 
 const stateCodes: Readonly<Record<DeliveryState, number>> = {
   [DeliveryState.NotRun]: 1,
--- a/packages/lentillb/src/serving/deliveryMonitor.ts
+++ b/packages/lentillb/src/serving/deliveryMonitor.ts
@@ -27,7 +27,7 @@
  */
 const MAX_CLAIM_AGE_MS = 5_000;
 
-/** The longest age of the clock offset that is noted with a request, in milliseconds. */
+/** Time between two readings of the clock offset, in milliseconds; longer than until a request is watched. */
 const OFFSET_INTERVAL_MS = 1_000;
 
 /** A reading of how far the time of day is ahead of the monotonic clock, both in milliseconds. */
@@ -206,7 +206,10 @@
     return delivery.socket.bytesRead > bytesBefore;
   }
 
-  /** Whether the request was sent so lately that its gate remembers it, by either clock. */
+  /**
+   * Whether the request was sent so lately that its gate remembers it. The time for which this host was
+   * suspended counts, too; only the offset of the clocks shows it.
+   */
   private isRecent({ clockOffsetMs, delivery }: MonitoredDelivery): boolean {
     const suspendedMs = Math.abs(this.readClockOffset() - clockOffsetMs);
     return this.clock.monotonicMs() - delivery.sentAtMs + suspendedMs < MAX_CLAIM_AGE_MS;
--- a/tests/sidecar/plannedStop.spec.ts
+++ b/tests/sidecar/plannedStop.spec.ts
@@ -44,6 +44,16 @@
   await fleet.waitUntil(() => runs.length >= runsBefore + SLOTS);
 }
 
+/** Adds a host whose callers use the service of another one, and lets both learn that its runs are long. */
+async function addHostsWithLongRuns(): Promise<{ front: FleetHost; back: FleetHost }> {
+  const front = await fleet.addHost('front', 'pages');
+  const back = await fleet.addHost('back', 'letters');
+  await fleet.waitUntilServed(front, 'letters');
+  setRunTime(back, 3_300);
+  await Promise.all(Array.from({ length: SLOTS }, () => send(front, 'letters')));
+  return { front, back };
+}
+
 beforeEach(async () => {
   isStopped = false;
   fleet = new SidecarFleet();
@@ -76,11 +86,7 @@
   );
 
   it('should reject at once a request that is not expected to end in time', async () => {
-    const front = await fleet.addHost('front', 'pages');
-    const back = await fleet.addHost('back', 'letters');
-    await fleet.waitUntilServed(front, 'letters');
-    setRunTime(back, 3_300);
-    await Promise.all(Array.from({ length: SLOTS }, () => send(front, 'letters')));
+    const { back, front } = await addHostsWithLongRuns();
     const runs = back.backendServer.runs.length;
     const stopped = stop(front);
     await fleet.clock.sleep(2_500);
@@ -92,11 +98,7 @@
   });
 
   it('should reject at its gate what is not expected to end in time', async () => {
-    const front = await fleet.addHost('front', 'pages');
-    const back = await fleet.addHost('back', 'letters');
-    await fleet.waitUntilServed(front, 'letters');
-    setRunTime(back, 3_300);
-    await Promise.all(Array.from({ length: SLOTS }, () => send(front, 'letters')));
+    const { back, front } = await addHostsWithLongRuns();
     const runs = back.backendServer.runs.length;
     const stopped = stop(back);
     await fleet.clock.sleep(2_300);
