Log the reply that ended an unanswered request, and the process that was expected

Callers get 502 while their request runs, and the line gate-not-heard says only connection-silent. It can't tell a request that had not arrived yet from an answer in transit or from a reply of a restarted node. The new line request-given-up names the reply, the expected and the replying process, the age of the request and the number of inquiries. No logic is changed.

--- a/packages/lentillb/src/serving/deliveryMonitor.ts
+++ b/packages/lentillb/src/serving/deliveryMonitor.ts
@@ -45,6 +45,13 @@
 } as const;
 export type LostDelivery = (typeof LostDelivery)[keyof typeof LostDelivery];
 
+/** What a delivery was judged by, for the log. */
+export interface DeliveryEvidence {
+  readonly reply: DeliveryReply;
+  /** How often the node was asked. */
+  readonly inquiries: number;
+}
+
 /** A request that has been sent to another node. */
 export interface Delivery {
   /** The key under which it was sent. */
@@ -65,8 +72,9 @@
    * Called once if the connection has gone silent.
    *
    * @param fate - the fate of the request
+   * @param evidence - what the fate was judged by
    */
-  readonly onLost: (fate: LostDelivery) => void;
+  readonly onLost: (fate: LostDelivery, evidence: DeliveryEvidence) => void;
 }
 
 /** What is known of a delivery; times are in milliseconds of the monotonic clock. */
@@ -84,6 +92,7 @@
   intervalMs: number;
   /** Whether the node has said before that the answer had been sent. */
   hasEnded: boolean;
+  inquiries: number;
 }
 
 /** Asks what has become of requests that are not answered in their usual time. */
@@ -96,20 +105,20 @@
   private previousClockOffset: ClockOffset;
 
   private readonly reactions: Readonly<
-    Record<DeliveryState, (monitored: MonitoredDelivery) => void>
+    Record<DeliveryState, (monitored: MonitoredDelivery, reply: DeliveryReply) => void>
   > = {
-    [DeliveryState.NotRun]: (monitored) => {
+    [DeliveryState.NotRun]: (monitored, reply) => {
       const isCertain = monitored.delivery.processId !== undefined && this.isRecent(monitored);
-      this.lose(monitored, isCertain ? LostDelivery.NotRun : LostDelivery.AnswerLost);
+      this.lose(monitored, isCertain ? LostDelivery.NotRun : LostDelivery.AnswerLost, reply);
     },
     [DeliveryState.InProgress]: (monitored) => {
       const inquiryAtMs = this.clock.monotonicMs() + IN_PROGRESS_INTERVAL_MS;
       Object.assign(monitored, { inquiryAtMs });
     },
-    [DeliveryState.Ended]: (monitored) => {
+    [DeliveryState.Ended]: (monitored, reply) => {
       // The answer may still be in transit the first time.
       if (monitored.hasEnded) {
-        this.lose(monitored, LostDelivery.AnswerLost);
+        this.lose(monitored, LostDelivery.AnswerLost, reply);
         return;
       }
       const inquiryAtMs = this.clock.monotonicMs() + MIN_INTERVAL_MS;
@@ -151,6 +160,7 @@
       inquiryAtMs: sentAtMs + usualMs,
       intervalMs: MIN_INTERVAL_MS,
       hasEnded: false,
+      inquiries: 0,
     };
     this.deliveries.set(key, monitored);
     return () => this.end(monitored);
@@ -190,14 +200,15 @@
     );
   }
 
-  private handleReply(monitored: MonitoredDelivery, { processId, state }: DeliveryReply): void {
+  private handleReply(monitored: MonitoredDelivery, reply: DeliveryReply): void {
+    const { processId, state } = reply;
     const { processId: expectedId } = monitored.delivery;
     if (expectedId !== undefined && expectedId !== processId) {
       // The process that got the request has ended, and its connection with it.
-      this.lose(monitored, LostDelivery.AnswerLost);
+      this.lose(monitored, LostDelivery.AnswerLost, reply);
       return;
     }
-    this.reactions[state](monitored);
+    this.reactions[state](monitored, reply);
   }
 
   /** Whether anything has been received on the connection since the watch began. */
@@ -219,10 +230,10 @@
     return this.clock.now().getTime() - this.clock.monotonicMs();
   }
 
-  private lose(monitored: MonitoredDelivery, fate: LostDelivery): void {
+  private lose(monitored: MonitoredDelivery, fate: LostDelivery, reply: DeliveryReply): void {
     const { onLost, peerAddress } = monitored.delivery;
     this.end(monitored);
-    onLost(fate);
+    onLost(fate, { reply, inquiries: monitored.inquiries });
     const latestMs = this.clock.monotonicMs() - MIN_AGE_MS;
     [...this.deliveries.values()]
       .filter(({ delivery }) => delivery.peerAddress === peerAddress)
@@ -245,6 +256,7 @@
     this.sendInquiry(peerAddress, key);
     const { intervalMs } = monitored;
     Object.assign(monitored, {
+      inquiries: monitored.inquiries + 1,
       inquiryAtMs: this.clock.monotonicMs() + intervalMs,
       intervalMs: Math.min(MAX_INTERVAL_MS, intervalMs * 2),
     });
--- a/packages/lentillb/src/serving/gateForwarder.ts
+++ b/packages/lentillb/src/serving/gateForwarder.ts
@@ -262,7 +262,20 @@
       sentAtMs,
       processId: process !== undefined && process.heardAtMs <= sentAtMs ? process.id : undefined,
       usualMs: usualMs + request.body.length / MIN_BYTES_PER_MS,
-      onLost: (fate) => {
+      onLost: (fate, { inquiries, reply }) => {
+        this.services.log.record(Importance.Notable, 'request-given-up', {
+          requestId: request.requestId,
+          transmission: request.transmission,
+          host: endpoint.host,
+          fate,
+          state: reply.state,
+          replyingProcess: reply.processId,
+          expectedProcess: process?.id,
+          inquiries,
+          ageMs: Math.round(clock.monotonicMs() - sentAtMs),
+          usualMs: Math.round(usualMs),
+          onReusedConnection: sent.onReusedConnection,
+        });
         this.pool.closeUnheard(gateAddress, sentAtMs);
         // The others to this host are asked for at once.
         this.watchSentBefore(clock.monotonicMs());
--- a/tests/serving/deliveryMonitor.spec.ts
+++ b/tests/serving/deliveryMonitor.spec.ts
@@ -1,6 +1,6 @@
 import type { Socket } from 'node:net';
 import { DeliveryState } from 'lentillb/directory/delivery.js';
-import type { LostDelivery } from 'lentillb/serving/deliveryMonitor.js';
+import type { DeliveryEvidence, LostDelivery } from 'lentillb/serving/deliveryMonitor.js';
 import { DeliveryMonitor } from 'lentillb/serving/deliveryMonitor.js';
 import { ReceivedRequests } from 'lentillb/serving/receivedRequests.js';
 import { beforeEach, describe, expect, it } from 'vitest';
@@ -23,6 +23,7 @@
 let monitor: DeliveryMonitor;
 let inquiries: string[];
 let fates: LostDelivery[];
+let evidence: DeliveryEvidence[];
 let socket: { bytesRead: number };
 
 function watch(
@@ -37,7 +38,10 @@
     sentAtMs: clock.monotonicMs(),
     processId,
     usualMs: USUAL_MS,
-    onLost: (fate) => fates.push(fate),
+    onLost: (fate, judgedBy) => {
+      fates.push(fate);
+      evidence.push(judgedBy);
+    },
   });
 }
 
@@ -61,6 +65,7 @@
   clock = new SuspendedClock();
   inquiries = [];
   fates = [];
+  evidence = [];
   socket = { bytesRead: 10 };
   monitor = new DeliveryMonitor(clock, (peerAddress, key) => {
     inquiries.push(`${peerAddress} ${key}`);
@@ -118,6 +123,14 @@
     expect(fates).toEqual(['not-run']);
   });
 
+  it('should be given up with the reply and the number of inquiries that it was judged by', async () => {
+    watch('a');
+    await advance(USUAL_MS);
+    await reply('a', DeliveryState.NotRun, PROCESS + 1);
+    const judgedBy = { key: 'a', state: DeliveryState.NotRun, processId: PROCESS + 1 };
+    expect(evidence).toEqual([{ reply: judgedBy, inquiries: 1 }]);
+  });
+
   it('should lose its answer if its node has sent it some time ago', async () => {
     watch('a');
     await advance(USUAL_MS);
