--- a/tests/sidecar/silentConnections.spec.ts
+++ b/tests/sidecar/silentConnections.spec.ts
@@ -2,16 +2,16 @@
 import { respondSuccessfully } from '@lentillb/standins';
 import { Deadline } from 'lentillb';
 import { encodeDeliveryInquiry } from 'lentillb/peers/deliveryMessage.js';
-import { CallerListener } from 'lentillb/serving/callerListener.js';
 import { requestHeaders } from 'lentillb/serving/gateProtocol.js';
 import { Topic } from 'lentillb/store/keyedStore.js';
 import { parseAddress } from 'lentillb/utils/networkAddress.js';
-import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { Relay } from '../../soak/dist/relay.js';
 import { blockEventLoop } from '../support/blockEventLoop.js';
 import { createForwardedRequest } from '../support/forwardedRequest.js';
 import { freeAddress } from '../support/freeAddress.js';
 import { RawConnection } from '../support/rawConnection.js';
+import { addRelayedHost } from '../support/relayedHost.js';
 import type { FleetHost } from '../support/sidecarFleet.js';
 import { SidecarFleet } from '../support/sidecarFleet.js';
 
@@ -74,22 +74,9 @@
   let back: FleetHost;
   let spare: FleetHost;
 
-  /** Adds a host whose gate other nodes reach through a relay. */
-  async function addRelayedHost(name: string): Promise<FleetHost> {
-    const gateAddress = await freeAddress();
-    const listen = vi.spyOn(CallerListener.prototype, 'listen');
-    // The first listener that a node opens is that of its gate.
-    listen.mockImplementationOnce(async function listenBehindRelay(
-      this: CallerListener,
-      address: string,
-    ) {
-      listen.mockRestore();
-      const relay = new Relay(fleet.clock, () => gateAddress, 0);
-      relays = { ...relays, [name]: relay };
-      await relay.listen(address);
-      return this.listen(gateAddress);
-    });
-    const host = await fleet.addHost(name, 'letters');
+  async function addSpareHost(name: string): Promise<FleetHost> {
+    const { host, relay } = await addRelayedHost(fleet, name, 'letters');
+    relays = { ...relays, [name]: relay };
     host.backendServer.setHandler((response, run) => {
       setTimeout(() => respondSuccessfully(response, run), RUN_MS);
     });
@@ -112,8 +99,8 @@
   beforeEach(async () => {
     relays = {};
     front = await fleet.addHost('front', 'pages');
-    back = await addRelayedHost('back');
-    spare = await addRelayedHost('spare');
+    back = await addSpareHost('back');
+    spare = await addSpareHost('spare');
     await fleet.waitUntilServed(front, 'letters');
     await fleet.waitUntil(() => [back, spare].every(({ sidecar }) => sidecar.ready));
     // Leaves idle connections to both hosts.
