Ask over a new connection what has become of a request, and end only what cannot run

Cause: silence of a connection was judged by datagrams. They overtake connections on slow links and are read first by busy nodes, so 'not read yet' was taken for 'lost', an answer in transit for a lost one after 80 ms, and the first request to the new process of a restarted node for one whose process had ended: its reply bore another identity. Now the gate of an overdue request is asked over a new connection, which goes the way of the request behind it, so no bound in milliseconds is needed. Only the process that was heard at the gate before the request was sent may deny it. Another process, a missing reply or one after a suspension ends nothing; the request is awaited to its deadline. An answer counts as lost at the second reply that it has been sent.

--- a/packages/lentillb/src/directory/delivery.ts
+++ b/packages/lentillb/src/directory/delivery.ts
@@ -2,6 +2,8 @@
 
 /** What a gate knows of a request. */
 export const DeliveryState = {
+  /** It has not arrived, but may still do so. */
+  NotArrived: 'not-arrived',
   /** It has not run. If it arrives later, the gate refuses it. */
   NotRun: 'not-run',
   /** It waits or runs. */
@@ -11,11 +13,21 @@
 } as const;
 export type DeliveryState = (typeof DeliveryState)[keyof typeof DeliveryState];
 
-/** The reply to the question what has become of a request. */
-export interface DeliveryReply {
+/** The question what has become of a request. */
+export interface DeliveryQuestion {
   /** The key under which the request was sent. */
   readonly key: string;
-  readonly state: DeliveryState;
-  /** The identity of the process that replies; one that started later knows nothing of the request. */
-  readonly processId: number;
+  /**
+   * The process that was heard at the gate before the request was sent; undefined if none was. Only
+   * this process can promise that the request will not run: another one may have got it.
+   */
+  readonly processId: number | undefined;
+}
+
+/** The reply to several questions. */
+export interface DeliveryReply {
+  /** The states of the requests, in the order of the questions. */
+  readonly states: readonly DeliveryState[];
+  /** The identity of the process that replies; undefined if it does not name itself. */
+  readonly processId: number | undefined;
 }
--- a/packages/lentillb/src/peers/gossipSocket.ts
+++ b/packages/lentillb/src/peers/gossipSocket.ts
@@ -1,17 +1,10 @@
 /** Sends and receives gossip messages as datagrams. */
 import { createSocket } from 'node:dgram';
 import type { Socket } from 'node:dgram';
-import type { DeliveryReply } from '../directory/delivery.js';
 import type { SuspectReport } from '../directory/suspectReport.js';
 import { parseAddress } from '../utils/networkAddress.js';
 import type { GossipMessage } from './gossipMessage.js';
 import { decodeGossipMessage, encodeGossipMessage } from './gossipMessage.js';
-import {
-  decodeDeliveryInquiry,
-  decodeDeliveryReply,
-  encodeDeliveryInquiry,
-  encodeDeliveryReply,
-} from './deliveryMessage.js';
 import { decodeSuspectReports, encodeSuspectReports } from './suspectReportMessage.js';
 import type { SuspectReportTransport } from './suspectReportRelay.js';
 
@@ -21,10 +14,6 @@
   readonly onMessage: (from: string, message: GossipMessage) => void;
   /** Called with reports about suspect requests and the address and port of their sender. */
   readonly onSuspectReports: (from: string, reports: readonly SuspectReport[]) => void;
-  /** Called with the key of a request that another node asks for, and the address of that node. */
-  readonly onDeliveryInquiry: (from: string, key: string) => void;
-  /** Called with the reply to such a question, and the address and port of its sender. */
-  readonly onDeliveryReply: (from: string, reply: DeliveryReply) => void;
   /** Called if a datagram could not be sent. */
   readonly onError: (error: Error) => void;
 }
@@ -58,16 +47,6 @@
       const reports = decodeSuspectReports(bytes);
       if (reports !== undefined) {
         listener.onSuspectReports(from, reports);
-        return;
-      }
-      const key = decodeDeliveryInquiry(bytes);
-      if (key !== undefined) {
-        listener.onDeliveryInquiry(from, key);
-        return;
-      }
-      const reply = decodeDeliveryReply(bytes);
-      if (reply !== undefined) {
-        listener.onDeliveryReply(from, reply);
       }
     });
     this.socket.on('error', listener.onError);
@@ -93,26 +72,6 @@
     this.sendDatagram(address, encodeSuspectReports(reports));
   }
 
-  /**
-   * Asks a node what has become of a request.
-   *
-   * @param address - the address and port of the node
-   * @param key - the key under which the request was sent
-   */
-  sendDeliveryInquiry(address: string, key: string): void {
-    this.sendDatagram(address, encodeDeliveryInquiry(key));
-  }
-
-  /**
-   * Tells a node what has become of a request.
-   *
-   * @param address - the address and port of the node
-   * @param reply - what has become of the request
-   */
-  sendDeliveryReply(address: string, reply: DeliveryReply): void {
-    this.sendDatagram(address, encodeDeliveryReply(reply));
-  }
-
   /** Closes the socket. */
   close(): void {
     if (!this.closed) {
--- a/packages/lentillb/src/serving/deliveryMonitor.ts
+++ b/packages/lentillb/src/serving/deliveryMonitor.ts
@@ -1,20 +1,23 @@
 /**
  * Finds connections to other nodes that have gone silent without a reset, while their hosts are
- * heard. Nothing on a connection tells a long run from a lost request, so the node of a request that
- * takes longer than usual is asked by datagram what has become of it. This costs nothing while
- * requests are answered in their usual time.
+ * heard. Nothing on a connection tells a long run from a lost request, so the gate of a request that
+ * takes longer than usual is asked over another connection what has become of it. This costs nothing
+ * while requests are answered in their usual time. A request is given up only once it is certain that
+ * it does not run there and will not: a late reply, or none, ends nothing.
  */
 import type { Socket } from 'node:net';
-import type { DeliveryReply } from '../directory/delivery.js';
+import type { Result } from 'ts-results-es';
+import type { DeliveryQuestion, DeliveryReply } from '../directory/delivery.js';
 import { DeliveryState } from '../directory/delivery.js';
 import type { Clock } from '../kernel/clock.js';
 import { runInBackground } from '../utils/background.js';
 import { waitForPendingInput } from '../utils/pendingInput.js';
+import type { ExchangeFailure } from './exchange.js';
 
 /** Shortest and longest time between two inquiries about a request, in milliseconds. */
 const MIN_INTERVAL_MS = 80;
 const MAX_INTERVAL_MS = 400;
-/** The time until the next inquiry about a request that is in progress, in milliseconds. */
+/** The shortest time until the next inquiry about a request that is in progress, in milliseconds. */
 const IN_PROGRESS_INTERVAL_MS = 300;
 /**
  * The age from which a request is asked for at once when another connection to its host has gone
@@ -26,6 +29,8 @@
  * the time for which gates remember requests.
  */
 const MAX_CLAIM_AGE_MS = 5_000;
+/** The maximum number of requests in one inquiry, to bound its length. */
+const MAX_QUESTIONS = 128;
 
 /** Time between two readings of the clock offset, in milliseconds; longer than until a request is watched. */
 const OFFSET_INTERVAL_MS = 1_000;
@@ -40,32 +45,27 @@
 export const LostDelivery = {
   /** The request has not run and will not run at this gate. */
   NotRun: 'not-run',
-  /** The request may have run; its answer will not come. */
+  /** The request may have run, and its run has ended; its answer will not come. */
   AnswerLost: 'answer-lost',
 } as const;
 export type LostDelivery = (typeof LostDelivery)[keyof typeof LostDelivery];
 
 /** What a delivery was judged by, for the log. */
 export interface DeliveryEvidence {
-  readonly reply: DeliveryReply;
-  /** How often the node was asked. */
+  readonly state: DeliveryState;
+  /** The identity of the process that replied. */
+  readonly processId: number | undefined;
+  /** How often the gate was asked. */
   readonly inquiries: number;
 }
 
 /** A request that has been sent to another node. */
-export interface Delivery {
-  /** The key under which it was sent. */
-  readonly key: string;
-  /** The address and port at which the node answers other nodes. */
-  readonly peerAddress: string;
+export interface Delivery extends DeliveryQuestion {
+  /** The address and port of the gate that it was sent to. */
+  readonly gateAddress: string;
   readonly socket: Socket;
   /** When the request was sent, in milliseconds of the monotonic clock. */
   readonly sentAtMs: number;
-  /**
-   * The process that was heard at the gate before the request was sent; undefined if none was. If it
-   * is heard after the request was sent, too, no other process can have got the request.
-   */
-  readonly processId: number | undefined;
   /** How long the request usually takes at most, in milliseconds. */
   readonly usualMs: number;
   /**
@@ -77,6 +77,18 @@
   readonly onLost: (fate: LostDelivery, evidence: DeliveryEvidence) => void;
 }
 
+/**
+ * Asks a gate what has become of requests.
+ *
+ * @param gateAddress - the address and port of the gate
+ * @param questions - the requests
+ * @returns the reply, or why there is none
+ */
+export type Inquiry = (
+  gateAddress: string,
+  questions: readonly DeliveryQuestion[],
+) => Promise<Result<DeliveryReply, ExchangeFailure>>;
+
 /** What is known of a delivery; times are in milliseconds of the monotonic clock. */
 interface MonitoredDelivery {
   readonly delivery: Delivery;
@@ -87,10 +99,10 @@
   readonly clockOffsetMs: number;
   /** What had been received on the connection when the watch began, in bytes. */
   readonly bytesBefore: number;
-  /** When the node is asked next. */
+  /** When the gate is asked next. */
   inquiryAtMs: number;
   intervalMs: number;
-  /** Whether the node has said before that the answer had been sent. */
+  /** Whether the gate has said before that the answer had been sent. */
   hasEnded: boolean;
   inquiries: number;
 }
@@ -99,40 +111,43 @@
 export class DeliveryMonitor {
   private readonly deliveries = new Map<string, MonitoredDelivery>();
 
+  /** The gates from which a reply is awaited. */
+  private readonly askedGates = new Set<string>();
+
   /** The last clock offset that was read; read now and then only. */
   private clockOffset: ClockOffset;
 
   private previousClockOffset: ClockOffset;
 
   private readonly reactions: Readonly<
-    Record<DeliveryState, (monitored: MonitoredDelivery, reply: DeliveryReply) => void>
+    Record<DeliveryState, (monitored: MonitoredDelivery, evidence: DeliveryEvidence) => void>
   > = {
-    [DeliveryState.NotRun]: (monitored, reply) => {
-      const isCertain = monitored.delivery.processId !== undefined && this.isRecent(monitored);
-      this.lose(monitored, isCertain ? LostDelivery.NotRun : LostDelivery.AnswerLost, reply);
+    [DeliveryState.NotArrived]: () => undefined,
+    [DeliveryState.NotRun]: (monitored, evidence) => {
+      if (this.isRecent(monitored)) {
+        this.lose(monitored, LostDelivery.NotRun, evidence);
+      }
     },
     [DeliveryState.InProgress]: (monitored) => {
-      const inquiryAtMs = this.clock.monotonicMs() + IN_PROGRESS_INTERVAL_MS;
-      Object.assign(monitored, { inquiryAtMs });
+      const intervalMs = Math.max(IN_PROGRESS_INTERVAL_MS, monitored.delivery.usualMs);
+      Object.assign(monitored, { inquiryAtMs: this.clock.monotonicMs() + intervalMs });
     },
-    [DeliveryState.Ended]: (monitored, reply) => {
-      // The answer may still be in transit the first time.
+    [DeliveryState.Ended]: (monitored, evidence) => {
+      // The answer may have ended after this inquiry arrived, so a second one confirms it.
       if (monitored.hasEnded) {
-        this.lose(monitored, LostDelivery.AnswerLost, reply);
-        return;
+        this.lose(monitored, LostDelivery.AnswerLost, evidence);
       }
-      const inquiryAtMs = this.clock.monotonicMs() + MIN_INTERVAL_MS;
-      Object.assign(monitored, { hasEnded: true, inquiryAtMs });
+      Object.assign(monitored, { hasEnded: true });
     },
   };
 
   /**
    * @param clock - the clock for the intervals between inquiries
-   * @param sendInquiry - asks the node at an address and port for the request with a key
+   * @param inquire - asks a gate what has become of requests
    */
   constructor(
     private readonly clock: Clock,
-    private readonly sendInquiry: (peerAddress: string, key: string) => void,
+    private readonly inquire: Inquiry,
   ) {
     this.clockOffset = { offsetMs: this.readClockOffset(), readAtMs: clock.monotonicMs() };
     this.previousClockOffset = this.clockOffset;
@@ -173,42 +188,62 @@
       this.previousClockOffset = this.clockOffset;
       this.clockOffset = { offsetMs: this.readClockOffset(), readAtMs: nowMs };
     }
+    const overdueByGate = new Map<string, MonitoredDelivery[]>();
     this.deliveries.forEach((monitored) => {
-      if (monitored.inquiryAtMs <= nowMs) {
-        this.inquire(monitored);
+      const { gateAddress } = monitored.delivery;
+      if (this.isOverdue(monitored, nowMs) && !this.askedGates.has(gateAddress)) {
+        const overdue = overdueByGate.get(gateAddress) ?? [];
+        overdueByGate.set(gateAddress, overdue);
+        overdue.push(monitored);
       }
     });
+    overdueByGate.forEach((overdue, gateAddress) =>
+      runInBackground(this.askGate(gateAddress, overdue.slice(0, MAX_QUESTIONS))),
+    );
   }
 
-  /**
-   * Handles the reply of a node.
-   *
-   * @param reply - what has become of a request
-   */
-  receive({ key, processId, state }: DeliveryReply): void {
-    const monitored = this.deliveries.get(key);
-    if (monitored === undefined) {
-      return;
-    }
-    // Its answer may have arrived as well, and not have been read yet.
-    runInBackground(
-      waitForPendingInput().then(() => {
-        if (this.deliveries.get(key) === monitored && !this.isHeard(monitored)) {
-          this.handleReply(monitored, { key, processId, state });
-        }
-      }),
-    );
+  private isOverdue(monitored: MonitoredDelivery, nowMs: number): boolean {
+    return monitored.inquiryAtMs <= nowMs && !this.isHeard(monitored);
   }
 
-  private handleReply(monitored: MonitoredDelivery, reply: DeliveryReply): void {
-    const { processId, state } = reply;
-    const { processId: expectedId } = monitored.delivery;
-    if (expectedId !== undefined && expectedId !== processId) {
-      // The process that got the request has ended, and its connection with it.
-      this.lose(monitored, LostDelivery.AnswerLost, reply);
-      return;
+  private async askGate(gateAddress: string, asked: readonly MonitoredDelivery[]): Promise<void> {
+    const questions = asked.map(({ delivery: { key, processId } }) => ({ key, processId }));
+    this.askedGates.add(gateAddress);
+    const reply = await this.inquire(gateAddress, questions);
+    this.askedGates.delete(gateAddress);
+    // The answers may have arrived as well, and not have been read yet.
+    await waitForPendingInput();
+    asked.forEach((monitored) => this.scheduleNext(monitored));
+    if (reply.isOk()) {
+      this.handleReply(asked, reply.value);
     }
-    this.reactions[state](monitored, reply);
+  }
+
+  /** Sets when the gate is asked again, unless its reply says otherwise. */
+  private scheduleNext(monitored: MonitoredDelivery): void {
+    const { inquiries, intervalMs } = monitored;
+    Object.assign(monitored, {
+      inquiries: inquiries + 1,
+      inquiryAtMs: this.clock.monotonicMs() + intervalMs,
+      intervalMs: Math.min(MAX_INTERVAL_MS, intervalMs * 2),
+    });
+  }
+
+  private handleReply(
+    asked: readonly MonitoredDelivery[],
+    { processId, states }: DeliveryReply,
+  ): void {
+    asked.forEach((monitored, index) => {
+      const state = states[index];
+      const { key } = monitored.delivery;
+      if (
+        state !== undefined &&
+        this.deliveries.get(key) === monitored &&
+        !this.isHeard(monitored)
+      ) {
+        this.reactions[state](monitored, { state, processId, inquiries: monitored.inquiries });
+      }
+    });
   }
 
   /** Whether anything has been received on the connection since the watch began. */
@@ -230,15 +265,17 @@
     return this.clock.now().getTime() - this.clock.monotonicMs();
   }
 
-  private lose(monitored: MonitoredDelivery, fate: LostDelivery, reply: DeliveryReply): void {
-    const { onLost, peerAddress } = monitored.delivery;
+  private lose(monitored: MonitoredDelivery, fate: LostDelivery, evidence: DeliveryEvidence): void {
+    const { gateAddress, onLost } = monitored.delivery;
     this.end(monitored);
-    onLost(fate, { reply, inquiries: monitored.inquiries });
-    const latestMs = this.clock.monotonicMs() - MIN_AGE_MS;
-    [...this.deliveries.values()]
-      .filter(({ delivery }) => delivery.peerAddress === peerAddress)
-      .filter(({ delivery }) => delivery.sentAtMs <= latestMs)
-      .forEach((other) => this.inquire(other));
+    onLost(fate, evidence);
+    const nowMs = this.clock.monotonicMs();
+    this.deliveries.forEach((other) => {
+      const { delivery } = other;
+      if (delivery.gateAddress === gateAddress && delivery.sentAtMs <= nowMs - MIN_AGE_MS) {
+        Object.assign(other, { inquiryAtMs: Math.min(other.inquiryAtMs, nowMs) });
+      }
+    });
   }
 
   private end(monitored: MonitoredDelivery): void {
@@ -247,18 +284,4 @@
       this.deliveries.delete(key);
     }
   }
-
-  private inquire(monitored: MonitoredDelivery): void {
-    if (this.isHeard(monitored)) {
-      return;
-    }
-    const { key, peerAddress } = monitored.delivery;
-    this.sendInquiry(peerAddress, key);
-    const { intervalMs } = monitored;
-    Object.assign(monitored, {
-      inquiries: monitored.inquiries + 1,
-      inquiryAtMs: this.clock.monotonicMs() + intervalMs,
-      intervalMs: Math.min(MAX_INTERVAL_MS, intervalMs * 2),
-    });
-  }
 }
--- a/packages/lentillb/src/serving/gateForwarder.ts
+++ b/packages/lentillb/src/serving/gateForwarder.ts
@@ -14,7 +14,8 @@
 import type { SentRequest } from './exchange.js';
 import { exchange, ExchangeFailure } from './exchange.js';
 import type { Gate } from './gate.js';
-import { decodeReply, deliveryKeyOf, processIdOf, requestHeaders } from './gateProtocol.js';
+import type { GateProcesses } from './gateProcesses.js';
+import { decodeReply, deliveryKeyOf, requestHeaders } from './gateProtocol.js';
 import type { ListenProbe } from './listenProbe.js';
 import type { ForwardedRequest, ForwardFailure, GateReply } from './messages.js';
 import { FailureCause } from './messages.js';
@@ -52,13 +53,6 @@
   stopWatch?: () => void;
 }
 
-/** The process that answers at a gate. */
-interface GateProcess {
-  readonly id: number;
-  /** When it was heard first, in milliseconds of the monotonic clock. */
-  readonly heardAtMs: number;
-}
-
 /** The failure of an exchange by the fate of its request on a silent connection. */
 const failureOfFate: Readonly<Record<LostDelivery, ExchangeFailure>> = {
   [LostDelivery.NotRun]: ExchangeFailure.SilentNotRun,
@@ -99,9 +93,6 @@
 export class GateForwarder {
   private readonly pool: ConnectionPool;
 
-  /** The process that was heard last at each gate, by its address. */
-  private readonly processes = new Map<string, GateProcess>();
-
   /** The requests that have been sent to other nodes and are not answered yet. */
   private readonly unanswered = new Set<UnansweredRequest>();
 
@@ -112,6 +103,7 @@
       readonly gate: Gate;
       readonly links: SilenceWatch;
       readonly deliveries: Pick<DeliveryMonitor, 'watch'>;
+      readonly processes: GateProcesses;
       readonly directory: Pick<Directory, 'announcementOf'>;
       readonly listenProbe: Pick<ListenProbe, 'hasEnded'>;
       readonly suspectGuard: Pick<SuspectGuard, 'recordNodeEnded'>;
@@ -187,7 +179,7 @@
     request: ForwardedRequest,
     expectedMs: number,
   ): Promise<GateReply> {
-    const { clock, links } = this.services;
+    const { clock, links, processes } = this.services;
     const startedMs = clock.monotonicMs();
     const remainingMs = Math.max(0, request.deadlineAtMs - startedMs);
     const unanswered: UnansweredRequest = { endpoint, request, expectedMs };
@@ -229,10 +221,7 @@
       return unreported(failure);
     }
     links.markHeard(endpoint.host);
-    const processId = processIdOf(answer.value.headers);
-    if (processId !== undefined && this.processes.get(endpoint.gateAddress)?.id !== processId) {
-      this.processes.set(endpoint.gateAddress, { id: processId, heardAtMs: clock.monotonicMs() });
-    }
+    processes.record(endpoint.gateAddress, answer.value.headers);
     return decodeReply(answer.value);
   }
 
@@ -242,14 +231,14 @@
    */
   private watchDelivery(unanswered: UnansweredRequest, sent: SentRequest): void {
     const { endpoint, expectedMs, request } = unanswered;
-    const { clock, deliveries } = this.services;
+    const { clock, deliveries, processes } = this.services;
     const { giveUp, sentAtMs, socket } = sent;
-    const { gateAddress, peerAddress } = endpoint;
+    const { gateAddress } = endpoint;
     const key = deliveryKeyOf(request);
     if (key === undefined) {
       return;
     }
-    const process = this.processes.get(gateAddress);
+    const processId = processes.heardBefore(gateAddress, sentAtMs);
     const usualMs = Math.min(
       Math.max(MIN_USUAL_MS, expectedMs * USUAL_TIME_FACTOR),
       (request.deadlineAtMs - sentAtMs) * MAX_USUAL_SHARE,
@@ -257,21 +246,21 @@
     // eslint-disable-next-line no-param-reassign -- the state of one request is recorded in place
     unanswered.stopWatch = deliveries.watch({
       key,
-      peerAddress,
+      gateAddress,
       socket,
       sentAtMs,
-      processId: process !== undefined && process.heardAtMs <= sentAtMs ? process.id : undefined,
+      processId,
       usualMs: usualMs + request.body.length / MIN_BYTES_PER_MS,
-      onLost: (fate, { inquiries, reply }) => {
+      onLost: (fate, evidence) => {
         this.services.log.record(Importance.Notable, 'request-given-up', {
           requestId: request.requestId,
           transmission: request.transmission,
           host: endpoint.host,
           fate,
-          state: reply.state,
-          replyingProcess: reply.processId,
-          expectedProcess: process?.id,
-          inquiries,
+          state: evidence.state,
+          replyingProcess: evidence.processId,
+          expectedProcess: processId,
+          inquiries: evidence.inquiries,
           ageMs: Math.round(clock.monotonicMs() - sentAtMs),
           usualMs: Math.round(usualMs),
           onReusedConnection: sent.onReusedConnection,
--- a/packages/lentillb/src/serving/gateServer.ts
+++ b/packages/lentillb/src/serving/gateServer.ts
@@ -1,9 +1,10 @@
 /** Serves the requests of other nodes at the gate, and tells them what has become of a request. */
 import { Err } from 'ts-results-es';
 import { Outcome } from '../calls/callHeaders.js';
-import type { DeliveryReply } from '../directory/delivery.js';
+import type { DeliveryQuestion, DeliveryState } from '../directory/delivery.js';
 import type { Clock } from '../kernel/clock.js';
 import { waitForPendingInput } from '../utils/pendingInput.js';
+import { decodeQuestions, encodeStates, isInquiry } from './deliveryProtocol.js';
 import type { CallerRequest, EntryAnswer } from './entry.js';
 import type { Gate } from './gate.js';
 import { decodeRequest, deliveryKeyOf, encodeReply, processHeader } from './gateProtocol.js';
@@ -17,7 +18,7 @@
  * is accepted, it is read, and the end of its connection would be read.
  */
 const MAX_ARRIVAL_TURNS = 3;
-const BAD_REQUEST = 400;
+const HttpStatus = { Ok: 200, BadRequest: 400 } as const;
 
 /** The gate of a node as other nodes reach it. */
 export class GateServer {
@@ -42,28 +43,45 @@
    * @returns the answer to the other node
    */
   async serve(request: CallerRequest, isFirstOnConnection: boolean): Promise<EntryAnswer> {
-    const { names, processId } = this.options;
-    const forwarded = decodeRequest(this.services.clock, names, request);
+    const answer = isInquiry(request.headers)
+      ? await this.answerInquiry(request.body)
+      : await this.answerRequest(request);
+    const process = isFirstOnConnection ? processHeader(this.options.processId) : {};
+    return { ...answer, headers: { ...answer.headers, ...process } };
+  }
+
+  private async answerRequest(request: CallerRequest): Promise<EntryAnswer> {
+    const forwarded = decodeRequest(this.services.clock, this.options.names, request);
     if (forwarded === undefined) {
-      return { status: BAD_REQUEST, headers: {}, body: Buffer.alloc(0) };
+      return { status: HttpStatus.BadRequest, headers: {}, body: Buffer.alloc(0) };
     }
-    const { body, headers, status } = encodeReply(await this.serveOnce(forwarded));
-    const process = isFirstOnConnection ? processHeader(processId) : {};
-    return { status, headers: { ...headers, ...process }, body };
+    return encodeReply(await this.serveOnce(forwarded));
+  }
+
+  private async answerInquiry(body: Buffer): Promise<EntryAnswer> {
+    const questions = decodeQuestions(body);
+    return questions === undefined
+      ? { status: HttpStatus.BadRequest, headers: {}, body: Buffer.alloc(0) }
+      : {
+          status: HttpStatus.Ok,
+          headers: {},
+          body: encodeStates(await this.inquire(questions)),
+        };
   }
 
   /**
-   * Tells another node what has become of a request. One that has not arrived will not run.
-   *
-   * @param key - the key under which the other node sent it
-   * @returns the reply
+   * Tells another node what has become of requests. One that has not arrived will not run if this
+   * process is the only one that may have got it.
    */
-  async inquire(key: string): Promise<DeliveryReply> {
-    // While this process is busy, it reads datagrams before connections that wait to be accepted.
-    for (let turn = 0; turn < MAX_ARRIVAL_TURNS && !this.received.isKnown(key); turn += 1) {
+  private async inquire(questions: readonly DeliveryQuestion[]): Promise<readonly DeliveryState[]> {
+    const isUnknown = ({ key }: DeliveryQuestion): boolean => !this.received.isKnown(key);
+    // Another connection may have been read before those on which the requests arrived.
+    for (let turn = 0; turn < MAX_ARRIVAL_TURNS && questions.some(isUnknown); turn += 1) {
       await waitForPendingInput();
     }
-    return { key, state: this.received.inquire(key), processId: this.options.processId };
+    return questions.map(({ key, processId }) =>
+      this.received.inquire(key, processId === this.options.processId),
+    );
   }
 
   /** Serves a request, unless the other node was told that it has not run. */
--- a/packages/lentillb/src/serving/receivedRequests.ts
+++ b/packages/lentillb/src/serving/receivedRequests.ts
@@ -69,21 +69,25 @@
 
   /**
    * @param key - the key under which a request was sent
-   * @returns whether the request has arrived, or has been asked for
+   * @returns whether the request has arrived, or has been denied
    */
   isKnown(key: string): boolean {
     return this.requests.has(key);
   }
 
   /**
-   * Tells what has become of a request. One that has not arrived is refused from now on.
+   * Tells what has become of a request.
    *
    * @param key - the key under which it was sent
+   * @param mayDeny - whether it is refused from now on if it has not arrived
    * @returns the state of the request
    */
-  inquire(key: string): DeliveryState {
+  inquire(key: string, mayDeny: boolean): DeliveryState {
     const known = this.requests.get(key);
     if (known === undefined) {
+      if (!mayDeny) {
+        return DeliveryState.NotArrived;
+      }
       this.add(key, DeliveryState.NotRun, 0);
       return DeliveryState.NotRun;
     }
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -23,8 +23,10 @@
 import { CallerListener } from '../serving/callerListener.js';
 import { Entry } from '../serving/entry.js';
 import { Gate } from '../serving/gate.js';
+import { DeliveryInquirer } from '../serving/deliveryInquirer.js';
 import { DeliveryMonitor } from '../serving/deliveryMonitor.js';
 import { GateForwarder } from '../serving/gateForwarder.js';
+import { GateProcesses } from '../serving/gateProcesses.js';
 import { GateObservations } from '../serving/gateObservations.js';
 import type { HeaderNames } from '../serving/headerNames.js';
 import { ListenProbe } from '../serving/listenProbe.js';
@@ -110,7 +112,7 @@
 
   private readonly gateServer: GateServer;
 
-  private readonly deliveries: DeliveryMonitor;
+  private readonly inquirer: DeliveryInquirer;
 
   private readonly entry: Entry;
 
@@ -205,8 +207,11 @@
     // The start of this run of the node tells it from others on the same host.
     const processId = hash32(`${identity.host} ${clock.now().getTime()} ${clock.monotonicMs()}`);
     this.gateServer = new GateServer({ clock, gate: this.gate }, { names: headerNames, processId });
-    this.deliveries = new DeliveryMonitor(clock, (peerAddress, key) =>
-      this.gossipSocket.sendDeliveryInquiry(peerAddress, key),
+    const processes = new GateProcesses(clock);
+    this.inquirer = new DeliveryInquirer({ clock, processes, log });
+    const { inquirer } = this;
+    const deliveries = new DeliveryMonitor(clock, (gateAddress, questions) =>
+      inquirer.inquire(gateAddress, questions),
     );
     this.gossipSocket = new GossipSocket({
       onMessage: (from, message) => {
@@ -217,16 +222,6 @@
         const source = this.suspectRelay.sourceOf(from);
         reports.forEach((report) => suspectGuard.receive(report, source));
       },
-      onDeliveryInquiry: (from, key) =>
-        runInBackground(
-          this.gateServer
-            .inquire(key)
-            .then((reply) => this.gossipSocket.sendDeliveryReply(from, reply)),
-        ),
-      onDeliveryReply: (from, reply) => {
-        this.failureDetector.markAddressHeard(from);
-        this.deliveries.receive(reply);
-      },
       onError: ({ message }) =>
         log.record(Importance.Notable, 'greeting-not-sent', { reason: message }),
     });
@@ -261,7 +256,7 @@
         log.record(Importance.Notable, silent ? 'host-silent' : 'host-heard', { host }),
       () => {
         this.gateForwarder.watchUnanswered();
-        this.deliveries.inquireOverdue();
+        deliveries.inquireOverdue();
       },
     );
     const { failureDetector } = this;
@@ -272,7 +267,8 @@
         input,
         gate: this.gate,
         links: failureDetector,
-        deliveries: this.deliveries,
+        deliveries,
+        processes,
         directory,
         listenProbe,
         suspectGuard,
@@ -445,6 +441,7 @@
     this.peerListener.close();
     this.gossipSocket.close();
     this.gateForwarder.close();
+    this.inquirer.close();
     this.client.close();
   }
 
--- a/tests/serving/gateForwarder.spec.ts
+++ b/tests/serving/gateForwarder.spec.ts
@@ -5,6 +5,7 @@
 import { DecisionLog } from 'lentillb/observability/decisionLog.js';
 import type { GateEndpoint } from 'lentillb/directory/directory.js';
 import type { Gate } from 'lentillb/serving/gate.js';
+import { GateProcesses } from 'lentillb/serving/gateProcesses.js';
 import { GateForwarder } from 'lentillb/serving/gateForwarder.js';
 import { encodeReply } from 'lentillb/serving/gateProtocol.js';
 import type { ForwardedRequest, GateReply } from 'lentillb/serving/messages.js';
@@ -80,6 +81,7 @@
         },
       },
       deliveries: { watch: () => () => undefined },
+      processes: new GateProcesses(clock),
       links: {
         isSilent: () => false,
         markHeard: () => undefined,
