Let the server of the connection pool's test time only idle connections

Its server measured the idle time from the acceptance of a connection, so a pause of the process of over 60 ms before the first request reset a connection that had never been idle. With such a pause put in (80 ms in the 'connection' handler) the test fails each time; with the time counted from the last request it passes. What the tests check is unchanged.

--- a/tests/serving/connectionPool.spec.ts
+++ b/tests/serving/connectionPool.spec.ts
@@ -28,7 +28,7 @@
 
 /** Resets a connection whose next request arrives after it was idle for too long. */
 function resetWhenIdle(socket: Socket): void {
-  let lastMs = clock.monotonicMs();
+  let lastMs = Infinity;
   socket.prependListener('data', () => {
     if (clock.monotonicMs() - lastMs > SERVER_IDLE_TIMEOUT_MS) {
       socket.resetAndDestroy();
