Await the run of a repeatable request on an unheard host to its deadline

Callers got 502 while the run of their request went on (LOST), on repeatable routes: a host whose datagrams are lost ended the attempt there once no other could be made, after a third of the remaining time. Being unheard is a reason to try elsewhere as well, and no more: its answer is now awaited until the deadline, and a second attempt races it within the retry budget. An attempt whose gate says late that it has not run counts as not run, so the caller gets 503 and may return; a late server error is delivered if nothing better comes.

--- a/packages/lentillb/src/serving/attempts.ts
+++ b/packages/lentillb/src/serving/attempts.ts
@@ -3,7 +3,7 @@
 import type { MeshRoute } from '../configuration/meshConfiguration.js';
 import { hash32 } from '../utils/hash.js';
 import { LateAnswers } from './lateAnswers.js';
-import type { BackendAnswer, ForwardedRequest, ForwardFailure } from './messages.js';
+import type { BackendAnswer, ForwardedRequest, ForwardFailure, GateReply } from './messages.js';
 import { FailureCause } from './messages.js';
 
 /** The hosts tried for one request and the results so far. */
@@ -32,8 +32,11 @@
   /** The hash of the route's name, by which gates report service times. */
   readonly routeHash: number;
 
-  /** Whether any backend server may have run the request. */
-  mayHaveRun = false;
+  /** Whether an attempt has ended that may have run the request. */
+  private hasUnknownOutcome = false;
+
+  /** The number of attempts whose hosts stopped responding and whose replies are still awaited. */
+  private awaited = 0;
 
   readonly lateAnswers = new LateAnswers();
 
@@ -51,6 +54,11 @@
     this.routeHash = hash32(route.name);
   }
 
+  /** Whether any backend server may have run the request. */
+  get mayHaveRun(): boolean {
+    return this.hasUnknownOutcome || this.awaited > 0;
+  }
+
   /**
    * Records an attempt without an answer.
    *
@@ -67,10 +75,41 @@
     }
     this.failure = failure;
     this.minWaitMs = Math.min(this.minWaitMs, waitMs ?? Infinity);
-    this.mayHaveRun ||= outcome === Outcome.Unknown;
+    this.hasUnknownOutcome ||= outcome === Outcome.Unknown;
     this.sent += outcome === Outcome.Unknown || cause === FailureCause.Rejected ? 1 : 0;
   }
 
+  /**
+   * Records that a host stopped responding while an attempt may be at work there.
+   *
+   * @param host - the host, whose reply is still awaited
+   * @param failure - the reason to try another one
+   */
+  recordSilence(host: string, failure: ForwardFailure): void {
+    this.excluded.add(host);
+    this.failure = failure;
+    this.awaited += 1;
+    this.sent += 1;
+  }
+
+  /**
+   * Records the end of an attempt whose host had stopped responding.
+   *
+   * @param result - the answer or the failure
+   */
+  recordLateEnd(result: GateReply['result']): void {
+    this.awaited -= 1;
+    if (result.isOk()) {
+      this.hasUnknownOutcome = true;
+      this.fallback ??= result.value;
+      return;
+    }
+    const { cause, outcome } = result.error;
+    this.hasUnknownOutcome ||= outcome === Outcome.Unknown;
+    this.sent -= outcome === Outcome.NotRun && cause !== FailureCause.Rejected ? 1 : 0;
+    this.failure = result.error;
+  }
+
   /**
    * Records that a backend server ran the request.
    *
@@ -79,7 +118,7 @@
   recordRun(host: string): void {
     this.excluded.add(host);
     this.sent += 1;
-    this.mayHaveRun = true;
+    this.hasUnknownOutcome = true;
   }
 
   /**
--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -113,12 +113,6 @@
   [FailureCause.ConnectFailed]: 50,
 };
 
-/**
- * The share of the remaining time for which the answer of a host that stopped responding is awaited
- * once no other attempt is possible; the rest remains for the caller to try again.
- */
-const MAX_LATE_WAIT_SHARE = 1 / 3;
-
 const EMPTY_BODY = Buffer.alloc(0);
 
 /** Cancels a request when its caller leaves, until the returned function is called. */
@@ -246,20 +240,14 @@
       : candidates.filter(({ host }) => hash32(host) === trialHostHash);
   }
 
-  /** Returns the first answer of the attempts; undefined if there is none. */
+  /**
+   * Returns the first answer of the attempts; undefined once none can arrive any more. Attempts on
+   * hosts that stopped responding may be at work there, so they are awaited to their deadline.
+   */
   private async firstAnswer(attempts: Attempts): Promise<BackendAnswer | undefined> {
-    const { lateAnswers, request } = attempts;
+    const { lateAnswers } = attempts;
     const answer = await Promise.race([this.tryGates(attempts), lateAnswers.first]);
-    if (answer !== undefined || lateAnswers.isEmpty) {
-      return answer;
-    }
-    const { clock } = this.services;
-    const remainingMs = Math.max(0, request.deadlineAtMs - clock.monotonicMs());
-    return Promise.race([
-      lateAnswers.first,
-      lateAnswers.untilEnded(),
-      clock.sleep(remainingMs * MAX_LATE_WAIT_SHARE).then(() => undefined),
-    ]);
+    return answer ?? Promise.race([lateAnswers.first, lateAnswers.untilEnded()]);
   }
 
   private toForwardedRequest(request: CallerRequest, route: MeshRoute): ForwardedRequest {
@@ -357,11 +345,14 @@
     const reply = await gateForwarder.call(endpoint, sent, expectedMs);
     observation.recordEnd();
     this.recordReply(endpoint, reply);
-    if (reply.lateReply !== undefined) {
-      attempts.lateAnswers.add(this.lateAnswer(endpoint, reply.lateReply));
-    }
     if (reply.result.isErr()) {
-      attempts.recordFailure(endpoint.host, reply.result.error);
+      const failure = reply.result.error;
+      if (reply.lateReply === undefined) {
+        attempts.recordFailure(endpoint.host, failure);
+      } else {
+        attempts.recordSilence(endpoint.host, failure);
+        attempts.lateAnswers.add(this.lateAnswer(attempts, endpoint, reply.lateReply));
+      }
       return undefined;
     }
     const answer = reply.result.value;
@@ -375,12 +366,14 @@
   }
 
   private async lateAnswer(
+    attempts: Attempts,
     endpoint: Placement['endpoint'],
     lateReply: Promise<GateReply>,
   ): Promise<BackendAnswer | undefined> {
     const reply = await lateReply;
     this.recordReply(endpoint, reply);
     const { result } = reply;
+    attempts.recordLateEnd(result);
     return result.isOk() && result.value.status < HttpStatus.ServerError ? result.value : undefined;
   }
 
--- a/packages/lentillb/src/serving/lateAnswers.ts
+++ b/packages/lentillb/src/serving/lateAnswers.ts
@@ -16,11 +16,6 @@
     });
   }
 
-  /** Whether no answer is awaited. */
-  get isEmpty(): boolean {
-    return this.awaited.length === 0;
-  }
-
   /** @param answer - resolves with the answer, or with undefined once none can arrive any more */
   add(answer: Promise<BackendAnswer | undefined>): void {
     this.awaited.push(
