Read what has arrived on an idle connection before its idle time closes it

What callers saw: a connection reset in place of an answer to a request that they sent in time on a connection they kept open, when the node did not get to run until the idle time was over.

Cause: the idle time of a connection is a timer of Node.js, and timers fire before input is read. After the event loop was blocked or the process was paused, a request that has arrived and is not read yet was taken for one that was never sent.

Ruled out: connections with a request in progress, whose idle timer is off; the second that Node.js adds to the stated idle time, since the pause of the test is longer than both.

A connection whose time is over is now closed only after the input of the process has been read, and only if nothing has come on it. The listeners of the older call path do the same.

--- a/packages/lentillb/src/serving/callerListener.ts
+++ b/packages/lentillb/src/serving/callerListener.ts
@@ -4,6 +4,7 @@
 import type { Socket } from 'node:net';
 import { parseAddress } from '../utils/networkAddress.js';
 import { runInBackground } from '../utils/background.js';
+import { closeIdleAfterPendingInput } from '../utils/idleTimeout.js';
 import { listenAt, stopAccepting } from '../utils/listening.js';
 import { waitForPendingInput } from '../utils/pendingInput.js';
 import type { PendingInputTracker } from '../utils/pendingInput.js';
@@ -117,6 +118,7 @@
       this.unusedConnections.add(socket);
       socket.once('close', () => this.unusedConnections.delete(socket));
     });
+    closeIdleAfterPendingInput(this.server);
   }
 
   /** The number of requests in flight. */
--- a/packages/lentillb/src/utils/httpListener.ts
+++ b/packages/lentillb/src/utils/httpListener.ts
@@ -3,6 +3,7 @@
 import type { RequestListener, Server } from 'node:http';
 import { setTimeout as delay } from 'node:timers/promises';
 import type { Deadline } from '../kernel/deadline.js';
+import { closeIdleAfterPendingInput } from './idleTimeout.js';
 import { listenAt, stopAccepting } from './listening.js';
 
 /** The longest request head accepted, in bytes. */
@@ -45,6 +46,7 @@
         handle(request, response);
       },
     );
+    closeIdleAfterPendingInput(this.server);
   }
 
   /**
--- a/tests/support/rawConnection.ts
+++ b/tests/support/rawConnection.ts
@@ -47,6 +47,11 @@
     return this.received;
   }
 
+  /** Whether either side has closed the connection. */
+  get isClosed(): boolean {
+    return this.socket.destroyed;
+  }
+
   /** @param request - the request to write */
   write(request: RawRequest): void {
     this.socket.write(encodeRequest(request));
