Read the answer of a call that arrived in time before its deadline ends it on the older call path

What callers saw: 504 for a call on the older call path whose answer had reached the node in time, when the event loop was blocked, or the process paused, until after the deadline; and 502 behind a gate.

Cause: the timers of the router and of the gate fired before the answer was read, and cancelled the call. The newer path waits for pending input at its deadlines; the older one did not.

Ruled out: the timer of the admission queue, which ends only calls that have not been sent, and says so.

The timers now act only after input that arrived before them has been read, which cancels them.

--- a/packages/lentillb/src/gate/gateListener.ts
+++ b/packages/lentillb/src/gate/gateListener.ts
@@ -10,6 +10,7 @@
 import { readBody } from '../calls/requestBody.js';
 import { sendResponse, sendFailure } from '../calls/respond.js';
 import { HttpListener } from '../utils/httpListener.js';
+import { afterPendingInput } from '../utils/pendingInput.js';
 
 /** The maximum duration of a call whose request has no deadline header, in milliseconds. */
 const DEFAULT_DEADLINE_MS = 30_000;
@@ -58,7 +59,7 @@
     const deadlineMs =
       parseIntegerHeader(request.headers, CallHeader.DeadlineMs) ?? DEFAULT_DEADLINE_MS;
     // The deadline is also enforced here, because the other node may have stopped responding.
-    const cancelTimer = clock.after(deadlineMs, () =>
+    const cancelTimer = afterPendingInput(clock, deadlineMs, () =>
       cancellation.cancel(CancelReason.DeadlinePassed),
     );
     response.once('close', cancelTimer);
--- a/packages/lentillb/src/routing/callRouter.ts
+++ b/packages/lentillb/src/routing/callRouter.ts
@@ -15,6 +15,7 @@
 import type { LocatedRule } from '../rules/ruleFile.js';
 import { Repetition } from '../rules/ruleForms.js';
 import { EventKind } from '../timeline/event.js';
+import { afterPendingInput } from '../utils/pendingInput.js';
 import { endpointKey } from './endpointStats.js';
 import { RetryBudget } from './retryBudget.js';
 import type { RoutingTable } from './table/routingTable.js';
@@ -141,7 +142,7 @@
       const message = `request body was cut short: ${body.error}; the call was not run`;
       return Err(failure(Outcome.NotRun, FailureReason.CallerGone, message));
     }
-    const clearDeadlineTimer = clock.after(deadline.remainingMs(), () =>
+    const clearDeadlineTimer = afterPendingInput(clock, deadline.remainingMs(), () =>
       cancellation.cancel(CancelReason.DeadlinePassed),
     );
     const cleanUp = (): void => {
