Ask a gate for overdue requests at most every 80 ms, for all of them together

On a busy host, new requests become overdue all the time. One inquiry a gate was open at a time, but the next followed its reply at once, at each check: 91 inquiries in a second where one request every 10 ms becomes overdue (a test, with a gate that replies at once). Each is a connection, so they would add to the load that made the requests overdue. Now at least 80 ms lie between two inquiries at a gate, unless a connection to it was found silent: then all others are asked for at once, as before. The metric delivery_inquiries counts them. The test failed before: expected 91 to be less than 14.

--- a/packages/lentillb/src/serving/deliveryInquirer.ts
+++ b/packages/lentillb/src/serving/deliveryInquirer.ts
@@ -11,6 +11,7 @@
 import type { Clock } from '../kernel/clock.js';
 import type { DecisionLog } from '../observability/decisionLog.js';
 import { Importance } from '../observability/decisionLog.js';
+import type { MetricsRegistry } from '../observability/metricsRegistry.js';
 import { decodeStates, encodeQuestions, inquiryHeaders } from './deliveryProtocol.js';
 import { exchange, ExchangeFailure } from './exchange.js';
 import type { GateProcesses } from './gateProcesses.js';
@@ -28,6 +29,7 @@
       readonly clock: Clock;
       readonly processes: GateProcesses;
       readonly log: DecisionLog;
+      readonly metrics: MetricsRegistry;
     },
   ) {}
 
@@ -42,7 +44,8 @@
     gateAddress: string,
     questions: readonly DeliveryQuestion[],
   ): Promise<Result<DeliveryReply, ExchangeFailure>> {
-    const { clock, log, processes } = this.services;
+    const { clock, log, metrics, processes } = this.services;
+    metrics.count('delivery_inquiries');
     const body = encodeQuestions(questions);
     const answer = await exchange(clock, {
       agent: this.agent,
--- a/packages/lentillb/src/serving/deliveryMonitor.ts
+++ b/packages/lentillb/src/serving/deliveryMonitor.ts
@@ -29,6 +29,8 @@
  * the time for which gates remember requests.
  */
 const MAX_CLAIM_AGE_MS = 5_000;
+/** The shortest time between two inquiries at one gate, in milliseconds; bounds their cost under load. */
+const MIN_GATE_INTERVAL_MS = 80;
 /** The maximum number of requests in one inquiry, to bound its length. */
 const MAX_QUESTIONS = 128;
 
@@ -111,8 +113,8 @@
 export class DeliveryMonitor {
   private readonly deliveries = new Map<string, MonitoredDelivery>();
 
-  /** The gates from which a reply is awaited. */
-  private readonly askedGates = new Set<string>();
+  /** When each gate may be asked again that was asked lately; `Infinity` while its reply is awaited. */
+  private readonly nextInquiryAtMs = new Map<string, number>();
 
   /** The last clock offset that was read; read now and then only. */
   private clockOffset: ClockOffset;
@@ -188,10 +190,15 @@
       this.previousClockOffset = this.clockOffset;
       this.clockOffset = { offsetMs: this.readClockOffset(), readAtMs: nowMs };
     }
+    this.nextInquiryAtMs.forEach((atMs, gateAddress) => {
+      if (atMs <= nowMs) {
+        this.nextInquiryAtMs.delete(gateAddress);
+      }
+    });
     const overdueByGate = new Map<string, MonitoredDelivery[]>();
     this.deliveries.forEach((monitored) => {
       const { gateAddress } = monitored.delivery;
-      if (this.isOverdue(monitored, nowMs) && !this.askedGates.has(gateAddress)) {
+      if (this.isOverdue(monitored, nowMs) && !this.nextInquiryAtMs.has(gateAddress)) {
         const overdue = overdueByGate.get(gateAddress) ?? [];
         overdueByGate.set(gateAddress, overdue);
         overdue.push(monitored);
@@ -208,9 +215,9 @@
 
   private async askGate(gateAddress: string, asked: readonly MonitoredDelivery[]): Promise<void> {
     const questions = asked.map(({ delivery: { key, processId } }) => ({ key, processId }));
-    this.askedGates.add(gateAddress);
+    this.nextInquiryAtMs.set(gateAddress, Infinity);
     const reply = await this.inquire(gateAddress, questions);
-    this.askedGates.delete(gateAddress);
+    this.nextInquiryAtMs.set(gateAddress, this.clock.monotonicMs() + MIN_GATE_INTERVAL_MS);
     // The answers may have arrived as well, and not have been read yet.
     await waitForPendingInput();
     asked.forEach((monitored) => this.scheduleNext(monitored));
@@ -269,6 +276,7 @@
     const { gateAddress, onLost } = monitored.delivery;
     this.end(monitored);
     onLost(fate, evidence);
+    this.nextInquiryAtMs.delete(gateAddress);
     const nowMs = this.clock.monotonicMs();
     this.deliveries.forEach((other) => {
       const { delivery } = other;
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -208,7 +208,7 @@
     const processId = hash32(`${identity.host} ${clock.now().getTime()} ${clock.monotonicMs()}`);
     this.gateServer = new GateServer({ clock, gate: this.gate }, { names: headerNames, processId });
     const processes = new GateProcesses(clock);
-    this.inquirer = new DeliveryInquirer({ clock, processes, log });
+    this.inquirer = new DeliveryInquirer({ clock, processes, log, metrics });
     const { inquirer } = this;
     const deliveries = new DeliveryMonitor(clock, (gateAddress, questions) =>
       inquirer.inquire(gateAddress, questions),
--- a/tests/serving/deliveryMonitor.spec.ts
+++ b/tests/serving/deliveryMonitor.spec.ts
@@ -152,6 +152,20 @@
     expect(fates).toEqual([]);
   });
 
+  it('should be asked for together with others to its gate, a few times a second at most', async () => {
+    for (let elapsedMs = 0; elapsedMs < 1_000; elapsedMs += CHECK_INTERVAL_MS) {
+      watch(`${elapsedMs}`);
+      await advance(CHECK_INTERVAL_MS);
+      inquiries.forEach(({ answer, isAnswered, questions }) => {
+        if (!isAnswered) {
+          answer(Ok({ states: questions.map(() => DeliveryState.InProgress), processId: PROCESS }));
+        }
+      });
+    }
+    expect(inquiries.length).toBeGreaterThan(5);
+    expect(inquiries.length).toBeLessThan(14);
+  });
+
   it('should be waited for while it is in progress, and be asked for now and then', async () => {
     watch('a');
     await advance(USUAL_MS);
