--- a/packages/lentillb/src/mesh/peerLink.ts
+++ b/packages/lentillb/src/mesh/peerLink.ts
@@ -7,6 +7,7 @@
 import { OfferResult } from '../distribution/versionStore.js';
 import type { Services } from '../kernel/services.js';
 import { MessageQueue } from '../utils/messageQueue.js';
+import { waitForPendingInput } from '../utils/pendingInput.js';
 
 /** The interval of heartbeats that are sent even without a change, in milliseconds. */
 export const HEARTBEAT_INTERVAL_MS = 3_000;
@@ -306,7 +307,7 @@
     const { clock } = this.services;
     while (!this.abortController.signal.aborted) {
       await clock.sleep(HEARTBEAT_INTERVAL_MS, this.abortController.signal);
-      if (clock.monotonicMs() - this.lastReceivedMs > SILENCE_TIMEOUT_MS) {
+      if (await this.isSilent()) {
         this.close(LinkCloseReason.Silent);
       } else if (!this.abortController.signal.aborted && this.side === LinkSide.Opened) {
         // Only the opening side sends, and the other side replies: this is one exchange, whose
@@ -316,6 +317,16 @@
     }
   }
 
+  /** Whether nothing has been received for too long, also once all pending input has been read. */
+  private async isSilent(): Promise<boolean> {
+    const isOverdue = (): boolean =>
+      this.services.clock.monotonicMs() - this.lastReceivedMs > SILENCE_TIMEOUT_MS;
+    if (isOverdue()) {
+      await waitForPendingInput();
+    }
+    return isOverdue();
+  }
+
   private receive({ kind }: PeerMessage): void {
     if (kind.case !== undefined) {
       const handle = this.handlers[kind.case] as (value: unknown) => void;
