Deny a request only at the process that it was sent to, also if its identity was used again

What callers could see: a request answered 503, 'not run', that had run. A gate whose process was replaced said 'not run' of a request that its earlier process had run, if the new one had refused another request with the same identity in the same transmission: a caller had used the identity again.

Cause: a known refusal was reported whoever had been asked. Only requests that the gate did not know were judged by the process that the sender had heard.

Two tests failed before: 'should not be at work, and never run if that was said, among requests with identities that callers use again' and 'should not deny a request of an earlier process because another with its identity was refused'. Now a gate denies nothing unless it is asked as the process that the request was sent to.

--- a/packages/lentillb/src/serving/receivedRequests.ts
+++ b/packages/lentillb/src/serving/receivedRequests.ts
@@ -84,21 +84,25 @@
    */
   inquire(key: string, mayDeny: boolean): DeliveryState {
     const known = this.requests.get(key);
-    if (known === undefined) {
-      if (!mayDeny) {
-        return DeliveryState.NotArrived;
-      }
-      this.add(key, DeliveryState.NotRun, 0);
-      return DeliveryState.NotRun;
-    }
-    if (known.inProgress > 0) {
+    if (known !== undefined && known.inProgress > 0) {
       return DeliveryState.InProgress;
     }
-    if (known.state === DeliveryState.NotRun) {
+    if (known?.state === DeliveryState.Ended) {
+      return DeliveryState.Ended;
+    }
+    // A caller may have used the identity of a request again that ran in an earlier process.
+    return mayDeny ? this.deny(key) : DeliveryState.NotArrived;
+  }
+
+  private deny(key: string): DeliveryState {
+    const known = this.requests.get(key);
+    if (known === undefined) {
+      this.add(key, DeliveryState.NotRun, 0);
+    } else {
       known.isDenied = true;
       known.changedAtMs = this.clock.monotonicMs();
     }
-    return known.state;
+    return DeliveryState.NotRun;
   }
 
   private add(key: string, state: DeliveryState, inProgress: number): void {
