Leave headers out while they are copied, instead of deleting them from the copy

Cause: an object from which a property is deleted becomes a hash table, and each later copy of it is slow. Copies of objects and deletions take 1.8 % of the main thread's samples by a native profile; the headers of a request are copied several times on their way.

Why it works: the copy never has the omitted header, and the entry adds its own headers to that copy instead of making another one. The headers that are sent are the same.

--- a/packages/lentillb/src/calls/callHeaders.ts
+++ b/packages/lentillb/src/calls/callHeaders.ts
@@ -64,14 +64,17 @@
  * Selects the headers to forward.
  *
  * @param headers - the received headers
+ * @param omittedName - the name of a header that is not forwarded either, in lower case
  * @returns the headers without hop-by-hop headers and without those of lentillb
  */
-export function forwardedHeaders(headers: IncomingHttpHeaders): HeaderFields {
+export function forwardedHeaders(headers: IncomingHttpHeaders, omittedName?: string): HeaderFields {
   const connectionHeaders = connectionHeaderNames(headers);
   const forwarded: HeaderFields = {};
-  Object.entries(headers).forEach(([name, value]) => {
+  Object.keys(headers).forEach((name) => {
+    const value = headers[name];
     if (
       value !== undefined &&
+      name !== omittedName &&
       !HOP_BY_HOP.has(name) &&
       !connectionHeaders.has(name) &&
       !name.startsWith(OWN_PREFIX)
--- a/packages/lentillb/src/serving/backendServerClient.ts
+++ b/packages/lentillb/src/serving/backendServerClient.ts
@@ -235,8 +235,7 @@
       return Err({ outcome: Outcome.Unknown, cause: FailureCause.InvalidAnswer });
     }
     const unframed = isUnframed(headers);
-    const responseHeaders = forwardedHeaders(headers);
-    delete responseHeaders[this.names.requestId];
+    const responseHeaders = forwardedHeaders(headers, this.names.requestId);
     return Ok({ status, headers: responseHeaders, body, unframed });
   }
 }
--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -269,18 +269,17 @@
     const longestMs = Math.max(requestedMs, this.longestDeadlineMsByRoute.get(route.name) ?? 0);
     this.longestDeadlineMsByRoute.set(route.name, longestMs);
     const requestId = headers[names.requestId];
-    const outgoingHeaders = forwardedHeaders(headers);
     // The gate sets the time that remains when it sends the request.
-    delete outgoingHeaders[names.deadlineMs];
+    const outgoingHeaders = forwardedHeaders(headers, names.deadlineMs);
+    outgoingHeaders[names.callerService] = callerService;
+    if (typeof requestId === 'string') {
+      outgoingHeaders[names.requestId] = requestId;
+    }
     return {
       requestId: typeof requestId === 'string' ? requestId : '',
       method,
       target,
-      headers: {
-        ...outgoingHeaders,
-        [names.callerService]: callerService,
-        ...(typeof requestId === 'string' ? { [names.requestId]: requestId } : {}),
-      },
+      headers: outgoingHeaders,
       body,
       service: this.services.rotation.next(route),
       route: route.name,
