Take nothing in the last second of a planned stop

What callers saw: after SIGTERM, a request that was taken late in the stop got 502 at its end while its backend server was at work. A node that still has a run of its own goes on taking calls; a run of 1,000 ms where 40 ms are usual, sent to another host 4,600 ms after the signal, got 502 at 5,300.

Cause: what is taken was judged by one and a half times its usual time, a mean, so requests were taken up to 60 ms before the end. A mean says nothing about the longest runs.

Ruled out: sent 3,100 and 4,000 ms after the signal the same run ends with 200, before and after. The gate closes at 2,600, so its runs have 2,700 ms.

Fix: requests and calls are taken until 1,200 ms before the end (a fifth of the stop at most), whatever their usual time, and rejected at once as not run after that. The listener still answers until 5,100. What it costs: calls of runs that last beyond 4,100 ms after the signal are rejected, which were served until 5,240 before.

--- a/packages/lentillb/src/serving/stopTimes.ts
+++ b/packages/lentillb/src/serving/stopTimes.ts
@@ -4,6 +4,8 @@
 export interface StopTimes {
   /** By when callers have moved to other nodes. */
   readonly gateClosesAtMs: number;
+  /** When the last requests are taken, so that runs that last far longer than usual end in time. */
+  readonly lastTakenAtMs: number;
   /** When the node ends. */
   readonly endsAtMs: number;
 }
@@ -20,5 +22,5 @@
  * @returns whether it may be taken
  */
 export function endsInTime(stop: StopTimes, nowMs: number, usualMs: number): boolean {
-  return nowMs + usualMs * USUAL_TIME_FACTOR <= stop.endsAtMs;
+  return nowMs <= stop.lastTakenAtMs && nowMs + usualMs * USUAL_TIME_FACTOR <= stop.endsAtMs;
 }
--- a/packages/lentillb/src/sidecar/stopPlan.ts
+++ b/packages/lentillb/src/sidecar/stopPlan.ts
@@ -11,6 +11,10 @@
 const EXIT_RESERVE_MS = 700;
 /** The maximum share of the time of a stop that is reserved for that. */
 const MAX_EXIT_SHARE = 0.2;
+/** Time reserved for the longest runs, in milliseconds. Their usual time does not bound them. */
+const LONGEST_RUN_MS = 1_200;
+/** The maximum share of the time of a stop for that. */
+const MAX_LONGEST_RUN_SHARE = 0.2;
 /** Time before the end in which connections are no longer accepted, in milliseconds. */
 const LAST_ANSWERS_MS = 200;
 /** The maximum share of the time of a stop for that. */
@@ -22,6 +26,8 @@
   readonly startsAtMs: number;
   /** Callers have moved. The gate takes nothing more and gives back what waits. */
   readonly gateClosesAtMs: number;
+  /** The last requests are taken; what comes later is rejected. */
+  readonly lastTakenAtMs: number;
   /** No connections are accepted any more, even if a run on this host may still make calls. */
   readonly listenerClosesAtMs: number;
   /** What is still in flight is ended, and the process exits. */
@@ -41,6 +47,7 @@
   return {
     startsAtMs,
     gateClosesAtMs: startsAtMs + Math.min(CALLER_MOVE_MS, timeoutMs * MAX_CALLER_MOVE_SHARE),
+    lastTakenAtMs: endsAtMs - Math.min(LONGEST_RUN_MS, timeoutMs * MAX_LONGEST_RUN_SHARE),
     listenerClosesAtMs: endsAtMs - Math.min(LAST_ANSWERS_MS, timeoutMs * MAX_LAST_ANSWERS_SHARE),
     endsAtMs,
   };
--- a/tests/sidecar/plannedStop.spec.ts
+++ b/tests/sidecar/plannedStop.spec.ts
@@ -155,6 +155,31 @@
     expect([502, 504]).toContain((await running).status);
   });
 
+  it.each([
+    [4_000, 200],
+    [4_600, 503],
+  ])(
+    'should not cut a run that lasts far longer than usual, sent %d ms after the stop began',
+    async (sentAfterMs, expected) => {
+      const front = await fleet.addHost('front', 'pages');
+      const back = await fleet.addHost('back', 'letters');
+      await fleet.waitUntilServed(front, 'pages');
+      await fleet.waitUntilServed(front, 'letters');
+      setRunTime(back, 40);
+      for (let count = 0; count < 10; count += 1) {
+        await send(front, 'letters');
+      }
+      setRunTime(front);
+      const keepsOpen = send(front, 'pages');
+      await fleet.clock.sleep(50);
+      const stopped = stop(front);
+      await fleet.clock.sleep(sentAfterMs);
+      setRunTime(back, 1_000);
+      expect((await send(front, 'letters')).status).toBe(expected);
+      await Promise.all([stopped, keepsOpen]);
+    },
+  );
+
   it('should confirm a departure that is reported shortly before its end', async () => {
     const host = await fleet.addHost('front', 'letters');
     await fleet.waitUntilServed(host, 'letters');
--- a/tests/sidecar/stopPlan.spec.ts
+++ b/tests/sidecar/stopPlan.spec.ts
@@ -10,6 +10,8 @@
       (startsAtMs, timeoutMs) => {
         const plan = planStop(startsAtMs, timeoutMs);
         expect(plan.gateClosesAtMs).toBeGreaterThan(startsAtMs);
+        expect(plan.lastTakenAtMs).toBeGreaterThan(plan.gateClosesAtMs);
+        expect(plan.lastTakenAtMs).toBeLessThan(plan.listenerClosesAtMs);
         expect(plan.listenerClosesAtMs).toBeGreaterThan(plan.gateClosesAtMs);
         expect(plan.endsAtMs).toBeGreaterThan(plan.listenerClosesAtMs);
         expect(plan.endsAtMs).toBeLessThan(startsAtMs + timeoutMs);
@@ -22,3 +24,8 @@
   const { endsAtMs, gateClosesAtMs, listenerClosesAtMs } = planStop(0, 6_000);
   expect([gateClosesAtMs, listenerClosesAtMs, endsAtMs]).toEqual([2_600, 5_100, 5_300]);
 });
+
+it('should reserve more than a second for the last run, in the usual time', () => {
+  const { endsAtMs, lastTakenAtMs } = planStop(0, 6_000);
+  expect(endsAtMs - lastTakenAtMs).toBeGreaterThan(1_000);
+});
