Soak: check that no node ends a request that runs, and play connections between nodes and series of signals

The soak saw only lost connections at a planned stop. A node that gave a request up while a backend server ran it, and answered 502 itself, was no finding. Each run has an end now (its answer, a cut, or the end of its backend server), and a request that a node ends before its deadline although it runs or ran is one. So is a request that ran and got no answer at all at a host that nothing disturbed.

New faults, drawn after all others so that the kept seeds play the same ones: open connections between two nodes go silent, or are slow while datagrams are not; SIGHUP and SIGTERM again and again in a stop; a kill in a stop and a start at once; a rolling restart of half of the hosts, whose stops overlap; a few runs that last far longer than usual.

--- a/soak/src/caller.ts
+++ b/soak/src/caller.ts
@@ -117,6 +117,7 @@
       processNumber,
       sentAtMs,
       endedAtMs,
+      deadlineMs: this.options.deadlineMs,
       ...result,
     });
   }
--- a/soak/src/crashingCaller.ts
+++ b/soak/src/crashingCaller.ts
@@ -58,6 +58,7 @@
       processNumber,
       sentAtMs,
       endedAtMs: clock.monotonicMs(),
+      deadlineMs: TIMEOUT_MS,
       outcome: status === UNAVAILABLE ? RequestOutcome.NotRun : RequestOutcome.Failed,
       isMatchingResponse: false,
       detail: `status ${status ?? 'none'}`,
--- a/soak/src/faults.ts
+++ b/soak/src/faults.ts
@@ -23,6 +23,8 @@
 export interface FaultTarget {
   readonly clock: Clock;
   readonly host: SoakHost;
+  /** All hosts. */
+  readonly hosts: readonly SoakHost[];
   readonly store: KeyedLogServer;
   /** The duration of the fault, in milliseconds; faults that end by themselves ignore it. */
   readonly durationMs: number;
@@ -37,9 +39,13 @@
   readonly inject: (target: FaultTarget) => Promise<void>;
 }
 
-function createRelayFault(selectRelay: (host: SoakHost) => Relay, fault: RelayFault): Fault {
+function createRelayFault(
+  selectRelay: (host: SoakHost) => Relay,
+  fault: RelayFault,
+  kind: DisturbanceKind = DisturbanceKind.Failure,
+): Fault {
   return {
-    kind: DisturbanceKind.Failure,
+    kind,
     affectsAllHosts: false,
     inject: async ({ clock, durationMs, host }) => {
       selectRelay(host).setFault(fault);
@@ -144,7 +150,7 @@
   };
 }
 
-/** Open connections that go silent for good, and long runs at a planned stop; drawn last. */
+/** Open connections that go silent for good, and long runs at a planned stop; drawn after statements. */
 export const silenceFaults: Readonly<Record<string, Fault>> = {
   'silent store connections': createSilenceFault(relaySelectors['store-connection']),
   'silent backend-server connections': createSilenceFault(relaySelectors['backend-server']),
@@ -155,6 +161,69 @@
   },
 };
 
+/** Faults of the connections between nodes, while datagrams arrive. */
+export const gateRelayFaults: Readonly<Record<string, Fault>> = {
+  'silent node connections': createSilenceFault((host) => host.toGate),
+  'slow node connections': createRelayFault(
+    (host) => host.toGate,
+    RelayFault.Delay,
+    DisturbanceKind.SlowConnections,
+  ),
+};
+
+/** The longest time from the start of a stop until the node is killed, in milliseconds. */
+const MAX_KILL_DELAY_MS = 4_500;
+/** The time between the stops of a rolling restart: a fraction of a stop, so that they overlap. */
+const ROLLING_INTERVAL_MS = 1_200;
+/** The share of the hosts that a rolling restart stops. */
+const ROLLING_SHARE = 0.5;
+/** The number of signals within the time of a fault. */
+const SIGNAL_COUNT = 8;
+
+/** Signals and restarts that come in series and overlap, and runs of uneven length; drawn last. */
+export const seriesFaults: Readonly<Record<string, Fault>> = {
+  'signals in a stop': {
+    kind: DisturbanceKind.Planned,
+    affectsAllHosts: false,
+    inject: ({ durationMs, host }) => host.stopNodeWithSignals(durationMs / SIGNAL_COUNT),
+  },
+  'kill in a stop': {
+    kind: DisturbanceKind.Failure,
+    affectsAllHosts: false,
+    inject: ({ durationMs, host }) => host.killNodeInStop(Math.min(durationMs, MAX_KILL_DELAY_MS)),
+  },
+  'rolling restart': {
+    kind: DisturbanceKind.Planned,
+    affectsAllHosts: true,
+    inject: async ({ clock, hosts }) => {
+      const restarted = hosts.slice(0, Math.ceil(hosts.length * ROLLING_SHARE));
+      await Promise.all(
+        restarted.map(async (host, index) => {
+          await clock.sleep(index * ROLLING_INTERVAL_MS);
+          await host.stopNode();
+          host.startNode();
+        }),
+      );
+    },
+  },
+  'uneven runs': {
+    kind: DisturbanceKind.Planned,
+    affectsAllHosts: true,
+    inject: async ({ durationMs, hosts }) => {
+      await Promise.all(hosts.map((host) => host.lengthenRuns(durationMs)));
+    },
+  },
+};
+
+/** The faults that are drawn after all others, in the order in which they were added. */
+export const laterFaults: readonly Readonly<Record<string, Fault>>[] = [
+  additionalFaults,
+  statementFaults,
+  silenceFaults,
+  gateRelayFaults,
+  seriesFaults,
+];
+
 /** The faults by printed name; a seed selects them by their order. */
 export const faults: Readonly<Record<string, Fault>> = {
   ...Object.fromEntries([...relayFaults, ...storeFaults]),
--- a/soak/src/invariants.ts
+++ b/soak/src/invariants.ts
@@ -1,7 +1,7 @@
 /** Checks the invariants of the system against the observations of callers and backend servers. */
 import { Bounds, probeServiceOf, RouteName } from './platformDocuments.js';
 import type { Execution, Publication, SentRequest, SoakRecord } from './soakRecord.js';
-import { DisturbanceKind, RequestOutcome } from './soakRecord.js';
+import { DisturbanceKind, ExecutionEnd, RequestOutcome } from './soakRecord.js';
 
 /** A violation of an invariant. */
 export interface Finding {
@@ -248,6 +248,78 @@
     .map(describeRequest);
 };
 
+/** Whether a planned stop allows that a run was cut: it was sent in time and lasted to the end. */
+function isCutByEndOfStop(
+  record: SoakRecord,
+  request: SentRequest,
+  executions: readonly Execution[],
+): boolean {
+  const hosts = [request.host, ...executions.map(({ host }) => host)];
+  return record.nodeStops.some(
+    ({ atMs, host }) =>
+      hosts.includes(host) &&
+      request.sentAtMs <= atMs + Bounds.stopSentMs &&
+      request.endedAtMs >= atMs + Bounds.stopCutMs &&
+      request.endedAtMs <= atMs + Bounds.graceMs,
+  );
+}
+
+/** Whether a node answered a request in place of its backend server; other checks cover the rest. */
+function isEndedByNode({ outcome, route }: SentRequest): boolean {
+  return (
+    outcome === RequestOutcome.Failed ||
+    (outcome === RequestOutcome.NotRun && route === RouteName.Browse)
+  );
+}
+
+function describeRun({ sentAtMs }: SentRequest, { atMs, backendServerId, end }: Execution): string {
+  return `at ${backendServerId} from ${Math.round(atMs - sentAtMs)} ms, ${end ?? 'at work'}`;
+}
+
+/** Finds requests that a node ended before their deadline, although a backend server runs or ran them. */
+const checkEndedRuns: Check = (record) => {
+  const executions = executionsById(record);
+  return record.requests
+    .filter(isEndedByNode)
+    .filter(
+      ({ deadlineMs, endedAtMs, sentAtMs }) =>
+        endedAtMs < sentAtMs + deadlineMs - Bounds.deadlineMarginMs,
+    )
+    .map((request) => ({ request, runs: executions.get(request.id) ?? [] }))
+    .filter(({ runs }) => runs.some(({ end }) => end !== ExecutionEnd.ServerEnded))
+    .filter(({ request: { endedAtMs, host, sentAtMs }, runs }) =>
+      [host, ...runs.map((run) => run.host)].every((index) =>
+        record.isUndisturbed(index, sentAtMs - Bounds.undisturbedMs, endedAtMs, UNPLANNED_KINDS),
+      ),
+    )
+    .filter(({ request, runs }) => !isCutByEndOfStop(record, request, runs))
+    .map(({ request, runs }) => {
+      const lastedMs = Math.round(request.endedAtMs - request.sentAtMs);
+      const ends = runs.map((run) => describeRun(request, run)).join('; ');
+      return `ended after ${lastedMs} ms: ${describeRequest(request)}; ${ends}`;
+    });
+};
+
+/** Finds requests that ran and got no answer, though their deadline had passed for a while. */
+const checkUnansweredRequests: Check = (record) => {
+  const executions = executionsById(record);
+  return record.requests
+    .filter(({ outcome }) => outcome === RequestOutcome.TimedOut)
+    .filter(({ deadlineMs, endedAtMs, id }) =>
+      // A request may have waited in the caller for a connection, before its deadline began.
+      (executions.get(id) ?? []).some(
+        ({ atMs }) => atMs < endedAtMs - deadlineMs - Bounds.deadlineMarginMs,
+      ),
+    )
+    .filter(({ endedAtMs, host, sentAtMs }) =>
+      record.isUndisturbed(host, sentAtMs - Bounds.undisturbedMs, endedAtMs, [
+        ...UNPLANNED_KINDS,
+        DisturbanceKind.ObserverDelay,
+      ]),
+    )
+    .map(describeRequest);
+};
+
 /** Finds requests that fail although the time to recover from the last fault is over. */
 const checkRecovery: Check = (record) =>
   record.requests
@@ -273,6 +345,8 @@
   'a version is in force in time': checkPropagation,
   'no older version comes back': checkVersionOrder,
   'a planned stop loses nothing': checkPlannedStops,
+  'no node ends a request that runs': checkEndedRuns,
+  'every request gets an answer': checkUnansweredRequests,
   'everything is served once trouble is over': checkRecovery,
   'a node runs until it is stopped': checkProcessExits,
 };
--- a/soak/src/platformDocuments.ts
+++ b/soak/src/platformDocuments.ts
@@ -25,6 +25,11 @@
   laterEnds: 3,
   /** The maximum duration of a planned stop. */
   graceMs: 6_000,
+  /** A run may be cut by a planned stop only if its request was sent by then, and not before the end. */
+  stopSentMs: 3_000,
+  stopCutMs: 5_000,
+  /** How long before the deadline of a request its node may answer that it has passed. */
+  deadlineMarginMs: 100,
   /** The maximum time from the end of all faults until every node has the current state. */
   recoveryMs: 6_000,
 } as const;
--- a/soak/src/relay.ts
+++ b/soak/src/relay.ts
@@ -105,6 +105,11 @@
     });
   }
 
+  /** Refuses new connections; open ones go on. */
+  stopListening(): void {
+    this.server.close();
+  }
+
   /** Stops listening and closes all connections. */
   close(): void {
     this.server.close();
--- a/soak/src/schedule.ts
+++ b/soak/src/schedule.ts
@@ -1,6 +1,6 @@
 /** Draws the faults and publications of one soak run from its seed. */
 import type { Randomness } from 'lentillb/sidecar';
-import { additionalFaults, faults, silenceFaults, statementFaults } from './faults.js';
+import { faults, laterFaults } from './faults.js';
 
 /** A fault with the time, the host and the duration of its injection. */
 export interface ScheduledFault {
@@ -50,7 +50,7 @@
     }));
   });
   const firstPublicationMs = randomness.integer(PUBLICATION_INTERVAL_MS);
-  const additional = [additionalFaults, statementFaults, silenceFaults].flatMap((group) =>
+  const additional = laterFaults.flatMap((group) =>
     Object.keys(group)
       .filter(() => randomness.integer(ADDITIONAL_FAULT_INTERVAL) === 0)
       .map((name) => ({
--- a/soak/src/soakBackendServer.ts
+++ b/soak/src/soakBackendServer.ts
@@ -4,10 +4,15 @@
 import type { Clock, Randomness } from 'lentillb/sidecar';
 import type { Service } from './platformDocuments.js';
 import { CRASHING_PREFIX, Header, SLOW_PREFIX } from './platformDocuments.js';
-import type { SoakRecord } from './soakRecord.js';
+import type { Execution, SoakRecord } from './soakRecord.js';
+import { ExecutionEnd } from './soakRecord.js';
 
 /** The range of the random time that a request runs: from `min`, less than `spread` more. */
 const HANDLING_MS = { min: 3, spread: 60 } as const;
+/** The same for the few runs that last far longer than usual. */
+const LONG_HANDLING_MS = { min: 300, spread: 400 } as const;
+/** The number of requests of which, on average, one runs so long. */
+const LONG_RUN_ONE_IN = 20;
 
 /** The services that a backend server depends on. */
 export interface BackendServerServices {
@@ -30,6 +35,11 @@
 
   private isLeaving = false;
 
+  private isClosed = false;
+
+  /** Whether a few requests run far longer than usual. */
+  hasLongRuns = false;
+
   private readonly server: ScriptedBackendServer;
 
   /**
@@ -67,6 +77,7 @@
 
   /** Closes the backend server and its connections. */
   close(): Promise<void> {
+    this.isClosed = true;
     return this.server.close();
   }
 
@@ -83,10 +94,14 @@
   }
 
   private handle(...[response, { body, requestId }]: Parameters<RequestHandler>): void {
-    const { clock, randomness, record } = this.services;
+    const { clock, record } = this.services;
     const { host, id: backendServerId, service } = this.options;
     const atMs = clock.monotonicMs();
-    record.executions.push({ requestId, service, backendServerId, host, atMs });
+    const execution: Execution = { requestId, service, backendServerId, host, atMs };
+    record.executions.push(execution);
+    response.once('close', () => {
+      execution.end = this.endOf(response.writableFinished);
+    });
     if (body.startsWith(CRASHING_PREFIX)) {
       record.serverEnds.push({ content: body, backendServerId, atMs });
       this.onCrashingRequest();
@@ -94,7 +109,7 @@
     }
     const handlingMs = body.startsWith(SLOW_PREFIX)
       ? Number.parseInt(body.slice(SLOW_PREFIX.length), 10)
-      : HANDLING_MS.min + randomness.integer(HANDLING_MS.spread);
+      : this.drawHandlingMs();
     clock.after(handlingMs, () => {
       response.writeHead(200, {
         [Header.requestId]: requestId,
@@ -105,6 +120,20 @@
     });
   }
 
+  private endOf(isComplete: boolean): ExecutionEnd {
+    if (isComplete) {
+      return ExecutionEnd.Completed;
+    }
+    return this.isClosed ? ExecutionEnd.ServerEnded : ExecutionEnd.Cut;
+  }
+
+  private drawHandlingMs(): number {
+    const { randomness } = this.services;
+    const isLong = this.hasLongRuns && randomness.integer(LONG_RUN_ONE_IN) === 0;
+    const { min, spread } = isLong ? LONG_HANDLING_MS : HANDLING_MS;
+    return min + randomness.integer(spread);
+  }
+
   /** Returns the headers by which an answer states the limit or the departure. */
   private statementHeaders(): Record<string, string> {
     const { isLeaving, limitPerSecond } = this;
--- a/soak/src/soakHost.ts
+++ b/soak/src/soakHost.ts
@@ -21,6 +21,7 @@
   SLOW_PREFIX,
   SLOW_TIMEOUT_MS,
 } from './platformDocuments.js';
+import { Port } from './ports.js';
 import { Relay } from './relay.js';
 import { SoakBackendServer } from './soakBackendServer.js';
 import type { SoakRecord } from './soakRecord.js';
@@ -36,20 +37,10 @@
   readonly program: string;
   /** The folder that settings and logs are written to. */
   readonly folder: string;
+  /** Whether the connections of other nodes to this one lead through a relay. */
+  readonly hasGateRelay: boolean;
 }
 
-/** The ports of a host; all hosts use the same ports, each on its own IP address. */
-const Port = {
-  Inbound: 17_601,
-  Outbound: 17_602,
-  Ready: 17_603,
-  Control: 17_604,
-  Peer: 17_605,
-  ToBackendServer: 17_606,
-  ToStore: 17_607,
-  ToNode: 17_608,
-} as const;
-
 const SLOTS = 8;
 const HEARTBEAT_MS = 300;
 /** The maximum duration of a call to the node's control address. */
@@ -65,6 +56,8 @@
 /** The longest run under a planned stop, in milliseconds, and the time between two such requests. */
 const MAX_SLOW_MS = 4_500;
 const SLOW_INTERVAL_MS = 120;
+/** Lets the gate listen behind its relay. */
+const GATE_RELAY_HOOK = new URL('./gateRelayHook.js', import.meta.url).href;
 /** The time after which a backend server that ended is replaced, in milliseconds. */
 const REPLACEMENT_DELAY_MS = 800;
 
@@ -79,6 +72,9 @@
   /** The relay that forwards connections of the node to the store. */
   readonly toStore: Relay;
 
+  /** The relay that forwards connections of other nodes to this one; datagrams go directly. */
+  readonly toGate: Relay;
+
   /** The number of the current node process, counted from 1. */
   processNumber = 0;
 
@@ -120,6 +116,7 @@
     this.toNode = new Relay(clock, () => this.addresses.outbound, RELAY_DELAY_MS);
     this.toBackendServer = new Relay(clock, () => this.backendServerAddress, RELAY_DELAY_MS);
     this.toStore = new Relay(clock, () => storeAddress, RELAY_DELAY_MS);
+    this.toGate = new Relay(clock, () => this.addressOf(Port.BehindRelay), RELAY_DELAY_MS);
     this.log = createWriteStream(path.join(folder, `host-${index}.log`));
     this.settingsFile = path.join(folder, `host-${index}.json`);
     this.crashingCaller = new CrashingCaller(services, () => this.target);
@@ -176,14 +173,19 @@
     }
     this.processNumber += 1;
     this.exitExpected = false;
-    const { index, program } = this.options;
-    const child = spawnChildProcess(['--max-old-space-size=96', program], {
+    const { hasGateRelay, index, program } = this.options;
+    if (hasGateRelay) {
+      runInBackground(this.toGate.listen(this.addresses.inbound));
+    }
+    const hookArgs = hasGateRelay ? ['--import', GATE_RELAY_HOOK] : [];
+    const child = spawnChildProcess(['--max-old-space-size=96', ...hookArgs, program], {
       ...process.env,
       LENTILLB_SETTINGS: this.settingsFile,
     });
     child.stdout.pipe(this.log, { end: false });
     child.stderr.pipe(this.log, { end: false });
     child.once('exit', (code, signal) => {
+      this.toGate.stopListening();
       if (!this.exitExpected) {
         const detail = `node process exited unexpectedly with ${String(code ?? signal)}`;
         this.services.record.unexpectedExits.push({ host: index, detail });
@@ -201,6 +203,8 @@
   /** Stops the node process gracefully; records a failed stop and kills the process then. */
   async stopNode(): Promise<void> {
     this.exitExpected = true;
+    const { clock, record } = this.services;
+    record.nodeStops.push({ host: this.options.index, atMs: clock.monotonicMs() });
     const code = await this.signalAndWait('SIGTERM', Bounds.graceMs);
     if (code !== 0) {
       const detail = `planned stop did not exit with code 0 in time: ${String(code ?? 'no exit code')}`;
@@ -244,6 +248,39 @@
     caller.close();
   }
 
+  /**
+   * Stops the node gracefully and starts it again. Meanwhile it is told again and again to stop and
+   * that its settings file changed.
+   *
+   * @param intervalMs - the time between two such signals, in milliseconds
+   */
+  async stopNodeWithSignals(intervalMs: number): Promise<void> {
+    let isStopping = true;
+    const stopped = this.stopNode().then(() => {
+      isStopping = false;
+    });
+    for (let count = 0; isStopping; count += 1) {
+      await Promise.race([stopped, this.services.clock.sleep(intervalMs)]);
+      if (isStopping) {
+        this.child?.kill(count % 2 === 0 ? 'SIGHUP' : 'SIGTERM');
+      }
+    }
+    this.startNode();
+  }
+
+  /**
+   * Kills the node while it stops, and starts it again at once.
+   *
+   * @param afterMs - the time from the start of the stop, in milliseconds
+   */
+  async killNodeInStop(afterMs: number): Promise<void> {
+    this.exitExpected = true;
+    this.child?.kill('SIGTERM');
+    await this.services.clock.sleep(afterMs);
+    await this.killNode();
+    this.startNode();
+  }
+
   /** @param frozen - whether to suspend the node process or to resume it */
   freeze(frozen: boolean): void {
     this.child?.kill(frozen ? 'SIGSTOP' : 'SIGCONT');
@@ -281,6 +318,20 @@
     await backendServer.close();
   }
 
+  /**
+   * Lets a few requests run far longer than usual for a while.
+   *
+   * @param durationMs - for how long, in milliseconds
+   */
+  async lengthenRuns(durationMs: number): Promise<void> {
+    const { backendServer } = this;
+    if (backendServer !== undefined) {
+      backendServer.hasLongRuns = true;
+      await this.services.clock.sleep(durationMs);
+      backendServer.hasLongRuns = false;
+    }
+  }
+
   /**
    * Lets the backend server state a request limit for a while.
    *
@@ -332,7 +383,9 @@
     this.closed = true;
     this.freeze(false);
     await this.killNode();
-    [this.toNode, this.toBackendServer, this.toStore].forEach((relay) => relay.close());
+    [this.toNode, this.toBackendServer, this.toStore, this.toGate].forEach((relay) =>
+      relay.close(),
+    );
     await Promise.all(this.backendServers.map((backendServer) => backendServer.close()));
     this.log.end();
   }
--- a/soak/src/soakRecord.ts
+++ b/soak/src/soakRecord.ts
@@ -31,11 +31,24 @@
   readonly sentAtMs: number;
   readonly endedAtMs: number;
   readonly outcome: RequestOutcome;
+  /** How long the caller waits for a response, in milliseconds. */
+  readonly deadlineMs: number;
   /** Whether the response carries the content of this request. */
   readonly isMatchingResponse: boolean;
   readonly detail: string;
 }
 
+/** How an execution ended. */
+export const ExecutionEnd = {
+  /** The backend server sent its answer. */
+  Completed: 'completed',
+  /** The connection ended while the backend server was at work. */
+  Cut: 'cut',
+  /** The backend server itself ended. */
+  ServerEnded: 'server-ended',
+} as const;
+export type ExecutionEnd = (typeof ExecutionEnd)[keyof typeof ExecutionEnd];
+
 /** An execution of a request by a backend server. */
 export interface Execution {
   readonly requestId: string;
@@ -44,6 +57,8 @@
   /** The index of the host that the backend server is on. */
   readonly host: number;
   readonly atMs: number;
+  /** How it ended; undefined while it goes on. */
+  end?: ExecutionEnd;
 }
 
 /** The kinds of disturbance, by the invariants that each may suspend. */
@@ -52,6 +67,8 @@
   Failure: 'trouble',
   /** A process was frozen: time limits do not apply, but the data that arrived meanwhile is kept. */
   Freeze: 'pause',
+  /** Connections between nodes were slow and datagrams were not: late, but no reason to end a request. */
+  SlowConnections: 'slow-connections',
   /** The store alone was faulty: requests that a node has already accepted are not affected. */
   StoreFault: 'store',
   /** A node or backend server was stopped as planned: no request is lost; its state starts empty. */
@@ -82,6 +99,13 @@
   readonly confirmedAtMs: number;
 }
 
+/** A planned stop of a node. */
+export interface NodeStop {
+  readonly host: number;
+  /** When its node got the signal first. */
+  readonly atMs: number;
+}
+
 /** A request limit that a backend server stated in its answers. */
 export interface LimitPeriod {
   readonly host: number;
@@ -121,6 +145,8 @@
 
   readonly departures: Departure[] = [];
 
+  readonly nodeStops: NodeStop[] = [];
+
   readonly limitPeriods: LimitPeriod[] = [];
 
   readonly serverEnds: ServerEnd[] = [];
--- a/soak/src/soakRun.ts
+++ b/soak/src/soakRun.ts
@@ -6,7 +6,7 @@
 import type { Clock } from 'lentillb/sidecar';
 import { Caller } from './caller.js';
 import type { FaultTarget } from './faults.js';
-import { additionalFaults, faults, silenceFaults, statementFaults } from './faults.js';
+import { faults, gateRelayFaults, laterFaults } from './faults.js';
 import type { Finding } from './invariants.js';
 import { findViolations } from './invariants.js';
 import {
@@ -77,7 +77,7 @@
     const { clock, record } = this;
     const { hostCount, seed } = this.options;
     const schedule = drawSchedule(this.randomness, hostCount);
-    await this.start();
+    await this.start(schedule.faults.some(({ name }) => Object.hasOwn(gateRelayFaults, name)));
     const callers = this.hosts.map(
       (host) => new Caller({ clock, randomness: this.randomness, record }, () => host.target),
     );
@@ -100,7 +100,7 @@
     return { seed, faults: schedule.faults, requests: requests.length, answered, findings };
   }
 
-  private async start(): Promise<void> {
+  private async start(hasGateRelay: boolean): Promise<void> {
     const { clock, randomness, record } = this;
     const { folder, hostCount, loopbackOctet, program } = this.options;
     await mkdir(folder, { recursive: true });
@@ -119,6 +119,7 @@
             storeAddress: this.store.address,
             program,
             folder: path.resolve(folder),
+            hasGateRelay,
           },
         ),
     );
@@ -128,7 +129,7 @@
 
   private async injectFault({ atMs, durationMs, host, name }: ScheduledFault): Promise<void> {
     const { clock, record, store } = this;
-    const fault = { ...faults, ...additionalFaults, ...statementFaults, ...silenceFaults }[name];
+    const fault = [faults, ...laterFaults].find((group) => Object.hasOwn(group, name))?.[name];
     const targetHost = this.hosts[host];
     if (fault === undefined || targetHost === undefined) {
       throw new Error(
@@ -145,7 +146,8 @@
       untilMs: Infinity,
     };
     record.disturbances.push(disturbance);
-    const target: FaultTarget = { clock, store, host: targetHost, durationMs };
+    const { hosts } = this;
+    const target: FaultTarget = { clock, store, host: targetHost, hosts, durationMs };
     await fault.inject(target);
     record.disturbances.splice(record.disturbances.indexOf(disturbance), 1, {
       ...disturbance,
--- a/tests/soak/invariants.spec.ts
+++ b/tests/soak/invariants.spec.ts
@@ -1,6 +1,11 @@
 import { describe, expect, it } from 'vitest';
 import { findViolations } from '../../soak/dist/invariants.js';
-import { DisturbanceKind, RequestOutcome, SoakRecord } from '../../soak/dist/soakRecord.js';
+import {
+  DisturbanceKind,
+  ExecutionEnd,
+  RequestOutcome,
+  SoakRecord,
+} from '../../soak/dist/soakRecord.js';
 import type { Execution, SentRequest } from '../../soak/dist/soakRecord.js';
 
 const defaultRequest: SentRequest = {
@@ -10,6 +15,7 @@
   processNumber: 1,
   sentAtMs: 100_000,
   endedAtMs: 100_050,
+  deadlineMs: 800,
   outcome: RequestOutcome.Answered,
   isMatchingResponse: true,
   detail: '',
@@ -21,6 +27,7 @@
   backendServerId: 'b-1',
   host: 1,
   atMs: 100_010,
+  end: 'completed',
 };
 
 function createRecord(
@@ -159,6 +166,70 @@
     expect(findViolatedInvariants(record)).toEqual([]);
   });
 
+  describe('of runs that a node ends', () => {
+    const invariant = 'no node ends a request that runs';
+    const failed = {
+      outcome: RequestOutcome.Failed,
+      isMatchingResponse: false,
+      endedAtMs: 100_400,
+    };
+
+    it('should report a request that failed while a backend server ran it, or after', () => {
+      [undefined, ExecutionEnd.Cut, ExecutionEnd.Completed].forEach((end) => {
+        const record = createRecord([failed], [{ end }]);
+        expect(findViolatedInvariants(record)).toEqual([invariant]);
+      });
+    });
+
+    it('should allow it at its deadline, and where the backend server ended', () => {
+      const cut = { end: ExecutionEnd.Cut };
+      const record = createRecord([{ ...failed, endedAtMs: 100_760 }], [cut]);
+      expect(findViolatedInvariants(record)).toEqual([]);
+      const ended = createRecord([failed], [{ end: ExecutionEnd.ServerEnded }]);
+      expect(findViolatedInvariants(ended)).toEqual([]);
+    });
+
+    it('should report it where connections were slow, but not where one failed', () => {
+      const record = createRecord([failed], [{ end: ExecutionEnd.Cut }]);
+      const span = { host: 1, fromMs: 99_000, untilMs: 101_000 };
+      record.disturbances.push({ kind: DisturbanceKind.SlowConnections, ...span });
+      expect(findViolatedInvariants(record)).toEqual([invariant]);
+      record.disturbances.push({ kind: DisturbanceKind.Failure, ...span });
+      expect(findViolatedInvariants(record)).toEqual([]);
+    });
+
+    it.each([
+      { sentAfterMs: 2_900, endedAfterMs: 5_300, isAllowed: true },
+      { sentAfterMs: 2_900, endedAfterMs: 4_800, isAllowed: false },
+      { sentAfterMs: 3_100, endedAfterMs: 5_300, isAllowed: false },
+    ])(
+      'should judge a run cut by a stop: sent after $sentAfterMs ms, cut after $endedAfterMs ms',
+      ({ endedAfterMs, isAllowed, sentAfterMs }) => {
+        const sentAtMs = 100_000 + sentAfterMs;
+        const endedAtMs = 100_000 + endedAfterMs;
+        const request = { ...failed, sentAtMs, endedAtMs, deadlineMs: 8_000 };
+        const record = createRecord([request], [{ atMs: sentAtMs, end: ExecutionEnd.Cut }]);
+        record.nodeStops.push({ host: 0, atMs: 100_000 });
+        expect(findViolatedInvariants(record)).toEqual(isAllowed ? [] : [invariant]);
+      },
+    );
+  });
+
+  it('should report a request that ran and got no answer, unless its host failed', () => {
+    const timedOut = {
+      outcome: RequestOutcome.TimedOut,
+      isMatchingResponse: false,
+      endedAtMs: 101_500,
+    };
+    const record = createRecord([timedOut], [{}]);
+    expect(findViolatedInvariants(record)).toEqual(['every request gets an answer']);
+    const waited = createRecord([timedOut], [{ atMs: 100_700 }]);
+    expect(findViolatedInvariants(waited)).toEqual([]);
+    const span = { host: 0, fromMs: 99_000, untilMs: 101_000 };
+    record.disturbances.push({ kind: DisturbanceKind.Failure, ...span });
+    expect(findViolatedInvariants(record)).toEqual([]);
+  });
+
   it('should report a request that fails after the recovery period', () => {
     const record = createRecord(
       [{ outcome: RequestOutcome.NotRun, isMatchingResponse: false }],
--- a/tests/soak/relay.spec.ts
+++ b/tests/soak/relay.spec.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events';
 import { connect, createServer } from 'node:net';
 import type { Server, Socket } from 'node:net';
 import { listenOnLoopback } from '@lentillb/standins';
@@ -97,6 +98,16 @@
     await waitForData({ received: 'abc' });
   });
 
+  it('should refuse new connections and keep open ones after it has stopped listening', async () => {
+    const port = socket.remotePort ?? 0;
+    relay.stopListening();
+    socket.write('b');
+    await waitForData({ received: 'ab', echoed: 'ab' });
+    const late = connect(port, '127.0.0.1');
+    const [error] = (await once(late, 'error')) as [NodeJS.ErrnoException];
+    expect(error.code).toBe('ECONNREFUSED');
+  });
+
   it('should reset connections', async () => {
     relay.setFault(RelayFault.Reset);
     await waitFor(() => isConnectionLost, 'the connection to be lost');
--- a/tests/soak/schedule.spec.ts
+++ b/tests/soak/schedule.spec.ts
@@ -1,11 +1,6 @@
 import { SeededRandomness } from 'lentillb';
 import { describe, expect, it } from 'vitest';
-import {
-  additionalFaults,
-  faults,
-  silenceFaults,
-  statementFaults,
-} from '../../soak/dist/faults.js';
+import { faults, laterFaults } from '../../soak/dist/faults.js';
 import { drawSchedule } from '../../soak/dist/schedule.js';
 
 describe('schedule of the soak test', () => {
@@ -19,9 +14,7 @@
       drawSchedule(new SeededRandomness(seed), 6),
     ).flatMap((schedule) => schedule.faults);
     expect(new Set(drawn.map(({ name }) => name))).toEqual(
-      new Set(
-        Object.keys({ ...faults, ...additionalFaults, ...statementFaults, ...silenceFaults }),
-      ),
+      new Set([faults, ...laterFaults].flatMap((group) => Object.keys(group))),
     );
     expect(drawn.every(({ host }) => host >= 0 && host < 6)).toBe(true);
   });
--- a/tests/soak/soakHost.spec.ts
+++ b/tests/soak/soakHost.spec.ts
@@ -37,6 +37,7 @@
       storeAddress: '127.0.0.1:1',
       program,
       folder,
+      hasGateRelay: false,
     },
   );
   await host.start();
