Soak: count a planned stop as failed only if no overlapping fault killed or suspended its process

The schedule kills that host's node at 5,081 ms and stops it at 5,274 ms; the exit of the killed process was seen only after the stop had begun to wait for it, so the stop was given the end by SIGKILL. The fault is the soak's. A stop that is neither killed nor suspended meanwhile is judged as before; a test shows that one which does not end in time is found.

A stop kills only the process that it was for, not one that an overlapping fault has started since.

--- a/soak/src/soakHost.ts
+++ b/soak/src/soakHost.ts
@@ -82,6 +82,11 @@
 
   private exitExpected = false;
 
+  private isFrozen = false;
+
+  /** How often node processes were killed or suspended. */
+  private interruptions = 0;
+
   private backendServer: SoakBackendServer | undefined;
 
   private heartbeatSequence = 0;
@@ -197,6 +202,7 @@
   /** Kills the node process and waits until it has exited. */
   async killNode(): Promise<void> {
     this.exitExpected = true;
+    this.interruptions += 1;
     await this.signalAndWait('SIGKILL', Infinity);
   }
 
@@ -205,10 +211,14 @@
     this.exitExpected = true;
     const { clock, record } = this.services;
     record.nodeStops.push({ host: this.options.index, atMs: clock.monotonicMs() });
+    const { child, interruptions, isFrozen } = this;
     const code = await this.signalAndWait('SIGTERM', Bounds.graceMs);
-    if (code !== 0) {
+    // An overlapping fault may have killed or suspended the process meanwhile.
+    if (code !== 0 && !isFrozen && this.interruptions === interruptions) {
       const detail = `planned stop did not exit with code 0 in time: ${String(code ?? 'no exit code')}`;
-      this.services.record.unexpectedExits.push({ host: this.options.index, detail });
+      record.unexpectedExits.push({ host: this.options.index, detail });
+    }
+    if (this.child === child && this.isRunning) {
       await this.killNode();
     }
   }
@@ -283,6 +293,8 @@
 
   /** @param frozen - whether to suspend the node process or to resume it */
   freeze(frozen: boolean): void {
+    this.isFrozen = frozen;
+    this.interruptions += frozen ? 1 : 0;
     this.child?.kill(frozen ? 'SIGSTOP' : 'SIGCONT');
   }
 
