--- a/tests/support/rawConnection.ts
+++ b/tests/support/rawConnection.ts
@@ -50,6 +50,11 @@
     return this.received;
   }
 
+  /** Whether either side has closed the connection. */
+  get isClosed(): boolean {
+    return this.socket.destroyed;
+  }
+
   /** @param request - the request to write */
   write(request: RawRequest): void {
     this.socket.write(encodeRequest(request), 'latin1');
