Send the answers of the last runs to other nodes before the process of a stopping node ends

What callers saw: 502 for a request that had run to its end on a host whose node was being stopped, when its answer was long or the link slow.

Cause: a stopping node waited for the runs at its gate and for the answers to its own callers, but not for the answers to other nodes. What the system had not taken of them yet was lost with the process.

Ruled out: answers that fit into the send buffer of a connection, which the system sends after the end of the process; new requests at the gate, which are refused by then.

The test 'should send the answer of its last run to another node before its process ends' failed before: 502 and no body, in place of 200 and 15,728,640 bytes. The stop now also waits for the listener of other nodes, and ends when it has to, as before.

--- a/packages/lentillb/src/sidecar/plannedStop.ts
+++ b/packages/lentillb/src/sidecar/plannedStop.ts
@@ -21,6 +21,8 @@
   readonly gate: Gate;
   /** The listener for the callers of this host, and for the calls of runs on it. */
   readonly callers: CallerListener;
+  /** The listener for other nodes. */
+  readonly gateListener: CallerListener;
 }
 
 /** A planned stop of a node. */
@@ -45,7 +47,7 @@
 
   /** Runs the steps; returns when nothing is in flight, or at the end of the stop. */
   async run(): Promise<void> {
-    const { callers, clock, entry, gate, log } = this.parts;
+    const { callers, clock, entry, gate, gateListener, log } = this.parts;
     const { endsAtMs, gateClosesAtMs, listenerClosesAtMs } = this.plan;
     log.record(Importance.Notable, 'stopping', { inFlight: callers.inFlight });
     callers.startDraining();
@@ -57,7 +59,11 @@
     // Runs on this host may make calls, which arrive on connections of their own.
     await this.waitUntil(listenerClosesAtMs, () => gate.inFlight === 0);
     await callers.stopGracefully();
-    await this.waitUntil(endsAtMs, () => gate.inFlight + callers.inFlight === 0);
+    // The answer of a run that has ended may still have to be sent to another node.
+    await this.waitUntil(
+      endsAtMs,
+      () => gate.inFlight + callers.inFlight + gateListener.inFlight === 0,
+    );
     const unended = entry.endAll();
     await this.waitUntil(clock.monotonicMs() + LAST_ANSWERS_MS, () => callers.inFlight === 0);
     log.record(Importance.Notable, 'stopped', { inFlight: callers.inFlight, unended });
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -418,10 +418,10 @@
 
   /** Shuts down within the stop time; see `PlannedStop` for the steps. */
   async stop(): Promise<void> {
-    const { callers, entry, gate, log } = this;
+    const { callers, entry, gate, gateListener, log } = this;
     const { clock } = this.services;
     this.plannedStop ??= new PlannedStop(
-      { callers, clock, entry, gate, log },
+      { callers, clock, entry, gate, gateListener, log },
       this.options.stopTimeoutMs,
     );
     await this.plannedStop.run();
--- a/tests/sidecar/plannedStop.spec.ts
+++ b/tests/sidecar/plannedStop.spec.ts
@@ -1,5 +1,7 @@
 import { respondSuccessfully } from '@lentillb/standins';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { RelayFault } from '../../soak/dist/relay.js';
+import { addRelayedHost } from '../support/relayedHost.js';
 import type { CallerResponse, FleetHost } from '../support/sidecarFleet.js';
 import { createRoute, SidecarFleet } from '../support/sidecarFleet.js';
 
@@ -8,6 +10,9 @@
 /** The time of a planned stop within which the process of a node ends, in milliseconds. */
 const STOP_MS = 6_000;
 
+/** A body that does not fit into the send buffer of a connection. */
+const LONG_BODY = 'b'.repeat(15 * 1024 * 1024);
+
 let fleet: SidecarFleet;
 let isStopped: boolean;
 
@@ -155,6 +160,28 @@
     expect([502, 504]).toContain((await running).status);
   });
 
+  it('should send the answer of its last run to another node before its process ends', async () => {
+    const front = await fleet.addHost('front', 'pages');
+    const { host: back, relay } = await addRelayedHost(fleet, 'back', 'letters');
+    await fleet.waitUntilServed(front, 'letters');
+    back.backendServer.setHandler((response, { requestId }) => {
+      response.writeHead(200, { 'x-attempt-id': requestId, 'x-server-seal': 'seal' });
+      setTimeout(() => response.end(LONG_BODY), 100);
+    });
+    const { runs } = back.backendServer;
+    const runsBefore = runs.length;
+    const answer = send(front, 'letters');
+    await fleet.waitUntil(() => runs.length > runsBefore);
+    relay.setFault(RelayFault.StallToDownstream);
+    const stopped = stop(back);
+    await fleet.clock.sleep(3_200);
+    relay.setFault(undefined);
+    const { body, status } = await answer;
+    expect([status, body.length]).toEqual([200, LONG_BODY.length]);
+    await stopped;
+    relay.close();
+  });
+
   it('should confirm a departure that is reported shortly before its end', async () => {
     const host = await fleet.addHost('front', 'letters');
     await fleet.waitUntilServed(host, 'letters');
