Read a heartbeat that has arrived before a restored backend server counts as leaving

What was seen: after a restart of the node and a pause of its process, its backend server was announced as leaving and then as ready again, and what waited at its gate was given back, although its heartbeat had arrived.

Cause: the timer of a restored backend server fires before pending input is read.

Ruled out: runs were not ended by it, only what waited at the gate.

The test 'should not count as leaving after a pause if a heartbeat that confirms it is not read yet' failed before: three changes were announced, not one. The timer now acts after pending input was read.

--- a/packages/lentillb/src/serving/localBackendServer.ts
+++ b/packages/lentillb/src/serving/localBackendServer.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '../kernel/clock.js';
 import type { AnnouncedBackendServer } from '../directory/announcement.js';
 import { BackendServerState } from '../directory/announcement.js';
+import { afterPendingInput } from '../utils/pendingInput.js';
 
 /** A heartbeat of a backend server. */
 export interface Heartbeat {
@@ -233,7 +234,7 @@
     };
     this.run = { heartbeat: assumed, state: BackendServerState.Ready, warmUpEndsAtMs: -Infinity };
     this.onChange();
-    this.clock.after(ASSUMPTION_TIMEOUT_MS, () => {
+    afterPendingInput(this.clock, ASSUMPTION_TIMEOUT_MS, () => {
       if (this.run?.heartbeat === assumed) {
         this.markLeaving(this.run);
       }
--- a/tests/serving/localBackendServer.spec.ts
+++ b/tests/serving/localBackendServer.spec.ts
@@ -1,7 +1,7 @@
 import { BackendServerState } from 'lentillb/directory/announcement.js';
 import type { Heartbeat } from 'lentillb/serving/localBackendServer.js';
 import { HeartbeatEffect, LocalBackendServer } from 'lentillb/serving/localBackendServer.js';
-import { describe, expect, it } from 'vitest';
+import { describe, expect, it, vi } from 'vitest';
 import { ManualClock } from '../support/manualClock.js';
 
 const FIRST: Heartbeat = {
@@ -159,6 +159,23 @@
     expect(server.ready).toBe(true);
   });
 
+  it('should not count as leaving after a pause if a heartbeat that confirms it is not read yet', async () => {
+    const { changes, clock, server } = fixture();
+    const { address, id, service, slots, startedAtMs } = FIRST;
+    const after = clock.after.bind(clock);
+    // Timers fire before the input that arrived during a pause is read.
+    vi.spyOn(clock, 'after').mockImplementation((delayMs, action) =>
+      after(delayMs, () => {
+        action();
+        setImmediate(() => server.accept(FIRST));
+      }),
+    );
+    server.restore({ id, service, slots, startedAtMs, state: BackendServerState.Ready }, address);
+    await clock.advance(4_000);
+    expect(server.ready).toBe(true);
+    expect(changes()).toBe(1);
+  });
+
   it('should not be ready after a misdirected request until the next heartbeat', () => {
     const { server } = fixture();
     server.accept(FIRST);
