Go through the gates of a service once for each choice, not four times

What callers saw: processor time a request that grows with the number of gates of the service; under load a request makes two choices or more.

Cause: each choice went through all gates to find the available ones, again for the reachable ones, twice to split them by zone, and again for the mean of their service times, although only a drawn gate without a recent time of its own needs that mean.

Why it works: one pass finds the available and the reachable gates, one splits them by zone, and the mean is computed when it is first needed. The gates that are chosen, and the random numbers drawn for that, are the same.

--- a/packages/lentillb/src/serving/gateObservation.ts
+++ b/packages/lentillb/src/serving/gateObservation.ts
@@ -84,11 +84,12 @@
    * hosts; this node has seen few of them, and those of other routes as well.
    *
    * @param routeHash - the hash of the name of the request's route
-   * @param typicalMs - the typical service time at the gates of the service, in milliseconds
+   * @param typicalMs - returns the typical service time at the gates of the service, in milliseconds;
+   *   called only if neither node has a recent time
    * @returns the expected service time at this gate, in milliseconds
    */
-  serviceMs(routeHash: number, typicalMs: number): number {
-    return this.reportedServiceMs(routeHash) ?? this.measuredMs ?? typicalMs;
+  serviceMs(routeHash: number, typicalMs: () => number): number {
+    return this.reportedServiceMs(routeHash) ?? this.measuredMs ?? typicalMs();
   }
 
   /** @returns the number of requests at the gate, as far as this node knows */
--- a/packages/lentillb/src/serving/gateSelector.ts
+++ b/packages/lentillb/src/serving/gateSelector.ts
@@ -98,14 +98,22 @@
    */
   choose({ candidates, excluded, routeHash, targetMs }: PlacementRequest): Placement | undefined {
     const { isSilent, observations } = this.services;
-    // Skips silent hosts: the failure detector probes them, and a request sent there would only wait.
-    const available = candidates.filter(
-      (endpoint) =>
-        !excluded.has(endpoint.host) &&
-        !isSilent(endpoint.host) &&
-        !observations.of(endpoint).leaving,
-    );
-    const reachable = available.filter((endpoint) => observations.isReachable(endpoint));
+    const available: GateEndpoint[] = [];
+    const reachable: GateEndpoint[] = [];
+    // A service may have hundreds of gates, so they are gone through once for each request.
+    candidates.forEach((endpoint) => {
+      // Skips silent hosts: the failure detector probes them, and a request sent there would only wait.
+      if (excluded.has(endpoint.host) || isSilent(endpoint.host)) {
+        return;
+      }
+      const observation = observations.of(endpoint);
+      if (!observation.leaving) {
+        available.push(endpoint);
+        if (observation.reachable) {
+          reachable.push(endpoint);
+        }
+      }
+    });
     const endpoints = reachable.length > 0 ? reachable : available;
     return this.chooseLeastRisk(endpoints, { routeHash, targetMs });
   }
@@ -133,7 +141,12 @@
     if (endpoints.length === 0) {
       return undefined;
     }
-    const typicalMs = observations.typicalServiceMs(endpoints, request.routeHash);
+    let knownTypicalMs: number | undefined;
+    // Takes a pass over all gates, and is needed only where a drawn gate has no time of its own.
+    const typicalMs = (): number => {
+      knownTypicalMs ??= observations.typicalServiceMs(endpoints, request.routeHash);
+      return knownTypicalMs;
+    };
     const placements = this.sample(endpoints).map((endpoint) =>
       this.estimate(endpoint, typicalMs, request),
     );
@@ -147,8 +160,9 @@
    * for all nodes; if each node compared all gates, they would all send to the same one meanwhile.
    */
   private sample(endpoints: readonly GateEndpoint[]): readonly GateEndpoint[] {
-    const near = endpoints.filter(({ zone }) => zone === this.zone);
-    const far = endpoints.filter(({ zone }) => zone !== this.zone);
+    const near: GateEndpoint[] = [];
+    const far: GateEndpoint[] = [];
+    endpoints.forEach((endpoint) => (endpoint.zone === this.zone ? near : far).push(endpoint));
     return [...this.draw(near), ...this.draw(far)];
   }
 
@@ -166,7 +180,7 @@
 
   private estimate(
     endpoint: GateEndpoint,
-    typicalMs: number,
+    typicalMs: () => number,
     { routeHash, targetMs }: Pick<PlacementRequest, 'routeHash' | 'targetMs'>,
   ): Placement {
     const observation = this.services.observations.of(endpoint);
--- a/tests/serving/placement.spec.ts
+++ b/tests/serving/placement.spec.ts
@@ -205,4 +205,30 @@
     ).map((placement) => placement?.endpoint.host);
     expect(new Set(chosen).size).toBeGreaterThan(3);
   });
+
+  it('should look at each gate only once for a request, since a service may have hundreds', () => {
+    const clock = new ManualClock();
+    let lookUps = 0;
+    class CountingObservations extends GateObservations {
+      override of(gate: GateEndpoint): ReturnType<GateObservations['of']> {
+        lookUps += 1;
+        return super.of(gate);
+      }
+    }
+    const observations = new CountingObservations(clock, 100);
+    const candidates = Array.from({ length: 340 }, (_, index) => endpoint(`h${index}`, 'a'));
+    candidates.forEach((one) => observations.of(one).recordServiceTime(100));
+    const selector = new GateSelector(
+      { observations, randomness: new SeededRandomness(3), isSilent: () => false },
+      'a',
+    );
+    lookUps = 0;
+    selector.choose({
+      candidates,
+      excluded: NO_HOSTS,
+      targetMs: TARGET_MS,
+      routeHash: ROUTE_HASH,
+    });
+    expect(lookUps).toBeLessThanOrEqual(candidates.length + 10);
+  });
 });
