--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -12,6 +12,8 @@
 interface Options {
   readonly seeds: number;
   readonly first: number;
+  /** The seeds to play in place of a sequence. */
+  readonly seed?: readonly number[];
   readonly hosts: number;
   readonly jobs: number;
 }
@@ -27,12 +29,23 @@
   return value;
 }
 
+function parseSeeds(text: string, previous: readonly number[] = []): readonly number[] {
+  return [...previous, parsePositiveInteger(text)];
+}
+
+function seedsOf({ first, seed, seeds }: Options): readonly number[] {
+  return seed ?? Array.from({ length: seeds }, (_, index) => first + index);
+}
+
 function describeResult({ answered, faults, findings, requests, seed }: SoakResult): string {
   const counts = `${answered} of ${requests} requests answered, ${faults.length} faults`;
   return `seed ${seed}: ${counts}, ${findings.length} findings`;
 }
 
-function describeFindings({ faults, findings }: SoakResult, folder: string): readonly string[] {
+function describeFindings(
+  { faults, findings, observerDelays }: SoakResult,
+  folder: string,
+): readonly string[] {
   if (findings.length === 0) {
     return [];
   }
@@ -43,17 +56,31 @@
   const findingLines = findings.map(
     ({ detail, invariant }) => `  violated: ${invariant}: ${detail}`,
   );
-  return [...faultLines, ...findingLines.slice(0, 20), `  logs: ${folder}`];
+  const delayLines = observerDelays.map(
+    ({ fromMs, untilMs }) =>
+      `  soak test blocked for ${Math.round(untilMs - fromMs)} ms at ${Math.round(fromMs)}`,
+  );
+  return [
+    ...faultLines,
+    ...delayLines.slice(-20),
+    ...findingLines.slice(0, 20),
+    `  logs: ${folder}`,
+  ];
 }
 
-async function playSeed(program: string, folder: string, options: Options, index: number) {
-  const seed = options.first + index;
+async function playSeed(
+  seed: number,
+  program: string,
+  folder: string,
+  options: Options,
+  loopbackOctet: number,
+) {
   const result = await new SoakRun(new SystemClock(), {
     seed,
     hostCount: options.hosts,
     program,
     folder,
-    loopbackOctet: FIRST_LOOPBACK_OCTET + (index % options.jobs),
+    loopbackOctet,
   }).run();
   process.stdout.write(`${describeResult(result)}\n`);
   describeFindings(result, folder).forEach((line) => process.stdout.write(`${line}\n`));
@@ -67,16 +94,19 @@
   const folder = await mkdtemp(path.join(tmpdir(), 'lentillb-soak-'));
   const program = path.join(folder, 'lentillb.cjs');
   await promisify(execFile)(process.execPath, ['deploy/build.js', program]);
+  const seeds = seedsOf(options);
   let findings = 0;
-  const runWorker = async (firstIndex: number): Promise<void> => {
-    for (let index = firstIndex; index < options.seeds; index += options.jobs) {
-      const runFolder = path.join(folder, `seed-${options.first + index}`);
-      const seedFindings = await playSeed(program, runFolder, options, index);
+  const runWorker = async (worker: number): Promise<void> => {
+    for (let index = worker; index < seeds.length; index += options.jobs) {
+      const seed = seeds[index] ?? options.first;
+      const runFolder = path.join(folder, `seed-${seed}`);
+      const loopbackOctet = FIRST_LOOPBACK_OCTET + worker;
+      const seedFindings = await playSeed(seed, program, runFolder, options, loopbackOctet);
       findings += seedFindings;
     }
   };
   await Promise.all(Array.from({ length: options.jobs }, (_, worker) => runWorker(worker)));
-  process.stdout.write(`${options.seeds} seeds played, ${findings} findings\n`);
+  process.stdout.write(`${seeds.length} seeds played, ${findings} findings\n`);
   process.exitCode = findings === 0 ? 0 : 1;
   if (findings === 0) {
     await rm(folder, { recursive: true });
@@ -87,6 +117,7 @@
   .description('plays seeds against real processes and prints violated invariants')
   .option('--seeds <n>', 'number of seeds to play', parsePositiveInteger, 1)
   .option('--first <seed>', 'first seed; the others follow in sequence', parsePositiveInteger, 1)
+  .option('--seed <seed...>', 'seeds to play in place of a sequence', parseSeeds)
   .option(
     '--hosts <n>',
     'number of hosts per seed, each with its own node process',
--- a/soak/src/soakHost.ts
+++ b/soak/src/soakHost.ts
@@ -84,6 +84,9 @@
 
   private isFrozen = false;
 
+  /** Whether the node process has written to its log. */
+  private hasLogged = false;
+
   /** How often node processes were killed or suspended. */
   private interruptions = 0;
 
@@ -187,6 +190,10 @@
       ...process.env,
       LENTILLB_SETTINGS: this.settingsFile,
     });
+    this.hasLogged = false;
+    child.stdout.once('data', () => {
+      this.hasLogged = true;
+    });
     child.stdout.pipe(this.log, { end: false });
     child.stderr.pipe(this.log, { end: false });
     child.once('exit', (code, signal) => {
@@ -211,10 +218,13 @@
     this.exitExpected = true;
     const { clock, record } = this.services;
     record.nodeStops.push({ host: this.options.index, atMs: clock.monotonicMs() });
-    const { child, interruptions, isFrozen } = this;
+    const { child, hasLogged, interruptions, isFrozen } = this;
     const code = await this.signalAndWait('SIGTERM', Bounds.graceMs);
     // An overlapping fault may have killed or suspended the process meanwhile.
-    if (code !== 0 && !isFrozen && this.interruptions === interruptions) {
+    const isInterrupted = isFrozen || this.interruptions !== interruptions;
+    // A process that has not run any code yet ends by the signal itself.
+    const isUnstarted = !hasLogged && child?.signalCode === 'SIGTERM';
+    if (code !== 0 && !isInterrupted && !isUnstarted) {
       const detail = `planned stop did not exit with code 0 in time: ${String(code ?? 'no exit code')}`;
       record.unexpectedExits.push({ host: this.options.index, detail });
     }
--- a/soak/src/soakRun.ts
+++ b/soak/src/soakRun.ts
@@ -20,6 +20,7 @@
 import { drawSchedule } from './schedule.js';
 import { SoakHost } from './soakHost.js';
 import { DisturbanceKind, SoakRecord } from './soakRecord.js';
+import type { Disturbance } from './soakRecord.js';
 
 export interface SoakOptions {
   readonly seed: number;
@@ -38,6 +39,8 @@
   readonly requests: number;
   readonly answered: number;
   readonly findings: readonly Finding[];
+  /** When the soak test itself was blocked, which blocks its relays too. */
+  readonly observerDelays: readonly Disturbance[];
 }
 
 const ZONES = 3;
@@ -96,8 +99,16 @@
     await this.close();
     const { requests } = record;
     const answered = requests.filter(({ isMatchingResponse }) => isMatchingResponse).length;
-    const findings = findViolations(record);
-    return { seed, faults: schedule.faults, requests: requests.length, answered, findings };
+    return {
+      seed,
+      faults: schedule.faults,
+      requests: requests.length,
+      answered,
+      findings: findViolations(record),
+      observerDelays: record.disturbances.filter(
+        ({ kind }) => kind === DisturbanceKind.ObserverDelay,
+      ),
+    };
   }
 
   private async start(hasGateRelay: boolean): Promise<void> {
--- a/tests/soak/soakHost.spec.ts
+++ b/tests/soak/soakHost.spec.ts
@@ -8,6 +8,7 @@
 
 /** A program that runs until it is killed, in place of the node. */
 const IDLE_PROGRAM = `
+  process.stdout.write('started');
   process.on('SIGTERM', () => undefined);
   setInterval(() => undefined, 1_000);`;
 /** The time that the program gets to start, in milliseconds. */
@@ -74,3 +75,9 @@
   await Promise.all([host.stopNode(), host.killNode()]);
   expect(record.unexpectedExits).toEqual([]);
 });
+
+it('should not report a planned stop of a process that has not run any code yet', async () => {
+  await host.start();
+  await host.stopNode();
+  expect(record.unexpectedExits).toEqual([]);
+});
