Accept established connections before a listener of the older call path closes

Cause: HttpListener closed its socket at once. Connections that clients had established, but the event loop had not accepted yet, were reset by that, with the requests on them.

Fix: the listener accepts until a turn of the event loop brings no connection, then stops listening. These requests did not run, but their callers could not know that.

--- a/packages/lentillb/src/utils/httpListener.ts
+++ b/packages/lentillb/src/utils/httpListener.ts
@@ -4,7 +4,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import type { Deadline } from '../kernel/deadline.js';
 import { closeIdleAfterPendingInput } from './idleTimeout.js';
-import { listenAt, stopAccepting } from './listening.js';
+import { acceptEstablished, listenAt, stopAccepting } from './listening.js';
 
 /** The longest request head accepted, in bytes. */
 const MAX_HEADER_BYTES = 16 * 1024;
@@ -69,10 +69,11 @@
    * Stops accepting connections. Open connections are closed after the response to their next
    * request.
    */
-  private stopAcceptingConnections(): void {
+  private async stopAcceptingConnections(): Promise<void> {
     this.closing = true;
     if (!this.stoppedAccepting) {
       this.stoppedAccepting = true;
+      await acceptEstablished(this.server);
       stopAccepting(this.server);
     }
   }
@@ -84,7 +85,7 @@
    * @param deadline - the time at which connections that are still open are closed
    */
   async close(deadline: Deadline): Promise<void> {
-    this.stopAcceptingConnections();
+    await this.stopAcceptingConnections();
     const idleGrace = deadline.atMost(IDLE_GRACE_MS);
     while ((await this.connectionCount()) > 0 && !deadline.expired()) {
       if (idleGrace.expired()) {
--- a/packages/lentillb/src/utils/listening.ts
+++ b/packages/lentillb/src/utils/listening.ts
@@ -1,6 +1,10 @@
 /** Starts and stops listening on a server. */
 import { Server } from 'node:net';
 import type { ListenOptions } from 'node:net';
+import { waitForPendingInput } from './pendingInput.js';
+
+/** The maximum number of turns of the event loop in which connections are accepted at a stop. */
+const MAX_ACCEPT_TURNS = 1_024;
 
 /**
  * Starts to listen on an address.
@@ -18,6 +22,28 @@
   return bound !== null && typeof bound === 'object' ? bound.port : 0;
 }
 
+/**
+ * Accepts the connections that clients have already established. Closing the server would reset them,
+ * and with them requests that their senders have sent.
+ *
+ * @param server - a server that still listens
+ */
+export async function acceptEstablished(server: Server): Promise<void> {
+  let accepted = 0;
+  const count = (): void => {
+    accepted += 1;
+  };
+  server.on('connection', count);
+  for (let turn = 0; turn < MAX_ACCEPT_TURNS; turn += 1) {
+    const acceptedBefore = accepted;
+    await waitForPendingInput();
+    if (accepted === acceptedBefore) {
+      break;
+    }
+  }
+  server.off('connection', count);
+}
+
 /**
  * Stops accepting connections, and leaves idle ones open. `close` of an HTTP server would also
  * close idle connections, on which a request may already be in transit.
