Ask a gate less often while no request there is lost, and allow an answer to be sent again

The time between two inquiries at a gate now doubles from 80 to 320 ms while their replies show nothing lost. The second inquiry about an answer that has been sent follows after 300 ms, since a host sends a lost segment again after 200 ms at least; it followed after 80 ms.

--- a/packages/lentillb/src/serving/deliveryMonitor.ts
+++ b/packages/lentillb/src/serving/deliveryMonitor.ts
@@ -29,8 +29,17 @@
  * the time for which gates remember requests.
  */
 const MAX_CLAIM_AGE_MS = 5_000;
-/** The shortest time between two inquiries at one gate, in milliseconds; bounds their cost under load. */
+/**
+ * Shortest and longest time between two inquiries at one gate, in milliseconds. An inquiry costs two
+ * hosts as much as two requests, and on a busy host new requests become overdue all the time.
+ */
 const MIN_GATE_INTERVAL_MS = 80;
+const MAX_GATE_INTERVAL_MS = 320;
+/**
+ * The time until a gate is asked again that has sent an answer, in milliseconds; longer than until a
+ * segment of the answer that was lost is sent again.
+ */
+const ENDED_INTERVAL_MS = 300;
 /** The maximum number of requests in one inquiry, to bound its length. */
 const MAX_QUESTIONS = 128;
 
@@ -109,12 +118,20 @@
   inquiries: number;
 }
 
+/** A gate that was asked lately. */
+interface AskedGate {
+  /** The time until it is asked again, in milliseconds; grows while no request there is lost. */
+  readonly intervalMs: number;
+  /** When it may be asked again, in milliseconds of the monotonic clock; `Infinity` until it replies. */
+  readonly nextAtMs: number;
+}
+
 /** Asks what has become of requests that are not answered in their usual time. */
 export class DeliveryMonitor {
   private readonly deliveries = new Map<string, MonitoredDelivery>();
 
-  /** When each gate may be asked again that was asked lately; `Infinity` while its reply is awaited. */
-  private readonly nextInquiryAtMs = new Map<string, number>();
+  /** The gates that were asked lately. */
+  private readonly askedGates = new Map<string, AskedGate>();
 
   /** The last clock offset that was read; read now and then only. */
   private clockOffset: ClockOffset;
@@ -139,7 +156,8 @@
       if (monitored.hasEnded) {
         this.lose(monitored, LostDelivery.AnswerLost, evidence);
       }
-      Object.assign(monitored, { hasEnded: true });
+      const inquiryAtMs = this.clock.monotonicMs() + ENDED_INTERVAL_MS;
+      Object.assign(monitored, { hasEnded: true, inquiryAtMs });
     },
   };
 
@@ -190,15 +208,11 @@
       this.previousClockOffset = this.clockOffset;
       this.clockOffset = { offsetMs: this.readClockOffset(), readAtMs: nowMs };
     }
-    this.nextInquiryAtMs.forEach((atMs, gateAddress) => {
-      if (atMs <= nowMs) {
-        this.nextInquiryAtMs.delete(gateAddress);
-      }
-    });
+    this.forgetAskedGates(nowMs);
     const overdueByGate = new Map<string, MonitoredDelivery[]>();
     this.deliveries.forEach((monitored) => {
       const { gateAddress } = monitored.delivery;
-      if (this.isOverdue(monitored, nowMs) && !this.nextInquiryAtMs.has(gateAddress)) {
+      if (this.isOverdue(monitored, nowMs) && this.mayAsk(gateAddress, nowMs)) {
         const overdue = overdueByGate.get(gateAddress) ?? [];
         overdueByGate.set(gateAddress, overdue);
         overdue.push(monitored);
@@ -209,15 +223,30 @@
     );
   }
 
+  private forgetAskedGates(nowMs: number): void {
+    this.askedGates.forEach(({ nextAtMs }, gateAddress) => {
+      if (nextAtMs + MAX_GATE_INTERVAL_MS <= nowMs) {
+        this.askedGates.delete(gateAddress);
+      }
+    });
+  }
+
+  private mayAsk(gateAddress: string, nowMs: number): boolean {
+    return (this.askedGates.get(gateAddress)?.nextAtMs ?? -Infinity) <= nowMs;
+  }
+
   private isOverdue(monitored: MonitoredDelivery, nowMs: number): boolean {
     return monitored.inquiryAtMs <= nowMs && !this.isHeard(monitored);
   }
 
   private async askGate(gateAddress: string, asked: readonly MonitoredDelivery[]): Promise<void> {
     const questions = asked.map(({ delivery: { key, processId } }) => ({ key, processId }));
-    this.nextInquiryAtMs.set(gateAddress, Infinity);
+    const lastIntervalMs = this.askedGates.get(gateAddress)?.intervalMs ?? MIN_GATE_INTERVAL_MS / 2;
+    const intervalMs = Math.min(MAX_GATE_INTERVAL_MS, lastIntervalMs * 2);
+    this.askedGates.set(gateAddress, { intervalMs, nextAtMs: Infinity });
     const reply = await this.inquire(gateAddress, questions);
-    this.nextInquiryAtMs.set(gateAddress, this.clock.monotonicMs() + MIN_GATE_INTERVAL_MS);
+    const nextAtMs = this.clock.monotonicMs() + intervalMs;
+    this.askedGates.set(gateAddress, { intervalMs, nextAtMs });
     // The answers may have arrived as well, and not have been read yet.
     await waitForPendingInput();
     asked.forEach((monitored) => this.scheduleNext(monitored));
@@ -276,7 +305,7 @@
     const { gateAddress, onLost } = monitored.delivery;
     this.end(monitored);
     onLost(fate, evidence);
-    this.nextInquiryAtMs.delete(gateAddress);
+    this.askedGates.delete(gateAddress);
     const nowMs = this.clock.monotonicMs();
     this.deliveries.forEach((other) => {
       const { delivery } = other;
