Take what ends by its own deadline in the last second of a planned stop

Found by the review of the stop. Since a node takes nothing in the last 1.2 s of its stop, a call of a run that is still going on there was rejected, and the run failed, though the call's own deadline lay before the end of the node, so that the stop could not cut it. Such requests are taken now. The test 'should serve calls of runs in the last second that end by their own deadline before it does' failed before: 503 in place of 200. The tests of runs that last far longer than usual pass as before.

--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -203,7 +203,7 @@
   }
 
   /** Whether a request is expected to end before this node does. */
-  private endsInTime({ route, service }: ForwardedRequest): boolean {
+  private endsInTime({ deadlineAtMs, route, service }: ForwardedRequest): boolean {
     const { clock, directory, observations } = this.services;
     if (this.stopTimes === undefined) {
       return true;
@@ -213,7 +213,7 @@
       observations.typicalServiceMs(endpoints, hash32(route)),
       this.usualMsByRoute.get(route)?.value ?? 0,
     );
-    return endsInTime(this.stopTimes, clock.monotonicMs(), usualMs);
+    return endsInTime(this.stopTimes, clock.monotonicMs(), { deadlineAtMs, usualMs });
   }
 
   /** The time until callers have moved to other nodes, before which they would be refused here again. */
--- a/packages/lentillb/src/serving/gate.ts
+++ b/packages/lentillb/src/serving/gate.ts
@@ -264,11 +264,12 @@
   }
 
   /** Whether a request is expected to end before the node does. */
-  private endsInTime({ route }: ForwardedRequest): boolean {
+  private endsInTime({ deadlineAtMs, route }: ForwardedRequest): boolean {
     const { clock, slots } = this.services;
+    const usualMs = slots.expectedServiceMs(route);
     return (
       this.stopTimes === undefined ||
-      endsInTime(this.stopTimes, clock.monotonicMs(), slots.expectedServiceMs(route))
+      endsInTime(this.stopTimes, clock.monotonicMs(), { deadlineAtMs, usualMs })
     );
   }
 
--- a/packages/lentillb/src/serving/stopTimes.ts
+++ b/packages/lentillb/src/serving/stopTimes.ts
@@ -18,9 +18,17 @@
  *
  * @param stop - the times of the stop
  * @param nowMs - the current time, in milliseconds of the clock
- * @param usualMs - how long the request usually takes, in milliseconds
+ * @param request - how long the request usually takes and when it ends at the latest, in milliseconds
  * @returns whether it may be taken
  */
-export function endsInTime(stop: StopTimes, nowMs: number, usualMs: number): boolean {
-  return nowMs <= stop.lastTakenAtMs && nowMs + usualMs * USUAL_TIME_FACTOR <= stop.endsAtMs;
+export function endsInTime(
+  stop: StopTimes,
+  nowMs: number,
+  { deadlineAtMs, usualMs }: { readonly deadlineAtMs: number; readonly usualMs: number },
+): boolean {
+  const endsByItself = deadlineAtMs < stop.endsAtMs;
+  return (
+    (endsByItself || nowMs <= stop.lastTakenAtMs) &&
+    nowMs + usualMs * USUAL_TIME_FACTOR <= stop.endsAtMs
+  );
 }
--- a/tests/sidecar/plannedStop.spec.ts
+++ b/tests/sidecar/plannedStop.spec.ts
@@ -160,6 +160,22 @@
     expect([502, 504]).toContain((await running).status);
   });
 
+  it('should serve calls of runs in the last second that end by their own deadline before it does', async () => {
+    const front = await fleet.addHost('front', 'pages');
+    const back = await fleet.addHost('back', 'letters');
+    await fleet.waitUntilServed(front, 'pages');
+    await fleet.waitUntilServed(front, 'letters');
+    setRunTime(back, 40);
+    setRunTime(front);
+    const keepsOpen = send(front, 'pages');
+    await fleet.clock.sleep(50);
+    const stopped = stop(front);
+    await fleet.clock.sleep(4_600);
+    const { status } = await fleet.send(front, 'letters', 'a letter', 400).answer;
+    expect(status).toBe(200);
+    await Promise.all([stopped, keepsOpen]);
+  });
+
   it.each([
     [4_000, 200],
     [4_600, 503],
