Let requests that can wait yield to calls inside runs

What callers saw: where a service is short of slots, requests of a class whose runs call that service are late or fail, while a more urgent class of the service is served in time with room to spare.

Cause: a gate orders strictly by priority. A call of 80 ms with a target of 300 ms that its run waits for goes behind every waiting request of a more urgent class, though that could wait longer and still be on time. The call is late or refused at the gate; the run holds its slot at the other service meanwhile, and fails if the call is refused.

Now requests of a higher rank yield to one with a shorter target latency that must start sooner, if all of them stay on time with twice their expected service time left, permits of a stated limit included. Admission counts those that yield as behind. Otherwise the priority alone decides, as before. Within a priority nothing changes.

The emulation also counts requests that were held for over an eighth of their target latency and then refused.

--- a/packages/lentillb/src/emulation/emulatedFleet.ts
+++ b/packages/lentillb/src/emulation/emulatedFleet.ts
@@ -27,6 +27,8 @@
 const READERS_PER_ZONE = 2;
 /** The share of the time left up to which callers wait before they try again. */
 const MAX_RETRY_WAIT_SHARE = 1 / 3;
+/** The share of its target latency within which a refusal is prompt. */
+const MAX_PROMPT_SHARE = 1 / 8;
 /** The allowance for a reply in transit when the deadline passes, in milliseconds. */
 const REPLY_GRACE_MS = 90;
 
@@ -66,6 +68,9 @@
   /** What callers got, by kind of request. */
   readonly byKind = new CallerTally();
 
+  /** The requests that were held for a while and then refused, by kind. */
+  readonly heldByKind = new CallerTally();
+
   /** What callers got, by zone. */
   readonly byZone = new CallerTally();
 
@@ -252,6 +257,7 @@
     const host = zoneHosts[randomness.integer(zoneHosts.length)] as EmulatedHost;
     const startedMs = clock.monotonicMs();
     const deadlineAtMs = startedMs + kind.deadlineMs;
+    let attemptedAtMs = startedMs;
     let answer = await this.attempt({ kind: kindName, deadlineAtMs, host });
     for (let retry = 0; retry < kind.retries; retry += 1) {
       const remainingMs = deadlineAtMs - clock.monotonicMs();
@@ -260,11 +266,16 @@
       }
       const retryAfterMs = Number(answer.headers['retry-after'] ?? 0) * MS_PER_SECOND;
       await clock.sleep(Math.min(retryAfterMs, remainingMs * MAX_RETRY_WAIT_SHARE));
+      attemptedAtMs = clock.monotonicMs();
       answer = await this.attempt({ kind: kindName, deadlineAtMs, host });
     }
     if (startedMs >= this.scenario.warmUpMs) {
       const result = resultOf(answer, clock.monotonicMs() - startedMs, kind);
       this.byKind.add(kindName, result);
+      const heldMs = clock.monotonicMs() - attemptedAtMs;
+      if (result === CallerResult.Refused && heldMs > kind.targetMs * MAX_PROMPT_SHARE) {
+        this.heldByKind.add(kindName, result);
+      }
       this.byZone.add(zone, result);
     }
   }
--- a/packages/lentillb/src/serving/slotQueue.ts
+++ b/packages/lentillb/src/serving/slotQueue.ts
@@ -3,10 +3,13 @@
  * refused. The load may exceed the slots for seconds at a time, and an answer loses most of its value
  * once the target latency has passed. A request that cannot be answered in time is therefore refused
  * on arrival: its caller can still try another backend server, and the slots serve requests whose
- * answers count. If the backend server states a request limit, a slot also needs a permit. Calls made inside a run have short target latencies, so they precede new
- * requests of the same priority: refusing such a call wastes the slot that its run holds.
+ * answers count. If the backend server states a request limit, a slot also needs a permit. Calls made
+ * inside a run have short target latencies, so they precede new requests of the same priority:
+ * refusing such a call wastes the slot that its run holds.
  */
 import type { Clock } from '../kernel/clock.js';
+import type { RankedRequest, SlotSupply } from './slotOrder.js';
+import { compareRank, precedes, SlotOrder } from './slotOrder.js';
 import { SmoothedMean } from './smoothedMean.js';
 import type { StatedLimit } from './statedLimit.js';
 
@@ -20,14 +23,7 @@
 export type WaitLimit = (typeof WaitLimit)[keyof typeof WaitLimit];
 
 /** A request for a slot; times are in milliseconds of the monotonic clock. */
-export interface SlotRequest {
-  /** The key that groups requests with similar service times. */
-  readonly serviceTimeKey: string;
-  /** The priority; 0 is the most urgent. */
-  readonly priority: number;
-  /** The target latency of the route, in milliseconds; it is shortest for calls inside runs. */
-  readonly targetLatencyMs: number;
-  readonly targetAtMs: number;
+export interface SlotRequest extends RankedRequest {
   readonly deadlineAtMs: number;
   readonly waitLimit: WaitLimit;
   /** Called once, when the request gets a slot. */
@@ -105,17 +101,6 @@
 
 const noop = (): void => undefined;
 
-/**
- * Compares priority, then target latency; a negative result ranks `left` first, 0 ranks both alike.
- */
-function compareRank(left: SlotRequest, right: SlotRequest): number {
-  return left.priority - right.priority || left.targetLatencyMs - right.targetLatencyMs;
-}
-
-function precedes(request: SlotRequest, other: SlotRequest): boolean {
-  return (compareRank(request, other) || request.targetAtMs - other.targetAtMs) < 0;
-}
-
 /** Manages the slots of one backend server and the requests that wait for them. */
 export class SlotQueue {
   private slots = 0;
@@ -133,6 +118,8 @@
 
   private stopAwaitingPermit: () => void = noop;
 
+  private readonly order: SlotOrder;
+
   /**
    * @param clock - the clock for deadlines and service times
    * @param isWarmingUp - returns whether the backend server is still warming up
@@ -142,7 +129,9 @@
     private readonly clock: Clock,
     private readonly isWarmingUp: () => boolean,
     private readonly statedLimit: StatedLimit,
-  ) {}
+  ) {
+    this.order = new SlotOrder(clock, (key) => this.expectedServiceMs(key));
+  }
 
   get load(): SlotLoad {
     return { slots: this.slots, running: this.running, queued: this.waiting.length };
@@ -229,6 +218,13 @@
     this.waiting.splice(0).forEach(({ onDropped }) => onDropped());
   }
 
+  private get supply(): SlotSupply {
+    return {
+      slots: this.slots,
+      permitWaitMs: (ahead) => this.statedLimit.waitMs(ahead),
+    };
+  }
+
   private mayWait(request: SlotRequest, waitMs: number): boolean {
     if (this.slots === 0 || this.waiting.length >= this.slots * MAX_QUEUED_PER_SLOT) {
       return false;
@@ -264,7 +260,7 @@
    */
   private requestsAhead(request: SlotRequest): readonly SlotRequest[] {
     return request.waitLimit === WaitLimit.OnTime
-      ? this.waiting.filter((other) => !precedes(request, other))
+      ? this.order.aheadOf(this.waiting, request, this.supply)
       : this.waiting.filter((other) => compareRank(other, request) <= 0);
   }
 
@@ -356,22 +352,12 @@
     });
   }
 
-  /**
-   * Removes and returns the first request of the highest rank that can be on time, else the first.
-   */
+  /** Removes and returns the request that gets the next slot. */
   private dequeue(): SlotRequest | undefined {
-    const nowMs = this.clock.monotonicMs();
-    const [first] = this.waiting;
-    if (first === undefined) {
-      return undefined;
+    const next = this.order.next(this.waiting, this.supply);
+    if (next !== undefined) {
+      this.remove(next);
     }
-    const onTime = this.waiting.find(
-      (request) =>
-        compareRank(request, first) === 0 &&
-        nowMs + this.expectedServiceMs(request.serviceTimeKey) <= request.targetAtMs,
-    );
-    const next = onTime ?? first;
-    this.remove(next);
     return next;
   }
 }
--- a/tests/serving/slotQueue.spec.ts
+++ b/tests/serving/slotQueue.spec.ts
@@ -95,6 +95,64 @@
     });
   });
 
+  it('should let a call inside a run go first if more urgent requests stay on time', async () => {
+    const clock = new ManualClock();
+    const queue = await measuredQueue(clock, 1);
+    const running = createRecordedRequest();
+    queue.admit(running.request);
+    const nowMs = clock.monotonicMs();
+    const deadlineAtMs = nowMs + SERVICE_MS * 20;
+    const urgent = [1, 2].map(() =>
+      createRecordedRequest({
+        priority: 0,
+        targetLatencyMs: SERVICE_MS * 10,
+        targetAtMs: nowMs + SERVICE_MS * 10,
+        deadlineAtMs,
+      }),
+    );
+    urgent.forEach(({ request }) => queue.admit(request));
+    const pressing = createRecordedRequest({
+      priority: 1,
+      targetLatencyMs: SERVICE_MS * 3,
+      targetAtMs: nowMs + SERVICE_MS * 3,
+      deadlineAtMs,
+    });
+    expect(queue.admit(pressing.request).admission).toBe(Admission.Queued);
+    await clock.advance(SERVICE_MS);
+    running.slot?.release(ServiceTimeSample.Exact);
+    expect(pressing.slot).toBeDefined();
+  });
+
+  it('should not let a call inside a run make a more urgent request late', async () => {
+    const clock = new ManualClock();
+    const queue = await measuredQueue(clock, 1);
+    const running = createRecordedRequest();
+    queue.admit(running.request);
+    const nowMs = clock.monotonicMs();
+    const deadlineAtMs = nowMs + SERVICE_MS * 20;
+    const call = {
+      priority: 1,
+      targetLatencyMs: SERVICE_MS * 2.5,
+      targetAtMs: nowMs + SERVICE_MS * 2.5,
+      deadlineAtMs,
+    };
+    const early = createRecordedRequest(call);
+    const urgent = createRecordedRequest({
+      priority: 0,
+      targetLatencyMs: SERVICE_MS * 3,
+      targetAtMs: nowMs + SERVICE_MS * 3,
+      deadlineAtMs,
+    });
+    const refused = createRecordedRequest(call);
+    expect(queue.admit(early.request).admission).toBe(Admission.Queued);
+    expect(queue.admit(urgent.request).admission).toBe(Admission.Queued);
+    expect(queue.admit(refused.request).admission).toBe(Admission.Refused);
+    await clock.advance(SERVICE_MS / 2);
+    running.slot?.release(ServiceTimeSample.None);
+    expect(urgent.slot).toBeDefined();
+    expect(early.slot).toBeUndefined();
+  });
+
   it('should drop a queued request that can no longer be answered in time', async () => {
     const clock = new ManualClock();
     const queue = await measuredQueue(clock, 1);
