Judge waiting requests again when a more urgent one arrives

What callers saw: a request that waits for a slot, and can no longer get one before its deadline because more urgent ones came later, was held until a slot became free.

Cause: the queue checked waiting requests against their deadline only when a slot was granted, and counted the whole queue only when a stated limit fell. Now the requests behind a new one are judged as it is queued, and those that cannot be answered are refused at once, so that the entry can ask another gate or the caller can return. The check adds up the service times in one pass; it took a sum for each request before.

Tried and left out: not to count late requests of the same rank as ahead of one that can be on time.

'should drop a queued request as soon as more urgent ones leave it no slot in time' failed on the code before. tests/serving and tests/emulation beside other load: 271 passed, 1 failed ('should be reused while they are intact' of connectionPool.spec.ts, which does not touch the queue; that file then passed three times). The failure is not traced.

--- a/packages/lentillb/src/serving/slotQueue.ts
+++ b/packages/lentillb/src/serving/slotQueue.ts
@@ -198,18 +198,7 @@
 
   /** Drops queued requests that can no longer get a slot and a permit in time for their deadline. */
   dropUnservable(): void {
-    const nowMs = this.clock.monotonicMs();
-    const served: SlotRequest[] = [];
-    const unservable = this.waiting.filter((request) => {
-      const serviceMs = this.expectedServiceMs(request.serviceTimeKey);
-      const endMs = nowMs + this.expectedWaitMs(served) + serviceMs * MIN_RUN_SHARE;
-      if (endMs <= request.deadlineAtMs) {
-        served.push(request);
-        return false;
-      }
-      return true;
-    });
-    this.drop(unservable);
+    this.dropUnservableFrom(0);
   }
 
   /** Drops all queued requests. */
@@ -238,21 +227,41 @@
 
   /** Estimates the wait for a slot and a permit behind the given requests, in milliseconds. */
   private expectedWaitMs(ahead: readonly SlotRequest[]): number {
-    return Math.max(this.expectedSlotWaitMs(ahead), this.statedLimit.waitMs(ahead.length));
+    const totalMs = ahead.reduce(
+      (sum, { serviceTimeKey }) => sum + this.expectedServiceMs(serviceTimeKey),
+      0,
+    );
+    return this.waitBehindMs(ahead.length, totalMs);
+  }
+
+  /** Estimates the wait behind a number of requests with the given sum of service times. */
+  private waitBehindMs(count: number, totalMs: number): number {
+    return Math.max(this.slotWaitBehindMs(totalMs), this.statedLimit.waitMs(count));
   }
 
-  private expectedSlotWaitMs(ahead: readonly SlotRequest[]): number {
+  private slotWaitBehindMs(totalMs: number): number {
     if (this.slots === 0) {
       return Infinity;
     }
-    if (this.running < this.slots) {
-      return 0;
-    }
-    const aheadMs = ahead.reduce(
-      (sum, { serviceTimeKey }) => sum + this.expectedServiceMs(serviceTimeKey),
-      0,
-    );
-    return (aheadMs + this.expectedServiceMs('')) / this.slots;
+    return this.running < this.slots ? 0 : (totalMs + this.expectedServiceMs('')) / this.slots;
+  }
+
+  /** Drops requests from a place in the queue on that cannot be answered behind those before them. */
+  private dropUnservableFrom(index: number): void {
+    const nowMs = this.clock.monotonicMs();
+    let count = 0;
+    let totalMs = 0;
+    const unservable = this.waiting.filter((request, place) => {
+      const serviceMs = this.expectedServiceMs(request.serviceTimeKey);
+      const endMs = nowMs + this.waitBehindMs(count, totalMs) + serviceMs * MIN_RUN_SHARE;
+      if (place >= index && endMs > request.deadlineAtMs) {
+        return true;
+      }
+      count += 1;
+      totalMs += serviceMs;
+      return false;
+    });
+    this.drop(unservable);
   }
 
   /**
@@ -264,9 +273,15 @@
       : this.waiting.filter((other) => compareRank(other, request) <= 0);
   }
 
+  /** Adds a request to the queue, and drops those behind it that can no longer be answered. */
   private enqueue(request: SlotRequest): void {
     const index = this.waiting.findIndex((other) => precedes(request, other));
-    this.waiting.splice(index < 0 ? this.waiting.length : index, 0, request);
+    if (index < 0) {
+      this.waiting.push(request);
+      return;
+    }
+    this.waiting.splice(index, 0, request);
+    this.dropUnservableFrom(index + 1);
   }
 
   private remove(request: SlotRequest): void {
--- a/tests/serving/slotQueue.spec.ts
+++ b/tests/serving/slotQueue.spec.ts
@@ -167,6 +167,38 @@
     expect(waiting.slot).toBeUndefined();
   });
 
+  it('should drop a queued request as soon as more urgent ones leave it no slot in time', async () => {
+    const clock = new ManualClock();
+    const queue = await measuredQueue(clock, 1);
+    queue.admit(createRecordedRequest().request);
+    const nowMs = clock.monotonicMs();
+    const least = createRecordedRequest({
+      waitLimit: WaitLimit.UntilDeadline,
+      targetAtMs: nowMs,
+      deadlineAtMs: nowMs + SERVICE_MS * 5,
+    });
+    const patient = createRecordedRequest({
+      waitLimit: WaitLimit.UntilDeadline,
+      targetAtMs: nowMs,
+      deadlineAtMs: nowMs + SERVICE_MS * 20,
+    });
+    queue.admit(least.request);
+    queue.admit(patient.request);
+    const urgent = [1, 2, 3, 4].map(() =>
+      createRecordedRequest({
+        priority: 0,
+        targetAtMs: nowMs + SERVICE_MS * 10,
+        deadlineAtMs: nowMs + SERVICE_MS * 10,
+      }),
+    );
+    urgent.slice(1).forEach(({ request }) => queue.admit(request));
+    expect(least.dropped).toBe(false);
+    urgent.slice(0, 1).forEach(({ request }) => queue.admit(request));
+    expect(least.dropped).toBe(true);
+    expect(patient.dropped).toBe(false);
+    expect(queue.load.queued).toBe(urgent.length + 1);
+  });
+
   it('should remove a cancelled request from the queue', async () => {
     const clock = new ManualClock();
     const queue = await measuredQueue(clock, 1);
