Use one function to accept established connections before a listener closes

The listener of callers had a loop of its own for it; the listeners of the older call path got the function for the same. No behaviour changes, but that both count up to 2,048 turns. A comment on lost answers says what the second reply is for.

--- a/packages/lentillb/src/serving/callerListener.ts
+++ b/packages/lentillb/src/serving/callerListener.ts
@@ -5,7 +5,7 @@
 import { parseAddress } from '../utils/networkAddress.js';
 import { runInBackground } from '../utils/background.js';
 import { closeIdleAfterPendingInput } from '../utils/idleTimeout.js';
-import { listenAt, stopAccepting } from '../utils/listening.js';
+import { acceptEstablished, listenAt, stopAccepting } from '../utils/listening.js';
 import { waitForPendingInput } from '../utils/pendingInput.js';
 import type { PendingInputTracker } from '../utils/pendingInput.js';
 import { cancelOnDisconnect } from '../calls/callerDisconnect.js';
@@ -26,8 +26,6 @@
  * at once.
  */
 const ACCEPT_BACKLOG = 1_024;
-/** The maximum number of turns of the event loop in which connections are accepted at a stop. */
-const MAX_ACCEPT_TURNS = 2 * ACCEPT_BACKLOG;
 const DEFAULT_IDLE_MS = 60_000;
 
 const HttpStatus = {
@@ -90,8 +88,6 @@
 
   private active = 0;
 
-  private acceptedCount = 0;
-
   /** The connections on which no request has arrived yet. */
   private readonly unusedConnections = new Set<Socket>();
 
@@ -114,7 +110,6 @@
       },
     );
     this.server.on('connection', (socket) => {
-      this.acceptedCount += 1;
       this.unusedConnections.add(socket);
       socket.once('close', () => this.unusedConnections.delete(socket));
     });
@@ -159,13 +154,7 @@
    * is not idle if a request has arrived on it but has not been read yet.
    */
   async stopGracefully(): Promise<void> {
-    for (let turn = 0; turn < MAX_ACCEPT_TURNS; turn += 1) {
-      const { acceptedCount } = this;
-      await waitForPendingInput();
-      if (this.acceptedCount === acceptedCount) {
-        break;
-      }
-    }
+    await acceptEstablished(this.server);
     stopAccepting(this.server);
     await waitForPendingInput();
     this.server.closeIdleConnections();
--- a/packages/lentillb/src/serving/deliveryMonitor.ts
+++ b/packages/lentillb/src/serving/deliveryMonitor.ts
@@ -152,7 +152,7 @@
       Object.assign(monitored, { inquiryAtMs: this.clock.monotonicMs() + intervalMs });
     },
     [DeliveryState.Ended]: (monitored, evidence) => {
-      // The answer may have ended after this inquiry arrived, so a second one confirms it.
+      // A lost segment of the answer may still be sent again, so a second reply confirms the loss.
       if (monitored.hasEnded) {
         this.lose(monitored, LostDelivery.AnswerLost, evidence);
       }
--- a/packages/lentillb/src/utils/listening.ts
+++ b/packages/lentillb/src/utils/listening.ts
@@ -4,7 +4,7 @@
 import { waitForPendingInput } from './pendingInput.js';
 
 /** The maximum number of turns of the event loop in which connections are accepted at a stop. */
-const MAX_ACCEPT_TURNS = 1_024;
+const MAX_ACCEPT_TURNS = 2_048;
 
 /**
  * Starts to listen on an address.
