--- a/packages/lentillb/src/serving/gateProtocol.ts
+++ b/packages/lentillb/src/serving/gateProtocol.ts
@@ -18,7 +18,7 @@
 const FAILURE_HEADER = 'lentillb-failure';
 const UNFRAMED_HEADER = 'lentillb-unframed';
 const PROCESS_HEADER = 'lentillb-p';
-/** The longest identity of a request that another node can be asked for; it must fit into a datagram. */
+/** The longest identity of a request that another node can be asked for; bounds the length of an inquiry. */
 const MAX_REQUEST_ID_LENGTH = 400;
 
 const HttpStatus = { Unavailable: 503 } as const;
--- a/packages/lentillb/src/serving/stopTimes.ts
+++ b/packages/lentillb/src/serving/stopTimes.ts
@@ -4,7 +4,10 @@
 export interface StopTimes {
   /** By when callers have moved to other nodes. */
   readonly gateClosesAtMs: number;
-  /** When the last requests are taken, so that runs that last far longer than usual end in time. */
+  /**
+   * From when on only requests are taken whose own deadline lies before the end, so that runs that last
+   * far longer than usual are not cut.
+   */
   readonly lastTakenAtMs: number;
   /** When the node ends. */
   readonly endsAtMs: number;
--- a/packages/lentillb/src/sidecar/stopPlan.ts
+++ b/packages/lentillb/src/sidecar/stopPlan.ts
@@ -26,7 +26,7 @@
   readonly startsAtMs: number;
   /** Callers have moved. The gate takes nothing more and gives back what waits. */
   readonly gateClosesAtMs: number;
-  /** The last requests are taken; what comes later is rejected. */
+  /** What comes later is taken only if its own deadline lies before the end. */
   readonly lastTakenAtMs: number;
   /** No connections are accepted any more, even if a run on this host may still make calls. */
   readonly listenerClosesAtMs: number;
