Log on what state a request was sent whose caller turns out to have left

Both hops now send through one class, RequestSender, which records each send: the metric send_input_age_ms, and a line 'sent-before-departure-was-read' if the end of the caller's connection is read within 50 ms.

--- a/packages/lentillb/src/serving/backendServerClient.ts
+++ b/packages/lentillb/src/serving/backendServerClient.ts
@@ -6,10 +6,12 @@
 import type { Clock } from '../kernel/clock.js';
 import { ConnectionPool } from './connectionPool.js';
 import type { ExchangeAnswer } from './exchange.js';
-import { exchange, ExchangeFailure, isUnframed } from './exchange.js';
+import { ExchangeFailure, isUnframed } from './exchange.js';
 import type { HeaderNames } from './headerNames.js';
 import type { BackendAnswer, ForwardedRequest, ForwardFailure } from './messages.js';
 import { FailureCause } from './messages.js';
+import type { RequestSender } from './requestSender.js';
+import { Receiver } from './sendRecorder.js';
 import type { ServerStatement } from './serverStatement.js';
 import { readStatement } from './serverStatement.js';
 
@@ -73,11 +75,13 @@
 
   /**
    * @param clock - the clock for time-outs
+   * @param sender - sends the requests
    * @param names - the header names of callers and backend servers
    * @param listener - the callbacks for requests sent and for statements
    */
   constructor(
     private readonly clock: Clock,
+    private readonly sender: Pick<RequestSender, 'send'>,
     private readonly names: HeaderNames,
     private readonly listener: BackendServerListener,
   ) {
@@ -132,28 +136,25 @@
   ): Promise<Result<ExchangeAnswer, ExchangeFailure>> {
     const sentAtMs = this.clock.monotonicMs();
     const remainingMs = Math.max(0, Math.floor(request.deadlineAtMs - sentAtMs));
-    const { body, cancellation, headers, method, target } = request;
+    const { body, headers, method } = request;
     this.listener.onSent();
     // The run may just be a long one, so its own connection is kept until the deadline.
     const awaited = this.pool.recordRequest(
       address,
       Math.max(MIN_SUSPICION_MS, usualServiceMs * SUSPICION_FACTOR),
     );
-    const answer = await exchange(this.clock, {
+    const answer = await this.sender.send(request, {
+      receiver: Receiver.BackendServer,
       agent: this.pool,
       address,
-      method,
-      target,
       headers: {
         ...headers,
         [this.names.deadlineMs]: `${remainingMs}`,
         [this.names.expectedInstance]: instanceId,
         ...(body.length > 0 || method !== 'GET' ? { 'content-length': `${body.length}` } : {}),
       },
-      body,
-      connectTimeoutMs: Math.min(remainingMs, CONNECT_TIMEOUT_MS),
-      timeoutMs: remainingMs + ANSWER_GRACE_MS,
-      cancellation,
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      answerGraceMs: ANSWER_GRACE_MS,
       // A copy of a refusal would promise that the next request has not run.
       mayReuse: (answerHeaders, status) =>
         this.isOwnAnswer(request, answerHeaders, status) && !this.isRefusal(answerHeaders, status),
--- a/packages/lentillb/src/serving/gateForwarder.ts
+++ b/packages/lentillb/src/serving/gateForwarder.ts
@@ -12,13 +12,15 @@
 import type { DeliveryMonitor } from './deliveryMonitor.js';
 import { LostDelivery } from './deliveryMonitor.js';
 import type { SentRequest } from './exchange.js';
-import { exchange, ExchangeFailure } from './exchange.js';
+import { ExchangeFailure } from './exchange.js';
 import type { Gate } from './gate.js';
 import type { GateProcesses } from './gateProcesses.js';
 import { decodeReply, deliveryKeyOf, requestHeaders } from './gateProtocol.js';
 import type { ListenProbe } from './listenProbe.js';
 import type { ForwardedRequest, ForwardFailure, GateReply } from './messages.js';
 import { FailureCause } from './messages.js';
+import type { RequestSender } from './requestSender.js';
+import { Receiver } from './sendRecorder.js';
 import type { SuspectGuard } from './suspectGuard.js';
 
 /** The maximum idle time of connections between nodes; gates keep theirs open longer. */
@@ -101,6 +103,7 @@
       readonly clock: Clock;
       readonly input: PendingInputTracker;
       readonly gate: Gate;
+      readonly sender: Pick<RequestSender, 'send'>;
       readonly links: SilenceWatch;
       readonly deliveries: Pick<DeliveryMonitor, 'watch'>;
       readonly processes: GateProcesses;
@@ -179,24 +182,20 @@
     request: ForwardedRequest,
     expectedMs: number,
   ): Promise<GateReply> {
-    const { clock, links, processes } = this.services;
+    const { clock, links, processes, sender } = this.services;
     const startedMs = clock.monotonicMs();
-    const remainingMs = Math.max(0, request.deadlineAtMs - startedMs);
     const unanswered: UnansweredRequest = { endpoint, request, expectedMs };
     this.unanswered.add(unanswered);
-    const answer = await exchange(clock, {
+    const answer = await sender.send(request, {
+      receiver: Receiver.Gate,
       agent: this.pool,
       address: endpoint.gateAddress,
-      method: request.method,
-      target: request.target,
       headers: {
         ...requestHeaders(clock, request),
         'content-length': `${request.body.length}`,
       },
-      body: request.body,
-      connectTimeoutMs: Math.min(remainingMs, CONNECT_TIMEOUT_MS),
-      timeoutMs: remainingMs + ANSWER_GRACE_MS,
-      cancellation: request.cancellation,
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      answerGraceMs: ANSWER_GRACE_MS,
       isTerse: true,
       onSent: (sent) => {
         unanswered.sent = sent;
--- /dev/null
+++ b/packages/lentillb/src/serving/requestSender.ts
@@ -0,0 +1,59 @@
+/** Sends requests of callers to another process: the gate of another host, or a backend server. */
+import type { Result } from 'ts-results-es';
+import type { Clock } from '../kernel/clock.js';
+import type { ExchangeAnswer, ExchangeFailure, ExchangeRequest } from './exchange.js';
+import { exchange } from './exchange.js';
+import type { ForwardedRequest } from './messages.js';
+import type { Receiver, SendRecorder } from './sendRecorder.js';
+
+/** The receiver of a request, and what differs between receivers. */
+export interface Destination extends Pick<
+  ExchangeRequest,
+  'agent' | 'address' | 'headers' | 'isTerse' | 'mayReuse' | 'onSent'
+> {
+  readonly receiver: Receiver;
+  /** The time limit for the connection, in milliseconds. */
+  readonly connectTimeoutMs: number;
+  /** The allowance for an answer that is in transit when the deadline passes, in milliseconds. */
+  readonly answerGraceMs: number;
+}
+
+/** Sends requests on behalf of callers. */
+export class RequestSender {
+  constructor(
+    private readonly services: {
+      readonly clock: Clock;
+      readonly sends: Pick<SendRecorder, 'record'>;
+    },
+  ) {}
+
+  /**
+   * Sends a request and reads its complete answer.
+   *
+   * @param request - the request
+   * @param destination - the receiver
+   * @returns the answer, or the reason why there is none
+   */
+  send(
+    request: ForwardedRequest,
+    { answerGraceMs, connectTimeoutMs, onSent, receiver, ...destination }: Destination,
+  ): Promise<Result<ExchangeAnswer, ExchangeFailure>> {
+    const { clock, sends } = this.services;
+    const { body, cancellation, deadlineAtMs, method, requestId, target } = request;
+    const remainingMs = Math.max(0, deadlineAtMs - clock.monotonicMs());
+    return exchange(clock, {
+      ...destination,
+      method,
+      target,
+      body,
+      cancellation,
+      connectTimeoutMs: Math.min(remainingMs, connectTimeoutMs),
+      timeoutMs: remainingMs + answerGraceMs,
+      onSent: (sent) => {
+        const { onReusedConnection } = sent;
+        sends.record({ cancellation, onReusedConnection, receiver, requestId });
+        onSent?.(sent);
+      },
+    });
+  }
+}
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -34,8 +34,10 @@
 import type { Heartbeat } from '../serving/localBackendServer.js';
 import { GateServer } from '../serving/gateServer.js';
 import { GateSelector } from '../serving/gateSelector.js';
+import { RequestSender } from '../serving/requestSender.js';
 import { RetryAllowance } from '../serving/retryAllowance.js';
 import type { RetryTerms } from '../serving/retryAllowance.js';
+import { SendRecorder } from '../serving/sendRecorder.js';
 import { SlotQueue } from '../serving/slotQueue.js';
 import { StatedLimit } from '../serving/statedLimit.js';
 import { StatementListener } from '../serving/statementListener.js';
@@ -175,9 +177,11 @@
     this.slots = new SlotQueue(clock, () => backendServer.warmingUp, statedLimit);
     const { slots } = this;
     const statements = new StatementListener({ backendServer, statedLimit, slots, log });
-    this.client = new BackendServerClient(clock, headerNames, statements);
-    const { client } = this;
     const input = new PendingInputTracker(clock);
+    const sends = new SendRecorder({ clock, input, log, metrics });
+    const sender = new RequestSender({ clock, sends });
+    this.client = new BackendServerClient(clock, sender, headerNames, statements);
+    const { client } = this;
     const observations = new GateObservations(clock, DEFAULT_SERVICE_TIME_MS);
     const listenProbe = new ListenProbe();
     const suspects = new SuspectRequests(clock);
@@ -266,6 +270,7 @@
         clock,
         input,
         gate: this.gate,
+        sender,
         links: failureDetector,
         deliveries,
         processes,
--- a/packages/lentillb/src/utils/pendingInput.ts
+++ b/packages/lentillb/src/utils/pendingInput.ts
@@ -24,6 +24,11 @@
   /** @param clock - the clock by which the age of the last read is measured */
   constructor(private readonly clock: Clock) {}
 
+  /** @returns how old the state of the connections is at most, in milliseconds */
+  ageMs(): number {
+    return this.clock.monotonicMs() - this.readUpToMs;
+  }
+
   /** Waits until all input that arrived before this call has been read. */
   async waitUntilRead(): Promise<void> {
     const calledAtMs = this.clock.monotonicMs();
@@ -35,7 +40,7 @@
    * Waits in the same way, unless all input up to `MAX_INPUT_AGE_MS` ago has already been read.
    */
   async waitUntilRecentlyRead(): Promise<void> {
-    if (this.clock.monotonicMs() - this.readUpToMs > MAX_INPUT_AGE_MS) {
+    if (this.ageMs() > MAX_INPUT_AGE_MS) {
       await this.waitUntilRead();
     }
   }
--- a/tests/serving/backendServerClient.spec.ts
+++ b/tests/serving/backendServerClient.spec.ts
@@ -7,6 +7,7 @@
 import { FailureCause } from 'lentillb/serving/messages.js';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { createForwardedRequest } from '../support/forwardedRequest.js';
+import { createRequestSender } from '../support/requestSender.js';
 
 const clock = new SystemClock();
 const OWN_ANSWER = { [wireHeaders.requestId]: 'r', [wireHeaders.seal]: 'seal' };
@@ -20,7 +21,7 @@
 /** Answers the first request, and interrupts the second on the same connection. */
 beforeEach(async () => {
   requests = 0;
-  client = new BackendServerClient(clock, wireHeaders, {
+  client = new BackendServerClient(clock, createRequestSender(clock), wireHeaders, {
     onSent: () => undefined,
     mayResend: () => true,
     onStatement: () => undefined,
--- a/tests/serving/connectionPool.spec.ts
+++ b/tests/serving/connectionPool.spec.ts
@@ -13,6 +13,7 @@
 import { wireHeaders } from '@lentillb/platform';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { createForwardedRequest } from '../support/forwardedRequest.js';
+import { createRequestSender } from '../support/requestSender.js';
 import { freeAddress } from '../support/freeAddress.js';
 import { encodeResponse, ScriptedServer } from '../support/scriptedServer.js';
 
@@ -49,7 +50,7 @@
 
 beforeEach(async () => {
   connections = 0;
-  client = new BackendServerClient(clock, wireHeaders, {
+  client = new BackendServerClient(clock, createRequestSender(clock), wireHeaders, {
     onSent: () => undefined,
     mayResend: () => true,
     onStatement: () => undefined,
--- a/tests/serving/copiedRefusals.spec.ts
+++ b/tests/serving/copiedRefusals.spec.ts
@@ -5,6 +5,7 @@
 import { FailureCause } from 'lentillb/serving/messages.js';
 import { afterEach, describe, expect, it } from 'vitest';
 import { createForwardedRequest } from '../support/forwardedRequest.js';
+import { createRequestSender } from '../support/requestSender.js';
 import { ScriptedServer } from '../support/scriptedServer.js';
 
 const clock = new SystemClock();
@@ -53,7 +54,7 @@
     socket.write(answers.shift() ?? '');
   });
   const address = `127.0.0.1:${await server.listen()}`;
-  client = new BackendServerClient(clock, wireHeaders, {
+  client = new BackendServerClient(clock, createRequestSender(clock), wireHeaders, {
     onSent: () => undefined,
     mayResend: () => false,
     onStatement: () => undefined,
--- a/tests/serving/cutHeads.spec.ts
+++ b/tests/serving/cutHeads.spec.ts
@@ -5,6 +5,7 @@
 import { afterEach, describe, expect, it } from 'vitest';
 import { blockEventLoop } from '../support/blockEventLoop.js';
 import { createForwardedRequest } from '../support/forwardedRequest.js';
+import { createRequestSender } from '../support/requestSender.js';
 import { ScriptedServer } from '../support/scriptedServer.js';
 
 const clock = new SystemClock();
@@ -56,7 +57,7 @@
 async function start(script: (socket: Socket, count: number) => void) {
   server = new ScriptedServer(script);
   const address = `127.0.0.1:${await server.listen()}`;
-  const started = new BackendServerClient(clock, wireHeaders, {
+  const started = new BackendServerClient(clock, createRequestSender(clock), wireHeaders, {
     onSent: () => undefined,
     mayResend: () => false,
     onStatement: () => undefined,
--- a/tests/serving/gateForwarder.spec.ts
+++ b/tests/serving/gateForwarder.spec.ts
@@ -14,6 +14,7 @@
 import { Ok } from 'ts-results-es';
 import { afterEach, beforeEach, expect, it } from 'vitest';
 import { createForwardedRequest } from '../support/forwardedRequest.js';
+import { createRequestSender } from '../support/requestSender.js';
 
 const clock = new SystemClock();
 
@@ -69,6 +70,7 @@
       clock,
       input: new PendingInputTracker(clock),
       gate: {} as Gate,
+      sender: createRequestSender(clock),
       directory: { announcementOf: () => ({ ...ANNOUNCEMENT, gateAddress: endpoint.gateAddress }) },
       listenProbe: new ListenProbe(),
       log: new DecisionLog(clock, {
--- /dev/null
+++ b/tests/support/requestSender.ts
@@ -0,0 +1,22 @@
+/** Creates senders of requests for tests of the parts that send. */
+import type { Clock } from 'lentillb';
+import { MetricsRegistry } from 'lentillb/observability/metricsRegistry.js';
+import { RequestSender } from 'lentillb/serving/requestSender.js';
+import { SendRecorder } from 'lentillb/serving/sendRecorder.js';
+import { PendingInputTracker } from 'lentillb/utils/pendingInput.js';
+import { createSilentLog } from './slotQueue.js';
+
+/**
+ * @param clock - the clock for deadlines and time-outs
+ * @param input - the tracker of the input of this process
+ * @param log - receives the lines about requests that were sent too late
+ * @returns a sender of requests
+ */
+export function createRequestSender(
+  clock: Clock,
+  input = new PendingInputTracker(clock),
+  log = createSilentLog(clock),
+): RequestSender {
+  const metrics = new MetricsRegistry();
+  return new RequestSender({ clock, sends: new SendRecorder({ clock, input, log, metrics }) });
+}
