Read pending input again once the state has become too old for the next request of a batch

Callers saw nothing of it; backend servers were given requests of callers that had left up to 1.3 s before. Cause: a request waited for one poll of all sockets and did not look again. Requests that were read in one turn all went on after the same poll, one after the other, so the last one was judged by a state as old as the batch was long.

The rule now stands in one place, CallerPresence: a request may be acted on only if the end of its caller's connection would have been read by now, and before its deadline. One shared poll serves the decisions in the order in which they came, those on sends first; once its state is over 20 ms old, the others wait for the next poll. RequestSender asks before it takes a connection, and Exchange again where the request is written, on kept and new connections, at both hops; the older call path asks the same. Where two polls in a row each take longer than 20 ms, decisions follow the poll at once, since a process that is busy reading would otherwise never decide.

Changed expectation: a request whose time is over before its connection is established ends as 'too-late' and no longer as 'not-sent'; both are not run, and the new one is the more exact.

--- a/packages/lentillb/src/calls/call.ts
+++ b/packages/lentillb/src/calls/call.ts
@@ -92,13 +92,13 @@
 }
 
 /**
- * Creates the failure of a call that was cancelled before it was forwarded.
+ * Creates the failure of a call that may not be forwarded any more.
  *
- * @param request - the cancelled call
+ * @param refusal - the reason
  * @returns the failure, with the outcome `NotRun`
  */
-export function cancelledBeforeForwarding({ cancellation }: CallRequest): CallFailure {
-  const reason = cancellationFailureReasons[cancellation.reason ?? CancelReason.CallerGone];
+export function cancelledBeforeForwarding(refusal: CancelReason): CallFailure {
+  const reason = cancellationFailureReasons[refusal];
   return { outcome: Outcome.NotRun, reason, message: `${reason}; the call was not forwarded` };
 }
 
--- a/packages/lentillb/src/calls/callerDisconnect.ts
+++ b/packages/lentillb/src/calls/callerDisconnect.ts
@@ -1,6 +1,5 @@
 /** Detects callers that disconnect before they get their response. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { waitForPendingInput } from '../utils/pendingInput.js';
 import { Cancellation, CancelReason } from './cancellation.js';
 
 /**
@@ -30,16 +29,3 @@
   });
   return cancellation;
 }
-
-/**
- * Checks whether the caller of a request is still there, after all pending socket input has been
- * read. When load keeps the event loop busy, a request can be unread together with the end of its
- * connection behind it, and would be forwarded for a caller that has already left.
- *
- * @param cancellation - the cancellation of the request
- * @returns whether the request is still not cancelled once all input from its caller has been read
- */
-export async function isNotCancelled(cancellation: Cancellation): Promise<boolean> {
-  await waitForPendingInput();
-  return cancellation.reason === undefined;
-}
--- a/packages/lentillb/src/emulation/emulatedHost.ts
+++ b/packages/lentillb/src/emulation/emulatedHost.ts
@@ -1,4 +1,5 @@
 /** Emulates a host: the entry and the gate of its node, with the real decisions, and its backend server. */
+import { CallerPresence } from '../calls/callerPresence.js';
 import { SmoothWeightedRoundRobin } from '../configuration/smoothWeightedRoundRobin.js';
 import type { ConfigurationHolder } from '../configuration/configurationHolder.js';
 import { ConfigurationStatus } from '../configuration/configurationStatus.js';
@@ -21,6 +22,12 @@
 import type { EmulatedBackendServer } from './emulatedBackendServer.js';
 
 const DEFAULT_SERVICE_TIME_MS = 80;
+/** Emulated requests are never read late. */
+const READ_INPUT = {
+  isCurrent: () => true,
+  waitUntilCurrent: () => Promise.resolve(),
+  waitUntilRead: () => Promise.resolve(),
+};
 const RETRY_TERMS = { ratio: 0.2, extra: 60, windowMs: 10_000 };
 
 /** The names of the headers between the emulated callers and nodes. */
@@ -90,10 +97,9 @@
     const statedLimit = new StatedLimit(clock, log);
     const slots = new SlotQueue(clock, () => false, statedLimit);
     slots.resize(slotCount);
-    const input = { waitUntilRecentlyRead: () => Promise.resolve() };
     this.gate = new Gate({
       clock,
-      input,
+      presence: new CallerPresence({ clock, input: READ_INPUT }),
       slots,
       statedLimit,
       listenProbe: { hasEnded: () => Promise.resolve(false) },
--- a/packages/lentillb/src/gate/callGate.ts
+++ b/packages/lentillb/src/gate/callGate.ts
@@ -9,7 +9,6 @@
 } from '../calls/call.js';
 import type { Release } from '../calls/admissionQueue.js';
 import { CallHeader, Outcome } from '../calls/callHeaders.js';
-import { isNotCancelled } from '../calls/callerDisconnect.js';
 import { exchange } from '../calls/httpExchange.js';
 import type { Services } from '../kernel/services.js';
 import { ANY_PORT } from '../rules/valueCodecs.js';
@@ -20,7 +19,10 @@
 /** The time after which callers may retry at a full backend server, in milliseconds. */
 const FULL_RETRY_AFTER_MS = 1_000;
 
-type Dependencies = Pick<Services, 'backendServerRegistry' | 'tableStore' | 'timeline'>;
+type Dependencies = Pick<
+  Services,
+  'backendServerRegistry' | 'callerPresence' | 'tableStore' | 'timeline'
+>;
 
 function notRunFailure(reason: FailureReason, message: string, retryAfterMs?: number): CallFailure {
   return { outcome: Outcome.NotRun, reason, message, retryAfterMs };
@@ -56,7 +58,7 @@
    * @returns the response, whose body must be read or destroyed, or the reason why there is none
    */
   async call(request: CallRequest): Promise<CallResult> {
-    const { backendServerRegistry, timeline } = this.services;
+    const { backendServerRegistry, callerPresence, timeline } = this.services;
     const server = backendServerRegistry.get(request.backendServer);
     const refusal = this.findRefusal(request, server);
     if (refusal !== undefined || server === undefined) {
@@ -77,9 +79,14 @@
         notRunFailure(admissionFailureReasons[admitted.error], message, FULL_RETRY_AFTER_MS),
       );
     }
-    if (!(await isNotCancelled(request.cancellation))) {
+    const { cancellation, deadline } = request;
+    const cancelled = await callerPresence.confirmArrival({
+      cancellation,
+      deadlineAtMs: deadline.atMs,
+    });
+    if (cancelled !== undefined) {
       admitted.value();
-      return Err(cancelledBeforeForwarding(request));
+      return Err(cancelledBeforeForwarding(cancelled));
     }
     const refusalAfterWait = this.findRefusal(request, backendServerRegistry.get(server.id));
     if (refusalAfterWait !== undefined) {
--- a/packages/lentillb/src/gate/plugin.ts
+++ b/packages/lentillb/src/gate/plugin.ts
@@ -1,7 +1,10 @@
 /** Registers the gate and its listeners. */
-import { asClass } from 'awilix';
+import { asClass, asFunction } from 'awilix';
+import { CallerPresence } from '../calls/callerPresence.js';
 import { Deadline } from '../kernel/deadline.js';
 import { plugins } from '../kernel/plugin.js';
+import type { Services as NodeServices } from '../kernel/services.js';
+import { PendingInputTracker } from '../utils/pendingInput.js';
 import { BackendServerRegistry } from './backendServerRegistry.js';
 import { CallGate } from './callGate.js';
 import { GateListener } from './gateListener.js';
@@ -10,6 +13,7 @@
 declare module '../kernel/services.js' {
   interface Services {
     readonly backendServerRegistry: BackendServerRegistry;
+    readonly callerPresence: CallerPresence;
     readonly gate: CallGate;
     readonly gateListener: GateListener;
     readonly localListener: LocalListener;
@@ -30,6 +34,10 @@
   needs: ['mesh', 'routing-table'],
   services: {
     backendServerRegistry: asClass(BackendServerRegistry).singleton(),
+    callerPresence: asFunction(
+      ({ clock }: NodeServices) =>
+        new CallerPresence({ clock, input: new PendingInputTracker(clock) }),
+    ).singleton(),
     gate: asClass(CallGate).singleton(),
     gateListener: asClass(GateListener).singleton(),
     localListener: asClass(LocalListener).singleton(),
--- a/packages/lentillb/src/kernel/deadline.ts
+++ b/packages/lentillb/src/kernel/deadline.ts
@@ -5,7 +5,8 @@
 export class Deadline {
   private constructor(
     private readonly clock: Clock,
-    private readonly atMs: number,
+    /** The time of the deadline, in milliseconds of the monotonic clock. */
+    readonly atMs: number,
   ) {}
 
   /**
--- a/packages/lentillb/src/routing/gateClient.ts
+++ b/packages/lentillb/src/routing/gateClient.ts
@@ -3,7 +3,6 @@
 import { Err } from 'ts-results-es';
 import type { CallRequest, CallResult } from '../calls/call.js';
 import { cancelledBeforeForwarding } from '../calls/call.js';
-import { isNotCancelled } from '../calls/callerDisconnect.js';
 import { CallHeader } from '../calls/callHeaders.js';
 import { exchange } from '../calls/httpExchange.js';
 import type { HeaderFields } from '../calls/callHeaders.js';
@@ -18,7 +17,7 @@
  */
 const KEEP_ALIVE_TIMEOUT_MS = 3_000;
 
-type Dependencies = Pick<Services, 'gate' | 'settings'>;
+type Dependencies = Pick<Services, 'callerPresence' | 'gate' | 'settings'>;
 
 /** Forwards calls to local and remote gates. */
 export class GateClient {
@@ -55,8 +54,12 @@
   }
 
   private async callRemote(endpoint: Endpoint, request: CallRequest): Promise<CallResult> {
-    if (!(await isNotCancelled(request.cancellation))) {
-      return Err(cancelledBeforeForwarding(request));
+    const cancelled = await this.services.callerPresence.confirmArrival({
+      cancellation: request.cancellation,
+      deadlineAtMs: request.deadline.atMs,
+    });
+    if (cancelled !== undefined) {
+      return Err(cancelledBeforeForwarding(cancelled));
     }
     const headers: HeaderFields = {
       ...request.headers,
--- a/packages/lentillb/src/serving/callerListener.ts
+++ b/packages/lentillb/src/serving/callerListener.ts
@@ -7,8 +7,8 @@
 import { closeIdleAfterPendingInput } from '../utils/idleTimeout.js';
 import { acceptEstablished, listenAt, stopAccepting } from '../utils/listening.js';
 import { waitForPendingInput } from '../utils/pendingInput.js';
-import type { PendingInputTracker } from '../utils/pendingInput.js';
 import { cancelOnDisconnect } from '../calls/callerDisconnect.js';
+import type { CallerPresence } from '../calls/callerPresence.js';
 import type { CallerLimits } from '../configuration/meshConfiguration.js';
 import type { Clock } from '../kernel/clock.js';
 import type { CallerRequest, EntryAnswer } from './entry.js';
@@ -93,7 +93,7 @@
 
   constructor(
     private readonly clock: Clock,
-    private readonly input: PendingInputTracker,
+    private readonly presence: Pick<CallerPresence, 'awaitArrival'>,
     private readonly handle: RequestHandler,
     private readonly options: ListenerOptions,
   ) {
@@ -183,7 +183,7 @@
     this.bufferedBytes += body.length;
     // If the request waited in the accept queue or a socket buffer, the event loop reads the end of
     // its connection only after the request. This wait notices callers that have already left.
-    await this.input.waitUntilRead();
+    await this.presence.awaitArrival();
     const answer = await this.handle(
       { method, target: url, headers, body, cancellation, arrivedAtMs },
       isFirstOnConnection,
--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -113,6 +113,13 @@
   [FailureCause.ConnectFailed]: 50,
 };
 
+/** The causes that say nothing about the host that a request was for, if its gate did not report them. */
+const UNRELATED_TO_HOST: ReadonlySet<FailureCause> = new Set([
+  FailureCause.CallerGone,
+  FailureCause.ConnectionSilent,
+  FailureCause.WaitedTooLong,
+]);
+
 const EMPTY_BODY = Buffer.alloc(0);
 
 /** Cancels a request when its caller leaves, until the returned function is called. */
@@ -397,8 +404,7 @@
     if (isServerFailure(result.error)) {
       observation.recordOutcome(true);
     }
-    const isConnectionFault = cause === FailureCause.ConnectionSilent;
-    if (report === undefined && cause !== FailureCause.CallerGone && !isConnectionFault) {
+    if (report === undefined && !UNRELATED_TO_HOST.has(cause)) {
       observation.recordUnreachable();
     }
   }
--- a/packages/lentillb/src/serving/exchangeFailures.ts
+++ b/packages/lentillb/src/serving/exchangeFailures.ts
@@ -17,5 +17,7 @@
   [ExchangeFailure.TimedOut]: failure(Outcome.Unknown, FailureCause.DeadlinePassed),
   [ExchangeFailure.SilentNotRun]: failure(Outcome.NotRun, FailureCause.ConnectionSilent),
   [ExchangeFailure.Silent]: failure(Outcome.Unknown, FailureCause.ConnectionSilent),
+  [ExchangeFailure.Withdrawn]: failure(Outcome.NotRun, FailureCause.CallerGone),
+  [ExchangeFailure.TooLate]: failure(Outcome.NotRun, FailureCause.WaitedTooLong),
   [ExchangeFailure.Cancelled]: failure(Outcome.Unknown, FailureCause.CallerGone),
 };
--- a/packages/lentillb/src/serving/gate.ts
+++ b/packages/lentillb/src/serving/gate.ts
@@ -2,14 +2,16 @@
 import { Err } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import { Outcome } from '../calls/callHeaders.js';
+import type { CallerPresence } from '../calls/callerPresence.js';
 import type { Clock } from '../kernel/clock.js';
 import type { DecisionLog } from '../observability/decisionLog.js';
 import { Importance } from '../observability/decisionLog.js';
 import type { MetricsRegistry } from '../observability/metricsRegistry.js';
 import { hash32 } from '../utils/hash.js';
 import type { GateLoad } from '../directory/gateLoad.js';
-import type { PendingInputTracker } from '../utils/pendingInput.js';
 import type { BackendServerClient } from './backendServerClient.js';
+import { refusalFailures } from './exchange.js';
+import { forwardFailures } from './exchangeFailures.js';
 import { FailureShare, isServerFailure } from './failureShare.js';
 import type { ListenProbe } from './listenProbe.js';
 import type { Heartbeat, LocalBackendServer } from './localBackendServer.js';
@@ -34,7 +36,7 @@
 /** The services that a gate depends on. */
 export interface GateServices {
   readonly clock: Clock;
-  readonly input: Pick<PendingInputTracker, 'waitUntilRecentlyRead'>;
+  readonly presence: Pick<CallerPresence, 'confirm'>;
   readonly slots: SlotQueue;
   readonly statedLimit: Pick<StatedLimit, 'reportedPerSecond'>;
   readonly backendServer: LocalBackendServer;
@@ -298,13 +300,10 @@
   }
 
   private async send(request: ForwardedRequest): Promise<GateResult> {
-    const { backendServer, client, clock, input, slots, suspectGuard } = this.services;
-    await input.waitUntilRecentlyRead();
-    if (request.cancellation.reason !== undefined) {
-      return notRun(FailureCause.CallerGone);
-    }
-    if (clock.monotonicMs() >= request.deadlineAtMs) {
-      return notRun(FailureCause.WaitedTooLong);
+    const { backendServer, client, clock, presence, slots, suspectGuard } = this.services;
+    const refusal = await presence.confirm(request);
+    if (refusal !== undefined) {
+      return Err(forwardFailures[refusalFailures[refusal]]);
     }
     const { heartbeat } = backendServer;
     // Another backend server may have taken the place of the one that the request waited for.
--- a/packages/lentillb/src/serving/gateForwarder.ts
+++ b/packages/lentillb/src/serving/gateForwarder.ts
@@ -1,13 +1,11 @@
 /** Sends requests to gates: directly to the gate of this node, over HTTP to others. */
 import { Err } from 'ts-results-es';
 import { forwardFailures } from './exchangeFailures.js';
-import { Outcome } from '../calls/callHeaders.js';
 import type { Directory, GateEndpoint } from '../directory/directory.js';
 import type { Clock } from '../kernel/clock.js';
 import type { DecisionLog } from '../observability/decisionLog.js';
 import { Importance } from '../observability/decisionLog.js';
 import { runInBackground } from '../utils/background.js';
-import type { PendingInputTracker } from '../utils/pendingInput.js';
 import { ConnectionPool } from './connectionPool.js';
 import type { DeliveryMonitor } from './deliveryMonitor.js';
 import { LostDelivery } from './deliveryMonitor.js';
@@ -87,6 +85,11 @@
   markHeard(host: string): void;
 }
 
+/** Whether a request was not sent for a reason that says nothing about its receiver. */
+function isUnsent(failure: ExchangeFailure): boolean {
+  return failure === ExchangeFailure.Withdrawn || failure === ExchangeFailure.TooLate;
+}
+
 function unreported(failure: ForwardFailure): GateReply {
   return { result: Err(failure), report: undefined };
 }
@@ -101,7 +104,6 @@
   constructor(
     private readonly services: {
       readonly clock: Clock;
-      readonly input: PendingInputTracker;
       readonly gate: Gate;
       readonly sender: Pick<RequestSender, 'send'>;
       readonly links: SilenceWatch;
@@ -133,14 +135,10 @@
     request: ForwardedRequest,
     expectedMs: number,
   ): Promise<GateReply> {
-    const { gate, input, links } = this.services;
+    const { gate, links } = this.services;
     if (endpoint.host === this.ownHost) {
       return gate.serve(request);
     }
-    await input.waitUntilRecentlyRead();
-    if (request.cancellation.reason !== undefined) {
-      return unreported({ outcome: Outcome.NotRun, cause: FailureCause.CallerGone });
-    }
     let stopWatch: (() => void) | undefined;
     const silence = new Promise<'silent'>((resolve) => {
       stopWatch = links.watch(endpoint.host, endpoint.peerAddress, () => {
@@ -205,6 +203,9 @@
     unanswered.stopWatch?.();
     if (answer.isErr()) {
       const failure = forwardFailures[answer.error];
+      if (isUnsent(answer.error)) {
+        return unreported(failure);
+      }
       this.services.log.record(Importance.Notable, 'gate-not-heard', {
         requestId: request.requestId,
         host: endpoint.host,
--- a/packages/lentillb/src/serving/requestSender.ts
+++ b/packages/lentillb/src/serving/requestSender.ts
@@ -1,8 +1,13 @@
-/** Sends requests of callers to another process: the gate of another host, or a backend server. */
+/**
+ * Sends requests of callers to another process, the gate of another host or a backend server, while
+ * their callers are known to be there.
+ */
+import { Err } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
+import type { CallerPresence } from '../calls/callerPresence.js';
 import type { Clock } from '../kernel/clock.js';
 import type { ExchangeAnswer, ExchangeFailure, ExchangeRequest } from './exchange.js';
-import { exchange } from './exchange.js';
+import { exchange, refusalFailures } from './exchange.js';
 import type { ForwardedRequest } from './messages.js';
 import type { Receiver, SendRecorder } from './sendRecorder.js';
 
@@ -23,6 +28,7 @@
   constructor(
     private readonly services: {
       readonly clock: Clock;
+      readonly presence: CallerPresence;
       readonly sends: Pick<SendRecorder, 'record'>;
     },
   ) {}
@@ -34,12 +40,17 @@
    * @param destination - the receiver
    * @returns the answer, or the reason why there is none
    */
-  send(
+  async send(
     request: ForwardedRequest,
     { answerGraceMs, connectTimeoutMs, onSent, receiver, ...destination }: Destination,
   ): Promise<Result<ExchangeAnswer, ExchangeFailure>> {
-    const { clock, sends } = this.services;
+    const { clock, presence, sends } = this.services;
     const { body, cancellation, deadlineAtMs, method, requestId, target } = request;
+    // A connection for a caller that has left would only lengthen the queue at the receiver.
+    const refusal = await presence.confirm(request);
+    if (refusal !== undefined) {
+      return Err(refusalFailures[refusal]);
+    }
     const remainingMs = Math.max(0, deadlineAtMs - clock.monotonicMs());
     return exchange(clock, {
       ...destination,
@@ -47,6 +58,8 @@
       target,
       body,
       cancellation,
+      presence,
+      deadlineAtMs,
       connectTimeoutMs: Math.min(remainingMs, connectTimeoutMs),
       timeoutMs: remainingMs + answerGraceMs,
       onSent: (sent) => {
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -1,5 +1,6 @@
 /** Assembles the node that runs on the host of a backend server. */
 import type { Result } from 'ts-results-es';
+import { CallerPresence } from '../calls/callerPresence.js';
 import { PendingInputTracker } from '../utils/pendingInput.js';
 import { hash32 } from '../utils/hash.js';
 import { runInBackground } from '../utils/background.js';
@@ -179,7 +180,8 @@
     const statements = new StatementListener({ backendServer, statedLimit, slots, log });
     const input = new PendingInputTracker(clock);
     const sends = new SendRecorder({ clock, input, log, metrics });
-    const sender = new RequestSender({ clock, sends });
+    const presence = new CallerPresence({ clock, input });
+    const sender = new RequestSender({ clock, presence, sends });
     this.client = new BackendServerClient(clock, sender, headerNames, statements);
     const { client } = this;
     const observations = new GateObservations(clock, DEFAULT_SERVICE_TIME_MS);
@@ -198,7 +200,7 @@
     const { suspectGuard } = this;
     this.gate = new Gate({
       clock,
-      input,
+      presence,
       slots,
       statedLimit,
       backendServer,
@@ -268,7 +270,6 @@
     this.gateForwarder = new GateForwarder(
       {
         clock,
-        input,
         gate: this.gate,
         sender,
         links: failureDetector,
@@ -302,12 +303,12 @@
       { names: headerNames, callerService: service },
     );
     const requestIdName = headerNames.requestId;
-    this.callers = new CallerListener(clock, input, (request) => this.entry.serve(request), {
+    this.callers = new CallerListener(clock, presence, (request) => this.entry.serve(request), {
       requestIdName,
     });
     this.gateListener = new CallerListener(
       clock,
-      input,
+      presence,
       (request, isFirstOnConnection) => this.gateServer.serve(request, isFirstOnConnection),
       {
         requestIdName,
--- a/packages/lentillb/src/utils/pendingInput.ts
+++ b/packages/lentillb/src/utils/pendingInput.ts
@@ -17,11 +17,40 @@
 /** The maximum age of the state of a connection on which a decision is based, in milliseconds. */
 export const MAX_INPUT_AGE_MS = 20;
 
-/** Tracks the time up to which the input of this process has been read. */
+/**
+ * The number of polls in a row that may each take longer than the maximum age. After them, decisions
+ * are made right behind a poll: a process that is busy reading would never decide otherwise.
+ */
+const MAX_LONG_POLLS = 2;
+
+type Continuation = () => void;
+
+/**
+ * Reads pending input on behalf of all decisions that wait for it: one poll of the sockets serves those
+ * that can be made before its result is too old, in the order in which they came; the others wait for
+ * another poll. Decisions to send precede those on arrivals, because they came earlier and hold slots.
+ */
 export class PendingInputTracker {
+  /** The time up to which all input has been read, in milliseconds. */
   private readUpToMs = -Infinity;
 
-  /** @param clock - the clock by which the age of the last read is measured */
+  /** The time from which the age of the state is counted for decisions, in milliseconds. */
+  private currentFromMs = -Infinity;
+
+  private longPolls = 0;
+
+  private isPolling = false;
+
+  /** The decisions that wait for a recent state. */
+  private readonly sends: Continuation[] = [];
+
+  /** The decisions that wait for a poll which began after they did. */
+  private readonly arrivals: Continuation[] = [];
+
+  /** The number of arrivals that the last poll covers. */
+  private coveredArrivals = 0;
+
+  /** @param clock - the clock by which the age of the state is measured */
   constructor(private readonly clock: Clock) {}
 
   /** @returns how old the state of the connections is at most, in milliseconds */
@@ -29,19 +58,79 @@
     return this.clock.monotonicMs() - this.readUpToMs;
   }
 
-  /** Waits until all input that arrived before this call has been read. */
-  async waitUntilRead(): Promise<void> {
-    const calledAtMs = this.clock.monotonicMs();
-    await waitForPendingInput();
-    this.readUpToMs = Math.max(this.readUpToMs, calledAtMs);
+  /** @returns whether the state of the connections is recent enough to decide on it */
+  isCurrent(): boolean {
+    return this.clock.monotonicMs() - this.currentFromMs <= MAX_INPUT_AGE_MS;
+  }
+
+  /** Waits until all input that arrived before this call has been read, and the state is recent. */
+  waitUntilRead(): Promise<void> {
+    return this.enqueue(this.arrivals);
+  }
+
+  /** Waits until the state is recent; returns at once if it is. */
+  waitUntilCurrent(): Promise<void> {
+    return this.isCurrent() ? Promise.resolve() : this.enqueue(this.sends);
+  }
+
+  private enqueue(queue: Continuation[]): Promise<void> {
+    return new Promise((resolve) => {
+      queue.push(resolve);
+      if (!this.isPolling) {
+        this.isPolling = true;
+        setImmediate(() => this.poll());
+      }
+    });
+  }
+
+  /** Lets the event loop poll the sockets once. Called at the end of a turn. */
+  private poll(): void {
+    const startedMs = this.clock.monotonicMs();
+    const count = this.sends.length + this.arrivals.length;
+    const covered = this.arrivals.length;
+    // These run after the poll, each with what it continues, before the event loop polls again.
+    for (let index = 0; index < count; index += 1) {
+      setImmediate(() => {
+        if (index === 0) {
+          this.recordPoll(startedMs, covered);
+        }
+        this.releaseNext();
+        if (index === count - 1) {
+          this.pollAgain();
+        }
+      });
+    }
+  }
+
+  private recordPoll(startedMs: number, covered: number): void {
+    const endedMs = this.clock.monotonicMs();
+    const isLong = endedMs - startedMs > MAX_INPUT_AGE_MS;
+    this.longPolls = isLong ? this.longPolls + 1 : 0;
+    this.readUpToMs = startedMs;
+    this.currentFromMs = this.longPolls >= MAX_LONG_POLLS ? endedMs : startedMs;
+    this.coveredArrivals = covered;
+  }
+
+  /** Continues the next decision, unless the state has become too old for it. */
+  private releaseNext(): void {
+    if (!this.isCurrent()) {
+      return;
+    }
+    const send = this.sends.shift();
+    if (send !== undefined) {
+      send();
+      return;
+    }
+    if (this.coveredArrivals > 0) {
+      this.coveredArrivals -= 1;
+      this.arrivals.shift()?.();
+    }
   }
 
-  /**
-   * Waits in the same way, unless all input up to `MAX_INPUT_AGE_MS` ago has already been read.
-   */
-  async waitUntilRecentlyRead(): Promise<void> {
-    if (this.ageMs() > MAX_INPUT_AGE_MS) {
-      await this.waitUntilRead();
+  private pollAgain(): void {
+    this.isPolling = this.sends.length + this.arrivals.length > 0;
+    if (this.isPolling) {
+      this.poll();
     }
   }
 }
--- a/tests/sidecar/batches.spec.ts
+++ b/tests/sidecar/batches.spec.ts
@@ -49,7 +49,6 @@
 }
 
 function raiseCostOfSending(): void {
-   
   const { send } = RequestSender.prototype;
   vi.spyOn(RequestSender.prototype, 'send').mockImplementation(function sendSlowly(
     this: RequestSender,
