State the time that is left when a request is written, and count it at the gate from its arrival

Callers saw nothing; backend servers and gates worked longer than the caller waited. A request states the time left when it is handed to a connection, but on a new one it is written only once that is established, up to 250 ms later; the gate of another host counted the deadline from when it had decoded the request, after it had waited for pending input. Headers that depend on the time are now built at the write, and the gate counts from the arrival.

--- a/packages/lentillb/src/serving/backendServerClient.ts
+++ b/packages/lentillb/src/serving/backendServerClient.ts
@@ -135,8 +135,7 @@
     { address, instanceId, usualServiceMs }: BackendTarget,
   ): Promise<Result<ExchangeAnswer, ExchangeFailure>> {
     const sentAtMs = this.clock.monotonicMs();
-    const remainingMs = Math.max(0, Math.floor(request.deadlineAtMs - sentAtMs));
-    const { body, headers, method } = request;
+    const { body, deadlineAtMs, headers, method } = request;
     this.listener.onSent();
     // The run may just be a long one, so its own connection is kept until the deadline.
     const awaited = this.pool.recordRequest(
@@ -149,10 +148,13 @@
       address,
       headers: {
         ...headers,
-        [this.names.deadlineMs]: `${remainingMs}`,
         [this.names.expectedInstance]: instanceId,
         ...(body.length > 0 || method !== 'GET' ? { 'content-length': `${body.length}` } : {}),
       },
+      headersAtSend: () => {
+        const remainingMs = Math.max(0, Math.floor(deadlineAtMs - this.clock.monotonicMs()));
+        return { [this.names.deadlineMs]: `${remainingMs}` };
+      },
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       answerGraceMs: ANSWER_GRACE_MS,
       // A copy of a refusal would promise that the next request has not run.
--- a/packages/lentillb/src/serving/exchange.ts
+++ b/packages/lentillb/src/serving/exchange.ts
@@ -38,6 +38,8 @@
   readonly method: string;
   readonly target: string;
   readonly headers: HeaderFields;
+  /** Returns further headers, whose values depend on the time at which the request is written. */
+  readonly headersAtSend?: () => HeaderFields;
   readonly body: Buffer;
   /** The time limit for the connection, in milliseconds. */
   readonly connectTimeoutMs: number;
@@ -217,6 +219,9 @@
   private send(socket: Socket): void {
     if (!this.done) {
       this.sent = true;
+      Object.entries(this.request.headersAtSend?.() ?? {}).forEach(([name, value]) =>
+        this.outgoing.setHeader(name, value),
+      );
       this.outgoing.end(this.request.body);
       this.request.onSent?.({
         socket,
--- a/packages/lentillb/src/serving/gateForwarder.ts
+++ b/packages/lentillb/src/serving/gateForwarder.ts
@@ -13,7 +13,7 @@
 import { ExchangeFailure } from './exchange.js';
 import type { Gate } from './gate.js';
 import type { GateProcesses } from './gateProcesses.js';
-import { decodeReply, deliveryKeyOf, requestHeaders } from './gateProtocol.js';
+import { decodeReply, deliveryKeyOf, descriptionHeader } from './gateProtocol.js';
 import type { ListenProbe } from './listenProbe.js';
 import type { ForwardedRequest, ForwardFailure, GateReply } from './messages.js';
 import { FailureCause } from './messages.js';
@@ -188,10 +188,8 @@
       receiver: Receiver.Gate,
       agent: this.pool,
       address: endpoint.gateAddress,
-      headers: {
-        ...requestHeaders(clock, request),
-        'content-length': `${request.body.length}`,
-      },
+      headers: { ...request.headers, 'content-length': `${request.body.length}` },
+      headersAtSend: () => descriptionHeader(clock, request),
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       answerGraceMs: ANSWER_GRACE_MS,
       isTerse: true,
--- a/packages/lentillb/src/serving/gateProtocol.ts
+++ b/packages/lentillb/src/serving/gateProtocol.ts
@@ -26,13 +26,13 @@
 const waitLimits = Object.values(WaitLimit);
 
 /**
- * Encodes the headers of a request to another node.
+ * Describes a request to another node. The times in the description count from now.
  *
  * @param clock - the clock that the times in the request refer to
  * @param request - the request to send
- * @returns the headers of the request
+ * @returns the header with the description, to be sent with those of the caller
  */
-export function requestHeaders(clock: Clock, request: ForwardedRequest): HeaderFields {
+export function descriptionHeader(clock: Clock, request: ForwardedRequest): HeaderFields {
   const nowMs = clock.monotonicMs();
   const fields = [
     encodeURIComponent(request.service),
@@ -45,7 +45,7 @@
     request.waitLimit,
     ...(request.transmission > 1 ? [`${request.transmission}`] : []),
   ];
-  return { ...request.headers, [REQUEST_HEADER]: fields.join(' ') };
+  return { [REQUEST_HEADER]: fields.join(' ') };
 }
 
 /** A request as it arrives at the node of a backend server. */
@@ -55,20 +55,20 @@
   readonly headers: IncomingHttpHeaders;
   readonly body: Buffer;
   readonly cancellation: Cancellation;
+  /** The arrival time, in milliseconds of the monotonic clock. */
+  readonly arrivedAtMs: number;
 }
 
 /**
  * Decodes a request from another node.
  *
- * @param clock - the clock of this node
  * @param names - the header names of callers
  * @param arrived - the request as it arrived
  * @returns the decoded request, or undefined if it does not follow this protocol
  */
 export function decodeRequest(
-  clock: Clock,
   names: HeaderNames,
-  { body, cancellation, headers, method, target }: ArrivedRequest,
+  { arrivedAtMs, body, cancellation, headers, method, target }: ArrivedRequest,
 ): ForwardedRequest | undefined {
   const value = headers[REQUEST_HEADER];
   const [serviceText, routeText, priorityText, repeatable, ...rest] =
@@ -83,7 +83,6 @@
   if (service === undefined || route === undefined || waitLimit === undefined || !isNumeric) {
     return undefined;
   }
-  const nowMs = clock.monotonicMs();
   const requestId = headers[names.requestId];
   return {
     requestId: typeof requestId === 'string' ? requestId : '',
@@ -96,8 +95,8 @@
     priority,
     repeatable: repeatable === '1',
     targetLatencyMs,
-    targetAtMs: nowMs + targetMs,
-    deadlineAtMs: nowMs + deadlineMs,
+    targetAtMs: arrivedAtMs + targetMs,
+    deadlineAtMs: arrivedAtMs + deadlineMs,
     waitLimit,
     transmission: Number.isInteger(transmission) ? transmission : 1,
     cancellation,
--- a/packages/lentillb/src/serving/gateServer.ts
+++ b/packages/lentillb/src/serving/gateServer.ts
@@ -51,7 +51,7 @@
   }
 
   private async answerRequest(request: CallerRequest): Promise<EntryAnswer> {
-    const forwarded = decodeRequest(this.services.clock, this.options.names, request);
+    const forwarded = decodeRequest(this.options.names, request);
     if (forwarded === undefined) {
       return { status: HttpStatus.BadRequest, headers: {}, body: Buffer.alloc(0) };
     }
--- a/packages/lentillb/src/serving/requestSender.ts
+++ b/packages/lentillb/src/serving/requestSender.ts
@@ -14,7 +14,7 @@
 /** The receiver of a request, and what differs between receivers. */
 export interface Destination extends Pick<
   ExchangeRequest,
-  'agent' | 'address' | 'headers' | 'isTerse' | 'mayReuse' | 'onSent'
+  'agent' | 'address' | 'headers' | 'headersAtSend' | 'isTerse' | 'mayReuse' | 'onSent'
 > {
   readonly receiver: Receiver;
   /** The time limit for the connection, in milliseconds. */
--- a/tests/sidecar/absentCallers.spec.ts
+++ b/tests/sidecar/absentCallers.spec.ts
@@ -3,7 +3,7 @@
 import { respondSuccessfully } from '@lentillb/standins';
 import type { Run } from '@lentillb/standins';
 import { Cancellation } from 'lentillb/calls/cancellation.js';
-import { requestHeaders } from 'lentillb/serving/gateProtocol.js';
+import { encodeHeaders } from '../support/forwardedRequest.js';
 import { WaitLimit } from 'lentillb/serving/slotQueue.js';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { blockEventLoop } from '../support/blockEventLoop.js';
@@ -47,7 +47,7 @@
 /** Builds a request in the form in which the node of another host sends it to the gate. */
 function forwardedRequestOf(id: string): RawRequest {
   const nowMs = fleet.clock.monotonicMs();
-  const headers = requestHeaders(fleet.clock, {
+  const headers = encodeHeaders(fleet.clock, {
     requestId: id,
     method: 'GET',
     target: '/a/page',
--- a/tests/sidecar/silentConnections.spec.ts
+++ b/tests/sidecar/silentConnections.spec.ts
@@ -1,12 +1,11 @@
 import { respondSuccessfully } from '@lentillb/standins';
 import { Deadline } from 'lentillb';
 import { encodeQuestions, inquiryHeaders } from 'lentillb/serving/deliveryProtocol.js';
-import { requestHeaders } from 'lentillb/serving/gateProtocol.js';
 import { Topic } from 'lentillb/store/keyedStore.js';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { Relay } from '../../soak/dist/relay.js';
 import { blockEventLoop } from '../support/blockEventLoop.js';
-import { createForwardedRequest } from '../support/forwardedRequest.js';
+import { createForwardedRequest, encodeHeaders } from '../support/forwardedRequest.js';
 import { freeAddress } from '../support/freeAddress.js';
 import { RawConnection } from '../support/rawConnection.js';
 import { addRelayedHost } from '../support/relayedHost.js';
@@ -159,7 +158,7 @@
     const connection = await RawConnection.open(gateAddress);
     const inquirer = await RawConnection.open(gateAddress);
     const headersOf = (requestId: string): Record<string, string> =>
-      requestHeaders(
+      encodeHeaders(
         fleet.clock,
         createForwardedRequest(fleet.clock, {
           requestId,
--- a/tests/support/deliverySimulation.ts
+++ b/tests/support/deliverySimulation.ts
@@ -17,13 +17,13 @@
 import type { EntryAnswer } from 'lentillb/serving/entry.js';
 import { ExchangeFailure } from 'lentillb/serving/exchange.js';
 import { GateProcesses } from 'lentillb/serving/gateProcesses.js';
-import { deliveryKeyOf, processIdOf, requestHeaders } from 'lentillb/serving/gateProtocol.js';
+import { deliveryKeyOf, processIdOf } from 'lentillb/serving/gateProtocol.js';
 import { GateServer } from 'lentillb/serving/gateServer.js';
 import type { ForwardedRequest, GateReply } from 'lentillb/serving/messages.js';
 import { FailureCause } from 'lentillb/serving/messages.js';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
-import { createForwardedRequest } from './forwardedRequest.js';
+import { createForwardedRequest, encodeHeaders } from './forwardedRequest.js';
 import { HostClock } from './hostClock.js';
 
 const GATE_ADDRESS = 'gate:1';
@@ -278,7 +278,7 @@
       return;
     }
     const { plan } = tracked;
-    this.serve(process, requestHeaders(this.gateClock, forwarded), forwarded.target, (answer) => {
+    this.serve(process, encodeHeaders(this.gateClock, forwarded), forwarded.target, (answer) => {
       if (plan.returnMs !== undefined) {
         this.schedule(this.nowMs + plan.returnMs, () =>
           this.readAtSender(() => this.receiveAnswer(tracked, answer)),
--- a/tests/support/forwardedRequest.ts
+++ b/tests/support/forwardedRequest.ts
@@ -1,6 +1,8 @@
 /** Creates requests as an entry forwards them to a gate. */
 import type { Clock } from 'lentillb';
+import type { HeaderFields } from 'lentillb/calls/callHeaders.js';
 import { Cancellation } from 'lentillb/calls/cancellation.js';
+import { descriptionHeader } from 'lentillb/serving/gateProtocol.js';
 import type { ForwardedRequest } from 'lentillb/serving/messages.js';
 import { WaitLimit } from 'lentillb/serving/slotQueue.js';
 
@@ -35,3 +37,12 @@
     ...fields,
   };
 }
+
+/**
+ * @param clock - the clock that the times in the request refer to
+ * @param request - the request
+ * @returns the headers with which the node of another host sends the request to a gate
+ */
+export function encodeHeaders(clock: Clock, request: ForwardedRequest): HeaderFields {
+  return { ...request.headers, ...descriptionHeader(clock, request) };
+}
