Soak: send batches on kept connections whose callers leave together, to nodes that send slowly

Two faults more, drawn last so that kept seeds play the same faults as before: 200 callers on kept connections send together and leave after 100 to 160 ms, three times, at a running node or one that has just started.

--- a/soak/src/caller.ts
+++ b/soak/src/caller.ts
@@ -103,12 +103,13 @@
    *
    * @param id - the identity of the request, which is also its body
    * @param route - the route to send it on
+   * @param leaveAfterMs - the time after which the caller leaves, in milliseconds; by default it is drawn
    */
-  async send(id: string, route: RouteName): Promise<void> {
+  async send(id: string, route: RouteName, leaveAfterMs = this.drawAbortDelayMs()): Promise<void> {
     const { clock, record } = this.services;
     const { address, hostIndex, processNumber } = this.node();
     const sentAtMs = clock.monotonicMs();
-    const result = await this.exchange(id, route, address);
+    const result = await this.exchange(id, route, address, leaveAfterMs);
     const endedAtMs = clock.monotonicMs();
     record.requests.push({
       id,
@@ -122,7 +123,12 @@
     });
   }
 
-  private exchange(id: string, route: RouteName, address: string): Promise<RequestResult> {
+  private exchange(
+    id: string,
+    route: RouteName,
+    address: string,
+    leaveAfterMs: number,
+  ): Promise<RequestResult> {
     return new Promise((resolve) => {
       const outgoing = openRequest({
         agent: this.agent,
@@ -136,7 +142,7 @@
           'content-length': Buffer.byteLength(id),
         },
       });
-      const cancelAbort = this.scheduleAbort(outgoing, resolve);
+      const cancelAbort = this.scheduleAbort(outgoing, leaveAfterMs, resolve);
       const cancelTimeout = this.services.clock.after(
         this.options.deadlineMs + LATE_RESPONSE_MS,
         () => {
@@ -181,18 +187,26 @@
     });
   }
 
-  /** Aborts a random share of the requests; the returned function cancels the abort. */
+  /** Draws after which time the caller leaves: infinite for most requests. */
+  private drawAbortDelayMs(): number {
+    const { randomness } = this.services;
+    const { abortOneIn } = this.options;
+    if (!Number.isFinite(abortOneIn) || randomness.integer(abortOneIn) > 0) {
+      return Infinity;
+    }
+    return ABORT_DELAY_MS.min + randomness.integer(ABORT_DELAY_MS.spread);
+  }
+
+  /** Aborts a request after a time; the returned function cancels the abort. */
   private scheduleAbort(
     outgoing: ClientRequest,
+    delayMs: number,
     resolve: (result: RequestResult) => void,
   ): () => void {
-    const { clock, randomness } = this.services;
-    const { abortOneIn } = this.options;
-    if (!Number.isFinite(abortOneIn) || randomness.integer(abortOneIn) > 0) {
+    if (!Number.isFinite(delayMs)) {
       return () => undefined;
     }
-    const delayMs = ABORT_DELAY_MS.min + randomness.integer(ABORT_DELAY_MS.spread);
-    return clock.after(delayMs, () => {
+    return this.services.clock.after(delayMs, () => {
       resolve({
         outcome: RequestOutcome.Aborted,
         detail: `after ${delayMs} ms`,
--- a/soak/src/faults.ts
+++ b/soak/src/faults.ts
@@ -215,6 +215,28 @@
   },
 };
 
+/** The time that a node takes to start, in milliseconds. */
+const START_MS = 1_000;
+
+/** Batches of requests whose callers leave together, at slow nodes and at those that have just started. */
+export const batchFaults: Readonly<Record<string, Fault>> = {
+  'batches at a slow node': {
+    kind: DisturbanceKind.Freeze,
+    affectsAllHosts: false,
+    inject: ({ host }) => host.sendBatches(),
+  },
+  'batches at a cold node': {
+    kind: DisturbanceKind.Freeze,
+    affectsAllHosts: false,
+    inject: async ({ clock, host }) => {
+      await host.stopNode();
+      host.startNode();
+      await clock.sleep(START_MS);
+      await host.sendBatches();
+    },
+  },
+};
+
 /** The faults that are drawn after all others, in the order in which they were added. */
 export const laterFaults: readonly Readonly<Record<string, Fault>>[] = [
   additionalFaults,
@@ -222,6 +244,7 @@
   silenceFaults,
   gateRelayFaults,
   seriesFaults,
+  batchFaults,
 ];
 
 /** The faults by printed name; a seed selects them by their order. */
--- a/soak/src/soakHost.ts
+++ b/soak/src/soakHost.ts
@@ -39,6 +39,8 @@
   readonly folder: string;
   /** Whether the connections of other nodes to this one lead through a relay. */
   readonly hasGateRelay: boolean;
+  /** Whether it takes the node long to send many requests together. */
+  readonly hasSlowSends: boolean;
 }
 
 const SLOTS = 8;
@@ -56,8 +58,18 @@
 /** The longest run under a planned stop, in milliseconds, and the time between two such requests. */
 const MAX_SLOW_MS = 4_500;
 const SLOW_INTERVAL_MS = 120;
+/** The number of callers that send and leave together. */
+const BATCH_SIZE = 200;
+/** The times after which the callers of the batches leave, in milliseconds. */
+const BATCH_STAYS_MS = [100, 130, 160] as const;
+/** The time that the callers of a batch give for an answer, in milliseconds. */
+const BATCH_DEADLINE_MS = 800;
+/** The pause between two batches, in milliseconds: what is sent too late arrives within it. */
+const BATCH_PAUSE_MS = 1_500;
 /** Lets the gate listen behind its relay. */
 const GATE_RELAY_HOOK = new URL('./gateRelayHook.js', import.meta.url).href;
+/** Makes it costly for a node to send many requests in one turn. */
+const SLOW_SEND_HOOK = new URL('./slowSendHook.js', import.meta.url).href;
 /** The time after which a backend server that ended is replaced, in milliseconds. */
 const REPLACEMENT_DELAY_MS = 800;
 
@@ -100,6 +112,8 @@
 
   private slowCount = 0;
 
+  private batchedCount = 0;
+
   private closed = false;
 
   private readonly log: WriteStream;
@@ -181,11 +195,15 @@
     }
     this.processNumber += 1;
     this.exitExpected = false;
-    const { hasGateRelay, index, program } = this.options;
+    const { hasGateRelay, hasSlowSends, index, program } = this.options;
     if (hasGateRelay) {
       runInBackground(this.toGate.listen(this.addresses.inbound));
     }
-    const hookArgs = hasGateRelay ? ['--import', GATE_RELAY_HOOK] : [];
+    const hooks = [
+      ...(hasGateRelay ? [GATE_RELAY_HOOK] : []),
+      ...(hasSlowSends ? [SLOW_SEND_HOOK] : []),
+    ];
+    const hookArgs = hooks.flatMap((hook) => ['--import', hook]);
     const child = spawnChildProcess(['--max-old-space-size=96', ...hookArgs, program], {
       ...process.env,
       LENTILLB_SETTINGS: this.settingsFile,
@@ -301,6 +319,33 @@
     this.startNode();
   }
 
+  /**
+   * Sends batches of requests on kept connections to the node. The callers of a batch leave together
+   * before a slow node has sent them all on.
+   */
+  async sendBatches(): Promise<void> {
+    const { clock } = this.services;
+    const caller = new Caller(this.services, () => this.target, {
+      maxConnections: BATCH_SIZE,
+      deadlineMs: BATCH_DEADLINE_MS,
+      abortOneIn: Infinity,
+    });
+    const sendAll = async (leaveAfterMs: number): Promise<void> => {
+      const sent = Array.from({ length: BATCH_SIZE }, () => {
+        this.batchedCount += 1;
+        const id = `batched-${this.options.index}-${this.batchedCount}`;
+        return caller.send(id, RouteName.Browse, leaveAfterMs);
+      });
+      await Promise.all(sent);
+    };
+    for (const stayMs of BATCH_STAYS_MS) {
+      await sendAll(Infinity);
+      await sendAll(stayMs);
+      await clock.sleep(BATCH_PAUSE_MS);
+    }
+    caller.close();
+  }
+
   /** @param frozen - whether to suspend the node process or to resume it */
   freeze(frozen: boolean): void {
     this.isFrozen = frozen;
--- a/soak/src/soakRun.ts
+++ b/soak/src/soakRun.ts
@@ -5,8 +5,8 @@
 import { SeededRandomness } from 'lentillb/sidecar';
 import type { Clock } from 'lentillb/sidecar';
 import { Caller } from './caller.js';
-import type { FaultTarget } from './faults.js';
-import { faults, gateRelayFaults, laterFaults } from './faults.js';
+import type { Fault, FaultTarget } from './faults.js';
+import { batchFaults, faults, gateRelayFaults, laterFaults } from './faults.js';
 import type { Finding } from './invariants.js';
 import { findViolations } from './invariants.js';
 import {
@@ -19,6 +19,7 @@
 import type { ScheduledFault } from './schedule.js';
 import { drawSchedule } from './schedule.js';
 import { SoakHost } from './soakHost.js';
+import type { HostOptions } from './soakHost.js';
 import { DisturbanceKind, SoakRecord } from './soakRecord.js';
 import type { Disturbance } from './soakRecord.js';
 
@@ -80,7 +81,12 @@
     const { clock, record } = this;
     const { hostCount, seed } = this.options;
     const schedule = drawSchedule(this.randomness, hostCount);
-    await this.start(schedule.faults.some(({ name }) => Object.hasOwn(gateRelayFaults, name)));
+    const hasFaultOf = (group: Readonly<Record<string, Fault>>): boolean =>
+      schedule.faults.some(({ name }) => Object.hasOwn(group, name));
+    await this.start({
+      hasGateRelay: hasFaultOf(gateRelayFaults),
+      hasSlowSends: hasFaultOf(batchFaults),
+    });
     const callers = this.hosts.map(
       (host) => new Caller({ clock, randomness: this.randomness, record }, () => host.target),
     );
@@ -111,7 +117,7 @@
     };
   }
 
-  private async start(hasGateRelay: boolean): Promise<void> {
+  private async start(hooks: Pick<HostOptions, 'hasGateRelay' | 'hasSlowSends'>): Promise<void> {
     const { clock, randomness, record } = this;
     const { folder, hostCount, loopbackOctet, program } = this.options;
     await mkdir(folder, { recursive: true });
@@ -130,7 +136,7 @@
             storeAddress: this.store.address,
             program,
             folder: path.resolve(folder),
-            hasGateRelay,
+            ...hooks,
           },
         ),
     );
--- a/tests/soak/soakHost.spec.ts
+++ b/tests/soak/soakHost.spec.ts
@@ -36,6 +36,7 @@
       program,
       folder,
       hasGateRelay: false,
+      hasSlowSends: false,
     },
   );
 });
