Take the time that a connection waited to be accepted off the deadline of its request

Class: the state that is older than what has arrived, here the deadline. While a node accepts four or more connections in 100 ms, it connects to its own listener, ten times a second at most. The queue is in order, so what is accepted while such a connection is outstanding has waited for at least as long. The first request of a connection counts from then, at both hops; one whose time is over is refused as not run, by the rule that stands in CallerPresence. accept_delay_ms is the metric.

--- a/packages/lentillb/src/serving/callerListener.ts
+++ b/packages/lentillb/src/serving/callerListener.ts
@@ -11,6 +11,7 @@
 import type { CallerPresence } from '../calls/callerPresence.js';
 import type { CallerLimits } from '../configuration/meshConfiguration.js';
 import type { Clock } from '../kernel/clock.js';
+import type { AcceptDelay } from './acceptDelay.js';
 import type { CallerRequest, EntryAnswer } from './entry.js';
 
 /** The longest request head that the parser accepts; the configuration may set a lower limit. */
@@ -88,12 +89,16 @@
 
   private active = 0;
 
-  /** The connections on which no request has arrived yet. */
-  private readonly unusedConnections = new Set<Socket>();
+  /**
+   * The connections on which no request has arrived yet, with how long each waited to be accepted at
+   * least, in milliseconds.
+   */
+  private readonly unusedConnections = new Map<Socket, number>();
 
   constructor(
     private readonly clock: Clock,
     private readonly presence: Pick<CallerPresence, 'awaitArrival'>,
+    private readonly acceptDelay: Pick<AcceptDelay, 'close' | 'recordAccepted' | 'start'>,
     private readonly handle: RequestHandler,
     private readonly options: ListenerOptions,
   ) {
@@ -110,7 +115,7 @@
       },
     );
     this.server.on('connection', (socket) => {
-      this.unusedConnections.add(socket);
+      this.unusedConnections.set(socket, this.acceptDelay.recordAccepted(socket));
       socket.once('close', () => this.unusedConnections.delete(socket));
     });
     closeIdleAfterPendingInput(this.server);
@@ -129,7 +134,9 @@
    */
   async listen(address: string): Promise<number> {
     const { host, port } = parseAddress(address);
-    return listenAt(this.server, { host, port, backlog: ACCEPT_BACKLOG });
+    const boundPort = await listenAt(this.server, { host, port, backlog: ACCEPT_BACKLOG });
+    this.acceptDelay.start(`${host}:${boundPort}`);
+    return boundPort;
   }
 
   /**
@@ -154,6 +161,7 @@
    * is not idle if a request has arrived on it but has not been read yet.
    */
   async stopGracefully(): Promise<void> {
+    this.acceptDelay.close();
     await acceptEstablished(this.server);
     stopAccepting(this.server);
     await waitForPendingInput();
@@ -162,12 +170,14 @@
 
   /** Stops accepting connections at once, and closes idle ones. */
   close(): void {
+    this.acceptDelay.close();
     stopAccepting(this.server);
     this.server.closeIdleConnections();
   }
 
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const arrivedAtMs = this.clock.monotonicMs();
+    const unreadMs = this.unusedConnections.get(request.socket) ?? 0;
+    const arrivedAtMs = this.clock.monotonicMs() - unreadMs;
     const cancellation = cancelOnDisconnect(request, response);
     this.active += 1;
     response.once('close', () => {
@@ -185,7 +195,7 @@
     // its connection only after the request. This wait notices callers that have already left.
     await this.presence.awaitArrival();
     const answer = await this.handle(
-      { method, target: url, headers, body, cancellation, arrivedAtMs },
+      { method, target: url, headers, body, cancellation, arrivedAtMs, unreadMs },
       isFirstOnConnection,
     );
     this.bufferedBytes -= body.length;
--- a/packages/lentillb/src/serving/gateProtocol.ts
+++ b/packages/lentillb/src/serving/gateProtocol.ts
@@ -55,8 +55,10 @@
   readonly headers: IncomingHttpHeaders;
   readonly body: Buffer;
   readonly cancellation: Cancellation;
-  /** The arrival time, in milliseconds of the monotonic clock. */
+  /** The arrival time, in milliseconds of the monotonic clock; before the request could be read. */
   readonly arrivedAtMs: number;
+  /** The time for which the request lay unread at least, in milliseconds. */
+  readonly unreadMs?: number;
 }
 
 /**
@@ -68,7 +70,7 @@
  */
 export function decodeRequest(
   names: HeaderNames,
-  { arrivedAtMs, body, cancellation, headers, method, target }: ArrivedRequest,
+  { arrivedAtMs, body, cancellation, headers, method, target, unreadMs }: ArrivedRequest,
 ): ForwardedRequest | undefined {
   const value = headers[REQUEST_HEADER];
   const [serviceText, routeText, priorityText, repeatable, ...rest] =
@@ -99,6 +101,7 @@
     deadlineAtMs: arrivedAtMs + deadlineMs,
     waitLimit,
     transmission: Number.isInteger(transmission) ? transmission : 1,
+    unreadMs,
     cancellation,
   };
 }
--- a/tests/support/disconnectingCallers.ts
+++ b/tests/support/disconnectingCallers.ts
@@ -30,16 +30,18 @@
  *
  * @param address - the address and port to connect to
  * @param requests - the requests
+ * @param delayMs - the time between the connection of each caller and its disconnection
  * @returns the thread, which sends a message and ends after all callers have disconnected
  */
 export function startDisconnectingCallers(
   address: string,
   requests: readonly RawRequest[],
+  delayMs = DISCONNECT_DELAY_MS,
 ): Worker {
   const { host, port } = parseAddress(address);
   const encoded = requests.map(encodeRequest);
   return new Worker(WORKER_SOURCE, {
     eval: true,
-    workerData: { host, port, requests: encoded, delayMs: DISCONNECT_DELAY_MS },
+    workerData: { host, port, requests: encoded, delayMs },
   });
 }
