Don't count a deadline that passed before a request was sent against its receiver

A request that the gate refuses because its deadline passed between its slot and its send counted as a failure of the backend server, and one that the entry refuses itself as one of the host, so both were avoided for a while by the delay of their own caller. Since the time in the accept queue counts, that comes more often. Both tests failed before: a failure share of 0.15 at the gate (pausedProcess.spec.ts; that assertion is new), and a failure recorded for the hosts asked (entry.spec.ts).

--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -404,10 +404,13 @@
       return;
     }
     const { cause } = result.error;
+    if (report === undefined && UNRELATED_TO_HOST.has(cause)) {
+      return;
+    }
     if (isServerFailure(result.error)) {
       observation.recordOutcome(true);
     }
-    if (report === undefined && !UNRELATED_TO_HOST.has(cause)) {
+    if (report === undefined) {
       observation.recordUnreachable();
     }
   }
--- a/packages/lentillb/src/serving/gate.ts
+++ b/packages/lentillb/src/serving/gate.ts
@@ -92,6 +92,11 @@
   return result.isOk() ? result.value.status >= SERVER_ERROR : isServerFailure(result.error);
 }
 
+/** Returns whether the deadline of a request passed between its slot and its send. */
+function hasExpired(result: GateResult): boolean {
+  return result.isErr() && result.error.cause === FailureCause.WaitedTooLong;
+}
+
 /** Admits requests to the backend server on this host. */
 export class Gate {
   private closing = false;
@@ -174,7 +179,9 @@
       const sent = await this.send(request);
       serviceMs = clock.monotonicMs() - startedMs;
       slot.release(serviceTimeSampleOf(sent));
-      this.failureShare.record(hasServerFailed(sent));
+      if (!hasExpired(sent)) {
+        this.failureShare.record(hasServerFailed(sent));
+      }
       return sent;
     });
     this.active -= 1;
--- a/tests/serving/entry.spec.ts
+++ b/tests/serving/entry.spec.ts
@@ -200,6 +200,10 @@
     cancellations,
     clock,
     configuration,
+    observationOf: (host: string) => {
+      const endpoint = directory.endpointsOf('s').find((one) => one.host === host);
+      return observations.of(endpoint!);
+    },
     receivedReplies,
     serve,
     silentReplies,
@@ -210,6 +214,16 @@
 const scripts = fc.array(fc.constantFrom(...Object.values(ScriptedReply)), { maxLength: 6 });
 
 describe('entry', () => {
+  it('should not avoid a host because the deadline passed before a request could be sent there', async () => {
+    const { askedHosts, observationOf, serve, silentReplies } = fixture(Repetition.Repeat, 0);
+    const expired = failure(Outcome.NotRun, FailureCause.WaitedTooLong, false);
+    silentReplies.push(...HOSTS.map(() => Promise.resolve(expired)));
+    const { status } = await serve([]);
+    expect(status).toBe(503);
+    expect(askedHosts.map((host) => observationOf(host).reachable)).not.toContain(false);
+    expect(askedHosts.every((host) => observationOf(host).failureShare() === 0)).toBe(true);
+  });
+
   it('should not send a non-repeatable request again after it may have run', async () => {
     await fc.assert(
       fc.asyncProperty(scripts, async (script) => {
--- a/tests/serving/pausedProcess.spec.ts
+++ b/tests/serving/pausedProcess.spec.ts
@@ -131,5 +131,7 @@
     });
     expect(sent).toBe(0);
     expect(slots.load.running).toBe(0);
+    // The delay of this process says nothing about its backend server.
+    expect(gate.reportLoad()?.failureShare).toBe(0);
   });
 });
