--- a/packages/lentillb/src/serving/backendServerClient.ts
+++ b/packages/lentillb/src/serving/backendServerClient.ts
@@ -38,7 +38,7 @@
   readonly address: string;
   /** The identity of the run that the request is for. */
   readonly instanceId: string;
-  /** How long a request of this kind usually runs, in milliseconds. */
+  /** The usual duration of a run of this kind of request, in milliseconds. */
   readonly usualServiceMs: number;
 }
 
--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -137,7 +137,7 @@
   /** The cancellations of the requests in flight. */
   private readonly inFlight = new Set<Cancellation>();
 
-  /** How long answered requests took by route, in milliseconds. */
+  /** The usual time until an answer by route, in milliseconds. */
   private readonly usualMsByRoute = new Map<string, SmoothedMean>();
 
   /** The longest deadline of callers by route, in milliseconds: that of a first attempt. */
--- a/packages/lentillb/src/serving/exchange.ts
+++ b/packages/lentillb/src/serving/exchange.ts
@@ -18,7 +18,7 @@
 /** A request that has been sent, and the connection on which its answer is awaited. */
 export interface SentRequest {
   readonly socket: Socket;
-  /** When it was sent, in milliseconds of the monotonic clock. */
+  /** The time at which it was sent, in milliseconds of the monotonic clock. */
   readonly sentAtMs: number;
   /** Whether other answers have come on the connection before. */
   readonly onReusedConnection: boolean;
--- a/packages/lentillb/src/serving/gateForwarder.ts
+++ b/packages/lentillb/src/serving/gateForwarder.ts
@@ -38,14 +38,14 @@
 /** The bandwidth assumed for the body of a request, in bytes per millisecond: a megabit a second. */
 const MIN_BYTES_PER_MS = 125;
 
-/** How long a request may be unanswered before its connection is watched, in milliseconds. */
+/** The time for which a request may be unanswered before its connection is watched, in milliseconds. */
 const MIN_WATCHED_MS = 80;
 
 /** A request to another node whose answer is awaited. */
 interface UnansweredRequest {
   readonly endpoint: GateEndpoint;
   readonly request: ForwardedRequest;
-  /** How long the request was expected to wait and run, in milliseconds. */
+  /** The time for which the request was expected to wait and run, in milliseconds. */
   readonly expectedMs: number;
   /** Set once the request has been sent. */
   sent?: SentRequest;
--- a/packages/lentillb/src/serving/messages.ts
+++ b/packages/lentillb/src/serving/messages.ts
@@ -27,7 +27,7 @@
   /** The monotonic time until which an answer has any value, in milliseconds. */
   readonly deadlineAtMs: number;
   readonly waitLimit: WaitLimit;
-  /** How often the request has been sent to a gate, this time included. */
+  /** The number of times the request has been sent to a gate, this time included. */
   readonly transmission: number;
   /** The time for which the request lay unread at this node at least, in milliseconds. */
   readonly unreadMs?: number;
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -54,11 +54,11 @@
 import { MeshState } from './meshState.js';
 import { PlannedStop } from './plannedStop.js';
 
-/** How long a starting node waits for its own earlier record before it announces itself, in milliseconds. */
+/** The time for which a starting node waits for its own earlier record, in milliseconds. */
 const OWN_RECORD_TIMEOUT_MS = 1_500;
 /** Assumed service time of a request until one has been measured, in milliseconds. */
 const DEFAULT_SERVICE_TIME_MS = 80;
-/** How long a departure waits for the store, in milliseconds; it must be confirmed within a second. */
+/** The time for which a departure waits for the store, in milliseconds; it must be confirmed within a second. */
 const DEPARTURE_WRITE_TIMEOUT_MS = 600;
 /** Idle timeout of connections from other nodes, in milliseconds; longer than that of the other end. */
 const GATE_IDLE_TIMEOUT_MS = 60_000;
@@ -457,7 +457,7 @@
     this.client.close();
   }
 
-  /** How long a departure waits for the store now; it must be confirmed before the node ends. */
+  /** The time for which a departure waits for the store now; it must be confirmed before the node ends. */
   private get departureWriteTimeoutMs(): number {
     return Math.min(DEPARTURE_WRITE_TIMEOUT_MS, this.plannedStop?.remainingMs ?? Infinity);
   }
--- a/soak/src/caller.ts
+++ b/soak/src/caller.ts
@@ -26,7 +26,7 @@
 
 const routes: readonly RouteName[] = [RouteName.Browse, RouteName.Lodge, RouteName.Probe];
 
-/** How a caller sends its requests. */
+/** The way in which a caller sends its requests. */
 export interface CallerOptions {
   readonly maxConnections: number;
   readonly deadlineMs: number;
--- a/soak/src/faults.ts
+++ b/soak/src/faults.ts
@@ -8,7 +8,7 @@
 import { DisturbanceKind } from './soakRecord.js';
 
 const HOSTS_TOPIC = 'keyed.lentillb-hosts';
-/** How long the store is away at most before it returns with an older copy, in milliseconds. */
+/** The longest time for which the store is away before it returns with an older copy, in milliseconds. */
 const MAX_ABSENCE_MS = 1_500;
 /** The number of host records that the older copy lacks. */
 const LOST_RECORDS = 4;
@@ -108,7 +108,7 @@
   },
 };
 
-/** What backend servers state or do under requests; drawn after the additional faults. */
+/** The faults that backend servers state or show under requests; drawn after the additional faults. */
 export const statementFaults: Readonly<Record<string, Fault>> = {
   'stated limit': {
     kind: DisturbanceKind.Planned,
@@ -134,7 +134,7 @@
   },
 };
 
-/** How often open connections go silent in one fault, each time with those opened since. */
+/** The number of times that open connections go silent in one fault, each time with those opened since. */
 const SILENCE_COUNT = 3;
 
 function createSilenceFault(selectRelay: (host: SoakHost) => Relay): Fault {
--- a/soak/src/soakHost.ts
+++ b/soak/src/soakHost.ts
@@ -99,7 +99,7 @@
   /** Whether the node process has written to its log. */
   private hasLogged = false;
 
-  /** How often node processes were killed or suspended. */
+  /** The number of times node processes were killed or suspended. */
   private interruptions = 0;
 
   private backendServer: SoakBackendServer | undefined;
--- a/soak/src/soakRun.ts
+++ b/soak/src/soakRun.ts
@@ -40,7 +40,7 @@
   readonly requests: number;
   readonly answered: number;
   readonly findings: readonly Finding[];
-  /** When the soak test itself was blocked, which blocks its relays too. */
+  /** The times at which the soak test itself was blocked, which blocks its relays too. */
   readonly observerDelays: readonly Disturbance[];
 }
 
--- a/tests/support/deliverySimulation.ts
+++ b/tests/support/deliverySimulation.ts
@@ -31,7 +31,7 @@
 const USUAL_MS = 150;
 /** The age from which requests are watched, in milliseconds. */
 const WATCHED_MS = 80;
-/** How long after a reset data of its connection may still arrive, in milliseconds. */
+/** The time for which data of a connection may still arrive after its reset, in milliseconds. */
 const MAX_ARRIVAL_AFTER_RESET_MS = 9_000;
 
 /** A request and what the network and the gate do with it; times are in milliseconds. */
@@ -41,24 +41,24 @@
   readonly identity: number;
   /** The time until it arrives at the gate; undefined if its connection has lost it. */
   readonly travelMs: number | undefined;
-  /** How long it runs; undefined if the gate refuses it. */
+  /** The duration of its run; undefined if the gate refuses it. */
   readonly runMs: number | undefined;
   /** The time until its answer arrives; undefined if its connection has lost it. */
   readonly returnMs: number | undefined;
 }
 
-/** What happens in a simulation; times are in milliseconds. */
+/** The events of a simulation; times are in milliseconds. */
 export interface SimulatedDay {
   readonly requests: readonly SimulatedRequest[];
   /** The travel times of inquiries and of their replies, taken in turn. */
   readonly inquiryTravelsMs: readonly number[];
-  /** When the process of the gate is replaced. */
+  /** The time at which the process of the gate is replaced. */
   readonly restartsAtMs: readonly number[];
-  /** When the host of the sender is suspended, and for how long. */
+  /** The time at which the host of the sender is suspended, and the duration. */
   readonly suspensions: readonly { readonly atMs: number; readonly durationMs: number }[];
 }
 
-/** What the sender concluded about a request, and when it ran. */
+/** The conclusion of the sender about a request, and the times of its runs. */
 export interface Conclusion {
   readonly fate: LostDelivery | undefined;
   readonly concludedAtMs: number;
@@ -76,7 +76,7 @@
   readonly forwarded: ForwardedRequest;
   readonly socket: { bytesRead: number };
   readonly process: Process;
-  /** When it was sent, in milliseconds of the sender's monotonic clock. */
+  /** The time at which it was sent, in milliseconds of the sender's monotonic clock. */
   readonly sentAtMs: number;
   isSettled: boolean;
   fate?: LostDelivery;
@@ -113,7 +113,7 @@
 
   private readonly events: { readonly atMs: number; readonly act: () => void }[] = [];
 
-  /** What reached the sender while it was suspended. */
+  /** The messages that reached the sender while it was suspended. */
   private readonly unread: (() => void)[] = [];
 
   private readonly senderClock = new HostClock(
