Count the wait in the accept queue only from when the node's own connection was established

Where the accept queue is full, a connection of the node to itself is established only a second later, when it is tried again; until then it stood for a place in the queue that it did not have, and requests that had hardly waited would have been refused. It counts from the event that tells that it is established, which errs towards a shorter wait. One whose address is not known at once is closed.

--- a/packages/lentillb/src/serving/acceptDelay.ts
+++ b/packages/lentillb/src/serving/acceptDelay.ts
@@ -21,7 +21,11 @@
 /** A connection of this process to its own listener that has not been accepted yet. */
 interface Probe {
   readonly socket: Socket;
-  readonly establishedAtMs: number;
+  /**
+   * The time at which it was known to be established, in milliseconds; undefined before. A connection for
+   * which the queue has no room is established only later.
+   */
+  establishedAtMs?: number;
 }
 
 /** Measures the queue of one listener. */
@@ -66,13 +70,13 @@
     if (probe !== undefined) {
       this.endProbe(origin, probe);
       socket.destroy();
-      const waitedMs = nowMs - probe.establishedAtMs;
+      const waitedMs = nowMs - (probe.establishedAtMs ?? nowMs);
       this.services.metrics.observe('accept_delay_ms', waitedMs, { listener: this.listener });
       return waitedMs;
     }
     this.probeIfBusy(nowMs);
     const [oldest] = this.probes.values();
-    return oldest === undefined ? 0 : nowMs - oldest.establishedAtMs;
+    return nowMs - (oldest?.establishedAtMs ?? nowMs);
   }
 
   /** Ends the connections of this process to itself. */
@@ -107,14 +111,19 @@
     socket.once('error', end);
     socket.once('close', end);
     socket.unref();
-    // The connection is established within this turn, and has its local port then.
+    // The connection has its local port once it is being established, in this turn.
     process.nextTick(() => {
       const { address, port } = socket.address() as Partial<AddressInfo>;
-      if (address !== undefined) {
-        origin = `${address}:${port}`;
-        const establishedAtMs = this.services.clock.monotonicMs();
-        this.probes.set(origin, { socket, establishedAtMs });
+      if (address === undefined) {
+        socket.destroy();
+        return;
       }
+      origin = `${address}:${port}`;
+      const probe: Probe = { socket };
+      this.probes.set(origin, probe);
+      socket.once('connect', () => {
+        probe.establishedAtMs = this.services.clock.monotonicMs();
+      });
     });
   }
 
