--- a/packages/lentillb/src/serving/callerListener.ts
+++ b/packages/lentillb/src/serving/callerListener.ts
@@ -11,7 +11,6 @@
 import type { CallerPresence } from '../calls/callerPresence.js';
 import type { CallerLimits } from '../configuration/meshConfiguration.js';
 import type { Clock } from '../kernel/clock.js';
-import type { AcceptDelay } from './acceptDelay.js';
 import type { CallerRequest, EntryAnswer } from './entry.js';
 
 /** The longest request head that the parser accepts; the configuration may set a lower limit. */
@@ -89,16 +88,12 @@
 
   private active = 0;
 
-  /**
-   * The connections on which no request has arrived yet, with how long each waited to be accepted at
-   * least, in milliseconds.
-   */
-  private readonly unusedConnections = new Map<Socket, number>();
+  /** The connections on which no request has arrived yet. */
+  private readonly unusedConnections = new Set<Socket>();
 
   constructor(
     private readonly clock: Clock,
     private readonly presence: Pick<CallerPresence, 'awaitArrival'>,
-    private readonly acceptDelay: Pick<AcceptDelay, 'close' | 'recordAccepted' | 'start'>,
     private readonly handle: RequestHandler,
     private readonly options: ListenerOptions,
   ) {
@@ -115,7 +110,7 @@
       },
     );
     this.server.on('connection', (socket) => {
-      this.unusedConnections.set(socket, this.acceptDelay.recordAccepted(socket));
+      this.unusedConnections.add(socket);
       socket.once('close', () => this.unusedConnections.delete(socket));
     });
     closeIdleAfterPendingInput(this.server);
@@ -134,9 +129,7 @@
    */
   async listen(address: string): Promise<number> {
     const { host, port } = parseAddress(address);
-    const boundPort = await listenAt(this.server, { host, port, backlog: ACCEPT_BACKLOG });
-    this.acceptDelay.start(`${host}:${boundPort}`);
-    return boundPort;
+    return listenAt(this.server, { host, port, backlog: ACCEPT_BACKLOG });
   }
 
   /**
@@ -161,7 +154,6 @@
    * is not idle if a request has arrived on it but has not been read yet.
    */
   async stopGracefully(): Promise<void> {
-    this.acceptDelay.close();
     await acceptEstablished(this.server);
     stopAccepting(this.server);
     await waitForPendingInput();
@@ -170,14 +162,12 @@
 
   /** Stops accepting connections at once, and closes idle ones. */
   close(): void {
-    this.acceptDelay.close();
     stopAccepting(this.server);
     this.server.closeIdleConnections();
   }
 
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const unreadMs = this.unusedConnections.get(request.socket) ?? 0;
-    const arrivedAtMs = this.clock.monotonicMs() - unreadMs;
+    const arrivedAtMs = this.clock.monotonicMs();
     const cancellation = cancelOnDisconnect(request, response);
     this.active += 1;
     response.once('close', () => {
@@ -195,7 +185,7 @@
     // its connection only after the request. This wait notices callers that have already left.
     await this.presence.awaitArrival();
     const answer = await this.handle(
-      { method, target: url, headers, body, cancellation, arrivedAtMs, unreadMs },
+      { method, target: url, headers, body, cancellation, arrivedAtMs },
       isFirstOnConnection,
     );
     this.bufferedBytes -= body.length;
--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -43,10 +43,8 @@
   readonly headers: IncomingHttpHeaders;
   readonly body: Buffer;
   readonly cancellation: Cancellation;
-  /** The arrival time, in milliseconds of the monotonic clock; before the request could be read. */
+  /** The arrival time, in milliseconds of the monotonic clock. */
   readonly arrivedAtMs: number;
-  /** The time for which the request lay unread at least, in milliseconds. */
-  readonly unreadMs?: number;
 }
 
 /** The answer that the caller receives. */
@@ -261,7 +259,7 @@
 
   private toForwardedRequest(request: CallerRequest, route: MeshRoute): ForwardedRequest {
     const { callerService, names } = this.options;
-    const { arrivedAtMs, body, headers, method, target, unreadMs } = request;
+    const { arrivedAtMs, body, headers, method, target } = request;
     const requestedMs = parseIntegerHeader(headers, names.deadlineMs) ?? route.timeoutMs;
     const longestMs = Math.max(requestedMs, this.longestDeadlineMsByRoute.get(route.name) ?? 0);
     this.longestDeadlineMsByRoute.set(route.name, longestMs);
@@ -291,7 +289,6 @@
       ),
       waitLimit: WaitLimit.OnTime,
       transmission: 0,
-      unreadMs,
       cancellation: new Cancellation(),
     };
   }
--- a/packages/lentillb/src/serving/gateProtocol.ts
+++ b/packages/lentillb/src/serving/gateProtocol.ts
@@ -55,10 +55,8 @@
   readonly headers: IncomingHttpHeaders;
   readonly body: Buffer;
   readonly cancellation: Cancellation;
-  /** The arrival time, in milliseconds of the monotonic clock; before the request could be read. */
+  /** The arrival time, in milliseconds of the monotonic clock. */
   readonly arrivedAtMs: number;
-  /** The time for which the request lay unread at least, in milliseconds. */
-  readonly unreadMs?: number;
 }
 
 /**
@@ -70,7 +68,7 @@
  */
 export function decodeRequest(
   names: HeaderNames,
-  { arrivedAtMs, body, cancellation, headers, method, target, unreadMs }: ArrivedRequest,
+  { arrivedAtMs, body, cancellation, headers, method, target }: ArrivedRequest,
 ): ForwardedRequest | undefined {
   const value = headers[REQUEST_HEADER];
   const [serviceText, routeText, priorityText, repeatable, ...rest] =
@@ -101,7 +99,6 @@
     deadlineAtMs: arrivedAtMs + deadlineMs,
     waitLimit,
     transmission: Number.isInteger(transmission) ? transmission : 1,
-    unreadMs,
     cancellation,
   };
 }
--- a/packages/lentillb/src/serving/messages.ts
+++ b/packages/lentillb/src/serving/messages.ts
@@ -29,8 +29,6 @@
   readonly waitLimit: WaitLimit;
   /** The number of times the request has been sent to a gate, this time included. */
   readonly transmission: number;
-  /** The time for which the request lay unread at this node at least, in milliseconds. */
-  readonly unreadMs?: number;
   /** The cancellation, triggered when the caller disconnects. */
   readonly cancellation: Cancellation;
 }
--- a/packages/lentillb/src/serving/sendRecorder.ts
+++ b/packages/lentillb/src/serving/sendRecorder.ts
@@ -70,7 +70,7 @@
    * @param sent - the record of the send
    */
   reportDeparture(
-    { cancellation, requestId, unreadMs = 0 }: ForwardedRequest,
+    { cancellation, requestId }: ForwardedRequest,
     receiver: Receiver,
     { atMs, inputAgeMs, onReusedConnection, sentSincePoll }: RecordedSend,
   ): void {
@@ -86,7 +86,6 @@
       leftAfterMs: Math.round(leftAfterMs),
       inputAgeMs: Math.round(inputAgeMs),
       sentSincePoll,
-      unreadMs: Math.round(unreadMs),
       onReusedConnection,
     });
   }
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -20,7 +20,6 @@
 import type { LineLogger } from '../observability/decisionLog.js';
 import { EventLoopMonitor } from '../observability/eventLoopMonitor.js';
 import { MetricsRegistry } from '../observability/metricsRegistry.js';
-import { AcceptDelay } from '../serving/acceptDelay.js';
 import { BackendServerClient } from '../serving/backendServerClient.js';
 import { CallerListener } from '../serving/callerListener.js';
 import { Entry } from '../serving/entry.js';
@@ -304,17 +303,12 @@
       { names: headerNames, callerService: service },
     );
     const requestIdName = headerNames.requestId;
-    this.callers = new CallerListener(
-      clock,
-      presence,
-      new AcceptDelay({ clock, metrics }, 'callers'),
-      (request) => this.entry.serve(request),
-      { requestIdName },
-    );
+    this.callers = new CallerListener(clock, presence, (request) => this.entry.serve(request), {
+      requestIdName,
+    });
     this.gateListener = new CallerListener(
       clock,
       presence,
-      new AcceptDelay({ clock, metrics }, 'gate'),
       (request, isFirstOnConnection) => this.gateServer.serve(request, isFirstOnConnection),
       {
         requestIdName,
