Don't hold arrivals back by the age of the state: only what is sent needs a recent one

What follows an arrival goes on after one poll, as before; the decision to send is the one that waits, and waits again. The older call path asks for both.

--- a/packages/lentillb/src/calls/callerPresence.ts
+++ b/packages/lentillb/src/calls/callerPresence.ts
@@ -44,7 +44,7 @@
    */
   async confirmArrival(request: AwaitedRequest): Promise<CancelReason | undefined> {
     await this.awaitArrival();
-    return this.refusalOf(request);
+    return this.confirm(request);
   }
 
   /**
--- a/packages/lentillb/src/utils/pendingInput.ts
+++ b/packages/lentillb/src/utils/pendingInput.ts
@@ -26,9 +26,10 @@
 type Continuation = () => void;
 
 /**
- * Reads pending input on behalf of all decisions that wait for it: one poll of the sockets serves those
- * that can be made before its result is too old, in the order in which they came; the others wait for
- * another poll. Decisions to send precede those on arrivals, because they came earlier and hold slots.
+ * Reads pending input on behalf of all decisions that wait for it. One poll of the sockets serves the
+ * decisions to send that can be made before its result is too old, in the order in which they came; the
+ * others wait for another poll. What follows an arrival is not delayed any further, so that requests wait
+ * where they can be refused.
  */
 export class PendingInputTracker {
   /** The time up to which all input has been read, in milliseconds. */
@@ -70,7 +71,7 @@
     return this.clock.monotonicMs() - this.currentFromMs <= MAX_INPUT_AGE_MS;
   }
 
-  /** Waits until all input that arrived before this call has been read, and the state is recent. */
+  /** Waits until all input that arrived before this call has been read. */
   waitUntilRead(): Promise<void> {
     return this.enqueue(this.arrivals);
   }
@@ -119,12 +120,9 @@
     this.coveredArrivals = covered;
   }
 
-  /** Continues the next decision, unless the state has become too old for it. */
+  /** Continues the next decision; one to send only if the state has not become too old for it. */
   private releaseNext(): void {
-    if (!this.isCurrent()) {
-      return;
-    }
-    const send = this.sends.shift();
+    const send = this.isCurrent() ? this.sends.shift() : undefined;
     if (send !== undefined) {
       send();
       return;
