Count the age of the state from the end of the poll that read it

Where a poll takes about as long as the state may be old, as on a loaded host with a share of a core, a request to be sent waited for a second poll, with its slot held. The state of a request that is sent is now older by the time that one poll took; the case of two long polls in a row is gone.

--- a/packages/lentillb/src/utils/pendingInput.ts
+++ b/packages/lentillb/src/utils/pendingInput.ts
@@ -14,14 +14,11 @@
   });
 }
 
-/** The maximum age of the state of a connection on which a decision is based, in milliseconds. */
-export const MAX_INPUT_AGE_MS = 20;
-
 /**
- * The number of polls in a row that may each take longer than the maximum age. After them, decisions
- * are made right behind a poll: a process that is busy reading would never decide otherwise.
+ * The maximum age of the state of a connection on which a decision is based, in milliseconds. It counts
+ * from the end of the poll that read it: a process that is busy reading would never decide otherwise.
  */
-const MAX_LONG_POLLS = 2;
+export const MAX_INPUT_AGE_MS = 20;
 
 type Continuation = () => void;
 
@@ -35,10 +32,8 @@
   /** The time up to which all input has been read, in milliseconds. */
   private readUpToMs = -Infinity;
 
-  /** The time from which the age of the state is counted for decisions, in milliseconds. */
-  private currentFromMs = -Infinity;
-
-  private longPolls = 0;
+  /** The time at which the last poll ended, in milliseconds. */
+  private polledAtMs = -Infinity;
 
   private pollCount = 0;
 
@@ -68,7 +63,7 @@
 
   /** @returns whether the state of the connections is recent enough to decide on it */
   isCurrent(): boolean {
-    return this.clock.monotonicMs() - this.currentFromMs <= MAX_INPUT_AGE_MS;
+    return this.clock.monotonicMs() - this.polledAtMs <= MAX_INPUT_AGE_MS;
   }
 
   /** Waits until all input that arrived before this call has been read. */
@@ -111,12 +106,9 @@
   }
 
   private recordPoll(startedMs: number, covered: number): void {
-    const endedMs = this.clock.monotonicMs();
     this.pollCount += 1;
-    const isLong = endedMs - startedMs > MAX_INPUT_AGE_MS;
-    this.longPolls = isLong ? this.longPolls + 1 : 0;
     this.readUpToMs = startedMs;
-    this.currentFromMs = this.longPolls >= MAX_LONG_POLLS ? endedMs : startedMs;
+    this.polledAtMs = this.clock.monotonicMs();
     this.coveredArrivals = covered;
   }
 
