--- a/tests/sidecar/acceptQueue.spec.ts
+++ b/tests/sidecar/acceptQueue.spec.ts
@@ -11,7 +11,7 @@
 const STAY_MS = 3_000;
 /** The time that each turn of the event loop takes, in which one connection is accepted. */
 const TURN_MS = 10;
-/** The time between two measurements of the queue, and what a request waits for after it is read. */
+/** The time by which a request may be sent after its deadline, for what it waits for once it is read. */
 const MAX_LATE_MS = 150;
 
 let fleet: SidecarFleet;
--- a/tests/support/requestSender.ts
+++ b/tests/support/requestSender.ts
@@ -9,15 +9,11 @@
 
 /**
  * @param clock - the clock for deadlines and time-outs
- * @param input - the tracker of the input of this process
- * @param log - receives the lines about requests that were sent too late
  * @returns a sender of requests
  */
-export function createRequestSender(
-  clock: Clock,
-  input = new PendingInputTracker(clock),
-  log = createSilentLog(clock),
-): RequestSender {
+export function createRequestSender(clock: Clock): RequestSender {
+  const input = new PendingInputTracker(clock);
+  const log = createSilentLog(clock);
   const metrics = new MetricsRegistry();
   const presence = createCallerPresence(clock, input);
   const sends = new SendRecorder({ clock, input, log, metrics });
