--- a/review/1/play.js
+++ b/review/1/play.js
@@ -27,6 +27,14 @@
   'max-attempts': 2,
 };
 
+/** Returns an answer in which one byte is wrong: the name of a header field has a space in it. */
+function spoiledAnswer(attempt) {
+  return (
+    `HTTP/1.1 200 OK\r\nX-Attempt-Id: ${attempt}\r\nX-Server-Seal: 1.${attempt}\r\n` +
+    'Cache Control: no-store\r\nContent-Length: 8\r\nConnection: close\r\n\r\na letter'
+  );
+}
+
 /** Starts the node again whenever it ends by itself, as the platform does, and counts how often. */
 function keepRunning(machine, { ends, isOver, record }) {
   machine.child.once('exit', async (code, signal) => {
@@ -71,12 +79,16 @@
         isSpoiling && index < MIN_MACHINES && runs.get(index) % SPOILED_ONE_IN === 0;
       spoiled += isSpoiled ? 1 : 0;
       setTimeout(() => {
-        response.socket?.write(
-          `HTTP/1.1 200 OK\r\nX-Attempt-Id: ${attempt}\r\nX-Server-Seal: 1.${attempt}\r\n` +
-            `Cache${isSpoiled ? ' ' : '-'}Control: no-store\r\nContent-Length: 8\r\n` +
-            'Connection: close\r\n\r\na letter',
-        );
-        response.socket?.end();
+        if (isSpoiled) {
+          response.socket?.end(spoiledAnswer(attempt));
+          return;
+        }
+        response.writeHead(200, {
+          'x-attempt-id': attempt,
+          'x-server-seal': `1.${attempt}`,
+          'cache-control': 'no-store',
+        });
+        response.end('a letter');
       }, RUN_MS);
     },
   }));
