Check the heads of messages where they enter, so that no bytes end a node

Cause: the parser of Node.js accepts header names and targets for which `http.request` and `writeHead` throw; the error ended the process through `runInBackground`.

Ruled out: decoders of the state, inquiries, datagrams, metrics, heartbeats and the older call path (nothing there; a caller of the older path got 502, now 400).

Why it works: one check where a head enters, for callers (400), backend servers and other nodes (a broken answer, run unknown); identities in heartbeats and announcements are checked for what a header may carry; a request that cannot be written fails as a value.

--- a/packages/lentillb/src/directory/announcement.ts
+++ b/packages/lentillb/src/directory/announcement.ts
@@ -2,6 +2,7 @@
 import type { Result } from 'ts-results-es';
 import { Err, Ok } from 'ts-results-es';
 import * as z from 'zod/mini';
+import { isFieldValue } from '../utils/messageHead.js';
 import { isNetworkAddress } from '../utils/networkAddress.js';
 
 /** The states of a backend server. Only a ready one accepts requests. */
@@ -27,6 +28,10 @@
 
 /** The schema of a name. */
 export const boundedName = z.string().check(z.minLength(1), z.maxLength(MAX_NAME_LENGTH));
+/** The schema of the identity of a backend server, which is sent to it in a header. */
+export const instanceName = boundedName.check(
+  z.refine(isFieldValue, 'expected characters that a header may have'),
+);
 const ordinal = z.int().check(z.nonnegative(), z.maximum(MAX_ORDINAL));
 const unixTimeMs = z.int().check(z.nonnegative(), z.maximum(MAX_TIME_MS));
 /** The schema of an IP address and a port. */
@@ -39,7 +44,7 @@
 
 const backendServerSchema = z.object({
   /** The identity of this instance of the backend server. */
-  id: boundedName,
+  id: instanceName,
   /** The start time in Unix milliseconds; a restart under the same identity has a later one. */
   startedAtMs: unixTimeMs,
   service: boundedName,
--- a/packages/lentillb/src/serving/callerListener.ts
+++ b/packages/lentillb/src/serving/callerListener.ts
@@ -6,6 +6,7 @@
 import { runInBackground } from '../utils/background.js';
 import { closeIdleAfterPendingInput } from '../utils/idleTimeout.js';
 import { acceptEstablished, listenAt, stopAccepting } from '../utils/listening.js';
+import { isForwardable } from '../utils/messageHead.js';
 import { waitForPendingInput } from '../utils/pendingInput.js';
 import { cancelOnDisconnect } from '../calls/callerDisconnect.js';
 import type { CallerPresence } from '../calls/callerPresence.js';
@@ -194,7 +195,7 @@
 
   /** Returns the complete body, or the answer to a request that is rejected. */
   private async readBody(request: IncomingMessage): Promise<Buffer | EntryAnswer> {
-    if (hostCount(request.rawHeaders) !== 1) {
+    if (hostCount(request.rawHeaders) !== 1 || !isForwardable(request)) {
       return emptyAnswer(HttpStatus.BadRequest);
     }
     if (headBytes(request.rawHeaders) > (this.limits?.maxHeaderBytes ?? MAX_HEAD_BYTES)) {
--- a/packages/lentillb/src/serving/exchange.ts
+++ b/packages/lentillb/src/serving/exchange.ts
@@ -2,8 +2,7 @@
 import { request as openRequest } from 'node:http';
 import type { Agent, ClientRequest, IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
-import type { Result } from 'ts-results-es';
-import { Err, Ok } from 'ts-results-es';
+import { Err, Ok, Result } from 'ts-results-es';
 import { afterPendingInput } from '../utils/pendingInput.js';
 import { parseAddress } from '../utils/networkAddress.js';
 import type { HeaderFields } from '../calls/callHeaders.js';
@@ -12,6 +11,7 @@
 import { CancelReason } from '../calls/cancellation.js';
 import type { Clock } from '../kernel/clock.js';
 import { runInBackground } from '../utils/background.js';
+import { isForwardable } from '../utils/messageHead.js';
 import { limitResponseHead } from '../utils/responseLimits.js';
 import { AnswerBuffer } from './answerBuffer.js';
 
@@ -93,6 +93,8 @@
   Withdrawn: 'withdrawn',
   /** The deadline of the caller passed before the request was written. */
   TooLate: 'too-late',
+  /** The request has a target or headers that cannot be written. */
+  Unsendable: 'unsendable',
 } as const;
 export type ExchangeFailure = (typeof ExchangeFailure)[keyof typeof ExchangeFailure];
 
@@ -106,6 +108,31 @@
   [CancelReason.AnsweredElsewhere]: ExchangeFailure.Withdrawn,
 };
 
+function open({
+  address,
+  agent,
+  headers,
+  isTerse,
+  method,
+  target,
+}: ExchangeRequest): ClientRequest {
+  const options = {
+    agent,
+    ...parseAddress(address),
+    method,
+    path: target,
+    headers,
+    setHost: false,
+    // Unless it is set, Node.js derives a TLS server name from the headers of each request.
+    servername: '',
+  };
+  const outgoing = openRequest(options);
+  if (isTerse === true) {
+    outgoing.removeHeader('connection');
+  }
+  return outgoing;
+}
+
 /**
  * Checks whether an answer has no length of its own.
  *
@@ -121,8 +148,6 @@
 
   private settle!: (result: Result<ExchangeAnswer, ExchangeFailure>) => void;
 
-  private readonly outgoing: ClientRequest;
-
   private readonly cleanups: (() => void)[] = [];
 
   private sent = false;
@@ -134,11 +159,11 @@
   constructor(
     private readonly clock: Clock,
     private readonly request: ExchangeRequest,
+    private readonly outgoing: ClientRequest,
   ) {
     this.result = new Promise((resolve) => {
       this.settle = resolve;
     });
-    this.outgoing = this.open();
     this.outgoing.on('error', (error: NodeJS.ErrnoException) => this.fail(this.failureOf(error)));
     this.outgoing.on('response', (response) => this.readResponse(response));
     limitResponseHead(this.outgoing, () => this.fail(ExchangeFailure.Malformed));
@@ -153,25 +178,6 @@
     );
   }
 
-  private open(): ClientRequest {
-    const { address, agent, headers, isTerse, method, target } = this.request;
-    const options = {
-      agent,
-      ...parseAddress(address),
-      method,
-      path: target,
-      headers,
-      setHost: false,
-      // Unless it is set, Node.js derives a TLS server name from the headers of each request.
-      servername: '',
-    };
-    const outgoing = openRequest(options);
-    if (isTerse === true) {
-      outgoing.removeHeader('connection');
-    }
-    return outgoing;
-  }
-
   private watchConnection(): void {
     this.outgoing.on('socket', (socket) => {
       if (!socket.connecting) {
@@ -218,9 +224,12 @@
 
   private send(socket: Socket): void {
     if (!this.done) {
+      const written = Result.wrap(() => this.setHeaders(this.request.headersAtSend?.() ?? {}));
+      if (written.isErr()) {
+        this.fail(ExchangeFailure.Unsendable);
+        return;
+      }
       this.sent = true;
-      const headers = this.request.headersAtSend?.() ?? {};
-      Object.keys(headers).forEach((name) => this.outgoing.setHeader(name, headers[name] ?? ''));
       this.outgoing.end(this.request.body);
       this.request.onSent?.({
         socket,
@@ -236,8 +245,16 @@
     }
   }
 
+  private setHeaders(headers: HeaderFields): void {
+    Object.keys(headers).forEach((name) => this.outgoing.setHeader(name, headers[name] ?? ''));
+  }
+
   private readResponse(response: IncomingMessage): void {
     this.hasResponse = true;
+    if (!isForwardable(response)) {
+      this.fail(ExchangeFailure.Malformed);
+      return;
+    }
     const { mayReuse } = this.request;
     if (mayReuse?.(response.headers, response.statusCode ?? 0) === false) {
       // Destroying the request has no effect any more once its answer is complete.
@@ -313,5 +330,8 @@
   clock: Clock,
   request: ExchangeRequest,
 ): Promise<Result<ExchangeAnswer, ExchangeFailure>> {
-  return new Exchange(clock, request).result;
+  const opened = Result.wrap(() => open(request));
+  return opened.isErr()
+    ? Promise.resolve(Err(ExchangeFailure.Unsendable))
+    : new Exchange(clock, request, opened.value).result;
 }
--- a/packages/lentillb/src/serving/exchangeFailures.ts
+++ b/packages/lentillb/src/serving/exchangeFailures.ts
@@ -19,5 +19,6 @@
   [ExchangeFailure.Silent]: failure(Outcome.Unknown, FailureCause.ConnectionSilent),
   [ExchangeFailure.Withdrawn]: failure(Outcome.NotRun, FailureCause.CallerGone),
   [ExchangeFailure.TooLate]: failure(Outcome.NotRun, FailureCause.WaitedTooLong),
+  [ExchangeFailure.Unsendable]: failure(Outcome.NotRun, FailureCause.Unsendable),
   [ExchangeFailure.Cancelled]: failure(Outcome.Unknown, FailureCause.CallerGone),
 };
--- a/packages/lentillb/src/serving/gateProtocol.ts
+++ b/packages/lentillb/src/serving/gateProtocol.ts
@@ -22,6 +22,9 @@
 const MAX_REQUEST_ID_LENGTH = 400;
 
 const HttpStatus = { Unavailable: 503 } as const;
+/** The statuses that the answer of a backend server can have. */
+const MIN_STATUS = 200;
+const MAX_STATUS = 599;
 
 const waitLimits = Object.values(WaitLimit);
 
@@ -209,7 +212,7 @@
       }),
     };
   }
-  if (report === undefined) {
+  if (report === undefined || status < MIN_STATUS || status > MAX_STATUS) {
     const failure = { outcome: Outcome.Unknown, cause: FailureCause.InvalidAnswer };
     return { report, result: Err(failure) };
   }
--- a/packages/lentillb/src/serving/messages.ts
+++ b/packages/lentillb/src/serving/messages.ts
@@ -68,6 +68,8 @@
   SuspectRequest: 'suspect-request',
   /** The connection to the node of the gate has gone silent. */
   ConnectionSilent: 'connection-silent',
+  /** The request has a target or headers that cannot be written. */
+  Unsendable: 'unsendable',
   DeadlinePassed: 'deadline-passed',
   CallerGone: 'caller-gone',
 } as const;
--- a/packages/lentillb/src/sidecar/index.ts
+++ b/packages/lentillb/src/sidecar/index.ts
@@ -8,7 +8,7 @@
   MeshRoute,
 } from '../configuration/meshConfiguration.js';
 export { findConfigurationFault, MAX_TIMER_MS } from '../configuration/configurationFault.js';
-export { boundedName, networkAddress, slotCount } from '../directory/announcement.js';
+export { boundedName, instanceName, networkAddress, slotCount } from '../directory/announcement.js';
 export { SystemClock } from '../kernel/clock.js';
 export type { Clock } from '../kernel/clock.js';
 export { Deadline } from '../kernel/deadline.js';
--- a/packages/lentillb/src/utils/httpListener.ts
+++ b/packages/lentillb/src/utils/httpListener.ts
@@ -1,10 +1,11 @@
 /** An HTTP server that listens on a given address and stops gracefully. */
 import { createServer } from 'node:http';
-import type { RequestListener, Server } from 'node:http';
+import type { RequestListener, Server, ServerResponse } from 'node:http';
 import { setTimeout as delay } from 'node:timers/promises';
 import type { Deadline } from '../kernel/deadline.js';
 import { closeIdleAfterPendingInput } from './idleTimeout.js';
 import { acceptEstablished, listenAt, stopAccepting } from './listening.js';
+import { isForwardable } from './messageHead.js';
 
 /** The longest request head accepted, in bytes. */
 const MAX_HEADER_BYTES = 16 * 1024;
@@ -21,6 +22,15 @@
 const IDLE_GRACE_MS = KEEP_ALIVE_MS + 500;
 const POLL_INTERVAL_MS = 20;
 
+const BAD_REQUEST = 400;
+const BAD_HEAD_MESSAGE =
+  'the target or a header of the request has invalid characters; send it percent-encoded\n';
+
+function rejectHead(response: ServerResponse): void {
+  response.writeHead(BAD_REQUEST, { connection: 'close', 'content-type': 'text/plain' });
+  response.end(BAD_HEAD_MESSAGE);
+}
+
 /** An HTTP server with a graceful stop. */
 export class HttpListener {
   private readonly server: Server;
@@ -43,6 +53,10 @@
         if (this.closing) {
           response.setHeader('connection', 'close');
         }
+        if (!isForwardable(request)) {
+          rejectHead(response);
+          return;
+        }
         handle(request, response);
       },
     );
--- a/tests/support/sidecarFleet.ts
+++ b/tests/support/sidecarFleet.ts
@@ -37,9 +37,6 @@
   readonly storeClient: LogStore;
 }
 
-/** The services that every published configuration defines. */
-const SERVICES = ['pages', 'letters'];
-
 /**
  * Creates a route of the configuration to the service of the same name.
  *
@@ -72,6 +69,9 @@
   /** The address at which nodes that are added from now on reach the store; by default its own. */
   storeAddress: string | undefined;
 
+  /** The services that published configurations define. */
+  private readonly services = new Set(['pages', 'letters']);
+
   private version = 0;
 
   private requestCount = 0;
@@ -96,7 +96,7 @@
         letters: createRoute('letters', 'non_idempotent'),
         ...extraRoutes,
       },
-      services: Object.fromEntries(SERVICES.map((name) => [name, {}])),
+      services: Object.fromEntries([...this.services].map((name) => [name, {}])),
       limits: {
         'max-header-bytes': 16_384,
         'max-body-bytes': 100_000,
@@ -108,6 +108,18 @@
     return this.version;
   }
 
+  /**
+   * Writes a configuration that has non-idempotent routes to further services.
+   *
+   * @param services - the services
+   */
+  publishServices(services: readonly string[]): void {
+    services.forEach((name) => this.services.add(name));
+    this.publish(
+      Object.fromEntries(services.map((name) => [name, createRoute(name, 'non_idempotent')])),
+    );
+  }
+
   /**
    * Adds a host with a node and a backend server.
    *
