Let no status that promises "not run" leave a node for a request that ran

Cause: the answer rightly counts as a run, but its status was passed on as it was; 429 and 408 even counted as a success.

Ruled out: that the answer is taken for a stated refusal (the caller got the seal, and the log has request-answered).

Why it works: such an answer counts as a failed run at the node beside the backend server, and where a reply of another node is decoded. A repeatable request goes to another backend server; otherwise the caller gets 502, which promises nothing, without seal and Retry-After. On the older call path only the header lentillb-outcome promises, and backend servers cannot set it.

Before: 5 of 7 tests of tests/sidecar/unstatedRefusals.spec.ts failed. After: all pass, and the 31 files of tests/serving.

--- a/packages/lentillb/src/serving/backendServerClient.ts
+++ b/packages/lentillb/src/serving/backendServerClient.ts
@@ -10,6 +10,7 @@
 import type { HeaderNames } from './headerNames.js';
 import type { BackendAnswer, ForwardedRequest, ForwardFailure } from './messages.js';
 import { FailureCause } from './messages.js';
+import { promisesNotRun } from './notRunStatuses.js';
 import type { RequestSender } from './requestSender.js';
 import { Receiver } from './sendRecorder.js';
 import type { ServerStatement } from './serverStatement.js';
@@ -237,6 +238,9 @@
     if (isForeignRefusal || !this.isOwnAnswer(request, headers, status)) {
       return Err({ outcome: Outcome.Unknown, cause: FailureCause.InvalidAnswer });
     }
+    if (promisesNotRun(status)) {
+      return Err({ outcome: Outcome.Unknown, cause: FailureCause.UnstatedRefusal });
+    }
     const unframed = isUnframed(headers);
     const responseHeaders = forwardedHeaders(headers, this.names.requestId);
     return Ok({ status, headers: responseHeaders, body, unframed });
--- a/packages/lentillb/src/serving/gateProtocol.ts
+++ b/packages/lentillb/src/serving/gateProtocol.ts
@@ -10,6 +10,7 @@
 import type { HeaderNames } from './headerNames.js';
 import type { ForwardedRequest, GateReply, GateReport } from './messages.js';
 import { FailureCause } from './messages.js';
+import { promisesNotRun } from './notRunStatuses.js';
 import { WaitLimit } from './slotQueue.js';
 
 // The names are short because traffic between zones is charged by the byte.
@@ -190,6 +191,8 @@
 
 const outcomes = Object.values(Outcome);
 const causes = Object.values(FailureCause);
+const invalidAnswer = { outcome: Outcome.Unknown, cause: FailureCause.InvalidAnswer };
+const unstatedRefusal = { outcome: Outcome.Unknown, cause: FailureCause.UnstatedRefusal };
 
 /**
  * Decodes the reply of another node's gate.
@@ -213,8 +216,10 @@
     };
   }
   if (report === undefined || status < MIN_STATUS || status > MAX_STATUS) {
-    const failure = { outcome: Outcome.Unknown, cause: FailureCause.InvalidAnswer };
-    return { report, result: Err(failure) };
+    return { report, result: Err(invalidAnswer) };
+  }
+  if (promisesNotRun(status)) {
+    return { report, result: Err(unstatedRefusal) };
   }
   const unframed = headers[UNFRAMED_HEADER] !== undefined;
   return { report, result: Ok({ status, headers: forwardedHeaders(headers), body, unframed }) };
--- a/packages/lentillb/src/serving/messages.ts
+++ b/packages/lentillb/src/serving/messages.ts
@@ -54,6 +54,8 @@
   ShuttingDown: 'leaving',
   /** The backend server stated that it did not run the request. */
   Rejected: 'turned-away',
+  /** The answer has a status that promises "not run", but the backend server did not state that. */
+  UnstatedRefusal: 'unstated-refusal',
   /** The connection could not be established. */
   ConnectFailed: 'connect-failed',
   /** The connection ended after the request was sent and before the answer was complete. */
