Prove a restarted node's backend server anew before requests that may not be repeated

Cause: a departure is confirmed after 600 ms, written or not. After a kill of all nodes while the store is away, the store's older record says ready, and the node opened its gate on it for 3.2 s, longer than the time after which it is held to its word.

Evidence: tests/sidecar/forgottenDeparture.spec.ts, 4 of 4 failed before: runs from 42 to 47 ms after the start on, without a heartbeat. Ruled out: delayed heartbeats (there were none) and neighbours that were not asked (none is left).

Why it works: the record counts only for requests that may be repeated, until a heartbeat is overdue since the start of the process; the others wait for the first heartbeat, and are refused as not run until then.

--- a/packages/lentillb/src/serving/gate.ts
+++ b/packages/lentillb/src/serving/gate.ts
@@ -250,7 +250,7 @@
     if (this.closing) {
       return FailureCause.ShuttingDown;
     }
-    return this.serves(request) ? FailureCause.WaitedTooLong : FailureCause.NotServing;
+    return this.unavailabilityCause(request) ?? FailureCause.WaitedTooLong;
   }
 
   private watchQueued(
@@ -282,10 +282,13 @@
     );
   }
 
-  /** Whether the backend server of this host is ready for requests of the service now. */
-  private serves({ service }: ForwardedRequest): boolean {
-    const { heartbeat, ready } = this.services.backendServer;
-    return ready && heartbeat?.service === service;
+  /** Returns why the backend server of this host may not get a request now; undefined if it may. */
+  private unavailabilityCause({ repeatable, service }: ForwardedRequest): FailureCause | undefined {
+    const { confirmed, heartbeat, ready } = this.services.backendServer;
+    if (!ready || heartbeat?.service !== service) {
+      return FailureCause.NotServing;
+    }
+    return confirmed || repeatable ? undefined : FailureCause.Unconfirmed;
   }
 
   private refusalCause(request: ForwardedRequest): FailureCause | undefined {
@@ -297,8 +300,9 @@
     if (this.closing || !this.endsInTime(request)) {
       return FailureCause.ShuttingDown;
     }
-    if (!this.serves(request)) {
-      return FailureCause.NotServing;
+    const unavailability = this.unavailabilityCause(request);
+    if (unavailability !== undefined) {
+      return unavailability;
     }
     if (!suspectGuard.mayRun(request)) {
       return FailureCause.SuspectRequest;
@@ -314,8 +318,9 @@
     }
     const { heartbeat } = backendServer;
     // Another backend server may have taken the place of the one that the request waited for.
-    if (!this.serves(request) || heartbeat === undefined) {
-      return notRun(FailureCause.NotServing);
+    const unavailability = this.unavailabilityCause(request);
+    if (unavailability !== undefined || heartbeat === undefined) {
+      return notRun(unavailability ?? FailureCause.NotServing);
     }
     if (!suspectGuard.admit(request)) {
       return notRun(FailureCause.SuspectRequest);
--- a/packages/lentillb/src/serving/localBackendServer.ts
+++ b/packages/lentillb/src/serving/localBackendServer.ts
@@ -32,10 +32,10 @@
 export type HeartbeatEffect = (typeof HeartbeatEffect)[keyof typeof HeartbeatEffect];
 
 /**
- * The maximum time for which a restored run is ready without a heartbeat: over two heartbeat
- * intervals.
+ * The time after the start of this node within which a running backend server has sent a heartbeat, in
+ * milliseconds: an interval of 1.5 s, and the second in which it must be acknowledged.
  */
-const ASSUMPTION_TIMEOUT_MS = 3_200;
+const ASSUMPTION_TIMEOUT_MS = 2_500;
 
 /** The sequence number of a restored run, lower than that of any real heartbeat. */
 const ASSUMED_SEQUENCE = -1;
@@ -83,6 +83,9 @@
   /** The confirmed departures by backend server identity. */
   private readonly departed = new Map<string, Departure>();
 
+  /** The time from which heartbeats could arrive, in milliseconds of the monotonic clock. */
+  private readonly listeningSinceMs: number;
+
   /**
    * @param clock - the clock for warm-up and time-outs
    * @param onChange - called after the announced state has changed
@@ -90,7 +93,9 @@
   constructor(
     private readonly clock: Clock,
     private readonly onChange: () => void,
-  ) {}
+  ) {
+    this.listeningSinceMs = clock.monotonicMs();
+  }
 
   /** The last heartbeat of the current run, if any. */
   get heartbeat(): Heartbeat | undefined {
@@ -102,6 +107,14 @@
     return !this.restoring && this.run?.state === BackendServerState.Ready;
   }
 
+  /**
+   * Whether a heartbeat of the current run has arrived at this node. Until then, the run is known from
+   * a record that may be older than a departure that this node confirmed before it was restarted.
+   */
+  get confirmed(): boolean {
+    return this.run !== undefined && this.run.heartbeat.sequence !== ASSUMED_SEQUENCE;
+  }
+
   /** Whether the backend server is still warming up. */
   get warmingUp(): boolean {
     return this.run !== undefined && this.clock.monotonicMs() < this.run.warmUpEndsAtMs;
@@ -163,8 +176,8 @@
 
   /**
    * Restores the state that this node announced before a restart. A backend server that was ready
-   * gets requests at once, because heartbeats are seconds apart. If no heartbeat confirms it in
-   * time, it is marked as leaving.
+   * gets requests that may be repeated at once, because heartbeats are seconds apart, and the others
+   * from its first heartbeat on. If none arrives in time, it is marked as leaving.
    *
    * @param announced - the backend server as it was announced
    * @param address - the address and port of the backend server on this host
@@ -234,7 +247,8 @@
     };
     this.run = { heartbeat: assumed, state: BackendServerState.Ready, warmUpEndsAtMs: -Infinity };
     this.onChange();
-    afterPendingInput(this.clock, ASSUMPTION_TIMEOUT_MS, () => {
+    const listenedMs = this.clock.monotonicMs() - this.listeningSinceMs;
+    afterPendingInput(this.clock, Math.max(0, ASSUMPTION_TIMEOUT_MS - listenedMs), () => {
       if (this.run?.heartbeat === assumed) {
         this.markLeaving(this.run);
       }
--- a/packages/lentillb/src/serving/messages.ts
+++ b/packages/lentillb/src/serving/messages.ts
@@ -50,6 +50,8 @@
   WaitedTooLong: 'waited-too-long',
   /** The backend server of the gate is leaving, has left, or belongs to another service. */
   NotServing: 'not-serving',
+  /** The node was restarted, and its backend server has not sent a heartbeat since. */
+  Unconfirmed: 'backend-server-unconfirmed',
   /** The node is shutting down. */
   ShuttingDown: 'leaving',
   /** The backend server stated that it did not run the request. */
