Look at the sockets again after a poll that took long, before requests are sent

Evidence: tests/sidecar/batches.spec.ts, requests that wait while 60 others are read: 8 of 8 sent 580 to 583 ms after their callers left, at one moment. Not known: which node held the requests of the report, whose logs are not at hand.

Why it works: a poll of over 200 ms decides nothing; the next one reads what arrived meanwhile.

After: 8 of 8 are withheld; tests of serving, calls, utils and callers that leave pass.

--- a/packages/lentillb/src/utils/pendingInput.ts
+++ b/packages/lentillb/src/utils/pendingInput.ts
@@ -20,6 +20,14 @@
  */
 export const MAX_INPUT_AGE_MS = 20;
 
+/**
+ * The maximum time that a poll takes, in milliseconds, if decisions are based on it. What arrived while
+ * a longer one was reading may be the end of a connection, so it is read first.
+ */
+const MAX_POLL_MS = 200;
+/** The number of long polls in a row after which decisions go ahead, so that a busy process makes some. */
+const MAX_LONG_POLLS = 2;
+
 type Continuation = () => void;
 
 /**
@@ -37,6 +45,9 @@
 
   private pollCount = 0;
 
+  /** The number of polls in a row that took too long. */
+  private longPolls = 0;
+
   private isPolling = false;
 
   /** The decisions that wait for a recent state. */
@@ -63,7 +74,8 @@
 
   /** @returns whether the state of the connections is recent enough to decide on it */
   isCurrent(): boolean {
-    return this.clock.monotonicMs() - this.polledAtMs <= MAX_INPUT_AGE_MS;
+    const isConclusive = this.longPolls === 0 || this.longPolls >= MAX_LONG_POLLS;
+    return isConclusive && this.clock.monotonicMs() - this.polledAtMs <= MAX_INPUT_AGE_MS;
   }
 
   /** Waits until all input that arrived before this call has been read. */
@@ -109,6 +121,7 @@
     this.pollCount += 1;
     this.readUpToMs = startedMs;
     this.polledAtMs = this.clock.monotonicMs();
+    this.longPolls = this.polledAtMs - startedMs > MAX_POLL_MS ? this.longPolls + 1 : 0;
     this.coveredArrivals = covered;
   }
 
--- a/tests/sidecar/batches.spec.ts
+++ b/tests/sidecar/batches.spec.ts
@@ -1,3 +1,4 @@
+import { CallerListener } from 'lentillb/serving/callerListener.js';
 import { RequestSender } from 'lentillb/serving/requestSender.js';
 import { MAX_INPUT_AGE_MS } from 'lentillb/utils/pendingInput.js';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
@@ -38,8 +39,8 @@
   };
 }
 
-function requestsOf(name: string): readonly RawRequest[] {
-  return Array.from({ length: BATCH_SIZE }, (_, index) => requestOf(`${name}-${index}`));
+function requestsOf(name: string, count = BATCH_SIZE): readonly RawRequest[] {
+  return Array.from({ length: count }, (_, index) => requestOf(`${name}-${index}`));
 }
 
 async function addHostWithSlots(name: string, service: string): Promise<FleetHost> {
@@ -96,3 +97,59 @@
     expect(sentAfterMs.length).toBeGreaterThan(0);
   });
 });
+
+/** The processor time that it takes to read one request, and the callers that leave meanwhile. */
+const READ_COST_MS = 10;
+const LEAVING_COUNT = 8;
+/** The time in which the requests of another thread arrive, in milliseconds. */
+const ARRIVAL_MS = 50;
+/** The age of the state after which a departure may not be unread any more, in milliseconds. */
+const MAX_UNREAD_MS = 250;
+
+/** Lets other requests arrive while the first ones are read, and each of them take a time to read. */
+function raiseCostOfReading(sendOthers: () => void): void {
+  const { prototype } = CallerListener as unknown as { prototype: { serve: () => Promise<void> } };
+  const { serve } = prototype;
+  let count = 0;
+  vi.spyOn(prototype, 'serve').mockImplementation(function serveSlowly(this: unknown, ...call) {
+    count += 1;
+    if (count === LEAVING_COUNT) {
+      sendOthers();
+      blockEventLoop(ARRIVAL_MS);
+    } else if (count > LEAVING_COUNT) {
+      blockEventLoop(READ_COST_MS);
+    }
+    return Reflect.apply(serve, this, call);
+  });
+}
+
+// Guards against requests that are sent on for callers that left while others were being read.
+describe('requests whose callers leave while many others are read', () => {
+  it('should not be sent on', async () => {
+    const host = await addHostWithSlots('front', 'pages');
+    await fleet.waitUntilServed(host, 'pages');
+    const leaving = await BatchedCallers.connect(host.callerAddress, {
+      firstRequests: requestsOf('first', LEAVING_COUNT),
+      batch: requestsOf('leaving', LEAVING_COUNT),
+      stayMs: STAY_MS,
+    });
+    const others = await BatchedCallers.connect(host.callerAddress, {
+      firstRequests: requestsOf('second'),
+      batch: requestsOf('other'),
+      stayMs: 2 * SETTLE_MS,
+    });
+    const written = recordWrites('x-attempt-id');
+    const ended: Promise<number>[] = [];
+    raiseCostOfReading(() => ended.push(others.sendAndLeave()));
+    const left = leaving.sendAndLeave();
+    blockEventLoop(READ_DELAY_MS);
+    const leftAtMs = await left;
+    await Promise.all(ended);
+    const late = written
+      .filter(({ id }) => id.startsWith('leaving'))
+      .map(({ atMs }) => atMs - leftAtMs)
+      .filter((afterMs) => afterMs > MAX_UNREAD_MS);
+    expect(late).toEqual([]);
+    expect(written.some(({ id }) => id.startsWith('other'))).toBe(true);
+  });
+});
--- a/tests/utils/pendingInput.spec.ts
+++ b/tests/utils/pendingInput.spec.ts
@@ -4,6 +4,8 @@
 
 const DECISION_COUNT = 5;
 const MAX_TURNS = 50;
+/** Half of the time after which a request may not be sent any more for a caller that left. */
+const LONG_POLL_MS = 250;
 
 let nowMs: number;
 let turn: number;
@@ -113,6 +115,23 @@
     expect(turns).toHaveLength(DECISION_COUNT);
   });
 
+  it('should not be made on a poll that took so long that a departure may be unread', async () => {
+    turnMs = LONG_POLL_MS;
+    const turns = decideOnSends(1, 0);
+    await waitForTurns(2);
+    expect(turns).toHaveLength(0);
+    turnMs = 0;
+    await waitForTurns(3);
+    expect(turns).toHaveLength(1);
+  });
+
+  it('should go on where all polls take that long', async () => {
+    turnMs = LONG_POLL_MS;
+    const turns = decideOnSends(DECISION_COUNT, 1);
+    await waitForTurns(MAX_TURNS);
+    expect(turns).toHaveLength(DECISION_COUNT);
+  });
+
   it('should not wait for a poll while the state is recent', async () => {
     await tracker.waitUntilCurrent();
     nowMs += MAX_INPUT_AGE_MS;
