Bound the memory of answers that wait for their callers

Cause: an answer was counted while it arrived, and no more once it was handed to its connection, which held it without a limit.

Why it works: long answers are written in parts as their receivers take them, and count towards the limit of all answers until then. A receiver that takes nothing is given up after 5 s, or 1 s where others need the memory.

--- a/packages/lentillb/src/serving/answerBuffer.ts
+++ b/packages/lentillb/src/serving/answerBuffer.ts
@@ -1,14 +1,11 @@
 /** Buffers answers that are received completely before they are forwarded. */
+import { answerMemory } from './answerMemory.js';
 
 /** The maximum length of one answer, in bytes, to bound memory. */
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
-/** The maximum length of all buffered answers together: a sixth of the smallest host's memory. */
-const MAX_BUFFERED_BYTES = 32 * 1024 * 1024;
-/** The length up to which an answer is accepted however much else is buffered. */
+/** The length up to which an answer is accepted however much else is held. */
 const ALWAYS_ACCEPTED_BYTES = 256 * 1024;
 
-let bufferedBytes = 0;
-
 /**
  * Buffers one answer as it arrives. All answers of the process share a limit, so that backend
  * servers that send endless answers on every connection cannot exhaust its memory. Only long
@@ -33,10 +30,10 @@
     }
     this.chunks.push(chunk);
     this.bytes += chunk.length;
-    bufferedBytes += chunk.length;
+    answerMemory.add(chunk.length);
     return (
       this.bytes <= MAX_ANSWER_BYTES &&
-      (this.bytes <= ALWAYS_ACCEPTED_BYTES || bufferedBytes <= MAX_BUFFERED_BYTES)
+      (this.bytes <= ALWAYS_ACCEPTED_BYTES || !answerMemory.isFull())
     );
   }
 
@@ -49,7 +46,7 @@
   release(): void {
     if (!this.released) {
       this.released = true;
-      bufferedBytes -= this.bytes;
+      answerMemory.add(-this.bytes);
       this.chunks.length = 0;
     }
   }
--- a/packages/lentillb/src/serving/callerListener.ts
+++ b/packages/lentillb/src/serving/callerListener.ts
@@ -12,6 +12,7 @@
 import type { CallerPresence } from '../calls/callerPresence.js';
 import type { CallerLimits } from '../configuration/meshConfiguration.js';
 import type { Clock } from '../kernel/clock.js';
+import { AnswerWriter } from './answerWriter.js';
 import type { CallerRequest, EntryAnswer } from './entry.js';
 
 /** The longest request head that the parser accepts; the configuration may set a lower limit. */
@@ -62,6 +63,13 @@
    * identity and those that HTTP/1.1 implies. Traffic between zones is charged by the byte.
    */
   readonly isTerse?: boolean;
+  /**
+   * Called when the receiver of an answer is given up because it takes nothing.
+   *
+   * @param requestId - the identity of the request
+   * @param unsentBytes - the length of the part of the answer that it has not taken
+   */
+  readonly onUnreadAnswer?: (requestId: string | undefined, unsentBytes: number) => void;
 }
 
 function emptyAnswer(status: number): EntryAnswer {
@@ -81,6 +89,8 @@
 export class CallerListener {
   private readonly server: Server;
 
+  private readonly writer: AnswerWriter;
+
   private limits: CallerLimits | undefined;
 
   private leaving = false;
@@ -98,6 +108,7 @@
     private readonly handle: RequestHandler,
     private readonly options: ListenerOptions,
   ) {
+    this.writer = new AnswerWriter(clock);
     this.server = createServer(
       {
         maxHeaderSize: MAX_HEAD_BYTES,
@@ -228,7 +239,8 @@
     }
     const { body, headers, status } = answer;
     const { isTerse = false, requestIdName } = this.options;
-    const requestId = request.headers[requestIdName];
+    const requestIdHeader = request.headers[requestIdName];
+    const requestId = typeof requestIdHeader === 'string' ? requestIdHeader : undefined;
     if (answer.unframed) {
       response.useChunkedEncodingByDefault = false;
     }
@@ -239,12 +251,14 @@
     }
     response.writeHead(status, {
       ...headers,
-      ...(typeof requestId === 'string' && !isTerse ? { [requestIdName]: requestId } : {}),
+      ...(requestId !== undefined && !isTerse ? { [requestIdName]: requestId } : {}),
       ...(BODILESS_STATUSES.has(status) || answer.unframed
         ? {}
         : { 'content-length': `${body.length}` }),
       ...(closes ? { connection: 'close' } : {}),
     });
-    response.end(body);
+    this.writer.write(response, body, (unsentBytes) =>
+      this.options.onUnreadAnswer?.(requestId, unsentBytes),
+    );
   }
 }
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -20,6 +20,7 @@
 import type { LineLogger } from '../observability/decisionLog.js';
 import { EventLoopMonitor } from '../observability/eventLoopMonitor.js';
 import { MetricsRegistry } from '../observability/metricsRegistry.js';
+import { answerMemory } from '../serving/answerMemory.js';
 import { BackendServerClient } from '../serving/backendServerClient.js';
 import { CallerListener } from '../serving/callerListener.js';
 import { Entry } from '../serving/entry.js';
@@ -303,8 +304,11 @@
       { names: headerNames, callerService: service },
     );
     const requestIdName = headerNames.requestId;
+    const onUnreadAnswer = (requestId: string | undefined, unsentBytes: number): void =>
+      log.record(Importance.Notable, 'answer-not-taken', { requestId, unsentBytes });
     this.callers = new CallerListener(clock, presence, (request) => this.entry.serve(request), {
       requestIdName,
+      onUnreadAnswer,
     });
     this.gateListener = new CallerListener(
       clock,
@@ -314,6 +318,7 @@
         requestIdName,
         idleMs: GATE_IDLE_TIMEOUT_MS,
         isTerse: true,
+        onUnreadAnswer,
       },
     );
     configuration.subscribe(({ limits }) => this.callers.applyLimits(limits));
@@ -334,6 +339,7 @@
     metrics.gauge('configuration_version', () => configuration.version);
     metrics.gauge('rejected_inputs', () => this.meshState.rejectedInputs);
     metrics.gauge('suspect_requests', () => suspects.size);
+    metrics.gauge('held_answer_bytes', () => answerMemory.bytes);
     metrics.gauge('known_hosts', () => directory.announcements.length);
   }
 
