State the length of every answer, so that none looks complete when it is cut

Cause: the node holds the whole answer, and passed it on without a length because the backend server's answer had none.

Ruled out: answers of another host's backend server; the reply between nodes has a length, which was passed on.

Why it works: with a length, an early end cannot be taken for the whole. The field between nodes that marked such answers is gone.

--- a/packages/lentillb/src/emulation/emulatedBackendServer.ts
+++ b/packages/lentillb/src/emulation/emulatedBackendServer.ts
@@ -85,7 +85,7 @@
     ]);
     return isLeft
       ? Err({ outcome: Outcome.Unknown, cause: FailureCause.CallerGone })
-      : Ok({ status, headers: {}, body: Buffer.alloc(0), unframed: false });
+      : Ok({ status, headers: {}, body: Buffer.alloc(0) });
   }
 
   private async run({ deadlineAtMs, route }: ForwardedRequest): Promise<number> {
--- a/packages/lentillb/src/serving/backendServerClient.ts
+++ b/packages/lentillb/src/serving/backendServerClient.ts
@@ -6,7 +6,7 @@
 import type { Clock } from '../kernel/clock.js';
 import { ConnectionPool } from './connectionPool.js';
 import type { ExchangeAnswer } from './exchange.js';
-import { ExchangeFailure, isUnframed } from './exchange.js';
+import { ExchangeFailure } from './exchange.js';
 import type { HeaderNames } from './headerNames.js';
 import type { BackendAnswer, ForwardedRequest, ForwardFailure } from './messages.js';
 import { FailureCause } from './messages.js';
@@ -241,8 +241,7 @@
     if (promisesNotRun(status)) {
       return Err({ outcome: Outcome.Unknown, cause: FailureCause.UnstatedRefusal });
     }
-    const unframed = isUnframed(headers);
     const responseHeaders = forwardedHeaders(headers, this.names.requestId);
-    return Ok({ status, headers: responseHeaders, body, unframed });
+    return Ok({ status, headers: responseHeaders, body });
   }
 }
--- a/packages/lentillb/src/serving/callerListener.ts
+++ b/packages/lentillb/src/serving/callerListener.ts
@@ -241,10 +241,7 @@
     const { isTerse = false, requestIdName } = this.options;
     const requestIdHeader = request.headers[requestIdName];
     const requestId = typeof requestIdHeader === 'string' ? requestIdHeader : undefined;
-    if (answer.unframed) {
-      response.useChunkedEncodingByDefault = false;
-    }
-    const closes = this.leaving || !request.complete || answer.unframed === true;
+    const closes = this.leaving || !request.complete;
     response.sendDate = !isTerse;
     if (isTerse) {
       response.removeHeader('connection');
@@ -252,9 +249,7 @@
     response.writeHead(status, {
       ...headers,
       ...(requestId !== undefined && !isTerse ? { [requestIdName]: requestId } : {}),
-      ...(BODILESS_STATUSES.has(status) || answer.unframed
-        ? {}
-        : { 'content-length': `${body.length}` }),
+      ...(BODILESS_STATUSES.has(status) ? {} : { 'content-length': `${body.length}` }),
       ...(closes ? { connection: 'close' } : {}),
     });
     this.writer.write(response, body, (unsentBytes) =>
--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -52,8 +52,6 @@
   readonly status: number;
   readonly headers: HeaderFields;
   readonly body: Buffer;
-  /** Whether only the end of the connection ends the body, as in the backend server's answer. */
-  readonly unframed?: boolean;
 }
 
 /** The services that an entry depends on. */
--- a/packages/lentillb/src/serving/exchange.ts
+++ b/packages/lentillb/src/serving/exchange.ts
@@ -139,7 +139,7 @@
  * @param headers - the headers of an answer
  * @returns whether only the end of the connection ends the answer
  */
-export function isUnframed(headers: IncomingMessage['headers']): boolean {
+function isUnframed(headers: IncomingMessage['headers']): boolean {
   return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
 }
 
--- a/packages/lentillb/src/serving/gateProtocol.ts
+++ b/packages/lentillb/src/serving/gateProtocol.ts
@@ -17,7 +17,6 @@
 const REQUEST_HEADER = 'lentillb-q';
 const REPORT_HEADER = 'lentillb-r';
 const FAILURE_HEADER = 'lentillb-failure';
-const UNFRAMED_HEADER = 'lentillb-unframed';
 const PROCESS_HEADER = 'lentillb-p';
 /** The longest identity of a request that another node can be asked for; bounds the length of an inquiry. */
 const MAX_REQUEST_ID_LENGTH = 400;
@@ -165,9 +164,8 @@
   const reported: HeaderFields =
     report === undefined ? {} : { [REPORT_HEADER]: encodeReport(report) };
   if (result.isOk()) {
-    const { body, headers, status, unframed } = result.value;
-    const framing: HeaderFields = unframed ? { [UNFRAMED_HEADER]: '1' } : {};
-    return { status, headers: { ...headers, ...reported, ...framing }, body };
+    const { body, headers, status } = result.value;
+    return { status, headers: { ...headers, ...reported }, body };
   }
   const { cause, outcome, waitMs } = result.error;
   const fields = [outcome, cause, ...(waitMs === undefined ? [] : [`${Math.round(waitMs)}`])];
@@ -221,6 +219,5 @@
   if (promisesNotRun(status)) {
     return { report, result: Err(unstatedRefusal) };
   }
-  const unframed = headers[UNFRAMED_HEADER] !== undefined;
-  return { report, result: Ok({ status, headers: forwardedHeaders(headers), body, unframed }) };
+  return { report, result: Ok({ status, headers: forwardedHeaders(headers), body }) };
 }
--- a/packages/lentillb/src/serving/messages.ts
+++ b/packages/lentillb/src/serving/messages.ts
@@ -38,8 +38,6 @@
   readonly status: number;
   readonly headers: HeaderFields;
   readonly body: Buffer;
-  /** Whether the answer had no length, so that only the end of the connection ended it. */
-  readonly unframed: boolean;
 }
 
 /** The reasons why a request got no answer. */
--- a/tests/serving/entry.spec.ts
+++ b/tests/serving/entry.spec.ts
@@ -66,7 +66,7 @@
 
 function answer(status: number): GateReply {
   const body = Buffer.from('ran');
-  return { report, result: Ok({ status, headers: {}, body, unframed: false }) };
+  return { report, result: Ok({ status, headers: {}, body }) };
 }
 
 function failure(outcome: Outcome, cause: FailureCause, isReported = true): GateReply {
--- a/tests/serving/gateForwarder.spec.ts
+++ b/tests/serving/gateForwarder.spec.ts
@@ -32,7 +32,7 @@
 
 const answered: GateReply = {
   report: { load: 1, serviceMs: 5 },
-  result: Ok({ status: 200, headers: {}, body: Buffer.from('ran'), unframed: false }),
+  result: Ok({ status: 200, headers: {}, body: Buffer.from('ran') }),
 };
 
 function requestOf(repeatable: boolean): ForwardedRequest {
--- a/tests/serving/pausedProcess.spec.ts
+++ b/tests/serving/pausedProcess.spec.ts
@@ -115,9 +115,7 @@
       client: {
         send: () => {
           sent += 1;
-          return Promise.resolve(
-            Ok({ status: 200, headers: {}, body: Buffer.alloc(0), unframed: false }),
-          );
+          return Promise.resolve(Ok({ status: 200, headers: {}, body: Buffer.alloc(0) }));
         },
       },
     });
--- a/tests/support/deliverySimulation.ts
+++ b/tests/support/deliverySimulation.ts
@@ -88,7 +88,7 @@
 
 const answered = (body: string): GateReply => ({
   report: { load: 1, serviceMs: 5 },
-  result: Ok({ status: 200, headers: {}, body: Buffer.from(body), unframed: false }),
+  result: Ok({ status: 200, headers: {}, body: Buffer.from(body) }),
 });
 const refused: GateReply = {
   report: { load: 1, serviceMs: 0 },
