Count the wait of an answer only from when its connection is free for it

What callers would see: of two answers to requests that were sent one behind the other, the second one was counted as not taken while the first was still being written, so a slow reader was given up in the middle of it.

Evidence: tests/serving/slowReaders.spec.ts, two answers of 16.8 MB on one connection: before, 16.8 MB arrived and the connection was closed; now both.

The statuses of answers are classified in one module, in place of three copies of the same range.

--- a/packages/lentillb/src/calls/httpExchange.ts
+++ b/packages/lentillb/src/calls/httpExchange.ts
@@ -6,6 +6,7 @@
 import type { CallFailure, CallResult } from './call.js';
 import { FailureReason, cancellationFailureReasons } from './call.js';
 import { areForwardable } from '../utils/messageHead.js';
+import { isFinalStatus } from './answerStatuses.js';
 import type { HeaderFields } from './callHeaders.js';
 import { MIN_FINAL_STATUS } from './responseHeadHandler.js';
 import { CallHeader, parseIntegerHeader, Outcome, forwardedHeaders } from './callHeaders.js';
@@ -29,7 +30,6 @@
 /** The longest response body that is buffered whole before it is forwarded, in bytes. */
 const MAX_BUFFERED_BYTES = 64 * 1024;
 const MS_PER_SECOND = 1_000;
-const MAX_STATUS = 599;
 
 /** Errors of connections that failed before any byte of the request was written. */
 const CONNECT_ERROR_CODES = new Set([
@@ -98,7 +98,7 @@
     if (statusCode < MIN_FINAL_STATUS) {
       return;
     }
-    if (statusCode > MAX_STATUS || !areForwardable(headers)) {
+    if (!isFinalStatus(statusCode) || !areForwardable(headers)) {
       controller.abort(new Error('the status or a header of the response is invalid'));
       return;
     }
--- a/packages/lentillb/src/serving/answerWriter.ts
+++ b/packages/lentillb/src/serving/answerWriter.ts
@@ -21,6 +21,18 @@
  */
 export type GiveUpListener = (unsentBytes: number) => void;
 
+/** Waits until the answers to earlier requests on the same connection have been written. */
+function untilAssigned(response: ServerResponse): Promise<void> {
+  return new Promise((resolve) => {
+    if (response.socket !== null || response.destroyed) {
+      resolve();
+      return;
+    }
+    response.once('socket', () => resolve());
+    response.once('close', resolve);
+  });
+}
+
 /** Writes the bodies of answers. */
 export class AnswerWriter {
   /** @param clock - the clock by which receivers are given up */
@@ -60,9 +72,13 @@
       response.destroy();
     };
     const isStalled = (): boolean =>
-      this.clock.monotonicMs() - takenAtMs > SHORT_STALL_TIMEOUT_MS && !response.destroyed;
+      response.socket !== null &&
+      !response.destroyed &&
+      this.clock.monotonicMs() - takenAtMs > SHORT_STALL_TIMEOUT_MS;
     const release = answerMemory.hold({ bytes: body.length, isStalled, giveUp });
     response.once('close', release);
+    await untilAssigned(response);
+    takenAtMs = this.clock.monotonicMs();
     while (sentBytes < body.length && !response.destroyed) {
       const part = body.subarray(sentBytes, sentBytes + PART_BYTES);
       if (!response.write(part)) {
--- a/packages/lentillb/src/serving/backendServerClient.ts
+++ b/packages/lentillb/src/serving/backendServerClient.ts
@@ -2,6 +2,7 @@
 import type { Result } from 'ts-results-es';
 import { Err, Ok } from 'ts-results-es';
 import { forwardFailures } from './exchangeFailures.js';
+import { isFinalStatus, promisesNotRun } from '../calls/answerStatuses.js';
 import { Outcome, forwardedHeaders } from '../calls/callHeaders.js';
 import type { Clock } from '../kernel/clock.js';
 import { ConnectionPool } from './connectionPool.js';
@@ -10,7 +11,6 @@
 import type { HeaderNames } from './headerNames.js';
 import type { BackendAnswer, ForwardedRequest, ForwardFailure } from './messages.js';
 import { FailureCause } from './messages.js';
-import { promisesNotRun } from './notRunStatuses.js';
 import type { RequestSender } from './requestSender.js';
 import { Receiver } from './sendRecorder.js';
 import type { ServerStatement } from './serverStatement.js';
@@ -27,9 +27,6 @@
 const SUSPICION_FACTOR = 3;
 const MIN_SUSPICION_MS = 150;
 const MISDIRECTED_REQUEST = 421;
-/** The statuses of final answers; Node.js throws where some of the others are passed on. */
-const MIN_FINAL_STATUS = 200;
-const MAX_STATUS = 599;
 /** The first status that is no success. */
 const MIN_FAILURE_STATUS = 300;
 
@@ -215,8 +212,7 @@
     const { requestId, seal } = this.names;
     const isUnsealed = status < MIN_FAILURE_STATUS && headers[seal] === undefined;
     return (
-      status >= MIN_FINAL_STATUS &&
-      status <= MAX_STATUS &&
+      isFinalStatus(status) &&
       headers[requestId] === request.requestId &&
       headers['content-encoding'] === undefined &&
       !isUnsealed
--- a/packages/lentillb/src/serving/gateProtocol.ts
+++ b/packages/lentillb/src/serving/gateProtocol.ts
@@ -1,6 +1,7 @@
 /** Encodes requests and replies between two nodes as HTTP with additional headers. */
 import type { IncomingHttpHeaders } from 'node:http';
 import { Err, Ok } from 'ts-results-es';
+import { isFinalStatus, promisesNotRun } from '../calls/answerStatuses.js';
 import type { HeaderFields } from '../calls/callHeaders.js';
 import { Outcome, forwardedHeaders } from '../calls/callHeaders.js';
 import type { Cancellation } from '../calls/cancellation.js';
@@ -10,7 +11,6 @@
 import type { HeaderNames } from './headerNames.js';
 import type { ForwardedRequest, GateReply, GateReport } from './messages.js';
 import { FailureCause } from './messages.js';
-import { promisesNotRun } from './notRunStatuses.js';
 import { WaitLimit } from './slotQueue.js';
 
 // The names are short because traffic between zones is charged by the byte.
@@ -22,9 +22,6 @@
 const MAX_REQUEST_ID_LENGTH = 400;
 
 const HttpStatus = { Unavailable: 503 } as const;
-/** The statuses that the answer of a backend server can have. */
-const MIN_STATUS = 200;
-const MAX_STATUS = 599;
 
 const waitLimits = Object.values(WaitLimit);
 
@@ -213,7 +210,7 @@
       }),
     };
   }
-  if (report === undefined || status < MIN_STATUS || status > MAX_STATUS) {
+  if (report === undefined || !isFinalStatus(status)) {
     return { report, result: Err(invalidAnswer) };
   }
   if (promisesNotRun(status)) {
--- a/tests/serving/slowReaders.spec.ts
+++ b/tests/serving/slowReaders.spec.ts
@@ -10,8 +10,18 @@
 /** More than the buffers of two sockets hold. */
 const BODY = Buffer.alloc(16 * 1024 * 1024, 'a');
 const PAUSE_MS = 300;
+const HASTE = 5;
+/** The pause of a slow reader after each part that it reads, in milliseconds. */
+const READ_PAUSE_MS = 10;
 
-const clock = new SystemClock();
+/** Lets timers fire early, so that a receiver counts as stalled after a second. */
+class HastyClock extends SystemClock {
+  override after(delayMs: number, action: () => void): () => void {
+    return super.after(delayMs / HASTE, action);
+  }
+}
+
+const clock = new HastyClock();
 let listener: CallerListener;
 let address: string;
 
@@ -51,3 +61,25 @@
   socket.destroy();
   expect(bytes).toBeGreaterThan(BODY.length);
 });
+
+// Guards against callers that are given up although they read, because their next answer has to wait.
+it('should get the answers to pipelined requests one after the other', async () => {
+  const socket = connect(parseAddress(address));
+  const request = encodeRequest({ target: '/', headers: { host: 'a.example' } });
+  socket.write(request + request);
+  let bytes = 0;
+  await new Promise((resolve) => {
+    socket.on('close', resolve);
+    socket.on('error', resolve);
+    socket.on('data', (chunk: Buffer) => {
+      bytes += chunk.length;
+      socket.pause();
+      setTimeout(() => socket.resume(), READ_PAUSE_MS);
+      if (bytes > 2 * BODY.length) {
+        resolve(undefined);
+      }
+    });
+  });
+  socket.destroy();
+  expect(bytes).toBeGreaterThan(2 * BODY.length);
+});
