Wait longer for the answers that the tests of spoiled bytes check

The new ones waited 60 ms for an answer that they check, which came after 62 to 73 ms; 60 ms is meant for messages that get none. Change: 5 s where the answer is checked; the checks are as before.

--- a/tests/routing/spoiledBytes.spec.ts
+++ b/tests/routing/spoiledBytes.spec.ts
@@ -6,7 +6,7 @@
 import type { ByteEdit } from '../support/byteEdits.js';
 import { createLogRecord, createPublishRecord } from '../support/configurationRecords.js';
 import { ScriptedServer } from '../support/scriptedServer.js';
-import { playEdits, writeTo } from '../support/spoiledMessages.js';
+import { LONG_PATIENCE_MS, playEdits, writeTo } from '../support/spoiledMessages.js';
 import { startTestNode, waitFor } from '../support/testNode.js';
 import type { UncaughtErrors } from '../support/uncaughtErrors.js';
 import { recordUncaughtErrors } from '../support/uncaughtErrors.js';
@@ -98,7 +98,8 @@
       await writeTo(address(node.callUrl), call);
     }, errors);
     edits.length = 0;
-    expect(await writeTo(address(node.callUrl), call)).toContain('HTTP/1.1 200');
+    const answer = await writeTo(address(node.callUrl), call, LONG_PATIENCE_MS);
+    expect(answer).toContain('HTTP/1.1 200');
   });
 
   it.each([
@@ -106,7 +107,8 @@
     ['a space in a header name', 'POST /pages/1', 'x a: b\r\n', '400'],
     ['an empty header name', 'POST /pages/1', ': b\r\n', '400'],
   ])('as little as %s', async (_, firstLine, fields, status) => {
-    const answer = await writeTo(address(node.callUrl), encode(firstLine, fields));
+    const request = encode(firstLine, fields);
+    const answer = await writeTo(address(node.callUrl), request, LONG_PATIENCE_MS);
     expect(errors.messages).toEqual([]);
     expect(answer).toContain(`HTTP/1.1 ${status}`);
   });
@@ -117,7 +119,7 @@
     ['x-a: \u00ff', '200'],
   ])('as little as an answer with the header "%s"', async (field, status) => {
     answers.push(`HTTP/1.1 200 OK\r\n${field}\r\ncontent-length: 2\r\n\r\nok`);
-    const answer = await writeTo(address(node.callUrl), call);
+    const answer = await writeTo(address(node.callUrl), call, LONG_PATIENCE_MS);
     expect(errors.messages).toEqual([]);
     expect(answer).toContain(`HTTP/1.1 ${status}`);
   });
--- a/tests/support/spoiledMessages.ts
+++ b/tests/support/spoiledMessages.ts
@@ -13,15 +13,22 @@
 const BATCH_SIZE = 40;
 /** The time after which a message that is not answered is given up, in milliseconds. */
 const PATIENCE_MS = 60;
+/** The same time for a message whose answer matters, in milliseconds. */
+export const LONG_PATIENCE_MS = 5_000;
 
 /**
  * Writes bytes to a new connection, and closes it once something has come back.
  *
  * @param address - the address and port of the receiver
  * @param bytes - the bytes
+ * @param patienceMs - the time after which it is closed without an answer, in milliseconds
  * @returns the bytes that have come back
  */
-export async function writeTo(address: string, bytes: Buffer): Promise<string> {
+export async function writeTo(
+  address: string,
+  bytes: Buffer,
+  patienceMs = PATIENCE_MS,
+): Promise<string> {
   const socket = connect(parseAddress(address));
   socket.on('error', () => undefined);
   const answered = new Promise((resolve) => {
@@ -29,7 +36,7 @@
     socket.once('close', resolve);
   });
   socket.write(bytes);
-  const answer = await Promise.race([answered, delay(PATIENCE_MS)]);
+  const answer = await Promise.race([answered, delay(patienceMs)]);
   socket.destroy();
   return String(answer);
 }
