--- a/packages/lentillb/src/emulation/emulatedBackendServer.ts
+++ b/packages/lentillb/src/emulation/emulatedBackendServer.ts
@@ -47,7 +47,7 @@
     this.slowdown = factor;
   }
 
-  /** What the backend server states in its answers. */
+  /** The statement of the backend server in its answers. */
   get statement(): ServerStatement {
     return { limitPerSecond: this.limitPerSecond, hasMalformedLimit: false, leaving: false };
   }
