Let the scripted store of a test state that it closes its connections

Change: the server's answers have `connection: close`, and the sound call has 5 s. What is checked is the same.

--- a/tests/platform/spoiledBytes.spec.ts
+++ b/tests/platform/spoiledBytes.spec.ts
@@ -27,6 +27,13 @@
 
 const SEED = 47;
 const RUNS = 2_000;
+const TIMEOUT_MS = 200;
+/** The timeout of a call whose answer is sound, in milliseconds. */
+const SOUND_TIMEOUT_MS = 5_000;
+
+/** A call to the store with a timeout in milliseconds. */
+type Call = (timeoutMs: number) => Promise<unknown>;
+
 const clock = new SystemClock();
 
 const announcement = {
@@ -133,7 +140,8 @@
   beforeEach(async () => {
     errors = recordUncaughtErrors();
     server = new ScriptedServer((socket) => {
-      const head = `HTTP/1.1 200 OK\r\nstore-era: 1\r\ncontent-length: ${answer.length}\r\n\r\n`;
+      const fields = `store-era: 1\r\nconnection: close\r\ncontent-length: ${answer.length}`;
+      const head = `HTTP/1.1 200 OK\r\n${fields}\r\n\r\n`;
       const whole = Buffer.concat([Buffer.from(head), answer]);
       const edit = edits.pop();
       socket.end(edit === undefined ? whole : applyEdit(whole, edit));
@@ -147,18 +155,19 @@
   });
 
   const frame = Buffer.from('\0\0\0\x04\x01kab', 'latin1');
-  const calls: Readonly<Record<string, readonly [Buffer, () => Promise<unknown>]>> = {
+  const calls: Readonly<Record<string, readonly [Buffer, Call]>> = {
     'a read of the newest records': [
       asJson({ items: [{ key: 'k', value: 'YWI=', offset: 0 }], 'has-more': false, end: 1 }),
-      () => store.readNewest(Topic.Hosts, Deadline.after(clock, 200)),
+      (timeoutMs) => store.readNewest(Topic.Hosts, Deadline.after(clock, timeoutMs)),
     ],
     'a read from an offset': [
       Buffer.concat([Buffer.alloc(7), Buffer.of(1), Buffer.alloc(8), frame]),
-      () => store.follow(Topic.Hosts, 0, 0, Deadline.after(clock, 200)),
+      (timeoutMs) => store.follow(Topic.Hosts, 0, 0, Deadline.after(clock, timeoutMs)),
     ],
     'a write': [
       asJson({ offset: 3, end: 4 }),
-      () => store.write(Topic.Hosts, 'k', Buffer.from('ab'), Deadline.after(clock, 200)),
+      (timeoutMs) =>
+        store.write(Topic.Hosts, 'k', Buffer.from('ab'), Deadline.after(clock, timeoutMs)),
     ],
   };
 
@@ -167,9 +176,9 @@
     answer = sound;
     await playEdits(async (edit) => {
       edits.push(edit);
-      await call();
+      await call(TIMEOUT_MS);
     }, errors);
     edits.length = 0;
-    expect(await call()).toMatchObject({ value: expect.anything() as unknown });
+    expect(await call(SOUND_TIMEOUT_MS)).toMatchObject({ value: expect.anything() as unknown });
   });
 });
