--- a/packages/lentillb/src/calls/answerStatuses.ts
+++ b/packages/lentillb/src/calls/answerStatuses.ts
@@ -1,6 +1,7 @@
 /** Classifies the statuses of answers. */
 
-const MIN_FINAL_STATUS = 200;
+/** The lowest status of a final answer; lower ones are interim answers. */
+export const MIN_FINAL_STATUS = 200;
 const MAX_STATUS = 599;
 /** The statuses by which a caller learns that its request has not run and never will. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
--- a/packages/lentillb/src/calls/httpExchange.ts
+++ b/packages/lentillb/src/calls/httpExchange.ts
@@ -5,10 +5,9 @@
 import type { Dispatcher } from 'undici';
 import type { CallFailure, CallResult } from './call.js';
 import { FailureReason, cancellationFailureReasons } from './call.js';
-import { areForwardable } from '../utils/messageHead.js';
-import { isFinalStatus } from './answerStatuses.js';
+import { hasForwardableHeaders } from '../utils/messageHead.js';
+import { isFinalStatus, MIN_FINAL_STATUS } from './answerStatuses.js';
 import type { HeaderFields } from './callHeaders.js';
-import { MIN_FINAL_STATUS } from './responseHeadHandler.js';
 import { CallHeader, parseIntegerHeader, Outcome, forwardedHeaders } from './callHeaders.js';
 import type { Cancellation } from './cancellation.js';
 
@@ -98,7 +97,7 @@
     if (statusCode < MIN_FINAL_STATUS) {
       return;
     }
-    if (!isFinalStatus(statusCode) || !areForwardable(headers)) {
+    if (!isFinalStatus(statusCode) || !hasForwardableHeaders(headers)) {
       controller.abort(new Error('the status or a header of the response is invalid'));
       return;
     }
--- a/packages/lentillb/src/calls/responseHeadHandler.ts
+++ b/packages/lentillb/src/calls/responseHeadHandler.ts
@@ -2,11 +2,9 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import { DecoratorHandler } from 'undici';
 import type { Dispatcher } from 'undici';
+import { MIN_FINAL_STATUS } from './answerStatuses.js';
 import type { ResponseHeadLimit } from './responseHeadLimit.js';
 
-/** The lowest status of a final response; lower ones are interim responses. */
-export const MIN_FINAL_STATUS = 200;
-
 /** Forwards a response to another handler, without interim responses. */
 export class ResponseHeadHandler implements Dispatcher.DispatchHandler {
   private readonly inner: Dispatcher.DispatchHandler;
--- a/packages/lentillb/src/utils/messageHead.ts
+++ b/packages/lentillb/src/utils/messageHead.ts
@@ -41,7 +41,7 @@
  * @param headers - the headers by name
  * @returns whether a message can have these headers
  */
-export function areForwardable(headers: IncomingHttpHeaders): boolean {
+export function hasForwardableHeaders(headers: IncomingHttpHeaders): boolean {
   return Object.entries(headers).every(
     ([name, value = '']) => TOKEN.test(name) && [value].flat().every(isFieldValue),
   );
