End after a planned stop although nobody reads the log

What callers saw: nothing; the platform saw a process that was told to stop and was still there 8 s later, until it was killed. Whatever the process would have done after its last line was not done.

Cause: the log is written on a thread of the pool. Where standard output is a pipe that nobody reads, the thread waits in its write for ever, and the exit of Node.js waits for all threads of the pool. The timeout of the last flush bounds the flush, not the exit.

The descriptor of the log is now set so that a write to a full pipe fails at once. Such a batch is tried again after the delay between two writes; lines are still dropped once the buffer is full, and the number is bounded as before. Files are left as they are.

Ruled out: closed output (the write fails, lines are counted as lost), and the connections that callers keep open (the exit does not wait for them).

--- a/packages/lentillb/src/observability/lineWriter.ts
+++ b/packages/lentillb/src/observability/lineWriter.ts
@@ -1,6 +1,8 @@
 /** Writes log lines to a file descriptor without blocking the event loop. */
 import { write } from 'node:fs';
 import type { Clock } from '../kernel/clock.js';
+import type { Descriptor } from './descriptorOutput.js';
+import { makeNonBlocking, WOULD_BLOCK } from './descriptorOutput.js';
 
 /** The maximum bytes buffered for a stalled reader; further lines are dropped and counted. */
 const MAX_BUFFERED_BYTES = 256 * 1024;
@@ -13,17 +15,18 @@
 /** Writes bytes to a descriptor; tests replace it. */
 export type DescriptorWrite = (
   bytes: Buffer,
-  done: (error: Error | null, written: number) => void,
+  done: (error: NodeJS.ErrnoException | null, written: number) => void,
 ) => void;
 
 /**
- * Creates a function that writes to a file descriptor on another thread, so that a full pipe blocks
- * only that thread.
+ * Creates a function that writes to a file descriptor on another thread. A write to a full pipe fails,
+ * because a thread that waited for the reader would keep the process from ending.
  *
- * @param descriptor - the number of an open file descriptor
+ * @param descriptor - a standard descriptor
  * @returns the function
  */
-export function writeToDescriptor(descriptor: number): DescriptorWrite {
+export function writeToDescriptor(descriptor: Descriptor): DescriptorWrite {
+  makeNonBlocking(descriptor);
   return (bytes, done) => write(descriptor, bytes, 0, bytes.length, null, done);
 }
 
@@ -114,6 +117,10 @@
         this.writeRemaining(bytes.subarray(written));
         return;
       }
+      if (error?.code === WOULD_BLOCK) {
+        this.clock.after(WRITE_DELAY_MS, () => this.writeRemaining(bytes));
+        return;
+      }
       // A write fails when the reader is gone. The lines of the batch are lost and counted as one.
       this.droppedLines += error === null ? 0 : 1;
       this.isWriting = false;
--- a/packages/lentillb/src/sidecar/index.ts
+++ b/packages/lentillb/src/sidecar/index.ts
@@ -14,6 +14,7 @@
 export { Deadline } from '../kernel/deadline.js';
 export { SeededRandomness } from '../kernel/randomness.js';
 export type { Randomness } from '../kernel/randomness.js';
+export { Descriptor } from '../observability/descriptorOutput.js';
 export { LineWriter, writeToDescriptor } from '../observability/lineWriter.js';
 export { Repetition } from '../rules/ruleForms.js';
 export { ConnectionPool } from '../serving/connectionPool.js';
--- a/tests/observability/decisionLog.spec.ts
+++ b/tests/observability/decisionLog.spec.ts
@@ -72,6 +72,27 @@
     expect(writer.dropped).toBe(0);
   });
 
+  it('should write lines once a stalled reader reads again', async () => {
+    const clock = new ManualClock();
+    let stalled = true;
+    let written = '';
+    const writer = new LineWriter(clock, (bytes, done) => {
+      if (stalled) {
+        done(Object.assign(new Error('resource temporarily unavailable'), { code: 'EAGAIN' }), 0);
+        return;
+      }
+      written += bytes.toString();
+      done(null, bytes.length);
+    });
+    writer.write('first\n');
+    await clock.advance(1_000);
+    writer.write('second\n');
+    stalled = false;
+    await clock.advance(1_000);
+    expect(written).toBe('first\nsecond\n');
+    expect(writer.dropped).toBe(0);
+  });
+
   it('should flush the last lines, and stop waiting for a stalled reader after the timeout', async () => {
     const clock = new ManualClock();
     let written = '';
--- /dev/null
+++ b/tests/support/fullPipe.ts
@@ -0,0 +1,37 @@
+/** Opens a pipe that is full, as if whoever reads the output of a program had stopped. */
+import { closeSync, constants, openSync, writeSync } from 'node:fs';
+
+const BLOCK_BYTES = 4_096;
+
+/** A pipe to which nothing more can be written. */
+export interface FullPipe {
+  /** The descriptor of its writing end. */
+  readonly descriptor: number;
+  readonly close: () => void;
+}
+
+function fill(descriptor: number): void {
+  const block = Buffer.alloc(BLOCK_BYTES, '\n');
+  try {
+    for (;;) {
+      writeSync(descriptor, block);
+    }
+  } catch (error) {
+    if ((error as NodeJS.ErrnoException).code !== 'EAGAIN') {
+      throw error;
+    }
+  }
+}
+
+/**
+ * Opens a named pipe and fills it.
+ *
+ * @param file - the path of the pipe
+ * @returns the full pipe
+ */
+export function openFullPipe(file: string): FullPipe {
+  const reader = openSync(file, constants.O_RDWR | constants.O_NONBLOCK);
+  fill(reader);
+  const descriptor = openSync(file, constants.O_WRONLY);
+  return { descriptor, close: () => [reader, descriptor].forEach((open) => closeSync(open)) };
+}
