Handle signals before the program is loaded

What callers saw: a process that gets SIGHUP in the first 130 ms of its life is gone. The platform sends SIGHUP whenever the settings change, also just after a start, and counts an end that nobody asked for.

Cause: the handlers were set after all modules were loaded, the settings read and the node built. A signal without a handler ends a process. SIGTERM at that time ended it by the signal, without a code and a line.

The program is now an entry of 5 KB that sets the handlers and then loads the rest, a second file beside it. SIGTERM and SIGINT during the start end the program with code 0 and a line that says so; SIGHUP never ends it and is logged once the node runs. SIGUSR1 (which opened a debugger), SIGUSR2 and SIGALRM have no meaning to a node and are logged. Node.js handles signals only in turns of its event loop, so one is taken before the settings are read and one before the node counts as started.

Ruled out: one file whose modules are evaluated late.

What remains is the boot of Node.js itself, in which no handler can be set; docs have it as a question.

--- a/eslint.boundaries.js
+++ b/eslint.boundaries.js
@@ -46,7 +46,7 @@
   };
 });
 
-/** The platform adapter imports the library only through lentillb/sidecar; only tests import the adapter. */
+/** The platform adapter imports the library only through lentillb/sidecar and lentillb/process; only tests import the adapter. */
 export const adapterBoundaries = [
   {
     files: ['packages/**'],
@@ -57,7 +57,14 @@
     rules: {
       'no-restricted-imports': [
         'error',
-        { patterns: [{ regex: '^lentillb(?!/sidecar$)', message: 'use lentillb/sidecar' }] },
+        {
+          patterns: [
+            {
+              regex: '^lentillb(?!/(process|sidecar)$)',
+              message: 'use lentillb/sidecar or lentillb/process',
+            },
+          ],
+        },
       ],
     },
   },
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -428,6 +428,15 @@
     this.log.record(Importance.Notable, 'settings-unchanged', {});
   }
 
+  /**
+   * Logs a signal that has no meaning to a node.
+   *
+   * @param signal - the name of the signal
+   */
+  logIgnoredSignal(signal: string): void {
+    this.log.record(Importance.Notable, 'signal-ignored', { signal });
+  }
+
   /** Shuts down within the stop time; see `PlannedStop` for the steps. */
   async stop(): Promise<void> {
     const { callers, entry, gate, gateListener, log } = this;
