Name the cause when the program ends by itself

What callers saw: a process is gone, and its log ends in the middle. An uncaught error printed the line of the bundle that it came from, which is minified and hundreds of kilobytes long, and the lines of the last 200 ms were lost.

Cause: the program had no handler for uncaught exceptions and unhandled rejections, and an address that cannot be listened on and settings that cannot be read were such errors or a line that is no line of the log. Node.js ends with code 1 for all of them.

The entry now handles them before the rest is loaded.

Ruled out: source maps (the names of functions are kept in the bundle, so a stack can be read), and an address that is taken only for a moment, which is a fault of its own.

--- a/packages/lentillb/src/observability/lineWriter.ts
+++ b/packages/lentillb/src/observability/lineWriter.ts
@@ -86,6 +86,17 @@
     await Promise.race([written, this.clock.sleep(timeoutMs)]);
   }
 
+  /**
+   * Takes the lines that are buffered, for a writer that does not wait.
+   *
+   * @returns the lines, after a line break if a line may be written in part
+   */
+  takeLines(): string {
+    const lines = this.bufferedLines.join('');
+    this.bufferedLines = [];
+    return this.isWriting ? `\n${lines}` : lines;
+  }
+
   private scheduleWrite(): void {
     if (this.isWriteScheduled || this.isWriting || this.bufferedLines.length === 0) {
       return;
--- a/packages/lentillb/src/process/startedProcess.ts
+++ b/packages/lentillb/src/process/startedProcess.ts
@@ -12,7 +12,7 @@
 }
 
 /**
- * Handles the signals of this process. Until the program has reactions of its
+ * Handles the signals and the uncaught errors of this process. Until the program has reactions of its
  * own, a signal that asks for a stop ends the process at once.
  *
  * @param name - the name of the program, for the log
@@ -25,5 +25,6 @@
     end.end(EndCause.StoppedAtStart, 'a signal asked for a stop before anything was served'),
   );
   signals.handle();
+  end.handleUncaughtErrors();
   return { directLog, end, signals };
 }
