Read settings again that are incomplete at a start

What callers saw: a start that meets the settings file empty, cut in half or not yet there ends with code 1 after 124 to 149 ms, and so does one with `limits` or `link-mbps` without a value.

Cause: the file was read once. The platform writes it at every start and whenever the settings change, also without a signal, so a process that is started meanwhile may find a part of it. And the schema took a field for absent only if its name is absent, while a placeholder without a value leaves the name with `null`.

The file is now read again after 20 ms, 40 ms and so on up to 500 ms, for 5 s in all, with a line `settings-not-read` each time; then the program ends with the last line `ended`. SIGTERM ends the program meanwhile, with code 0. `limits` and `link-mbps` may be empty: the node has a way to go on without them.

--- a/tests/platform/startSignals.spec.ts
+++ b/tests/platform/startSignals.spec.ts
@@ -73,4 +73,12 @@
       expect(started.output).not.toContain('Debugger listening');
     },
   );
+
+  it('should end the program at once when SIGTERM comes while the settings are incomplete', async () => {
+    const file = await program.write('half.json', '{"self":');
+    const started = program.start(file);
+    await started.logged('settings-not-read');
+    started.signal('SIGTERM');
+    expect(await started.ended).toEqual({ code: 0, signal: null });
+  });
 });
