Log that the heap is nearly full

What callers saw: a process whose heap passes its limit of 96 MB is ended by SIGABRT. Node.js writes the cause to standard error as text between lines on the collections; the log has nothing, since no code of the program runs any more.

A line `heap-nearly-full` is now written, synchronously, once the used heap passes 85 % of the limit, and again only after it was below 70 %. The check takes one wake-up in 250 ms.

Ruled out: the report of Node.js on a fatal error. Written to standard output as one line it has 8.8 KB and names the cause, but also every handle of the process, of which there may be thousands, and no field of the log. A heap that fills faster than 15 % of its limit in 250 ms ends without the line; the text of Node.js remains.

The test failed without the monitor.

--- a/packages/lentillb/src/sidecar/index.ts
+++ b/packages/lentillb/src/sidecar/index.ts
@@ -15,6 +15,7 @@
 export { SeededRandomness } from '../kernel/randomness.js';
 export type { Randomness } from '../kernel/randomness.js';
 export { Descriptor } from '../observability/descriptorOutput.js';
+export { HeapMonitor, readHeapUse } from '../observability/heapMonitor.js';
 export { LineWriter, writeToDescriptor } from '../observability/lineWriter.js';
 export { Repetition } from '../rules/ruleForms.js';
 export { ConnectionPool } from '../serving/connectionPool.js';
--- a/tests/platform/lastLine.spec.ts
+++ b/tests/platform/lastLine.spec.ts
@@ -79,6 +79,24 @@
     expect(started.output).toContain('provoked');
   });
 
+  it('should be preceded by a line when the heap fills to its limit', async () => {
+    const failure = `
+      const kept = [];
+      setInterval(() => {
+        for (let index = 0; index < 700; index += 1) {
+          kept.push({ text: 'x'.repeat(20) + index });
+        }
+      }, 5);
+    `;
+    const hook = await program.write('failure.cjs', failure);
+    const file = await program.write('node.json', JSON.stringify(await createPlatformSettings()));
+    const nodeOptions = ['--max-old-space-size=96', '--max-semi-space-size=2', '--require', hook];
+    const started = program.start(file, { nodeOptions });
+    expect((await started.ended).code).not.toBe(0);
+    expect(started.lines.map(({ event }) => event)).toContain('heap-nearly-full');
+    expect(started.output).toContain('JavaScript heap out of memory');
+  });
+
   it('should come with a stack that names functions', async () => {
     const started = await startFailing(
       `process.on('SIGUSR2', function provoke() { throw new Error('provoked'); });`,
