Handle signals and uncaught errors of the daemon from its start

What callers saw: the older daemon ends by SIGHUP at any time, by SIGTERM before its node runs, and with a stack on standard error if its start fails.

Cause: the same class of fault as in the platform's program. The handlers were set once the node had started, and none for SIGHUP.

The daemon now starts like the platform's program, with the same parts: handlers first, then the rest is loaded. The signals that ask for a stop end it with code 0 while it starts. Its own handlers for uncaught errors go; an uncaught exception ends it with code 70 (before: 1) and the last line `ended`. Invalid settings keep code 2. An end because nothing is left to wait for, with which the daemon finishes a planned stop, is expected there.

--- a/packages/lentillb/src/process/processEnd.ts
+++ b/packages/lentillb/src/process/processEnd.ts
@@ -21,6 +21,8 @@
 export class ProcessEnd {
   private rejections = 0;
 
+  private isExpected = false;
+
   /**
    * @param ownProcess - the process
    * @param log - receives the last line
@@ -38,9 +40,16 @@
   handleUncaughtErrors(): void {
     this.ownProcess.on('uncaughtException', (error) => this.end(EndCause.UncaughtError, error));
     this.ownProcess.on('unhandledRejection', (error) => this.acceptRejection(error));
-    this.ownProcess.on('beforeExit', () =>
-      this.end(EndCause.NothingToDo, 'nothing is left to wait for; report this as a fault'),
-    );
+    this.ownProcess.on('beforeExit', () => {
+      if (!this.isExpected) {
+        this.end(EndCause.NothingToDo, 'nothing is left to wait for; report this as a fault');
+      }
+    });
+  }
+
+  /** Lets the process end without a last line once nothing is left to wait for. */
+  expect(): void {
+    this.isExpected = true;
   }
 
   /**
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -1,34 +1,29 @@
 /** Runs a node as the main task of a process, until a signal stops it. */
 import { once } from 'node:events';
 import type { Settings } from 'lentillb';
-import { InvariantError } from 'lentillb';
+import { startProcess } from 'lentillb/process';
+import type { StartedProcess } from 'lentillb/process';
 import { RunningNode } from './runningNode.js';
 
-const EXIT_CODE_FAILURE = 1;
-
 /**
- * Runs a node until SIGTERM or SIGINT, then stops it gracefully.
+ * Runs a node until SIGTERM or SIGINT, then stops it gracefully. Either signal ends the process at
+ * once while the node starts.
  *
  * @param settings - the validated settings of the node
+ * @param startedProcess - the parts of the process that exist already, if it has any
  */
-export async function runDaemon(settings: Settings): Promise<void> {
+export async function runDaemon(
+  settings: Settings,
+  { directLog, end, signals }: StartedProcess = startProcess('lentillb'),
+): Promise<void> {
+  directLog.identify({ host: settings.host, zone: settings.zone });
   const node = await RunningNode.start(settings);
   const { logger, settings: effectiveSettings } = node.services;
   const stop = new AbortController();
-  // Handled each time, because without a handler a repeated signal ends the process at once.
-  process.on('SIGTERM', () => stop.abort());
-  process.on('SIGINT', () => stop.abort());
-  process.on('uncaughtException', (error) => {
-    logger.fatal({ err: error }, 'uncaught exception; exiting');
-    // eslint-disable-next-line n/no-process-exit -- the state of the process may be invalid
-    process.exit(EXIT_CODE_FAILURE);
-  });
-  process.on('unhandledRejection', (error) => {
-    logger.error({ err: error }, 'unhandled promise rejection');
-    if (error instanceof InvariantError) {
-      // eslint-disable-next-line n/no-process-exit -- the state of the process may be invalid
-      process.exit(EXIT_CODE_FAILURE);
-    }
+  signals.react({
+    stop: () => stop.abort(),
+    reload: () => logger.info('settings are read at a start only; restart the node to change them'),
+    ignore: (signal) => logger.info({ signal }, 'signal without a meaning'),
   });
   await node.waitUntilReady(stop.signal);
   if (!stop.signal.aborted) {
@@ -37,5 +32,6 @@
   }
   logger.info({ drainMs: effectiveSettings.drainMs }, 'stopping gracefully');
   await node.stop();
+  end.expect();
   logger.info('stopped');
 }
--- a/tests/support/platformProcess.ts
+++ b/tests/support/platformProcess.ts
@@ -58,12 +58,17 @@
 
   /** Waits until the program has logged an event. */
   async logged(event: string): Promise<void> {
+    await this.saying(`"event":"${event}"`);
+  }
+
+  /** Waits until the program has written a text. */
+  async saying(text: string): Promise<void> {
     const { child } = this;
     await waitUntil(() => {
       if (child.exitCode !== null || child.signalCode !== null) {
         throw new Error(`ended (${child.exitCode ?? child.signalCode}): ${this.output}`);
       }
-      return this.output.includes(`"event":"${event}"`);
-    }, `${event} is logged, ${this.output}`);
+      return this.output.includes(text);
+    }, `${text} is written, ${this.output}`);
   }
 }
