Wait for a stalled reader without shared memory

Without a pause the write is tried again for the same 200 ms, which costs processor time once, at the end of a process.

--- a/packages/lentillb/src/observability/descriptorOutput.ts
+++ b/packages/lentillb/src/observability/descriptorOutput.ts
@@ -1,5 +1,6 @@
 /** Writes to the standard descriptors of a process without waiting for a reader that stalls. */
 import { writeSync } from 'node:fs';
+import type { Deadline } from '../kernel/deadline.js';
 
 /** The number of a file descriptor. */
 export const Descriptor = { Output: 1, Error: 2 } as const;
@@ -8,9 +9,6 @@
 /** The code of a write that would have to wait for the reader. */
 export const WOULD_BLOCK = 'EAGAIN';
 
-/** The pause before a write to a stalled reader is tried again, in milliseconds. */
-const STALLED_WRITE_PAUSE_MS = 5;
-
 const streamsByDescriptor = {
   [Descriptor.Output]: () => process.stdout,
   [Descriptor.Error]: () => process.stderr,
@@ -27,10 +25,6 @@
   streamsByDescriptor[descriptor]();
 }
 
-function pause(durationMs: number): void {
-  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, durationMs);
-}
-
 function tryWrite(descriptor: Descriptor, bytes: Uint8Array): number | undefined {
   try {
     // eslint-disable-next-line n/no-sync -- the process ends and does no other work
@@ -41,27 +35,23 @@
 }
 
 /**
- * Writes a text synchronously.
+ * Writes a text synchronously. While the reader stalls, the write is tried again without a pause: nothing
+ * else is left to do.
  *
  * @param descriptor - a standard descriptor
  * @param text - the text
- * @param timeoutMs - the maximum time to wait for a stalled reader, in milliseconds
+ * @param deadline - the time until which a stalled reader is waited for
  * @returns whether all of the text was written
  */
-export function writeNow(descriptor: Descriptor, text: string, timeoutMs: number): boolean {
+export function writeNow(descriptor: Descriptor, text: string, deadline: Deadline): boolean {
   makeNonBlocking(descriptor);
   let rest: Uint8Array = Buffer.from(text);
-  let waitedMs = 0;
   while (rest.length > 0) {
     const written = tryWrite(descriptor, rest);
-    if (written === undefined || (written === 0 && waitedMs >= timeoutMs)) {
+    if (written === undefined || (written === 0 && deadline.expired())) {
       return false;
     }
     rest = rest.subarray(written);
-    if (written === 0) {
-      pause(STALLED_WRITE_PAUSE_MS);
-      waitedMs += STALLED_WRITE_PAUSE_MS;
-    }
   }
   return true;
 }
--- a/packages/lentillb/src/observability/directLog.ts
+++ b/packages/lentillb/src/observability/directLog.ts
@@ -1,5 +1,7 @@
 /** Writes log lines synchronously, where the logger does not exist yet or can no longer write. */
 import { hostname } from 'node:os';
+import type { Clock } from '../kernel/clock.js';
+import { Deadline } from '../kernel/deadline.js';
 import { Descriptor, writeNow } from './descriptorOutput.js';
 
 /** The level of a line, with the numbers of the logger. */
@@ -22,8 +24,14 @@
 
   private takeEarlierLines: (() => string) | undefined;
 
-  /** @param name - the name of the program */
-  constructor(private readonly name: string) {}
+  /**
+   * @param clock - the clock by which lines are dated and a stalled reader is waited for
+   * @param name - the name of the program
+   */
+  constructor(
+    private readonly clock: Clock,
+    private readonly name: string,
+  ) {}
 
   /**
    * Adds fields to all further lines.
@@ -54,7 +62,11 @@
     const line = this.format(level, event, fields);
     const earlierLines = this.takeEarlierLines?.() ?? '';
     destinations.some((descriptor) =>
-      writeNow(descriptor, `${earlierLines}${line}\n`, WRITE_TIMEOUT_MS),
+      writeNow(
+        descriptor,
+        `${earlierLines}${line}\n`,
+        Deadline.after(this.clock, WRITE_TIMEOUT_MS),
+      ),
     );
   }
 
@@ -68,7 +80,7 @@
       event,
       ...fields,
       msg: '',
-      time: new Date().toISOString(),
+      time: this.clock.now().toISOString(),
       v: FORMAT_VERSION,
     });
   }
--- a/packages/lentillb/src/process/startedProcess.ts
+++ b/packages/lentillb/src/process/startedProcess.ts
@@ -1,4 +1,5 @@
 /** Prepares a process before the program in it is loaded. */
+import { SystemClock } from '../kernel/clock.js';
 import { DirectLog } from '../observability/directLog.js';
 import { EndCause } from './endCause.js';
 import { ProcessEnd } from './processEnd.js';
@@ -19,7 +20,7 @@
  * @returns the parts that the program uses once it is loaded
  */
 export function startProcess(name: string): StartedProcess {
-  const directLog = new DirectLog(name);
+  const directLog = new DirectLog(new SystemClock(), name);
   const end = new ProcessEnd(process, directLog);
   const signals = new ProcessSignals(process, () =>
     end.end(EndCause.StoppedAtStart, 'a signal asked for a stop before anything was served'),
