Attempt addresses that are taken again, and start only when all are open

What callers saw: with one of the five TCP addresses taken for 0.8 s at its start, the process ended with code 1 and a line of minified code; with the UDP address taken it ran on, never listened for readiness checks or heartbeats, and never ended, also after the address was free. A restart while the earlier process of the host still ends met the first.

Cause: listening was attempted once. `GossipSocket.bind` waited for a callback that a failed bind never calls, and the addresses were opened one after the other.

Change: opening is a value. `AddressOpener` attempts all addresses independently, the readiness check first, with delays of 50 to 250 ms, until the timeout of a planned stop and 10 s more: so long an earlier process may hold them. Each failure and the later success are logged. `Sidecar.start()` returns the failure, which names the use, the address, the code, the attempts and the remedy; the program then ends with that line and code 1. A stop ends the attempts, and a node that has not started ends at once.

Order: whoever holds the gate's address speaks for the host, and an earlier process gives the callers' address up seconds before the others. So addresses are taken as they become free, and none is served before all are open: 503 to readiness checks, heartbeats and callers, "not run" to other nodes, gossip is ignored. Two gates would otherwise fill the slots of one backend server.

Errors of an open address (a connection not accepted, a datagram not sent) are logged at most once a second an address and never end the process; the second such error of a server ended it before, the first was swallowed. Failures of sends were not reported at all. An address that is closed without a stop is opened again, or ends the process.

--- a/packages/lentillb/src/peers/gossipSocket.ts
+++ b/packages/lentillb/src/peers/gossipSocket.ts
@@ -1,7 +1,10 @@
 /** Sends and receives gossip messages as datagrams. */
 import { createSocket } from 'node:dgram';
 import type { Socket } from 'node:dgram';
+import type { Result } from 'ts-results-es';
+import { Err, Ok } from 'ts-results-es';
 import type { SuspectReport } from '../directory/suspectReport.js';
+import type { AddressEvents, AddressListener } from '../utils/addressListener.js';
 import { parseAddress } from '../utils/networkAddress.js';
 import type { GossipMessage } from './gossipMessage.js';
 import { decodeGossipMessage, encodeGossipMessage } from './gossipMessage.js';
@@ -14,8 +17,6 @@
   readonly onMessage: (from: string, message: GossipMessage) => void;
   /** Called with reports about suspect requests and the address and port of their sender. */
   readonly onSuspectReports: (from: string, reports: readonly SuspectReport[]) => void;
-  /** Called if a datagram could not be sent. */
-  readonly onError: (error: Error) => void;
 }
 
 /** Sends gossip messages to other nodes without guaranteed delivery. */
@@ -30,37 +31,44 @@
 }
 
 /** The UDP socket of a node for gossip messages and reports about suspect requests. */
-export class GossipSocket implements GossipTransport, SuspectReportTransport {
-  private readonly socket: Socket = createSocket('udp4');
+export class GossipSocket implements GossipTransport, SuspectReportTransport, AddressListener {
+  readonly use = 'gossip';
 
-  private closed = false;
+  /** The socket, while its address is open. */
+  private socket: Socket | undefined;
 
-  /** @param listener - the callbacks for datagrams of other nodes */
-  constructor(listener: GossipSocketListener) {
-    this.socket.on('message', (bytes, { address, port }) => {
-      const from = `${address}:${port}`;
-      const message = decodeGossipMessage(bytes);
-      if (message !== undefined) {
-        listener.onMessage(from, message);
-        return;
-      }
-      const reports = decodeSuspectReports(bytes);
-      if (reports !== undefined) {
-        listener.onSuspectReports(from, reports);
-      }
-    });
-    this.socket.on('error', listener.onError);
-  }
+  private onError: AddressEvents['onError'] | undefined;
 
   /**
-   * Binds the socket.
-   *
    * @param address - the address and port to listen on
+   * @param listener - the callbacks for datagrams of other nodes
    */
-  async bind(address: string): Promise<void> {
-    const { host, port } = parseAddress(address);
-    await new Promise<void>((resolve) => {
-      this.socket.bind(port, host, resolve);
+  constructor(
+    readonly address: string,
+    private readonly listener: GossipSocketListener,
+  ) {}
+
+  open({ onClosed, onError }: AddressEvents): Promise<Result<void, NodeJS.ErrnoException>> {
+    const socket = createSocket('udp4');
+    const { host, port } = parseAddress(this.address);
+    return new Promise((resolve) => {
+      const onUnavailable = (error: NodeJS.ErrnoException): void => {
+        socket.close();
+        resolve(Err(error));
+      };
+      socket.once('error', onUnavailable);
+      socket.bind(port, host, () => {
+        socket.off('error', onUnavailable);
+        socket.on('error', onError);
+        socket.on('message', (bytes, from) => this.receive(bytes, `${from.address}:${from.port}`));
+        socket.on('close', () => {
+          this.socket = undefined;
+          onClosed();
+        });
+        this.socket = socket;
+        this.onError = onError;
+        resolve(Ok(undefined));
+      });
     });
   }
 
@@ -72,18 +80,30 @@
     this.sendDatagram(address, encodeSuspectReports(reports));
   }
 
-  /** Closes the socket. */
   close(): void {
-    if (!this.closed) {
-      this.closed = true;
-      this.socket.close();
+    this.socket?.close();
+    this.socket = undefined;
+  }
+
+  private receive(bytes: Buffer, from: string): void {
+    const message = decodeGossipMessage(bytes);
+    if (message !== undefined) {
+      this.listener.onMessage(from, message);
+      return;
+    }
+    const reports = decodeSuspectReports(bytes);
+    if (reports !== undefined) {
+      this.listener.onSuspectReports(from, reports);
     }
   }
 
   private sendDatagram(address: string, bytes: Buffer): void {
-    if (!this.closed) {
-      const { host, port } = parseAddress(address);
-      this.socket.send(bytes, port, host);
-    }
+    const { host, port } = parseAddress(address);
+    // Without a callback, the socket reports no failure of the send itself.
+    this.socket?.send(bytes, port, host, (error) => {
+      if (error !== null) {
+        this.onError?.(error);
+      }
+    });
   }
 }
--- a/packages/lentillb/src/peers/stateServer.ts
+++ b/packages/lentillb/src/peers/stateServer.ts
@@ -3,9 +3,9 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { promisify } from 'node:util';
 import { constants, gzip } from 'node:zlib';
+import type { AddressListener } from '../utils/addressListener.js';
+import { ServerAddress } from '../utils/addressListener.js';
 import { runInBackground } from '../utils/background.js';
-import { listenAt } from '../utils/listening.js';
-import { parseAddress } from '../utils/networkAddress.js';
 import type { ConfigurationHolder } from '../configuration/configurationHolder.js';
 import type { Directory } from '../directory/directory.js';
 import type { MetricsRegistry } from '../observability/metricsRegistry.js';
@@ -44,12 +44,13 @@
   }
 
   /**
-   * Starts listening.
+   * Returns the listener of the server on an address.
    *
    * @param address - the address and port to listen on
+   * @returns the listener, whose address is not open yet
    */
-  async listen(address: string): Promise<void> {
-    await listenAt(this.server, parseAddress(address));
+  at(address: string): AddressListener {
+    return new ServerAddress('other nodes', address, this.server);
   }
 
   /** Closes the server and all its connections. */
--- a/packages/lentillb/src/serving/callerListener.ts
+++ b/packages/lentillb/src/serving/callerListener.ts
@@ -2,10 +2,11 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { parseAddress } from '../utils/networkAddress.js';
+import type { AddressListener } from '../utils/addressListener.js';
+import { ServerAddress } from '../utils/addressListener.js';
 import { runInBackground } from '../utils/background.js';
 import { closeIdleAfterPendingInput } from '../utils/idleTimeout.js';
-import { acceptEstablished, listenAt, stopAccepting } from '../utils/listening.js';
+import { acceptEstablished, stopAccepting } from '../utils/listening.js';
 import { isForwardable } from '../utils/messageHead.js';
 import { waitForPendingInput } from '../utils/pendingInput.js';
 import { cancelOnDisconnect } from '../calls/callerDisconnect.js';
@@ -134,14 +135,14 @@
   }
 
   /**
-   * Starts to accept connections.
+   * Returns the listener of the server on an address.
    *
+   * @param use - the use of the address, as the log and errors name it
    * @param address - the address and port to listen on
-   * @returns the port that the server listens on
+   * @returns the listener, whose address is not open yet
    */
-  async listen(address: string): Promise<number> {
-    const { host, port } = parseAddress(address);
-    return listenAt(this.server, { host, port, backlog: ACCEPT_BACKLOG });
+  at(use: string, address: string): AddressListener {
+    return new ServerAddress(use, address, this.server, ACCEPT_BACKLOG);
   }
 
   /**
--- a/packages/lentillb/src/sidecar/index.ts
+++ b/packages/lentillb/src/sidecar/index.ts
@@ -29,10 +29,14 @@
   WrittenRecord,
 } from '../store/keyedStore.js';
 export { StoreFailureKind, Topic } from '../store/keyedStore.js';
+export { ServerAddress } from '../utils/addressListener.js';
+export type { AddressEvents, AddressListener } from '../utils/addressListener.js';
 export { runInBackground } from '../utils/background.js';
 export { listenAt } from '../utils/listening.js';
 export { decodeEscapes } from '../utils/decodeEscapes.js';
 export { parseAddress } from '../utils/networkAddress.js';
 export { readJson } from '../utils/readJson.js';
+export { describeAddressFailure } from './addressOpener.js';
+export type { AddressFailure } from './addressOpener.js';
 export { Sidecar } from './sidecar.js';
 export type { SidecarOptions, SidecarServices } from './sidecar.js';
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -1,7 +1,9 @@
 /** Assembles the node that runs on the host of a backend server. */
 import type { Result } from 'ts-results-es';
+import { Ok } from 'ts-results-es';
 import { CallerPresence } from '../calls/callerPresence.js';
 import { PendingInputTracker } from '../utils/pendingInput.js';
+import type { AddressListener } from '../utils/addressListener.js';
 import { hash32 } from '../utils/hash.js';
 import { runInBackground } from '../utils/background.js';
 import type { MeshConfiguration } from '../configuration/meshConfiguration.js';
@@ -48,6 +50,8 @@
 import { EraCheckedStore } from '../store/eraCheckedStore.js';
 import type { KeyedStore } from '../store/keyedStore.js';
 import { StoreEraTracker } from '../store/storeEraTracker.js';
+import { AddressOpener } from './addressOpener.js';
+import type { AddressFailure } from './addressOpener.js';
 import { DepartureRestorer } from './departureRestorer.js';
 import { StoreAnnouncer } from './storeAnnouncer.js';
 import type { HostIdentity, HostState } from './storeAnnouncer.js';
@@ -62,6 +66,11 @@
 const DEPARTURE_WRITE_TIMEOUT_MS = 600;
 /** Idle timeout of connections from other nodes, in milliseconds; longer than that of the other end. */
 const GATE_IDLE_TIMEOUT_MS = 60_000;
+/**
+ * The time for which a starting node attempts to open its addresses beyond the timeout of a planned stop,
+ * in milliseconds. An earlier process of the host may hold them until that timeout.
+ */
+const ADDRESS_RESERVE_MS = 10_000;
 /** The settings of a node. */
 export interface SidecarOptions {
   readonly identity: HostIdentity;
@@ -96,6 +105,11 @@
 
   private readonly log: DecisionLog;
 
+  private readonly addresses: AddressOpener;
+
+  /** Whether all addresses were open once, so that the node takes part in the mesh. */
+  private isStarted = false;
+
   private readonly eventLoopMonitor: EventLoopMonitor;
 
   private readonly meshState: MeshState;
@@ -158,6 +172,7 @@
     const { metrics } = this;
     this.log = new DecisionLog(clock, logger);
     const { log } = this;
+    this.addresses = new AddressOpener({ clock, log }, options.stopTimeoutMs + ADDRESS_RESERVE_MS);
     this.eventLoopMonitor = new EventLoopMonitor(clock, log, metrics);
     const era = new StoreEraTracker();
     const store = new EraCheckedStore(services.store, era);
@@ -220,17 +235,19 @@
     const deliveries = new DeliveryMonitor(clock, (gateAddress, questions) =>
       inquirer.inquire(gateAddress, questions),
     );
-    this.gossipSocket = new GossipSocket({
+    this.gossipSocket = new GossipSocket(identity.peerAddress, {
       onMessage: (from, message) => {
-        this.failureDetector.markAddressHeard(from);
-        this.gossip.receive(from, message);
+        if (this.isStarted) {
+          this.failureDetector.markAddressHeard(from);
+          this.gossip.receive(from, message);
+        }
       },
       onSuspectReports: (from, reports) => {
-        const source = this.suspectRelay.sourceOf(from);
-        reports.forEach((report) => suspectGuard.receive(report, source));
+        if (this.isStarted) {
+          const source = this.suspectRelay.sourceOf(from);
+          reports.forEach((report) => suspectGuard.receive(report, source));
+        }
       },
-      onError: ({ message }) =>
-        log.record(Importance.Notable, 'greeting-not-sent', { reason: message }),
     });
     this.suspectRelay = new SuspectReportRelay(
       { clock, randomness, directory, transport: this.gossipSocket },
@@ -343,9 +360,14 @@
     metrics.gauge('known_hosts', () => directory.announcements.length);
   }
 
+  /** Whether the node holds all its addresses and takes part in the mesh. */
+  get started(): boolean {
+    return this.isStarted && this.addresses.allOpen;
+  }
+
   /** Whether the node accepts callers. */
   get ready(): boolean {
-    return this.plannedStop === undefined && this.meshState.isComplete;
+    return this.plannedStop === undefined && this.started && this.meshState.isComplete;
   }
 
   /** The addresses and properties of this host. */
@@ -362,19 +384,41 @@
     this.gossip.ping(peerAddress);
   }
 
-  /** Opens the listeners and starts following the store. */
-  async start(): Promise<void> {
+  /**
+   * Opens all addresses, then starts to take part in the mesh. An address that is not available is
+   * attempted again, and holds back none of the others. Until all are open, an earlier process of the
+   * host may still serve at the rest, so this one refuses requests, ignores gossip and is not ready.
+   *
+   * @param controls - the listeners for the host itself; they are opened first
+   * @returns nothing once the node has started or a stop has ended the attempts; or the failure of the
+   * first address that was not available in time, after which the node is closed
+   */
+  async start(
+    controls: readonly AddressListener[] = [],
+  ): Promise<Result<undefined, AddressFailure>> {
     const { clock } = this.services;
-    await this.gateListener.listen(this.options.identity.gateAddress);
-    await this.callers.listen(this.options.callerAddress);
-    await this.peerListener.listen(this.options.identity.peerAddress);
-    await this.gossipSocket.bind(this.options.identity.peerAddress);
+    const { gateAddress, host, peerAddress, zone } = this.options.identity;
+    const opened = await this.addresses.openAll([
+      ...controls,
+      this.gateListener.at('requests of other nodes', gateAddress),
+      this.callers.at('callers', this.options.callerAddress),
+      this.peerListener.at(peerAddress),
+      this.gossipSocket,
+    ]);
+    if (opened.isErr()) {
+      this.close();
+      return opened;
+    }
+    if (this.addresses.isStopped) {
+      return Ok(undefined);
+    }
+    this.isStarted = true;
     this.eventLoopMonitor.start();
     runInBackground(this.gossip.run());
     this.meshState.start();
     clock.after(OWN_RECORD_TIMEOUT_MS, () => this.startAnnouncing());
-    const { host, zone } = this.options.identity;
     this.log.record(Importance.Notable, 'started', { host, zone, service: this.options.service });
+    return opened;
   }
 
   /**
@@ -428,8 +472,17 @@
     this.log.record(Importance.Notable, 'settings-unchanged', {});
   }
 
-  /** Shuts down within the stop time; see `PlannedStop` for the steps. */
+  /**
+   * Shuts down within the stop time; see `PlannedStop` for the steps. A node that has not started serves
+   * nothing, and shuts down at once.
+   */
   async stop(): Promise<void> {
+    this.addresses.stop();
+    if (!this.isStarted) {
+      this.log.record(Importance.Notable, 'stopped', { inFlight: 0, unended: 0 });
+      this.close();
+      return;
+    }
     const { callers, entry, gate, gateListener, log } = this;
     const { clock } = this.services;
     this.plannedStop ??= new PlannedStop(
@@ -444,6 +497,7 @@
 
   /** Closes all listeners and connections and ends all loops immediately. */
   close(): void {
+    this.addresses.stop();
     this.eventLoopMonitor.stop();
     this.gossip.stop();
     this.suspectRelay.stop();
--- a/packages/lentillb/src/utils/listening.ts
+++ b/packages/lentillb/src/utils/listening.ts
@@ -1,25 +1,53 @@
 /** Starts and stops listening on a server. */
 import { Server } from 'node:net';
 import type { ListenOptions } from 'node:net';
+import type { Result } from 'ts-results-es';
+import { Err, Ok } from 'ts-results-es';
 import { waitForPendingInput } from './pendingInput.js';
 
 /** The maximum number of turns of the event loop in which connections are accepted at a stop. */
 const MAX_ACCEPT_TURNS = 2_048;
 
 /**
- * Starts to listen on an address.
+ * Makes one attempt to listen on an address. After a failure, the server can be used for another one.
+ *
+ * @param server - a server that does not listen yet
+ * @param options - the address to listen on
+ * @returns the port, or 0 if the address has none; or why the address cannot be opened
+ */
+export function attemptToListen(
+  server: Server,
+  options: ListenOptions,
+): Promise<Result<number, NodeJS.ErrnoException>> {
+  return new Promise((resolve) => {
+    const onError = (error: NodeJS.ErrnoException): void => {
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- the handlers refer to each other
+      server.off('listening', onListening);
+      resolve(Err(error));
+    };
+    const onListening = (): void => {
+      server.off('error', onError);
+      const bound = server.address();
+      resolve(Ok(bound !== null && typeof bound === 'object' ? bound.port : 0));
+    };
+    server.once('error', onError);
+    server.once('listening', onListening);
+    server.listen(options);
+  });
+}
+
+/**
+ * Starts to listen on an address. Errors of the listening server, such as a connection that could not be
+ * accepted, do not end the process: they are reported as warnings of the process.
  *
  * @param server - a server that does not listen yet
  * @param options - the address to listen on
  * @returns the port, or 0 if the address has none; rejects if the address is not available
  */
 export async function listenAt(server: Server, options: ListenOptions): Promise<number> {
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(options, resolve);
-  });
-  const bound = server.address();
-  return bound !== null && typeof bound === 'object' ? bound.port : 0;
+  const attempt = await attemptToListen(server, options);
+  server.on('error', (error) => process.emitWarning(error));
+  return attempt.unwrap();
 }
 
 /**
--- a/tests/peers/stateTransfer.spec.ts
+++ b/tests/peers/stateTransfer.spec.ts
@@ -13,6 +13,7 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { endlessAnswers, EndlessServer } from '../support/endlessServer.js';
 import { freeAddress } from '../support/freeAddress.js';
+import { openListener } from '../support/openListener.js';
 
 const ROUTE_COUNT = 1_600;
 const LIMITS = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
@@ -55,7 +56,7 @@
   });
   listener = new StateServer(new MetricsRegistry(), holder, directory);
   address = await freeAddress();
-  await listener.listen(address);
+  await openListener(listener.at(address));
 });
 
 afterEach(() => listener.close());
--- a/tests/serving/connectionPool.spec.ts
+++ b/tests/serving/connectionPool.spec.ts
@@ -13,6 +13,7 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { createCallerPresence } from '../support/callerPresence.js';
 import { createForwardedRequest } from '../support/forwardedRequest.js';
+import { openListener } from '../support/openListener.js';
 import { createRequestSender } from '../support/requestSender.js';
 import { freeAddress } from '../support/freeAddress.js';
 import { encodeResponse, ScriptedServer } from '../support/scriptedServer.js';
@@ -209,7 +210,7 @@
       { requestIdName: wireHeaders.requestId, isTerse: true },
     );
     const address = await freeAddress();
-    await listener.listen(address);
+    await openListener(listener.at('callers', address));
     const pool = new ConnectionPool(clock, { idleMs: 1_000, maxIdle: 4 });
     const once = async (): Promise<readonly string[]> => {
       const answer = await exchange(clock, {
--- a/tests/serving/idleConnections.spec.ts
+++ b/tests/serving/idleConnections.spec.ts
@@ -5,6 +5,7 @@
 import { createCallerPresence } from '../support/callerPresence.js';
 import { blockEventLoop } from '../support/blockEventLoop.js';
 import { freeAddress } from '../support/freeAddress.js';
+import { openListener } from '../support/openListener.js';
 import { RawConnection } from '../support/rawConnection.js';
 
 const IDLE_MS = 300;
@@ -28,7 +29,7 @@
     idleMs: IDLE_MS,
   });
   const address = await freeAddress();
-  await listener.listen(address);
+  await openListener(listener.at('callers', address));
   connection = await RawConnection.open(address);
   connection.write(REQUEST);
   await expect.poll(() => served).toBe(1);
--- a/tests/serving/pipelinedRequests.spec.ts
+++ b/tests/serving/pipelinedRequests.spec.ts
@@ -7,6 +7,7 @@
 import { expect, it } from 'vitest';
 import { createCallerPresence } from '../support/callerPresence.js';
 import { freeAddress } from '../support/freeAddress.js';
+import { openListener } from '../support/openListener.js';
 
 const REQUESTS = 30;
 
@@ -24,7 +25,7 @@
   const options = { requestIdName: wireHeaders.requestId };
   const listener = new CallerListener(clock, createCallerPresence(clock), serve, options);
   const address = await freeAddress();
-  await listener.listen(address);
+  await openListener(listener.at('callers', address));
   const caller = connect(parseAddress(address));
   await once(caller, 'connect');
   caller.write('GET / HTTP/1.1\r\nhost: a.example\r\n\r\n'.repeat(REQUESTS));
--- a/tests/serving/plannedStop.spec.ts
+++ b/tests/serving/plannedStop.spec.ts
@@ -4,6 +4,7 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { createCallerPresence } from '../support/callerPresence.js';
 import { freeAddress } from '../support/freeAddress.js';
+import { openListener } from '../support/openListener.js';
 import { RawConnection } from '../support/rawConnection.js';
 
 const CONNECTIONS = 60;
@@ -37,7 +38,7 @@
     { requestIdName: wireHeaders.requestId },
   );
   address = await freeAddress();
-  await listener.listen(address);
+  await openListener(listener.at('callers', address));
   connections = await Promise.all(
     Array.from({ length: CONNECTIONS }, () => RawConnection.open(address)),
   );
--- a/tests/serving/slowReaders.spec.ts
+++ b/tests/serving/slowReaders.spec.ts
@@ -5,6 +5,7 @@
 import { afterEach, beforeEach, expect, it } from 'vitest';
 import { createCallerPresence } from '../support/callerPresence.js';
 import { freeAddress } from '../support/freeAddress.js';
+import { openListener } from '../support/openListener.js';
 import { encodeRequest } from '../support/rawConnection.js';
 
 /** More than the buffers of two sockets hold. */
@@ -33,7 +34,7 @@
     { requestIdName: 'x-id' },
   );
   address = await freeAddress();
-  await listener.listen(address);
+  await openListener(listener.at('callers', address));
 });
 
 afterEach(() => listener.close());
--- a/tests/sidecar/spoiledBytes.spec.ts
+++ b/tests/sidecar/spoiledBytes.spec.ts
@@ -1,6 +1,6 @@
 import { createSocket } from 'node:dgram';
 import { setTimeout as delay } from 'node:timers/promises';
-import { listenForHeartbeats, listenForReadiness } from '@lentillb/platform';
+import { createHeartbeatListener, createReadinessListener } from '@lentillb/platform';
 import { encodeAnnouncement } from 'lentillb/directory/announcement.js';
 import { fetchState } from 'lentillb/peers/stateClient.js';
 import { parseAddress } from 'lentillb/utils/networkAddress.js';
@@ -8,6 +8,7 @@
 import { applyEdit } from '../support/byteEdits.js';
 import type { ByteEdit } from '../support/byteEdits.js';
 import { freeAddress } from '../support/freeAddress.js';
+import { openListener } from '../support/openListener.js';
 import { ScriptedServer } from '../support/scriptedServer.js';
 import { SidecarFleet } from '../support/sidecarFleet.js';
 import type { FleetHost } from '../support/sidecarFleet.js';
@@ -144,7 +145,8 @@
 
   it('of a backend server with a heartbeat or a departure', async () => {
     const address = await freeAddress();
-    const server = await listenForHeartbeats(address, back.sidecar, fleet.clock);
+    const listener = createHeartbeatListener(address, back.sidecar, fleet.clock);
+    await openListener(listener);
     let sequence = 1;
     await play(async (edit) => {
       sequence += 1;
@@ -168,17 +170,16 @@
       await writeTo(address, applyEdit(calls[0] as Buffer, edit));
       await writeTo(front.callerAddress, callerRequest);
     });
-    server.close();
-    server.closeAllConnections();
+    listener.close();
   });
 
   it('of the platform with a readiness check', async () => {
     const address = await freeAddress();
-    const server = await listenForReadiness(address, back.sidecar);
+    const listener = createReadinessListener(address, back.sidecar);
+    await openListener(listener);
     const check = encodeHead('GET /readiness HTTP/1.1', { host: 'a' });
     await play((edit) => writeTo(address, applyEdit(check, edit)));
-    server.close();
-    server.closeAllConnections();
+    listener.close();
     await expectServing();
   });
 
--- a/tests/support/relayedHost.ts
+++ b/tests/support/relayedHost.ts
@@ -26,15 +26,24 @@
 ): Promise<RelayedHost> {
   const gateAddress = await freeAddress();
   const relay = new Relay(fleet.clock, () => gateAddress, delayMs);
-  const listen = vi.spyOn(CallerListener.prototype, 'listen');
-  // The first listener that a node opens is that of its gate.
-  listen.mockImplementationOnce(async function listenBehindRelay(
+  const at = vi.spyOn(CallerListener.prototype, 'at');
+  // The first listener that a node creates is that of its gate.
+  at.mockImplementationOnce(function listenBehindRelay(
     this: CallerListener,
+    use: string,
     address: string,
   ) {
-    listen.mockRestore();
-    await relay.listen(address);
-    return this.listen(gateAddress);
+    at.mockRestore();
+    const behindRelay = this.at(use, gateAddress);
+    return {
+      use,
+      address,
+      open: async (events) => {
+        await relay.listen(address);
+        return behindRelay.open(events);
+      },
+      close: () => behindRelay.close(),
+    };
   });
   return { host: await fleet.addHost(name, service), relay };
 }
--- a/tests/support/sidecarFleet.ts
+++ b/tests/support/sidecarFleet.ts
@@ -141,7 +141,7 @@
     const log: object[] = [];
     const storeClient = this.createStoreClient();
     const sidecar = this.createSidecar(setup, log, storeClient);
-    await sidecar.start();
+    (await sidecar.start()).unwrap();
     const heartbeat: Heartbeat = {
       id: backendServer.id,
       service,
@@ -171,7 +171,7 @@
     const storeClient = this.createStoreClient();
     const sidecar = this.createSidecar(host, log, storeClient);
     const restarted = { ...host, log, storeClient, sidecar };
-    await restarted.sidecar.start();
+    (await restarted.sidecar.start()).unwrap();
     this.hosts.splice(this.hosts.indexOf(host), 1, restarted);
     return restarted;
   }
