Report accept errors of the listener for links instead of ending the process

The older daemon's listener for links of other nodes kept its error handler for one event: the first connection that could not be accepted was swallowed, the second ended the process. It now listens as all others do, and such errors are warnings of the process.

--- a/packages/lentillb/src/mesh/peerListener.ts
+++ b/packages/lentillb/src/mesh/peerListener.ts
@@ -2,13 +2,13 @@
 import { setMaxListeners } from 'node:events';
 import { createServer } from 'node:http2';
 import type { Http2Server, ServerHttp2Session, ServerOptions } from 'node:http2';
-import type { AddressInfo } from 'node:net';
 import type { ConnectRouter } from '@connectrpc/connect';
 import { Code, ConnectError } from '@connectrpc/connect';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 import type { PeerMessage } from '@lentillb/protocol';
 import { LinkRole, Mesh } from '@lentillb/protocol';
 import type { Services } from '../kernel/services.js';
+import { listenAt } from '../utils/listening.js';
 import { LinkSide, PeerLink } from './peerLink.js';
 
 type Dependencies = Pick<
@@ -69,11 +69,8 @@
       session.on('close', () => this.sessions.delete(session));
     });
     this.server = server;
-    await new Promise<void>((resolve, reject) => {
-      server.once('error', reject);
-      server.listen(settings.peerPort, settings.address, resolve);
-    });
-    announcer.ports.peerPort = (server.address() as AddressInfo).port;
+    const { address: host, peerPort: port } = settings;
+    announcer.ports.peerPort = await listenAt(server, { host, port });
   }
 
   /** Closes all accepted links and stops listening. */
