End requests whose server switches to another protocol

What callers saw: nothing yet; found by reading every wait that an error never ends. An answer "101 Switching Protocols" that names a protocol, such as spoiled bytes may form, closes the connection of a request without `response` and without `error`, and aborting the request afterwards reports nothing either. So its timeouts did not help.

- a read or a write of the store was never settled: the writer of the host's record waited for ever, so that no later record was written by this process;
- the transfer of another node's state was never settled, and the node that should fetch it asked that one no more;
- a request to a backend server or a gate was given up only at its timeout.

All three now take a request that is closed before its answer has begun as failed.

--- a/packages/lentillb/src/peers/stateClient.ts
+++ b/packages/lentillb/src/peers/stateClient.ts
@@ -4,6 +4,7 @@
 import { gunzip } from 'node:zlib';
 import type { Result } from 'ts-results-es';
 import { Err } from 'ts-results-es';
+import { onClosedUnanswered } from '../utils/closedUnanswered.js';
 import { limitResponseBody, limitResponseHead } from '../utils/responseLimits.js';
 import { runInBackground } from '../utils/background.js';
 import type { NodeState } from './nodeState.js';
@@ -58,6 +59,7 @@
     });
     limitResponseHead(outgoing, abortOversized);
     outgoing.on('error', ({ message }) => resolve(Err(message)));
+    onClosedUnanswered(outgoing, () => resolve(Err('the node closed the connection unanswered')));
     outgoing.end();
   });
 }
--- a/packages/lentillb/src/serving/exchange.ts
+++ b/packages/lentillb/src/serving/exchange.ts
@@ -13,6 +13,7 @@
 import { runInBackground } from '../utils/background.js';
 import { isForwardable } from '../utils/messageHead.js';
 import { limitResponseHead } from '../utils/responseLimits.js';
+import { onClosedUnanswered } from '../utils/closedUnanswered.js';
 import { AnswerBuffer } from './answerBuffer.js';
 
 /** A request that has been sent, and the connection on which its answer is awaited. */
@@ -166,6 +167,9 @@
     });
     this.outgoing.on('error', (error: NodeJS.ErrnoException) => this.fail(this.failureOf(error)));
     this.outgoing.on('response', (response) => this.readResponse(response));
+    onClosedUnanswered(this.outgoing, () =>
+      this.fail(this.sent ? ExchangeFailure.Malformed : ExchangeFailure.NotSent),
+    );
     limitResponseHead(this.outgoing, () => this.fail(ExchangeFailure.Malformed));
     this.watchConnection();
     this.cleanups.push(
--- a/tests/peers/stateTransfer.spec.ts
+++ b/tests/peers/stateTransfer.spec.ts
@@ -14,6 +14,7 @@
 import { endlessAnswers, EndlessServer } from '../support/endlessServer.js';
 import { freeAddress } from '../support/freeAddress.js';
 import { openListener } from '../support/openListener.js';
+import { ScriptedServer, SWITCHING } from '../support/scriptedServer.js';
 
 const ROUTE_COUNT = 1_600;
 const LIMITS = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
@@ -100,6 +101,14 @@
     },
   );
 
+  it('should not wait for ever when the node switches to another protocol', async () => {
+    const switching = new ScriptedServer((socket) => socket.write(SWITCHING));
+    const fetching = fetchState(`127.0.0.1:${await switching.listen()}`, 0);
+    const fetched = await Promise.race([fetching, new SystemClock().sleep(3_000)]);
+    switching.close();
+    expect(fetched?.isErr()).toBe(true);
+  });
+
   it('should be an error when it exceeds the size limit after decompression', async () => {
     const body = gzipSync(Buffer.alloc(128 * 1024 * 1024));
     const server = createServer((_, response) => response.end(body));
--- a/tests/platform/logStore.spec.ts
+++ b/tests/platform/logStore.spec.ts
@@ -5,6 +5,7 @@
 import { StoreFailureKind, Topic } from 'lentillb/store/keyedStore.js';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { endlessAnswers, EndlessServer } from '../support/endlessServer.js';
+import { ScriptedServer, SWITCHING } from '../support/scriptedServer.js';
 
 const clock = new SystemClock();
 let server: KeyedLogServer;
@@ -117,3 +118,20 @@
     endless.close();
   });
 });
+
+describe('store of the platform that switches to another protocol', () => {
+  it('should not be waited for for ever', async () => {
+    const switching = new ScriptedServer((socket) => socket.write(SWITCHING));
+    const client = new LogStore(clock, `127.0.0.1:${await switching.listen()}`);
+    const calls = [
+      client.readNewest(Topic.Hosts, deadlineAfter()),
+      client.write(Topic.Hosts, 'a', Buffer.from('one'), deadlineAfter()),
+    ];
+    const results = await Promise.race([
+      Promise.all<{ isErr(): boolean }>(calls),
+      clock.sleep(3_000),
+    ]);
+    switching.close();
+    expect(results?.map((result) => result.isErr())).toEqual([true, true]);
+  });
+});
--- a/tests/serving/exchange.spec.ts
+++ b/tests/serving/exchange.spec.ts
@@ -8,6 +8,7 @@
 import { afterEach, describe, expect, it } from 'vitest';
 import { sendRequest } from '../support/sendRequest.js';
 import { blockEventLoop } from '../support/blockEventLoop.js';
+import { SWITCHING } from '../support/scriptedServer.js';
 
 const HEAD = 'HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\n';
 const clock = new SystemClock();
@@ -59,6 +60,7 @@
     ],
     ['an answer that is not HTTP', 'SPOILT\r\n\r\n', ExchangeFailure.Malformed],
     ['an empty answer', '', ExchangeFailure.Lost],
+    ['an answer that switches protocols', SWITCHING, ExchangeFailure.Malformed],
   ])('should fail for %s', async (_, bytes, failure) => {
     const result = await send((socket) => socket.end(bytes));
     expect(result.unwrapErr()).toBe(failure);
--- a/tests/support/scriptedServer.ts
+++ b/tests/support/scriptedServer.ts
@@ -70,3 +70,7 @@
 export function encodeResponse(body: string, head = ''): string {
   return `HTTP/1.1 200 OK\r\n${head}content-length: ${body.length}\r\n\r\n${body}`;
 }
+
+/** An answer that switches the connection to another protocol, which no client has asked for. */
+export const SWITCHING =
+  'HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: other\r\n\r\n';
