Close responses that wait behind another one with their connection

What callers saw: nothing directly; found by reading every wait for `close`. Node.js tells the end of a connection only to the response that is being sent. Of the requests that a caller or another node had pipelined behind it, none was told when the connection was reset:

- they were not cancelled, and ran on without a caller;
- they counted as in flight for ever, so that each later planned stop lasted until its end;
- long answers to them stayed counted in the memory for held answers for ever, until answers of other callers were given up for it.

A response that waits behind another one is now closed with its connection. Others get no further listener.

--- a/packages/lentillb/src/calls/callerDisconnect.ts
+++ b/packages/lentillb/src/calls/callerDisconnect.ts
@@ -1,7 +1,24 @@
 /** Detects callers that disconnect before they get their response. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import { Cancellation, CancelReason } from './cancellation.js';
 
+/**
+ * Closes a response that waits behind another one together with its connection. Node.js reports the end of
+ * a connection only to the response that is being sent.
+ */
+function closeWithConnection(socket: Socket, response: ServerResponse): void {
+  const close = (): void => {
+    const isWaiting = response.socket === null && !response.writableFinished;
+    if (isWaiting && !response.destroyed) {
+      response.destroy();
+      response.emit('close');
+    }
+  };
+  socket.once('close', close);
+  response.once('close', () => socket.off('close', close));
+}
+
 /**
  * Watches the connection on which a request arrived.
  *
@@ -21,6 +38,9 @@
   };
   // A caller may pipeline any number of requests, each of which adds a listener.
   socket.setMaxListeners(0);
+  if (response.socket === null) {
+    closeWithConnection(socket, response);
+  }
   // The socket emits `end` some turns of the event loop before the response emits `close`.
   socket.once('end', onDisconnect);
   response.once('close', () => {
