--- a/packages/lentillb/src/serving/callerListener.ts
+++ b/packages/lentillb/src/serving/callerListener.ts
@@ -30,6 +30,8 @@
  */
 const ACCEPT_BACKLOG = 1_024;
 const DEFAULT_IDLE_MS = 60_000;
+/** The maximum time to receive a whole request, in milliseconds: the largest body on a slow connection. */
+const REQUEST_TIMEOUT_MS = 60_000;
 
 const HttpStatus = {
   NoContent: 204,
@@ -59,6 +61,8 @@
   readonly requestIdName: string;
   /** The idle time of connections until a configuration sets it, in milliseconds. */
   readonly idleMs?: number;
+  /** The maximum time to receive a whole request, in milliseconds; its sender is then answered 408. */
+  readonly requestTimeoutMs?: number;
   /**
    * Whether answers omit the headers that another node does not need: the date, the request
    * identity and those that HTTP/1.1 implies. Traffic between zones is charged by the byte.
@@ -115,7 +119,7 @@
         maxHeaderSize: MAX_HEAD_BYTES,
         connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
         keepAliveTimeout: options.idleMs ?? DEFAULT_IDLE_MS,
-        requestTimeout: 0,
+        requestTimeout: options.requestTimeoutMs ?? REQUEST_TIMEOUT_MS,
         noDelay: true,
       },
       (request, response) => {
