--- a/packages/lentillb/src/serving/callerListener.ts
+++ b/packages/lentillb/src/serving/callerListener.ts
@@ -2,10 +2,11 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { parseAddress } from '../utils/networkAddress.js';
+import type { AddressListener } from '../utils/addressListener.js';
+import { ServerAddress } from '../utils/addressListener.js';
 import { runInBackground } from '../utils/background.js';
 import { closeIdleAfterPendingInput } from '../utils/idleTimeout.js';
-import { acceptEstablished, listenAt, stopAccepting } from '../utils/listening.js';
+import { acceptEstablished, stopAccepting } from '../utils/listening.js';
 import { isForwardable } from '../utils/messageHead.js';
 import { waitForPendingInput } from '../utils/pendingInput.js';
 import { cancelOnDisconnect } from '../calls/callerDisconnect.js';
@@ -29,6 +30,8 @@
  */
 const ACCEPT_BACKLOG = 1_024;
 const DEFAULT_IDLE_MS = 60_000;
+/** The maximum time to receive a whole request, in milliseconds: the largest body on a slow connection. */
+const REQUEST_TIMEOUT_MS = 60_000;
 
 const HttpStatus = {
   NoContent: 204,
@@ -58,6 +61,8 @@
   readonly requestIdName: string;
   /** The idle time of connections until a configuration sets it, in milliseconds. */
   readonly idleMs?: number;
+  /** The maximum time to receive a whole request, in milliseconds; its sender is then answered 408. */
+  readonly requestTimeoutMs?: number;
   /**
    * Whether answers omit the headers that another node does not need: the date, the request
    * identity and those that HTTP/1.1 implies. Traffic between zones is charged by the byte.
@@ -114,7 +119,7 @@
         maxHeaderSize: MAX_HEAD_BYTES,
         connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
         keepAliveTimeout: options.idleMs ?? DEFAULT_IDLE_MS,
-        requestTimeout: 0,
+        requestTimeout: options.requestTimeoutMs ?? REQUEST_TIMEOUT_MS,
         noDelay: true,
       },
       (request, response) => {
@@ -134,14 +139,14 @@
   }
 
   /**
-   * Starts to accept connections.
+   * Returns the listener of the server on an address.
    *
+   * @param use - the use of the address, as the log and errors name it
    * @param address - the address and port to listen on
-   * @returns the port that the server listens on
+   * @returns the listener, whose address is not open yet
    */
-  async listen(address: string): Promise<number> {
-    const { host, port } = parseAddress(address);
-    return listenAt(this.server, { host, port, backlog: ACCEPT_BACKLOG });
+  at(use: string, address: string): AddressListener {
+    return new ServerAddress(use, address, this.server, ACCEPT_BACKLOG);
   }
 
   /**
--- a/packages/lentillb/src/sidecar/index.ts
+++ b/packages/lentillb/src/sidecar/index.ts
@@ -1,4 +1,5 @@
 /** Exports what a platform adapter needs to build a node. */
+export { onClosedUnanswered } from '../utils/closedUnanswered.js';
 export { limitResponseBody, limitResponseHead } from '../utils/responseLimits.js';
 export { afterPendingInput } from '../utils/pendingInput.js';
 export type {
@@ -31,10 +32,14 @@
   WrittenRecord,
 } from '../store/keyedStore.js';
 export { StoreFailureKind, Topic } from '../store/keyedStore.js';
+export { ServerAddress } from '../utils/addressListener.js';
+export type { AddressEvents, AddressListener } from '../utils/addressListener.js';
 export { runInBackground } from '../utils/background.js';
 export { listenAt } from '../utils/listening.js';
 export { decodeEscapes } from '../utils/decodeEscapes.js';
 export { parseAddress } from '../utils/networkAddress.js';
 export { readJson } from '../utils/readJson.js';
+export { describeAddressFailure } from './addressOpener.js';
+export type { AddressFailure } from './addressOpener.js';
 export { Sidecar } from './sidecar.js';
 export type { SidecarOptions, SidecarServices } from './sidecar.js';
