Never answer a running request with the refusal of what follows it

What callers saw: nothing known; found by listing the handlers of `clientError`. Node.js answers bytes that it cannot read, and requests that do not arrive in time, on the connection whatever runs there. If a caller or another node had pipelined them behind a request, that request was "answered" 400 or 408 while it ran. 408 promises that a request has not run and will not run.

A refusal is now written only on a connection without a request that has arrived and is not answered; other connections are closed, which promises nothing. This holds for the listeners of the node and of the older daemon.

Evidence: tests/serving/unfinishedRequests.spec.ts and tests/routing/httpListener.spec.ts: a complete request followed by half a request, or by bytes that are no request. After: the connection is closed without an answer, and bytes without a request before them still get 400.

--- a/packages/lentillb/src/serving/callerListener.ts
+++ b/packages/lentillb/src/serving/callerListener.ts
@@ -9,6 +9,7 @@
 import { acceptEstablished, stopAccepting } from '../utils/listening.js';
 import { isForwardable } from '../utils/messageHead.js';
 import { waitForPendingInput } from '../utils/pendingInput.js';
+import { refuseUnreadable } from '../utils/refuseUnreadable.js';
 import { cancelOnDisconnect } from '../calls/callerDisconnect.js';
 import type { CallerPresence } from '../calls/callerPresence.js';
 import type { CallerLimits } from '../configuration/meshConfiguration.js';
@@ -131,6 +132,7 @@
       socket.once('close', () => this.unusedConnections.delete(socket));
     });
     closeIdleAfterPendingInput(this.server);
+    refuseUnreadable(this.server);
   }
 
   /** The number of requests in flight. */
--- a/packages/lentillb/src/utils/httpListener.ts
+++ b/packages/lentillb/src/utils/httpListener.ts
@@ -6,6 +6,7 @@
 import { closeIdleAfterPendingInput } from './idleTimeout.js';
 import { acceptEstablished, listenAt, stopAccepting } from './listening.js';
 import { isForwardable } from './messageHead.js';
+import { refuseUnreadable } from './refuseUnreadable.js';
 
 /** The longest request head accepted, in bytes. */
 const MAX_HEADER_BYTES = 16 * 1024;
@@ -61,6 +62,7 @@
       },
     );
     closeIdleAfterPendingInput(this.server);
+    refuseUnreadable(this.server);
   }
 
   /**
--- a/tests/routing/httpListener.spec.ts
+++ b/tests/routing/httpListener.spec.ts
@@ -4,6 +4,7 @@
 import { Deadline } from 'lentillb/kernel/deadline.js';
 import { HttpListener } from 'lentillb/utils/httpListener.js';
 import { expect, it } from 'vitest';
+import { RawConnection } from '../support/rawConnection.js';
 
 const CONNECTIONS = 20;
 const CLOSE_MS = 2_000;
@@ -49,3 +50,27 @@
   await client.terminate();
   expect(new Set(ends)).toEqual(new Set(['HTTP/1.1 200 OK']));
 });
+
+it('should not answer a running request with the refusal of bytes that follow it', async () => {
+  const clock = new SystemClock();
+  let isRunning = false;
+  const listener = new HttpListener((request) => {
+    request.resume();
+    isRunning = true;
+  });
+  const connection = await RawConnection.open(`127.0.0.1:${await listener.listen(0, '127.0.0.1')}`);
+  connection.write({ target: '/', headers: { host: 'a.example' } });
+  await expect.poll(() => isRunning).toBe(true);
+  connection.write({ method: 'NO METHOD', target: '/', headers: {} });
+  await expect.poll(() => connection.isClosed).toBe(true);
+  expect(connection.receivedText).toBe('');
+  await listener.close(Deadline.after(clock, CLOSE_MS));
+});
+
+it('should refuse bytes that are no request', async () => {
+  const listener = new HttpListener(() => undefined);
+  const connection = await RawConnection.open(`127.0.0.1:${await listener.listen(0, '127.0.0.1')}`);
+  connection.write({ method: 'NO METHOD', target: '/', headers: {} });
+  await expect.poll(() => connection.receivedText).toContain('HTTP/1.1 400');
+  await listener.close(Deadline.after(new SystemClock(), CLOSE_MS));
+});
--- a/tests/serving/unfinishedRequests.spec.ts
+++ b/tests/serving/unfinishedRequests.spec.ts
@@ -57,4 +57,18 @@
     write('complete');
     await expect.poll(() => connection.receivedText, GIVEN_UP).toContain('ran');
   });
+
+  it('should not get the refusal of bytes that follow it', async () => {
+    write('complete');
+    connection.write({ method: 'NO METHOD', target: '/', headers: {} });
+    await expect.poll(() => connection.isClosed, GIVEN_UP).toBe(true);
+    expect(connection.receivedText).toBe('');
+  });
+
+  it('should not get the refusal of one that follows it unfinished', async () => {
+    write('complete');
+    write('half');
+    await expect.poll(() => connection.isClosed, GIVEN_UP).toBe(true);
+    expect(connection.receivedText).not.toContain('408');
+  });
 });
