Show that the program exceeds the memory of its host, by tests that fail

Callers that send most of a body or of a head and wait, that pipeline requests or do not read answers make one process of the program hold 223 to 799 MB; a host has 200 MB, and the platform ends a process that exceeds them. With 400 callers that pipeline 20,000 requests each, Node.js itself ends the process after 3 s (SIGABRT, the heap of 96 MB is full).

The tests spawn the built program with the flags of its run line and read its highest resident memory. The bound is the limit in the settings.

--- /dev/null
+++ b/tests/platform/memoryLimit.spec.ts
@@ -0,0 +1,100 @@
+import { respondSuccessfully } from '@lentillb/standins';
+import { SystemClock } from 'lentillb';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { LONG_ANSWER_BODY, MemoryLoads, sendGarbageDatagrams } from '../support/memoryLoads.js';
+import { ProgramRun } from '../support/programRun.js';
+
+const BYTES_PER_MEGABYTE = 1_000_000;
+/** The memory of the smallest hosts of a site that runs. */
+const LIMIT_MEGABYTES = 200;
+/** The time for which each load stays, in milliseconds. */
+const HOLD_MS = 3_000;
+const LONG_ANSWER = Buffer.alloc(8 * 1024 * 1024, 'a');
+const STORE_RECORD_BYTES = 2 * 1024 * 1024;
+const SERVICE_MS = 100;
+const TEST_TIMEOUT_MS = 90_000;
+
+const clock = new SystemClock();
+let program: ProgramRun;
+let loads: MemoryLoads;
+
+beforeEach(async () => {
+  loads = new MemoryLoads();
+  program = new ProgramRun();
+  await program.start(LIMIT_MEGABYTES);
+  program.backendServer.setHandler((response, run) => {
+    if (run.body === LONG_ANSWER_BODY) {
+      response.writeHead(200, { 'x-attempt-id': run.requestId, 'x-server-seal': 'seal' });
+      response.end(LONG_ANSWER);
+      return;
+    }
+    setTimeout(() => respondSuccessfully(response, run), SERVICE_MS);
+  });
+});
+
+afterEach(async () => {
+  loads.close();
+  await program.stop();
+});
+
+/** Holds a load, and checks that the process stays within its limit and serves a short request. */
+async function expectWithinLimit(load: () => Promise<unknown>): Promise<void> {
+  await load();
+  await clock.sleep(HOLD_MS);
+  const peakMegabytes = (await program.peakMemory()) / BYTES_PER_MEGABYTE;
+  expect(peakMegabytes).toBeLessThan(LIMIT_MEGABYTES);
+  await program.until(async () => (await program.send('short')).status === 200);
+  loads.close();
+  await program.until(async () => (await program.send('after')).status === 200);
+  expect(program.end).toBeUndefined();
+}
+
+// Guards against a process that exceeds the memory of its host, after which the platform ends it.
+describe('memory of the program', () => {
+  it.each(['outbound', 'inbound'] as const)(
+    'should stay below the limit of the host with unfinished bodies at the listener %s',
+    (listener) => expectWithinLimit(() => loads.unfinishedBodies(program.addresses[listener], 800)),
+    TEST_TIMEOUT_MS,
+  );
+
+  it.each(['outbound', 'inbound'] as const)(
+    'should stay below the limit of the host with unfinished heads at the listener %s',
+    (listener) =>
+      expectWithinLimit(() => loads.unfinishedHeads(program.addresses[listener], 3_800)),
+    TEST_TIMEOUT_MS,
+  );
+
+  it(
+    'should stay below the limit of the host with requests that are pipelined without end',
+    () => expectWithinLimit(() => loads.pipelinedRequests(program.addresses.outbound, 400)),
+    TEST_TIMEOUT_MS,
+  );
+
+  it(
+    'should stay below the limit of the host with long answers that are not read',
+    () => expectWithinLimit(() => loads.unreadAnswers(program.addresses.outbound, 120)),
+    TEST_TIMEOUT_MS,
+  );
+
+  it(
+    'should stay below the limit of the host with all loads at once',
+    () =>
+      expectWithinLimit(async () => {
+        const { control, inbound, outbound, peer } = program.addresses;
+        await loads.idleConnections(outbound, 500);
+        program.store.write('keyed.op', 'other', 'o'.repeat(STORE_RECORD_BYTES));
+        await Promise.all([
+          loads.unfinishedHeads(outbound, 600),
+          loads.unfinishedHeads(inbound, 600),
+          loads.unfinishedBodies(outbound, 200),
+          loads.unfinishedBodies(inbound, 200),
+          loads.completeBodies(outbound, 200),
+          loads.pipelinedRequests(outbound, 100),
+          loads.unreadAnswers(outbound, 120),
+          loads.unfinishedHeartbeats(control, 100),
+          sendGarbageDatagrams(peer, 20_000),
+        ]);
+      }),
+    TEST_TIMEOUT_MS,
+  );
+});
