--- a/tests/serving/resetPipelines.spec.ts
+++ b/tests/serving/resetPipelines.spec.ts
@@ -4,7 +4,8 @@
 import { wireHeaders } from '@lentillb/platform';
 import { SystemClock } from 'lentillb';
 import type { Cancellation } from 'lentillb/calls/cancellation.js';
-import { answerMemory } from 'lentillb/serving/answerMemory.js';
+import { MemoryBudget } from 'lentillb/memory/memoryBudget.js';
+import { MemoryUse } from 'lentillb/memory/memoryUse.js';
 import { CallerListener } from 'lentillb/serving/callerListener.js';
 import type { EntryAnswer } from 'lentillb/serving/entry.js';
 import { parseAddress } from 'lentillb/utils/networkAddress.js';
@@ -18,6 +19,7 @@
 const clock = new SystemClock();
 
 let listener: CallerListener;
+let memory: MemoryBudget;
 let caller: Socket;
 let cancellations: Cancellation[];
 let settle: (() => void)[];
@@ -29,6 +31,7 @@
 beforeEach(async () => {
   cancellations = [];
   settle = [];
+  memory = new MemoryBudget(clock);
   listener = new CallerListener(
     clock,
     createCallerPresence(clock),
@@ -38,7 +41,7 @@
         settle.push(() => resolve(answerOf(LONG_BODY_BYTES)));
       });
     },
-    { requestIdName: wireHeaders.requestId },
+    { requestIdName: wireHeaders.requestId, memory },
   );
   const address = await freeAddress();
   await openListener(listener.at('callers', address));
@@ -68,8 +71,8 @@
 
   it('should not hold the memory of their answers for ever', async () => {
     settle.slice(1).forEach((answer) => answer());
-    await expect.poll(() => answerMemory.bytes).toBeGreaterThan(0);
+    await expect.poll(() => memory.bytesOf(MemoryUse.Answers)).toBeGreaterThan(0);
     caller.resetAndDestroy();
-    await expect.poll(() => answerMemory.bytes).toBe(0);
+    await expect.poll(() => memory.bytesOf(MemoryUse.Answers)).toBe(0);
   });
 });
