--- a/packages/lentillb/src/observability/lineWriter.ts
+++ b/packages/lentillb/src/observability/lineWriter.ts
@@ -26,8 +26,11 @@
  * @returns the function
  */
 export function writeToDescriptor(descriptor: Descriptor): DescriptorWrite {
-  makeNonBlocking(descriptor);
-  return (bytes, done) => write(descriptor, bytes, 0, bytes.length, null, done);
+  return (bytes, done) => {
+    // Only the first write takes time for it, which is after the start.
+    makeNonBlocking(descriptor);
+    write(descriptor, bytes, 0, bytes.length, null, done);
+  };
 }
 
 /** Writes lines in order and in batches. */
