--- a/packages/lentillb/src/utils/listening.ts
+++ b/packages/lentillb/src/utils/listening.ts
@@ -46,8 +46,11 @@
  */
 export async function listenAt(server: Server, options: ListenOptions): Promise<number> {
   const attempt = await attemptToListen(server, options);
+  if (attempt.isErr()) {
+    throw attempt.error;
+  }
   server.on('error', (error) => process.emitWarning(error));
-  return attempt.unwrap();
+  return attempt.value;
 }
 
 /**
--- a/tests/utils/listening.spec.ts
+++ b/tests/utils/listening.spec.ts
@@ -58,6 +58,7 @@
     const server = createServer();
     const address = { host: LOOPBACK, port };
     expect((await attemptToListen(server, address)).unwrapErr().code).toBe('EADDRINUSE');
+    await expect(listenAt(server, address)).rejects.toMatchObject({ code: 'EADDRINUSE', port });
     await new Promise((resolve) => {
       holder.close(resolve);
     });
