Fetch a version at once that is named shortly after a transfer of hosts

Cause, first part: all nodes of a zone fetch the hosts that changed, and a version that was named within 400 ms after the end of that transfer was held back until they had passed, 170 ms and more where 2 to 9 ms are usual; other nodes then read the store over narrow links.

The interval counts only from a transfer that failed, brought a configuration, or was to bring one, so a node that names a version and does not have it is asked no more often than before.

--- a/packages/lentillb/src/peers/stateTransfers.ts
+++ b/packages/lentillb/src/peers/stateTransfers.ts
@@ -44,6 +44,9 @@
 
   private endedAtMs = -Infinity;
 
+  /** The end of the last transfer that failed, brought a configuration or was to bring one. */
+  private versionEndedAtMs = -Infinity;
+
   private holder: VersionHolder | undefined;
 
   /** The time of the next attempt to fetch the newer version, and a function that cancels it. */
@@ -107,6 +110,9 @@
     const fetched = await fetchState(from, configuration.version);
     this.startTimesMs.delete(from);
     this.endedAtMs = clock.monotonicMs();
+    if (wanted !== undefined || fetched.isErr() || fetched.value.change !== undefined) {
+      this.versionEndedAtMs = this.endedAtMs;
+    }
     if (fetched.isErr()) {
       log.record(Importance.Notable, 'state-not-fetched', { from, reason: fetched.error });
       return false;
@@ -149,7 +155,8 @@
       this.holder = undefined;
       return;
     }
-    const waitMs = this.untilAllowedMs(holder.address);
+    // A transfer of hosts does not hold back a version that is named shortly after it.
+    const waitMs = this.untilAllowedMs(holder.address, this.versionEndedAtMs);
     if (waitMs <= 0) {
       runInBackground(this.fetch(holder.address));
     }
@@ -157,12 +164,12 @@
     this.scheduleAttempt(clock.monotonicMs() + Math.max(waitMs, PATIENCE_MS));
   }
 
-  private untilAllowedMs(from: string): number {
+  private untilAllowedMs(from: string, endedAtMs = this.endedAtMs): number {
     const nowMs = this.services.clock.monotonicMs();
     const lastStartMs = Math.max(-Infinity, ...this.startTimesMs.values());
     const isAsked = this.startTimesMs.has(from);
     const allowedAtMs = Math.max(
-      this.endedAtMs + TRANSFER_INTERVAL_MS,
+      endedAtMs + TRANSFER_INTERVAL_MS,
       lastStartMs + PATIENCE_MS,
       isAsked ? nowMs + PATIENCE_MS : -Infinity,
     );
