--- a/packages/lentillb/src/peers/gossip.ts
+++ b/packages/lentillb/src/peers/gossip.ts
@@ -88,9 +88,11 @@
   /** The configuration version that was last sent to the zone. */
   private broadcastVersion = 0;
 
-  /** The last read of the configuration that another node of the zone reported and that does not count yet. */
-  private configurationRead:
-    { readonly host: string; readonly version: number; readonly readAtMs: number } | undefined;
+  /** The last read of the configuration of each node of the zone that does not count yet, by host. */
+  private readonly configurationReads = new Map<
+    string,
+    { readonly version: number; readonly readAtMs: number }
+  >();
 
   /**
    * @param services - the services that gossip depends on
@@ -166,18 +168,19 @@
     const nowMs = clock.monotonicMs();
     role.noteReport(Topic.Hosts, host, nowMs - readAgesMs[Topic.Hosts]);
     const readAtMs = nowMs - readAgesMs[Topic.Operator];
-    this.configurationRead = { host, version: configurationVersion, readAtMs };
+    this.configurationReads.set(host, { version: configurationVersion, readAtMs });
     this.applyConfigurationRead();
   }
 
   /** A read of the configuration by another node counts once this node has what was read. */
   private applyConfigurationRead(): void {
     const { configuration, role } = this.services;
-    const { configurationRead } = this;
-    if (configurationRead !== undefined && configuration.version >= configurationRead.version) {
-      role.noteReport(Topic.Operator, configurationRead.host, configurationRead.readAtMs);
-      this.configurationRead = undefined;
-    }
+    this.configurationReads.forEach(({ readAtMs, version }, host) => {
+      if (configuration.version >= version) {
+        role.noteReport(Topic.Operator, host, readAtMs);
+        this.configurationReads.delete(host);
+      }
+    });
   }
 
   private noteVersion(from: string, version: number): void {
