Play a deployment with little memory in the soak, with faults of starts

The users' report of processes that did not start or ended by themselves has no logs. The soak played six hosts without a limit of memory, no condition of a start but a signal, and left a node down that had ended by itself.

`--profile venues` plays 12 hosts in four zones with 200 MB a process, three services with 18 slots, the lengths, times and shares of their requests, and 300 idle routes.

Nodes run with the arguments of the deploy file. The soak reads their highest resident memory, kills a process over its limit, starts a node that ended by itself again, and reports each end with its code or signal, its memory and the end of its output. An end by a reload is not judged if the process had taken less processor time than Node.js needs to start, measured when the soak starts.

The processes and backend servers of a host are modules of their own; the relay has moved to the stand-ins.

--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -8,3 +8,6 @@
 export { KeyedLogServer, StoreFault } from './keyedLogServer.js';
 export { respondSuccessfully, ScriptedBackendServer } from './scriptedBackendServer.js';
 export type { RequestHandler, Run } from './scriptedBackendServer.js';
+export { Relay, RelayFault } from './relay.js';
+export { spoiledAnswer } from './spoiledAnswers.js';
+export { sendUnfinishedRequests, unfinishedRequests } from './unfinishedRequests.js';
--- a/soak/src/caller.ts
+++ b/soak/src/caller.ts
@@ -2,8 +2,11 @@
 import { Agent, request as openRequest } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import type { Clock, Randomness } from 'lentillb/sidecar';
-import { parseAddress } from 'lentillb/sidecar';
-import { Header, RouteName } from './platformDocuments.js';
+import { parseAddress, runInBackground } from 'lentillb/sidecar';
+import { answerBody, Bounds, encodeBody, Header } from './platformDocuments.js';
+import type { RequestPlan, RouteName } from './platformDocuments.js';
+import { drawSpread } from './profiles.js';
+import type { Profile, SentKind } from './profiles.js';
 import type { SentRequest, SoakRecord } from './soakRecord.js';
 import { RequestOutcome } from './soakRecord.js';
 
@@ -14,7 +17,6 @@
   readonly processNumber: number;
 }
 
-const REQUEST_INTERVAL_MS = 40;
 /** The time after the deadline until which a response is still accepted. */
 const LATE_RESPONSE_MS = 700;
 /**
@@ -24,25 +26,36 @@
 
 const HttpStatus = { ServerError: 500, Unavailable: 503 } as const;
 
-const routes: readonly RouteName[] = [RouteName.Browse, RouteName.Lodge, RouteName.Probe];
-
 /** The way in which a caller sends its requests. */
 export interface CallerOptions {
   readonly maxConnections: number;
-  readonly deadlineMs: number;
   /** The number of requests of which, on average, one is aborted by its caller. */
   readonly abortOneIn: number;
 }
 
-const DEFAULT_OPTIONS: CallerOptions = { maxConnections: 6, deadlineMs: 800, abortOneIn: 6 };
+/** What a request is like, where it differs from the others. */
+export interface RequestOptions {
+  /** The time after which the caller leaves, in milliseconds; by default it is drawn. */
+  readonly leaveAfterMs?: number;
+  /** The time that the caller gives for an answer, in milliseconds. */
+  readonly deadlineMs?: number;
+  readonly plan?: RequestPlan | undefined;
+  /** The body, in place of the identity of the request. */
+  readonly content?: string;
+}
 
 /** The result of a request that has ended. */
 type RequestResult = Pick<SentRequest, 'outcome' | 'detail' | 'isMatchingResponse'>;
 
-function classifyResponse(response: IncomingMessage, body: string, id: string): RequestResult {
+function classifyResponse(
+  response: IncomingMessage,
+  body: string,
+  id: string,
+  plan: RequestPlan | undefined,
+): RequestResult {
   const status = response.statusCode ?? 0;
   const isMatchingResponse =
-    body === `ran ${id}` &&
+    body === answerBody(id, plan?.answerBytes) &&
     response.headers[Header.requestId] === id &&
     response.headers[Header.seal] !== undefined;
   const detail = `${status} ${response.headers[Header.seal] === undefined ? 'from the node' : ''}`;
@@ -57,7 +70,7 @@
 export class Caller {
   private readonly agent: Agent;
 
-  private readonly pending = new Set<Promise<void>>();
+  private readonly pending = new Set<Promise<RequestResult>>();
 
   private stopped = false;
 
@@ -68,21 +81,29 @@
       readonly record: SoakRecord;
     },
     private readonly node: () => NodeTarget,
-    private readonly options: CallerOptions = DEFAULT_OPTIONS,
+    private readonly options: CallerOptions,
   ) {
     this.agent = new Agent({ keepAlive: true, maxSockets: options.maxConnections });
   }
 
-  /** Sends requests until `stop` is called, then waits until the pending ones have ended. */
-  async run(): Promise<void> {
+  /**
+   * Sends requests until `stop` is called, then waits until the pending ones have ended.
+   *
+   * @param profile - the kinds of requests, and the time between them
+   */
+  async run({ kinds, requestIntervalMs }: Profile): Promise<void> {
     const { clock, randomness } = this.services;
+    const drawnKinds = kinds.flatMap((kind) => Array.from({ length: kind.share }, () => kind));
     for (let count = 0; !this.stopped; count += 1) {
-      const route = routes[randomness.integer(routes.length)] ?? RouteName.Browse;
-      const request = this.send(`${this.node().hostIndex}-${count}`, route).finally(() =>
-        this.pending.delete(request),
-      );
-      this.pending.add(request);
-      await clock.sleep(REQUEST_INTERVAL_MS);
+      const kind = drawnKinds[randomness.integer(drawnKinds.length)];
+      if (kind !== undefined) {
+        const { route, timeoutMs: deadlineMs } = kind;
+        const plan = this.drawPlan(kind);
+        runInBackground(
+          this.send(`${this.node().hostIndex}-${count}`, route, { deadlineMs, plan }),
+        );
+      }
+      await clock.sleep(requestIntervalMs);
     }
     await Promise.all(this.pending);
     this.close();
@@ -101,15 +122,19 @@
   /**
    * Sends one request and records its outcome.
    *
-   * @param id - the identity of the request, which is also its body
+   * @param id - the identity of the request, with which its body starts
    * @param route - the route to send it on
-   * @param leaveAfterMs - the time after which the caller leaves, in milliseconds; by default it is drawn
+   * @param options - what the request is like
    */
-  async send(id: string, route: RouteName, leaveAfterMs = this.drawAbortDelayMs()): Promise<void> {
+  async send(id: string, route: RouteName, options: RequestOptions = {}): Promise<void> {
     const { clock, record } = this.services;
     const { address, hostIndex, processNumber } = this.node();
+    const { deadlineMs = Bounds.routeTimeoutMs } = options;
     const sentAtMs = clock.monotonicMs();
-    const result = await this.exchange(id, route, address, leaveAfterMs);
+    const exchange = this.exchange(id, route, address, { ...options, deadlineMs });
+    this.pending.add(exchange);
+    const result = await exchange;
+    this.pending.delete(exchange);
     const endedAtMs = clock.monotonicMs();
     record.requests.push({
       id,
@@ -118,7 +143,7 @@
       processNumber,
       sentAtMs,
       endedAtMs,
-      deadlineMs: this.options.deadlineMs,
+      deadlineMs,
       ...result,
     });
   }
@@ -127,7 +152,12 @@
     id: string,
     route: RouteName,
     address: string,
-    leaveAfterMs: number,
+    {
+      deadlineMs,
+      leaveAfterMs = this.drawAbortDelayMs(),
+      plan,
+      content = encodeBody(id, plan),
+    }: RequestOptions & { readonly deadlineMs: number },
   ): Promise<RequestResult> {
     return new Promise((resolve) => {
       const outgoing = openRequest({
@@ -138,23 +168,20 @@
         headers: {
           host: `${route}.example`,
           [Header.requestId]: id,
-          [Header.deadlineMs]: String(this.options.deadlineMs),
-          'content-length': Buffer.byteLength(id),
+          [Header.deadlineMs]: String(deadlineMs),
+          'content-length': content.length,
         },
       });
       const cancelAbort = this.scheduleAbort(outgoing, leaveAfterMs, resolve);
-      const cancelTimeout = this.services.clock.after(
-        this.options.deadlineMs + LATE_RESPONSE_MS,
-        () => {
-          cancelAbort();
-          resolve({
-            outcome: RequestOutcome.TimedOut,
-            detail: 'no response in time',
-            isMatchingResponse: false,
-          });
-          outgoing.destroy();
-        },
-      );
+      const cancelTimeout = this.services.clock.after(deadlineMs + LATE_RESPONSE_MS, () => {
+        cancelAbort();
+        resolve({
+          outcome: RequestOutcome.TimedOut,
+          detail: 'no response in time',
+          isMatchingResponse: false,
+        });
+        outgoing.destroy();
+      });
       outgoing.on('error', (error: NodeJS.ErrnoException) => {
         cancelTimeout();
         cancelAbort();
@@ -174,7 +201,7 @@
           const body = Buffer.concat(chunks).toString('utf8');
           resolve(
             response.complete
-              ? classifyResponse(response, body, id)
+              ? classifyResponse(response, body, id, plan)
               : {
                   outcome: RequestOutcome.ConnectionLost,
                   detail: 'incomplete response',
@@ -183,10 +210,21 @@
           );
         });
       });
-      outgoing.end(id);
+      outgoing.end(content);
     });
   }
 
+  private drawPlan({ sizes }: SentKind): RequestPlan | undefined {
+    const { randomness } = this.services;
+    return (
+      sizes && {
+        bodyBytes: drawSpread(sizes.bodyBytes, randomness),
+        answerBytes: drawSpread(sizes.answerBytes, randomness),
+        runMs: drawSpread(sizes.runMs, randomness),
+      }
+    );
+  }
+
   /** Draws after which time the caller leaves: infinite for most requests. */
   private drawAbortDelayMs(): number {
     const { randomness } = this.services;
--- a/soak/src/faults.ts
+++ b/soak/src/faults.ts
@@ -1,9 +1,7 @@
 /** Defines the faults that the soak test injects into the fleet. */
-import type { KeyedLogServer } from '@lentillb/standins';
-import { StoreFault } from '@lentillb/standins';
+import type { KeyedLogServer, Relay } from '@lentillb/standins';
+import { RelayFault, StoreFault } from '@lentillb/standins';
 import type { Clock } from 'lentillb/sidecar';
-import type { Relay } from './relay.js';
-import { RelayFault } from './relay.js';
 import type { SoakHost } from './soakHost.js';
 import { DisturbanceKind } from './soakRecord.js';
 
@@ -39,6 +37,18 @@
   readonly inject: (target: FaultTarget) => Promise<void>;
 }
 
+type Inject = Fault['inject'];
+
+/** @returns a fault of one host */
+export function onHost(kind: DisturbanceKind, inject: Inject): Fault {
+  return { kind, affectsAllHosts: false, inject };
+}
+
+/** @returns a fault that affects all hosts */
+export function onAllHosts(kind: DisturbanceKind, inject: Inject): Fault {
+  return { kind, affectsAllHosts: true, inject };
+}
+
 function createRelayFault(
   selectRelay: (host: SoakHost) => Relay,
   fault: RelayFault,
@@ -56,15 +66,11 @@
 }
 
 function createStoreFault(fault: StoreFault): Fault {
-  return {
-    kind: DisturbanceKind.StoreFault,
-    affectsAllHosts: true,
-    inject: async ({ clock, durationMs, store }) => {
-      store.setFault(fault);
-      await clock.sleep(durationMs);
-      store.setFault(undefined);
-    },
-  };
+  return onAllHosts(DisturbanceKind.StoreFault, async ({ clock, durationMs, store }) => {
+    store.setFault(fault);
+    await clock.sleep(durationMs);
+    store.setFault(undefined);
+  });
 }
 
 const relaySelectors = {
@@ -88,77 +94,58 @@
  * that the earlier faults of a seed stay the same; a seed selects them by their order.
  */
 export const additionalFaults: Readonly<Record<string, Fault>> = {
-  'store older copy': {
-    kind: DisturbanceKind.StoreFault,
-    affectsAllHosts: true,
-    inject: async ({ clock, durationMs, store }) => {
+  'store older copy': onAllHosts(
+    DisturbanceKind.StoreFault,
+    async ({ clock, durationMs, store }) => {
       store.setFault(StoreFault.Refuse);
       await clock.sleep(Math.min(durationMs, MAX_ABSENCE_MS));
       store.restoreOlderCopy(HOSTS_TOPIC, LOST_RECORDS);
       store.setFault(undefined);
     },
-  },
-  'settings reload': {
-    kind: DisturbanceKind.Planned,
-    affectsAllHosts: false,
-    inject: async ({ host }) => {
-      host.reloadSettings();
-      await Promise.resolve();
-    },
-  },
+  ),
+  'settings reload': onHost(DisturbanceKind.Planned, async ({ host }) => {
+    host.reloadSettings();
+    await Promise.resolve();
+  }),
 };
 
 /** The faults that backend servers state or show under requests; drawn after the additional faults. */
 export const statementFaults: Readonly<Record<string, Fault>> = {
-  'stated limit': {
-    kind: DisturbanceKind.Planned,
-    affectsAllHosts: false,
-    inject: ({ durationMs, host }) => host.stateLimit(durationMs + MIN_LIMIT_MS),
-  },
-  'stated departure': {
-    kind: DisturbanceKind.Planned,
-    affectsAllHosts: false,
-    inject: ({ host }) => host.leaveByStatement(),
-  },
-  'crashing request': {
-    // Each host whose backend server ends is recorded as disturbed by itself.
-    kind: DisturbanceKind.Planned,
-    affectsAllHosts: false,
-    inject: async ({ clock, durationMs, host }) => {
-      const endMs = clock.monotonicMs() + durationMs + MIN_CRASHING_MS;
-      while (clock.monotonicMs() < endMs) {
-        await host.sendCrashingRequest();
-        await clock.sleep(CRASHING_INTERVAL_MS);
-      }
-    },
-  },
+  'stated limit': onHost(DisturbanceKind.Planned, ({ durationMs, host }) =>
+    host.backendServer.stateLimit(durationMs + MIN_LIMIT_MS),
+  ),
+  'stated departure': onHost(DisturbanceKind.Planned, ({ host }) =>
+    host.backendServer.leaveByStatement(),
+  ),
+  // Each host whose backend server ends is recorded as disturbed by itself.
+  'crashing request': onHost(DisturbanceKind.Planned, async ({ clock, durationMs, host }) => {
+    const endMs = clock.monotonicMs() + durationMs + MIN_CRASHING_MS;
+    while (clock.monotonicMs() < endMs) {
+      await host.sendCrashingRequest();
+      await clock.sleep(CRASHING_INTERVAL_MS);
+    }
+  }),
 };
 
 /** The number of times that open connections go silent in one fault, each time with those opened since. */
 const SILENCE_COUNT = 3;
 
 function createSilenceFault(selectRelay: (host: SoakHost) => Relay): Fault {
-  return {
-    kind: DisturbanceKind.Failure,
-    affectsAllHosts: false,
-    inject: async ({ clock, durationMs, host }) => {
-      for (let count = 0; count < SILENCE_COUNT; count += 1) {
-        selectRelay(host).silenceOpenConnections();
-        await clock.sleep(durationMs / SILENCE_COUNT);
-      }
-    },
-  };
+  return onHost(DisturbanceKind.Failure, async ({ clock, durationMs, host }) => {
+    for (let count = 0; count < SILENCE_COUNT; count += 1) {
+      selectRelay(host).silenceOpenConnections();
+      await clock.sleep(durationMs / SILENCE_COUNT);
+    }
+  });
 }
 
 /** Open connections that go silent for good, and long runs at a planned stop; drawn after statements. */
 export const silenceFaults: Readonly<Record<string, Fault>> = {
   'silent store connections': createSilenceFault(relaySelectors['store-connection']),
   'silent backend-server connections': createSilenceFault(relaySelectors['backend-server']),
-  'node stop under long runs': {
-    kind: DisturbanceKind.Planned,
-    affectsAllHosts: false,
-    inject: ({ host }) => host.stopNodeUnderLongRuns(),
-  },
+  'node stop under long runs': onHost(DisturbanceKind.Planned, ({ host }) =>
+    host.stopNodeUnderLongRuns(),
+  ),
 };
 
 /** Faults of the connections between nodes, while datagrams arrive. */
@@ -182,37 +169,25 @@
 
 /** Signals and restarts that come in series and overlap, and runs of uneven length; drawn last. */
 export const seriesFaults: Readonly<Record<string, Fault>> = {
-  'signals in a stop': {
-    kind: DisturbanceKind.Planned,
-    affectsAllHosts: false,
-    inject: ({ durationMs, host }) => host.stopNodeWithSignals(durationMs / SIGNAL_COUNT),
-  },
-  'kill in a stop': {
-    kind: DisturbanceKind.Failure,
-    affectsAllHosts: false,
-    inject: ({ durationMs, host }) => host.killNodeInStop(Math.min(durationMs, MAX_KILL_DELAY_MS)),
-  },
-  'rolling restart': {
-    kind: DisturbanceKind.Planned,
-    affectsAllHosts: true,
-    inject: async ({ clock, hosts }) => {
-      const restarted = hosts.slice(0, Math.ceil(hosts.length * ROLLING_SHARE));
-      await Promise.all(
-        restarted.map(async (host, index) => {
-          await clock.sleep(index * ROLLING_INTERVAL_MS);
-          await host.stopNode();
-          host.startNode();
-        }),
-      );
-    },
-  },
-  'uneven runs': {
-    kind: DisturbanceKind.Planned,
-    affectsAllHosts: true,
-    inject: async ({ durationMs, hosts }) => {
-      await Promise.all(hosts.map((host) => host.lengthenRuns(durationMs)));
-    },
-  },
+  'signals in a stop': onHost(DisturbanceKind.Planned, ({ durationMs, host }) =>
+    host.stopNodeWithSignals(durationMs / SIGNAL_COUNT),
+  ),
+  'kill in a stop': onHost(DisturbanceKind.Failure, ({ durationMs, host }) =>
+    host.killNodeInStop(Math.min(durationMs, MAX_KILL_DELAY_MS)),
+  ),
+  'rolling restart': onAllHosts(DisturbanceKind.Planned, async ({ clock, hosts }) => {
+    const restarted = hosts.slice(0, Math.ceil(hosts.length * ROLLING_SHARE));
+    await Promise.all(
+      restarted.map(async (host, index) => {
+        await clock.sleep(index * ROLLING_INTERVAL_MS);
+        await host.stopNode();
+        host.startNode();
+      }),
+    );
+  }),
+  'uneven runs': onAllHosts(DisturbanceKind.Planned, async ({ durationMs, hosts }) => {
+    await Promise.all(hosts.map((host) => host.backendServer.behave('hasLongRuns', durationMs)));
+  }),
 };
 
 /** The time that a node takes to start, in milliseconds. */
@@ -220,21 +195,13 @@
 
 /** Batches of requests whose callers leave together, at slow nodes and at those that have just started. */
 export const batchFaults: Readonly<Record<string, Fault>> = {
-  'batches at a slow node': {
-    kind: DisturbanceKind.Freeze,
-    affectsAllHosts: false,
-    inject: ({ host }) => host.sendBatches(),
-  },
-  'batches at a cold node': {
-    kind: DisturbanceKind.Freeze,
-    affectsAllHosts: false,
-    inject: async ({ clock, host }) => {
-      await host.stopNode();
-      host.startNode();
-      await clock.sleep(START_MS);
-      await host.sendBatches();
-    },
-  },
+  'batches at a slow node': onHost(DisturbanceKind.Freeze, ({ host }) => host.sendBatches()),
+  'batches at a cold node': onHost(DisturbanceKind.Freeze, async ({ clock, host }) => {
+    await host.stopNode();
+    host.startNode();
+    await clock.sleep(START_MS);
+    await host.sendBatches();
+  }),
 };
 
 /** The faults that are drawn after all others, in the order in which they were added. */
@@ -250,49 +217,29 @@
 /** The faults by printed name; a seed selects them by their order. */
 export const faults: Readonly<Record<string, Fault>> = {
   ...Object.fromEntries([...relayFaults, ...storeFaults]),
-  'store compaction': {
-    kind: DisturbanceKind.StoreFault,
-    affectsAllHosts: true,
-    inject: async ({ store }) => {
-      store.compact('keyed.op');
-      store.compact('keyed.servers');
-      await Promise.resolve();
-    },
-  },
-  'node kill': {
-    kind: DisturbanceKind.Failure,
-    affectsAllHosts: false,
-    inject: async ({ clock, durationMs, host }) => {
-      await host.killNode();
-      await clock.sleep(durationMs);
-      host.startNode();
-    },
-  },
-  'node freeze': {
-    kind: DisturbanceKind.Freeze,
-    affectsAllHosts: false,
-    inject: async ({ clock, durationMs, host }) => {
-      host.freeze(true);
-      await clock.sleep(durationMs);
-      host.freeze(false);
-    },
-  },
-  'node stop': {
-    kind: DisturbanceKind.Planned,
-    affectsAllHosts: false,
-    inject: async ({ host }) => {
-      await host.stopNode();
-      host.startNode();
-    },
-  },
-  'backend server crash': {
-    kind: DisturbanceKind.Failure,
-    affectsAllHosts: false,
-    inject: ({ host }) => host.replaceBackendServer(),
-  },
-  'backend server release': {
-    kind: DisturbanceKind.Planned,
-    affectsAllHosts: false,
-    inject: ({ host }) => host.releaseBackendServer(),
-  },
+  'store compaction': onAllHosts(DisturbanceKind.StoreFault, async ({ store }) => {
+    store.compact('keyed.op');
+    store.compact('keyed.servers');
+    await Promise.resolve();
+  }),
+  'node kill': onHost(DisturbanceKind.Failure, async ({ clock, durationMs, host }) => {
+    await host.killNode();
+    await clock.sleep(durationMs);
+    host.startNode();
+  }),
+  'node freeze': onHost(DisturbanceKind.Freeze, async ({ clock, durationMs, host }) => {
+    host.freeze(true);
+    await clock.sleep(durationMs);
+    host.freeze(false);
+  }),
+  'node stop': onHost(DisturbanceKind.Planned, async ({ host }) => {
+    await host.stopNode();
+    host.startNode();
+  }),
+  'backend server crash': onHost(DisturbanceKind.Failure, ({ host }) =>
+    host.backendServer.replace(),
+  ),
+  'backend server release': onHost(DisturbanceKind.Planned, ({ host }) =>
+    host.backendServer.release(),
+  ),
 };
--- a/soak/src/invariants.ts
+++ b/soak/src/invariants.ts
@@ -1,6 +1,12 @@
 /** Checks the invariants of the system against the observations of callers and backend servers. */
 import { Bounds, probeServiceOf, RouteName } from './platformDocuments.js';
-import type { Execution, Publication, SentRequest, SoakRecord } from './soakRecord.js';
+import type {
+  Execution,
+  Publication,
+  SentRequest,
+  SoakRecord,
+  UnexpectedExit,
+} from './soakRecord.js';
 import { DisturbanceKind, ExecutionEnd, RequestOutcome } from './soakRecord.js';
 
 /** A violation of an invariant. */
@@ -345,8 +351,9 @@
     .filter((request) => !wasHeldByObserver(record, request))
     .map((request) => `failed after the recovery period: ${describeRequest(request)}`);
 
-const checkProcessExits: Check = ({ unexpectedExits }) =>
-  unexpectedExits.map(({ detail, host }) => `host ${host}: ${detail}`);
+function describeExit({ detail, host }: UnexpectedExit): string {
+  return `host ${host}: ${detail}`;
+}
 
 /** The checks by invariant, as printed. */
 const checks: Readonly<Record<string, Check>> = {
@@ -364,7 +371,8 @@
   'no node ends a request that runs': checkEndedRuns,
   'every request gets an answer': checkUnansweredRequests,
   'everything is served once trouble is over': checkRecovery,
-  'a node runs until it is stopped': checkProcessExits,
+  'a node runs until it is stopped': ({ unexpectedExits }) => unexpectedExits.map(describeExit),
+  'a node stays within its memory': ({ memoryExcesses }) => memoryExcesses.map(describeExit),
 };
 
 /**
--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -4,8 +4,11 @@
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import { promisify } from 'node:util';
-import { Command, InvalidArgumentError } from 'commander';
+import { Command, InvalidArgumentError, Option } from 'commander';
 import { SystemClock } from 'lentillb/sidecar';
+import { prepareNodeProgram } from './nodeProgram.js';
+import type { NodeProgram } from './nodeProgram.js';
+import { profiles } from './profiles.js';
 import { SoakRun } from './soakRun.js';
 import type { SoakResult } from './soakRun.js';
 
@@ -14,8 +17,12 @@
   readonly first: number;
   /** The seeds to play in place of a sequence. */
   readonly seed?: readonly number[];
-  readonly hosts: number;
+  readonly profile: keyof typeof profiles;
+  /** The number of hosts in place of that of the profile. */
+  readonly hosts?: number;
   readonly jobs: number;
+  /** The built program to play in place of the present one. */
+  readonly program?: string;
 }
 
 /** The second octet of the loopback addresses of the first job; each further job adds one. */
@@ -37,9 +44,11 @@
   return seed ?? Array.from({ length: seeds }, (_, index) => first + index);
 }
 
-function describeResult({ answered, faults, findings, requests, seed }: SoakResult): string {
+function describeResult(result: SoakResult): string {
+  const { answered, faults, findings, peakMemoryMb, requests, seed, starts } = result;
   const counts = `${answered} of ${requests} requests answered, ${faults.length} faults`;
-  return `seed ${seed}: ${counts}, ${findings.length} findings`;
+  const processes = `${peakMemoryMb} MB at most, starts ${starts.join(' ')}`;
+  return `seed ${seed}: ${counts}, ${processes}, ${findings.length} findings`;
 }
 
 function describeFindings(
@@ -70,14 +79,16 @@
 
 async function playSeed(
   seed: number,
-  program: string,
+  program: NodeProgram,
   folder: string,
   options: Options,
   loopbackOctet: number,
-) {
+): Promise<number> {
+  const profile = profiles[options.profile];
   const result = await new SoakRun(new SystemClock(), {
     seed,
-    hostCount: options.hosts,
+    hostCount: options.hosts ?? profile.hosts,
+    profile,
     program,
     folder,
     loopbackOctet,
@@ -92,8 +103,11 @@
 
 async function playSeeds(options: Options): Promise<void> {
   const folder = await mkdtemp(path.join(tmpdir(), 'lentillb-soak-'));
-  const program = path.join(folder, 'lentillb.cjs');
-  await promisify(execFile)(process.execPath, ['deploy/build.js', program]);
+  const built = path.join(folder, 'lentillb.cjs');
+  if (options.program === undefined) {
+    await promisify(execFile)(process.execPath, ['deploy/build.js', built]);
+  }
+  const program = await prepareNodeProgram(options.program ?? built);
   const seeds = seedsOf(options);
   let findings = 0;
   const runWorker = async (worker: number): Promise<void> => {
@@ -118,12 +132,13 @@
   .option('--seeds <n>', 'number of seeds to play', parsePositiveInteger, 1)
   .option('--first <seed>', 'first seed; the others follow in sequence', parsePositiveInteger, 1)
   .option('--seed <seed...>', 'seeds to play in place of a sequence', parseSeeds)
-  .option(
-    '--hosts <n>',
-    'number of hosts per seed, each with its own node process',
-    parsePositiveInteger,
-    6,
+  .addOption(
+    new Option('--profile <name>', 'deployment to play')
+      .choices(Object.keys(profiles))
+      .default('standard'),
   )
+  .option('--hosts <n>', 'number of hosts in place of that of the profile', parsePositiveInteger)
+  .option('--program <file>', 'built program to play in place of the present one')
   .option('--jobs <n>', 'number of seeds played in parallel', parsePositiveInteger, 2)
   .action((options: Options) => playSeeds(options))
   .parseAsync();
--- a/soak/src/platformDocuments.ts
+++ b/soak/src/platformDocuments.ts
@@ -1,4 +1,5 @@
 /** Builds the documents that the platform, its operator and its backend servers give to a node. */
+import type { Profile } from './profiles.js';
 
 /** The time limits that the platform specifies, in milliseconds. */
 export const Bounds = {
@@ -34,6 +35,8 @@
   heldShare: 0.25,
   /** The maximum time from the end of all faults until every node has the current state. */
   recoveryMs: 6_000,
+  /** The timeout of a route, where a deployment states no other. */
+  routeTimeoutMs: 800,
 } as const;
 
 /** The names of the headers of requests and responses. */
@@ -45,6 +48,35 @@
   leaving: 'server-leaving',
 } as const;
 
+/** The lengths that a request asks for, which its body carries after its identity. */
+export interface RequestPlan {
+  readonly bodyBytes: number;
+  readonly answerBytes: number;
+  readonly runMs: number;
+}
+
+/**
+ * @param id - the identity of the request
+ * @param plan - the lengths, if they are not left to the backend server
+ * @returns the body of the request
+ */
+export function encodeBody(id: string, plan?: RequestPlan): string {
+  if (plan === undefined) {
+    return id;
+  }
+  const { answerBytes, bodyBytes, runMs } = plan;
+  return [id, runMs, answerBytes, 'x'.repeat(bodyBytes)].join(' ');
+}
+
+/**
+ * @param id - the identity of the request
+ * @param answerBytes - the length of the answer, if it is longer than what it says
+ * @returns the body of the answer
+ */
+export function answerBody(id: string, answerBytes = 0): string {
+  return `ran ${id}`.padEnd(answerBytes);
+}
+
 /** The start of the body of requests that run long; the time in milliseconds follows. */
 export const SLOW_PREFIX = 'slow-';
 /** The timeout of the route for them, in milliseconds: beyond the end of a planned stop. */
@@ -68,12 +100,21 @@
   Slow: 'slow',
   /** Not idempotent; every version sends it to a different service than the version before. */
   Probe: 'probe',
+  /** Not idempotent; to a service of its own, with long bodies. */
+  Book: 'book',
 } as const;
 export type RouteName = (typeof RouteName)[keyof typeof RouteName];
 
-/** The services that the hosts run. */
-export const services = ['letters', 'desk'] as const;
-export type Service = (typeof services)[number];
+/** A service that hosts run. */
+export type Service = 'letters' | 'desk' | 'office';
+
+/** A kind of requests. */
+export interface RequestKind {
+  readonly route: RouteName;
+  /** The service of its route; by default, each version names another one. */
+  readonly service?: Service;
+  readonly timeoutMs: number;
+}
 
 /** The IP address of a host and the addresses that its node listens on. */
 export interface HostAddresses {
@@ -97,6 +138,7 @@
     readonly service: Service;
     readonly backendServer: string;
     readonly store: string;
+    readonly memoryLimitMb: number;
   },
 ): string {
   return JSON.stringify({
@@ -105,6 +147,7 @@
       zone: node.zone,
       service: node.service,
       'app-addr': node.backendServer,
+      limits: Number.isFinite(node.memoryLimitMb) ? { 'memory-mb': node.memoryLimitMb } : undefined,
     },
     network: {
       'listen-addrs': {
@@ -157,7 +200,15 @@
   });
 }
 
-function route(name: RouteName, service: Service, timeoutMs: number): object {
+/**
+ * @param version - the number of a version, counted from 1
+ * @returns the service to which this version routes probe requests
+ */
+export function probeServiceOf(version: number): Service {
+  return version % 2 === 0 ? 'letters' : 'desk';
+}
+
+function route({ route: name, service, timeoutMs }: RequestKind, version: number): object {
   return {
     hostname: `${name}.example`,
     'path-prefix': '/',
@@ -165,37 +216,36 @@
     timeout: `${timeoutMs}ms`,
     'target-latency': '400ms',
     priority: 1,
-    service,
+    service: service ?? probeServiceOf(version),
     'max-attempts': 3,
   };
 }
 
-/**
- * @param version - the number of a version, counted from 1
- * @returns the service to which this version routes probe requests
- */
-export function probeServiceOf(version: number): Service {
-  return version % 2 === 0 ? 'letters' : 'desk';
-}
+const slowKind: RequestKind = {
+  route: RouteName.Slow,
+  service: 'letters',
+  timeoutMs: SLOW_TIMEOUT_MS,
+};
 
 /**
  * @param version - the number of a version, counted from 1
- * @param timeoutMs - the timeout of its routes, in milliseconds
+ * @param profile - the deployment: its services, kinds of requests and limits
  * @returns the operator's configuration, as JSON
  */
-export function configurationDocument(version: number, timeoutMs: number): string {
+export function configurationDocument(version: number, profile: Profile): string {
+  const { idleRoutes, kinds, limits, services } = profile;
+  const routes = [...kinds, slowKind].map((kind) => [kind.route, route(kind, version)] as const);
+  const idle = Array.from({ length: idleRoutes }, (_, index) => {
+    const name = `idle-${index}`;
+    return [name, { ...route(slowKind, version), hostname: `${name}.example` }] as const;
+  });
   return JSON.stringify({
     version: version.toString(16).padStart(8, '0'),
-    routes: {
-      [RouteName.Browse]: route(RouteName.Browse, 'letters', timeoutMs),
-      [RouteName.Lodge]: route(RouteName.Lodge, 'desk', timeoutMs),
-      [RouteName.Slow]: route(RouteName.Slow, 'letters', SLOW_TIMEOUT_MS),
-      [RouteName.Probe]: route(RouteName.Probe, probeServiceOf(version), timeoutMs),
-    },
+    routes: Object.fromEntries([...routes, ...idle]),
     services: Object.fromEntries(services.map((service) => [service, {}])),
     limits: {
-      'max-header-bytes': 16_384,
-      'max-body-bytes': 65_536,
+      'max-header-bytes': limits.headerBytes,
+      'max-body-bytes': limits.bodyBytes,
       'header-timeout': '3s',
       'idle-timeout': '15s',
     },
--- a/soak/src/schedule.ts
+++ b/soak/src/schedule.ts
@@ -1,6 +1,7 @@
 /** Draws the faults and publications of one soak run from its seed. */
 import type { Randomness } from 'lentillb/sidecar';
 import { faults, laterFaults } from './faults.js';
+import { startFaults } from './startFaults.js';
 
 /** A fault with the time, the host and the duration of its injection. */
 export interface ScheduledFault {
@@ -35,30 +36,36 @@
 /**
  * @param randomness - the seeded source of random numbers
  * @param hostCount - the number of hosts
+ * @param hasStartFaults - whether to draw the faults of starts and of hostile senders too
  * @returns series of overlapping faults and the times of the publications
  */
-export function drawSchedule(randomness: Randomness, hostCount: number): Schedule {
+export function drawSchedule(
+  randomness: Randomness,
+  hostCount: number,
+  hasStartFaults = false,
+): Schedule {
   const names = Object.keys(faults);
+  const drawDurationMs = (): number =>
+    MIN_FAULT_DURATION_MS + randomness.integer(MAX_FAULT_DURATION_MS - MIN_FAULT_DURATION_MS);
   const series = Array.from({ length: 1 + randomness.integer(MAX_FAULT_SERIES) }, () => {
     const startMs = randomness.integer(FAULT_WINDOW_MS - SERIES_WINDOW_MS);
     return Array.from({ length: 1 + randomness.integer(MAX_FAULTS_PER_SERIES) }, () => ({
       name: names[randomness.integer(names.length)] ?? '',
       host: randomness.integer(hostCount),
       atMs: startMs + randomness.integer(SERIES_WINDOW_MS),
-      durationMs:
-        MIN_FAULT_DURATION_MS + randomness.integer(MAX_FAULT_DURATION_MS - MIN_FAULT_DURATION_MS),
+      durationMs: drawDurationMs(),
     }));
   });
   const firstPublicationMs = randomness.integer(PUBLICATION_INTERVAL_MS);
-  const additional = laterFaults.flatMap((group) =>
+  const groups = hasStartFaults ? [...laterFaults, startFaults] : laterFaults;
+  const additional = groups.flatMap((group) =>
     Object.keys(group)
       .filter(() => randomness.integer(ADDITIONAL_FAULT_INTERVAL) === 0)
       .map((name) => ({
         name,
         host: randomness.integer(hostCount),
         atMs: randomness.integer(FAULT_WINDOW_MS),
-        durationMs:
-          MIN_FAULT_DURATION_MS + randomness.integer(MAX_FAULT_DURATION_MS - MIN_FAULT_DURATION_MS),
+        durationMs: drawDurationMs(),
       })),
   );
   return {
--- a/soak/src/soakBackendServer.ts
+++ b/soak/src/soakBackendServer.ts
@@ -1,9 +1,9 @@
 /** A backend server of the soak test, which may state a limit or its departure, or end under a request. */
-import { ScriptedBackendServer } from '@lentillb/standins';
+import { ScriptedBackendServer, spoiledAnswer } from '@lentillb/standins';
 import type { RequestHandler } from '@lentillb/standins';
 import type { Clock, Randomness } from 'lentillb/sidecar';
 import type { Service } from './platformDocuments.js';
-import { CRASHING_PREFIX, Header, SLOW_PREFIX } from './platformDocuments.js';
+import { answerBody, CRASHING_PREFIX, Header, SLOW_PREFIX } from './platformDocuments.js';
 import type { Execution, SoakRecord } from './soakRecord.js';
 import { ExecutionEnd } from './soakRecord.js';
 
@@ -13,6 +13,8 @@
 const LONG_HANDLING_MS = { min: 300, spread: 400 } as const;
 /** The number of requests of which, on average, one runs so long. */
 const LONG_RUN_ONE_IN = 20;
+/** The number of answers of which, on average, one is spoiled while some are. */
+const SPOILED_ONE_IN = 10;
 
 /** The services that a backend server depends on. */
 export interface BackendServerServices {
@@ -40,6 +42,9 @@
   /** Whether a few requests run far longer than usual. */
   hasLongRuns = false;
 
+  /** Whether some answers are spoiled. */
+  hasSpoiledAnswers = false;
+
   private readonly server: ScriptedBackendServer;
 
   /**
@@ -107,17 +112,37 @@
       this.onCrashingRequest();
       return;
     }
-    const handlingMs = body.startsWith(SLOW_PREFIX)
-      ? Number.parseInt(body.slice(SLOW_PREFIX.length), 10)
-      : this.drawHandlingMs();
-    clock.after(handlingMs, () => {
-      response.writeHead(200, {
-        [Header.requestId]: requestId,
-        [Header.seal]: 'seal',
-        ...this.statementHeaders(),
-      });
-      response.end(`ran ${body}`);
+    const [id = '', plannedMs, answerBytes] = body.split(' ', 3);
+    const handlingMs = plannedMs === undefined ? this.handlingMsOf(id) : Number(plannedMs);
+    const answer = answerBody(id, Number(answerBytes ?? 0));
+    clock.after(handlingMs, () => this.respond(response, answer, execution));
+  }
+
+  private respond(
+    response: Parameters<RequestHandler>[0],
+    answer: string,
+    execution: Execution,
+  ): void {
+    const { randomness } = this.services;
+    const { requestId } = execution;
+    if (this.hasSpoiledAnswers && randomness.integer(SPOILED_ONE_IN) === 0) {
+      response.removeAllListeners('close');
+      Object.assign(execution, { end: ExecutionEnd.ServerEnded });
+      response.socket?.end(spoiledAnswer(requestId, answer, randomness));
+      return;
+    }
+    response.writeHead(200, {
+      [Header.requestId]: requestId,
+      [Header.seal]: 'seal',
+      ...this.statementHeaders(),
     });
+    response.end(answer);
+  }
+
+  private handlingMsOf(id: string): number {
+    return id.startsWith(SLOW_PREFIX)
+      ? Number.parseInt(id.slice(SLOW_PREFIX.length), 10)
+      : this.drawHandlingMs();
   }
 
   private endOf(isComplete: boolean): ExecutionEnd {
--- a/soak/src/soakRecord.ts
+++ b/soak/src/soakRecord.ts
@@ -44,7 +44,7 @@
   Completed: 'completed',
   /** The connection ended while the backend server was at work. */
   Cut: 'cut',
-  /** The backend server itself ended. */
+  /** The backend server itself ended, or sent something else than an answer. */
   ServerEnded: 'server-ended',
 } as const;
 export type ExecutionEnd = (typeof ExecutionEnd)[keyof typeof ExecutionEnd];
@@ -155,6 +155,12 @@
 
   readonly unexpectedExits: UnexpectedExit[] = [];
 
+  /** The processes that were killed for their memory. */
+  readonly memoryExcesses: UnexpectedExit[] = [];
+
+  /** The highest resident memory of a process, in megabytes. */
+  peakMemoryMb = 0;
+
   /** The time at which the last disturbance ended. */
   faultsEndedAtMs = Infinity;
 
--- a/soak/src/soakRun.ts
+++ b/soak/src/soakRun.ts
@@ -14,20 +14,22 @@
   CONFIGURATION_KEY,
   configurationDocument,
   OPERATOR_TOPIC,
-  services,
 } from './platformDocuments.js';
+import type { NodeProgram } from './nodeProgram.js';
+import type { Profile } from './profiles.js';
 import type { ScheduledFault } from './schedule.js';
 import { drawSchedule } from './schedule.js';
 import { SoakHost } from './soakHost.js';
 import type { HostOptions } from './soakHost.js';
 import { DisturbanceKind, SoakRecord } from './soakRecord.js';
 import type { Disturbance } from './soakRecord.js';
+import { startFaults } from './startFaults.js';
 
 export interface SoakOptions {
   readonly seed: number;
   readonly hostCount: number;
-  /** The path of the built program. */
-  readonly program: string;
+  readonly profile: Profile;
+  readonly program: NodeProgram;
   /** The folder that this run writes settings and logs to. */
   readonly folder: string;
   /** The second octet of the loopback addresses, which keeps parallel runs apart. */
@@ -39,13 +41,17 @@
   readonly faults: readonly ScheduledFault[];
   readonly requests: number;
   readonly answered: number;
+  /** The highest resident memory of a node process, in megabytes. */
+  readonly peakMemoryMb: number;
+  /** The number of node processes that were started on each host. */
+  readonly starts: readonly number[];
   readonly findings: readonly Finding[];
   /** The times at which the soak test itself was blocked, which blocks its relays too. */
   readonly observerDelays: readonly Disturbance[];
 }
 
-const ZONES = 3;
-const ROUTE_TIMEOUT_MS = 800;
+/** The number of requests of which, on average, one is aborted by its caller. */
+const ABORT_ONE_IN = 6;
 /** The time that nodes get to serve every request before the first fault. */
 const WARM_UP_MS = 6_000;
 /** The time for which requests continue after the recovery period, to check that all are served. */
@@ -79,19 +85,23 @@
   /** @returns the result of the run */
   async run(): Promise<SoakResult> {
     const { clock, record } = this;
-    const { hostCount, seed } = this.options;
-    const schedule = drawSchedule(this.randomness, hostCount);
+    const { hostCount, profile, seed } = this.options;
+    const schedule = drawSchedule(this.randomness, hostCount, profile.hasStartFaults);
     const hasFaultOf = (group: Readonly<Record<string, Fault>>): boolean =>
       schedule.faults.some(({ name }) => Object.hasOwn(group, name));
     await this.start({
       hasGateRelay: hasFaultOf(gateRelayFaults),
-      hasSlowSends: hasFaultOf(batchFaults),
+      hasSlowSends: profile.hasSlowSends && hasFaultOf(batchFaults),
     });
     const callers = this.hosts.map(
-      (host) => new Caller({ clock, randomness: this.randomness, record }, () => host.target),
+      (host) =>
+        new Caller({ clock, randomness: this.randomness, record }, () => host.target, {
+          maxConnections: profile.connectionsPerCaller,
+          abortOneIn: ABORT_ONE_IN,
+        }),
     );
     const delayRecording = this.recordObserverDelays();
-    const callerRuns = callers.map((caller) => caller.run());
+    const callerRuns = callers.map((caller) => caller.run(profile));
     await Promise.all([
       ...schedule.faults.map((fault) => this.injectFault(fault)),
       ...schedule.publications.map((atMs) => clock.sleep(atMs).then(() => this.publish())),
@@ -110,6 +120,8 @@
       faults: schedule.faults,
       requests: requests.length,
       answered,
+      peakMemoryMb: record.peakMemoryMb,
+      starts: this.hosts.map(({ processNumber }) => processNumber),
       findings: findViolations(record),
       observerDelays: record.disturbances.filter(
         ({ kind }) => kind === DisturbanceKind.ObserverDelay,
@@ -119,7 +131,8 @@
 
   private async start(hooks: Pick<HostOptions, 'hasGateRelay' | 'hasSlowSends'>): Promise<void> {
     const { clock, randomness, record } = this;
-    const { folder, hostCount, loopbackOctet, program } = this.options;
+    const { folder, hostCount, loopbackOctet, profile, program } = this.options;
+    const { memoryLimitMb, services, slots, zones } = profile;
     await mkdir(folder, { recursive: true });
     await this.store.listen();
     this.publish();
@@ -131,8 +144,10 @@
           {
             index,
             ip: `127.${loopbackOctet}.0.${index + 1}`,
-            zone: `zone-${index % ZONES}`,
-            service: services[index % services.length] ?? services[0],
+            zone: `zone-${index % zones}`,
+            service: services[index % services.length] ?? 'letters',
+            slots,
+            memoryLimitMb,
             storeAddress: this.store.address,
             program,
             folder: path.resolve(folder),
@@ -146,7 +161,9 @@
 
   private async injectFault({ atMs, durationMs, host, name }: ScheduledFault): Promise<void> {
     const { clock, record, store } = this;
-    const fault = [faults, ...laterFaults].find((group) => Object.hasOwn(group, name))?.[name];
+    const fault = [faults, ...laterFaults, startFaults].find((group) =>
+      Object.hasOwn(group, name),
+    )?.[name];
     const targetHost = this.hosts[host];
     if (fault === undefined || targetHost === undefined) {
       throw new Error(
@@ -192,7 +209,7 @@
   private publish(): void {
     this.version += 1;
     const { record, version } = this;
-    const document = configurationDocument(version, ROUTE_TIMEOUT_MS);
+    const document = configurationDocument(version, this.options.profile);
     this.store.write(OPERATOR_TOPIC, CONFIGURATION_KEY, document);
     record.publications.push({ version, atMs: this.clock.monotonicMs() });
   }
--- a/tests/soak/relay.spec.ts
+++ b/tests/soak/relay.spec.ts
@@ -1,10 +1,10 @@
 import { once } from 'node:events';
 import { connect, createServer } from 'node:net';
 import type { Server, Socket } from 'node:net';
-import { listenOnLoopback } from '@lentillb/standins';
+import { listenOnLoopback, Relay, RelayFault } from '@lentillb/standins';
 import { SystemClock } from 'lentillb';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import { Relay, RelayFault } from '../../soak/dist/relay.js';
+
 import { freeAddress } from '../support/freeAddress.js';
 import { waitFor } from '../support/testNode.js';
 
