Share documents and addresses of hosts between soak and tests, and describe the deployments

What any test may use moves to the stand-ins: the documents that a node gets, the taken address, and the relay, which five tests took from the soak's build.

--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -11,3 +11,6 @@
 export { Relay, RelayFault } from './relay.js';
 export { spoiledAnswer } from './spoiledAnswers.js';
 export { sendUnfinishedRequests, unfinishedRequests } from './unfinishedRequests.js';
+export { GRACE_MS, heartbeatDocument, settingsDocument } from './nodeDocuments.js';
+export type { HostAddresses } from './nodeDocuments.js';
+export { takeAddress } from './takeAddress.js';
--- a/soak/src/caller.ts
+++ b/soak/src/caller.ts
@@ -1,13 +1,13 @@
 /** Sends requests from one host, over connections that stay open until the node process exits. */
 import { Agent, request as openRequest } from 'node:http';
-import type { ClientRequest, IncomingMessage } from 'node:http';
-import type { Clock, Randomness } from 'lentillb/sidecar';
+import type { IncomingMessage } from 'node:http';
 import { parseAddress, runInBackground } from 'lentillb/sidecar';
 import { answerBody, Bounds, encodeBody, Header } from './platformDocuments.js';
 import type { RequestPlan, RouteName } from './platformDocuments.js';
 import { drawSpread } from './profiles.js';
 import type { Profile, SentKind } from './profiles.js';
-import type { SentRequest, SoakRecord } from './soakRecord.js';
+import type { SoakServices } from './soakBackendServer.js';
+import type { SentRequest } from './soakRecord.js';
 import { RequestOutcome } from './soakRecord.js';
 
 /** The node process to send to; looked up before each request. */
@@ -75,11 +75,7 @@
   private stopped = false;
 
   constructor(
-    private readonly services: {
-      readonly clock: Clock;
-      readonly randomness: Randomness;
-      readonly record: SoakRecord;
-    },
+    private readonly services: SoakServices,
     private readonly node: () => NodeTarget,
     private readonly options: CallerOptions,
   ) {
@@ -172,42 +168,42 @@
           'content-length': content.length,
         },
       });
-      const cancelAbort = this.scheduleAbort(outgoing, leaveAfterMs, resolve);
-      const cancelTimeout = this.services.clock.after(deadlineMs + LATE_RESPONSE_MS, () => {
-        cancelAbort();
-        resolve({
-          outcome: RequestOutcome.TimedOut,
-          detail: 'no response in time',
-          isMatchingResponse: false,
+      const cancellations: (() => void)[] = [];
+      const settle = (result: RequestResult): void => {
+        cancellations.forEach((cancel) => cancel());
+        resolve(result);
+      };
+      const fail = (outcome: RequestOutcome, detail: string): void =>
+        settle({ outcome, detail, isMatchingResponse: false });
+      const giveUpAfter = (delayMs: number, outcome: RequestOutcome, detail: string): void => {
+        const cancel = this.services.clock.after(delayMs, () => {
+          fail(outcome, detail);
+          outgoing.destroy();
         });
-        outgoing.destroy();
-      });
+        cancellations.push(cancel);
+      };
+      if (Number.isFinite(leaveAfterMs)) {
+        giveUpAfter(leaveAfterMs, RequestOutcome.Aborted, `after ${leaveAfterMs} ms`);
+      }
+      giveUpAfter(deadlineMs + LATE_RESPONSE_MS, RequestOutcome.TimedOut, 'no response in time');
       outgoing.on('error', (error: NodeJS.ErrnoException) => {
-        cancelTimeout();
-        cancelAbort();
-        const outcome =
-          error.code === 'ECONNREFUSED'
-            ? RequestOutcome.ConnectFailed
-            : RequestOutcome.ConnectionLost;
-        resolve({ outcome, detail: error.code ?? error.message, isMatchingResponse: false });
+        const isRefused = error.code === 'ECONNREFUSED';
+        fail(
+          isRefused ? RequestOutcome.ConnectFailed : RequestOutcome.ConnectionLost,
+          error.code ?? error.message,
+        );
       });
       outgoing.on('response', (response) => {
         const chunks: Buffer[] = [];
         response.on('data', (chunk: Buffer) => chunks.push(chunk));
         response.on('error', () => undefined);
         response.on('close', () => {
-          cancelTimeout();
-          cancelAbort();
           const body = Buffer.concat(chunks).toString('utf8');
-          resolve(
-            response.complete
-              ? classifyResponse(response, body, id, plan)
-              : {
-                  outcome: RequestOutcome.ConnectionLost,
-                  detail: 'incomplete response',
-                  isMatchingResponse: false,
-                },
-          );
+          if (response.complete) {
+            settle(classifyResponse(response, body, id, plan));
+          } else {
+            fail(RequestOutcome.ConnectionLost, 'incomplete response');
+          }
         });
       });
       outgoing.end(content);
@@ -234,23 +230,4 @@
     }
     return ABORT_DELAY_MS.min + randomness.integer(ABORT_DELAY_MS.spread);
   }
-
-  /** Aborts a request after a time; the returned function cancels the abort. */
-  private scheduleAbort(
-    outgoing: ClientRequest,
-    delayMs: number,
-    resolve: (result: RequestResult) => void,
-  ): () => void {
-    if (!Number.isFinite(delayMs)) {
-      return () => undefined;
-    }
-    return this.services.clock.after(delayMs, () => {
-      resolve({
-        outcome: RequestOutcome.Aborted,
-        detail: `after ${delayMs} ms`,
-        isMatchingResponse: false,
-      });
-      outgoing.destroy();
-    });
-  }
 }
--- a/soak/src/faults.ts
+++ b/soak/src/faults.ts
@@ -54,15 +54,11 @@
   fault: RelayFault,
   kind: DisturbanceKind = DisturbanceKind.Failure,
 ): Fault {
-  return {
-    kind,
-    affectsAllHosts: false,
-    inject: async ({ clock, durationMs, host }) => {
-      selectRelay(host).setFault(fault);
-      await clock.sleep(durationMs);
-      selectRelay(host).setFault(undefined);
-    },
-  };
+  return onHost(kind, async ({ clock, durationMs, host }) => {
+    selectRelay(host).setFault(fault);
+    await clock.sleep(durationMs);
+    selectRelay(host).setFault(undefined);
+  });
 }
 
 function createStoreFault(fault: StoreFault): Fault {
--- a/soak/src/hostedBackendServer.ts
+++ b/soak/src/hostedBackendServer.ts
@@ -1,11 +1,12 @@
 /** Runs the backend server of one host, replaces it and reports it to the node. */
+import { heartbeatDocument } from '@lentillb/standins';
 import type { Relay } from '@lentillb/standins';
 import { request } from 'undici';
 import { runInBackground } from 'lentillb/sidecar';
-import { Bounds, heartbeatDocument } from './platformDocuments.js';
+import { Bounds } from './platformDocuments.js';
 import type { Service } from './platformDocuments.js';
 import { SoakBackendServer } from './soakBackendServer.js';
-import type { BackendServerServices } from './soakBackendServer.js';
+import type { SoakServices } from './soakBackendServer.js';
 import { DisturbanceKind } from './soakRecord.js';
 
 export interface HostedServerOptions {
@@ -54,7 +55,7 @@
    * @param relay - forwards connections to the backend server
    */
   constructor(
-    private readonly services: BackendServerServices,
+    private readonly services: SoakServices,
     private readonly options: HostedServerOptions,
     private readonly relay: Relay,
   ) {}
@@ -89,16 +90,9 @@
     }
     current.draining = true;
     await this.sendHeartbeat(current);
-    const { clock, record } = this.services;
-    const { id: backendServerId } = current;
-    const isConfirmed = await this.callControlAddress('DELETE', backendServerId);
-    if (isConfirmed) {
-      const { index: host } = this.options;
-      record.departures.push({ host, backendServerId, confirmedAtMs: clock.monotonicMs() });
-    }
-    await clock.sleep(CLOSE_DELAY_MS);
-    await this.start();
-    await current.close();
+    const isConfirmed = await this.callControlAddress('DELETE', current.id);
+    const confirmedAtMs = isConfirmed ? this.services.clock.monotonicMs() : undefined;
+    await this.replaceDeparted(current, () => confirmedAtMs);
   }
 
   /**
@@ -145,16 +139,24 @@
     if (current === undefined) {
       return;
     }
-    const { clock, record } = this.services;
     current.stateDeparture();
+    await this.replaceDeparted(current, () => current.statedAtMs);
+  }
+
+  /** Replaces a backend server once it has listened for a while after its departure. */
+  private async replaceDeparted(
+    departed: SoakBackendServer,
+    confirmedAtMs: () => number | undefined,
+  ): Promise<void> {
+    const { clock, record } = this.services;
     await clock.sleep(CLOSE_DELAY_MS);
-    const { id: backendServerId, statedAtMs } = current;
-    if (statedAtMs !== undefined) {
+    const atMs = confirmedAtMs();
+    if (atMs !== undefined) {
       const { index: host } = this.options;
-      record.departures.push({ host, backendServerId, confirmedAtMs: statedAtMs });
+      record.departures.push({ host, backendServerId: departed.id, confirmedAtMs: atMs });
     }
     await this.start();
-    await current.close();
+    await departed.close();
   }
 
   /** Ends a backend server at once, and replaces it after a while. */
@@ -200,10 +202,10 @@
       service,
       zone,
       address: this.options.address,
-      slots,
+      capacity: slots,
       state: backendServer.draining ? 'draining' : 'ready',
       sequence: this.heartbeatSequence,
-      startedAt: backendServer.startedAt,
+      born: backendServer.startedAt.getTime(),
     });
     await this.callControlAddress('PUT', backendServer.id, body);
   }
--- a/soak/src/invariants.ts
+++ b/soak/src/invariants.ts
@@ -21,7 +21,11 @@
 const UNPLANNED_KINDS = [DisturbanceKind.Failure, DisturbanceKind.Freeze];
 
 /** A function that returns a description of each violation of one invariant. */
-type Check = (record: SoakRecord) => readonly string[];
+type Check = (
+  record: SoakRecord,
+  /** The executions by the identity of their request. */
+  executions: ReadonlyMap<string, readonly Execution[]>,
+) => readonly string[];
 
 function groupBy<Item>(
   items: readonly Item[],
@@ -37,40 +41,32 @@
   return groups;
 }
 
-function executionsById({ executions }: SoakRecord): ReadonlyMap<string, readonly Execution[]> {
-  return groupBy(executions, ({ requestId }) => requestId);
-}
-
 function describeRequest({ detail, host, id, route, sentAtMs, outcome }: SentRequest): string {
   return `${route} ${id} at host ${host}, sent ${Math.round(sentAtMs)}: ${outcome} ${detail}`;
 }
 
-const checkSingleRuns: Check = (record) => {
+const checkSingleRuns: Check = (record, executionsById) => {
   const routes = new Map(record.requests.map(({ id, route }) => [id, route]));
-  return [...executionsById(record)]
+  return [...executionsById]
     .filter(([id, executions]) => executions.length > 1 && routes.get(id) !== RouteName.Browse)
     .map(([id, executions]) => `${String(routes.get(id))} ${id} ran ${executions.length} times`);
 };
 
-const checkRefusedRequests: Check = (record) => {
-  const executions = executionsById(record);
-  return record.requests
+const checkRefusedRequests: Check = (record, executions) =>
+  record.requests
     .filter(
       ({ id, route, outcome }) =>
         route !== RouteName.Browse && outcome === RequestOutcome.NotRun && executions.has(id),
     )
     .map((request) => `was refused but ran: ${describeRequest(request)}`);
-};
 
-const checkResponses: Check = (record) => {
-  const executions = executionsById(record);
-  return record.requests
+const checkResponses: Check = (record, executions) =>
+  record.requests
     .filter(
       ({ id, isMatchingResponse, outcome }) =>
         outcome === RequestOutcome.Answered && (!isMatchingResponse || !executions.has(id)),
     )
     .map(describeRequest);
-};
 
 const checkUnsentRequests: Check = ({ requests, executions }) => {
   const sent = new Set(requests.map(({ id }) => id));
@@ -99,9 +95,8 @@
  * Finds requests that run too long after their caller aborted them or timed out. A frozen node is
  * not exempt: after the freeze it reads the request and the close of its connection together.
  */
-const checkAbortedRequests: Check = (record) => {
-  const executions = executionsById(record);
-  return record.requests
+const checkAbortedRequests: Check = (record, executions) =>
+  record.requests
     .filter(
       ({ outcome }) => outcome === RequestOutcome.Aborted || outcome === RequestOutcome.TimedOut,
     )
@@ -125,7 +120,6 @@
           return `reached ${backendServerId} ${afterMs} ms after its caller left: ${describeRequest(request)}`;
         }),
     );
-};
 
 /** Finds backend servers that got more requests than their stated limit allows. */
 const checkLimits: Check = (record) =>
@@ -182,9 +176,8 @@
 }
 
 /** Finds requests that undisturbed nodes handled by a version that should have been replaced. */
-const checkPropagation: Check = (record) => {
-  const executions = executionsById(record);
-  return record.requests
+const checkPropagation: Check = (record, executions) =>
+  record.requests
     .filter(
       ({ route, outcome }) => route === RouteName.Probe && outcome === RequestOutcome.Answered,
     )
@@ -205,11 +198,9 @@
       return execution !== undefined && !allowed.includes(execution.service);
     })
     .map((request) => `handled by an older version: ${describeRequest(request)}`);
-};
 
 /** Finds requests that a node process handled by an older version after it had used a newer one. */
-const checkVersionOrder: Check = (record) => {
-  const executions = executionsById(record);
+const checkVersionOrder: Check = (record, executions) => {
   const probes = record.requests.filter(
     ({ route, outcome }) => route === RouteName.Probe && outcome === RequestOutcome.Answered,
   );
@@ -244,15 +235,13 @@
  * Finds requests that ran but lost their connection although no failure or freeze affected their
  * node. A planned stop must not lose any.
  */
-const checkPlannedStops: Check = (record) => {
-  const executions = executionsById(record);
-  return record.requests
+const checkPlannedStops: Check = (record, executions) =>
+  record.requests
     .filter(({ id, outcome }) => outcome === RequestOutcome.ConnectionLost && executions.has(id))
     .filter(({ endedAtMs, host, sentAtMs }) =>
       record.isUndisturbed(host, sentAtMs - Bounds.undisturbedMs, endedAtMs, UNPLANNED_KINDS),
     )
     .map(describeRequest);
-};
 
 /** Whether a planned stop allows that a run was cut: it was sent in time and lasted to the end. */
 function isCutByEndOfStop(
@@ -283,9 +272,8 @@
 }
 
 /** Finds requests that a node ended before their deadline, although a backend server runs or ran them. */
-const checkEndedRuns: Check = (record) => {
-  const executions = executionsById(record);
-  return record.requests
+const checkEndedRuns: Check = (record, executions) =>
+  record.requests
     .filter(isEndedByNode)
     .filter(
       ({ deadlineMs, endedAtMs, sentAtMs }) =>
@@ -304,12 +292,10 @@
       const ends = runs.map((run) => describeRun(request, run)).join('; ');
       return `ended after ${lastedMs} ms: ${describeRequest(request)}; ${ends}`;
     });
-};
 
 /** Finds requests that ran and got no answer, though their deadline had passed for a while. */
-const checkUnansweredRequests: Check = (record) => {
-  const executions = executionsById(record);
-  return record.requests
+const checkUnansweredRequests: Check = (record, executions) =>
+  record.requests
     .filter(({ outcome }) => outcome === RequestOutcome.TimedOut)
     .filter(({ deadlineMs, endedAtMs, id }) =>
       // A request may have waited in the caller for a connection, before its deadline began.
@@ -324,7 +310,6 @@
       ]),
     )
     .map(describeRequest);
-};
 
 /**
  * Whether the soak test itself was blocked for a considerable share of the time that a request had. All
@@ -382,7 +367,8 @@
  * @returns the violations, in the order of the checks
  */
 export function findViolations(record: SoakRecord): readonly Finding[] {
+  const executions = groupBy(record.executions, ({ requestId }) => requestId);
   return Object.entries(checks).flatMap(([invariant, check]) =>
-    check(record).map((detail) => ({ invariant, detail })),
+    check(record, executions).map((detail) => ({ invariant, detail })),
   );
 }
--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -44,35 +44,27 @@
   return seed ?? Array.from({ length: seeds }, (_, index) => first + index);
 }
 
-function describeResult(result: SoakResult): string {
+function describeResult(result: SoakResult, folder: string): readonly string[] {
   const { answered, faults, findings, peakMemoryMb, requests, seed, starts } = result;
   const counts = `${answered} of ${requests} requests answered, ${faults.length} faults`;
   const processes = `${peakMemoryMb} MB at most, starts ${starts.join(' ')}`;
-  return `seed ${seed}: ${counts}, ${processes}, ${findings.length} findings`;
-}
-
-function describeFindings(
-  { faults, findings, observerDelays }: SoakResult,
-  folder: string,
-): readonly string[] {
+  const summary = `seed ${seed}: ${counts}, ${processes}, ${findings.length} findings`;
   if (findings.length === 0) {
-    return [];
+    return [summary];
   }
-  const faultLines = faults.map(
-    ({ atMs, durationMs, host, name }) =>
-      `  at ${atMs} ms for ${durationMs} ms, host ${host}: ${name}`,
-  );
-  const findingLines = findings.map(
-    ({ detail, invariant }) => `  violated: ${invariant}: ${detail}`,
-  );
-  const delayLines = observerDelays.map(
-    ({ fromMs, untilMs }) =>
-      `  soak test blocked for ${Math.round(untilMs - fromMs)} ms at ${Math.round(fromMs)}`,
-  );
   return [
-    ...faultLines,
-    ...delayLines.slice(-20),
-    ...findingLines.slice(0, 20),
+    summary,
+    ...faults.map(
+      ({ atMs, durationMs, host, name }) =>
+        `  at ${atMs} ms for ${durationMs} ms, host ${host}: ${name}`,
+    ),
+    ...result.observerDelays
+      .map(({ fromMs, untilMs }) => {
+        const blockedMs = Math.round(untilMs - fromMs);
+        return `  soak test blocked for ${blockedMs} ms at ${Math.round(fromMs)}`;
+      })
+      .slice(-20),
+    ...findings.map(({ detail, invariant }) => `  violated: ${invariant}: ${detail}`).slice(0, 20),
     `  logs: ${folder}`,
   ];
 }
@@ -87,14 +79,12 @@
   const profile = profiles[options.profile];
   const result = await new SoakRun(new SystemClock(), {
     seed,
-    hostCount: options.hosts ?? profile.hosts,
-    profile,
+    profile: { ...profile, hosts: options.hosts ?? profile.hosts },
     program,
     folder,
     loopbackOctet,
   }).run();
-  process.stdout.write(`${describeResult(result)}\n`);
-  describeFindings(result, folder).forEach((line) => process.stdout.write(`${line}\n`));
+  process.stdout.write(`${describeResult(result, folder).join('\n')}\n`);
   if (result.findings.length === 0) {
     await rm(folder, { recursive: true });
   }
--- a/soak/src/platformDocuments.ts
+++ b/soak/src/platformDocuments.ts
@@ -1,4 +1,5 @@
-/** Builds the documents that the platform, its operator and its backend servers give to a node. */
+/** Builds requests and the operator's configuration, and names the limits of the platform. */
+import { GRACE_MS } from '@lentillb/standins';
 import type { Profile } from './profiles.js';
 
 /** The time limits that the platform specifies, in milliseconds. */
@@ -25,7 +26,7 @@
   blockingEnds: 3,
   laterEnds: 3,
   /** The maximum duration of a planned stop. */
-  graceMs: 6_000,
+  graceMs: GRACE_MS,
   /** A run may be cut by a planned stop only if its request was sent by then, and not before the end. */
   stopSentMs: 3_000,
   stopCutMs: 5_000,
@@ -116,90 +117,6 @@
   readonly timeoutMs: number;
 }
 
-/** The IP address of a host and the addresses that its node listens on. */
-export interface HostAddresses {
-  readonly ip: string;
-  readonly inbound: string;
-  readonly outbound: string;
-  readonly ready: string;
-  readonly control: string;
-  readonly peerPort: number;
-}
-
-/**
- * @param host - the addresses of the host
- * @param node - the zone and service of the node, and the addresses that it connects to
- * @returns the content of the settings file, as JSON
- */
-export function settingsDocument(
-  host: HostAddresses,
-  node: {
-    readonly zone: string;
-    readonly service: Service;
-    readonly backendServer: string;
-    readonly store: string;
-    readonly memoryLimitMb: number;
-  },
-): string {
-  return JSON.stringify({
-    self: {
-      ip: host.ip,
-      zone: node.zone,
-      service: node.service,
-      'app-addr': node.backendServer,
-      limits: Number.isFinite(node.memoryLimitMb) ? { 'memory-mb': node.memoryLimitMb } : undefined,
-    },
-    network: {
-      'listen-addrs': {
-        inbound: host.inbound,
-        outbound: host.outbound,
-        ready: host.ready,
-        'control-plane': host.control,
-      },
-      'port-range': [host.peerPort, host.peerPort],
-    },
-    platform: { platform: { address: node.store } },
-    terms: {
-      bounds: {
-        grace: `${Bounds.graceMs}ms`,
-        'retry-budget-ratio': 0.2,
-        'budget-window': '10s',
-        'retry-budget-extra': 62,
-      },
-    },
-  });
-}
-
-/** A backend server as its heartbeats report it. */
-export interface BackendServerState {
-  readonly service: Service;
-  readonly address: string;
-  readonly zone: string;
-  readonly slots: number;
-  readonly state: 'ready' | 'draining';
-  readonly sequence: number;
-  readonly startedAt: Date;
-}
-
-/**
- * @param backendServer - the reported state
- * @returns the body of a heartbeat, as JSON
- */
-export function heartbeatDocument(backendServer: BackendServerState): string {
-  const { address, sequence, service, slots, startedAt, state, zone } = backendServer;
-  return JSON.stringify({
-    service,
-    address,
-    zone,
-    version: 'v1',
-    capacity: slots,
-    state,
-    'warmup-left': '0ms',
-    sequence,
-    born: startedAt.getTime(),
-  });
-}
-
 /**
  * @param version - the number of a version, counted from 1
  * @returns the service to which this version routes probe requests
--- a/soak/src/profiles.ts
+++ b/soak/src/profiles.ts
@@ -11,11 +11,7 @@
   /** The share of this kind, in parts of the sum over all kinds. */
   readonly share: number;
   /** What requests carry; by default, an identity alone, and backend servers draw the times. */
-  readonly sizes?: {
-    readonly bodyBytes: Spread;
-    readonly answerBytes: Spread;
-    readonly runMs: Spread;
-  };
+  readonly sizes?: Readonly<Record<'bodyBytes' | 'answerBytes' | 'runMs', Spread>>;
 }
 
 /** A deployment. */
@@ -33,10 +29,8 @@
   /** The number of routes that nobody sends requests on. */
   readonly idleRoutes: number;
   readonly limits: { readonly headerBytes: number; readonly bodyBytes: number };
-  /** Whether seeds draw the faults of starts and of hostile senders too. */
+  /** Whether seeds draw the faults of starts and of hostile senders too; nodes send at the usual cost. */
   readonly hasStartFaults: boolean;
-  /** Whether it takes a node long to send many requests together, in seeds with batches. */
-  readonly hasSlowSends: boolean;
 }
 
 const TIMEOUT_MS = Bounds.routeTimeoutMs;
@@ -61,7 +55,6 @@
     idleRoutes: 0,
     limits: { headerBytes: 16_384, bodyBytes: 65_536 },
     hasStartFaults: false,
-    hasSlowSends: true,
   },
   /** Hosts with little memory, long runs, bodies of all lengths, and many routes. */
   venues: {
@@ -78,40 +71,27 @@
         service: 'letters',
         timeoutMs: 1_500,
         share: 44,
-        sizes: {
-          bodyBytes: [0, 0],
-          answerBytes: [5_000, 30_000],
-          runMs: [160, 1_200],
-        },
+        sizes: { bodyBytes: [0, 0], answerBytes: [5_000, 30_000], runMs: [160, 1_200] },
       },
       {
         route: RouteName.Lodge,
         service: 'desk',
         timeoutMs: 2_000,
         share: 17,
-        sizes: {
-          bodyBytes: [300, 1_800],
-          answerBytes: [400, 2_400],
-          runMs: [210, 1_600],
-        },
+        sizes: { bodyBytes: [300, 1_800], answerBytes: [400, 2_400], runMs: [210, 1_600] },
       },
       {
         route: RouteName.Book,
         service: 'office',
         timeoutMs: 1_000,
         share: 17,
-        sizes: {
-          bodyBytes: [4_000, 24_000],
-          answerBytes: [1_500, 9_000],
-          runMs: [110, 840],
-        },
+        sizes: { bodyBytes: [4_000, 24_000], answerBytes: [1_500, 9_000], runMs: [110, 840] },
       },
       { ...probe, share: 8 },
     ],
     idleRoutes: 300,
     limits: { headerBytes: 65_536, bodyBytes: 1_048_576 },
     hasStartFaults: true,
-    hasSlowSends: false,
   },
 } as const satisfies Record<string, Profile>;
 
--- a/soak/src/soakBackendServer.ts
+++ b/soak/src/soakBackendServer.ts
@@ -16,8 +16,8 @@
 /** The number of answers of which, on average, one is spoiled while some are. */
 const SPOILED_ONE_IN = 10;
 
-/** The services that a backend server depends on. */
-export interface BackendServerServices {
+/** What callers, backend servers and hosts depend on. */
+export interface SoakServices {
   readonly clock: Clock;
   readonly randomness: Randomness;
   readonly record: SoakRecord;
@@ -53,7 +53,7 @@
    * @param onCrashingRequest - called when a request arrives under which it ends
    */
   constructor(
-    private readonly services: BackendServerServices,
+    private readonly services: SoakServices,
     private readonly options: {
       readonly id: string;
       readonly service: Service;
--- a/soak/src/soakHost.ts
+++ b/soak/src/soakHost.ts
@@ -3,24 +3,24 @@
 import type { WriteStream } from 'node:fs';
 import { writeFile } from 'node:fs/promises';
 import path from 'node:path';
-import { Relay } from '@lentillb/standins';
+import { Relay, settingsDocument } from '@lentillb/standins';
+import type { HostAddresses } from '@lentillb/standins';
 import { runInBackground } from 'lentillb/sidecar';
 import type { NodeTarget } from './caller.js';
 import { Caller } from './caller.js';
 import { HostedBackendServer } from './hostedBackendServer.js';
 import { NodeProcess } from './nodeProcess.js';
 import type { NodeProgram } from './nodeProgram.js';
-import type { HostAddresses, Service } from './platformDocuments.js';
+import type { Service } from './platformDocuments.js';
 import {
   Bounds,
   CRASHING_PREFIX,
   RouteName,
-  settingsDocument,
   SLOW_PREFIX,
   SLOW_TIMEOUT_MS,
 } from './platformDocuments.js';
 import { Port } from './ports.js';
-import type { BackendServerServices } from './soakBackendServer.js';
+import type { SoakServices } from './soakBackendServer.js';
 import { DisturbanceKind } from './soakRecord.js';
 
 export interface HostOptions {
@@ -95,7 +95,7 @@
   private readonly settingsFile: string;
 
   constructor(
-    private readonly services: BackendServerServices,
+    private readonly services: SoakServices,
     readonly options: HostOptions,
   ) {
     const { clock } = services;
@@ -231,16 +231,7 @@
     };
     Array.from({ length: this.options.slots }, send);
     await clock.sleep(SLOW_INTERVAL_MS);
-    let isStopping = true;
-    const stopped = this.stopNode().then(() => {
-      isStopping = false;
-    });
-    while (isStopping) {
-      send();
-      await clock.sleep(SLOW_INTERVAL_MS);
-    }
-    await stopped;
-    this.startNode();
+    await this.restartWhile(SLOW_INTERVAL_MS, send);
     await Promise.all(sent);
     caller.close();
   }
@@ -252,17 +243,11 @@
    * @param intervalMs - the time between two such signals, in milliseconds
    */
   async stopNodeWithSignals(intervalMs: number): Promise<void> {
-    let isStopping = true;
-    const stopped = this.stopNode().then(() => {
-      isStopping = false;
+    let count = 0;
+    await this.restartWhile(intervalMs, () => {
+      this.node?.signal(count % 2 === 0 ? 'SIGHUP' : 'SIGTERM');
+      count += 1;
     });
-    for (let count = 0; isStopping; count += 1) {
-      await Promise.race([stopped, this.services.clock.sleep(intervalMs)]);
-      if (isStopping) {
-        this.node?.signal(count % 2 === 0 ? 'SIGHUP' : 'SIGTERM');
-      }
-    }
-    this.startNode();
   }
 
   /**
@@ -345,6 +330,19 @@
     return `${this.options.ip}:${port}`;
   }
 
+  /** Stops the node gracefully and starts it again; acts at each interval until it has ended. */
+  private async restartWhile(intervalMs: number, act: () => void): Promise<void> {
+    let isStopping = true;
+    const stopped = this.stopNode().then(() => {
+      isStopping = false;
+    });
+    while (isStopping) {
+      act();
+      await Promise.race([stopped, this.services.clock.sleep(intervalMs)]);
+    }
+    this.startNode();
+  }
+
   private createCaller(maxConnections: number): Caller {
     const options = { maxConnections, abortOneIn: Infinity };
     return new Caller(this.services, () => this.target, options);
--- a/soak/src/soakRun.ts
+++ b/soak/src/soakRun.ts
@@ -27,7 +27,6 @@
 
 export interface SoakOptions {
   readonly seed: number;
-  readonly hostCount: number;
   readonly profile: Profile;
   readonly program: NodeProgram;
   /** The folder that this run writes settings and logs to. */
@@ -85,13 +84,13 @@
   /** @returns the result of the run */
   async run(): Promise<SoakResult> {
     const { clock, record } = this;
-    const { hostCount, profile, seed } = this.options;
-    const schedule = drawSchedule(this.randomness, hostCount, profile.hasStartFaults);
+    const { profile, seed } = this.options;
+    const schedule = drawSchedule(this.randomness, profile.hosts, profile.hasStartFaults);
     const hasFaultOf = (group: Readonly<Record<string, Fault>>): boolean =>
       schedule.faults.some(({ name }) => Object.hasOwn(group, name));
     await this.start({
       hasGateRelay: hasFaultOf(gateRelayFaults),
-      hasSlowSends: profile.hasSlowSends && hasFaultOf(batchFaults),
+      hasSlowSends: !profile.hasStartFaults && hasFaultOf(batchFaults),
     });
     const callers = this.hosts.map(
       (host) =>
@@ -131,23 +130,22 @@
 
   private async start(hooks: Pick<HostOptions, 'hasGateRelay' | 'hasSlowSends'>): Promise<void> {
     const { clock, randomness, record } = this;
-    const { folder, hostCount, loopbackOctet, profile, program } = this.options;
-    const { memoryLimitMb, services, slots, zones } = profile;
+    const { folder, loopbackOctet, profile, program } = this.options;
+    const { hosts, services, zones } = profile;
     await mkdir(folder, { recursive: true });
     await this.store.listen();
     this.publish();
     this.hosts = Array.from(
-      { length: hostCount },
+      { length: hosts },
       (_, index) =>
         new SoakHost(
           { clock, randomness, record },
           {
+            ...profile,
             index,
             ip: `127.${loopbackOctet}.0.${index + 1}`,
             zone: `zone-${index % zones}`,
             service: services[index % services.length] ?? 'letters',
-            slots,
-            memoryLimitMb,
             storeAddress: this.store.address,
             program,
             folder: path.resolve(folder),
--- a/soak/src/startFaults.ts
+++ b/soak/src/startFaults.ts
@@ -1,9 +1,10 @@
 /** Defines the faults of starts, and of callers and backend servers that send what they should not. */
-import { createSocket } from 'node:dgram';
-import { once } from 'node:events';
-import { createServer } from 'node:net';
-import { sendUnfinishedRequests, StoreFault, unfinishedRequests } from '@lentillb/standins';
-import { listenAt, parseAddress } from 'lentillb/sidecar';
+import {
+  sendUnfinishedRequests,
+  StoreFault,
+  takeAddress,
+  unfinishedRequests,
+} from '@lentillb/standins';
 import { onAllHosts, onHost } from './faults.js';
 import type { Fault, FaultTarget } from './faults.js';
 import { Port } from './ports.js';
@@ -19,24 +20,6 @@
 /** The longest time for which all nodes start without their store. */
 const MAX_ABSENCE_MS = 3_000;
 
-/** Listens in place of a node; the returned function ends that. Does nothing if it already listens. */
-async function takeAddress(address: string, isDatagram: boolean): Promise<() => void> {
-  const { host, port } = parseAddress(address);
-  const socket = createSocket('udp4');
-  const server = createServer((connection) => connection.destroy());
-  try {
-    if (isDatagram) {
-      socket.bind(port, host);
-      await once(socket, 'listening');
-    } else {
-      await listenAt(server, { host, port });
-    }
-  } catch {
-    return () => undefined;
-  }
-  return () => (isDatagram ? socket.close() : server.close());
-}
-
 /** The addresses of a node, the last one for datagrams. */
 function listenedAddresses({ host }: FaultTarget): readonly string[] {
   const { control, inbound, ip, outbound, peerPort, ready } = host.addresses;
--- a/tests/platform/silentStoreConnections.spec.ts
+++ b/tests/platform/silentStoreConnections.spec.ts
@@ -1,9 +1,8 @@
 import { LogStore } from '@lentillb/platform';
-import { KeyedLogServer } from '@lentillb/standins';
+import { KeyedLogServer, Relay } from '@lentillb/standins';
 import { Deadline, SystemClock } from 'lentillb';
 import { Topic } from 'lentillb/store/keyedStore.js';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import { Relay } from '../../soak/dist/relay.js';
 import { freeAddress } from '../support/freeAddress.js';
 
 /** The number of connections that are open when they go silent. */
--- a/tests/sidecar/plannedStop.spec.ts
+++ b/tests/sidecar/plannedStop.spec.ts
@@ -1,6 +1,5 @@
-import { respondSuccessfully } from '@lentillb/standins';
+import { RelayFault, respondSuccessfully } from '@lentillb/standins';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import { RelayFault } from '../../soak/dist/relay.js';
 import { addRelayedHost } from '../support/relayedHost.js';
 import type { CallerResponse, FleetHost } from '../support/sidecarFleet.js';
 import { createRoute, SidecarFleet } from '../support/sidecarFleet.js';
--- a/tests/sidecar/requestsAtWork.spec.ts
+++ b/tests/sidecar/requestsAtWork.spec.ts
@@ -1,7 +1,6 @@
-import { respondSuccessfully } from '@lentillb/standins';
+import type { Relay } from '@lentillb/standins';
+import { RelayFault, respondSuccessfully } from '@lentillb/standins';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import type { Relay } from '../../soak/dist/relay.js';
-import { RelayFault } from '../../soak/dist/relay.js';
 import { dropDatagrams } from '../support/datagramFilter.js';
 import { addRelayedHost } from '../support/relayedHost.js';
 import type { FleetHost } from '../support/sidecarFleet.js';
--- a/tests/sidecar/silentConnections.spec.ts
+++ b/tests/sidecar/silentConnections.spec.ts
@@ -1,9 +1,8 @@
-import { respondSuccessfully } from '@lentillb/standins';
+import { Relay, respondSuccessfully } from '@lentillb/standins';
 import { Deadline } from 'lentillb';
 import { encodeQuestions, inquiryHeaders } from 'lentillb/serving/deliveryProtocol.js';
 import { Topic } from 'lentillb/store/keyedStore.js';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import { Relay } from '../../soak/dist/relay.js';
 import { blockEventLoop } from '../support/blockEventLoop.js';
 import { createForwardedRequest, encodeHeaders } from '../support/forwardedRequest.js';
 import { freeAddress } from '../support/freeAddress.js';
--- a/tests/soak/relay.spec.ts
+++ b/tests/soak/relay.spec.ts
@@ -4,7 +4,6 @@
 import { listenOnLoopback, Relay, RelayFault } from '@lentillb/standins';
 import { SystemClock } from 'lentillb';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-
 import { freeAddress } from '../support/freeAddress.js';
 import { waitFor } from '../support/testNode.js';
 
--- a/tests/support/relayedHost.ts
+++ b/tests/support/relayedHost.ts
@@ -1,7 +1,7 @@
 /** Adds a host to a fleet whose gate other nodes reach through a relay. */
+import { Relay } from '@lentillb/standins';
 import { CallerListener } from 'lentillb/serving/callerListener.js';
 import { vi } from 'vitest';
-import { Relay } from '../../soak/dist/relay.js';
 import { freeAddress } from './freeAddress.js';
 import type { FleetHost, SidecarFleet } from './sidecarFleet.js';
 
