--- a/soak/src/invariants.ts
+++ b/soak/src/invariants.ts
@@ -340,8 +340,10 @@
   return `host ${host}: ${detail}`;
 }
 
-/** The checks by invariant, as printed. */
+/** The checks by invariant, as printed; only the first violations are, so ends come first. */
 const checks: Readonly<Record<string, Check>> = {
+  'a node runs until it is stopped': ({ unexpectedExits }) => unexpectedExits.map(describeExit),
+  'a node stays within its memory': ({ memoryExcesses }) => memoryExcesses.map(describeExit),
   'runs once at most': checkSingleRuns,
   'a refused request has not run': checkRefusedRequests,
   'an answer is that of its request': checkResponses,
@@ -356,8 +358,6 @@
   'no node ends a request that runs': checkEndedRuns,
   'every request gets an answer': checkUnansweredRequests,
   'everything is served once trouble is over': checkRecovery,
-  'a node runs until it is stopped': ({ unexpectedExits }) => unexpectedExits.map(describeExit),
-  'a node stays within its memory': ({ memoryExcesses }) => memoryExcesses.map(describeExit),
 };
 
 /**
