--- a/soak/src/caller.ts
+++ b/soak/src/caller.ts
@@ -26,16 +26,12 @@
 
 const HttpStatus = { ServerError: 500, Unavailable: 503 } as const;
 
-/** The way in which a caller sends its requests. */
-export interface CallerOptions {
-  readonly maxConnections: number;
-  /** The number of requests of which, on average, one is aborted by its caller. */
-  readonly abortOneIn: number;
-}
+/** The number of requests of which, on average, one is aborted by its caller. */
+const ABORT_ONE_IN = 6;
 
 /** What a request is like, where it differs from the others. */
 export interface RequestOptions {
-  /** The time after which the caller leaves, in milliseconds; by default it is drawn. */
+  /** The time after which the caller leaves, in milliseconds; by default it stays. */
   readonly leaveAfterMs?: number;
   /** The time that the caller gives for an answer, in milliseconds. */
   readonly deadlineMs?: number;
@@ -77,9 +73,9 @@
   constructor(
     private readonly services: SoakServices,
     private readonly node: () => NodeTarget,
-    private readonly options: CallerOptions,
+    maxConnections: number,
   ) {
-    this.agent = new Agent({ keepAlive: true, maxSockets: options.maxConnections });
+    this.agent = new Agent({ keepAlive: true, maxSockets: maxConnections });
   }
 
   /**
@@ -94,10 +90,12 @@
       const kind = drawnKinds[randomness.integer(drawnKinds.length)];
       if (kind !== undefined) {
         const { route, timeoutMs: deadlineMs } = kind;
-        const plan = this.drawPlan(kind);
-        runInBackground(
-          this.send(`${this.node().hostIndex}-${count}`, route, { deadlineMs, plan }),
-        );
+        const options = {
+          deadlineMs,
+          leaveAfterMs: this.drawAbortDelayMs(),
+          plan: this.drawPlan(kind),
+        };
+        runInBackground(this.send(`${this.node().hostIndex}-${count}`, route, options));
       }
       await clock.sleep(requestIntervalMs);
     }
@@ -150,7 +148,7 @@
     address: string,
     {
       deadlineMs,
-      leaveAfterMs = this.drawAbortDelayMs(),
+      leaveAfterMs = Infinity,
       plan,
       content = encodeBody(id, plan),
     }: RequestOptions & { readonly deadlineMs: number },
@@ -224,10 +222,8 @@
   /** Draws after which time the caller leaves: infinite for most requests. */
   private drawAbortDelayMs(): number {
     const { randomness } = this.services;
-    const { abortOneIn } = this.options;
-    if (!Number.isFinite(abortOneIn) || randomness.integer(abortOneIn) > 0) {
-      return Infinity;
-    }
-    return ABORT_DELAY_MS.min + randomness.integer(ABORT_DELAY_MS.spread);
+    return randomness.integer(ABORT_ONE_IN) === 0
+      ? ABORT_DELAY_MS.min + randomness.integer(ABORT_DELAY_MS.spread)
+      : Infinity;
   }
 }
--- a/soak/src/hostedBackendServer.ts
+++ b/soak/src/hostedBackendServer.ts
@@ -4,21 +4,14 @@
 import { request } from 'undici';
 import { runInBackground } from 'lentillb/sidecar';
 import { Bounds } from './platformDocuments.js';
-import type { Service } from './platformDocuments.js';
 import { SoakBackendServer } from './soakBackendServer.js';
 import type { SoakServices } from './soakBackendServer.js';
+import type { HostOptions } from './soakHost.js';
 import { DisturbanceKind } from './soakRecord.js';
 
-export interface HostedServerOptions {
-  readonly index: number;
-  readonly zone: string;
-  readonly service: Service;
-  readonly slots: number;
-  /** The address and port of the relay, at which the node finds the backend server. */
-  readonly address: string;
-  /** The address and port to which heartbeats go. */
-  readonly controlAddress: string;
-}
+/** The host, the addresses of the relay at which its node finds the backend server, and for heartbeats. */
+type HostedServerOptions = Pick<HostOptions, 'index' | 'service' | 'slots' | 'zone'> &
+  Readonly<Record<'address' | 'controlAddress', string>>;
 
 const HEARTBEAT_MS = 300;
 /** The maximum duration of a call to the node's control address. */
--- a/soak/src/soakHost.ts
+++ b/soak/src/soakHost.ts
@@ -221,7 +221,7 @@
   async stopNodeUnderLongRuns(): Promise<void> {
     const { clock, randomness } = this.services;
     const { index } = this.options;
-    const caller = this.createCaller(SLOW_CONNECTIONS);
+    const caller = new Caller(this.services, () => this.target, SLOW_CONNECTIONS);
     const sent: Promise<void>[] = [];
     const send = (): void => {
       this.slowCount += 1;
@@ -269,7 +269,7 @@
    */
   async sendBatches(): Promise<void> {
     const { clock } = this.services;
-    const caller = this.createCaller(BATCH_SIZE);
+    const caller = new Caller(this.services, () => this.target, BATCH_SIZE);
     const sendAll = async (leaveAfterMs: number): Promise<void> => {
       const sent = Array.from({ length: BATCH_SIZE }, () => {
         this.batchedCount += 1;
@@ -304,7 +304,7 @@
 
   /** Sends a request to the node under which each backend server that runs it ends. */
   async sendCrashingRequest(): Promise<void> {
-    const caller = this.createCaller(1);
+    const caller = new Caller(this.services, () => this.target, 1);
     const content = `${CRASHING_PREFIX}-${this.options.index}`;
     this.crashingCount += 1;
     await caller.send(`${content}-${this.crashingCount}`, RouteName.Browse, {
@@ -343,11 +343,6 @@
     this.startNode();
   }
 
-  private createCaller(maxConnections: number): Caller {
-    const options = { maxConnections, abortOneIn: Infinity };
-    return new Caller(this.services, () => this.target, options);
-  }
-
   private spawnNode(): void {
     const { hasGateRelay, hasSlowSends, memoryLimitMb, program } = this.options;
     if (hasGateRelay) {
--- a/soak/src/soakRun.ts
+++ b/soak/src/soakRun.ts
@@ -49,8 +49,6 @@
   readonly observerDelays: readonly Disturbance[];
 }
 
-/** The number of requests of which, on average, one is aborted by its caller. */
-const ABORT_ONE_IN = 6;
 /** The time that nodes get to serve every request before the first fault. */
 const WARM_UP_MS = 6_000;
 /** The time for which requests continue after the recovery period, to check that all are served. */
@@ -92,12 +90,9 @@
       hasGateRelay: hasFaultOf(gateRelayFaults),
       hasSlowSends: !profile.hasStartFaults && hasFaultOf(batchFaults),
     });
+    const services = { clock, randomness: this.randomness, record };
     const callers = this.hosts.map(
-      (host) =>
-        new Caller({ clock, randomness: this.randomness, record }, () => host.target, {
-          maxConnections: profile.connectionsPerCaller,
-          abortOneIn: ABORT_ONE_IN,
-        }),
+      (host) => new Caller(services, () => host.target, profile.connectionsPerCaller),
     );
     const delayRecording = this.recordObserverDelays();
     const callerRuns = callers.map((caller) => caller.run(profile));
