--- a/soak/src/caller.ts
+++ b/soak/src/caller.ts
@@ -36,7 +36,7 @@
   /** The time that the caller gives for an answer, in milliseconds. */
   readonly deadlineMs?: number;
   readonly plan?: RequestPlan | undefined;
-  /** The body, in place of the identity of the request. */
+  /** The body and the path, in place of the identity of the request. */
   readonly content?: string;
 }
 
@@ -158,7 +158,7 @@
         agent: this.agent,
         ...parseAddress(address),
         method: 'POST',
-        path: `/${id}`,
+        path: `/${content.split(' ', 1).join('')}`,
         headers: {
           host: `${route}.example`,
           [Header.requestId]: id,
