--- a/soak/src/nodeProcess.ts
+++ b/soak/src/nodeProcess.ts
@@ -33,8 +33,11 @@
 
   isFrozen = false;
 
-  /** The number of times that the process was killed or suspended. */
-  interruptions = 0;
+  /** The number of times that the process was suspended. */
+  suspensions = 0;
+
+  /** Whether the soak test has killed the process. */
+  isKilled = false;
 
   /** The highest resident memory so far, in megabytes. */
   peakMemoryMb = 0;
@@ -118,13 +121,13 @@
   /** @param frozen - whether to suspend the process or to resume it */
   freeze(frozen: boolean): void {
     this.isFrozen = frozen;
-    this.interruptions += frozen ? 1 : 0;
+    this.suspensions += frozen ? 1 : 0;
     this.signal(frozen ? 'SIGSTOP' : 'SIGCONT');
   }
 
   /** Kills the process and waits until it has exited. */
   async kill(): Promise<void> {
-    this.interruptions += 1;
+    this.isKilled = true;
     await this.end('SIGKILL', Infinity);
   }
 
@@ -165,6 +168,7 @@
       const megabytes = Math.round(kilobytes / KILOBYTES_PER_MEGABYTE);
       this.peakMemoryMb = Math.max(this.peakMemoryMb, megabytes);
       if (this.isOverMemoryLimit) {
+        this.isKilled = true;
         this.child.kill('SIGKILL');
       }
       await this.clock.sleep(MEMORY_CHECK_INTERVAL_MS);
--- a/soak/src/soakHost.ts
+++ b/soak/src/soakHost.ts
@@ -183,10 +183,10 @@
     if (node === undefined) {
       return;
     }
-    const { interruptions, isFrozen } = node;
+    const { isFrozen, suspensions } = node;
     const code = await node.end('SIGTERM', Bounds.graceMs);
     // An overlapping fault may have killed or suspended the process meanwhile.
-    const isInterrupted = isFrozen || node.interruptions !== interruptions;
+    const isInterrupted = isFrozen || node.isKilled || node.suspensions !== suspensions;
     if (code !== 0 && !isInterrupted && !node.isEndedBeforeCode) {
       const detail = `planned stop did not exit with code 0 in time: ${String(code ?? 'no exit code')}`;
       record.unexpectedExits.push({ host: this.options.index, detail });
