--- a/packages/standins/src/takeAddress.ts
+++ b/packages/standins/src/takeAddress.ts
@@ -4,6 +4,20 @@
 import { createServer } from 'node:net';
 import { listenAt, parseAddress } from 'lentillb/sidecar';
 
+async function takeForDatagrams(address: string): Promise<() => void> {
+  const { host, port } = parseAddress(address);
+  const socket = createSocket('udp4');
+  socket.bind(port, host);
+  await once(socket, 'listening');
+  return () => socket.close();
+}
+
+async function takeForConnections(address: string): Promise<() => void> {
+  const server = createServer((connection) => connection.destroy());
+  await listenAt(server, parseAddress(address));
+  return () => server.close();
+}
+
 /**
  * Listens at an address, so that no other process can; does nothing if one already does.
  *
@@ -12,18 +26,9 @@
  * @returns gives the address back
  */
 export async function takeAddress(address: string, isDatagram: boolean): Promise<() => void> {
-  const { host, port } = parseAddress(address);
-  const socket = createSocket('udp4');
-  const server = createServer((connection) => connection.destroy());
   try {
-    if (isDatagram) {
-      socket.bind(port, host);
-      await once(socket, 'listening');
-    } else {
-      await listenAt(server, { host, port });
-    }
+    return await (isDatagram ? takeForDatagrams(address) : takeForConnections(address));
   } catch {
     return () => undefined;
   }
-  return () => (isDatagram ? socket.close() : server.close());
 }
