--- a/tests/platform/takenAddresses.spec.ts
+++ b/tests/platform/takenAddresses.spec.ts
@@ -131,6 +131,11 @@
           async () => (await call(host.addresses['control-plane'], heartbeat())) === 503,
         );
       }
+      if (name !== 'outbound') {
+        await node.until(
+          async () => (await call(host.addresses.outbound, letter('early'))) === 503,
+        );
+      }
       await clock.sleep(HOLD_MS);
       expect(node.end).toBeUndefined();
       expect(node.linesOf('started')).toEqual([]);
