Share one room of memory out among heads, requests, bodies and answers

Callers that sent most of a body or of a head and waited, that pipelined requests or did not read answers made a process hold 223 to 799 MB of a host's 200, or filled its heap, after which Node.js ends it.

One budget now follows from memory-mb of the settings, for both listeners and the answers together. Each use has a share for certain, the rest is for who needs it first. Bytes count as they arrive. What doesn't fit is refused at once with 503 and retry-after as not run; the gate's refusal states it, so that the entry tries elsewhere. Before, senders and receivers that stall for a second are given up. A connection whose request doesn't fit behind others of its own is closed. Discarded buffers are collected as soon as 12 MiB of them wait, for which the run line exposes the collector.

The specs of exchanges pass a budget now, since the memory of answers is no longer a singleton; nothing else in them changed.

--- a/packages/lentillb/src/serving/answerBuffer.ts
+++ b/packages/lentillb/src/serving/answerBuffer.ts
@@ -1,10 +1,11 @@
 /** Buffers answers that are received completely before they are forwarded. */
-import { answerMemory } from './answerMemory.js';
+import type { MemoryBudget } from '../memory/memoryBudget.js';
+import { MemoryUse } from '../memory/memoryUse.js';
 
 /** The maximum length of one answer, in bytes, to bound memory. */
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 /** The length up to which an answer is accepted however much else is held. */
-const ALWAYS_ACCEPTED_BYTES = 256 * 1024;
+const ALWAYS_ACCEPTED_BYTES = 16 * 1024;
 
 /**
  * Buffers one answer as it arrives. All answers of the process share a limit, so that backend
@@ -18,6 +19,9 @@
 
   private released = false;
 
+  /** @param memory - the memory that all answers of the process share with other uses */
+  constructor(private readonly memory: MemoryBudget) {}
+
   /**
    * Appends a chunk.
    *
@@ -28,25 +32,34 @@
     if (this.released) {
       return false;
     }
+    this.memory.recordRead(chunk.length);
+    const bytes = this.bytes + chunk.length;
+    if (bytes > MAX_ANSWER_BYTES) {
+      return false;
+    }
+    if (bytes <= ALWAYS_ACCEPTED_BYTES) {
+      this.memory.take(MemoryUse.Answers, chunk.length);
+    } else if (!this.memory.tryTake(MemoryUse.Answers, chunk.length)) {
+      return false;
+    }
     this.chunks.push(chunk);
-    this.bytes += chunk.length;
-    answerMemory.add(chunk.length);
-    return (
-      this.bytes <= MAX_ANSWER_BYTES &&
-      (this.bytes <= ALWAYS_ACCEPTED_BYTES || !answerMemory.isFull())
-    );
+    this.bytes = bytes;
+    return true;
   }
 
   /** @returns the complete answer */
   concat(): Buffer {
-    return Buffer.concat(this.chunks, this.bytes);
+    const [first] = this.chunks;
+    return first !== undefined && this.chunks.length === 1
+      ? first
+      : Buffer.concat(this.chunks, this.bytes);
   }
 
   /** Discards the bytes and subtracts them from the shared limit. */
   release(): void {
     if (!this.released) {
       this.released = true;
-      answerMemory.add(-this.bytes);
+      this.memory.release(MemoryUse.Answers, this.bytes);
       this.chunks.length = 0;
     }
   }
--- a/packages/lentillb/src/serving/answerWriter.ts
+++ b/packages/lentillb/src/serving/answerWriter.ts
@@ -1,9 +1,10 @@
 /** Writes answers to their receivers as fast as these take them. */
 import type { ServerResponse } from 'node:http';
 import type { Clock } from '../kernel/clock.js';
+import type { MemoryBudget } from '../memory/memoryBudget.js';
+import { MemoryUse } from '../memory/memoryUse.js';
 import { runInBackground } from '../utils/background.js';
 import { afterPendingInput } from '../utils/pendingInput.js';
-import { answerMemory } from './answerMemory.js';
 
 /** The longest answer that is handed to its connection at once, in bytes. */
 const MAX_DIRECT_BYTES = 16 * 1024;
@@ -35,8 +36,14 @@
 
 /** Writes the bodies of answers. */
 export class AnswerWriter {
-  /** @param clock - the clock by which receivers are given up */
-  constructor(private readonly clock: Clock) {}
+  /**
+   * @param clock - the clock by which receivers are given up
+   * @param memory - the memory that waiting answers share with other uses
+   */
+  constructor(
+    private readonly clock: Clock,
+    private readonly memory: MemoryBudget,
+  ) {}
 
   /**
    * Writes the body of an answer and ends it.
@@ -75,7 +82,7 @@
       response.socket !== null &&
       !response.destroyed &&
       this.clock.monotonicMs() - takenAtMs > SHORT_STALL_TIMEOUT_MS;
-    const release = answerMemory.hold({ bytes: body.length, isStalled, giveUp });
+    const release = this.hold(body.length, isStalled, giveUp);
     response.once('close', release);
     await untilAssigned(response);
     takenAtMs = this.clock.monotonicMs();
@@ -91,6 +98,30 @@
     response.end();
   }
 
+  /** Counts an answer until the returned function is called, or its receiver is given up. */
+  private hold(bytes: number, isStalled: () => boolean, giveUp: () => void): () => void {
+    let isHeld = true;
+    const release = (): void => {
+      if (isHeld) {
+        isHeld = false;
+        this.memory.release(MemoryUse.Answers, bytes);
+      }
+    };
+    this.memory.take(MemoryUse.Answers, bytes);
+    const removeHolder = this.memory.addHolder({
+      use: MemoryUse.Answers,
+      isStalled,
+      giveUp: () => {
+        release();
+        giveUp();
+      },
+    });
+    return () => {
+      removeHolder();
+      release();
+    };
+  }
+
   private untilTaken(response: ServerResponse, giveUp: () => void): Promise<void> {
     return new Promise((resolve) => {
       const cancelTimer = afterPendingInput(this.clock, STALL_TIMEOUT_MS, giveUp);
--- a/packages/lentillb/src/serving/callerListener.ts
+++ b/packages/lentillb/src/serving/callerListener.ts
@@ -2,6 +2,8 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import type { Result } from 'ts-results-es';
+import { Err } from 'ts-results-es';
 import { parseAddress } from '../utils/networkAddress.js';
 import { runInBackground } from '../utils/background.js';
 import { closeIdleAfterPendingInput } from '../utils/idleTimeout.js';
@@ -12,15 +14,22 @@
 import type { CallerPresence } from '../calls/callerPresence.js';
 import type { CallerLimits } from '../configuration/meshConfiguration.js';
 import type { Clock } from '../kernel/clock.js';
+import { MemoryBudget } from '../memory/memoryBudget.js';
 import { AnswerWriter } from './answerWriter.js';
+import { Admission } from './callerConnection.js';
+import { CallerConnections } from './callerConnections.js';
 import type { CallerRequest, EntryAnswer } from './entry.js';
+import type { CompleteBody } from './requestBody.js';
+import { BodyFailure, readRequestBody } from './requestBody.js';
 
 /** The longest request head that the parser accepts; the configuration may set a lower limit. */
 const MAX_HEAD_BYTES = 64 * 1024;
 /** The longest request body that is accepted until a configuration sets a limit. */
 const DEFAULT_MAX_BODY_BYTES = 1024 * 1024;
-/** The maximum length of all buffered request bodies together, to bound memory. */
-const MAX_BUFFERED_BYTES = 48 * 1024 * 1024;
+/** The time for which the rest of a rejected request is read and discarded, in milliseconds. */
+const DISCARD_TIMEOUT_MS = 1_000;
+/** The retry delay sent with a refusal for the sake of the memory, in seconds. */
+const REFUSED_RETRY_AFTER_S = '0.500';
 /** The interval at which the server checks the time limits of connections. */
 const TIMEOUT_CHECK_INTERVAL_MS = 1_000;
 /**
@@ -39,6 +48,21 @@
   Unavailable: 503,
 } as const;
 
+/** The refusal of a request for which there is no memory: it has not run. */
+const defaultRefusal: EntryAnswer = {
+  status: HttpStatus.Unavailable,
+  headers: { 'retry-after': REFUSED_RETRY_AFTER_S },
+  body: Buffer.alloc(0),
+};
+
+const HEAD_REFUSAL = `HTTP/1.1 503 Service Unavailable\r\nretry-after: ${REFUSED_RETRY_AFTER_S}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`;
+
+const bodyFailureStatuses = {
+  // Nobody reads this answer.
+  [BodyFailure.SenderGone]: HttpStatus.BadRequest,
+  [BodyFailure.TooLong]: HttpStatus.TooLarge,
+} as const;
+
 const BODILESS_STATUSES = new Set<number>([HttpStatus.NoContent, HttpStatus.NotModified]);
 
 /**
@@ -63,6 +87,10 @@
    * identity and those that HTTP/1.1 implies. Traffic between zones is charged by the byte.
    */
   readonly isTerse?: boolean;
+  /** The memory that the listeners of the process share; by default that of the smallest host. */
+  readonly memory?: MemoryBudget;
+  /** The answer to a request for which there is no memory; by default status 503 to be retried. */
+  readonly memoryRefusal?: EntryAnswer;
   /**
    * Called when the receiver of an answer is given up because it takes nothing.
    *
@@ -95,9 +123,9 @@
 
   private leaving = false;
 
-  private bufferedBytes = 0;
+  private readonly memory: MemoryBudget;
 
-  private active = 0;
+  private readonly connections: CallerConnections;
 
   /** The connections on which no request has arrived yet. */
   private readonly unusedConnections = new Set<Socket>();
@@ -108,7 +136,14 @@
     private readonly handle: RequestHandler,
     private readonly options: ListenerOptions,
   ) {
-    this.writer = new AnswerWriter(clock);
+    this.memory = options.memory ?? new MemoryBudget(clock);
+    this.writer = new AnswerWriter(clock, this.memory);
+    this.connections = new CallerConnections({
+      clock,
+      memory: this.memory,
+      maxHeadBytes: MAX_HEAD_BYTES,
+      headRefusal: HEAD_REFUSAL,
+    });
     this.server = createServer(
       {
         maxHeaderSize: MAX_HEAD_BYTES,
@@ -123,6 +158,7 @@
     );
     this.server.on('connection', (socket) => {
       this.unusedConnections.add(socket);
+      this.connections.add(socket);
       socket.once('close', () => this.unusedConnections.delete(socket));
     });
     closeIdleAfterPendingInput(this.server);
@@ -130,7 +166,7 @@
 
   /** The number of requests in flight. */
   get inFlight(): number {
-    return this.active;
+    return this.connections.unanswered;
   }
 
   /**
@@ -180,57 +216,78 @@
 
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const arrivedAtMs = this.clock.monotonicMs();
+    const bytes = headBytes(request.rawHeaders);
+    const admission = this.connections.admit(request, bytes, response);
+    if (admission === Admission.Closed) {
+      return;
+    }
     const cancellation = cancelOnDisconnect(request, response);
-    this.active += 1;
-    response.once('close', () => {
-      this.active -= 1;
-    });
-    const body = await this.readBody(request);
-    if (!Buffer.isBuffer(body)) {
-      this.answer(request, response, body);
+    const rejection = this.rejectionOf(request, bytes, admission);
+    const { socket } = request;
+    const body = await this.readBody(request, rejection);
+    if (!this.connections.recordComplete(socket)) {
+      body.map(({ release }) => release());
+      return;
+    }
+    if (body.isErr()) {
+      this.answer(request, response, body.error);
       return;
     }
-    const { headers, method = 'GET', socket, url = '/' } = request;
+    const { headers, method = 'GET', url = '/' } = request;
     const isFirstOnConnection = this.unusedConnections.delete(socket);
-    this.bufferedBytes += body.length;
     // If the request waited in the accept queue or a socket buffer, the event loop reads the end of
     // its connection only after the request. This wait notices callers that have already left.
     await this.presence.awaitArrival();
     const answer = await this.handle(
-      { method, target: url, headers, body, cancellation, arrivedAtMs },
+      { method, target: url, headers, body: body.value.bytes, cancellation, arrivedAtMs },
       isFirstOnConnection,
     );
-    this.bufferedBytes -= body.length;
+    body.value.release();
     this.answer(request, response, answer);
   }
 
-  /** Returns the complete body, or the answer to a request that is rejected. */
-  private async readBody(request: IncomingMessage): Promise<Buffer | EntryAnswer> {
+  /** Returns the answer to a request that is rejected before its body is read. */
+  private rejectionOf(
+    request: IncomingMessage,
+    bytes: number,
+    admission: Admission,
+  ): EntryAnswer | undefined {
+    if (admission === Admission.Refused) {
+      return this.memoryRefusal;
+    }
     if (hostCount(request.rawHeaders) !== 1 || !isForwardable(request)) {
       return emptyAnswer(HttpStatus.BadRequest);
     }
-    if (headBytes(request.rawHeaders) > (this.limits?.maxHeaderBytes ?? MAX_HEAD_BYTES)) {
-      return emptyAnswer(HttpStatus.HeadTooLarge);
-    }
-    const maxBytes = this.limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    try {
-      for await (const chunk of request as AsyncIterable<Buffer>) {
-        bytes += chunk.length;
-        chunks.push(chunk);
-        if (bytes > maxBytes) {
-          return emptyAnswer(HttpStatus.TooLarge);
-        }
-        if (this.bufferedBytes + bytes > MAX_BUFFERED_BYTES) {
-          return emptyAnswer(HttpStatus.Unavailable);
-        }
-      }
-    } catch {
-      // The caller disconnected before its request was complete, so nobody reads the answer.
-      return emptyAnswer(HttpStatus.BadRequest);
+    return bytes > (this.limits?.maxHeaderBytes ?? MAX_HEAD_BYTES)
+      ? emptyAnswer(HttpStatus.HeadTooLarge)
+      : undefined;
+  }
+
+  /** Returns the complete body, or the answer to a request that is rejected. */
+  private async readBody(
+    request: IncomingMessage,
+    rejection: EntryAnswer | undefined,
+  ): Promise<Result<CompleteBody, EntryAnswer>> {
+    if (rejection !== undefined) {
+      return Err(rejection);
     }
-    return Buffer.concat(chunks, bytes);
+    const maxBodyBytes = this.limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
+    const body = await readRequestBody(request, {
+      clock: this.clock,
+      memory: this.memory,
+      maxBytes: maxBodyBytes,
+    });
+    return body.mapErr((failure) => this.bodyRejection(failure));
+  }
+
+  private get memoryRefusal(): EntryAnswer {
+    return this.options.memoryRefusal ?? defaultRefusal;
+  }
+
+  private bodyRejection(failure: BodyFailure): EntryAnswer {
+    return failure === BodyFailure.NoMemory
+      ? this.memoryRefusal
+      : emptyAnswer(bodyFailureStatuses[failure]);
   }
 
   private answer(request: IncomingMessage, response: ServerResponse, answer: EntryAnswer): void {
@@ -252,8 +309,27 @@
       ...(BODILESS_STATUSES.has(status) ? {} : { 'content-length': `${body.length}` }),
       ...(closes ? { connection: 'close' } : {}),
     });
-    this.writer.write(response, body, (unsentBytes) =>
-      this.options.onUnreadAnswer?.(requestId, unsentBytes),
-    );
+    if (request.complete) {
+      this.writer.write(response, body, (unsentBytes) =>
+        this.options.onUnreadAnswer?.(requestId, unsentBytes),
+      );
+    } else {
+      this.rejectIncomplete(request, response);
+    }
+  }
+
+  /**
+   * Ends an answer without a body to a request that is still arriving. The rest is read for a while, since
+   * closing a connection with unread input would reset it, and the answer be lost.
+   */
+  private rejectIncomplete(request: IncomingMessage, response: ServerResponse): void {
+    response.flushHeaders();
+    const end = (): void => {
+      response.end();
+    };
+    const cancelTimer = this.clock.after(DISCARD_TIMEOUT_MS, end);
+    request.once('end', end);
+    response.once('close', cancelTimer);
+    request.resume();
   }
 }
--- a/packages/lentillb/src/serving/deliveryInquirer.ts
+++ b/packages/lentillb/src/serving/deliveryInquirer.ts
@@ -9,6 +9,7 @@
 import { Cancellation } from '../calls/cancellation.js';
 import type { DeliveryQuestion, DeliveryReply } from '../directory/delivery.js';
 import type { Clock } from '../kernel/clock.js';
+import type { MemoryBudget } from '../memory/memoryBudget.js';
 import type { DecisionLog } from '../observability/decisionLog.js';
 import { Importance } from '../observability/decisionLog.js';
 import type { MetricsRegistry } from '../observability/metricsRegistry.js';
@@ -27,6 +28,7 @@
   constructor(
     private readonly services: {
       readonly clock: Clock;
+      readonly memory: MemoryBudget;
       readonly processes: GateProcesses;
       readonly log: DecisionLog;
       readonly metrics: MetricsRegistry;
@@ -44,7 +46,7 @@
     gateAddress: string,
     questions: readonly DeliveryQuestion[],
   ): Promise<Result<DeliveryReply, ExchangeFailure>> {
-    const { clock, log, metrics, processes } = this.services;
+    const { clock, log, memory, metrics, processes } = this.services;
     metrics.count('delivery_inquiries');
     const body = encodeQuestions(questions);
     const answer = await exchange(clock, {
@@ -57,6 +59,7 @@
       connectTimeoutMs: REPLY_TIMEOUT_MS,
       timeoutMs: REPLY_TIMEOUT_MS,
       cancellation: new Cancellation(),
+      memory,
     });
     const reply = answer.andThen(({ body: replyBody, headers }) => {
       const states = decodeStates(replyBody, questions.length);
--- a/packages/lentillb/src/serving/exchange.ts
+++ b/packages/lentillb/src/serving/exchange.ts
@@ -13,6 +13,7 @@
 import { runInBackground } from '../utils/background.js';
 import { isForwardable } from '../utils/messageHead.js';
 import { limitResponseHead } from '../utils/responseLimits.js';
+import type { MemoryBudget } from '../memory/memoryBudget.js';
 import { AnswerBuffer } from './answerBuffer.js';
 
 /** A request that has been sent, and the connection on which its answer is awaited. */
@@ -46,6 +47,8 @@
   /** The time limit for the whole exchange, in milliseconds. */
   readonly timeoutMs: number;
   readonly cancellation: Cancellation;
+  /** The memory in which the answer is buffered. */
+  readonly memory: MemoryBudget;
   /** The deadline of the caller, in milliseconds of the monotonic clock. */
   readonly deadlineAtMs?: number;
   /** Decides whether the request may be written; undefined if no caller awaits the answer. */
@@ -269,7 +272,7 @@
         wasReset = socket.remoteAddress === undefined;
       });
     }
-    const answer = new AnswerBuffer();
+    const answer = new AnswerBuffer(this.request.memory);
     this.cleanups.push(() => answer.release());
     response.on('data', (chunk: Buffer) => {
       if (!answer.add(chunk)) {
--- a/packages/lentillb/src/serving/gateProtocol.ts
+++ b/packages/lentillb/src/serving/gateProtocol.ts
@@ -173,6 +173,12 @@
   };
 }
 
+/** The reply to a request that the node of the gate has no memory for, and that has not run. */
+export const memoryRefusalReply: EncodedReply = encodeReply({
+  result: Err({ outcome: Outcome.NotRun, cause: FailureCause.NoMemory }),
+  report: undefined,
+});
+
 function decodeReport(headers: IncomingHttpHeaders): GateReport | undefined {
   const value = headers[REPORT_HEADER];
   const [load, serviceMs, limitPerSecond] =
--- a/packages/lentillb/src/serving/messages.ts
+++ b/packages/lentillb/src/serving/messages.ts
@@ -72,6 +72,8 @@
   ConnectionSilent: 'connection-silent',
   /** The request has a target or headers that cannot be written. */
   Unsendable: 'unsendable',
+  /** The node has no memory for the request. */
+  NoMemory: 'no-memory',
   DeadlinePassed: 'deadline-passed',
   CallerGone: 'caller-gone',
 } as const;
--- a/packages/lentillb/src/serving/requestSender.ts
+++ b/packages/lentillb/src/serving/requestSender.ts
@@ -6,6 +6,7 @@
 import type { Result } from 'ts-results-es';
 import type { CallerPresence } from '../calls/callerPresence.js';
 import type { Clock } from '../kernel/clock.js';
+import type { MemoryBudget } from '../memory/memoryBudget.js';
 import type { ExchangeAnswer, ExchangeRequest } from './exchange.js';
 import { exchange, ExchangeFailure, refusalFailures } from './exchange.js';
 import type { ForwardedRequest } from './messages.js';
@@ -28,6 +29,7 @@
   constructor(
     private readonly services: {
       readonly clock: Clock;
+      readonly memory: MemoryBudget;
       readonly presence: CallerPresence;
       readonly sends: SendRecorder;
     },
@@ -44,7 +46,7 @@
     request: ForwardedRequest,
     destination: Destination,
   ): Promise<Result<ExchangeAnswer, ExchangeFailure>> {
-    const { clock, presence, sends } = this.services;
+    const { clock, memory, presence, sends } = this.services;
     const { body, cancellation, deadlineAtMs, method, target } = request;
     // A connection for a caller that has left would only lengthen the queue at the receiver.
     const refusal = await presence.confirm(request);
@@ -65,6 +67,7 @@
       target,
       body,
       cancellation,
+      memory,
       presence,
       deadlineAtMs,
       connectTimeoutMs: Math.min(remainingMs, destination.connectTimeoutMs),
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -16,11 +16,15 @@
 import { fetchState } from '../peers/stateClient.js';
 import type { Clock } from '../kernel/clock.js';
 import type { Randomness } from '../kernel/randomness.js';
+import type { CollectGarbage } from '../memory/bufferCollector.js';
+import { BufferCollector } from '../memory/bufferCollector.js';
+import { MemoryBudget } from '../memory/memoryBudget.js';
+import { memoryUses, MemoryUse } from '../memory/memoryUse.js';
+import { RefusalLog } from '../memory/refusalLog.js';
 import { DecisionLog, Importance } from '../observability/decisionLog.js';
 import type { LineLogger } from '../observability/decisionLog.js';
 import { EventLoopMonitor } from '../observability/eventLoopMonitor.js';
 import { MetricsRegistry } from '../observability/metricsRegistry.js';
-import { answerMemory } from '../serving/answerMemory.js';
 import { BackendServerClient } from '../serving/backendServerClient.js';
 import { CallerListener } from '../serving/callerListener.js';
 import { Entry } from '../serving/entry.js';
@@ -30,6 +34,7 @@
 import { GateForwarder } from '../serving/gateForwarder.js';
 import { GateProcesses } from '../serving/gateProcesses.js';
 import { GateObservations } from '../serving/gateObservations.js';
+import { memoryRefusalReply } from '../serving/gateProtocol.js';
 import type { HeaderNames } from '../serving/headerNames.js';
 import { ListenProbe } from '../serving/listenProbe.js';
 import { HeartbeatEffect, LocalBackendServer } from '../serving/localBackendServer.js';
@@ -75,6 +80,8 @@
   readonly retryTerms: RetryTerms;
   /** Timeout of a planned stop, in milliseconds. */
   readonly stopTimeoutMs: number;
+  /** The memory limit of the host, in bytes; by default that of the smallest known host. */
+  readonly memoryLimitBytes?: number;
   /** The key of the configuration among the operator's records. */
   readonly configurationKey: string;
   /** Decodes the operator's configuration. */
@@ -87,6 +94,8 @@
   readonly randomness: Randomness;
   readonly store: KeyedStore;
   readonly logger: LineLogger;
+  /** Runs the garbage collector, where the process may. */
+  readonly collectGarbage?: CollectGarbage;
 }
 
 /** A node that serves the callers and the backend server of its host. */
@@ -159,6 +168,12 @@
     this.log = new DecisionLog(clock, logger);
     const { log } = this;
     this.eventLoopMonitor = new EventLoopMonitor(clock, log, metrics);
+    const refusals = new RefusalLog({ clock, log, metrics });
+    const { collectGarbage } = services;
+    const memory = new MemoryBudget(clock, options.memoryLimitBytes, {
+      onRefused: (refusal) => refusals.record(refusal),
+      collector: collectGarbage === undefined ? undefined : new BufferCollector(collectGarbage),
+    });
     const era = new StoreEraTracker();
     const store = new EraCheckedStore(services.store, era);
     this.meshState = new MeshState(
@@ -182,7 +197,7 @@
     const input = new PendingInputTracker(clock);
     const sends = new SendRecorder({ clock, input, log, metrics });
     const presence = new CallerPresence({ clock, input });
-    const sender = new RequestSender({ clock, presence, sends });
+    const sender = new RequestSender({ clock, memory, presence, sends });
     this.client = new BackendServerClient(clock, sender, headerNames, statements);
     const { client } = this;
     const observations = new GateObservations(clock, DEFAULT_SERVICE_TIME_MS);
@@ -215,7 +230,7 @@
     const processId = hash32(`${identity.host} ${clock.now().getTime()} ${clock.monotonicMs()}`);
     this.gateServer = new GateServer({ clock, gate: this.gate }, { names: headerNames, processId });
     const processes = new GateProcesses(clock);
-    this.inquirer = new DeliveryInquirer({ clock, processes, log, metrics });
+    this.inquirer = new DeliveryInquirer({ clock, memory, processes, log, metrics });
     const { inquirer } = this;
     const deliveries = new DeliveryMonitor(clock, (gateAddress, questions) =>
       inquirer.inquire(gateAddress, questions),
@@ -308,6 +323,7 @@
       log.record(Importance.Notable, 'answer-not-taken', { requestId, unsentBytes });
     this.callers = new CallerListener(clock, presence, (request) => this.entry.serve(request), {
       requestIdName,
+      memory,
       onUnreadAnswer,
     });
     this.gateListener = new CallerListener(
@@ -318,6 +334,8 @@
         requestIdName,
         idleMs: GATE_IDLE_TIMEOUT_MS,
         isTerse: true,
+        memory,
+        memoryRefusal: memoryRefusalReply,
         onUnreadAnswer,
       },
     );
@@ -339,7 +357,15 @@
     metrics.gauge('configuration_version', () => configuration.version);
     metrics.gauge('rejected_inputs', () => this.meshState.rejectedInputs);
     metrics.gauge('suspect_requests', () => suspects.size);
-    metrics.gauge('held_answer_bytes', () => answerMemory.bytes);
+    metrics.gauge('held_answer_bytes', () => memory.bytesOf(MemoryUse.Answers));
+    memoryUses.forEach((use) =>
+      metrics.gauge(`memory_held_bytes{use="${use}"}`, () => memory.bytesOf(use)),
+    );
+    metrics.gauge('memory_room_bytes', () => memory.roomBytes);
+    metrics.gauge('memory_limit_bytes', () => memory.limitBytes);
+    metrics.gauge('memory_resident_bytes', () => process.memoryUsage.rss());
+    metrics.gauge('memory_heap_bytes', () => process.memoryUsage().heapTotal);
+    metrics.gauge('memory_buffer_bytes', () => process.memoryUsage().arrayBuffers);
     metrics.gauge('known_hosts', () => directory.announcements.length);
   }
 
--- a/tests/platform/decoding.spec.ts
+++ b/tests/platform/decoding.spec.ts
@@ -212,6 +212,15 @@
     });
   });
 
+  it.each([
+    [{ 'memory-mb': 200 }, 200_000_000],
+    [{ 'memory-mb': null }, undefined],
+    [{}, undefined],
+  ])('should state the memory limit of %j in bytes', (limits, bytes) => {
+    const self = { ...SETTINGS.self, limits };
+    expect(decodeSettings({ ...SETTINGS, self }).unwrap().memoryLimitBytes).toBe(bytes);
+  });
+
   it('should name the invalid field in the error', () => {
     const { grace, ...bounds } = SETTINGS.terms.bounds;
     expect(grace).toBe('6s');
--- a/tests/serving/connectionPool.spec.ts
+++ b/tests/serving/connectionPool.spec.ts
@@ -4,6 +4,7 @@
 import { listenOnLoopback } from '@lentillb/standins';
 import { SystemClock } from 'lentillb';
 import { Cancellation } from 'lentillb/calls/cancellation.js';
+import { MemoryBudget } from 'lentillb/memory/memoryBudget.js';
 import { BackendServerClient } from 'lentillb/serving/backendServerClient.js';
 import { CallerListener } from 'lentillb/serving/callerListener.js';
 import { ConnectionPool } from 'lentillb/serving/connectionPool.js';
@@ -222,6 +223,7 @@
         connectTimeoutMs: 500,
         timeoutMs: 1_000,
         cancellation: new Cancellation(),
+        memory: new MemoryBudget(clock),
         isTerse: true,
       });
       return Object.keys(answer.unwrap().headers);
--- a/tests/serving/exchange.spec.ts
+++ b/tests/serving/exchange.spec.ts
@@ -4,6 +4,7 @@
 import { listenOnLoopback } from '@lentillb/standins';
 import { SystemClock } from 'lentillb';
 import { Cancellation, CancelReason } from 'lentillb/calls/cancellation.js';
+import { MemoryBudget } from 'lentillb/memory/memoryBudget.js';
 import { exchange, ExchangeFailure } from 'lentillb/serving/exchange.js';
 import { afterEach, describe, expect, it } from 'vitest';
 import { sendRequest } from '../support/sendRequest.js';
@@ -75,6 +76,7 @@
       connectTimeoutMs: 500,
       timeoutMs: 1_000,
       cancellation: new Cancellation(),
+      memory: new MemoryBudget(clock),
     });
     expect(refused.unwrapErr()).toBe(ExchangeFailure.NotSent);
   });
--- a/tests/support/sendRequest.ts
+++ b/tests/support/sendRequest.ts
@@ -2,9 +2,14 @@
 import type { Agent } from 'node:http';
 import { SystemClock } from 'lentillb';
 import { Cancellation } from 'lentillb/calls/cancellation.js';
+import { MemoryBudget } from 'lentillb/memory/memoryBudget.js';
 import { exchange } from 'lentillb/serving/exchange.js';
 import { createCallerPresence } from './callerPresence.js';
 
+const clock = new SystemClock();
+/** The memory that all requests of a test share. */
+const memory = new MemoryBudget(clock);
+
 /** The options of a request that differ between tests. */
 export interface RequestOptions {
   readonly agent: Agent;
@@ -23,7 +28,6 @@
   address: string,
   { agent, cancellation = new Cancellation(), timeoutMs }: RequestOptions,
 ): ReturnType<typeof exchange> {
-  const clock = new SystemClock();
   return exchange(clock, {
     agent,
     address,
@@ -34,6 +38,7 @@
     connectTimeoutMs: 500,
     timeoutMs,
     cancellation,
+    memory,
     deadlineAtMs: clock.monotonicMs() + timeoutMs,
     presence: createCallerPresence(clock),
   });
