--- a/packages/lentillb/src/serving/callerConnection.ts
+++ b/packages/lentillb/src/serving/callerConnection.ts
@@ -6,7 +6,7 @@
 import { MemoryUse } from '../memory/memoryUse.js';
 
 /** The memory of a connection without a request, in bytes. */
-const CONNECTION_BYTES = 7 * 1024;
+export const CONNECTION_BYTES = 7 * 1024;
 /** The memory of a request in progress, without its head and body, in bytes. */
 const REQUEST_BYTES = 10 * 1024;
 /** The number of unanswered requests above which no more are read. */
@@ -17,7 +17,7 @@
  * The share of the memory for requests up to which requests are accepted behind others of the same
  * connection.
  */
-const PIPELINED_SHARE = 0.5;
+const PIPELINED_SHARE = 0.25;
 /** The time after which a sender that sends nothing more of a head has stalled, in milliseconds. */
 const STALL_TIMEOUT_MS = 1_000;
 
@@ -45,13 +45,19 @@
 
 /**
  * Counts one connection, its unanswered requests and the head that it has not sent completely. The HTTP
- * parser keeps the latter: a whole head is reserved if the share allows it, otherwise its bytes are
- * counted as they arrive.
+ * parser keeps the latter. Until a connection has sent a whole request, a whole head is reserved for it; if
+ * the share does not allow that, its bytes are counted as they arrive. Then it is looked at now and then.
  */
 export class CallerConnection {
-  private readonly isHeadReserved: boolean;
+  private isHeadReserved: boolean;
 
-  /** The length of the head that has not arrived completely, in bytes; 0 if it is reserved. */
+  /** Whether the bytes of heads are counted as they arrive. */
+  private readonly isHeadCounted: boolean;
+
+  /** The length of what had been read before the head that is arriving, in bytes. */
+  private bytesBeforeHead = 0;
+
+  /** The counted length of the head that has not arrived completely, in bytes. */
   private headBytes = 0;
 
   /** The time at which a part of a head arrived last, in milliseconds of the monotonic clock. */
@@ -59,7 +65,7 @@
 
   private lastRequest: IncomingMessage | undefined;
 
-  /** Whether a head has been completed by the data that is being read. */
+  /** Whether a head has been completed since heads were counted last. */
   private hasNewRequest = false;
 
   private unansweredCount = 0;
@@ -86,7 +92,8 @@
     const { maxHeadBytes, memory } = terms;
     memory.take(MemoryUse.Connections, CONNECTION_BYTES);
     this.isHeadReserved = memory.tryTakeFromShare(MemoryUse.Heads, maxHeadBytes);
-    if (!this.isHeadReserved) {
+    this.isHeadCounted = !this.isHeadReserved;
+    if (this.isHeadCounted) {
       // Takes the input away from the parser's own reading, which costs time: not done for all.
       socket.on('data', (chunk) => this.countHead(chunk.length));
     }
@@ -129,14 +136,29 @@
     return isTaken ? Admission.Accepted : Admission.Refused;
   }
 
-  /** Stops reading if many requests wait for their answers. */
-  limitUnanswered(): void {
+  /** Records that a request was read completely, and stops reading if many wait for their answers. */
+  recordComplete(): void {
+    this.releaseReservation();
     if (this.unansweredCount > MAX_UNANSWERED) {
       this.isPaused = true;
       this.socket.pause();
     }
   }
 
+  /** Counts the head that is arriving, if this is not done as it arrives. */
+  measureHead(): void {
+    if (this.isHeadCounted || this.isHeadReserved || this.isGivenUp) {
+      return;
+    }
+    const { bytesRead } = this.socket;
+    if (this.hasNewRequest || this.isBodyArriving) {
+      this.hasNewRequest = false;
+      this.bytesBeforeHead = bytesRead;
+    } else if (bytesRead > this.bytesBeforeHead + this.headBytes) {
+      this.addHeadBytes(bytesRead - this.bytesBeforeHead - this.headBytes);
+    }
+  }
+
   /** Stops reading until `resume` is called. */
   pause(): void {
     this.socket.pause();
@@ -178,27 +200,38 @@
   }
 
   private close(): void {
-    const { maxHeadBytes, memory } = this.terms;
+    const { memory } = this.terms;
     this.isClosed = true;
     this.setHeadBytes(0);
     memory.release(MemoryUse.Requests, this.requestBytes);
     memory.release(MemoryUse.Connections, CONNECTION_BYTES);
-    if (this.isHeadReserved) {
-      memory.release(MemoryUse.Heads, maxHeadBytes);
-    }
+    this.releaseReservation();
     this.requestBytes = 0;
     this.unansweredCount = 0;
   }
 
+  private get isBodyArriving(): boolean {
+    return this.lastRequest !== undefined && !this.lastRequest.complete;
+  }
+
+  private releaseReservation(): void {
+    if (this.isHeadReserved) {
+      this.isHeadReserved = false;
+      this.terms.memory.release(MemoryUse.Heads, this.terms.maxHeadBytes);
+    }
+  }
+
   /** Counts data that the parser has just got. */
   private countHead(bytes: number): void {
-    const { clock, memory } = this.terms;
-    const isBody = this.lastRequest !== undefined && !this.lastRequest.complete;
-    const isOfRequest = this.hasNewRequest || isBody;
+    const isOfRequest = this.hasNewRequest || this.isBodyArriving;
     this.hasNewRequest = false;
-    if (isOfRequest || this.isGivenUp) {
-      return;
+    if (!isOfRequest && !this.isGivenUp) {
+      this.addHeadBytes(bytes);
     }
+  }
+
+  private addHeadBytes(bytes: number): void {
+    const { clock, memory } = this.terms;
     if (!memory.tryTake(MemoryUse.Heads, bytes)) {
       this.refuseHead();
       return;
--- a/packages/lentillb/src/serving/callerListener.ts
+++ b/packages/lentillb/src/serving/callerListener.ts
@@ -225,7 +225,7 @@
     const rejection = this.rejectionOf(request, bytes, admission);
     const { socket } = request;
     const body = await this.readBody(request, rejection);
-    if (!this.connections.limitUnanswered(socket)) {
+    if (!this.connections.recordComplete(socket)) {
       body.map(({ release }) => release());
       return;
     }
