--- a/packages/lentillb/src/serving/callerConnections.ts
+++ b/packages/lentillb/src/serving/callerConnections.ts
@@ -1,10 +1,14 @@
 /** Bounds the memory that the connections of a listener take by what they send. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { MemoryUse } from '../memory/memoryUse.js';
 import type { ConnectionTerms } from './callerConnection.js';
-import { Admission, CallerConnection } from './callerConnection.js';
+import { Admission, CallerConnection, CONNECTION_BYTES } from './callerConnection.js';
 import { PipelineBrake } from './pipelineBrake.js';
 
+/** The interval at which heads are measured that arrive on connections with earlier requests, in milliseconds. */
+const MEASURE_INTERVAL_MS = 50;
+
 /** The open connections of a listener. */
 export class CallerConnections {
   private readonly connections = new Map<Socket, CallerConnection>();
@@ -14,6 +18,8 @@
     goOn: () => this.connections.forEach((connection) => connection.resume()),
   });
 
+  private isMeasuring = false;
+
   /** @param terms - the parts and terms that all connections share */
   constructor(private readonly terms: ConnectionTerms) {}
 
@@ -34,6 +40,7 @@
   add(socket: Socket): void {
     this.connections.set(socket, new CallerConnection(socket, this.terms));
     socket.once('close', () => this.connections.delete(socket));
+    this.measureHeads();
   }
 
   /**
@@ -53,14 +60,31 @@
   }
 
   /**
-   * Stops reading from a connection on which many requests wait for their answers.
+   * Records that a request was read completely. Reading stops while many requests of its connection wait.
    *
-   * @param socket - the connection, from which a request has been read completely
+   * @param socket - the connection of the request
    * @returns false if it has been closed for the sake of the memory; the request must not be handled
    */
-  limitUnanswered(socket: Socket): boolean {
+  recordComplete(socket: Socket): boolean {
     const connection = this.connections.get(socket);
-    connection?.limitUnanswered();
+    connection?.recordComplete();
     return connection?.givenUp !== true;
   }
+
+  /** Measures the heads that arrive, while there are too many connections for a whole head of each. */
+  private measureHeads(): void {
+    const { clock, maxHeadBytes, memory } = this.terms;
+    const count = memory.bytesOf(MemoryUse.Connections) / CONNECTION_BYTES;
+    if (this.isMeasuring || count * maxHeadBytes <= memory.shareOf(MemoryUse.Heads)) {
+      return;
+    }
+    this.isMeasuring = true;
+    clock.after(MEASURE_INTERVAL_MS, () => {
+      this.isMeasuring = false;
+      this.connections.forEach((connection) => connection.measureHead());
+      if (this.connections.size > 0) {
+        this.measureHeads();
+      }
+    });
+  }
 }
--- a/tests/platform/memoryLimit.spec.ts
+++ b/tests/platform/memoryLimit.spec.ts
@@ -5,8 +5,10 @@
 import { ProgramRun } from '../support/programRun.js';
 
 const BYTES_PER_MEGABYTE = 1_000_000;
-/** The memory of the smallest hosts of a site that runs. */
+/** The memory of the hosts that were reported. */
 const LIMIT_MEGABYTES = 200;
+/** The memory of the smallest known hosts. */
+const SMALLEST_LIMIT_MEGABYTES = 178;
 /** The time for which each load stays, in milliseconds. */
 const HOLD_MS = 3_000;
 const LONG_ANSWER = Buffer.alloc(8 * 1024 * 1024, 'a');
@@ -18,10 +20,13 @@
 let program: ProgramRun;
 let loads: MemoryLoads;
 
-beforeEach(async () => {
+beforeEach(() => {
   loads = new MemoryLoads();
+});
+
+async function startProgram(limitMegabytes: number): Promise<void> {
   program = new ProgramRun();
-  await program.start(LIMIT_MEGABYTES);
+  await program.start(limitMegabytes);
   program.backendServer.setHandler((response, run) => {
     if (run.body === LONG_ANSWER_BODY) {
       response.writeHead(200, { 'x-attempt-id': run.requestId, 'x-server-seal': 'seal' });
@@ -30,7 +35,7 @@
     }
     setTimeout(() => respondSuccessfully(response, run), SERVICE_MS);
   });
-});
+}
 
 afterEach(async () => {
   loads.close();
@@ -38,11 +43,15 @@
 });
 
 /** Holds a load, and checks that the process stays within its limit and serves a short request afterwards. */
-async function expectWithinLimit(load: () => Promise<unknown>): Promise<void> {
+async function expectWithinLimit(
+  load: () => Promise<unknown>,
+  limitMegabytes = LIMIT_MEGABYTES,
+): Promise<void> {
+  await startProgram(limitMegabytes);
   await load();
   await clock.sleep(HOLD_MS);
   const peakMegabytes = (await program.peakMemory()) / BYTES_PER_MEGABYTE;
-  expect(peakMegabytes).toBeLessThan(LIMIT_MEGABYTES);
+  expect(peakMegabytes).toBeLessThan(limitMegabytes);
   loads.close();
   await program.until(async () => (await program.send('after')).status === 200);
   expect(program.end).toBeUndefined();
@@ -78,15 +87,21 @@
     TEST_TIMEOUT_MS,
   );
 
+  it(
+    'should go on serving other callers while requests are pipelined without end',
+    () => expectServedWithinLimit(() => loads.pipelinedRequests(program.addresses.outbound, 400)),
+    TEST_TIMEOUT_MS,
+  );
+
   it(
     'should stay below the limit of the host with long answers that are not read',
     () => expectServedWithinLimit(() => loads.unreadAnswers(program.addresses.outbound, 120)),
     TEST_TIMEOUT_MS,
   );
 
-  it(
-    'should stay below the limit of the host with all loads at once',
-    () =>
+  it.each([LIMIT_MEGABYTES, SMALLEST_LIMIT_MEGABYTES])(
+    'should stay below the limit of the host with all loads at once: %s MB',
+    (limitMegabytes) =>
       expectWithinLimit(async () => {
         const { control, inbound, outbound, peer } = program.addresses;
         await loads.idleConnections(outbound, 500);
@@ -102,7 +117,7 @@
           loads.unfinishedHeartbeats(control, 100),
           sendGarbageDatagrams(peer, 20_000),
         ]);
-      }),
+      }, limitMegabytes),
     TEST_TIMEOUT_MS,
   );
 });
