Show what the memory budget does not count, by tests that fail

Callers see a closed connection, and the host a process that ends by itself.

Heads are counted by the data event that follows the parser. Data that completes a request is taken as a part of it although a further head may begin in it (345 MB at 3,800 connections), and data that completes a body as a part of a head, since the request is complete by then. The latter makes its connection a holder of memory for heads, which is closed after a second while the request runs.

--- a/tests/platform/memoryLimit.spec.ts
+++ b/tests/platform/memoryLimit.spec.ts
@@ -72,6 +72,39 @@
     TEST_TIMEOUT_MS,
   );
 
+  it.each(['outbound', 'inbound'] as const)(
+    'should hold unfinished heads behind requests below the limit of the host at the listener %s',
+    (listener) =>
+      expectWithinLimit(() =>
+        loads.unfinishedHeadsBehindRequests(program.addresses[listener], 3_800),
+      ),
+    TEST_TIMEOUT_MS,
+  );
+
+  it.each(['outbound', 'inbound'] as const)(
+    'should hold bodies in chunks of one byte below the limit of the host at the listener %s',
+    (listener) => expectWithinLimit(() => loads.tinyChunks(program.addresses[listener], 10)),
+    TEST_TIMEOUT_MS,
+  );
+
+  it(
+    'should hold an answer in chunks of one byte below the limit of the host',
+    () =>
+      expectWithinLimit(async () => {
+        program.backendServer.setHandler((response, run) => {
+          if (run.requestId !== 'tiny') {
+            respondSuccessfully(response, run);
+            return;
+          }
+          response.writeHead(200, { 'x-attempt-id': run.requestId, 'x-server-seal': 'seal' });
+          response.flushHeaders();
+          response.socket?.write('1\r\na\r\n'.repeat(4_000_000));
+        });
+        await program.send('tiny').catch(() => undefined);
+      }),
+    TEST_TIMEOUT_MS,
+  );
+
   it(
     'should stay below the limit of the host with requests that are pipelined without end',
     () => expectWithinLimit(() => loads.pipelinedRequests(program.addresses.outbound, 400)),
--- a/tests/support/memoryLoads.ts
+++ b/tests/support/memoryLoads.ts
@@ -18,8 +18,13 @@
   Buffer.from(`POST /a HTTP/1.1\r\n${HEAD}x-deadline-ms: 1400\r\ncontent-length: 900000\r\n\r\n`),
   Buffer.alloc(900_000, 'b'),
 ]);
+const TINY_CHUNKS = Buffer.concat([
+  Buffer.from(`POST /a HTTP/1.1\r\n${HEAD}transfer-encoding: chunked\r\n\r\n`),
+  Buffer.from('1\r\nb\r\n'.repeat(1_000_000)),
+]);
 const UNFINISHED_HEAD = Buffer.from(`GET /a HTTP/1.1\r\n${HEAD}x-long: ${'h'.repeat(60_000)}`);
 const SHORT_REQUEST = `GET /a HTTP/1.1\r\n${HEAD}\r\n`;
+const REQUEST_AND_UNFINISHED_HEAD = Buffer.concat([Buffer.from(SHORT_REQUEST), UNFINISHED_HEAD]);
 const PIPELINED_REQUESTS = Buffer.from(SHORT_REQUEST.repeat(20_000));
 /** The body of a request for a long answer. */
 export const LONG_ANSWER_BODY = 'a long answer, please';
@@ -62,6 +67,16 @@
     return this.open(address, count, COMPLETE_BODY);
   }
 
+  /**
+   * Opens connections, each of which sends a long body in chunks of one byte, without its end.
+   *
+   * @param address - the address and port of a listener
+   * @param count - the number of connections
+   */
+  tinyChunks(address: string, count: number): Promise<void> {
+    return this.open(address, count, TINY_CHUNKS);
+  }
+
   /**
    * Opens connections, each of which sends most of a head and then waits.
    *
@@ -72,6 +87,16 @@
     return this.open(address, count, UNFINISHED_HEAD);
   }
 
+  /**
+   * Opens connections, each of which sends a request and, in the same data, most of a further head.
+   *
+   * @param address - the address and port of a listener
+   * @param count - the number of connections
+   */
+  unfinishedHeadsBehindRequests(address: string, count: number): Promise<void> {
+    return this.open(address, count, REQUEST_AND_UNFINISHED_HEAD);
+  }
+
   /**
    * Opens connections, each of which sends 20,000 requests without waiting for answers.
    *
--- a/tests/support/rawConnection.ts
+++ b/tests/support/rawConnection.ts
@@ -57,7 +57,12 @@
 
   /** @param request - the request to write */
   write(request: RawRequest): void {
-    this.socket.write(encodeRequest(request), 'latin1');
+    this.writeText(encodeRequest(request));
+  }
+
+  /** @param text - a part of a request, in characters of one byte each */
+  writeText(text: string): void {
+    this.socket.write(text, 'latin1');
   }
 
   /** Closes the connection at once; the other side can still read the data written before. */
