Count heads by the lengths of the requests before them

Found by the review of the memory budget. 3,800 connections that sent one request and 60 KB of a further head in one write made the program hold 345 and 339 MB of 200, since data that completed a request counted for nothing. And the last part of a body was counted as a head, because the request is complete once the parser has read it: 1 s later the connection of a running request could be closed as that of a stalled sender, which a caller sees as a lost answer.

What was read beyond the length of all requests so far, as their fields state it, now is the head that is arriving. A connection with unanswered requests is never closed for a head: if there is no room, reading stops until it has its answers. Behind a body in chunks, whose length is not stated, the part of a head in the same read still counts for nothing.

--- a/packages/lentillb/src/serving/callerConnection.ts
+++ b/packages/lentillb/src/serving/callerConnection.ts
@@ -18,6 +18,10 @@
  * connection.
  */
 const PIPELINED_SHARE = 0.25;
+/** The bytes by which the length of a request may differ from what its fields show, such as white space. */
+const LENGTH_TOLERANCE_BYTES = 256;
+/** The length of a request line and of the end of a head without method and target, in bytes. */
+const REQUEST_LINE_BYTES = 14;
 /** The time after which a sender that sends nothing more of a head has stalled, in milliseconds. */
 const STALL_TIMEOUT_MS = 1_000;
 
@@ -43,6 +47,20 @@
   readonly headRefusal: string;
 }
 
+/** Returns the length of a request, or undefined if it is known only once the request is complete. */
+function lengthOf(
+  { headers, method = '', url = '' }: IncomingMessage,
+  headBytes: number,
+): number | undefined {
+  return headers['transfer-encoding'] === undefined
+    ? REQUEST_LINE_BYTES +
+        method.length +
+        url.length +
+        headBytes +
+        Number(headers['content-length'] ?? 0)
+    : undefined;
+}
+
 /**
  * Counts one connection, its unanswered requests and the head that it has not sent completely. The HTTP
  * parser keeps the latter. Until a connection has sent a whole request, a whole head is reserved for it; if
@@ -54,8 +72,11 @@
   /** Whether the bytes of heads are counted as they arrive. */
   private readonly isHeadCounted: boolean;
 
-  /** The length of what had been read before the head that is arriving, in bytes. */
-  private bytesBeforeHead = 0;
+  /** The length of all requests whose heads have arrived, with their bodies, in bytes. */
+  private requestedBytes = 0;
+
+  /** Whether the length of the last request is not known yet. */
+  private isLengthUnknown = false;
 
   /** The counted length of the head that has not arrived completely, in bytes. */
   private headBytes = 0;
@@ -65,14 +86,13 @@
 
   private lastRequest: IncomingMessage | undefined;
 
-  /** Whether a head has been completed since heads were counted last. */
-  private hasNewRequest = false;
-
   private unansweredCount = 0;
 
   /** The memory of the unanswered requests, in bytes. */
   private requestBytes = 0;
 
+  private hasPipelined = false;
+
   private isPaused = false;
 
   private isGivenUp = false;
@@ -95,7 +115,7 @@
     this.isHeadCounted = !this.isHeadReserved;
     if (this.isHeadCounted) {
       // Takes the input away from the parser's own reading, which costs time: not done for all.
-      socket.on('data', (chunk) => this.countHead(chunk.length));
+      socket.on('data', () => this.countHead());
     }
     socket.once('close', () => this.close());
   }
@@ -105,6 +125,11 @@
     return this.unansweredCount;
   }
 
+  /** Whether it has had requests, and none of them was read before the answer to the one before. */
+  get isSequential(): boolean {
+    return this.lastRequest !== undefined && !this.hasPipelined;
+  }
+
   /** Whether it was closed for the sake of the memory, so that nothing more of it may be handled. */
   get givenUp(): boolean {
     return this.isGivenUp;
@@ -123,7 +148,10 @@
       return Admission.Closed;
     }
     this.lastRequest = request;
-    this.hasNewRequest = true;
+    this.hasPipelined ||= this.unansweredCount > 0;
+    const length = lengthOf(request, headBytes);
+    this.isLengthUnknown ||= length === undefined;
+    this.requestedBytes += length ?? 0;
     this.setHeadBytes(0);
     const bytes = REQUEST_BYTES + headBytes;
     const isTaken = this.takeRequest(bytes);
@@ -147,15 +175,8 @@
 
   /** Counts the head that is arriving, if this is not done as it arrives. */
   measureHead(): void {
-    if (this.isHeadCounted || this.isHeadReserved || this.isGivenUp) {
-      return;
-    }
-    const { bytesRead } = this.socket;
-    if (this.hasNewRequest || this.isBodyArriving) {
-      this.hasNewRequest = false;
-      this.bytesBeforeHead = bytesRead;
-    } else if (bytesRead > this.bytesBeforeHead + this.headBytes) {
-      this.addHeadBytes(bytesRead - this.bytesBeforeHead - this.headBytes);
+    if (!this.isHeadCounted && !this.isHeadReserved) {
+      this.countHead();
     }
   }
 
@@ -221,26 +242,38 @@
     }
   }
 
-  /** Counts data that the parser has just got. */
-  private countHead(bytes: number): void {
-    const isOfRequest = this.hasNewRequest || this.isBodyArriving;
-    this.hasNewRequest = false;
-    if (!isOfRequest && !this.isGivenUp) {
-      this.addHeadBytes(bytes);
+  /** Counts what was read behind the requests whose heads have arrived. */
+  private countHead(): void {
+    if (this.isGivenUp) {
+      return;
+    }
+    const bytes = this.socket.bytesRead - this.requestedBytes;
+    if (this.isLengthUnknown || (!this.isBodyArriving && bytes <= LENGTH_TOLERANCE_BYTES)) {
+      this.requestedBytes = this.socket.bytesRead;
+      this.isLengthUnknown = this.isLengthUnknown && this.isBodyArriving;
+    } else if (bytes > this.headBytes) {
+      this.addHeadBytes(bytes - this.headBytes);
     }
   }
 
   private addHeadBytes(bytes: number): void {
     const { clock, memory } = this.terms;
     if (!memory.tryTake(MemoryUse.Heads, bytes)) {
-      this.refuseHead();
-      return;
+      if (this.unansweredCount === 0) {
+        this.refuseHead();
+        return;
+      }
+      // A request runs, whose answer would be lost with the connection.
+      memory.take(MemoryUse.Heads, bytes);
+      this.isPaused = true;
+      this.socket.pause();
     }
     this.headBytes += bytes;
     this.headHeardAtMs = clock.monotonicMs();
     this.removeHolder ??= memory.addHolder({
       use: MemoryUse.Heads,
-      isStalled: () => clock.monotonicMs() - this.headHeardAtMs > STALL_TIMEOUT_MS,
+      isStalled: () =>
+        this.unansweredCount === 0 && clock.monotonicMs() - this.headHeardAtMs > STALL_TIMEOUT_MS,
       giveUp: () => {
         memory.reportRefusal(MemoryUse.Heads, this.headBytes);
         this.refuseHead();
@@ -258,9 +291,7 @@
   }
 
   private refuseHead(): void {
-    if (this.unansweredCount === 0) {
-      this.socket.write(this.terms.headRefusal);
-    }
+    this.socket.write(this.terms.headRefusal);
     this.setHeadBytes(0);
     this.giveUp();
   }
