--- a/packages/lentillb/src/serving/callerConnections.ts
+++ b/packages/lentillb/src/serving/callerConnections.ts
@@ -4,7 +4,7 @@
 import { MemoryUse } from '../memory/memoryUse.js';
 import type { ConnectionTerms } from './callerConnection.js';
 import { Admission, CallerConnection, CONNECTION_BYTES } from './callerConnection.js';
-import { PipelineBrake } from './pipelineBrake.js';
+import { PipelineLimit } from './pipelineLimit.js';
 
 /** The interval at which heads are measured that arrive on connections with earlier requests, in milliseconds. */
 const MEASURE_INTERVAL_MS = 50;
@@ -13,7 +13,7 @@
 export class CallerConnections {
   private readonly connections = new Map<Socket, CallerConnection>();
 
-  private readonly brake = new PipelineBrake({
+  private readonly pipelineLimit = new PipelineLimit({
     stop: () => this.connections.forEach((connection) => connection.pause()),
     goOn: () => this.connections.forEach((connection) => connection.resume()),
   });
@@ -54,7 +54,7 @@
   admit(request: IncomingMessage, headBytes: number, response: ServerResponse): Admission {
     const connection = this.connections.get(request.socket);
     if (connection === undefined || connection.givenUp || connection.unanswered > 0) {
-      this.brake.count();
+      this.pipelineLimit.count();
     }
     return connection?.admit(request, headBytes, response) ?? Admission.Closed;
   }
--- a/tests/platform/memoryLimit.spec.ts
+++ b/tests/platform/memoryLimit.spec.ts
@@ -116,6 +116,20 @@
 
   it(
     'should stay below the limit of the host with requests that are pipelined without end',
+    async () => {
+      await startProgram(LIMIT_MEGABYTES);
+      await loads.pipelinedRequests(program.addresses.outbound, 400);
+      await clock.sleep(HOLD_MS);
+      loads.close();
+      await clock.sleep(HOLD_MS);
+      expect((await program.peakMemory()) / BYTES_PER_MEGABYTE).toBeLessThan(LIMIT_MEGABYTES);
+      expect(program.end).toBeUndefined();
+    },
+    TEST_TIMEOUT_MS,
+  );
+
+  it(
+    'should serve again within 15 s once callers have left that pipelined without end',
     () => expectWithinLimit(() => loads.pipelinedRequests(program.addresses.outbound, 400)),
     TEST_TIMEOUT_MS,
   );
