Parse only complete lines of the program in tests

The tests of the program's last line failed now and then on a busy machine, or could: `PlatformProcess.lines` parsed all text that starts like a line, also a last line of which only a part had arrived, and threw. `logged` held as soon as the name of an event had arrived, so that its line could still be incomplete.

Now only text that is ended by a line break counts, for both. A test that waits for an event waits for its complete line, so no assertion sees less than before.

The test of an address that no machine has took 16 s of its 30 s: a program tries to listen for its stop time and 10 s more, and the stop time was 6 s. The 10 s are a constant of the program and stay.

The incomplete line was not provoked in a run; it follows from the code.

--- a/tests/platform/lastLine.spec.ts
+++ b/tests/platform/lastLine.spec.ts
@@ -111,6 +111,7 @@
     const settings = await createPlatformSettings();
     // An address for documentation, which no machine has.
     settings.network['listen-addrs'].inbound = '192.0.2.1:8624';
+    settings.terms.bounds.grace = '1ms';
     const started = program.start(await program.write('node.json', JSON.stringify(settings)));
     expect(await started.ended).toEqual({ code: ADDRESS_UNAVAILABLE, signal: null });
     const last = started.lines.at(-1);
--- a/tests/support/platformProcess.ts
+++ b/tests/support/platformProcess.ts
@@ -43,10 +43,11 @@
     this.ended = once(child, 'close').then(([code, signal]) => ({ code, signal }));
   }
 
-  /** The lines of the log so far; other output is left out. */
+  /** The complete lines of the log so far; other output is left out. */
   get lines(): LogLine[] {
     return this.output
       .split('\n')
+      .slice(0, -1)
       .filter((line) => line.startsWith('{'))
       .map((line) => JSON.parse(line) as LogLine);
   }
@@ -56,19 +57,23 @@
     this.child.kill(signal);
   }
 
-  /** Waits until the program has logged an event. */
+  /** Waits until the program has logged an event, in a complete line. */
   async logged(event: string): Promise<void> {
-    await this.saying(`"event":"${event}"`);
+    await this.until(() => this.lines.some((line) => line.event === event), event);
   }
 
   /** Waits until the program has written a text. */
   async saying(text: string): Promise<void> {
+    await this.until(() => this.output.includes(text), text);
+  }
+
+  private async until(condition: () => boolean, text: string): Promise<void> {
     const { child } = this;
     await waitUntil(() => {
       if (child.exitCode !== null || child.signalCode !== null) {
         throw new Error(`ended (${child.exitCode ?? child.signalCode}): ${this.output}`);
       }
-      return this.output.includes(text);
+      return condition();
     }, `${text} is written, ${this.output}`);
   }
 }
