Write lines of a process that goes on without waiting

Callers would wait without an answer: while the reader of the log stalls, a line about an unhandled rejection (100 at most) or a nearly full heap could hold the event loop for up to 200 ms for standard output and as long for standard error. Lines that had been waiting were taken out of the buffer for it and were lost where neither took the text.

Cause: the log that writes synchronously was made for the last line, when no other work is left, and was used for the lines of a process that goes on, too.

Now only the last line (`ended`) waits for a reader. The last line reads the lines that wait and leaves them in the buffer.

A line that another writer had taken was no longer written; this test called `takeLines()` then, which `waitingLines` replaces.

Left open: without the other writer, a line that no reader takes at once is lost, as it was after 400 ms; one longer than a page may be written in part.

--- a/packages/lentillb/src/observability/descriptorOutput.ts
+++ b/packages/lentillb/src/observability/descriptorOutput.ts
@@ -27,13 +27,27 @@
 
 function tryWrite(descriptor: Descriptor, bytes: Uint8Array): number | undefined {
   try {
-    // eslint-disable-next-line n/no-sync -- the process ends and does no other work
+    // eslint-disable-next-line n/no-sync -- a line that must not be lost at the end; it never blocks
     return writeSync(descriptor, bytes);
   } catch (error) {
     return (error as NodeJS.ErrnoException).code === WOULD_BLOCK ? 0 : undefined;
   }
 }
 
+/**
+ * Writes a text synchronously in a single attempt. A pipe takes a text of up to a page completely or
+ * not at all.
+ *
+ * @param descriptor - a standard descriptor
+ * @param text - the text
+ * @returns whether all of the text was written
+ */
+export function writeAtOnce(descriptor: Descriptor, text: string): boolean {
+  makeNonBlocking(descriptor);
+  const bytes = Buffer.from(text);
+  return tryWrite(descriptor, bytes) === bytes.length;
+}
+
 /**
  * Writes a text synchronously. While the reader stalls, the write is tried again without a pause: nothing
  * else is left to do.
--- a/packages/lentillb/src/observability/lineWriter.ts
+++ b/packages/lentillb/src/observability/lineWriter.ts
@@ -89,15 +89,14 @@
     await Promise.race([written, this.clock.sleep(timeoutMs)]);
   }
 
-  /**
-   * Takes the lines that are buffered, for a writer that does not wait.
-   *
-   * @returns the lines, after a line break if a line may be written in part
-   */
-  takeLines(): string {
-    const lines = this.bufferedLines.join('');
-    this.bufferedLines = [];
-    return this.isWriting ? `\n${lines}` : lines;
+  /** A line break if a line may be written in part, for a line of another writer. */
+  get separator(): string {
+    return this.isWriting ? '\n' : '';
+  }
+
+  /** The lines that are buffered; they stay buffered. */
+  get waitingLines(): string {
+    return this.bufferedLines.join('');
   }
 
   private scheduleWrite(): void {
--- a/packages/lentillb/src/process/processEnd.ts
+++ b/packages/lentillb/src/process/processEnd.ts
@@ -62,7 +62,7 @@
     const exitCode = exitCodes[cause];
     try {
       const level = exitCode === 0 ? LineLevel.Warning : LineLevel.Fatal;
-      this.log.write(level, 'ended', { cause, exitCode, ...describeError(error) });
+      this.log.writeLast(level, 'ended', { cause, exitCode, ...describeError(error) });
     } finally {
       this.ownProcess.exit(exitCode);
     }
--- a/tests/observability/decisionLog.spec.ts
+++ b/tests/observability/decisionLog.spec.ts
@@ -93,6 +93,19 @@
     expect(writer.dropped).toBe(0);
   });
 
+  it('should still write lines that another writer has read but could not write', async () => {
+    const clock = new ManualClock();
+    let written = '';
+    const writer = new LineWriter(clock, (bytes, done) => {
+      written += bytes.toString();
+      done(null, bytes.length);
+    });
+    writer.write('waiting\n');
+    expect(writer.waitingLines).toBe('waiting\n');
+    await clock.advance(1_000);
+    expect(written).toBe('waiting\n');
+  });
+
   it('should flush the last lines, and stop waiting for a stalled reader after the timeout', async () => {
     const clock = new ManualClock();
     let written = '';
--- a/tests/support/fullPipe.ts
+++ b/tests/support/fullPipe.ts
@@ -1,5 +1,5 @@
 /** Opens a pipe that is full, as if whoever reads the output of a program had stopped. */
-import { closeSync, constants, openSync, writeSync } from 'node:fs';
+import { closeSync, constants, openSync, readSync, writeSync } from 'node:fs';
 
 const BLOCK_BYTES = 4_096;
 
@@ -7,6 +7,8 @@
 export interface FullPipe {
   /** The descriptor of its writing end. */
   readonly descriptor: number;
+  /** Reads all that is in the pipe. */
+  readonly drain: () => string;
   readonly close: () => void;
 }
 
@@ -23,6 +25,21 @@
   }
 }
 
+function drain(descriptor: number): string {
+  const block = Buffer.alloc(BLOCK_BYTES);
+  let text = '';
+  try {
+    for (;;) {
+      text += block.toString('utf8', 0, readSync(descriptor, block));
+    }
+  } catch (error) {
+    if ((error as NodeJS.ErrnoException).code !== 'EAGAIN') {
+      throw error;
+    }
+  }
+  return text;
+}
+
 /**
  * Opens a named pipe and fills it.
  *
@@ -33,5 +50,9 @@
   const reader = openSync(file, constants.O_RDWR | constants.O_NONBLOCK);
   fill(reader);
   const descriptor = openSync(file, constants.O_WRONLY);
-  return { descriptor, close: () => [reader, descriptor].forEach((open) => closeSync(open)) };
+  return {
+    descriptor,
+    drain: () => drain(reader),
+    close: () => [reader, descriptor].forEach((open) => closeSync(open)),
+  };
 }
