Copy short chunks into blocks, and count what is held

What callers saw: a body or an answer that arrived in chunks of one byte ended the program, and with it all requests on the host: the memory budget let it grow beyond the limit of the host, or its heap was exhausted.

Cause: the budget counted the bytes of a chunk. Each chunk of one byte costs a buffer object of some hundred bytes besides, mostly in the heap, and was kept until the body was complete. The readers of JSON bodies, of the state of other nodes and of the store's answers collected chunks likewise, up to 4 MB.

Fix: ChunkBuffer copies chunks under 4 KiB into blocks of 4 KiB, doubling up to 64 KiB, and keeps longer ones, and the first, without a copy; a single chunk is returned as it is. Its held memory is the length of its blocks and of the kept chunks, and bodies and answers take that from the budget before a chunk is held. Once a body or an answer is joined, only the joined data counts and is held; an answer was held twice until it was released.

tests/utils and tests/memory pass.

--- a/packages/lentillb/src/peers/stateClient.ts
+++ b/packages/lentillb/src/peers/stateClient.ts
@@ -4,6 +4,7 @@
 import { gunzip } from 'node:zlib';
 import type { Result } from 'ts-results-es';
 import { Err } from 'ts-results-es';
+import { ChunkBuffer } from '../utils/chunkBuffer.js';
 import { onClosedUnanswered } from '../utils/closedUnanswered.js';
 import { limitResponseBody, limitResponseHead } from '../utils/responseLimits.js';
 import { runInBackground } from '../utils/background.js';
@@ -50,11 +51,11 @@
     const signal = AbortSignal.timeout(TIMEOUT_MS);
     const outgoing = openRequest(url, { signal, agent: false }, (response) => {
       limitResponseBody(response, MAX_COMPRESSED_BYTES, abortOversized);
-      const chunks: Buffer[] = [];
-      response.on('data', (chunk: Buffer) => chunks.push(chunk));
+      const chunks = new ChunkBuffer();
+      response.on('data', (chunk: Buffer) => chunks.append(chunk));
       response.on('error', ({ message }) => resolve(Err(message)));
       response.on('end', () => {
-        runInBackground(decodeCompressed(Buffer.concat(chunks)).then(resolve));
+        runInBackground(decodeCompressed(chunks.concat()).then(resolve));
       });
     });
     limitResponseHead(outgoing, abortOversized);
--- a/packages/lentillb/src/serving/answerBuffer.ts
+++ b/packages/lentillb/src/serving/answerBuffer.ts
@@ -1,6 +1,7 @@
 /** Buffers answers that are received completely before they are forwarded. */
 import type { MemoryBudget } from '../memory/memoryBudget.js';
 import { MemoryUse } from '../memory/memoryUse.js';
+import { ChunkBuffer } from '../utils/chunkBuffer.js';
 
 /** The maximum length of one answer, in bytes, to bound memory. */
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
@@ -13,9 +14,7 @@
  * answers are rejected by the shared limit.
  */
 export class AnswerBuffer {
-  private readonly chunks: Buffer[] = [];
-
-  private bytes = 0;
+  private readonly chunks = new ChunkBuffer();
 
   private released = false;
 
@@ -33,34 +32,34 @@
       return false;
     }
     this.memory.recordRead(chunk.length);
-    const bytes = this.bytes + chunk.length;
+    const bytes = this.chunks.bytes + chunk.length;
     if (bytes > MAX_ANSWER_BYTES) {
       return false;
     }
+    const growthBytes = this.chunks.growthFor(chunk.length);
     if (bytes <= ALWAYS_ACCEPTED_BYTES) {
-      this.memory.take(MemoryUse.Answers, chunk.length);
-    } else if (!this.memory.tryTake(MemoryUse.Answers, chunk.length)) {
+      this.memory.take(MemoryUse.Answers, growthBytes);
+    } else if (growthBytes > 0 && !this.memory.tryTake(MemoryUse.Answers, growthBytes)) {
       return false;
     }
-    this.chunks.push(chunk);
-    this.bytes = bytes;
+    this.chunks.append(chunk);
     return true;
   }
 
   /** @returns the complete answer */
   concat(): Buffer {
-    const [first] = this.chunks;
-    return first !== undefined && this.chunks.length === 1
-      ? first
-      : Buffer.concat(this.chunks, this.bytes);
+    const { heldBytes } = this.chunks;
+    const answer = this.chunks.concat();
+    this.memory.release(MemoryUse.Answers, heldBytes - this.chunks.heldBytes);
+    return answer;
   }
 
   /** Discards the bytes and subtracts them from the shared limit. */
   release(): void {
     if (!this.released) {
       this.released = true;
-      this.memory.release(MemoryUse.Answers, this.bytes);
-      this.chunks.length = 0;
+      this.memory.release(MemoryUse.Answers, this.chunks.heldBytes);
+      this.chunks.clear();
     }
   }
 }
--- a/packages/lentillb/src/serving/requestBody.ts
+++ b/packages/lentillb/src/serving/requestBody.ts
@@ -5,6 +5,7 @@
 import type { Clock } from '../kernel/clock.js';
 import type { MemoryBudget } from '../memory/memoryBudget.js';
 import { MemoryUse } from '../memory/memoryUse.js';
+import { ChunkBuffer } from '../utils/chunkBuffer.js';
 
 /** The time after which a sender that sends nothing more of a body has stalled, in milliseconds. */
 const STALL_TIMEOUT_MS = 1_000;
@@ -20,8 +21,6 @@
 } as const;
 export type BodyFailure = (typeof BodyFailure)[keyof typeof BodyFailure];
 
-const EMPTY_BODY = Buffer.alloc(0);
-
 /** A complete body. Its bytes count until it is released. */
 export interface CompleteBody {
   readonly bytes: Buffer;
@@ -42,9 +41,10 @@
 class ArrivingBody {
   readonly result: Promise<Result<CompleteBody, BodyFailure>>;
 
-  private readonly chunks: Buffer[] = [];
+  private readonly chunks = new ChunkBuffer();
 
-  private bytes = 0;
+  /** The memory that counts for the body, in bytes. */
+  private heldBytes = 0;
 
   private heardAtMs = 0;
 
@@ -71,16 +71,17 @@
     if (this.settle === undefined) {
       return;
     }
-    if (this.bytes + chunk.length > maxBytes) {
+    if (this.chunks.bytes + chunk.length > maxBytes) {
       this.fail(BodyFailure.TooLong);
       return;
     }
-    if (!memory.tryTake(MemoryUse.Bodies, chunk.length)) {
+    const growthBytes = this.chunks.growthFor(chunk.length);
+    if (growthBytes > 0 && !memory.tryTake(MemoryUse.Bodies, growthBytes)) {
       this.fail(BodyFailure.NoMemory);
       return;
     }
-    this.chunks.push(chunk);
-    this.bytes += chunk.length;
+    this.chunks.append(chunk);
+    this.heldBytes += growthBytes;
     this.heardAtMs = this.terms.clock.monotonicMs();
     this.removeHolder ??= this.addHolder();
   }
@@ -91,15 +92,16 @@
       use: MemoryUse.Bodies,
       isStalled: () => clock.monotonicMs() - this.heardAtMs > STALL_TIMEOUT_MS,
       giveUp: () => {
-        memory.reportRefusal(MemoryUse.Bodies, this.bytes);
+        memory.reportRefusal(MemoryUse.Bodies, this.heldBytes);
         this.fail(BodyFailure.NoMemory);
       },
     });
   }
 
   private complete(): void {
-    const [first = EMPTY_BODY] = this.chunks;
-    const bytes = this.chunks.length <= 1 ? first : Buffer.concat(this.chunks, this.bytes);
+    const bytes = this.chunks.concat();
+    this.terms.memory.release(MemoryUse.Bodies, this.heldBytes - bytes.length);
+    this.heldBytes = bytes.length;
     this.finish(Ok({ bytes, release: () => this.release() }));
   }
 
@@ -112,14 +114,14 @@
 
   private finish(result: Result<CompleteBody, BodyFailure>): void {
     this.removeHolder?.();
-    this.chunks.length = 0;
+    this.chunks.clear();
     this.settle?.(result);
     this.settle = undefined;
   }
 
   private release(): void {
-    this.terms.memory.release(MemoryUse.Bodies, this.bytes);
-    this.bytes = 0;
+    this.terms.memory.release(MemoryUse.Bodies, this.heldBytes);
+    this.heldBytes = 0;
   }
 }
 
--- a/packages/lentillb/src/sidecar/index.ts
+++ b/packages/lentillb/src/sidecar/index.ts
@@ -1,4 +1,5 @@
 /** Exports what a platform adapter needs to build a node. */
+export { ChunkBuffer } from '../utils/chunkBuffer.js';
 export { onClosedUnanswered } from '../utils/closedUnanswered.js';
 export { limitResponseBody, limitResponseHead } from '../utils/responseLimits.js';
 export { afterPendingInput } from '../utils/pendingInput.js';
--- a/packages/lentillb/src/utils/readJson.ts
+++ b/packages/lentillb/src/utils/readJson.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from 'node:http';
 import type { Result } from 'ts-results-es';
 import { Err, Ok } from 'ts-results-es';
+import { ChunkBuffer } from './chunkBuffer.js';
 
 /**
  * Reads and parses a JSON body.
@@ -14,17 +15,15 @@
   request: IncomingMessage,
   maxBytes: number,
 ): Promise<Result<unknown, string>> {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
+  const chunks = new ChunkBuffer();
   try {
     for await (const chunk of request) {
-      bytes += (chunk as Buffer).length;
-      if (bytes > maxBytes) {
+      if (chunks.bytes + (chunk as Buffer).length > maxBytes) {
         return Err(`body is longer than ${maxBytes} bytes`);
       }
-      chunks.push(chunk as Buffer);
+      chunks.append(chunk as Buffer);
     }
-    return Ok(JSON.parse(Buffer.concat(chunks, bytes).toString('utf8')));
+    return Ok(JSON.parse(chunks.concat().toString('utf8')));
   } catch (error) {
     return Err(`body is no JSON: ${(error as Error).message}`);
   }
