--- a/packages/lentillb/src/serving/pipelineLimit.ts
+++ b/packages/lentillb/src/serving/pipelineLimit.ts
@@ -9,50 +9,34 @@
  */
 const MAX_REQUESTS_PER_TURN = 1_000;
 
-/** The connections of a listener, from which reading can be stopped. */
-export interface StoppableReading {
-  /** Stops reading from all connections. */
-  readonly stop: () => void;
-  /**
-   * Reads on from those connections that are due in the next turn.
-   *
-   * @returns whether all connections are read again
-   */
-  readonly goOn: () => boolean;
-}
-
-/** Stops reading from the connections of a listener for the rest of a turn. */
+/** Stops reading from all connections of a listener for the rest of a turn. */
 export class PipelineLimit {
   private requests = 0;
 
   private isWaiting = false;
 
-  private isStopped = false;
-
-  /** @param reading - the connections of the listener */
-  constructor(private readonly reading: StoppableReading) {}
+  /** @param reading - stops reading from all connections, and goes on with it */
+  constructor(private readonly reading: { readonly stop: () => void; readonly goOn: () => void }) {}
 
   /** Counts a request that was read behind another one of its connection. */
   count(): void {
     this.requests += 1;
     if (this.requests === MAX_REQUESTS_PER_TURN) {
-      this.isStopped = true;
       this.reading.stop();
     }
     if (!this.isWaiting) {
       this.isWaiting = true;
-      runInBackground(this.waitForTurns());
+      runInBackground(this.waitForTurn());
     }
   }
 
-  private async waitForTurns(): Promise<void> {
-    do {
-      await waitForPendingInput();
-      this.requests = 0;
-      if (this.isStopped) {
-        this.isStopped = !this.reading.goOn();
-      }
-    } while (this.isStopped);
+  private async waitForTurn(): Promise<void> {
+    await waitForPendingInput();
+    const wasStopped = this.requests >= MAX_REQUESTS_PER_TURN;
+    this.requests = 0;
     this.isWaiting = false;
+    if (wasStopped) {
+      this.reading.goOn();
+    }
   }
 }
