Take a sender as heard before its data asks for memory

A sender that went on after a pause of over 1 s while memory was short could be given up by its own demand: its request was refused, the demand then succeeded with the memory that this had released, and was never released itself. Each such request shrank the room for bodies for the rest of the process. Found by reading. requestBody.spec.ts failed before (65,536 bytes still held) and passes; heads had the same order and are changed too.

--- a/packages/lentillb/src/serving/callerConnection.ts
+++ b/packages/lentillb/src/serving/callerConnection.ts
@@ -258,6 +258,8 @@
 
   private addHeadBytes(bytes: number): void {
     const { clock, memory } = this.terms;
+    // Before the demand, which may give up senders that have stalled.
+    this.headHeardAtMs = clock.monotonicMs();
     if (!memory.tryTake(MemoryUse.Heads, bytes)) {
       if (this.unansweredCount === 0) {
         this.refuseHead();
@@ -269,7 +271,6 @@
       this.socket.pause();
     }
     this.headBytes += bytes;
-    this.headHeardAtMs = clock.monotonicMs();
     this.removeHolder ??= memory.addHolder({
       use: MemoryUse.Heads,
       isStalled: () =>
--- a/packages/lentillb/src/serving/requestBody.ts
+++ b/packages/lentillb/src/serving/requestBody.ts
@@ -75,6 +75,8 @@
       this.fail(BodyFailure.TooLong);
       return;
     }
+    // Before the demand, which may give up senders that have stalled.
+    this.heardAtMs = this.terms.clock.monotonicMs();
     const growthBytes = this.chunks.growthFor(chunk.length);
     if (growthBytes > 0 && !memory.tryTake(MemoryUse.Bodies, growthBytes)) {
       this.fail(BodyFailure.NoMemory);
@@ -82,7 +84,6 @@
     }
     this.chunks.append(chunk);
     this.heldBytes += growthBytes;
-    this.heardAtMs = this.terms.clock.monotonicMs();
     this.removeHolder ??= this.addHolder();
   }
 
