--- a/packages/lentillb/src/observability/heapMonitor.ts
+++ b/packages/lentillb/src/observability/heapMonitor.ts
@@ -13,7 +13,7 @@
 /** The share of the limit from which on the heap is reported. */
 const REPORTED_SHARE = 0.85;
 /** The share of the limit below which the next report becomes possible. */
-const CALM_SHARE = 0.7;
+const RESET_SHARE = 0.7;
 
 /** @returns the use of the heap of this process */
 export function readHeapUse(): HeapUse {
@@ -50,6 +50,6 @@
     if (share >= REPORTED_SHARE && !this.isReported) {
       this.report(use);
     }
-    this.isReported = share >= REPORTED_SHARE || (this.isReported && share >= CALM_SHARE);
+    this.isReported = share >= REPORTED_SHARE || (this.isReported && share >= RESET_SHARE);
   }
 }
--- a/packages/lentillb/src/serving/callerConnection.ts
+++ b/packages/lentillb/src/serving/callerConnection.ts
@@ -64,7 +64,8 @@
 /**
  * Counts one connection, its unanswered requests and the head that it has not sent completely. The HTTP
  * parser keeps the latter. Until a connection has sent a whole request, a whole head is reserved for it; if
- * the share does not allow that, its bytes are counted as they arrive. Then it is looked at now and then.
+ * the share does not allow that, its bytes are counted as they arrive. Afterwards they are measured at
+ * intervals.
  */
 export class CallerConnection {
   private isHeadReserved: boolean;
@@ -91,8 +92,6 @@
   /** The memory of the unanswered requests, in bytes. */
   private requestBytes = 0;
 
-  private hasPipelined = false;
-
   private isPaused = false;
 
   private isGivenUp = false;
@@ -125,11 +124,6 @@
     return this.unansweredCount;
   }
 
-  /** Whether it has had requests, and none of them was read before the answer to the one before. */
-  get isSequential(): boolean {
-    return this.lastRequest !== undefined && !this.hasPipelined;
-  }
-
   /** Whether it was closed for the sake of the memory, so that nothing more of it may be handled. */
   get givenUp(): boolean {
     return this.isGivenUp;
@@ -148,7 +142,6 @@
       return Admission.Closed;
     }
     this.lastRequest = request;
-    this.hasPipelined ||= this.unansweredCount > 0;
     const length = lengthOf(request, headBytes);
     this.isLengthUnknown ||= length === undefined;
     this.requestedBytes += length ?? 0;
@@ -258,7 +251,7 @@
 
   private addHeadBytes(bytes: number): void {
     const { clock, memory } = this.terms;
-    // Before the demand, which may give up senders that have stalled.
+    // Set first, because the demand may give up senders that have stalled.
     this.headHeardAtMs = clock.monotonicMs();
     if (!memory.tryTake(MemoryUse.Heads, bytes)) {
       if (this.unansweredCount === 0) {
--- a/packages/lentillb/src/serving/requestBody.ts
+++ b/packages/lentillb/src/serving/requestBody.ts
@@ -75,7 +75,7 @@
       this.fail(BodyFailure.TooLong);
       return;
     }
-    // Before the demand, which may give up senders that have stalled.
+    // Set first, because the demand may give up senders that have stalled.
     this.heardAtMs = this.terms.clock.monotonicMs();
     const growthBytes = this.chunks.growthFor(chunk.length);
     if (growthBytes > 0 && !memory.tryTake(MemoryUse.Bodies, growthBytes)) {
