Log the duration, size and number of reads and transfers, and requests routed while behind

The lines of a late version could not tell a link that is full of the host's own reads from a change that was heard of and fetched late. Reads of the store and transfers of state now carry what arrived, in what time, and what else was under way; the same stands at the metrics address. An entry that places a request while it knows of a newer version says so with both versions, because the version in its last line is that of the end of the request. Decisions are unchanged.

--- a/packages/lentillb/src/peers/gossip.ts
+++ b/packages/lentillb/src/peers/gossip.ts
@@ -126,6 +126,12 @@
     }
   }
 
+  /** The transfers of state from other nodes. */
+  get transferCounts(): { readonly underWay: number; readonly totalBytes: number } {
+    const { totalBytes, underWay } = this.transfers;
+    return { underWay, totalBytes };
+  }
+
   /** Stops the gossip rounds. */
   stop(): void {
     this.stopped = true;
--- a/packages/lentillb/src/peers/stateClient.ts
+++ b/packages/lentillb/src/peers/stateClient.ts
@@ -8,6 +8,7 @@
 import { onClosedUnanswered } from '../utils/closedUnanswered.js';
 import { limitResponseBody, limitResponseHead } from '../utils/responseLimits.js';
 import { runInBackground } from '../utils/background.js';
+import type { TransferProgress } from '../utils/transferProgress.js';
 import type { NodeState } from './nodeState.js';
 import { decodeNodeState } from './nodeState.js';
 import { HELD_VERSION_PARAMETER, PeerPath } from './stateServer.js';
@@ -36,11 +37,13 @@
  *
  * @param peerAddress - the address and port at which the node answers other nodes
  * @param heldVersion - the configuration version in force at this node; 0 if there is none
+ * @param progress - tracks the response, by default not at all
  * @returns the state, or why it could not be fetched
  */
 export function fetchState(
   peerAddress: string,
   heldVersion: number,
+  progress?: TransferProgress,
 ): Promise<Result<NodeState, string>> {
   return new Promise((resolve) => {
     const url = `http://${peerAddress}${PeerPath.State}?${HELD_VERSION_PARAMETER}=${heldVersion}`;
@@ -52,7 +55,10 @@
     const outgoing = openRequest(url, { signal, agent: false }, (response) => {
       limitResponseBody(response, MAX_COMPRESSED_BYTES, abortOversized);
       const chunks = new ChunkBuffer();
-      response.on('data', (chunk: Buffer) => chunks.append(chunk));
+      response.on('data', (chunk: Buffer) => {
+        chunks.append(chunk);
+        progress?.add(chunk.length);
+      });
       response.on('error', ({ message }) => resolve(Err(message)));
       response.on('end', () => {
         runInBackground(decodeCompressed(chunks.concat()).then(resolve));
--- a/packages/lentillb/src/peers/stateTransfers.ts
+++ b/packages/lentillb/src/peers/stateTransfers.ts
@@ -9,6 +9,7 @@
 import type { DecisionLog } from '../observability/decisionLog.js';
 import { Importance } from '../observability/decisionLog.js';
 import { runInBackground } from '../utils/background.js';
+import { TransferProgress } from '../utils/transferProgress.js';
 import type { NodeState } from './nodeState.js';
 
 /** Minimum time between the end of one transfer and the start of the next, in milliseconds. */
@@ -20,6 +21,7 @@
 export type StateFetcher = (
   peerAddress: string,
   heldVersion: number,
+  progress: TransferProgress,
 ) => Promise<Result<NodeState, string>>;
 
 /** The services that transfers depend on. */
@@ -42,6 +44,8 @@
   /** When each transfer under way was started, by the address of the other node. */
   private readonly startTimesMs = new Map<string, number>();
 
+  private receivedBytes = 0;
+
   private endedAtMs = -Infinity;
 
   /** The end of the last transfer that failed, brought a configuration or was to bring one. */
@@ -63,6 +67,16 @@
     private readonly onState: (state: NodeState, from: string) => void,
   ) {}
 
+  /** The number of transfers under way. */
+  get underWay(): number {
+    return this.startTimesMs.size;
+  }
+
+  /** The bytes of all transfers that have ended. */
+  get totalBytes(): number {
+    return this.receivedBytes;
+  }
+
   /** Ends all attempts that are scheduled. */
   stop(): void {
     this.stopped = true;
@@ -107,20 +121,29 @@
     const { clock, configuration, fetchState, log, status } = this.services;
     const wanted = status.newerVersion;
     this.startTimesMs.set(from, clock.monotonicMs());
-    const fetched = await fetchState(from, configuration.version);
+    const progress = new TransferProgress(clock);
+    const fetched = await fetchState(from, configuration.version, progress);
     this.startTimesMs.delete(from);
+    this.receivedBytes += progress.bytes;
     this.endedAtMs = clock.monotonicMs();
     if (wanted !== undefined || fetched.isErr() || fetched.value.change !== undefined) {
       this.versionEndedAtMs = this.endedAtMs;
     }
+    const transfer = {
+      durationMs: Math.round(progress.durationMs),
+      bytes: progress.bytes,
+      underWay: this.underWay,
+    };
     if (fetched.isErr()) {
-      log.record(Importance.Notable, 'state-not-fetched', { from, reason: fetched.error });
+      const reason = fetched.error;
+      log.record(Importance.Notable, 'state-not-fetched', { from, reason, ...transfer });
       return false;
     }
     const state = fetched.value;
     const { length: hosts } = state.announcements;
     const { baseVersion, version = 0 } = state.change ?? {};
-    log.record(Importance.Notable, 'state-fetched', { from, baseVersion, version, hosts });
+    const fields = { from, baseVersion, version, hosts, ...transfer };
+    log.record(Importance.Notable, 'state-fetched', fields);
     this.onState(state, from);
     if (wanted !== undefined && this.holder?.address === from && version < wanted.version) {
       status.forgetVersion(wanted.version);
--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -183,6 +183,7 @@
       return this.answerMissingRoute(request);
     }
     const forwarded = this.toForwardedRequest(request, route);
+    this.logIfBehind(forwarded);
     if (!this.endsInTime(forwarded)) {
       return this.refuse(request, FailureCause.ShuttingDown, this.untilCallersMovedMs());
     }
@@ -237,6 +238,15 @@
     return { status: HttpStatus.NotFound, headers: {}, body: EMPTY_BODY };
   }
 
+  /** Records by which version a request is routed while this node knows that a newer one exists. */
+  private logIfBehind({ requestId, route, service }: ForwardedRequest): void {
+    const { log, status } = this.services;
+    if (status.newerVersion !== undefined) {
+      const fields = { requestId, route, service, ...status.fields };
+      log.record(Importance.Notable, 'routed-by-earlier-version', fields);
+    }
+  }
+
   /** Returns the gates that may get a request: those of its service, in a trial only one of them. */
   private candidatesFor({ request, trialHostHash }: Attempts): readonly GateEndpoint[] {
     const candidates = this.services.directory.endpointsOf(request.service);
--- a/packages/lentillb/src/sidecar/index.ts
+++ b/packages/lentillb/src/sidecar/index.ts
@@ -40,6 +40,7 @@
 export { decodeEscapes } from '../utils/decodeEscapes.js';
 export { parseAddress } from '../utils/networkAddress.js';
 export { readJson } from '../utils/readJson.js';
+export type { TransferProgress } from '../utils/transferProgress.js';
 export { describeAddressFailure } from './addressOpener.js';
 export type { AddressFailure } from './addressOpener.js';
 export { Sidecar } from './sidecar.js';
--- a/packages/lentillb/src/sidecar/meshState.ts
+++ b/packages/lentillb/src/sidecar/meshState.ts
@@ -15,9 +15,10 @@
 import type { KeyedRecord, KeyedStore } from '../store/keyedStore.js';
 import { Topic } from '../store/keyedStore.js';
 import type { StoreEraTracker } from '../store/storeEraTracker.js';
-import type { FollowerOptions, ReadSchedule } from '../store/topicFollower.js';
+import type { FollowerOptions, ReadSchedule, TopicListener } from '../store/topicFollower.js';
 import { TopicFollower } from '../store/topicFollower.js';
 import { runInBackground } from '../utils/background.js';
+import type { TransferProgress } from '../utils/transferProgress.js';
 
 /** Delays after reads with records, in milliseconds; a part of the time until a change is in force. */
 const CONFIGURATION_BATCH_DELAY_MS = 500;
@@ -119,7 +120,7 @@
         schedule: this.scheduleOf(Topic.Operator),
         needsHistory: () => this.hasUnusableRecord && this.configuration.current === undefined,
       },
-      (records) => this.acceptConfigurations(records),
+      (records, progress) => this.acceptConfigurations(records, progress),
     );
     this.hostsFollower = this.follow(
       {
@@ -192,6 +193,14 @@
     this.services.log.record(Importance.Notable, 'input-rejected', { source, reason });
   }
 
+  /**
+   * @param topic - a topic of the store
+   * @returns the follower that reads it
+   */
+  followerOf(topic: Topic): Pick<TopicFollower, 'totalBytes' | 'underWay'> {
+    return topic === Topic.Operator ? this.operatorFollower : this.hostsFollower;
+  }
+
   /** Reads the hosts first, because they show whether other nodes of the zone can provide the configuration. */
   private async followOperator(): Promise<void> {
     const hostsRead = new Promise<void>((resolve) => {
@@ -213,10 +222,7 @@
     };
   }
 
-  private follow(
-    options: FollowerOptions,
-    accept: (records: readonly KeyedRecord[]) => void,
-  ): TopicFollower {
+  private follow(options: FollowerOptions, accept: TopicListener['onRecords']): TopicFollower {
     const { log } = this.services;
     const { topic } = options;
     return new TopicFollower(this.services, options, {
@@ -232,11 +238,14 @@
         const event = isFirst ? 'store-lost' : 'store-read-failed';
         log.record(Importance.Notable, event, { topic, kind, message });
       },
-      onOverdue: (waitedMs, overdueReads) => {
+      onOverdue: ({ bytes, durationMs, silentMs }, overdueReads) => {
         log.record(Importance.Notable, 'store-read-overdue', {
           topic,
-          waitedMs: Math.round(waitedMs),
+          waitedMs: Math.round(durationMs),
+          silentMs: Math.round(silentMs),
+          bytes,
           overdueReads,
+          underWay: this.followerOf(topic).underWay,
         });
       },
       onAnswered: (currentAtMs, recordCount) => {
@@ -258,7 +267,10 @@
    * Activates the newest valid version among the records of one read. Their order does not matter: a
    * write that the store executed late stands behind a newer version.
    */
-  private acceptConfigurations(records: readonly KeyedRecord[]): void {
+  private acceptConfigurations(
+    records: readonly KeyedRecord[],
+    { bytes, durationMs }: TransferProgress,
+  ): void {
     const { configurationKey } = this.options;
     const written = records.filter(
       ({ key, value }) => key === configurationKey && value !== undefined,
@@ -274,6 +286,9 @@
       inForce: this.configuration.activateIfNewer(newest),
       offset: records.at(-1)?.offset,
       records: written.length,
+      durationMs: Math.round(durationMs),
+      bytes,
+      underWay: this.operatorFollower.underWay,
     });
   }
 
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -54,6 +54,7 @@
 import { SuspectRequests } from '../serving/suspectRequests.js';
 import { EraCheckedStore } from '../store/eraCheckedStore.js';
 import type { KeyedStore } from '../store/keyedStore.js';
+import { Topic } from '../store/keyedStore.js';
 import { StoreEraTracker } from '../store/storeEraTracker.js';
 import { AddressOpener } from './addressOpener.js';
 import type { AddressFailure } from './addressOpener.js';
@@ -383,6 +384,13 @@
     metrics.gauge('memory_resident_bytes', () => process.memoryUsage.rss());
     metrics.gauge('memory_heap_bytes', () => process.memoryUsage().heapTotal);
     metrics.gauge('memory_buffer_bytes', () => process.memoryUsage().arrayBuffers);
+    Object.values(Topic).forEach((topic) => {
+      const follower = this.meshState.followerOf(topic);
+      metrics.gauge(`store_reads_under_way{topic="${topic}"}`, () => follower.underWay);
+      metrics.gauge(`store_read_bytes{topic="${topic}"}`, () => follower.totalBytes);
+    });
+    metrics.gauge('state_transfers_under_way', () => this.gossip.transferCounts.underWay);
+    metrics.gauge('state_transfer_bytes', () => this.gossip.transferCounts.totalBytes);
     metrics.gauge('known_hosts', () => directory.announcements.length);
   }
 
--- a/packages/lentillb/src/store/eraCheckedStore.ts
+++ b/packages/lentillb/src/store/eraCheckedStore.ts
@@ -2,6 +2,7 @@
 import type { Result } from 'ts-results-es';
 import { Err } from 'ts-results-es';
 import type { Deadline } from '../kernel/deadline.js';
+import type { TransferProgress } from '../utils/transferProgress.js';
 import type {
   KeyedBatch,
   KeyedStore,
@@ -28,8 +29,12 @@
     private readonly tracker: StoreEraTracker,
   ) {}
 
-  async readNewest(topic: Topic, deadline: Deadline): Promise<Result<KeyedBatch, StoreFailure>> {
-    return this.check(await this.store.readNewest(topic, deadline));
+  async readNewest(
+    topic: Topic,
+    deadline: Deadline,
+    progress?: TransferProgress,
+  ): Promise<Result<KeyedBatch, StoreFailure>> {
+    return this.check(await this.store.readNewest(topic, deadline, progress));
   }
 
   async follow(
@@ -37,9 +42,10 @@
     from: number,
     waitMs: number,
     deadline: Deadline,
+    progress?: TransferProgress,
   ): Promise<Result<KeyedBatch, StoreFailure>> {
     const eraOfOffset = this.tracker.current;
-    const result = this.check(await this.store.follow(topic, from, waitMs, deadline));
+    const result = this.check(await this.store.follow(topic, from, waitMs, deadline, progress));
     const wentBack = eraOfOffset !== undefined && eraOfOffset !== this.tracker.current;
     return result.isOk() && wentBack
       ? fail(
--- a/packages/lentillb/src/store/keyedStore.ts
+++ b/packages/lentillb/src/store/keyedStore.ts
@@ -1,6 +1,7 @@
 /** Defines the interface to the platform's store of keyed records. */
 import type { Result } from 'ts-results-es';
 import type { Deadline } from '../kernel/deadline.js';
+import type { TransferProgress } from '../utils/transferProgress.js';
 
 /** The topics that nodes read or write. */
 export const Topic = {
@@ -67,9 +68,14 @@
    *
    * @param topic - the topic to read
    * @param deadline - the deadline of the call
+   * @param progress - tracks the answer, by default not at all
    * @returns the records, or why they could not be read
    */
-  readNewest(topic: Topic, deadline: Deadline): Promise<Result<KeyedBatch, StoreFailure>>;
+  readNewest(
+    topic: Topic,
+    deadline: Deadline,
+    progress?: TransferProgress,
+  ): Promise<Result<KeyedBatch, StoreFailure>>;
 
   /**
    * Reads records from an offset on, and waits for the first one if there is none yet.
@@ -78,6 +84,7 @@
    * @param from - the offset of the first record to read
    * @param waitMs - how long to wait for a first record, in milliseconds
    * @param deadline - the deadline of the call
+   * @param progress - tracks the answer, by default not at all
    * @returns the records, none if the wait passed, or why they could not be read
    */
   follow(
@@ -85,6 +92,7 @@
     from: number,
     waitMs: number,
     deadline: Deadline,
+    progress?: TransferProgress,
   ): Promise<Result<KeyedBatch, StoreFailure>>;
 
   /**
--- a/packages/lentillb/src/store/topicFollower.ts
+++ b/packages/lentillb/src/store/topicFollower.ts
@@ -3,6 +3,7 @@
 import { Deadline } from '../kernel/deadline.js';
 import type { Randomness } from '../kernel/randomness.js';
 import { Backoff } from '../utils/backoff.js';
+import { TransferProgress } from '../utils/transferProgress.js';
 import type { KeyedBatch, KeyedRecord, KeyedStore, StoreFailure, Topic } from './keyedStore.js';
 import { StoreFailureKind } from './keyedStore.js';
 
@@ -30,8 +31,9 @@
    * Called with the records of each read that returned any.
    *
    * @param records - the newest records, oldest first
+   * @param progress - the answer that held them
    */
-  readonly onRecords: (records: readonly KeyedRecord[]) => void;
+  readonly onRecords: (records: readonly KeyedRecord[], progress: TransferProgress) => void;
   /** Called once the topic has been read to its end for the first time. */
   readonly onCaughtUp: () => void;
   /**
@@ -52,10 +54,10 @@
   /**
    * Called when a read is left waiting and another one is sent, because the known content is too old.
    *
-   * @param waitedMs - how long the read has been waiting, in milliseconds
+   * @param progress - the answer that the read waits for
    * @param overdueReads - the number of reads in a row that were left waiting
    */
-  readonly onOverdue: (waitedMs: number, overdueReads: number) => void;
+  readonly onOverdue: (progress: TransferProgress, overdueReads: number) => void;
   /** Called at the first success after failed calls. */
   readonly onRecovered: () => void;
 }
@@ -96,6 +98,10 @@
 
   private caughtUp = false;
 
+  private readonly readsUnderWay = new Set<TransferProgress>();
+
+  private receivedBytes = 0;
+
   /** Whether the retained records before the newest ones are being read. */
   private readsHistory = false;
 
@@ -142,6 +148,16 @@
     }
   }
 
+  /** The number of reads under way, with those that were left waiting. */
+  get underWay(): number {
+    return this.readsUnderWay.size;
+  }
+
+  /** The bytes of all answers to reads that have ended. */
+  get totalBytes(): number {
+    return this.receivedBytes;
+  }
+
   /** Ends the loop after the current call. */
   stop(): void {
     this.stopped = true;
@@ -164,24 +180,23 @@
    */
   private async readOnce(): Promise<void> {
     const { clock } = this.services;
-    const startedAtMs = clock.monotonicMs();
+    const progress = new TransferProgress(clock);
     const restarted = new Promise<undefined>((resolve) => {
       this.abandonRead = () => resolve(undefined);
     });
     const ended = new AbortController();
     const overdue = this.waitUntilOverdue(ended.signal);
-    const outcome = await Promise.race([this.read(), restarted, overdue]);
+    const outcome = await Promise.race([this.read(progress), restarted, overdue]);
     ended.abort();
     if (outcome === 'overdue') {
       this.overdueReads += 1;
-      this.listener.onOverdue(clock.monotonicMs() - startedAtMs, this.overdueReads);
+      this.listener.onOverdue(progress, this.overdueReads);
       return;
     }
     if (outcome === undefined || this.stopped) {
       return;
     }
-    const elapsedMs = clock.monotonicMs() - startedAtMs;
-    await clock.sleep(Math.max(outcome.delayMs, MIN_READ_INTERVAL_MS - elapsedMs));
+    await clock.sleep(Math.max(outcome.delayMs, MIN_READ_INTERVAL_MS - progress.durationMs));
   }
 
   /** Resolves once the known content is too old although a read has had time to be answered. */
@@ -199,7 +214,9 @@
   }
 
   /** Reads and handles the answer. Returns the delay before the next read; undefined if it is void. */
-  private async read(): Promise<{ readonly delayMs: number } | undefined> {
+  private async read(
+    progress: TransferProgress,
+  ): Promise<{ readonly delayMs: number } | undefined> {
     const { clock, store } = this.services;
     const { schedule, topic } = this.options;
     const sentAtMs = clock.monotonicMs();
@@ -210,9 +227,12 @@
     // The first read after an outage does not wait, so that the recovery is detected at once.
     const waitMs = this.unavailable || from === undefined ? 0 : schedule.pollMs();
     const deadline = Deadline.after(clock, waitMs + ANSWER_TIMEOUT_MS);
+    this.readsUnderWay.add(progress);
     const read = await (from === undefined
-      ? store.readNewest(topic, deadline)
-      : store.follow(topic, from, waitMs, deadline));
+      ? store.readNewest(topic, deadline, progress)
+      : store.follow(topic, from, waitMs, deadline, progress));
+    this.readsUnderWay.delete(progress);
+    this.receivedBytes += progress.bytes;
     if (this.stopped || restarts !== this.restarts) {
       return undefined;
     }
@@ -229,13 +249,28 @@
     this.lastAnswer = { atMs: clock.monotonicMs(), sentAtMs };
     // An empty answer that comes before the wait has passed proves no more than one with records.
     const hasWaited = isEmpty && clock.monotonicMs() >= sentAtMs + waitMs;
-    this.handleBatch(read.value, isNewest, sentAtMs + (hasWaited ? waitMs : 0));
+    this.handleBatch(read.value, {
+      isNewest,
+      currentAtMs: sentAtMs + (hasWaited ? waitMs : 0),
+      progress,
+    });
     // While a fleet starts, the read after the first one returns the records of many hosts at once.
     const collects = isNewest || !isEmpty;
     return { delayMs: collects ? Math.min(this.options.batchDelayMs, schedule.pollMs()) : 0 };
   }
 
-  private handleBatch(batch: KeyedBatch, isNewest: boolean, currentAtMs: number): void {
+  private handleBatch(
+    batch: KeyedBatch,
+    {
+      currentAtMs,
+      isNewest,
+      progress,
+    }: {
+      readonly isNewest: boolean;
+      readonly currentAtMs: number;
+      readonly progress: TransferProgress;
+    },
+  ): void {
     this.backoff.reset();
     if (this.unavailable) {
       this.unavailable = false;
@@ -244,7 +279,7 @@
     // Another read may have been answered meanwhile.
     this.nextOffset = Math.max(this.nextOffset ?? 0, batch.nextOffset);
     if (batch.records.length > 0) {
-      this.listener.onRecords(batch.records);
+      this.listener.onRecords(batch.records, progress);
     }
     this.listener.onAnswered(currentAtMs, batch.records.length);
     if (isNewest && !this.readsHistory && this.options.needsHistory?.() === true) {
