Reproduce versions that are late on narrow links, by tests that fail

The model of the control part carries answers over links with a bandwidth that transfers under way share, and the store answers with two configurations at most.

--- /dev/null
+++ b/tests/sidecar/narrowLinks.spec.ts
@@ -0,0 +1,82 @@
+import { afterEach, describe, expect, it } from 'vitest';
+import { ControlFleet } from '../support/controlFleet.js';
+
+/** The time from the confirmation of a version until it must be in force, in milliseconds. */
+const APPLY_MS = 2_000;
+/** The time for which a fleet runs before it is measured, in milliseconds. */
+const WARM_UP_MS = 8_000;
+/** The answer of the store to a read holds two configurations of 400 KB at most. */
+const RECORDS_PER_ANSWER = 2;
+const SLOW_STORE_MS = 200;
+const WIDE_MEGABITS = 100;
+const ZONES = ['z0', 'z1'];
+const HOSTS_PER_ZONE = 14;
+/** The hosts of a zone with wide links, which come first. */
+const WIDE_HOSTS = 2;
+/** The part of each link that other traffic takes, in percent. */
+const BUSY_PERCENTS = [10, 40, 80] as const;
+
+let fleet: ControlFleet | undefined;
+
+afterEach(() => fleet?.stop());
+
+async function startFleet(narrowMegabits: number, busyPercent: number): Promise<ControlFleet> {
+  const hosts = ZONES.flatMap((zone) =>
+    Array.from({ length: HOSTS_PER_ZONE }, (_, index) => ({
+      host: `${zone}-${index}`,
+      zone,
+      megabits: index < WIDE_HOSTS ? WIDE_MEGABITS : narrowMegabits,
+    })),
+  );
+  const created = new ControlFleet(
+    Object.fromEntries(hosts.map(({ host, zone }) => [host, zone])),
+    1,
+    Object.fromEntries(hosts.map(({ host, megabits }) => [host, megabits])),
+  );
+  fleet = created;
+  created.store.maxRecords = RECORDS_PER_ANSWER;
+  created.publish('1');
+  await created.start();
+  await created.advance(WARM_UP_MS);
+  created.nodes.forEach(({ link }) => link.occupy(busyPercent / 100));
+  return created;
+}
+
+function slowest(delays: Readonly<Record<string, number>>): number {
+  return Math.max(0, ...Object.values(delays));
+}
+
+function versionsUpTo(last: number): readonly number[] {
+  return Array.from({ length: last - 1 }, (_, index) => index + 2);
+}
+
+describe('a confirmed version on narrow links', () => {
+  it.each(
+    [3.5, 5].flatMap((megabits) =>
+      BUSY_PERCENTS.flatMap((busyPercent) =>
+        [
+          { count: 1, gapMs: 300 },
+          { count: 18, gapMs: 270 },
+          { count: 25, gapMs: 60 },
+        ].map((series) => ({ ...series, busyPercent, megabits })),
+      ),
+    ),
+  )(
+    'should be in force in time: $count at $gapMs ms, links of $megabits Mbit/s, $busyPercent % taken',
+    async ({ busyPercent, count, gapMs, megabits }) => {
+      const running = await startFleet(megabits, busyPercent);
+      const delays = await running.measureSeries(versionsUpTo(count + 1), gapMs, 10_000);
+      expect(slowest(delays)).toBeLessThan(APPLY_MS);
+    },
+  );
+
+  it.each(BUSY_PERCENTS)(
+    'should be in force in time while the store answers after 200 ms, %i percent of the links taken',
+    async (busyPercent) => {
+      const running = await startFleet(5, busyPercent);
+      running.store.callMs = SLOW_STORE_MS;
+      const delays = await running.measureSeries(versionsUpTo(16), 300, 10_000);
+      expect(slowest(delays)).toBeLessThan(APPLY_MS);
+    },
+  );
+});
--- a/tests/support/controlFleet.ts
+++ b/tests/support/controlFleet.ts
@@ -14,9 +14,11 @@
 import { StoreFailureKind, Topic } from 'lentillb/store/keyedStore.js';
 import { StoreEraTracker } from 'lentillb/store/storeEraTracker.js';
 import { runInBackground } from 'lentillb/utils/background.js';
+import type { TransferProgress } from 'lentillb/utils/transferProgress.js';
 import type { Result } from 'ts-results-es';
 import { Err, Ok } from 'ts-results-es';
 import { MemoryKeyedStore } from './memoryKeyedStore.js';
+import { carry, Link } from './sharedLinks.js';
 
 const CONFIGURATION_KEY = 'config';
 /** The port of the first node; those of the others follow. */
@@ -27,6 +29,20 @@
 const TRANSFER_TIMEOUT_MS = 2_000;
 const LIMITS = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
 
+/** The size of a record with a configuration of 1,600 routes, in bytes. */
+const CONFIGURATION_BYTES = 400_000;
+/** The size of a record of a host, in bytes. */
+const HOST_RECORD_BYTES = 250;
+/** The store sends the newest records of a topic in base64. */
+const BASE64_FACTOR = 4 / 3;
+/** The size of a whole configuration, and of a change of it, as a node sends them to another, in bytes. */
+const WHOLE_STATE_BYTES = 30_000;
+const CHANGE_BYTES = 1_000;
+/** The size that each host adds to the state of a node, compressed, in bytes. */
+const HOST_STATE_BYTES = 60;
+/** The size of an answer without content, in bytes. */
+const HEAD_BYTES = 150;
+
 /** The faults of one node. */
 export const ControlFault = {
   /** Its calls to the store get no answer; other nodes reach it. */
@@ -43,40 +59,67 @@
   constructor(
     private readonly clock: Clock,
     private readonly store: KeyedStore,
-    private readonly fault: () => ControlFault | undefined,
-    private readonly onRefused: () => void,
+    private readonly node: {
+      readonly link: Link;
+      readonly fault: () => ControlFault | undefined;
+      readonly onRefused: () => void;
+    },
   ) {}
 
-  readNewest(topic: Topic, deadline: Deadline): Promise<Result<KeyedBatch, StoreFailure>> {
-    return this.call(deadline, () => this.store.readNewest(topic, deadline));
+  async readNewest(
+    topic: Topic,
+    deadline: Deadline,
+    progress?: TransferProgress,
+  ): Promise<Result<KeyedBatch, StoreFailure>> {
+    const read = await this.call(deadline, () => this.store.readNewest(topic, deadline));
+    return this.receive(topic, read, BASE64_FACTOR, progress);
   }
 
-  follow(
+  async follow(
     topic: Topic,
     from: number,
     waitMs: number,
     deadline: Deadline,
+    progress?: TransferProgress,
   ): Promise<Result<KeyedBatch, StoreFailure>> {
-    return this.call(deadline, () => this.store.follow(topic, from, waitMs, deadline));
+    const read = await this.call(deadline, () => this.store.follow(topic, from, waitMs, deadline));
+    return this.receive(topic, read, 1, progress);
   }
 
   write(...call: Parameters<KeyedStore['write']>): ReturnType<KeyedStore['write']> {
     return this.call(call[3], () => this.store.write(...call));
   }
 
+  /** Carries an answer over the link of the node. */
+  private async receive(
+    topic: Topic,
+    read: Result<KeyedBatch, StoreFailure>,
+    factor: number,
+    progress: TransferProgress | undefined,
+  ): Promise<Result<KeyedBatch, StoreFailure>> {
+    if (read.isErr()) {
+      return read;
+    }
+    const recordBytes = topic === Topic.Operator ? CONFIGURATION_BYTES : HOST_RECORD_BYTES;
+    const bytes = HEAD_BYTES + read.value.records.length * recordBytes * factor;
+    return (await carry(this.clock, bytes, [this.node.link], progress))
+      ? read
+      : Err({ kind: StoreFailureKind.Unknown, message: 'cancelled' });
+  }
+
   private async call<Value>(
     deadline: Deadline,
     send: () => Promise<Result<Value, StoreFailure>>,
   ): Promise<Result<Value, StoreFailure>> {
-    if (this.fault() === ControlFault.Refused) {
-      this.onRefused();
+    if (this.node.fault() === ControlFault.Refused) {
+      this.node.onRefused();
       return Err({ kind: StoreFailureKind.NotExecuted, message: 'refused' });
     }
     const timeout: Promise<Result<Value, StoreFailure>> = this.clock
       .sleep(deadline.remainingMs())
       .then(() => Err({ kind: StoreFailureKind.Unknown, message: 'timed out' }));
     const answer = await Promise.race([send(), timeout]);
-    return this.fault() === undefined ? answer : timeout;
+    return this.node.fault() === undefined ? answer : timeout;
   }
 }
 
@@ -91,6 +134,8 @@
 
   fault: ControlFault | undefined;
 
+  readonly link: Link;
+
   /** The lines that the node logged. */
   readonly lines: Readonly<Record<string, unknown>>[] = [];
 
@@ -98,9 +143,18 @@
     private readonly fleet: ControlFleet,
     readonly host: string,
     readonly zone: string,
-    { peerAddress, seed }: { readonly peerAddress: string; readonly seed: number },
+    {
+      linkMegabits,
+      peerAddress,
+      seed,
+    }: {
+      readonly linkMegabits: number;
+      readonly peerAddress: string;
+      readonly seed: number;
+    },
   ) {
     this.peerAddress = peerAddress;
+    this.link = new Link(linkMegabits);
     const { clock } = fleet;
     const randomness = new SeededRandomness(seed);
     const write = (line: object): void => {
@@ -112,12 +166,11 @@
       {
         clock,
         randomness,
-        store: new FaultyStore(
-          clock,
-          fleet.store,
-          () => this.fault,
-          () => fleet.countRefusal(),
-        ),
+        store: new FaultyStore(clock, fleet.store, {
+          link: this.link,
+          fault: () => this.fault,
+          onRefused: () => fleet.countRefusal(),
+        }),
         era,
         log,
       },
@@ -152,7 +205,8 @@
         log,
         gateLoad: () => undefined,
         transport: { send: (to, message) => fleet.deliver(this, to, message) },
-        fetchState: (from, heldVersion) => fleet.transfer(this, from, heldVersion),
+        fetchState: (from, heldVersion, progress) =>
+          fleet.transfer(this, from, heldVersion, progress),
       },
       { host, zone },
       { onState: (state) => this.state.acceptState(state), onGateLoad: () => undefined },
@@ -186,11 +240,17 @@
   /**
    * @param zones - the availability zone of each host
    * @param seed - the seed of all random choices
+   * @param linkMegabits - the bandwidth of the link of each host in megabits per second
    */
-  constructor(zones: Readonly<Record<string, string>>, seed = 1) {
+  constructor(
+    zones: Readonly<Record<string, string>>,
+    seed = 1,
+    private readonly linkMegabits: Readonly<Record<string, number>> = {},
+  ) {
     this.nodes = Object.entries(zones).map(
       ([host, zone], index) =>
         new ControlNode(this, host, zone, {
+          linkMegabits: linkMegabits[host] ?? Infinity,
           peerAddress: `127.0.0.1:${FIRST_PORT + index}`,
           seed: seed * 100 + index,
         }),
@@ -199,7 +259,7 @@
 
   /** Starts all nodes; their hosts are announced in the store. */
   async start(): Promise<void> {
-    this.nodes.forEach(({ host, zone }) => this.announce(host, zone));
+    this.nodes.forEach(({ host, zone }) => this.announce(host, zone, this.linkMegabits[host]));
     await this.advance(100);
     this.nodes.forEach((node) => node.start());
   }
@@ -230,6 +290,45 @@
     runInBackground(this.store.write(Topic.Operator, CONFIGURATION_KEY, Buffer.from(value)));
   }
 
+  /**
+   * Publishes versions in a row, and measures when each is in force.
+   *
+   * @param versions - the versions, in the order of their publication
+   * @param gapMs - the time between two of them, in milliseconds
+   * @param limitMs - how long to wait for the last one at most, in milliseconds
+   * @returns the longest time from the confirmation of a version until a node had it or a later one,
+   *   in milliseconds, by host
+   */
+  async measureSeries(
+    versions: readonly number[],
+    gapMs: number,
+    limitMs: number,
+  ): Promise<Readonly<Record<string, number>>> {
+    const longest: Record<string, number> = {};
+    const pending = new Map<number, number>();
+    const held = new Map(this.nodes.map(({ host, state }) => [host, state.configuration.version]));
+    versions.forEach((version, index) => {
+      this.clock.after(index * gapMs, () => {
+        this.publish(`${version}`);
+        pending.set(version, this.clock.monotonicMs() + this.store.callMs);
+      });
+    });
+    const endMs = this.nowMs + versions.length * gapMs + limitMs;
+    while (this.nowMs < endMs) {
+      await this.advance(10);
+      this.nodes.forEach(({ host, state }) => {
+        const before = held.get(host) ?? 0;
+        pending.forEach((confirmedAtMs, version) => {
+          if (version > before) {
+            longest[host] = Math.max(longest[host] ?? 0, this.nowMs - confirmedAtMs);
+          }
+        });
+        held.set(host, state.configuration.version);
+      });
+    }
+    return longest;
+  }
+
   /** @param durationMs - how long to run the nodes, in milliseconds of simulated time */
   async advance(durationMs: number): Promise<void> {
     this.nowMs += durationMs;
@@ -314,6 +413,7 @@
     to: ControlNode,
     from: string,
     heldVersion: number,
+    progress?: TransferProgress,
   ): Promise<Result<NodeState, string>> {
     await this.clock.sleep(TRANSFER_MS);
     const sender = this.nodeAt(from);
@@ -323,7 +423,14 @@
     }
     const { configuration, directory } = sender.state;
     const { announcements } = directory;
-    return Ok({ change: configuration.changeSince(heldVersion), announcements });
+    const change = configuration.changeSince(heldVersion);
+    const changeBytes = change?.baseVersion === 0 ? WHOLE_STATE_BYTES : CHANGE_BYTES;
+    const bytes = HEAD_BYTES + (change ? changeBytes : 0) + HOST_STATE_BYTES * announcements.length;
+    const arrival = carry(this.clock, bytes, [to.link, sender.link], progress);
+    const timeout = this.clock.sleep(TRANSFER_TIMEOUT_MS).then(() => false);
+    const arrived = await Promise.race([arrival, timeout]);
+    progress?.cancel();
+    return arrived ? Ok({ change, announcements }) : Err('timed out');
   }
 
   private nodeAt(peerAddress: string): ControlNode | undefined {
--- a/tests/support/memoryKeyedStore.ts
+++ b/tests/support/memoryKeyedStore.ts
@@ -23,6 +23,12 @@
   /** After how long a waiting read is answered at the latest, in milliseconds. */
   maxWaitMs = Infinity;
 
+  /** The time of one call, in milliseconds. */
+  callMs = CALL_MS;
+
+  /** The number of records in the answer to a read from an offset at most. */
+  maxRecords = Infinity;
+
   /** The number of calls so far. */
   calls = 0;
 
@@ -58,7 +64,7 @@
 
   async readNewest(topic: Topic): Promise<Result<KeyedBatch, StoreFailure>> {
     this.calls += 1;
-    await this.clock.sleep(CALL_MS);
+    await this.clock.sleep(this.callMs);
     if (!this.available) {
       return this.fail(StoreFailureKind.NotExecuted);
     }
@@ -74,7 +80,7 @@
   ): Promise<Result<KeyedBatch, StoreFailure>> {
     this.calls += 1;
     const endMs = this.clock.monotonicMs() + Math.min(waitMs, this.maxWaitMs);
-    await this.clock.sleep(CALL_MS);
+    await this.clock.sleep(this.callMs);
     const all = this.recordsByTopic[topic];
     while (this.available && all.length === from && this.clock.monotonicMs() < endMs) {
       await this.clock.sleep(POLL_INTERVAL_MS);
@@ -83,9 +89,11 @@
       return this.fail(StoreFailureKind.NotExecuted);
     }
     const firstOffset = topic === Topic.Operator ? this.firstOffset : 0;
-    return all.length < from || from < firstOffset
-      ? this.fail(StoreFailureKind.NotRetained, firstOffset)
-      : Ok({ records: all.slice(from), nextOffset: all.length, era: this.era });
+    if (all.length < from || from < firstOffset) {
+      return this.fail(StoreFailureKind.NotRetained, firstOffset);
+    }
+    const records = all.slice(from, from + this.maxRecords);
+    return Ok({ records, nextOffset: from + records.length, era: this.era });
   }
 
   async write(
@@ -93,7 +101,7 @@
     key: string,
     value: Uint8Array,
   ): Promise<Result<WrittenRecord, StoreFailure>> {
-    await this.clock.sleep(CALL_MS);
+    await this.clock.sleep(this.callMs);
     if (!this.available) {
       return this.fail(StoreFailureKind.NotExecuted);
     }
