Read the newest configuration at once where versions outrun a follower

A follower that was behind read the versions between one by one, as many as fit into an answer of 1,024 KB, and paused for up to 500 ms after each. The end of the topic in the answer says that it is behind; it now reads the newest record next, without a pause, and does not count as complete before. Where the newest one is unusable, what was skipped is read after all, so the newest valid version is found as before. The stand-in of the store keeps the bounds of answers, pages, records and calls, which no test had.

--- a/packages/lentillb/src/sidecar/meshState.ts
+++ b/packages/lentillb/src/sidecar/meshState.ts
@@ -117,8 +117,9 @@
         topic: Topic.Operator,
         batchDelayMs: CONFIGURATION_BATCH_DELAY_MS,
         maxResumeMs: MAX_CONFIGURATION_RESUME_MS,
+        newestOnly: true,
         schedule: this.scheduleOf(Topic.Operator),
-        needsHistory: () => this.hasUnusableRecord && this.configuration.current === undefined,
+        needsHistory: () => this.hasUnusableRecord,
       },
       (records, progress) => this.acceptConfigurations(records, progress),
     );
--- a/packages/lentillb/src/store/keyedStore.ts
+++ b/packages/lentillb/src/store/keyedStore.ts
@@ -29,6 +29,8 @@
 export interface KeyedBatch {
   readonly records: readonly KeyedRecord[];
   readonly nextOffset: number;
+  /** Whether the topic had records from `nextOffset` on when it was read. */
+  readonly hasMore: boolean;
   readonly era: StoreEra;
 }
 
--- a/packages/lentillb/src/store/topicFollower.ts
+++ b/packages/lentillb/src/store/topicFollower.ts
@@ -40,7 +40,7 @@
    * Called after every answer of the store, once its records have been passed on.
    *
    * @param currentAtMs - a time at which the store had no later records, in milliseconds of the
-   *   monotonic clock
+   *   monotonic clock; -Infinity if it has
    * @param recordCount - the number of records in the answer
    */
   readonly onAnswered: (currentAtMs: number, recordCount: number) => void;
@@ -82,10 +82,15 @@
    * reads the newest records only. By default, it always continues.
    */
   readonly maxResumeMs?: number;
+  /**
+   * Whether only the newest record of each key is needed. A follower that is behind then skips the
+   * records between. By default, all are read.
+   */
+  readonly newestOnly?: boolean;
   readonly schedule: ReadSchedule;
   /**
-   * Returns whether the newest records were unusable, so that all retained ones are read. Called
-   * after each read of the newest records; by default, they are never unusable.
+   * Returns whether the newest records were unusable, so that those before them are read that have not
+   * been read yet. Called after each read of the newest records; by default, they are never unusable.
    */
   readonly needsHistory?: () => boolean;
 }
@@ -94,6 +99,9 @@
 export class TopicFollower {
   private nextOffset: number | undefined;
 
+  /** The offset before which all records have been read or were not needed. */
+  private handledOffset = 0;
+
   private unavailable = false;
 
   private caughtUp = false;
@@ -169,6 +177,7 @@
    */
   restart(): void {
     this.nextOffset = undefined;
+    this.handledOffset = 0;
     this.readsHistory = false;
     this.restarts += 1;
     this.abandonRead?.();
@@ -255,7 +264,7 @@
       progress,
     });
     // While a fleet starts, the read after the first one returns the records of many hosts at once.
-    const collects = isNewest || !isEmpty;
+    const collects = (isNewest || !isEmpty) && !read.value.hasMore;
     return { delayMs: collects ? Math.min(this.options.batchDelayMs, schedule.pollMs()) : 0 };
   }
 
@@ -278,17 +287,22 @@
     }
     // Another read may have been answered meanwhile.
     this.nextOffset = Math.max(this.nextOffset ?? 0, batch.nextOffset);
+    if (batch.hasMore && this.options.newestOnly === true && !this.readsHistory) {
+      this.nextOffset = undefined;
+    }
     if (batch.records.length > 0) {
       this.listener.onRecords(batch.records, progress);
     }
-    this.listener.onAnswered(currentAtMs, batch.records.length);
-    if (isNewest && !this.readsHistory && this.options.needsHistory?.() === true) {
-      this.nextOffset = 0;
+    this.listener.onAnswered(batch.hasMore ? -Infinity : currentAtMs, batch.records.length);
+    const isUnread = this.handledOffset < batch.nextOffset;
+    if (isNewest && isUnread && !this.readsHistory && this.options.needsHistory?.() === true) {
+      this.nextOffset = this.handledOffset;
       this.readsHistory = true;
       return;
     }
-    this.readsHistory = false;
-    if (!this.caughtUp) {
+    this.handledOffset = Math.max(this.handledOffset, batch.nextOffset);
+    this.readsHistory &&= batch.hasMore;
+    if (!this.caughtUp && !batch.hasMore) {
       this.caughtUp = true;
       this.listener.onCaughtUp();
     }
--- a/packages/standins/src/keyedLogServer.ts
+++ b/packages/standins/src/keyedLogServer.ts
@@ -8,6 +8,15 @@
 const ERA_HEADER = 'store-era';
 const FIRST_ERA = 1;
 const LENGTH_BYTES = 4;
+const BYTES_PER_KB = 1_024;
+/** The size of an answer to a read unless the caller asks for another, in kilobytes. */
+const DEFAULT_READ_KB = 1_024;
+/** The maximum size of a page of newest records, in bytes, and its maximum number of records. */
+const MAX_PAGE_BYTES = 1_024 * BYTES_PER_KB;
+const MAX_PAGE_RECORDS = 500;
+/** The maximum size of one appended record, and of all records of one call, in bytes. */
+const MAX_RECORD_BYTES = 262_144;
+const MAX_CALL_BYTES = 2_097_152;
 const OFFSET_BYTES = 8;
 
 const HttpStatus = {
@@ -81,6 +90,20 @@
   response.end(JSON.stringify(value));
 }
 
+/** Returns the first items that fit into a size, at least one. */
+function takeWithin<Item>(
+  items: readonly Item[],
+  maxBytes: number,
+  sizeOf: (item: Item) => number,
+): readonly Item[] {
+  let bytes = 0;
+  const end = items.findIndex((item, index) => {
+    bytes += sizeOf(item);
+    return index > 0 && bytes > maxBytes;
+  });
+  return end < 0 ? items : items.slice(0, end);
+}
+
 /** An HTTP server that keeps topics of keyed records in memory. */
 export class KeyedLogServer {
   private fault: StoreFault | undefined;
@@ -203,7 +226,13 @@
     const { fault } = this;
     const handlers: Readonly<Record<string, () => Promise<void> | void>> = {
       '/log-append': () => {
-        const offset = this.append(searchParams.get('topic') ?? '', splitRecords(body));
+        const records = splitRecords(body);
+        const isTooLarge = records.some(({ length }) => length > MAX_RECORD_BYTES);
+        if (isTooLarge || body.length > MAX_CALL_BYTES) {
+          sendJson(response, HttpStatus.BadRequest, { why: 'size' });
+          return;
+        }
+        const offset = this.append(searchParams.get('topic') ?? '', records);
         if (fault === undefined) {
           sendJson(response, HttpStatus.Ok, { offset, end: offset + 1 });
         }
@@ -237,7 +266,9 @@
       sendJson(response, HttpStatus.Gone, { first: stored.firstOffset });
       return;
     }
-    const records = stored.records.slice(from).map(({ bytes }) => prependLength(bytes));
+    const maxBytes = Number(query.get('max-kb') ?? DEFAULT_READ_KB) * BYTES_PER_KB;
+    const frames = stored.records.slice(from).map(({ bytes }) => prependLength(bytes));
+    const records = takeWithin(frames, maxBytes, ({ length }) => length);
     const offsets = [encodeOffset(stored.records.length), encodeOffset(stored.firstOffset)];
     response.writeHead(HttpStatus.Ok);
     response.end(Buffer.concat([...offsets, ...records]));
@@ -262,11 +293,16 @@
     const newestByKey = new Map(
       records.map(({ key, value }, offset) => [key, { key, value, offset }]),
     );
-    const items = [...newestByKey.values()].map(({ key, offset, value }) => ({
-      key,
-      offset,
-      value: value.toString('base64'),
-    }));
-    sendJson(response, HttpStatus.Ok, { items, 'has-more': false, end: records.length });
+    const after = query.get('after') ?? '';
+    const items = [...newestByKey.values()]
+      .sort((left, right) => (left.key < right.key ? -1 : 1))
+      .filter(({ key }) => key > after)
+      .map(({ key, offset, value }) => ({ key, offset, value: value.toString('base64') }));
+    const page = takeWithin(items, MAX_PAGE_BYTES, ({ value }) => value.length).slice(
+      0,
+      MAX_PAGE_RECORDS,
+    );
+    const hasMore = page.length < items.length;
+    sendJson(response, HttpStatus.Ok, { items: page, 'has-more': hasMore, end: records.length });
   }
 }
--- a/tests/sidecar/configurationRecords.spec.ts
+++ b/tests/sidecar/configurationRecords.spec.ts
@@ -33,6 +33,25 @@
     expect(versionsInForce()).toEqual([expected, expected, expected]);
   });
 
+  it.each([
+    ['the valid one in the middle', [UNREADABLE, UNREADABLE, '7', UNREADABLE]],
+    ['the valid one first', ['7', UNREADABLE, UNREADABLE, UNREADABLE, UNREADABLE]],
+    ['an older one in the last answer', ['7', UNREADABLE, UNREADABLE, UNREADABLE, '5']],
+    ['unreadable ones in several answers', [...Array(5).fill(UNREADABLE), '7', UNREADABLE]],
+  ])(
+    'should be in force when one answer does not hold all records: %s',
+    async (_, records: readonly string[]) => {
+      fleet = new ControlFleet(ZONE);
+      fleet.store.maxRecords = 2;
+      fleet.publish('1');
+      await fleet.start();
+      await fleet.advance(WARM_UP_MS);
+      records.forEach((record) => fleet.publish(record));
+      await fleet.advance(APPLY_MS);
+      expect(versionsInForce()).toEqual([7, 7, 7]);
+    },
+  );
+
   it.each([
     ['an unreadable record', ['7', UNREADABLE], 0],
     ['an unreadable record, and the first records are deleted', ['6', '7', UNREADABLE], 1],
--- a/tests/store/storeEra.spec.ts
+++ b/tests/store/storeEra.spec.ts
@@ -11,7 +11,7 @@
 type ReadResult = Result<KeyedBatch, StoreFailure>;
 
 function batch(era: number | undefined, nextOffset = 0): ReadResult {
-  return Ok({ records: [], nextOffset, era });
+  return Ok({ records: [], nextOffset, hasMore: false, era });
 }
 
 /** Creates a store whose reads are answered by the test, in any order. */
--- a/tests/support/memoryKeyedStore.ts
+++ b/tests/support/memoryKeyedStore.ts
@@ -70,7 +70,8 @@
     }
     const all = this.recordsByTopic[topic];
     const newest = new Map(all.map((record) => [record.key, record]));
-    return Ok({ records: [...newest.values()], nextOffset: all.length, era: this.era });
+    const records = [...newest.values()];
+    return Ok({ records, nextOffset: all.length, hasMore: false, era: this.era });
   }
 
   async follow(
@@ -93,7 +94,8 @@
       return this.fail(StoreFailureKind.NotRetained, firstOffset);
     }
     const records = all.slice(from, from + this.maxRecords);
-    return Ok({ records, nextOffset: from + records.length, era: this.era });
+    const nextOffset = from + records.length;
+    return Ok({ records, nextOffset, hasMore: nextOffset < all.length, era: this.era });
   }
 
   async write(
