Fetch a version without the hosts, and cancel transfers that are not needed any more

Now a transfer of a version leaves out the hosts, a further node is asked only after 300 ms without a byte, a transfer is given up after 2 s without a byte instead of 2 s, and those whose version has come into force are cancelled. Compressed states are kept for several requesters with different versions. A node of the version before ignores the new parameter and sends the hosts as well.

--- a/packages/lentillb/src/peers/gossip.ts
+++ b/packages/lentillb/src/peers/gossip.ts
@@ -260,7 +260,7 @@
     if (peers.length === 0) {
       return;
     }
-    const answers = peers.map(({ peerAddress }) => this.transfers.fetch(peerAddress));
+    const answers = peers.map(({ peerAddress }) => this.transfers.fetchAll(peerAddress));
     const firstSuccess = Promise.any(
       answers.map(async (answer) => {
         if (!(await answer)) {
--- a/packages/lentillb/src/peers/stateClient.ts
+++ b/packages/lentillb/src/peers/stateClient.ts
@@ -11,10 +11,12 @@
 import type { TransferProgress } from '../utils/transferProgress.js';
 import type { NodeState } from './nodeState.js';
 import { decodeNodeState } from './nodeState.js';
-import { HELD_VERSION_PARAMETER, PeerPath } from './stateServer.js';
+import { HELD_VERSION_PARAMETER, HOSTS_PARAMETER, PeerPath, WITHOUT_HOSTS } from './stateServer.js';
 
-/** Timeout of a transfer, in milliseconds; the largest configuration must pass the smallest link in it. */
-const TIMEOUT_MS = 2_000;
+/** The time without a byte after which a transfer is given up, in milliseconds. */
+const SILENCE_TIMEOUT_MS = 2_000;
+/** The maximum duration of a transfer, in milliseconds; the whole state must pass a full link in it. */
+const MAX_DURATION_MS = 10_000;
 /** Maximum size of a compressed response, in bytes; many times the size of 1,600 routes. */
 const MAX_COMPRESSED_BYTES = 4 * 1024 * 1024;
 /** Maximum size of the decompressed state, in bytes; with its text a third of the smallest host's memory. */
@@ -32,27 +34,39 @@
   }
 }
 
+/** The parts of a state to fetch. */
+export interface StateRequest {
+  /** Whether the announcements of all hosts are fetched; true by default. */
+  readonly withHosts?: boolean;
+  /** Tracks the response, and cancels the transfer; by default not at all. */
+  readonly progress?: TransferProgress;
+}
+
 /**
  * Fetches the state of another node.
  *
  * @param peerAddress - the address and port at which the node answers other nodes
  * @param heldVersion - the configuration version in force at this node; 0 if there is none
- * @param progress - tracks the response, by default not at all
+ * @param request - the parts to fetch
  * @returns the state, or why it could not be fetched
  */
 export function fetchState(
   peerAddress: string,
   heldVersion: number,
-  progress?: TransferProgress,
+  { progress, withHosts = true }: StateRequest = {},
 ): Promise<Result<NodeState, string>> {
   return new Promise((resolve) => {
-    const url = `http://${peerAddress}${PeerPath.State}?${HELD_VERSION_PARAMETER}=${heldVersion}`;
+    const hostsQuery = withHosts ? '' : `&${HOSTS_PARAMETER}=${WITHOUT_HOSTS}`;
+    const query = `${HELD_VERSION_PARAMETER}=${heldVersion}${hostsQuery}`;
+    const url = `http://${peerAddress}${PeerPath.State}?${query}`;
     const abortOversized = (): void => {
       // eslint-disable-next-line @typescript-eslint/no-use-before-define -- the request and its abort function refer to each other
       outgoing.destroy(new Error('the response of the node exceeds the size limit'));
     };
-    const signal = AbortSignal.timeout(TIMEOUT_MS);
-    const outgoing = openRequest(url, { signal, agent: false }, (response) => {
+    const limits = [AbortSignal.timeout(MAX_DURATION_MS), ...(progress ? [progress.signal] : [])];
+    const signal = AbortSignal.any(limits);
+    const options = { signal, timeout: SILENCE_TIMEOUT_MS, agent: false };
+    const outgoing = openRequest(url, options, (response) => {
       limitResponseBody(response, MAX_COMPRESSED_BYTES, abortOversized);
       const chunks = new ChunkBuffer();
       response.on('data', (chunk: Buffer) => {
@@ -64,6 +78,7 @@
         runInBackground(decodeCompressed(chunks.concat()).then(resolve));
       });
     });
+    outgoing.on('timeout', () => outgoing.destroy(new Error('timed out waiting for the node')));
     limitResponseHead(outgoing, abortOversized);
     outgoing.on('error', ({ message }) => resolve(Err(message)));
     onClosedUnanswered(outgoing, () => resolve(Err('the node closed the connection unanswered')));
--- a/packages/lentillb/src/peers/stateServer.ts
+++ b/packages/lentillb/src/peers/stateServer.ts
@@ -17,6 +17,13 @@
 /** The query parameter with the configuration version that the requesting node holds. */
 export const HELD_VERSION_PARAMETER = 'held';
 
+/** The query parameter by which the requesting node asks for the hosts; they are sent unless it is 0. */
+export const HOSTS_PARAMETER = 'hosts';
+export const WITHOUT_HOSTS = '0';
+
+/** The number of compressed states that are kept: several nodes request the same one. */
+const MAX_CACHED_STATES = 8;
+
 const HttpStatus = { Ok: 200, NotFound: 404 } as const;
 
 const compress = promisify(gzip);
@@ -25,8 +32,8 @@
 export class StateServer {
   private readonly server: Server;
 
-  /** The last compressed state; cached because several nodes request the same one. */
-  private cachedState: { readonly key: string; readonly body: Promise<Buffer> } | undefined;
+  /** The last compressed states, oldest first. */
+  private readonly cachedStates = new Map<string, Promise<Buffer>>();
 
   /**
    * @param metrics - the metrics to serve
@@ -66,22 +73,32 @@
     const bodyProviders: Readonly<Record<string, () => string | Promise<Buffer>>> = {
       [PeerPath.Metrics]: () => this.metrics.renderText(),
       [PeerPath.State]: () =>
-        this.compressedState(Number(searchParams.get(HELD_VERSION_PARAMETER))),
+        this.compressedState(
+          Number(searchParams.get(HELD_VERSION_PARAMETER)),
+          searchParams.get(HOSTS_PARAMETER) !== WITHOUT_HOSTS,
+        ),
     };
     const body = await bodyProviders[pathname]?.();
     response.writeHead(body === undefined ? HttpStatus.NotFound : HttpStatus.Ok);
     response.end(body);
   }
 
-  private compressedState(heldVersion: number): Promise<Buffer> {
+  private compressedState(heldVersion: number, withHosts: boolean): Promise<Buffer> {
     const change = this.configuration.changeSince(heldVersion);
-    const key = `${change?.baseVersion} ${change?.version} ${this.directory.digest}`;
-    if (this.cachedState?.key !== key) {
-      const { announcements } = this.directory;
-      const text = encodeNodeState({ change, announcements });
-      // Routes are so similar that even the fastest level compresses them to a tenth.
-      this.cachedState = { key, body: compress(text, { level: constants.Z_BEST_SPEED }) };
+    const { announcements, digest } = this.directory;
+    const key = `${change?.baseVersion} ${change?.version} ${withHosts ? digest : ''}`;
+    const cached = this.cachedStates.get(key);
+    if (cached !== undefined) {
+      return cached;
+    }
+    const text = encodeNodeState({ change, announcements: withHosts ? announcements : [] });
+    // Routes are so similar that even the fastest level compresses them to a tenth.
+    const body = compress(text, { level: constants.Z_BEST_SPEED });
+    this.cachedStates.set(key, body);
+    const [oldestKey = key] = this.cachedStates.keys();
+    if (this.cachedStates.size > MAX_CACHED_STATES) {
+      this.cachedStates.delete(oldestKey);
     }
-    return this.cachedState.body;
+    return body;
   }
 }
--- a/packages/lentillb/src/peers/stateTransfers.ts
+++ b/packages/lentillb/src/peers/stateTransfers.ts
@@ -1,6 +1,7 @@
 /**
  * Fetches the state of other nodes. A version that another node has named is fetched once it is due,
- * from another node if the first one does not answer.
+ * from another node if the first one sends nothing. A transfer whose version this node has by then is
+ * cancelled, so that it takes nothing more from the link of the host.
  */
 import type { Result } from 'ts-results-es';
 import type { ConfigurationHolder } from '../configuration/configurationHolder.js';
@@ -11,17 +12,18 @@
 import { runInBackground } from '../utils/background.js';
 import { TransferProgress } from '../utils/transferProgress.js';
 import type { NodeState } from './nodeState.js';
+import type { StateRequest } from './stateClient.js';
 
 /** Minimum time between the end of one transfer and the start of the next, in milliseconds. */
 const TRANSFER_INTERVAL_MS = 400;
-/** How long a transfer may take before another node is asked as well, in milliseconds. */
+/** The time without a byte after which another node is asked as well, in milliseconds. */
 const PATIENCE_MS = 300;
 
 /** Fetches the state of another node, or returns why that failed. */
 export type StateFetcher = (
   peerAddress: string,
   heldVersion: number,
-  progress: TransferProgress,
+  request: StateRequest,
 ) => Promise<Result<NodeState, string>>;
 
 /** The services that transfers depend on. */
@@ -39,10 +41,17 @@
   readonly inOwnZone: boolean;
 }
 
+/** A transfer under way. */
+interface Transfer {
+  readonly progress: TransferProgress;
+  /** The newer version that it is to bring; undefined if it is to bring the hosts. */
+  readonly wantedVersion: number | undefined;
+}
+
 /** Fetches the state of other nodes. */
 export class StateTransfers {
-  /** When each transfer under way was started, by the address of the other node. */
-  private readonly startTimesMs = new Map<string, number>();
+  /** The transfers under way, by the address of the other node. */
+  private readonly transfers = new Map<string, Transfer>();
 
   private receivedBytes = 0;
 
@@ -65,11 +74,13 @@
   constructor(
     private readonly services: StateTransferServices,
     private readonly onState: (state: NodeState, from: string) => void,
-  ) {}
+  ) {
+    services.configuration.subscribe(({ version }) => this.cancelUpTo(version));
+  }
 
   /** The number of transfers under way. */
   get underWay(): number {
-    return this.startTimesMs.size;
+    return this.transfers.size;
   }
 
   /** The bytes of all transfers that have ended. */
@@ -90,7 +101,7 @@
    */
   request(from: string): void {
     if (this.untilAllowedMs(from) <= 0) {
-      runInBackground(this.fetch(from));
+      runInBackground(this.fetchAll(from));
     }
   }
 
@@ -112,21 +123,28 @@
   }
 
   /**
-   * Fetches the state of a node.
+   * Fetches the whole state of a node: its configuration and all hosts that it knows.
    *
    * @param from - the address and port of the node
    * @returns whether the state was fetched
    */
-  async fetch(from: string): Promise<boolean> {
+  fetchAll(from: string): Promise<boolean> {
+    return this.fetch(from, undefined);
+  }
+
+  private async fetch(from: string, wantedVersion: number | undefined): Promise<boolean> {
     const { clock, configuration, fetchState, log, status } = this.services;
-    const wanted = status.newerVersion;
-    this.startTimesMs.set(from, clock.monotonicMs());
     const progress = new TransferProgress(clock);
-    const fetched = await fetchState(from, configuration.version, progress);
-    this.startTimesMs.delete(from);
+    this.transfers.set(from, { progress, wantedVersion });
+    const withHosts = wantedVersion === undefined;
+    const fetched = await fetchState(from, configuration.version, { progress, withHosts });
+    this.transfers.delete(from);
     this.receivedBytes += progress.bytes;
+    if (progress.isCancelled) {
+      return false;
+    }
     this.endedAtMs = clock.monotonicMs();
-    if (wanted !== undefined || fetched.isErr() || fetched.value.change !== undefined) {
+    if (!withHosts || fetched.isErr() || fetched.value.change !== undefined) {
       this.versionEndedAtMs = this.endedAtMs;
     }
     const transfer = {
@@ -145,12 +163,21 @@
     const fields = { from, baseVersion, version, hosts, ...transfer };
     log.record(Importance.Notable, 'state-fetched', fields);
     this.onState(state, from);
-    if (wanted !== undefined && this.holder?.address === from && version < wanted.version) {
-      status.forgetVersion(wanted.version);
+    if (wantedVersion !== undefined && this.holder?.address === from && version < wantedVersion) {
+      status.forgetVersion(wantedVersion);
     }
     // Another version may have come into force during the transfer, so that the change does not fit.
     const isUnfit = version > configuration.version && baseVersion !== configuration.version;
-    return isUnfit && baseVersion !== 0 ? this.fetch(from) : true;
+    return isUnfit && baseVersion !== 0 ? this.fetch(from, wantedVersion) : true;
+  }
+
+  /** Cancels the transfers that are to bring a version which is in force. */
+  private cancelUpTo(version: number): void {
+    this.transfers.forEach(({ progress, wantedVersion }) => {
+      if (wantedVersion !== undefined && wantedVersion <= version) {
+        progress.cancel();
+      }
+    });
   }
 
   private scheduleAttempt(dueAtMs: number): void {
@@ -174,28 +201,32 @@
   private attemptCatchUp(): void {
     const { clock, status } = this.services;
     const { holder } = this;
-    if (status.newerVersion === undefined || holder === undefined) {
+    const { newerVersion } = status;
+    if (newerVersion === undefined || holder === undefined) {
       this.holder = undefined;
       return;
     }
     // A transfer of hosts does not hold back a version that is named shortly after it.
     const waitMs = this.untilAllowedMs(holder.address, this.versionEndedAtMs);
     if (waitMs <= 0) {
-      runInBackground(this.fetch(holder.address));
+      runInBackground(this.fetch(holder.address, newerVersion.version));
     }
     // If the transfer fails or hangs, the version is fetched from the node that named it last.
     this.scheduleAttempt(clock.monotonicMs() + Math.max(waitMs, PATIENCE_MS));
   }
 
   private untilAllowedMs(from: string, endedAtMs = this.endedAtMs): number {
-    const nowMs = this.services.clock.monotonicMs();
-    const lastStartMs = Math.max(-Infinity, ...this.startTimesMs.values());
-    const isAsked = this.startTimesMs.has(from);
-    const allowedAtMs = Math.max(
-      endedAtMs + TRANSFER_INTERVAL_MS,
-      lastStartMs + PATIENCE_MS,
-      isAsked ? nowMs + PATIENCE_MS : -Infinity,
+    const { clock } = this.services;
+    const sinceEndMs = clock.monotonicMs() - endedAtMs;
+    const silentMs = Math.min(
+      Infinity,
+      ...[...this.transfers.values()].map(({ progress }) => progress.silentMs),
+    );
+    const isAsked = this.transfers.has(from);
+    return Math.max(
+      TRANSFER_INTERVAL_MS - sinceEndMs,
+      PATIENCE_MS - silentMs,
+      isAsked ? PATIENCE_MS : -Infinity,
     );
-    return allowedAtMs - nowMs;
   }
 }
--- a/tests/peers/stateTransfer.spec.ts
+++ b/tests/peers/stateTransfer.spec.ts
@@ -9,6 +9,7 @@
 import { MetricsRegistry } from 'lentillb/observability/metricsRegistry.js';
 import { StateServer } from 'lentillb/peers/stateServer.js';
 import { fetchState } from 'lentillb/peers/stateClient.js';
+import { TransferProgress } from 'lentillb/utils/transferProgress.js';
 import { Repetition } from 'lentillb/rules/ruleForms.js';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { endlessAnswers, EndlessServer } from '../support/endlessServer.js';
@@ -82,6 +83,50 @@
     expect((await transferredBytes(0)) / bytesPerMs).toBeLessThan(250);
   });
 
+  it('should be sent without the hosts on request', async () => {
+    const fetched = (await fetchState(address, 1, { withHosts: false })).unwrap();
+    expect(fetched.announcements).toEqual([]);
+    expect(fetched.change).toMatchObject({ baseVersion: 1, version: 4 });
+  });
+
+  it('should arrive over a link that carries parts of it for longer than 2 s', async () => {
+    const body = gzipSync(JSON.stringify({ announcements: [] }));
+    const server = createServer((_, response) => {
+      body.forEach((byte, index) => {
+        setTimeout(() => response.write(Buffer.from([byte])), (index * 2_600) / body.length);
+      });
+      setTimeout(() => response.end(), 2_600);
+    });
+    const progress = new TransferProgress(new SystemClock());
+    const fetched = await fetchState(await listenOnLoopback(server), 0, { progress });
+    server.close();
+    expect(fetched.isOk()).toBe(true);
+    expect(progress.bytes).toBe(body.length);
+  });
+
+  it('should be an error after 2 s without a byte', async () => {
+    const server = createServer(() => undefined);
+    const startedMs = performance.now();
+    const fetched = await fetchState(await listenOnLoopback(server), 0);
+    server.closeAllConnections();
+    server.close();
+    expect(fetched.unwrapErr()).toContain('timed out');
+    expect(performance.now() - startedMs).toBeLessThan(3_000);
+  });
+
+  it('should take nothing more from the link once it is cancelled', async () => {
+    const server = createServer((_, response) => response.write('x'));
+    const progress = new TransferProgress(new SystemClock());
+    const fetching = fetchState(await listenOnLoopback(server), 0, { progress });
+    await new SystemClock().sleep(100);
+    progress.cancel();
+    expect((await fetching).isErr()).toBe(true);
+    const allClosed = new Promise((resolve) => {
+      server.close(resolve);
+    });
+    expect(await allClosed).toBeUndefined();
+  });
+
   it('should be an error when the response is not compressed', async () => {
     const server = createServer((_, response) => response.end('plain'));
     const fetched = await fetchState(await listenOnLoopback(server), 0);
--- a/tests/support/controlFleet.ts
+++ b/tests/support/controlFleet.ts
@@ -9,6 +9,7 @@
 import { Gossip } from 'lentillb/peers/gossip.js';
 import { decodeGossipMessage, encodeGossipMessage } from 'lentillb/peers/gossipMessage.js';
 import type { NodeState } from 'lentillb/peers/nodeState.js';
+import type { StateRequest } from 'lentillb/peers/stateClient.js';
 import { MeshState } from 'lentillb/sidecar/meshState.js';
 import type { KeyedBatch, KeyedStore, StoreFailure } from 'lentillb/store/keyedStore.js';
 import { StoreFailureKind, Topic } from 'lentillb/store/keyedStore.js';
@@ -205,8 +206,8 @@
         log,
         gateLoad: () => undefined,
         transport: { send: (to, message) => fleet.deliver(this, to, message) },
-        fetchState: (from, heldVersion, progress) =>
-          fleet.transfer(this, from, heldVersion, progress),
+        fetchState: (from, heldVersion, request) =>
+          fleet.transfer(this, from, heldVersion, request),
       },
       { host, zone },
       { onState: (state) => this.state.acceptState(state), onGateLoad: () => undefined },
@@ -413,7 +414,7 @@
     to: ControlNode,
     from: string,
     heldVersion: number,
-    progress?: TransferProgress,
+    { progress, withHosts = true }: StateRequest,
   ): Promise<Result<NodeState, string>> {
     await this.clock.sleep(TRANSFER_MS);
     const sender = this.nodeAt(from);
@@ -422,15 +423,12 @@
       return Err('timed out');
     }
     const { configuration, directory } = sender.state;
-    const { announcements } = directory;
+    const announcements = withHosts ? directory.announcements : [];
     const change = configuration.changeSince(heldVersion);
     const changeBytes = change?.baseVersion === 0 ? WHOLE_STATE_BYTES : CHANGE_BYTES;
     const bytes = HEAD_BYTES + (change ? changeBytes : 0) + HOST_STATE_BYTES * announcements.length;
-    const arrival = carry(this.clock, bytes, [to.link, sender.link], progress);
-    const timeout = this.clock.sleep(TRANSFER_TIMEOUT_MS).then(() => false);
-    const arrived = await Promise.race([arrival, timeout]);
-    progress?.cancel();
-    return arrived ? Ok({ change, announcements }) : Err('timed out');
+    const arrived = await carry(this.clock, bytes, [to.link, sender.link], progress);
+    return arrived ? Ok({ change, announcements }) : Err('cancelled');
   }
 
   private nodeAt(peerAddress: string): ControlNode | undefined {
