Leave the store to its readers while a version is fetched from the zone

A read by another node of the zone counted only once this node had the version that was read. So a host that heard of a version and was 850 ms from the last read that counted read the whole configuration itself, 400 KB that its neighbours held, through the link by which the change of 1 KB had to come. Such a host now leaves the store alone for 600 ms after it first hears of a version of its zone, and again after each part of it that arrives. After that it reads as before, so the bound does not depend on any other node.

--- a/packages/lentillb/src/peers/gossip.ts
+++ b/packages/lentillb/src/peers/gossip.ts
@@ -106,10 +106,13 @@
   ) {
     this.digestComparison = new DigestComparison(services.clock);
     this.zoneLoads = new ZoneLoads(services.clock);
-    this.transfers = new StateTransfers(services, (state, from) => {
-      listener.onState(state);
-      this.applyConfigurationRead();
-      this.digestComparison.reset(from);
+    this.transfers = new StateTransfers(services, {
+      onState: (state, from) => {
+        listener.onState(state);
+        this.applyConfigurationRead();
+        this.digestComparison.reset(from);
+      },
+      onVersionProgress: () => services.role.noteFetch(),
     });
     // Every node has to write its announcement again soon after the store went back.
     services.era.subscribe(() => this.sendStatusToZone());
@@ -165,7 +168,7 @@
       this.noteReads(sender.host, message);
     }
     message.gateLoads.forEach((load) => this.receiveGateLoad(sender, load));
-    this.noteVersion(from, message.configurationVersion);
+    this.noteVersion(from, message.configurationVersion, inOwnZone);
     this.fetchIfBehind(from, message, inOwnZone);
   }
 
@@ -189,9 +192,13 @@
     });
   }
 
-  private noteVersion(from: string, version: number): void {
-    const { log, status } = this.services;
+  private noteVersion(from: string, version: number, inOwnZone: boolean): void {
+    const { log, role, status } = this.services;
+    const wasBehind = status.newerVersion !== undefined;
     if (status.noteVersion(version, from)) {
+      if (inOwnZone && !wasBehind) {
+        role.noteFetch();
+      }
       log.record(Importance.Notable, 'configuration-behind', { ...status.fields });
     }
   }
--- a/packages/lentillb/src/peers/stateTransfers.ts
+++ b/packages/lentillb/src/peers/stateTransfers.ts
@@ -35,6 +35,14 @@
   readonly log: DecisionLog;
 }
 
+/** The callbacks for transfers. */
+export interface StateTransferListener {
+  /** Called with each state that was fetched, and the address of its node. */
+  readonly onState: (state: NodeState, from: string) => void;
+  /** Called when a part of a version arrives. */
+  readonly onVersionProgress: () => void;
+}
+
 /** A node that has a version which this one lacks. */
 interface VersionHolder {
   readonly address: string;
@@ -69,11 +77,11 @@
 
   /**
    * @param services - the services that transfers depend on
-   * @param onState - called with each state that was fetched, and the address of its node
+   * @param listener - the callbacks for transfers
    */
   constructor(
     private readonly services: StateTransferServices,
-    private readonly onState: (state: NodeState, from: string) => void,
+    private readonly listener: StateTransferListener,
   ) {
     services.configuration.subscribe(({ version }) => this.cancelUpTo(version));
   }
@@ -134,9 +142,10 @@
 
   private async fetch(from: string, wantedVersion: number | undefined): Promise<boolean> {
     const { clock, configuration, fetchState, log, status } = this.services;
-    const progress = new TransferProgress(clock);
-    this.transfers.set(from, { progress, wantedVersion });
     const withHosts = wantedVersion === undefined;
+    const onBytes = withHosts ? undefined : this.listener.onVersionProgress;
+    const progress = new TransferProgress(clock, onBytes);
+    this.transfers.set(from, { progress, wantedVersion });
     const fetched = await fetchState(from, configuration.version, { progress, withHosts });
     this.transfers.delete(from);
     this.receivedBytes += progress.bytes;
@@ -162,7 +171,7 @@
     const { baseVersion, version = 0 } = state.change ?? {};
     const fields = { from, baseVersion, version, hosts, ...transfer };
     log.record(Importance.Notable, 'state-fetched', fields);
-    this.onState(state, from);
+    this.listener.onState(state, from);
     if (wantedVersion !== undefined && this.holder?.address === from && version < wantedVersion) {
       status.forgetVersion(wantedVersion);
     }
--- a/packages/lentillb/src/peers/storeReaderRole.ts
+++ b/packages/lentillb/src/peers/storeReaderRole.ts
@@ -46,6 +46,11 @@
  * within one heartbeat interval, and then one reader of the zone suffices.
  */
 const FIRST_ANNOUNCEMENT_TIMEOUT_MS = 2_000;
+/**
+ * The time for which a node leaves the store to others while it fetches a version that its zone has read,
+ * counted from its last progress, in milliseconds. A change is much smaller than a record of the store.
+ */
+const FETCH_PATIENCE_MS = 600;
 /** How long an answer of the store counts as recent, in milliseconds: two reads of a late rank. */
 const RECENT_ANSWER_MS = 2_500;
 
@@ -94,6 +99,9 @@
   /** When this node first knew of an announced host of its zone, which may read the store for it. */
   private firstAnnouncedAtMs = -Infinity;
 
+  /** When a version that the zone has read was first named, or a part of it arrived. */
+  private fetchedAtMs = -Infinity;
+
   private readonly views: Readonly<Record<Topic, TopicView>>;
 
   /** Recomputed when the digest of the directory changes. */
@@ -151,7 +159,7 @@
     }
     const { failedAtMs = -Infinity, leaderReadAtMs } = this.views[topic];
     const leftToMs = Math.max(leaderReadAtMs, failedAtMs, this.firstAnnouncedAtMs);
-    return this.maxAgeMs(topic) - this.ageMs(leftToMs);
+    return Math.max(this.fetchPatienceMs(topic), this.maxAgeMs(topic) - this.ageMs(leftToMs));
   }
 
   /**
@@ -161,7 +169,10 @@
    */
   untilOutdatedMs(topic: Topic): number {
     const { readAtMs, reportedAtMs } = this.views[topic];
-    return this.maxAgeMs(topic) - this.ageMs(Math.max(readAtMs, reportedAtMs));
+    const untilOutdatedMs = this.maxAgeMs(topic) - this.ageMs(Math.max(readAtMs, reportedAtMs));
+    return this.isReaderOf(topic)
+      ? untilOutdatedMs
+      : Math.max(this.fetchPatienceMs(topic), untilOutdatedMs);
   }
 
   /**
@@ -220,6 +231,11 @@
     view.failedAtMs = undefined;
   }
 
+  /** Records that a version which the zone has read is being fetched from one of its nodes. */
+  noteFetch(): void {
+    this.fetchedAtMs = this.services.clock.monotonicMs();
+  }
+
   /** @param topic - the topic whose read by this node failed */
   noteReadFailure(topic: Topic): void {
     this.views[topic].failedAtMs = this.services.clock.monotonicMs();
@@ -251,6 +267,11 @@
     return this.ranking;
   }
 
+  /** The time for which a fetch of a version still holds back reads of a topic, in milliseconds. */
+  private fetchPatienceMs(topic: Topic): number {
+    return topic === Topic.Operator ? FETCH_PATIENCE_MS - this.ageMs(this.fetchedAtMs) : -Infinity;
+  }
+
   private ageMs(atMs: number): number {
     return this.services.clock.monotonicMs() - atMs;
   }
--- a/packages/lentillb/src/utils/transferProgress.ts
+++ b/packages/lentillb/src/utils/transferProgress.ts
@@ -11,8 +11,14 @@
 
   private readonly controller = new AbortController();
 
-  /** @param clock - the clock by which the response is timed */
-  constructor(private readonly clock: Clock) {
+  /**
+   * @param clock - the clock by which the response is timed
+   * @param onBytes - called when bytes have arrived
+   */
+  constructor(
+    private readonly clock: Clock,
+    private readonly onBytes: () => void = () => undefined,
+  ) {
     this.startedAtMs = clock.monotonicMs();
     this.lastByteAtMs = this.startedAtMs;
   }
@@ -46,6 +52,7 @@
   add(count: number): void {
     this.receivedBytes += count;
     this.lastByteAtMs = this.clock.monotonicMs();
+    this.onBytes();
   }
 
   /** Cancels the response, because its receiver needs it no more. */
--- a/tests/peers/readsDuringTransfer.spec.ts
+++ b/tests/peers/readsDuringTransfer.spec.ts
@@ -33,6 +33,7 @@
   const location = { host: 'a3', zone: 'a' };
   const role = new StoreReaderRole({ clock, directory }, location);
   let answerFetch: () => void = () => undefined;
+  let receiveBytes: () => void = () => undefined;
   const gossip = new Gossip(
     {
       clock,
@@ -45,8 +46,9 @@
       gateLoad: () => undefined,
       log: new DecisionLog(clock, { info: () => undefined, warn: () => undefined }),
       transport: { send: () => undefined },
-      fetchState: (_address, heldVersion) =>
+      fetchState: (_address, heldVersion, { progress }) =>
         new Promise((resolve) => {
+          receiveBytes = () => progress?.add(1);
           answerFetch = () => {
             const change = source.changeSince(heldVersion);
             resolve(change === undefined ? Err('no change') : Ok({ change, announcements: [] }));
@@ -69,7 +71,13 @@
       readAgesMs: { operator: readAgeMs, hosts: readAgeMs },
       gateLoads: [],
     });
-  return { answerFetch: () => answerFetch(), configuration, hear, role };
+  return {
+    answerFetch: () => answerFetch(),
+    receiveBytes: () => receiveBytes(),
+    configuration,
+    hear,
+    role,
+  };
 }
 
 const OTHER = 'a1:1';
@@ -86,6 +94,31 @@
   expect(role.shouldRead(Topic.Operator)).toBe(false);
 });
 
+it('should read the store when a version that the zone has read does not arrive', async () => {
+  const clock = new ManualClock();
+  const { hear, role } = createNode(clock);
+  await clock.advance(10);
+  hear('a1', OLD_VERSION, 0);
+  await clock.advance(700);
+  hear('a1', NEW_VERSION, 0);
+  await clock.advance(620);
+  expect(role.shouldRead(Topic.Operator)).toBe(true);
+});
+
+it('should leave the store to its reader while parts of the version arrive', async () => {
+  const clock = new ManualClock();
+  const { hear, receiveBytes, role } = createNode(clock);
+  await clock.advance(10);
+  hear('a1', OLD_VERSION, 0);
+  await clock.advance(700);
+  hear('a1', NEW_VERSION, 0);
+  for (let part = 0; part < 4; part += 1) {
+    await clock.advance(250);
+    receiveBytes();
+  }
+  expect(role.shouldRead(Topic.Operator)).toBe(false);
+});
+
 it('should leave the store to its reader once a version is fetched although an older read was heard meanwhile', async () => {
   const clock = new ManualClock();
   const { answerFetch, configuration, hear, role } = createNode(clock);
@@ -114,7 +147,7 @@
   const log = new DecisionLog(clock, { info: () => undefined, warn: () => undefined });
   const transfers = new StateTransfers(
     { clock, configuration, status, fetchState, log },
-    () => undefined,
+    { onState: () => undefined, onVersionProgress: () => undefined },
   );
   transfers.request(OTHER);
   await clock.advance(200);
--- a/tests/peers/stateTransfers.spec.ts
+++ b/tests/peers/stateTransfers.spec.ts
@@ -54,7 +54,10 @@
     });
   transfers = new StateTransfers(
     { clock, configuration, status, fetchState, log },
-    ({ change }) => change && configuration.applyIfNewer(change),
+    {
+      onState: ({ change }) => change && configuration.applyIfNewer(change),
+      onVersionProgress: () => undefined,
+    },
   );
   await clock.advance(1_000);
 });
