Repeat a read of the store only when it is silent, and cancel one that is not needed

The time now counts from the last byte, two reads at most are under way, and a read whose answer arrives is cancelled once another node has read the topic, or the version that the zone has read is being fetched from one of its nodes.

--- a/packages/lentillb/src/peers/storeReaderRole.ts
+++ b/packages/lentillb/src/peers/storeReaderRole.ts
@@ -186,6 +186,17 @@
     return isLed ? LONG_POLL_MS : Math.max(0, Math.floor(remainingMs));
   }
 
+  /**
+   * @param topic - a topic of the store
+   * @returns whether a node that ranks higher has read the topic recently, or a version that the zone has
+   *   read is being fetched from one of its nodes, so that this one need not read
+   */
+  isReadElsewhere(topic: Topic): boolean {
+    const { leader, leaderReadAtMs } = this.views[topic];
+    const isLed = leader !== undefined && this.ageMs(leaderReadAtMs) <= this.maxAgeMs(topic);
+    return (isLed || this.fetchPatienceMs(topic) > 0) && !this.isReaderOf(topic);
+  }
+
   /** Whether other nodes may rely on this node for the content of the store. */
   get readsStore(): boolean {
     const { failedAtMs } = this.views[Topic.Operator];
--- a/packages/lentillb/src/sidecar/meshState.ts
+++ b/packages/lentillb/src/sidecar/meshState.ts
@@ -213,11 +213,10 @@
 
   private scheduleOf(topic: Topic): ReadSchedule {
     const { role } = this;
+    const isStarting = (): boolean => topic === Topic.Hosts && !this.hostsLoaded;
     return {
-      untilReadMs: () => {
-        const isStarting = topic === Topic.Hosts && !this.hostsLoaded;
-        return isStarting ? 0 : role.untilReadMs(topic);
-      },
+      untilReadMs: () => (isStarting() ? 0 : role.untilReadMs(topic)),
+      isReadElsewhere: () => !isStarting() && role.isReadElsewhere(topic),
       untilOutdatedMs: () => role.untilOutdatedMs(topic),
       pollMs: () => role.pollMs(topic),
     };
@@ -258,6 +257,10 @@
           this.listener.onStoreRead();
         }
       },
+      onSuperseded: ({ bytes, durationMs }) => {
+        const fields = { topic, durationMs: Math.round(durationMs), bytes };
+        log.record(Importance.Notable, 'store-read-superseded', fields);
+      },
       onRecovered: () => {
         log.record(Importance.Notable, 'store-regained', { topic });
       },
--- a/packages/lentillb/src/store/topicFollower.ts
+++ b/packages/lentillb/src/store/topicFollower.ts
@@ -14,11 +14,13 @@
 /** Longest interval at which a node that does not read checks whether it should, in milliseconds. */
 const ROLE_CHECK_INTERVAL_MS = 250;
 /**
- * How long a read of a view that is too old may take before another one is sent beside it, in
- * milliseconds. Doubles with each further one, because the store may be slow.
+ * The time without a byte after which another read of a view that is too old is sent beside the first
+ * one, in milliseconds. Doubles with each further one, because the store may be slow.
  */
 const MIN_PATIENCE_MS = 250;
 const MAX_PATIENCE_MS = 1_000;
+/** Maximum number of reads under way; the oldest one is cancelled when another one is sent. */
+const MAX_READS_UNDER_WAY = 2;
 /** Shortest time between two reads, in milliseconds, against a store that does not wait for records. */
 const MIN_READ_INTERVAL_MS = 100;
 /** Shortest and longest delay after a failed call, in milliseconds. */
@@ -52,16 +54,27 @@
    */
   readonly onFailed: (failure: StoreFailure, isFirst: boolean) => void;
   /**
-   * Called when a read is left waiting and another one is sent, because the known content is too old.
+   * Called when a read is left waiting and another one is sent, because the known content is too old
+   * and no byte arrives.
    *
    * @param progress - the answer that the read waits for
    * @param overdueReads - the number of reads in a row that were left waiting
    */
   readonly onOverdue: (progress: TransferProgress, overdueReads: number) => void;
+  /**
+   * Called when a read is cancelled because another node has read the topic meanwhile.
+   *
+   * @param progress - the answer, of which a part has arrived
+   */
+  readonly onSuperseded: (progress: TransferProgress) => void;
   /** Called at the first success after failed calls. */
   readonly onRecovered: () => void;
 }
 
+/** The ways in which the wait for a read can end before its answer. */
+const WaitEnd = { Overdue: 'overdue', Superseded: 'superseded' } as const;
+type WaitEnd = (typeof WaitEnd)[keyof typeof WaitEnd];
+
 /** Decides when a node reads a topic. All times are in milliseconds. */
 export interface ReadSchedule {
   /** Returns the time until the next read; not above 0 to read now. */
@@ -70,6 +83,8 @@
   readonly untilOutdatedMs: () => number;
   /** Returns how long a read waits for a first record. */
   readonly pollMs: () => number;
+  /** Returns whether another node has read the topic recently, so that this one need not. */
+  readonly isReadElsewhere: () => boolean;
 }
 
 /** The settings of a follower. */
@@ -184,42 +199,73 @@
   }
 
   /**
-   * Reads once and waits before the next read. If the known content becomes too old meanwhile, returns
-   * early, so that another read is sent on another connection; the answer still counts if it comes.
+   * Reads once and waits before the next read. If the known content becomes too old meanwhile and no
+   * byte arrives, returns early, so that another read is sent on another connection; the answer still
+   * counts if it comes. A long answer is cancelled once another node has read the topic.
    */
   private async readOnce(): Promise<void> {
     const { clock } = this.services;
     const progress = new TransferProgress(clock);
+    this.cancelOldest();
     const restarted = new Promise<undefined>((resolve) => {
       this.abandonRead = () => resolve(undefined);
     });
     const ended = new AbortController();
-    const overdue = this.waitUntilOverdue(ended.signal);
-    const outcome = await Promise.race([this.read(progress), restarted, overdue]);
+    const waitEnd = this.waitForEnd(progress, ended.signal);
+    const outcome = await Promise.race([this.read(progress), restarted, waitEnd]);
     ended.abort();
-    if (outcome === 'overdue') {
-      this.overdueReads += 1;
-      this.listener.onOverdue(progress, this.overdueReads);
+    if (outcome === undefined || this.stopped) {
       return;
     }
-    if (outcome === undefined || this.stopped) {
+    if (typeof outcome === 'string') {
+      this.waitEndHandlers[outcome](progress);
       return;
     }
     await clock.sleep(Math.max(outcome.delayMs, MIN_READ_INTERVAL_MS - progress.durationMs));
   }
 
-  /** Resolves once the known content is too old although a read has had time to be answered. */
-  private async waitUntilOverdue(ended: AbortSignal): Promise<'overdue'> {
+  private readonly waitEndHandlers: Readonly<
+    Record<WaitEnd, (progress: TransferProgress) => void>
+  > = {
+    [WaitEnd.Overdue]: (progress) => {
+      this.overdueReads += 1;
+      this.listener.onOverdue(progress, this.overdueReads);
+    },
+    [WaitEnd.Superseded]: (progress) => {
+      progress.cancel();
+      this.listener.onSuperseded(progress);
+    },
+  };
+
+  /**
+   * Resolves once the known content is too old and a read has been silent for some time, or once
+   * another node has read the topic while a long answer arrives.
+   */
+  private async waitForEnd(progress: TransferProgress, ended: AbortSignal): Promise<WaitEnd> {
     const { clock } = this.services;
-    await clock.sleep(Math.min(MAX_PATIENCE_MS, MIN_PATIENCE_MS * 2 ** this.overdueReads), ended);
+    const { schedule } = this.options;
+    const patienceMs = Math.min(MAX_PATIENCE_MS, MIN_PATIENCE_MS * 2 ** this.overdueReads);
     while (!ended.aborted) {
-      const untilOutdatedMs = this.options.schedule.untilOutdatedMs();
-      if (untilOutdatedMs <= 0) {
+      if (progress.bytes > 0 && schedule.isReadElsewhere()) {
+        return WaitEnd.Superseded;
+      }
+      const untilOverdueMs = Math.max(patienceMs - progress.silentMs, schedule.untilOutdatedMs());
+      if (untilOverdueMs <= 0) {
         break;
       }
-      await clock.sleep(Math.max(MIN_SLEEP_MS, untilOutdatedMs), ended);
+      const sleepMs = Math.min(ROLE_CHECK_INTERVAL_MS, untilOverdueMs);
+      await clock.sleep(Math.max(MIN_SLEEP_MS, sleepMs), ended);
+    }
+    return WaitEnd.Overdue;
+  }
+
+  /** Cancels the oldest read if a further one would exceed their maximum number. */
+  private cancelOldest(): void {
+    const [oldest] = this.readsUnderWay;
+    if (oldest !== undefined && this.readsUnderWay.size >= MAX_READS_UNDER_WAY) {
+      oldest.cancel();
+      this.readsUnderWay.delete(oldest);
     }
-    return 'overdue';
   }
 
   /** Reads and handles the answer. Returns the delay before the next read; undefined if it is void. */
@@ -242,7 +288,7 @@
       : store.follow(topic, from, waitMs, deadline, progress));
     this.readsUnderWay.delete(progress);
     this.receivedBytes += progress.bytes;
-    if (this.stopped || restarts !== this.restarts) {
+    if (this.stopped || progress.isCancelled || restarts !== this.restarts) {
       return undefined;
     }
     if (read.isErr()) {
--- a/packages/standins/src/keyedLogServer.ts
+++ b/packages/standins/src/keyedLogServer.ts
@@ -1,6 +1,7 @@
 /** A substitute for the platform's store of keyed records, with its HTTP protocol and faults. */
 import { runInBackground } from 'lentillb/sidecar';
 import { createServer } from 'node:http';
+import type { Socket } from 'node:net';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { closeServer, listenOnLoopback, loopbackAddress } from './loopback.js';
 import { readRequestBody } from './readRequestBody.js';
@@ -116,11 +117,17 @@
 
   private era = FIRST_ERA;
 
+  private readonly sockets = new Set<Socket>();
+
   constructor() {
     this.server = createServer((request, response) => {
       response.setHeader(ERA_HEADER, `${this.era}`);
       runInBackground(this.serve(request, response));
     });
+    this.server.on('connection', (socket: Socket) => {
+      this.sockets.add(socket);
+      socket.once('close', () => this.sockets.delete(socket));
+    });
   }
 
   /** The number of requests received. */
@@ -128,6 +135,11 @@
     return this.callCount;
   }
 
+  /** The number of open connections. */
+  get connections(): number {
+    return this.sockets.size;
+  }
+
   /** The address and port that the server listens on. */
   get address(): string {
     return loopbackAddress(this.server);
--- a/tests/platform/logStore.spec.ts
+++ b/tests/platform/logStore.spec.ts
@@ -4,6 +4,7 @@
 import { Deadline, SystemClock } from 'lentillb';
 import { StoreFailureKind, Topic } from 'lentillb/store/keyedStore.js';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { TransferProgress } from 'lentillb/utils/transferProgress.js';
 import { endlessAnswers, EndlessServer } from '../support/endlessServer.js';
 import { ScriptedServer, SWITCHING } from '../support/scriptedServer.js';
 
@@ -56,6 +57,23 @@
     });
   });
 
+  it('should close the connection of a read that is cancelled', async () => {
+    const progress = new TransferProgress(clock);
+    const following = store.follow(Topic.Operator, 0, 900, deadlineAfter(), progress);
+    await clock.sleep(50);
+    progress.cancel();
+    expect((await following).unwrapErr().kind).toBe(StoreFailureKind.Unknown);
+    await clock.sleep(50);
+    expect(server.connections).toBe(0);
+  });
+
+  it('should tell how much of an answer has arrived', async () => {
+    server.write('keyed.op', 'config', 'x'.repeat(200_000));
+    const progress = new TransferProgress(clock);
+    await store.follow(Topic.Operator, 0, 0, deadlineAfter(), progress);
+    expect(progress.bytes).toBeGreaterThan(200_000);
+  });
+
   it.each([
     [StoreFault.Refuse, StoreFailureKind.NotExecuted],
     [StoreFault.Reset, StoreFailureKind.Unknown],
