Continue to read the store where other nodes of the zone have read it

A host that takes over reading read the newest configuration, 533 KB in base64, though it had it from its neighbours: it knew no offset, or one older than 5 s. With the state of a node now comes how far it has read the store: an offset with its era, and a version that covers all records before it. A receiver that holds that version continues from there, so a read without news is an empty answer and one with news a record. How old the known content is decides whether it continues from an offset, not how long ago this node read. An offset of another era does not count.

A node of the version before leaves the position out and ignores it.

--- a/packages/lentillb/src/peers/nodeState.ts
+++ b/packages/lentillb/src/peers/nodeState.ts
@@ -33,17 +33,35 @@
   }),
 });
 
+const positionSchema = z.object({
+  era: z.optional(z.int()),
+  version: z.int(),
+  nextOffset: z.int().check(z.nonnegative()),
+});
+
 const nodeStateSchema = z.object({
   /** Omitted if the requesting node has the same configuration version or a newer one. */
   change: z.optional(z.unknown()),
   announcements: z.array(z.unknown()),
+  position: z.optional(z.unknown()),
 });
 
+/** How far the configuration has been read from the store. */
+export interface StorePosition {
+  /** The era of the store that the offset belongs to; undefined if the store does not name it. */
+  readonly era?: number | undefined;
+  /** A version that is at least as new as all records before the offset. */
+  readonly version: number;
+  readonly nextOffset: number;
+}
+
 /** The configuration and the announcements that a node transfers to another. */
 export interface NodeState {
   /** The difference to the configuration of the requesting node; undefined if it is up to date. */
   readonly change: ConfigurationChange | undefined;
   readonly announcements: readonly Announcement[];
+  /** From where the receiver may continue to read the store; undefined if the node has not read it. */
+  readonly position?: StorePosition | undefined;
   /** Why parts of a received state are left out. */
   readonly rejected?: readonly string[];
 }
@@ -88,6 +106,7 @@
     return Ok({
       change: change?.unwrapOr(undefined),
       announcements: announcements.flatMap((one) => (one.isOk() ? [one.value] : [])),
+      position: positionSchema.safeParse(checked.data.position).data,
       rejected: results.flatMap((one) => (one.isErr() ? [one.error] : [])),
     });
   } catch (error) {
--- a/packages/lentillb/src/peers/stateServer.ts
+++ b/packages/lentillb/src/peers/stateServer.ts
@@ -9,6 +9,7 @@
 import type { ConfigurationHolder } from '../configuration/configurationHolder.js';
 import type { Directory } from '../directory/directory.js';
 import type { MetricsRegistry } from '../observability/metricsRegistry.js';
+import type { StorePosition } from './nodeState.js';
 import { encodeNodeState } from './nodeState.js';
 
 /** Paths of the HTTP server for other nodes. */
@@ -39,11 +40,13 @@
    * @param metrics - the metrics to serve
    * @param configuration - the configuration in force at this node
    * @param directory - the announcements that this node holds
+   * @param position - returns how far the configuration in force has been read from the store
    */
   constructor(
     private readonly metrics: MetricsRegistry,
     private readonly configuration: ConfigurationHolder,
     private readonly directory: Directory,
+    private readonly position: () => StorePosition | undefined = () => undefined,
   ) {
     this.server = createServer({ noDelay: true }, (request, response) =>
       runInBackground(this.handle(request, response)),
@@ -86,12 +89,15 @@
   private compressedState(heldVersion: number, withHosts: boolean): Promise<Buffer> {
     const change = this.configuration.changeSince(heldVersion);
     const { announcements, digest } = this.directory;
-    const key = `${change?.baseVersion} ${change?.version} ${withHosts ? digest : ''}`;
+    const position = this.position();
+    const offset = `${position?.era} ${position?.nextOffset}`;
+    const key = `${change?.baseVersion} ${change?.version} ${offset} ${withHosts ? digest : ''}`;
     const cached = this.cachedStates.get(key);
     if (cached !== undefined) {
       return cached;
     }
-    const text = encodeNodeState({ change, announcements: withHosts ? announcements : [] });
+    const hosts = withHosts ? announcements : [];
+    const text = encodeNodeState({ change, announcements: hosts, position });
     // Routes are so similar that even the fastest level compresses them to a tenth.
     const body = compress(text, { level: constants.Z_BEST_SPEED });
     this.cachedStates.set(key, body);
--- a/packages/lentillb/src/peers/storeReaderRole.ts
+++ b/packages/lentillb/src/peers/storeReaderRole.ts
@@ -168,8 +168,7 @@
    *   milliseconds; not above 0 if it is
    */
   untilOutdatedMs(topic: Topic): number {
-    const { readAtMs, reportedAtMs } = this.views[topic];
-    const untilOutdatedMs = this.maxAgeMs(topic) - this.ageMs(Math.max(readAtMs, reportedAtMs));
+    const untilOutdatedMs = this.maxAgeMs(topic) - this.viewAgeMs(topic);
     return this.isReaderOf(topic)
       ? untilOutdatedMs
       : Math.max(this.fetchPatienceMs(topic), untilOutdatedMs);
@@ -197,6 +196,15 @@
     return (isLed || this.fetchPatienceMs(topic) > 0) && !this.isReaderOf(topic);
   }
 
+  /**
+   * @param topic - a topic of the store
+   * @returns the time since this node was last known to have all of the topic, in milliseconds
+   */
+  viewAgeMs(topic: Topic): number {
+    const { readAtMs, reportedAtMs } = this.views[topic];
+    return this.ageMs(Math.max(readAtMs, reportedAtMs));
+  }
+
   /** Whether other nodes may rely on this node for the content of the store. */
   get readsStore(): boolean {
     const { failedAtMs } = this.views[Topic.Operator];
--- a/packages/lentillb/src/sidecar/meshState.ts
+++ b/packages/lentillb/src/sidecar/meshState.ts
@@ -10,7 +10,7 @@
 import type { Randomness } from '../kernel/randomness.js';
 import type { DecisionLog } from '../observability/decisionLog.js';
 import { Importance } from '../observability/decisionLog.js';
-import type { NodeState } from '../peers/nodeState.js';
+import type { NodeState, StorePosition } from '../peers/nodeState.js';
 import { StoreReaderRole } from '../peers/storeReaderRole.js';
 import type { KeyedRecord, KeyedStore } from '../store/keyedStore.js';
 import { Topic } from '../store/keyedStore.js';
@@ -24,8 +24,8 @@
 const CONFIGURATION_BATCH_DELAY_MS = 500;
 const HOSTS_BATCH_DELAY_MS = 1_000;
 /**
- * How long after its last read a node reads all configurations since, in milliseconds; each record
- * holds a whole one, and only the newest matters.
+ * The age of the known configuration up to which a node reads all versions since, in milliseconds; each
+ * record holds a whole one, and only the newest matters.
  */
 const MAX_CONFIGURATION_RESUME_MS = 5_000;
 /** How long a starting node waits at most for the hosts before it reads the configuration, in milliseconds. */
@@ -165,7 +165,7 @@
    *
    * @param state - the state of the other node
    */
-  acceptState({ announcements, change, rejected = [] }: NodeState): void {
+  acceptState({ announcements, change, position, rejected = [] }: NodeState): void {
     rejected.forEach((reason) => this.reject('state of another node', reason));
     announcements.forEach((announcement) => this.acceptAnnouncement(announcement));
     this.completeHosts();
@@ -181,6 +181,7 @@
         heardMs,
       });
     }
+    this.skipWhatIsHeld(position);
   }
 
   /**
@@ -202,6 +203,21 @@
     return topic === Topic.Operator ? this.operatorFollower : this.hostsFollower;
   }
 
+  /** How far the configuration in force has been read from the store, by this node or by others. */
+  get position(): StorePosition | undefined {
+    const nextOffset = this.operatorFollower.position;
+    const { version } = this.configuration;
+    return nextOffset === 0 ? undefined : { era: this.services.era.current, version, nextOffset };
+  }
+
+  /** Continues to read the store behind what another node has read, if this node holds all of it. */
+  private skipWhatIsHeld(position: StorePosition | undefined): void {
+    const isHeld = position !== undefined && this.configuration.version >= position.version;
+    if (isHeld && position.era === this.services.era.current) {
+      this.operatorFollower.skipTo(position.nextOffset);
+    }
+  }
+
   /** Reads the hosts first, because they show whether other nodes of the zone can provide the configuration. */
   private async followOperator(): Promise<void> {
     const hostsRead = new Promise<void>((resolve) => {
@@ -219,6 +235,7 @@
       isReadElsewhere: () => !isStarting() && role.isReadElsewhere(topic),
       untilOutdatedMs: () => role.untilOutdatedMs(topic),
       pollMs: () => role.pollMs(topic),
+      ageMs: () => role.viewAgeMs(topic),
     };
   }
 
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -300,7 +300,12 @@
       },
     );
     const { failureDetector } = this;
-    this.peerListener = new StateServer(metrics, configuration, directory);
+    this.peerListener = new StateServer(
+      metrics,
+      configuration,
+      directory,
+      () => this.meshState.position,
+    );
     this.gateForwarder = new GateForwarder(
       {
         clock,
--- a/packages/lentillb/src/store/topicFollower.ts
+++ b/packages/lentillb/src/store/topicFollower.ts
@@ -83,6 +83,8 @@
   readonly untilOutdatedMs: () => number;
   /** Returns how long a read waits for a first record. */
   readonly pollMs: () => number;
+  /** Returns the age of the known content of the topic. */
+  readonly ageMs: () => number;
   /** Returns whether another node has read the topic recently, so that this one need not. */
   readonly isReadElsewhere: () => boolean;
 }
@@ -93,8 +95,8 @@
   /** Longest delay after a read with records, in which more of them collect, in milliseconds. */
   readonly batchDelayMs: number;
   /**
-   * How long after its last answer a follower continues from there, in milliseconds. After that it
-   * reads the newest records only. By default, it always continues.
+   * The age of the known content up to which a follower continues from it, in milliseconds. After that
+   * it reads the newest records only. By default, it always continues.
    */
   readonly maxResumeMs?: number;
   /**
@@ -138,8 +140,8 @@
   /** The number of reads in a row that were left waiting because the known content was too old. */
   private overdueReads = 0;
 
-  /** When the last read was answered, and when it had been sent. */
-  private lastAnswer = { atMs: -Infinity, sentAtMs: -Infinity };
+  /** When the last read that was answered had been sent. */
+  private answeredReadSentAtMs = -Infinity;
 
   private readonly backoff: Backoff;
 
@@ -181,6 +183,23 @@
     return this.receivedBytes;
   }
 
+  /** The offset before which all records have been read or were not needed. */
+  get position(): number {
+    return this.handledOffset;
+  }
+
+  /**
+   * Skips records that need not be read, because another node has read them and this one has what they say.
+   *
+   * @param offset - the offset of the first record that may be needed
+   */
+  skipTo(offset: number): void {
+    if (offset > this.handledOffset) {
+      this.handledOffset = offset;
+      this.nextOffset = Math.max(this.nextOffset ?? 0, offset);
+    }
+  }
+
   /** Ends the loop after the current call. */
   stop(): void {
     this.stopped = true;
@@ -275,7 +294,7 @@
     const { clock, store } = this.services;
     const { schedule, topic } = this.options;
     const sentAtMs = clock.monotonicMs();
-    if (sentAtMs - this.lastAnswer.atMs > (this.options.maxResumeMs ?? Infinity)) {
+    if (schedule.ageMs() > (this.options.maxResumeMs ?? Infinity)) {
       this.nextOffset = undefined;
     }
     const { nextOffset: from, restarts } = this;
@@ -293,7 +312,7 @@
     }
     if (read.isErr()) {
       // A read that was left waiting says nothing if a later one has been answered.
-      if (sentAtMs >= this.lastAnswer.sentAtMs) {
+      if (sentAtMs >= this.answeredReadSentAtMs) {
         this.handleFailure(read.error);
       }
       return { delayMs: this.backoff.nextMs() };
@@ -301,7 +320,7 @@
     const isNewest = from === undefined;
     const isEmpty = read.value.records.length === 0;
     this.overdueReads = 0;
-    this.lastAnswer = { atMs: clock.monotonicMs(), sentAtMs };
+    this.answeredReadSentAtMs = sentAtMs;
     // An empty answer that comes before the wait has passed proves no more than one with records.
     const hasWaited = isEmpty && clock.monotonicMs() >= sentAtMs + waitMs;
     this.handleBatch(read.value, {
--- a/tests/peers/stateTransfer.spec.ts
+++ b/tests/peers/stateTransfer.spec.ts
@@ -18,6 +18,8 @@
 import { ScriptedServer, SWITCHING } from '../support/scriptedServer.js';
 
 const ROUTE_COUNT = 1_600;
+/** How far the node that is asked has read the store. */
+const POSITION = { era: 3, version: 4, nextOffset: 12 };
 const LIMITS = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
 
 function routes(priorityOfFirst: number): MeshRoute[] {
@@ -56,7 +58,7 @@
     incarnation: 1,
     sequence: 1,
   });
-  listener = new StateServer(new MetricsRegistry(), holder, directory);
+  listener = new StateServer(new MetricsRegistry(), holder, directory, () => POSITION);
   address = await freeAddress();
   await openListener(listener.at(address));
 });
@@ -83,6 +85,11 @@
     expect((await transferredBytes(0)) / bytesPerMs).toBeLessThan(250);
   });
 
+  it('should tell how far the store has been read, also to a node that holds the version', async () => {
+    expect((await fetchState(address, 1)).unwrap().position).toEqual(POSITION);
+    expect((await fetchState(address, 4)).unwrap().position).toEqual(POSITION);
+  });
+
   it('should be sent without the hosts on request', async () => {
     const fetched = (await fetchState(address, 1, { withHosts: false })).unwrap();
     expect(fetched.announcements).toEqual([]);
--- a/tests/sidecar/narrowLinks.spec.ts
+++ b/tests/sidecar/narrowLinks.spec.ts
@@ -1,5 +1,6 @@
+import { Topic } from 'lentillb/store/keyedStore.js';
 import { afterEach, describe, expect, it } from 'vitest';
-import { ControlFleet } from '../support/controlFleet.js';
+import { CONFIGURATION_BYTES, ControlFault, ControlFleet } from '../support/controlFleet.js';
 
 /** The time from the confirmation of a version until it must be in force, in milliseconds. */
 const APPLY_MS = 2_000;
@@ -80,3 +81,25 @@
     },
   );
 });
+
+describe('a host that takes over reading', () => {
+  it('should not read a configuration that it holds', async () => {
+    const running = await startFleet(5, 40);
+    await running.measureSeries([2, 3], 300, 8_000);
+    running.setFault(running.readersOf('z0'), ControlFault.Silent);
+    await running.advance(6_000);
+    const others = running.nodes.filter(({ fault, zone }) => fault === undefined && zone === 'z0');
+    expect(others.some(({ state }) => state.role.readsStore)).toBe(true);
+    others.forEach(({ state }) => {
+      expect(state.followerOf(Topic.Operator).totalBytes).toBeLessThan(CONFIGURATION_BYTES);
+    });
+  });
+
+  it('should read a version that is published then within the bound', async () => {
+    const running = await startFleet(5, 0);
+    await running.measureSeries([2, 3], 300, 8_000);
+    running.setFault(running.readersOf('z0'), ControlFault.Silent);
+    const delays = await running.measure(4, 10_000);
+    expect(slowest(delays)).toBeLessThan(APPLY_MS);
+  });
+});
--- a/tests/store/topicFollower.spec.ts
+++ b/tests/store/topicFollower.spec.ts
@@ -22,6 +22,7 @@
 const alwaysReading = {
   untilReadMs: () => 0,
   pollMs: () => POLL_MS,
+  ageMs: () => 0,
   isReadElsewhere: () => false,
 };
 
--- a/tests/support/controlFleet.ts
+++ b/tests/support/controlFleet.ts
@@ -31,7 +31,7 @@
 const LIMITS = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
 
 /** The size of a record with a configuration of 1,600 routes, in bytes. */
-const CONFIGURATION_BYTES = 400_000;
+export const CONFIGURATION_BYTES = 400_000;
 /** The size of a record of a host, in bytes. */
 const HOST_RECORD_BYTES = 250;
 /** The store sends the newest records of a topic in base64. */
@@ -422,13 +422,13 @@
       await this.clock.sleep(TRANSFER_TIMEOUT_MS);
       return Err('timed out');
     }
-    const { configuration, directory } = sender.state;
+    const { configuration, directory, position } = sender.state;
     const announcements = withHosts ? directory.announcements : [];
     const change = configuration.changeSince(heldVersion);
     const changeBytes = change?.baseVersion === 0 ? WHOLE_STATE_BYTES : CHANGE_BYTES;
     const bytes = HEAD_BYTES + (change ? changeBytes : 0) + HOST_STATE_BYTES * announcements.length;
     const arrived = await carry(this.clock, bytes, [to.link, sender.link], progress);
-    return arrived ? Ok({ change, announcements }) : Err('cancelled');
+    return arrived ? Ok({ change, announcements, position }) : Err('cancelled');
   }
 
   private nodeAt(peerAddress: string): ControlNode | undefined {
