Count the parts of a whole state as progress for a node that lacks a version

A host that has just started fetches its first version with all hosts; only transfers of a version alone held back its reads of the store. stateTransfers.spec.ts fails without it.

--- a/packages/lentillb/src/peers/stateTransfers.ts
+++ b/packages/lentillb/src/peers/stateTransfers.ts
@@ -143,7 +143,8 @@
   private async fetch(from: string, wantedVersion: number | undefined): Promise<boolean> {
     const { clock, configuration, fetchState, log, status } = this.services;
     const withHosts = wantedVersion === undefined;
-    const onBytes = withHosts ? undefined : this.listener.onVersionProgress;
+    const lacksVersion = configuration.version === 0 || status.newerVersion !== undefined;
+    const onBytes = lacksVersion ? this.listener.onVersionProgress : undefined;
     const progress = new TransferProgress(clock, onBytes);
     this.transfers.set(from, { progress, wantedVersion });
     const fetched = await fetchState(from, configuration.version, { progress, withHosts });
--- a/tests/peers/stateTransfers.spec.ts
+++ b/tests/peers/stateTransfers.spec.ts
@@ -4,6 +4,7 @@
 import type { NodeState } from 'lentillb/peers/nodeState.js';
 import type { StateRequest } from 'lentillb/peers/stateClient.js';
 import { StateTransfers } from 'lentillb/peers/stateTransfers.js';
+import { runInBackground } from 'lentillb/utils/background.js';
 import type { TransferProgress } from 'lentillb/utils/transferProgress.js';
 import type { Result } from 'ts-results-es';
 import { Ok } from 'ts-results-es';
@@ -27,6 +28,7 @@
 let status: ConfigurationStatus;
 let transfers: StateTransfers;
 let fetches: Fetch[];
+let versionParts: number;
 
 function activate(version: number): void {
   configuration.activateIfNewer({ version, routes: [], limits: LIMITS });
@@ -47,6 +49,7 @@
   status = new ConfigurationStatus(clock, configuration);
   activate(HELD_VERSION);
   fetches = [];
+  versionParts = 0;
   const log = new DecisionLog(clock, { info: () => undefined, warn: () => undefined });
   const fetchState = (from: string, _heldVersion: number, request: StateRequest) =>
     new Promise<Result<NodeState, string>>((answer) => {
@@ -56,7 +59,9 @@
     { clock, configuration, status, fetchState, log },
     {
       onState: ({ change }) => change && configuration.applyIfNewer(change),
-      onVersionProgress: () => undefined,
+      onVersionProgress: () => {
+        versionParts += 1;
+      },
     },
   );
   await clock.advance(1_000);
@@ -107,6 +112,16 @@
 });
 
 describe('a transfer of the whole state', () => {
+  it('should count as the progress of a version only for a node that lacks one', () => {
+    runInBackground(transfers.fetchAll(FIRST));
+    progressOf(0).add(1);
+    expect(versionParts).toBe(0);
+    status.noteVersion(NEW_VERSION, FIRST);
+    runInBackground(transfers.fetchAll(SECOND));
+    progressOf(1).add(1);
+    expect(versionParts).toBe(1);
+  });
+
   it('should go on when a version comes into force meanwhile', async () => {
     const fetched = transfers.fetchAll(FIRST);
     activate(NEW_VERSION);
