Bound the time for which a named version holds back reads of the store

A node that names a version which it does not have, and answers its transfers, held back the reads of those that heard it for as long as it did so. The time is 2,000 ms from the first naming of a version that is newer than all named before.

--- a/packages/lentillb/src/peers/gossip.ts
+++ b/packages/lentillb/src/peers/gossip.ts
@@ -112,7 +112,7 @@
         this.applyConfigurationRead();
         this.digestComparison.reset(from);
       },
-      onVersionProgress: () => services.role.noteFetch(),
+      onVersionProgress: () => services.role.noteFetchProgress(),
     });
     // Every node has to write its announcement again soon after the store went back.
     services.era.subscribe(() => this.sendStatusToZone());
@@ -196,8 +196,11 @@
     const { log, role, status } = this.services;
     const wasBehind = status.newerVersion !== undefined;
     if (status.noteVersion(version, from)) {
+      if (inOwnZone) {
+        role.noteNamedVersion(version);
+      }
       if (inOwnZone && !wasBehind) {
-        role.noteFetch();
+        role.noteFetchProgress();
       }
       log.record(Importance.Notable, 'configuration-behind', { ...status.fields });
     }
--- a/packages/lentillb/src/peers/storeReaderRole.ts
+++ b/packages/lentillb/src/peers/storeReaderRole.ts
@@ -51,6 +51,11 @@
  * counted from its last progress, in milliseconds. A change is much smaller than a record of the store.
  */
 const FETCH_PATIENCE_MS = 600;
+/**
+ * The longest time for which it does so after its zone has named a version that is newer than all before, in
+ * milliseconds. A node may name a version that it does not have.
+ */
+const MAX_FETCH_MS = 2_000;
 /** How long an answer of the store counts as recent, in milliseconds: two reads of a late rank. */
 const RECENT_ANSWER_MS = 2_500;
 
@@ -99,8 +104,11 @@
   /** When this node first knew of an announced host of its zone, which may read the store for it. */
   private firstAnnouncedAtMs = -Infinity;
 
-  /** When a version that the zone has read was first named, or a part of it arrived. */
-  private fetchedAtMs = -Infinity;
+  /** The newest version that a node of the zone has named, and when it did so first. */
+  private named = { version: 0, atMs: -Infinity };
+
+  /** When this node began to lack a version that the zone has read, or a part of one arrived. */
+  private fetchProgressAtMs = -Infinity;
 
   private readonly views: Readonly<Record<Topic, TopicView>>;
 
@@ -250,9 +258,16 @@
     view.failedAtMs = undefined;
   }
 
-  /** Records that a version which the zone has read is being fetched from one of its nodes. */
-  noteFetch(): void {
-    this.fetchedAtMs = this.services.clock.monotonicMs();
+  /** @param version - a version that a node of the zone has named and this node lacks */
+  noteNamedVersion(version: number): void {
+    if (version > this.named.version) {
+      this.named = { version, atMs: this.services.clock.monotonicMs() };
+    }
+  }
+
+  /** Records that a version is about to be fetched from another node, or that a part of it has arrived. */
+  noteFetchProgress(): void {
+    this.fetchProgressAtMs = this.services.clock.monotonicMs();
   }
 
   /** @param topic - the topic whose read by this node failed */
@@ -288,7 +303,12 @@
 
   /** The time for which a fetch of a version still holds back reads of a topic, in milliseconds. */
   private fetchPatienceMs(topic: Topic): number {
-    return topic === Topic.Operator ? FETCH_PATIENCE_MS - this.ageMs(this.fetchedAtMs) : -Infinity;
+    return topic === Topic.Operator
+      ? Math.min(
+          FETCH_PATIENCE_MS - this.ageMs(this.fetchProgressAtMs),
+          MAX_FETCH_MS - this.ageMs(this.named.atMs),
+        )
+      : -Infinity;
   }
 
   private ageMs(atMs: number): number {
--- a/tests/peers/readsDuringTransfer.spec.ts
+++ b/tests/peers/readsDuringTransfer.spec.ts
@@ -105,6 +105,21 @@
   expect(role.shouldRead(Topic.Operator)).toBe(true);
 });
 
+it('should read the store although a node keeps naming a version that it does not have', async () => {
+  const clock = new ManualClock();
+  const { answerFetch, hear, receiveBytes, role } = createNode(clock);
+  await clock.advance(10);
+  hear('a1', OLD_VERSION, 0);
+  await clock.advance(700);
+  for (let round = 0; round < 10; round += 1) {
+    hear('a4', NEW_VERSION + 5, 20_000);
+    await clock.advance(250);
+    receiveBytes();
+    answerFetch();
+  }
+  expect(role.shouldRead(Topic.Operator)).toBe(true);
+});
+
 it('should leave the store to its reader while parts of the version arrive', async () => {
   const clock = new ManualClock();
   const { hear, receiveBytes, role } = createNode(clock);
