Leave the store to its readers also when another zone has named the version before

The patience began only when the zone named a version that the host had not heard of at all; one that another zone had named first brought it to read the store. It begins when the zone names the first version that the host lacks, so naming one again does not renew it.

readsDuringTransfer.spec.ts fails without it; configurationDelay.spec.ts passes with 300 runs.

--- a/packages/lentillb/src/peers/gossip.ts
+++ b/packages/lentillb/src/peers/gossip.ts
@@ -160,15 +160,16 @@
     if (message.kind === GossipMessageKind.Ping) {
       this.services.transport.send(from, this.createMessage(GossipMessageKind.Status));
     }
-    const { directory, era } = this.services;
+    const { configuration, directory, era, role } = this.services;
     era.observe(message.storeEra === 0 ? undefined : message.storeEra);
     const sender = directory.announcementAt(from);
     const inOwnZone = sender?.zone === this.location.zone;
     if (sender !== undefined && inOwnZone) {
+      role.noteNamedVersion(message.configurationVersion, configuration.version);
       this.noteReads(sender.host, message);
     }
     message.gateLoads.forEach((load) => this.receiveGateLoad(sender, load));
-    this.noteVersion(from, message.configurationVersion, inOwnZone);
+    this.noteVersion(from, message.configurationVersion);
     this.fetchIfBehind(from, message, inOwnZone);
   }
 
@@ -192,16 +193,9 @@
     });
   }
 
-  private noteVersion(from: string, version: number, inOwnZone: boolean): void {
-    const { log, role, status } = this.services;
-    const wasBehind = status.newerVersion !== undefined;
+  private noteVersion(from: string, version: number): void {
+    const { log, status } = this.services;
     if (status.noteVersion(version, from)) {
-      if (inOwnZone) {
-        role.noteNamedVersion(version);
-      }
-      if (inOwnZone && !wasBehind) {
-        role.noteFetchProgress();
-      }
       log.record(Importance.Notable, 'configuration-behind', { ...status.fields });
     }
   }
--- a/packages/lentillb/src/peers/storeReaderRole.ts
+++ b/packages/lentillb/src/peers/storeReaderRole.ts
@@ -258,8 +258,16 @@
     view.failedAtMs = undefined;
   }
 
-  /** @param version - a version that a node of the zone has named and this node lacks */
-  noteNamedVersion(version: number): void {
+  /**
+   * Records that a node of the zone has named a version.
+   *
+   * @param version - the version
+   * @param heldVersion - the version in force at this node
+   */
+  noteNamedVersion(version: number, heldVersion: number): void {
+    if (version > heldVersion && this.named.version <= heldVersion) {
+      this.noteFetchProgress();
+    }
     if (version > this.named.version) {
       this.named = { version, atMs: this.services.clock.monotonicMs() };
     }
--- a/tests/peers/readsDuringTransfer.spec.ts
+++ b/tests/peers/readsDuringTransfer.spec.ts
@@ -94,6 +94,18 @@
   expect(role.shouldRead(Topic.Operator)).toBe(false);
 });
 
+it('should leave the store to its reader when another zone has named the version before', async () => {
+  const clock = new ManualClock();
+  const { hear, role } = createNode(clock);
+  await clock.advance(10);
+  hear('a1', OLD_VERSION, 0);
+  hear('b1', NEW_VERSION, 20_000);
+  await clock.advance(700);
+  hear('a1', NEW_VERSION, 0);
+  await clock.advance(250);
+  expect(role.shouldRead(Topic.Operator)).toBe(false);
+});
+
 it('should read the store when a version that the zone has read does not arrive', async () => {
   const clock = new ManualClock();
   const { hear, role } = createNode(clock);
