--- a/packages/lentillb/src/store/topicFollower.ts
+++ b/packages/lentillb/src/store/topicFollower.ts
@@ -19,6 +19,8 @@
  */
 const MIN_PATIENCE_MS = 250;
 const MAX_PATIENCE_MS = 1_000;
+/** The time after which another read is sent although bytes of the first one arrive, in milliseconds. */
+const MAX_ARRIVAL_MS = 10_000;
 /** Maximum number of reads under way; the oldest one is cancelled when another one is sent. */
 const MAX_READS_UNDER_WAY = 2;
 /** Shortest time between two reads, in milliseconds, against a store that does not wait for records. */
@@ -268,7 +270,11 @@
       if (progress.bytes > 0 && schedule.isReadElsewhere()) {
         return WaitEnd.Superseded;
       }
-      const untilOverdueMs = Math.max(patienceMs - progress.silentMs, schedule.untilOutdatedMs());
+      const untilLateMs = Math.min(
+        patienceMs - progress.silentMs,
+        MAX_ARRIVAL_MS - progress.durationMs,
+      );
+      const untilOverdueMs = Math.max(untilLateMs, schedule.untilOutdatedMs());
       if (untilOverdueMs <= 0) {
         break;
       }
--- a/tests/store/topicFollower.spec.ts
+++ b/tests/store/topicFollower.spec.ts
@@ -131,6 +131,12 @@
     expect(byHand.reads).toHaveLength(1);
   });
 
+  it('should be sent again after 10 s although bytes of its answer arrive', async () => {
+    follow({ schedule: outdated }, byHand);
+    await receiveBytes(0, 10_300);
+    expect(byHand.reads).toHaveLength(2);
+  });
+
   it('should be sent again once no byte of it arrives for 250 ms', async () => {
     follow({ schedule: outdated }, byHand);
     await receiveBytes(0, 500);
