--- a/packages/lentillb/src/peers/stateTransfers.ts
+++ b/packages/lentillb/src/peers/stateTransfers.ts
@@ -51,6 +51,8 @@
 
 /** A transfer under way. */
 interface Transfer {
+  /** The address and port of the other node. */
+  readonly from: string;
   readonly progress: TransferProgress;
   /** The newer version that it is to bring; undefined if it is to bring the hosts. */
   readonly wantedVersion: number | undefined;
@@ -58,8 +60,8 @@
 
 /** Fetches the state of other nodes. */
 export class StateTransfers {
-  /** The transfers under way, by the address of the other node. */
-  private readonly transfers = new Map<string, Transfer>();
+  /** The transfers under way. */
+  private readonly transfers = new Set<Transfer>();
 
   private receivedBytes = 0;
 
@@ -108,7 +110,7 @@
    * @param from - the address and port of the node
    */
   request(from: string): void {
-    if (this.untilAllowedMs(from) <= 0) {
+    if (this.untilAllowedMs(from, this.endedAtMs, [...this.transfers]) <= 0) {
       runInBackground(this.fetchAll(from));
     }
   }
@@ -146,9 +148,10 @@
     const lacksVersion = configuration.version === 0 || status.newerVersion !== undefined;
     const onBytes = lacksVersion ? this.listener.onVersionProgress : undefined;
     const progress = new TransferProgress(clock, onBytes);
-    this.transfers.set(from, { progress, wantedVersion });
+    const transfer = { from, progress, wantedVersion };
+    this.transfers.add(transfer);
     const fetched = await fetchState(from, configuration.version, { progress, withHosts });
-    this.transfers.delete(from);
+    this.transfers.delete(transfer);
     this.receivedBytes += progress.bytes;
     if (progress.isCancelled) {
       return false;
@@ -157,20 +160,20 @@
     if (!withHosts || fetched.isErr() || fetched.value.change !== undefined) {
       this.versionEndedAtMs = this.endedAtMs;
     }
-    const transfer = {
+    const measured = {
       durationMs: Math.round(progress.durationMs),
       bytes: progress.bytes,
       underWay: this.underWay,
     };
     if (fetched.isErr()) {
       const reason = fetched.error;
-      log.record(Importance.Notable, 'state-not-fetched', { from, reason, ...transfer });
+      log.record(Importance.Notable, 'state-not-fetched', { from, reason, ...measured });
       return false;
     }
     const state = fetched.value;
     const { length: hosts } = state.announcements;
     const { baseVersion, version = 0 } = state.change ?? {};
-    const fields = { from, baseVersion, version, hosts, ...transfer };
+    const fields = { from, baseVersion, version, hosts, ...measured };
     log.record(Importance.Notable, 'state-fetched', fields);
     this.listener.onState(state, from);
     if (wantedVersion !== undefined && this.holder?.address === from && version < wantedVersion) {
@@ -216,8 +219,11 @@
       this.holder = undefined;
       return;
     }
-    // A transfer of hosts does not hold back a version that is named shortly after it.
-    const waitMs = this.untilAllowedMs(holder.address, this.versionEndedAtMs);
+    // A transfer of hosts holds back no version that is named during it or shortly after it.
+    const ofVersions = [...this.transfers].filter(
+      ({ wantedVersion }) => wantedVersion !== undefined,
+    );
+    const waitMs = this.untilAllowedMs(holder.address, this.versionEndedAtMs, ofVersions);
     if (waitMs <= 0) {
       runInBackground(this.fetch(holder.address, newerVersion.version));
     }
@@ -225,14 +231,10 @@
     this.scheduleAttempt(clock.monotonicMs() + Math.max(waitMs, PATIENCE_MS));
   }
 
-  private untilAllowedMs(from: string, endedAtMs = this.endedAtMs): number {
-    const { clock } = this.services;
-    const sinceEndMs = clock.monotonicMs() - endedAtMs;
-    const silentMs = Math.min(
-      Infinity,
-      ...[...this.transfers.values()].map(({ progress }) => progress.silentMs),
-    );
-    const isAsked = this.transfers.has(from);
+  private untilAllowedMs(from: string, endedAtMs: number, transfers: readonly Transfer[]): number {
+    const sinceEndMs = this.services.clock.monotonicMs() - endedAtMs;
+    const silentMs = Math.min(Infinity, ...transfers.map(({ progress }) => progress.silentMs));
+    const isAsked = transfers.some((transfer) => transfer.from === from);
     return Math.max(
       TRANSFER_INTERVAL_MS - sinceEndMs,
       PATIENCE_MS - silentMs,
--- a/tests/peers/stateTransfers.spec.ts
+++ b/tests/peers/stateTransfers.spec.ts
@@ -93,6 +93,15 @@
     transfers.stop();
   });
 
+  it('should not wait for a transfer of hosts from the same node', async () => {
+    runInBackground(transfers.fetchAll(FIRST));
+    await clock.advance(100);
+    progressOf(0).add(100);
+    hearOf(NEW_VERSION, FIRST);
+    expect(fetches.map(({ request }) => request.withHosts)).toEqual([true, false]);
+    transfers.stop();
+  });
+
   it('should be cancelled once the version is in force by another way', async () => {
     hearOf(NEW_VERSION, FIRST);
     hearOf(NEW_VERSION, SECOND);
