Fetch a version only from nodes that have named it, and keep the other zone's in mind

One holder was remembered, the last of the own zone, whatever it had named. Now the newest of the own zone and the newest of the others are, each with the time from which it is asked; a version is forgotten only if the node that named it does not have it, and a silent node of the own zone does not keep the other zone's from being asked.

--- a/packages/lentillb/src/peers/gossip.ts
+++ b/packages/lentillb/src/peers/gossip.ts
@@ -346,7 +346,7 @@
     if (configurationVersion > configuration.version) {
       const readerGraceMs = role.shouldRead(Topic.Operator) ? READER_GRACE_MS : 0;
       const graceMs = inOwnZone ? readerGraceMs : OTHER_ZONE_GRACE_MS;
-      this.transfers.catchUp({ address: from, inOwnZone }, graceMs);
+      this.transfers.catchUp({ address: from, inOwnZone, version: configurationVersion }, graceMs);
     }
   }
 }
--- a/packages/lentillb/src/peers/stateTransfers.ts
+++ b/packages/lentillb/src/peers/stateTransfers.ts
@@ -47,6 +47,14 @@
 interface VersionHolder {
   readonly address: string;
   readonly inOwnZone: boolean;
+  /** The version that it has named. */
+  readonly version: number;
+}
+
+/** A node from which a version may be fetched, and from when on, in milliseconds of the monotonic clock. */
+interface Source {
+  readonly holder: VersionHolder;
+  readonly dueAtMs: number;
 }
 
 /** A transfer under way. */
@@ -70,7 +78,8 @@
   /** The end of the last transfer that failed, brought a configuration or was to bring one. */
   private versionEndedAtMs = -Infinity;
 
-  private holder: VersionHolder | undefined;
+  /** The node of the own zone, and the one of other zones, that has named the newest version. */
+  private sources: readonly Source[] = [];
 
   /** The time of the next attempt to fetch the newer version, and a function that cancels it. */
   private attempt: { readonly dueAtMs: number; readonly cancel: () => void } | undefined;
@@ -110,7 +119,8 @@
    * @param from - the address and port of the node
    */
   request(from: string): void {
-    if (this.untilAllowedMs(from, this.endedAtMs, [...this.transfers]) <= 0) {
+    const isAsked = [...this.transfers].some((transfer) => transfer.from === from);
+    if (!isAsked && this.untilAllowedMs(this.endedAtMs, [...this.transfers]) <= 0) {
       runInBackground(this.fetchAll(from));
     }
   }
@@ -126,10 +136,14 @@
     if (newerVersion === undefined) {
       return;
     }
-    if (holder.inOwnZone || this.holder?.inOwnZone !== true) {
-      this.holder = holder;
-    }
-    this.scheduleAttempt(newerVersion.sinceMs + graceMs);
+    const dueAtMs = newerVersion.sinceMs + graceMs;
+    const others = this.sources.filter(
+      (source) =>
+        source.holder.inOwnZone !== holder.inOwnZone || source.holder.version > holder.version,
+    );
+    const isNewest = others.every((source) => source.holder.inOwnZone !== holder.inOwnZone);
+    this.sources = isNewest ? [...others, { holder, dueAtMs }] : this.sources;
+    this.scheduleAttempt(dueAtMs);
   }
 
   /**
@@ -176,8 +190,13 @@
     const fields = { from, baseVersion, version, hosts, ...measured };
     log.record(Importance.Notable, 'state-fetched', fields);
     this.listener.onState(state, from);
-    if (wantedVersion !== undefined && this.holder?.address === from && version < wantedVersion) {
+    if (
+      wantedVersion !== undefined &&
+      configuration.version < wantedVersion &&
+      version < wantedVersion
+    ) {
       status.forgetVersion(wantedVersion);
+      this.sources = this.sources.filter(({ holder }) => holder.address !== from);
     }
     // Another version may have come into force during the transfer, so that the change does not fit.
     const isUnfit = version > configuration.version && baseVersion !== configuration.version;
@@ -212,33 +231,36 @@
   }
 
   private attemptCatchUp(): void {
-    const { clock, status } = this.services;
-    const { holder } = this;
-    const { newerVersion } = status;
-    if (newerVersion === undefined || holder === undefined) {
-      this.holder = undefined;
+    const { clock, configuration } = this.services;
+    this.sources = this.sources.filter(({ holder }) => holder.version > configuration.version);
+    if (this.sources.length === 0) {
       return;
     }
     // A transfer of hosts holds back no version that is named during it or shortly after it.
     const ofVersions = [...this.transfers].filter(
       ({ wantedVersion }) => wantedVersion !== undefined,
     );
-    const waitMs = this.untilAllowedMs(holder.address, this.versionEndedAtMs, ofVersions);
-    if (waitMs <= 0) {
-      runInBackground(this.fetch(holder.address, newerVersion.version));
+    const [source] = this.sources
+      .filter(({ holder }) => !ofVersions.some(({ from }) => from === holder.address))
+      .sort((left, right) => left.dueAtMs - right.dueAtMs);
+    const waitMs =
+      source === undefined
+        ? PATIENCE_MS
+        : Math.max(
+            source.dueAtMs - clock.monotonicMs(),
+            this.untilAllowedMs(this.versionEndedAtMs, ofVersions),
+          );
+    if (source !== undefined && waitMs <= 0) {
+      runInBackground(this.fetch(source.holder.address, source.holder.version));
     }
-    // If the transfer fails or hangs, the version is fetched from the node that named it last.
+    // If the transfer fails or is silent, the version is fetched from another node that has named it.
     this.scheduleAttempt(clock.monotonicMs() + Math.max(waitMs, PATIENCE_MS));
   }
 
-  private untilAllowedMs(from: string, endedAtMs: number, transfers: readonly Transfer[]): number {
+  /** The time until another transfer may begin, in milliseconds; not above 0 if it may begin now. */
+  private untilAllowedMs(endedAtMs: number, transfers: readonly Transfer[]): number {
     const sinceEndMs = this.services.clock.monotonicMs() - endedAtMs;
     const silentMs = Math.min(Infinity, ...transfers.map(({ progress }) => progress.silentMs));
-    const isAsked = transfers.some((transfer) => transfer.from === from);
-    return Math.max(
-      TRANSFER_INTERVAL_MS - sinceEndMs,
-      PATIENCE_MS - silentMs,
-      isAsked ? PATIENCE_MS : -Infinity,
-    );
+    return Math.max(TRANSFER_INTERVAL_MS - sinceEndMs, PATIENCE_MS - silentMs);
   }
 }
--- a/tests/peers/readsDuringTransfer.spec.ts
+++ b/tests/peers/readsDuringTransfer.spec.ts
@@ -180,7 +180,7 @@
   await clock.advance(200);
   expect(fetches).toBe(1);
   status.noteVersion(NEW_VERSION, OTHER);
-  transfers.catchUp({ address: OTHER, inOwnZone: true }, 0);
+  transfers.catchUp({ address: OTHER, inOwnZone: true, version: NEW_VERSION }, 0);
   await clock.advance(100);
   expect(fetches).toBe(2);
   transfers.stop();
--- a/tests/peers/stateTransfers.spec.ts
+++ b/tests/peers/stateTransfers.spec.ts
@@ -16,6 +16,7 @@
 const NEW_VERSION = 2;
 const FIRST = 'a1:1';
 const SECOND = 'a2:1';
+const OTHER_ZONE = 'b1:1';
 
 interface Fetch {
   readonly from: string;
@@ -40,7 +41,7 @@
 
 function hearOf(version: number, from: string): void {
   status.noteVersion(version, from);
-  transfers.catchUp({ address: from, inOwnZone: true }, 0);
+  transfers.catchUp({ address: from, inOwnZone: true, version }, 0);
 }
 
 beforeEach(async () => {
@@ -120,6 +121,52 @@
   });
 });
 
+describe('a version that only another zone has named', () => {
+  const GRACE_MS = 800;
+
+  async function fetchOlderFromOwnZone(): Promise<void> {
+    hearOf(NEW_VERSION, FIRST);
+    status.noteVersion(NEW_VERSION + 1, OTHER_ZONE);
+    const holder = { address: OTHER_ZONE, inOwnZone: false, version: NEW_VERSION + 1 };
+    transfers.catchUp(holder, GRACE_MS);
+    const change = { baseVersion: HELD_VERSION, version: NEW_VERSION, routes: [], removed: [] };
+    fetches[0]?.answer(Ok({ change: { ...change, limits: LIMITS }, announcements: [] }));
+    await clock.advance(10);
+  }
+
+  it('should not be asked of a node of the own zone that has named an older one', async () => {
+    await fetchOlderFromOwnZone();
+    await clock.advance(700);
+    expect(configuration.version).toBe(NEW_VERSION);
+    expect(fetches.map(({ from }) => from)).toEqual([FIRST]);
+    transfers.stop();
+  });
+
+  it('should be fetched from there once it is due', async () => {
+    await fetchOlderFromOwnZone();
+    await clock.advance(1_200);
+    expect(fetches.map(({ from }) => from)).toContain(OTHER_ZONE);
+    transfers.stop();
+  });
+
+  it('should be fetched from there once it is due although the own zone is silent', async () => {
+    hearOf(NEW_VERSION, FIRST);
+    const holder = { address: OTHER_ZONE, inOwnZone: false, version: NEW_VERSION };
+    transfers.catchUp(holder, GRACE_MS);
+    await clock.advance(1_000);
+    expect(fetches.map(({ from }) => from)).toEqual([FIRST, OTHER_ZONE]);
+    transfers.stop();
+  });
+
+  it('should be fetched from the own zone at once when that names it', async () => {
+    await fetchOlderFromOwnZone();
+    await clock.advance(400);
+    hearOf(NEW_VERSION + 1, SECOND);
+    expect(fetches.map(({ from }) => from)).toEqual([FIRST, SECOND]);
+    transfers.stop();
+  });
+});
+
 describe('a transfer of the whole state', () => {
   it('should count as the progress of a version only for a node that lacks one', () => {
     runInBackground(transfers.fetchAll(FIRST));
