--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -21,7 +21,6 @@
 import type { CollectGarbage } from '../memory/bufferCollector.js';
 import { BufferCollector } from '../memory/bufferCollector.js';
 import { MemoryBudget } from '../memory/memoryBudget.js';
-import { memoryUses, MemoryUse } from '../memory/memoryUse.js';
 import { RefusalLog } from '../memory/refusalLog.js';
 import { DecisionLog, Importance } from '../observability/decisionLog.js';
 import type { LineLogger } from '../observability/decisionLog.js';
@@ -54,7 +53,6 @@
 import { SuspectRequests } from '../serving/suspectRequests.js';
 import { EraCheckedStore } from '../store/eraCheckedStore.js';
 import type { KeyedStore } from '../store/keyedStore.js';
-import { Topic } from '../store/keyedStore.js';
 import { StoreEraTracker } from '../store/storeEraTracker.js';
 import { AddressOpener } from './addressOpener.js';
 import type { AddressFailure } from './addressOpener.js';
@@ -62,6 +60,7 @@
 import { StoreAnnouncer } from './storeAnnouncer.js';
 import type { HostIdentity, HostState } from './storeAnnouncer.js';
 import { MeshState } from './meshState.js';
+import { registerGauges } from './nodeGauges.js';
 import { PlannedStop } from './plannedStop.js';
 
 /** The time for which a starting node waits for its own earlier record, in milliseconds. */
@@ -377,26 +376,12 @@
       observations.removeOthers(announcement.host, announcement.backendServer?.id);
       suspectGuard.learn(announcement);
     });
-    metrics.gauge('configuration_version', () => configuration.version);
-    metrics.gauge('rejected_inputs', () => this.meshState.rejectedInputs);
-    metrics.gauge('suspect_requests', () => suspects.size);
-    metrics.gauge('held_answer_bytes', () => memory.bytesOf(MemoryUse.Answers));
-    memoryUses.forEach((use) =>
-      metrics.gauge(`memory_held_bytes{use="${use}"}`, () => memory.bytesOf(use)),
-    );
-    metrics.gauge('memory_room_bytes', () => memory.roomBytes);
-    metrics.gauge('memory_limit_bytes', () => memory.limitBytes);
-    metrics.gauge('memory_resident_bytes', () => process.memoryUsage.rss());
-    metrics.gauge('memory_heap_bytes', () => process.memoryUsage().heapTotal);
-    metrics.gauge('memory_buffer_bytes', () => process.memoryUsage().arrayBuffers);
-    Object.values(Topic).forEach((topic) => {
-      const follower = this.meshState.followerOf(topic);
-      metrics.gauge(`store_reads_under_way{topic="${topic}"}`, () => follower.underWay);
-      metrics.gauge(`store_read_bytes{topic="${topic}"}`, () => follower.totalBytes);
+    registerGauges(metrics, {
+      gossip: this.gossip,
+      memory,
+      meshState: this.meshState,
+      suspects,
     });
-    metrics.gauge('state_transfers_under_way', () => this.gossip.transferCounts.underWay);
-    metrics.gauge('state_transfer_bytes', () => this.gossip.transferCounts.totalBytes);
-    metrics.gauge('known_hosts', () => directory.announcements.length);
   }
 
   /** Whether the node holds all its addresses and takes part in the mesh. */
