--- a/packages/lentillb/src/peers/nodeState.ts
+++ b/packages/lentillb/src/peers/nodeState.ts
@@ -46,7 +46,7 @@
   position: z.optional(z.unknown()),
 });
 
-/** How far the configuration has been read from the store. */
+/** The position in the store up to which the configuration has been read. */
 export interface StorePosition {
   /** The era of the store that the offset belongs to; undefined if the store does not name it. */
   readonly era?: number | undefined;
@@ -60,7 +60,7 @@
   /** The difference to the configuration of the requesting node; undefined if it is up to date. */
   readonly change: ConfigurationChange | undefined;
   readonly announcements: readonly Announcement[];
-  /** From where the receiver may continue to read the store; undefined if the node has not read it. */
+  /** The position from which the receiver may read on; undefined if the node knows none. */
   readonly position?: StorePosition | undefined;
   /** Why parts of a received state are left out. */
   readonly rejected?: readonly string[];
--- a/packages/lentillb/src/peers/stateServer.ts
+++ b/packages/lentillb/src/peers/stateServer.ts
@@ -40,7 +40,7 @@
    * @param metrics - the metrics to serve
    * @param configuration - the configuration in force at this node
    * @param directory - the announcements that this node holds
-   * @param position - returns how far the configuration in force has been read from the store
+   * @param position - returns the position up to which the configuration in force has been read
    */
   constructor(
     private readonly metrics: MetricsRegistry,
--- a/packages/lentillb/src/peers/stateTransfers.ts
+++ b/packages/lentillb/src/peers/stateTransfers.ts
@@ -51,9 +51,10 @@
   readonly version: number;
 }
 
-/** A node from which a version may be fetched, and from when on, in milliseconds of the monotonic clock. */
-interface Source {
+/** A node from which a version may be fetched. */
+interface VersionSource {
   readonly holder: VersionHolder;
+  /** The time from which it may, in milliseconds of the monotonic clock. */
   readonly dueAtMs: number;
 }
 
@@ -62,7 +63,7 @@
   /** The address and port of the other node. */
   readonly from: string;
   readonly progress: TransferProgress;
-  /** The newer version that it is to bring; undefined if it is to bring the hosts. */
+  /** The newer version that it is to bring; undefined if it is to bring the whole state. */
   readonly wantedVersion: number | undefined;
 }
 
@@ -79,7 +80,7 @@
   private versionEndedAtMs = -Infinity;
 
   /** The node of the own zone, and the one of other zones, that has named the newest version. */
-  private sources: readonly Source[] = [];
+  private sources: readonly VersionSource[] = [];
 
   /** The time of the next attempt to fetch the newer version, and a function that cancels it. */
   private attempt: { readonly dueAtMs: number; readonly cancel: () => void } | undefined;
@@ -114,7 +115,7 @@
   }
 
   /**
-   * Fetches the state of a node, unless a transfer is under way or has just ended.
+   * Fetches the state of a node, unless another transfer is under way and not silent, or has just ended.
    *
    * @param from - the address and port of the node
    */
@@ -137,12 +138,10 @@
       return;
     }
     const dueAtMs = newerVersion.sinceMs + graceMs;
-    const others = this.sources.filter(
-      (source) =>
-        source.holder.inOwnZone !== holder.inOwnZone || source.holder.version > holder.version,
-    );
-    const isNewest = others.every((source) => source.holder.inOwnZone !== holder.inOwnZone);
-    this.sources = isNewest ? [...others, { holder, dueAtMs }] : this.sources;
+    const known = this.sources.find((source) => source.holder.inOwnZone === holder.inOwnZone);
+    if (known === undefined || holder.version >= known.holder.version) {
+      this.sources = [...this.sources.filter((source) => source !== known), { holder, dueAtMs }];
+    }
     this.scheduleAttempt(dueAtMs);
   }
 
@@ -240,9 +239,7 @@
     const ofVersions = [...this.transfers].filter(
       ({ wantedVersion }) => wantedVersion !== undefined,
     );
-    const [source] = this.sources
-      .filter(({ holder }) => !ofVersions.some(({ from }) => from === holder.address))
-      .sort((left, right) => left.dueAtMs - right.dueAtMs);
+    const source = this.findFirstDue(ofVersions);
     const waitMs =
       source === undefined
         ? PATIENCE_MS
@@ -257,6 +254,13 @@
     this.scheduleAttempt(clock.monotonicMs() + Math.max(waitMs, PATIENCE_MS));
   }
 
+  /** Returns the source that is due first among those that no transfer under way asks. */
+  private findFirstDue(transfers: readonly Transfer[]): VersionSource | undefined {
+    return this.sources
+      .filter(({ holder }) => !transfers.some(({ from }) => from === holder.address))
+      .sort((left, right) => left.dueAtMs - right.dueAtMs)[0];
+  }
+
   /** The time until another transfer may begin, in milliseconds; not above 0 if it may begin now. */
   private untilAllowedMs(endedAtMs: number, transfers: readonly Transfer[]): number {
     const sinceEndMs = this.services.clock.monotonicMs() - endedAtMs;
--- a/packages/lentillb/src/peers/storeReaderRole.ts
+++ b/packages/lentillb/src/peers/storeReaderRole.ts
@@ -104,10 +104,10 @@
   /** When this node first knew of an announced host of its zone, which may read the store for it. */
   private firstAnnouncedAtMs = -Infinity;
 
-  /** The newest version that a node of the zone has named, and when it did so first. */
+  /** The newest version that a node of the zone has named, and the time at which one did so first. */
   private named = { version: 0, atMs: -Infinity };
 
-  /** When this node began to lack a version that the zone has read, or a part of one arrived. */
+  /** The time at which this node began to lack a version of its zone, or a part of one arrived. */
   private fetchProgressAtMs = -Infinity;
 
   private readonly views: Readonly<Record<Topic, TopicView>>;
--- a/packages/lentillb/src/sidecar/meshState.ts
+++ b/packages/lentillb/src/sidecar/meshState.ts
@@ -203,7 +203,7 @@
     return topic === Topic.Operator ? this.operatorFollower : this.hostsFollower;
   }
 
-  /** How far the configuration in force has been read from the store, by this node or by others. */
+  /** The position up to which the configuration in force has been read, by this node or by others. */
   get position(): StorePosition | undefined {
     const nextOffset = this.operatorFollower.position;
     const { version } = this.configuration;
--- a/packages/lentillb/src/store/topicFollower.ts
+++ b/packages/lentillb/src/store/topicFollower.ts
@@ -142,7 +142,7 @@
   /** The number of reads in a row that were left waiting because the known content was too old. */
   private overdueReads = 0;
 
-  /** When the last read that was answered had been sent. */
+  /** The time at which the last read that was answered had been sent. */
   private answeredReadSentAtMs = -Infinity;
 
   private readonly backoff: Backoff;
--- a/tests/peers/readsDuringTransfer.spec.ts
+++ b/tests/peers/readsDuringTransfer.spec.ts
@@ -80,14 +80,20 @@
   };
 }
 
+/** Creates a node that has heard of a read by its reader, 700 ms before. */
+async function createLedNode(clock: ManualClock): Promise<ReturnType<typeof createNode>> {
+  const node = createNode(clock);
+  await clock.advance(10);
+  node.hear('a1', OLD_VERSION, 0);
+  await clock.advance(700);
+  return node;
+}
+
 const OTHER = 'a1:1';
 
 it('should leave the store to its reader while the version that it read is fetched', async () => {
   const clock = new ManualClock();
-  const { configuration, hear, role } = createNode(clock);
-  await clock.advance(10);
-  hear('a1', OLD_VERSION, 0);
-  await clock.advance(700);
+  const { configuration, hear, role } = await createLedNode(clock);
   hear('a1', NEW_VERSION, 0);
   await clock.advance(250);
   expect(configuration.version).toBe(OLD_VERSION);
@@ -108,10 +114,7 @@
 
 it('should read the store when a version that the zone has read does not arrive', async () => {
   const clock = new ManualClock();
-  const { hear, role } = createNode(clock);
-  await clock.advance(10);
-  hear('a1', OLD_VERSION, 0);
-  await clock.advance(700);
+  const { hear, role } = await createLedNode(clock);
   hear('a1', NEW_VERSION, 0);
   await clock.advance(620);
   expect(role.shouldRead(Topic.Operator)).toBe(true);
@@ -119,10 +122,7 @@
 
 it('should read the store although a node keeps naming a version that it does not have', async () => {
   const clock = new ManualClock();
-  const { answerFetch, hear, receiveBytes, role } = createNode(clock);
-  await clock.advance(10);
-  hear('a1', OLD_VERSION, 0);
-  await clock.advance(700);
+  const { answerFetch, hear, receiveBytes, role } = await createLedNode(clock);
   for (let round = 0; round < 10; round += 1) {
     hear('a4', NEW_VERSION + 5, 20_000);
     await clock.advance(250);
@@ -134,10 +134,7 @@
 
 it('should leave the store to its reader while parts of the version arrive', async () => {
   const clock = new ManualClock();
-  const { hear, receiveBytes, role } = createNode(clock);
-  await clock.advance(10);
-  hear('a1', OLD_VERSION, 0);
-  await clock.advance(700);
+  const { hear, receiveBytes, role } = await createLedNode(clock);
   hear('a1', NEW_VERSION, 0);
   for (let part = 0; part < 4; part += 1) {
     await clock.advance(250);
@@ -148,10 +145,7 @@
 
 it('should leave the store to its reader once a version is fetched although an older read was heard meanwhile', async () => {
   const clock = new ManualClock();
-  const { answerFetch, configuration, hear, role } = createNode(clock);
-  await clock.advance(10);
-  hear('a1', OLD_VERSION, 0);
-  await clock.advance(700);
+  const { answerFetch, configuration, hear, role } = await createLedNode(clock);
   hear('a1', NEW_VERSION, 0);
   await clock.advance(20);
   hear('a4', NEW_VERSION, 20_000);
--- a/tests/peers/stateTransfer.spec.ts
+++ b/tests/peers/stateTransfer.spec.ts
@@ -18,7 +18,7 @@
 import { ScriptedServer, SWITCHING } from '../support/scriptedServer.js';
 
 const ROUTE_COUNT = 1_600;
-/** How far the node that is asked has read the store. */
+/** The position in the store that the node tells which is asked. */
 const POSITION = { era: 3, version: 4, nextOffset: 12 };
 const LIMITS = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
 
