--- a/packages/lentillb/src/configuration/configurationChange.ts
+++ b/packages/lentillb/src/configuration/configurationChange.ts
@@ -3,7 +3,15 @@
  * instead of whole configurations, because each version changes only a few of many routes and the
  * links between nodes take seconds to transfer a whole configuration.
  */
-import type { CallerLimits, MeshConfiguration, MeshRoute } from './meshConfiguration.js';
+import type { CallerLimits, Customer, MeshConfiguration, MeshRoute } from './meshConfiguration.js';
+
+/** The difference between the customers of two versions. */
+export interface CustomerChange {
+  /** The customers that are new or changed. */
+  readonly changed: readonly Customer[];
+  /** The names of the removed customers. */
+  readonly removed: readonly string[];
+}
 
 /** The difference between a configuration version and a later one. */
 export interface ConfigurationChange {
@@ -15,6 +23,8 @@
   /** The names of the removed routes. */
   readonly removed: readonly string[];
   readonly limits: CallerLimits;
+  /** The difference between the customers; undefined if the later version defines none. */
+  readonly customers?: CustomerChange | undefined;
 }
 
 function isSameRoute(left: MeshRoute, right: MeshRoute): boolean {
@@ -26,6 +36,7 @@
     left.timeoutMs === right.timeoutMs &&
     left.targetLatencyMs === right.targetLatencyMs &&
     left.priority === right.priority &&
+    (left.anonymous ?? false) === (right.anonymous ?? false) &&
     left.destinations.length === right.destinations.length &&
     left.destinations.every(({ service, weight }, index) => {
       const other = right.destinations[index];
@@ -34,14 +45,73 @@
   );
 }
 
+function isSameCustomer(left: Customer, right: Customer): boolean {
+  return (
+    left.priority === right.priority &&
+    left.ratePerSecond === right.ratePerSecond &&
+    left.burst === right.burst &&
+    left.keys.length === right.keys.length &&
+    left.keys.every((key, index) => key === right.keys[index])
+  );
+}
+
+function diffCustomers(
+  base: readonly Customer[] | undefined,
+  next: readonly Customer[] | undefined,
+): CustomerChange | undefined {
+  if (next === undefined) {
+    return undefined;
+  }
+  const baseCustomers = new Map((base ?? []).map((customer) => [customer.name, customer]));
+  const changed = next.filter((customer) => {
+    const baseCustomer = baseCustomers.get(customer.name);
+    baseCustomers.delete(customer.name);
+    return baseCustomer === undefined || !isSameCustomer(baseCustomer, customer);
+  });
+  return { changed, removed: [...baseCustomers.keys()] };
+}
+
+function mergeCustomerChanges(
+  first: CustomerChange | undefined,
+  second: CustomerChange | undefined,
+): CustomerChange | undefined {
+  if (first === undefined || second === undefined) {
+    return second;
+  }
+  const removedBySecond = new Set(second.removed);
+  const setBySecond = new Set(second.changed.map(({ name }) => name));
+  return {
+    changed: [
+      ...first.changed.filter(({ name }) => !removedBySecond.has(name) && !setBySecond.has(name)),
+      ...second.changed,
+    ],
+    removed: [...first.removed.filter((name) => !setBySecond.has(name)), ...second.removed],
+  };
+}
+
+function applyCustomerChange(
+  base: readonly Customer[] | undefined,
+  change: CustomerChange | undefined,
+): readonly Customer[] | undefined {
+  if (change === undefined) {
+    return undefined;
+  }
+  const byName = new Map((base ?? []).map((customer) => [customer.name, customer]));
+  change.removed.forEach((name) => byName.delete(name));
+  change.changed.forEach((customer) => byName.set(customer.name, customer));
+  return [...byName.values()];
+}
+
 /**
  * Converts a complete configuration to a change without a base version.
  *
  * @param configuration - the configuration
  * @returns a change that holds all of its routes
  */
-export function fullChange({ limits, routes, version }: MeshConfiguration): ConfigurationChange {
-  return { baseVersion: 0, version, routes, removed: [], limits };
+export function fullChange(configuration: MeshConfiguration): ConfigurationChange {
+  const { limits, routes, version } = configuration;
+  const customers = diffCustomers(undefined, configuration.customers);
+  return { baseVersion: 0, version, routes, removed: [], limits, customers };
 }
 
 /**
@@ -62,7 +132,9 @@
     return baseRoute === undefined || !isSameRoute(baseRoute, route);
   });
   const { limits, version } = next;
-  return { baseVersion: base.version, version, routes, removed: [...baseRoutes.keys()], limits };
+  const customers = diffCustomers(base.customers, next.customers);
+  const removed = [...baseRoutes.keys()];
+  return { baseVersion: base.version, version, routes, removed, limits, customers };
 }
 
 /**
@@ -87,6 +159,7 @@
     ],
     removed: [...first.removed.filter((name) => !setBySecond.has(name)), ...second.removed],
     limits: second.limits,
+    customers: mergeCustomerChanges(first.customers, second.customers),
   };
 }
 
@@ -99,10 +172,12 @@
  */
 export function applyChange(
   base: MeshConfiguration | undefined,
-  { limits, removed, routes, version }: ConfigurationChange,
+  change: ConfigurationChange,
 ): MeshConfiguration {
+  const { limits, removed, routes, version } = change;
   const byName = new Map((base?.routes ?? []).map((route) => [route.name, route]));
   removed.forEach((name) => byName.delete(name));
   routes.forEach((route) => byName.set(route.name, route));
-  return { version, routes: [...byName.values()], limits };
+  const customers = applyCustomerChange(base?.customers, change.customers);
+  return { version, routes: [...byName.values()], limits, customers };
 }
--- a/packages/lentillb/src/configuration/configurationFault.ts
+++ b/packages/lentillb/src/configuration/configurationFault.ts
@@ -1,5 +1,6 @@
 /** Finds what makes a configuration version unfit to be in force. A version is used whole or not at all. */
-import type { CallerLimits, MeshConfiguration, MeshRoute } from './meshConfiguration.js';
+import { isFieldValue } from '../utils/messageHead.js';
+import type { CallerLimits, Customer, MeshConfiguration, MeshRoute } from './meshConfiguration.js';
 
 /** The longest delay of a timer of Node.js, in milliseconds; longer ones fire at once. */
 export const MAX_TIMER_MS = 2 ** 31 - 1;
@@ -63,6 +64,46 @@
   return isInRange ? undefined : 'a limit for callers is out of range';
 }
 
+/** The requirements of a customer, and what is wrong where one is not met. */
+const customerRequirements: readonly {
+  readonly fault: string;
+  readonly isMet: (customer: Customer) => boolean;
+}[] = [
+  {
+    // The name is sent to backend servers in a header.
+    fault: 'has a name with characters that no header may have',
+    isMet: ({ name }) => name !== '' && isFieldValue(name),
+  },
+  { fault: 'has an empty key', isMet: ({ keys }) => keys.every((key) => key !== '') },
+  {
+    fault: 'has a priority that is not a whole number from 0 on',
+    isMet: ({ priority }) => Number.isSafeInteger(priority) && priority >= 0,
+  },
+  {
+    fault: 'has a rate or a burst that is not a number from 0 on',
+    isMet: ({ burst, ratePerSecond }) =>
+      [burst, ratePerSecond].every((value) => Number.isFinite(value) && value >= 0),
+  },
+];
+
+function findCustomerFault(customers: readonly Customer[]): string | undefined {
+  const ownerByKey = new Map<string, string>();
+  for (const customer of customers) {
+    const broken = customerRequirements.find(({ isMet }) => !isMet(customer));
+    if (broken !== undefined) {
+      return `customer "${customer.name}" ${broken.fault}`;
+    }
+    for (const key of customer.keys) {
+      const owner = ownerByKey.get(key);
+      if (owner !== undefined && owner !== customer.name) {
+        return `customers "${owner}" and "${customer.name}" share a key`;
+      }
+      ownerByKey.set(key, customer.name);
+    }
+  }
+  return undefined;
+}
+
 /**
  * Finds what makes a configuration version invalid.
  *
@@ -71,7 +112,7 @@
  * @returns the first fault, with the name of the route; undefined if the version is valid
  */
 export function findConfigurationFault(
-  { limits, routes, version }: MeshConfiguration,
+  { customers, limits, routes, version }: MeshConfiguration,
   services: ReadonlySet<string>,
 ): string | undefined {
   if (!isPositiveInteger(version)) {
@@ -87,5 +128,5 @@
       return fault;
     }
   }
-  return undefined;
+  return findCustomerFault(customers ?? []);
 }
--- a/packages/lentillb/src/configuration/meshConfiguration.ts
+++ b/packages/lentillb/src/configuration/meshConfiguration.ts
@@ -25,6 +25,21 @@
   readonly targetLatencyMs: number;
   /** The rank among other requests for the same slots; 0 is the most urgent. */
   readonly priority: number;
+  /** Whether requests need no key where the configuration defines customers; false by default. */
+  readonly anonymous?: boolean | undefined;
+}
+
+/** A customer, whose callers authenticate with its keys. */
+export interface Customer {
+  readonly name: string;
+  /** The keys that identify requests of the customer; they must not appear in logs. */
+  readonly keys: readonly string[];
+  /** The rank of its requests, compared before the priority of the route; 0 is the most urgent. */
+  readonly priority: number;
+  /** The requests per second that it may send over all hosts; 0 means no limit. */
+  readonly ratePerSecond: number;
+  /** The requests that it may send at once in addition to the rate. */
+  readonly burst: number;
 }
 
 /** Limits the size of what callers may send, and the time they may take to send it. */
@@ -43,4 +58,6 @@
   readonly version: number;
   readonly routes: readonly MeshRoute[];
   readonly limits: CallerLimits;
+  /** The customers; undefined if callers need no keys. */
+  readonly customers?: readonly Customer[] | undefined;
 }
--- a/packages/lentillb/src/peers/nodeState.ts
+++ b/packages/lentillb/src/peers/nodeState.ts
@@ -22,6 +22,7 @@
       timeoutMs: z.number(),
       targetLatencyMs: z.number(),
       priority: z.number(),
+      anonymous: z.optional(z.boolean()),
     }),
   ),
   removed: z.array(z.string()),
@@ -31,6 +32,20 @@
     headerTimeoutMs: z.number(),
     idleTimeoutMs: z.number(),
   }),
+  customers: z.optional(
+    z.object({
+      changed: z.array(
+        z.object({
+          name: z.string(),
+          keys: z.array(z.string()),
+          priority: z.number(),
+          ratePerSecond: z.number(),
+          burst: z.number(),
+        }),
+      ),
+      removed: z.array(z.string()),
+    }),
+  ),
 });
 
 const positionSchema = z.object({
@@ -74,7 +89,8 @@
   const { routes } = checked.data;
   // The node that decoded the configuration has compared its routes with its services.
   const services = routes.flatMap(({ destinations }) => destinations.map(({ service }) => service));
-  const fault = findConfigurationFault(checked.data, new Set(services));
+  const customers = checked.data.customers?.changed;
+  const fault = findConfigurationFault({ ...checked.data, customers }, new Set(services));
   return fault === undefined ? Ok(checked.data) : Err(fault);
 }
 
--- a/packages/lentillb/src/sidecar/index.ts
+++ b/packages/lentillb/src/sidecar/index.ts
@@ -5,6 +5,7 @@
 export { afterPendingInput } from '../utils/pendingInput.js';
 export type {
   CallerLimits,
+  Customer,
   Destination,
   MeshConfiguration,
   MeshRoute,
