--- a/packages/lentillb/src/emulation/emulatedHost.ts
+++ b/packages/lentillb/src/emulation/emulatedHost.ts
@@ -38,6 +38,7 @@
   expectedInstance: 'expected-instance',
   notRun: 'not-run',
   callerService: 'caller-service',
+  customer: 'customer',
   requestLimit: 'request-limit',
   leaving: 'leaving',
 } as const;
--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -287,6 +287,7 @@
       service: this.services.rotation.next(route),
       route: route.name,
       priority: route.priority,
+      customerPriority: 0,
       repeatable: route.repetition === Repetition.Repeat,
       targetLatencyMs: route.targetLatencyMs,
       // A shorter deadline than that of a first attempt shows how long the caller has been trying.
--- a/packages/lentillb/src/serving/gateProtocol.ts
+++ b/packages/lentillb/src/serving/gateProtocol.ts
@@ -34,6 +34,7 @@
  */
 export function descriptionHeader(clock: Clock, request: ForwardedRequest): HeaderFields {
   const nowMs = clock.monotonicMs();
+  const hasCustomer = request.customer !== undefined;
   const fields = [
     encodeURIComponent(request.service),
     encodeURIComponent(request.route),
@@ -43,7 +44,8 @@
     `${Math.round(request.targetAtMs - nowMs)}`,
     `${Math.round(request.deadlineAtMs - nowMs)}`,
     request.waitLimit,
-    ...(request.transmission > 1 ? [`${request.transmission}`] : []),
+    ...(request.transmission > 1 || hasCustomer ? [`${request.transmission}`] : []),
+    ...(hasCustomer ? [`${request.customerPriority}`] : []),
   ];
   return { [REQUEST_HEADER]: fields.join(' ') };
 }
@@ -79,11 +81,14 @@
   ) as [number, number, number, number];
   const waitLimit = waitLimits.find((one) => one === rest[3]);
   const transmission = Number(rest[4] ?? 1);
+  const customerPriority = Number(rest[5] ?? 0);
   const isNumeric = Number.isFinite(priority + targetLatencyMs + targetMs + deadlineMs);
   if (service === undefined || route === undefined || waitLimit === undefined || !isNumeric) {
     return undefined;
   }
   const requestId = headers[names.requestId];
+  // A caller may send the header of the customer itself, where the configuration has no customers.
+  const customer = rest[5] === undefined ? undefined : headers[names.customer];
   return {
     requestId: typeof requestId === 'string' ? requestId : '',
     method,
@@ -93,6 +98,8 @@
     service,
     route,
     priority,
+    customer: typeof customer === 'string' ? customer : undefined,
+    customerPriority: Number.isInteger(customerPriority) ? customerPriority : 0,
     repeatable: repeatable === '1',
     targetLatencyMs,
     targetAtMs: arrivedAtMs + targetMs,
--- a/packages/lentillb/src/serving/headerNames.ts
+++ b/packages/lentillb/src/serving/headerNames.ts
@@ -12,6 +12,8 @@
   readonly notRun: string;
   /** The header with the service on whose host the request originated. */
   readonly callerService: string;
+  /** The header with the name of the customer that a request belongs to. */
+  readonly customer: string;
   /** The header in which a backend server states how many requests per second it takes. */
   readonly requestLimit: string;
   /** The header in which a backend server states that it is about to leave. */
--- a/packages/lentillb/src/serving/messages.ts
+++ b/packages/lentillb/src/serving/messages.ts
@@ -18,6 +18,10 @@
   readonly route: string;
   /** The priority; 0 is the most urgent. */
   readonly priority: number;
+  /** The name of the customer; undefined for requests without one, such as calls made inside runs. */
+  readonly customer?: string | undefined;
+  /** The priority of the customer, which goes before that of the route; 0 without a customer. */
+  readonly customerPriority: number;
   /** Whether the request may run more than once. */
   readonly repeatable: boolean;
   /** The target latency of the route, in milliseconds. */
--- a/tests/sidecar/absentCallers.spec.ts
+++ b/tests/sidecar/absentCallers.spec.ts
@@ -55,6 +55,7 @@
     body: Buffer.alloc(0),
     service: 'pages',
     route: 'pages',
+    customerPriority: 0,
     priority: 1,
     repeatable: true,
     targetLatencyMs: 400,
--- a/tests/support/forwardedRequest.ts
+++ b/tests/support/forwardedRequest.ts
@@ -27,6 +27,7 @@
     service: 's',
     route: 'order',
     priority: 1,
+    customerPriority: 0,
     repeatable: false,
     targetLatencyMs: TARGET_LATENCY_MS,
     targetAtMs: clock.monotonicMs() + TARGET_LATENCY_MS,
