--- a/packages/lentillb/src/configuration/configurationChange.ts
+++ b/packages/lentillb/src/configuration/configurationChange.ts
@@ -11,6 +11,8 @@
   readonly changed: readonly Customer[];
   /** The names of the removed customers. */
   readonly removed: readonly string[];
+  /** Whether `changed` holds all customers, because the earlier version defines none. */
+  readonly isComplete: boolean;
 }
 
 /** The difference between a configuration version and a later one. */
@@ -36,7 +38,7 @@
     left.timeoutMs === right.timeoutMs &&
     left.targetLatencyMs === right.targetLatencyMs &&
     left.priority === right.priority &&
-    (left.anonymous ?? false) === (right.anonymous ?? false) &&
+    left.anonymous === right.anonymous &&
     left.destinations.length === right.destinations.length &&
     left.destinations.every(({ service, weight }, index) => {
       const other = right.destinations[index];
@@ -62,20 +64,23 @@
   if (next === undefined) {
     return undefined;
   }
-  const baseCustomers = new Map((base ?? []).map((customer) => [customer.name, customer]));
+  if (base === undefined) {
+    return { changed: next, removed: [], isComplete: true };
+  }
+  const baseCustomers = new Map(base.map((customer) => [customer.name, customer]));
   const changed = next.filter((customer) => {
     const baseCustomer = baseCustomers.get(customer.name);
     baseCustomers.delete(customer.name);
     return baseCustomer === undefined || !isSameCustomer(baseCustomer, customer);
   });
-  return { changed, removed: [...baseCustomers.keys()] };
+  return { changed, removed: [...baseCustomers.keys()], isComplete: false };
 }
 
 function mergeCustomerChanges(
   first: CustomerChange | undefined,
   second: CustomerChange | undefined,
 ): CustomerChange | undefined {
-  if (first === undefined || second === undefined) {
+  if (first === undefined || second === undefined || second.isComplete) {
     return second;
   }
   const removedBySecond = new Set(second.removed);
@@ -86,6 +91,7 @@
       ...second.changed,
     ],
     removed: [...first.removed.filter((name) => !setBySecond.has(name)), ...second.removed],
+    isComplete: first.isComplete,
   };
 }
 
@@ -96,7 +102,8 @@
   if (change === undefined) {
     return undefined;
   }
-  const byName = new Map((base ?? []).map((customer) => [customer.name, customer]));
+  const kept = change.isComplete ? [] : (base ?? []);
+  const byName = new Map(kept.map((customer) => [customer.name, customer]));
   change.removed.forEach((name) => byName.delete(name));
   change.changed.forEach((customer) => byName.set(customer.name, customer));
   return [...byName.values()];
--- a/packages/lentillb/src/peers/nodeState.ts
+++ b/packages/lentillb/src/peers/nodeState.ts
@@ -44,6 +44,7 @@
         }),
       ),
       removed: z.array(z.string()),
+      isComplete: z.boolean(),
     }),
   ),
 });
--- a/tests/configuration/configurationChange.spec.ts
+++ b/tests/configuration/configurationChange.spec.ts
@@ -7,7 +7,11 @@
   mergeChanges,
   fullChange,
 } from 'lentillb/configuration/configurationChange.js';
-import type { MeshConfiguration, MeshRoute } from 'lentillb/configuration/meshConfiguration.js';
+import type {
+  Customer,
+  MeshConfiguration,
+  MeshRoute,
+} from 'lentillb/configuration/meshConfiguration.js';
 import { Repetition } from 'lentillb/rules/ruleForms.js';
 import { describe, expect, it } from 'vitest';
 
@@ -34,37 +38,64 @@
   };
 }
 
-function configuration(version: number, routes: readonly MeshRoute[]): MeshConfiguration {
-  return { version, routes, limits: LIMITS };
+function configuration(
+  version: number,
+  routes: readonly MeshRoute[],
+  customers?: readonly Customer[],
+): MeshConfiguration {
+  return { version, routes, limits: LIMITS, customers };
 }
 
 /** Generates a series of configuration versions with different routes, priorities and weights. */
 const versions = fc
   .array(
-    fc.dictionary(
-      fc.constantFrom('a', 'b', 'c', 'd', 'e'),
-      fc.record({
-        priority: fc.integer({ min: 0, max: 2 }),
-        weight: fc.integer({ min: 1, max: 2 }),
-      }),
-    ),
+    fc.record({
+      routes: fc.dictionary(
+        fc.constantFrom('a', 'b', 'c', 'd', 'e'),
+        fc.record({
+          priority: fc.integer({ min: 0, max: 2 }),
+          weight: fc.integer({ min: 1, max: 2 }),
+        }),
+      ),
+      keysByCustomer: fc.option(
+        fc.dictionary(fc.constantFrom('f', 'g', 'h'), fc.subarray(['key 1', 'key 2'])),
+        { nil: undefined },
+      ),
+    }),
     { minLength: 2, maxLength: 25 },
   )
   .map((generated) =>
-    generated.map((routes, index) =>
+    generated.map(({ keysByCustomer, routes }, index) =>
       configuration(
         // Version numbers increase by 3 and by 1 in turn.
         index * 2 + 1 + (index % 2),
         Object.entries(routes).map(([name, { priority, weight }]) =>
           route(name, { priority, destinations: [{ service: 'pages', weight }] }),
         ),
+        keysByCustomer &&
+          Object.entries(keysByCustomer).map(([name, keys]) => ({
+            name,
+            keys,
+            priority: 1,
+            ratePerSecond: 5,
+            burst: 5,
+          })),
       ),
     ),
   );
 
-function withSortedRoutes({ limits, routes, version }: MeshConfiguration): unknown {
-  const byName = [...routes].sort((left, right) => (left.name < right.name ? -1 : 1));
-  return { version, limits, routes: byName };
+function sortByName<Named extends { readonly name: string }>(named: readonly Named[]): Named[] {
+  return [...named].sort((left, right) => (left.name < right.name ? -1 : 1));
+}
+
+function withSortedRoutes(configured: MeshConfiguration): unknown {
+  const { customers, limits, routes, version } = configured;
+  return {
+    version,
+    limits,
+    routes: sortByName(routes),
+    customers: customers && sortByName(customers),
+  };
 }
 
 describe('configuration change', () => {
--- a/tests/platform/decoding.spec.ts
+++ b/tests/platform/decoding.spec.ts
@@ -97,6 +97,42 @@
     });
   });
 
+  it.each([
+    ['upload', 'once'],
+    ['download', 'repeat'],
+  ])('should take routes of the type %s, which may run: %s', (routeType, repetition) => {
+    const routes = { lodge: { ...ROUTE, 'route-type': routeType } };
+    const [route] = decodeConfiguration(encode({ ...CONFIGURATION, routes })).unwrap().routes;
+    expect(route?.repetition).toBe(repetition);
+  });
+
+  it('should be decoded with customers and anonymous routes', () => {
+    const decoded = decodeConfiguration(
+      encode({
+        ...CONFIGURATION,
+        routes: { lodge: { ...ROUTE, anonymous: true } },
+        tenants: {
+          large: { 'api-keys': ['k1', 'k2'], priority: 1, 'rate-per-s': 40, burst: 20 },
+          small: { 'api-keys': [] },
+        },
+      }),
+    ).unwrap();
+    expect(decoded.routes[0]?.anonymous).toBe(true);
+    expect(decoded.customers).toEqual([
+      { name: 'large', keys: ['k1', 'k2'], priority: 1, ratePerSecond: 40, burst: 20 },
+      { name: 'small', keys: [], priority: 0, ratePerSecond: 0, burst: 0 },
+    ]);
+  });
+
+  it.each([
+    ['a key of two customers', { a: { 'api-keys': ['k'] }, b: { 'api-keys': ['k'] } }],
+    ['an empty key', { a: { 'api-keys': [''] } }],
+    ['a negative rate', { a: { 'api-keys': [], 'rate-per-s': -1 } }],
+    ['a name that no header may have', { 'a\n': { 'api-keys': [] } }],
+  ])('should be rejected as a whole for %s', (_, tenants) => {
+    expect(decodeConfiguration(encode({ ...CONFIGURATION, tenants })).isErr()).toBe(true);
+  });
+
   it('should keep the weights of a route with several services', () => {
     const divided = {
       ...ROUTE,
