--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -18,6 +18,7 @@
 import type { MetricsRegistry } from '../observability/metricsRegistry.js';
 import { Repetition } from '../rules/ruleForms.js';
 import { hash32 } from '../utils/hash.js';
+import { RecentMaximum } from '../utils/recentMaximum.js';
 import { isServerFailure } from './failureShare.js';
 import type { GateForwarder } from './gateForwarder.js';
 import type { GateObservations } from './gateObservations.js';
@@ -125,6 +126,12 @@
   return caller.onCancel(() => attempts.cancel(caller.reason ?? CancelReason.CallerGone));
 }
 
+/** The times that requests of one route have taken lately, in milliseconds. */
+interface AnswerTimes {
+  readonly usual: SmoothedMean;
+  readonly longest: RecentMaximum;
+}
+
 /** Forwards the requests of the callers on this host. */
 export class Entry {
   /** The times of the planned stop of this node; undefined if it is not being stopped. */
@@ -133,8 +140,8 @@
   /** The cancellations of the requests in flight. */
   private readonly inFlight = new Set<Cancellation>();
 
-  /** The usual time until an answer by route, in milliseconds. */
-  private readonly usualMsByRoute = new Map<string, SmoothedMean>();
+  /** The usual and the longest recent time until an answer by route, in milliseconds. */
+  private readonly timesByRoute = new Map<string, AnswerTimes>();
 
   /** The longest deadline of callers by route, in milliseconds: that of a first attempt. */
   private readonly longestDeadlineMsByRoute = new Map<string, number>();
@@ -217,9 +224,20 @@
     const endpoints = directory.endpointsOf(service);
     const usualMs = Math.max(
       observations.typicalServiceMs(endpoints, hash32(route)),
-      this.usualMsByRoute.get(route)?.value ?? 0,
+      this.timesOf(route).usual.value ?? 0,
     );
-    return endsInTime(this.stopTimes, clock.monotonicMs(), { deadlineAtMs, usualMs });
+    const longestMs = this.timesOf(route).longest.value;
+    return endsInTime(this.stopTimes, clock.monotonicMs(), { deadlineAtMs, usualMs, longestMs });
+  }
+
+  private timesOf(route: string): AnswerTimes {
+    const known = this.timesByRoute.get(route);
+    if (known !== undefined) {
+      return known;
+    }
+    const times = { usual: new SmoothedMean(), longest: new RecentMaximum() };
+    this.timesByRoute.set(route, times);
+    return times;
   }
 
   /** The time until callers have moved to other nodes, before which they would be refused here again. */
@@ -458,9 +476,9 @@
     metrics.count('entry_answers', { route: route.name, status: `${answer.status}` });
     metrics.observe('entry_latency_ms', elapsedMs, { route: route.name });
     const late = elapsedMs > route.targetLatencyMs;
-    const usualMs = this.usualMsByRoute.get(route.name) ?? new SmoothedMean();
-    this.usualMsByRoute.set(route.name, usualMs);
-    usualMs.add(elapsedMs);
+    const { longest, usual } = this.timesOf(route.name);
+    usual.add(elapsedMs);
+    longest.add(elapsedMs);
     log.record(late ? Importance.Notable : Importance.Ordinary, 'request-answered', {
       requestId,
       route: route.name,
@@ -492,6 +510,7 @@
       leftMs: Math.round(remainingMs),
     };
     if (mayHaveRun) {
+      this.timesOf(route.name).longest.add(clock.monotonicMs() - request.arrivedAtMs);
       const timedOut = cause === FailureCause.DeadlinePassed;
       const status = timedOut ? HttpStatus.GatewayTimeout : HttpStatus.BadGateway;
       this.recordFailure(request, cause, status, fields);
--- a/packages/lentillb/src/serving/gate.ts
+++ b/packages/lentillb/src/serving/gate.ts
@@ -278,7 +278,7 @@
     const usualMs = slots.expectedServiceMs(route);
     return (
       this.stopTimes === undefined ||
-      endsInTime(this.stopTimes, clock.monotonicMs(), { deadlineAtMs, usualMs })
+      endsInTime(this.stopTimes, clock.monotonicMs(), { deadlineAtMs, usualMs, longestMs: usualMs })
     );
   }
 
--- a/packages/lentillb/src/serving/stopTimes.ts
+++ b/packages/lentillb/src/serving/stopTimes.ts
@@ -21,17 +21,21 @@
  *
  * @param stop - the times of the stop
  * @param nowMs - the current time, in milliseconds of the clock
- * @param request - how long the request usually takes and when it ends at the latest, in milliseconds
+ * @param request - how long requests of its route usually take and have taken at most lately, and when
+ *   it ends at the latest, in milliseconds
  * @returns whether it may be taken
  */
 export function endsInTime(
   stop: StopTimes,
   nowMs: number,
-  { deadlineAtMs, usualMs }: { readonly deadlineAtMs: number; readonly usualMs: number },
+  request: {
+    readonly deadlineAtMs: number;
+    readonly usualMs: number;
+    readonly longestMs: number;
+  },
 ): boolean {
+  const { deadlineAtMs, longestMs, usualMs } = request;
   const endsByItself = deadlineAtMs < stop.endsAtMs;
-  return (
-    (endsByItself || nowMs <= stop.lastTakenAtMs) &&
-    nowMs + usualMs * USUAL_TIME_FACTOR <= stop.endsAtMs
-  );
+  const mostEndInTime = nowMs <= stop.lastTakenAtMs && nowMs + longestMs <= stop.endsAtMs;
+  return (endsByItself || mostEndInTime) && nowMs + usualMs * USUAL_TIME_FACTOR <= stop.endsAtMs;
 }
--- a/tests/sidecar/stopPlan.spec.ts
+++ b/tests/sidecar/stopPlan.spec.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check';
+import { endsInTime } from 'lentillb/serving/stopTimes.js';
 import { planStop } from 'lentillb/sidecar/stopPlan.js';
-import { expect, it } from 'vitest';
+import { describe, expect, it } from 'vitest';
 
 it('should plan the steps of a stop in order, and within its time for any such time', () => {
   fc.assert(
@@ -29,3 +30,17 @@
   const { endsAtMs, lastTakenAtMs } = planStop(0, 6_000);
   expect(endsAtMs - lastTakenAtMs).toBeGreaterThan(1_000);
 });
+
+describe('a request that may outlast the stop', () => {
+  const plan = planStop(0, 6_000);
+  const fields = { usualMs: 158, longestMs: 1_650, deadlineAtMs: 3_700 + 1_700 };
+
+  it('should be refused where requests of its route have lasted longer than what remains', () => {
+    expect(endsInTime(plan, 3_700, fields)).toBe(false);
+    expect(endsInTime(plan, 3_600, fields)).toBe(true);
+  });
+
+  it('should be taken where its own deadline lies before the end', () => {
+    expect(endsInTime(plan, 3_700, { ...fields, deadlineAtMs: 3_700 + 700 })).toBe(true);
+  });
+});
