--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -18,7 +18,7 @@
 import type { MetricsRegistry } from '../observability/metricsRegistry.js';
 import { Repetition } from '../rules/ruleForms.js';
 import { hash32 } from '../utils/hash.js';
-import { isServerFailure } from './failureShare.js';
+import { isServerFailure, isUnrelatedToHost } from './failureShare.js';
 import type { GateForwarder } from './gateForwarder.js';
 import type { GateObservations } from './gateObservations.js';
 import type { HeaderNames } from './headerNames.js';
@@ -28,7 +28,14 @@
 import type { Placement, GateSelector } from './gateSelector.js';
 import { readStatement } from './serverStatement.js';
 import type { RetryAllowance } from './retryAllowance.js';
-import { chooseRetryAfterMs } from './retryAfter.js';
+import {
+  BEHIND_RETRY_AFTER_MS,
+  chooseRetryAfterMs,
+  formatRetryAfter,
+  UNCONFIGURED_RETRY_AFTER_MS,
+  UNSERVED_RETRY_AFTER_MS,
+  waitWithoutReportMs,
+} from './retryAfter.js';
 import { WaitLimit } from './slotQueue.js';
 import { SmoothedMean } from './smoothedMean.js';
 import type { StopTimes } from './stopTimes.js';
@@ -86,38 +93,14 @@
   GatewayTimeout: 504,
 } as const;
 
-const MS_PER_SECOND = 1_000;
-const RETRY_AFTER_DECIMALS = 3;
 /**
  * The maximum number of gates asked for a slot within the target latency, before the request is
  * queued.
  */
 const MAX_ON_TIME_ATTEMPTS = 2;
-/** The retry delay sent to callers while the node has no configuration, in milliseconds. */
-const UNCONFIGURED_RETRY_AFTER_MS = 500;
-/** The retry delay sent to callers while the node fetches a newer version, in milliseconds. */
-const BEHIND_RETRY_AFTER_MS = 200;
-/** The retry delay sent to callers of a service without backend servers, in milliseconds. */
-const UNSERVED_RETRY_AFTER_MS = 250;
 /** The share of the typical service time that must remain before the deadline for a retry. */
 const MIN_RETRY_TIME_SHARE = 0.7;
 
-/** The retry delays by failure cause, in milliseconds, used where no gate reported a wait. */
-const retryAfterMsByCause: Readonly<Record<string, number>> = {
-  // The refusal says nothing about load, so another backend server is as likely to run it now.
-  [FailureCause.Rejected]: 0,
-  [FailureCause.ShuttingDown]: 0,
-  [FailureCause.ConnectionSilent]: 0,
-  [FailureCause.ConnectFailed]: 50,
-};
-
-/** The causes that say nothing about the host that a request was for, if its gate did not report them. */
-const UNRELATED_TO_HOST: ReadonlySet<FailureCause> = new Set([
-  FailureCause.CallerGone,
-  FailureCause.ConnectionSilent,
-  FailureCause.WaitedTooLong,
-]);
-
 const EMPTY_BODY = Buffer.alloc(0);
 
 /** Cancels a request when its caller leaves, until the returned function is called. */
@@ -410,7 +393,7 @@
       return;
     }
     const { cause } = result.error;
-    if (report === undefined && UNRELATED_TO_HOST.has(cause)) {
+    if (report === undefined && isUnrelatedToHost(cause)) {
       return;
     }
     if (isServerFailure(result.error)) {
@@ -497,9 +480,7 @@
       this.recordFailure(request, cause, status, fields);
       return { status, headers: {}, body: EMPTY_BODY };
     }
-    const waitMs = Number.isFinite(minWaitMs)
-      ? minWaitMs
-      : (retryAfterMsByCause[cause] ?? UNSERVED_RETRY_AFTER_MS);
+    const waitMs = Number.isFinite(minWaitMs) ? minWaitMs : waitWithoutReportMs(cause);
     const { directory, gateSelector } = this.services;
     return this.refuse(request, cause, chooseRetryAfterMs({ waitMs, remainingMs }, randomness), {
       ...fields,
@@ -515,12 +496,8 @@
   ): EntryAnswer {
     const retryAfterMs = Math.round(delayMs);
     this.recordFailure(request, cause, HttpStatus.Unavailable, { ...fields, retryAfterMs });
-    const retryAfter = (retryAfterMs / MS_PER_SECOND).toFixed(RETRY_AFTER_DECIMALS);
-    return {
-      status: HttpStatus.Unavailable,
-      headers: { 'retry-after': retryAfter },
-      body: EMPTY_BODY,
-    };
+    const headers = { 'retry-after': formatRetryAfter(retryAfterMs) };
+    return { status: HttpStatus.Unavailable, headers, body: EMPTY_BODY };
   }
 
   private recordFailure(
--- a/packages/lentillb/src/serving/failureShare.ts
+++ b/packages/lentillb/src/serving/failureShare.ts
@@ -16,6 +16,23 @@
   FailureCause.ConnectionSilent,
 ];
 
+/** The causes that say nothing about a host if its gate did not report them. */
+const causesUnrelatedToHost: ReadonlySet<FailureCause> = new Set([
+  FailureCause.CallerGone,
+  FailureCause.ConnectionSilent,
+  FailureCause.WaitedTooLong,
+]);
+
+/**
+ * Checks whether a failure that a gate did not report says nothing about the host of the gate.
+ *
+ * @param cause - the reason why the request got no answer
+ * @returns whether the host is no less likely to run the next request
+ */
+export function isUnrelatedToHost(cause: FailureCause): boolean {
+  return causesUnrelatedToHost.has(cause);
+}
+
 /**
  * Checks whether a request without an answer says something about the backend server that it was for.
  *
--- a/packages/lentillb/src/serving/retryAfter.ts
+++ b/packages/lentillb/src/serving/retryAfter.ts
@@ -4,6 +4,26 @@
  * because callers that all retry at the same moment would only be refused again.
  */
 import type { Randomness } from '../kernel/randomness.js';
+import { FailureCause } from './messages.js';
+
+/** The retry delay sent to callers while the node has no configuration, in milliseconds. */
+export const UNCONFIGURED_RETRY_AFTER_MS = 500;
+/** The retry delay sent to callers while the node fetches a newer version, in milliseconds. */
+export const BEHIND_RETRY_AFTER_MS = 200;
+/** The retry delay sent to callers of a service without backend servers, in milliseconds. */
+export const UNSERVED_RETRY_AFTER_MS = 250;
+
+/** The retry delays by failure cause, in milliseconds, used where no gate reported a wait. */
+const retryAfterMsByCause: Readonly<Record<string, number>> = {
+  // The refusal says nothing about load, so another backend server is as likely to run it now.
+  [FailureCause.Rejected]: 0,
+  [FailureCause.ShuttingDown]: 0,
+  [FailureCause.ConnectionSilent]: 0,
+  [FailureCause.ConnectFailed]: 50,
+};
+
+const MS_PER_SECOND = 1_000;
+const RETRY_AFTER_DECIMALS = 3;
 
 /** A refused request; times are in milliseconds. */
 export interface RefusedRequest {
@@ -33,3 +53,23 @@
     Math.max(MIN_RETRY_AFTER_MS, waitMs) * (1 + JITTER_SHARE * randomness.fraction());
   return Math.max(MIN_RETRY_AFTER_MS, Math.min(jitteredMs, remainingMs * MAX_REMAINING_SHARE));
 }
+
+/**
+ * Returns the wait assumed for a refused request where no gate reported one.
+ *
+ * @param cause - the reason for the refusal
+ * @returns the wait, in milliseconds
+ */
+export function waitWithoutReportMs(cause: string): number {
+  return retryAfterMsByCause[cause] ?? UNSERVED_RETRY_AFTER_MS;
+}
+
+/**
+ * Formats a retry delay as the value of a `Retry-After` header.
+ *
+ * @param retryAfterMs - the retry delay, in milliseconds
+ * @returns the delay in seconds, with a fraction
+ */
+export function formatRetryAfter(retryAfterMs: number): string {
+  return (retryAfterMs / MS_PER_SECOND).toFixed(RETRY_AFTER_DECIMALS);
+}
