--- a/packages/lentillb/src/serving/gateSelector.ts
+++ b/packages/lentillb/src/serving/gateSelector.ts
@@ -66,7 +66,10 @@
 
 /** Returns the number of slots that requests at the stated limit keep occupied on average. */
 function usableSlots(slots: number, limitPerSecond: number | undefined, serviceMs: number): number {
-  const occupied = ((limitPerSecond ?? Infinity) * serviceMs) / MS_PER_SECOND;
+  if (limitPerSecond === undefined) {
+    return slots;
+  }
+  const occupied = (limitPerSecond * serviceMs) / MS_PER_SECOND;
   return Math.min(slots, Math.max(MIN_USABLE_SLOTS, occupied));
 }
 
--- a/tests/serving/placement.spec.ts
+++ b/tests/serving/placement.spec.ts
@@ -79,6 +79,14 @@
     expect(choose()).toBe('near');
   });
 
+  // Guards against requests refused with "no-backend-server" although the backend servers are idle.
+  it('should choose backend servers whose service time was measured as 0 ms', () => {
+    const { choose, far, near, observations } = fixture();
+    [near, far].forEach((one) => observations.of(one).recordServiceTime(0));
+    expect(choose()).toBe('near');
+    expect(choose(new Set(['near']))).toBe('far');
+  });
+
   it('should avoid a host that is silent or unreachable', async () => {
     const { choose, clock, near, observations, silent } = fixture();
     silent.add('near');
