--- a/packages/lentillb/src/serving/callerListener.ts
+++ b/packages/lentillb/src/serving/callerListener.ts
@@ -9,7 +9,7 @@
 import { runInBackground } from '../utils/background.js';
 import { closeIdleAfterPendingInput } from '../utils/idleTimeout.js';
 import { acceptEstablished, stopAccepting } from '../utils/listening.js';
-import { isForwardable } from '../utils/messageHead.js';
+import { countHeader, isForwardable } from '../utils/messageHead.js';
 import { waitForPendingInput } from '../utils/pendingInput.js';
 import { refuseUnreadable } from '../utils/refuseUnreadable.js';
 import { cancelOnDisconnect } from '../calls/callerDisconnect.js';
@@ -20,7 +20,8 @@
 import { AnswerWriter } from './answerWriter.js';
 import { Admission } from './callerConnection.js';
 import { CallerConnections } from './callerConnections.js';
-import type { CallerRequest, EntryAnswer } from './entry.js';
+import type { EntryAnswer } from './entry.js';
+import type { CallerRequest } from './messages.js';
 import type { CompleteBody } from './requestBody.js';
 import { BodyFailure, readRequestBody } from './requestBody.js';
 
@@ -110,11 +111,6 @@
   return { status, headers: {}, body: Buffer.alloc(0) };
 }
 
-function hostCount(rawHeaders: readonly string[]): number {
-  return rawHeaders.filter((name, index) => index % 2 === 0 && name.toLowerCase() === 'host')
-    .length;
-}
-
 function headBytes(rawHeaders: readonly string[]): number {
   return rawHeaders.reduce((sum, part) => sum + part.length + 2, 0);
 }
@@ -240,13 +236,21 @@
       this.answer(request, response, body.error);
       return;
     }
-    const { headers, method = 'GET', url = '/' } = request;
+    const { headers, method = 'GET', rawHeaders, url = '/' } = request;
     const isFirstOnConnection = this.unusedConnections.delete(socket);
     // If the request waited in the accept queue or a socket buffer, the event loop reads the end of
     // its connection only after the request. This wait notices callers that have already left.
     await this.presence.awaitArrival();
     const answer = await this.handle(
-      { method, target: url, headers, body: body.value.bytes, cancellation, arrivedAtMs },
+      {
+        method,
+        target: url,
+        headers,
+        rawHeaders,
+        body: body.value.bytes,
+        cancellation,
+        arrivedAtMs,
+      },
       isFirstOnConnection,
     );
     body.value.release();
@@ -262,7 +266,7 @@
     if (admission === Admission.Refused) {
       return this.memoryRefusal;
     }
-    if (hostCount(request.rawHeaders) !== 1 || !isForwardable(request)) {
+    if (countHeader(request.rawHeaders, 'host') !== 1 || !isForwardable(request)) {
       return emptyAnswer(HttpStatus.BadRequest);
     }
     return bytes > (this.limits?.maxHeaderBytes ?? MAX_HEAD_BYTES)
--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -2,7 +2,6 @@
  * Forwards callers' requests to the gates of backend servers. A request that gets no answer is
  * refused only if it has certainly not run, so that its caller may safely send it again.
  */
-import type { IncomingHttpHeaders } from 'node:http';
 import { parseIntegerHeader, Outcome, forwardedHeaders } from '../calls/callHeaders.js';
 import type { HeaderFields } from '../calls/callHeaders.js';
 import { Cancellation, CancelReason } from '../calls/cancellation.js';
@@ -10,6 +9,8 @@
 import type { ConfigurationStatus } from '../configuration/configurationStatus.js';
 import type { MeshRoute } from '../configuration/meshConfiguration.js';
 import type { SmoothWeightedRoundRobin } from '../configuration/smoothWeightedRoundRobin.js';
+import type { KeyDenial, RequestOwner } from '../customers/keyCheck.js';
+import { KeyCheck } from '../customers/keyCheck.js';
 import type { Directory, GateEndpoint } from '../directory/directory.js';
 import type { Clock } from '../kernel/clock.js';
 import type { Randomness } from '../kernel/randomness.js';
@@ -23,7 +24,7 @@
 import type { GateObservations } from './gateObservations.js';
 import type { HeaderNames } from './headerNames.js';
 import { Attempts } from './attempts.js';
-import type { BackendAnswer, ForwardedRequest, GateReply } from './messages.js';
+import type { BackendAnswer, CallerRequest, ForwardedRequest, GateReply } from './messages.js';
 import { FailureCause } from './messages.js';
 import type { Placement, GateSelector } from './gateSelector.js';
 import { readStatement } from './serverStatement.js';
@@ -43,17 +44,6 @@
 import type { SuspectGuard } from './suspectGuard.js';
 import { SuspectVerdict } from './suspectRequests.js';
 
-/** A request of a caller with its complete body. */
-export interface CallerRequest {
-  readonly method: string;
-  readonly target: string;
-  readonly headers: IncomingHttpHeaders;
-  readonly body: Buffer;
-  readonly cancellation: Cancellation;
-  /** The arrival time, in milliseconds of the monotonic clock. */
-  readonly arrivedAtMs: number;
-}
-
 /** The answer that the caller receives. */
 export interface EntryAnswer {
   readonly status: number;
@@ -86,6 +76,7 @@
 }
 
 const HttpStatus = {
+  Unauthorized: 401,
   NotFound: 404,
   ServerError: 500,
   BadGateway: 502,
@@ -122,10 +113,14 @@
   /** The longest deadline of callers by route, in milliseconds: that of a first attempt. */
   private readonly longestDeadlineMsByRoute = new Map<string, number>();
 
+  private readonly keyCheck: KeyCheck;
+
   constructor(
     private readonly services: EntryServices,
     private readonly options: EntryOptions,
-  ) {}
+  ) {
+    this.keyCheck = new KeyCheck(services, options.names.customer);
+  }
 
   /**
    * Takes only requests that are expected to end before the node does.
@@ -165,7 +160,12 @@
     if (route === undefined) {
       return this.answerMissingRoute(request);
     }
-    const forwarded = this.toForwardedRequest(request, route);
+    const owner = this.keyCheck.identify(request, route);
+    if (owner.isErr()) {
+      return this.deny(request, route, owner.error);
+    }
+    // Limits of the customer are checked here, before the request counts for anything else.
+    const forwarded = this.toForwardedRequest(request, route, owner.value);
     this.logIfBehind(forwarded);
     if (!this.endsInTime(forwarded)) {
       return this.refuse(request, FailureCause.ShuttingDown, this.untilCallersMovedMs());
@@ -221,6 +221,17 @@
     return { status: HttpStatus.NotFound, headers: {}, body: EMPTY_BODY };
   }
 
+  /** Answers a request that has no valid key. */
+  private deny(request: CallerRequest, route: MeshRoute, denial: KeyDenial): EntryAnswer {
+    const fields = { ...this.services.status.fields, route: route.name };
+    if (!denial.isFinal) {
+      return this.refuse(request, denial.cause, BEHIND_RETRY_AFTER_MS, fields);
+    }
+    this.recordFailure(request, denial.cause, HttpStatus.Unauthorized, fields);
+    const headers = { 'www-authenticate': 'Bearer' };
+    return { status: HttpStatus.Unauthorized, headers, body: EMPTY_BODY };
+  }
+
   /** Records by which version a request is routed while this node knows that a newer one exists. */
   private logIfBehind({ requestId, route, service }: ForwardedRequest): void {
     const { log, status } = this.services;
@@ -248,7 +259,11 @@
     return answer ?? Promise.race([lateAnswers.first, lateAnswers.untilEnded()]);
   }
 
-  private toForwardedRequest(request: CallerRequest, route: MeshRoute): ForwardedRequest {
+  private toForwardedRequest(
+    request: CallerRequest,
+    route: MeshRoute,
+    owner: RequestOwner,
+  ): ForwardedRequest {
     const { callerService, names } = this.options;
     const { arrivedAtMs, body, headers, method, target } = request;
     const requestedMs = parseIntegerHeader(headers, names.deadlineMs) ?? route.timeoutMs;
@@ -256,7 +271,8 @@
     this.longestDeadlineMsByRoute.set(route.name, longestMs);
     const requestId = headers[names.requestId];
     // The gate sets the time that remains when it sends the request.
-    const outgoingHeaders = forwardedHeaders(headers, names.deadlineMs);
+    const passedOn = forwardedHeaders(headers, names.deadlineMs);
+    const outgoingHeaders = this.keyCheck.ownedHeaders(passedOn, owner);
     outgoingHeaders[names.callerService] = callerService;
     if (typeof requestId === 'string') {
       outgoingHeaders[names.requestId] = requestId;
@@ -270,7 +286,8 @@
       service: this.services.rotation.next(route),
       route: route.name,
       priority: route.priority,
-      customerPriority: 0,
+      customer: owner.customer?.name,
+      customerPriority: owner.customer?.priority ?? 0,
       repeatable: route.repetition === Repetition.Repeat,
       targetLatencyMs: route.targetLatencyMs,
       // A shorter deadline than that of a first attempt shows how long the caller has been trying.
@@ -433,7 +450,7 @@
 
   private deliverAnswer(
     request: CallerRequest,
-    { request: { requestId, service }, route, sent }: Attempts,
+    { request: { customer, requestId, service }, route, sent }: Attempts,
     answer: BackendAnswer,
   ): EntryAnswer {
     const { clock, metrics, log } = this.services;
@@ -448,6 +465,7 @@
       requestId,
       route: route.name,
       service,
+      customer,
       status: answer.status,
       late,
       elapsedMs: Math.round(elapsedMs),
--- a/packages/lentillb/src/serving/gateServer.ts
+++ b/packages/lentillb/src/serving/gateServer.ts
@@ -5,11 +5,11 @@
 import type { Clock } from '../kernel/clock.js';
 import { waitForPendingInput } from '../utils/pendingInput.js';
 import { decodeQuestions, encodeStates, isInquiry } from './deliveryProtocol.js';
-import type { CallerRequest, EntryAnswer } from './entry.js';
+import type { EntryAnswer } from './entry.js';
 import type { Gate } from './gate.js';
 import { decodeRequest, deliveryKeyOf, encodeReply, processHeader } from './gateProtocol.js';
 import type { HeaderNames } from './headerNames.js';
-import type { ForwardedRequest, GateReply } from './messages.js';
+import type { CallerRequest, ForwardedRequest, GateReply } from './messages.js';
 import { FailureCause } from './messages.js';
 import { ReceivedRequests } from './receivedRequests.js';
 
--- a/packages/lentillb/src/serving/messages.ts
+++ b/packages/lentillb/src/serving/messages.ts
@@ -1,9 +1,23 @@
 /** Defines requests, answers and failures as they pass through a node. */
+import type { IncomingHttpHeaders } from 'node:http';
 import type { Result } from 'ts-results-es';
 import type { HeaderFields, Outcome } from '../calls/callHeaders.js';
 import type { Cancellation } from '../calls/cancellation.js';
 import type { WaitLimit } from './slotQueue.js';
 
+/** A request of a caller with its complete body. */
+export interface CallerRequest {
+  readonly method: string;
+  readonly target: string;
+  readonly headers: IncomingHttpHeaders;
+  /** The names and values of all headers in turn; undefined if none is repeated. */
+  readonly rawHeaders?: readonly string[];
+  readonly body: Buffer;
+  readonly cancellation: Cancellation;
+  /** The arrival time, in milliseconds of the monotonic clock. */
+  readonly arrivedAtMs: number;
+}
+
 /** A request that is forwarded to a backend server. */
 export interface ForwardedRequest {
   readonly requestId: string;
--- a/packages/lentillb/src/utils/messageHead.ts
+++ b/packages/lentillb/src/utils/messageHead.ts
@@ -22,6 +22,17 @@
   return !INVALID_VALUE_CHARACTER.test(value);
 }
 
+/**
+ * Counts how often a message has a header.
+ *
+ * @param rawHeaders - the names and values of all headers in turn
+ * @param name - the name of the header, in lower case
+ * @returns the number of headers with this name, in any case
+ */
+export function countHeader(rawHeaders: readonly string[], name: string): number {
+  return rawHeaders.filter((part, index) => index % 2 === 0 && part.toLowerCase() === name).length;
+}
+
 /**
  * Checks the head of a received message.
  *
--- a/tests/serving/entry.spec.ts
+++ b/tests/serving/entry.spec.ts
@@ -12,7 +12,7 @@
 import { Entry } from 'lentillb/serving/entry.js';
 import type { EntryAnswer } from 'lentillb/serving/entry.js';
 import { GateObservations } from 'lentillb/serving/gateObservations.js';
-import type { GateReply } from 'lentillb/serving/messages.js';
+import type { CallerRequest, ForwardedRequest, GateReply } from 'lentillb/serving/messages.js';
 import { FailureCause } from 'lentillb/serving/messages.js';
 import { GateSelector } from 'lentillb/serving/gateSelector.js';
 import { RetryAllowance } from 'lentillb/serving/retryAllowance.js';
@@ -134,6 +134,7 @@
   const cancellations: Cancellation[] = [];
   /** Replies that a test controls itself, in place of scripted ones. */
   const silentReplies: (Promise<GateReply> | undefined)[] = [];
+  const sentRequests: ForwardedRequest[] = [];
   let script: readonly ScriptedReply[] = [];
   const status = new ConfigurationStatus(clock, configuration);
   const entry = new Entry(
@@ -147,8 +148,9 @@
       observations,
       gateSelector: new GateSelector({ randomness, observations, isSilent: () => false }, 'z'),
       gateForwarder: {
-        call: ({ host }, { cancellation }) => {
-          cancellations.push(cancellation);
+        call: ({ host }, forwarded) => {
+          cancellations.push(forwarded.cancellation);
+          sentRequests.push(forwarded);
           const scripted = silentReplies[askedHosts.length];
           if (scripted !== undefined) {
             askedHosts.push(host);
@@ -168,7 +170,7 @@
   );
   const serve = (
     replyScript: readonly ScriptedReply[],
-    request: Partial<typeof REQUEST> = {},
+    request: Partial<CallerRequest> = {},
   ): Promise<EntryAnswer> => {
     script = replyScript;
     askedHosts.length = 0;
@@ -205,6 +207,7 @@
       return observations.of(endpoint!);
     },
     receivedReplies,
+    sentRequests,
     serve,
     silentReplies,
     status,
@@ -421,3 +424,54 @@
     });
   });
 });
+
+const CUSTOMER = { name: 'acme', keys: ['k1'], priority: 3, ratePerSecond: 0, burst: 0 };
+
+/** Creates an entry whose configuration has a customer. */
+function keyedFixture() {
+  const parts = fixture(Repetition.Repeat, 0);
+  const { configuration, serve } = parts;
+  const { limits, routes } = configuration.current!.configuration;
+  configuration.activateIfNewer({ version: 2, routes, limits, customers: [CUSTOMER] });
+  const serveWithKey = (authorization: string, host = 'a.example'): Promise<EntryAnswer> =>
+    serve([], { headers: { host, authorization } });
+  return { ...parts, serveWithKey };
+}
+
+describe('entry with customers', () => {
+  it('should forward the name and the priority of the customer, and not its key', async () => {
+    const { sentRequests, serve } = keyedFixture();
+    const headers = { ...REQUEST.headers, authorization: 'Bearer k1', 'x-tenant': 'forged' };
+    expect((await serve([], { headers })).status).toBe(200);
+    const [sent] = sentRequests;
+    expect(sent).toMatchObject({ customer: 'acme', customerPriority: 3, priority: 1 });
+    expect(sent?.headers).toMatchObject({ 'x-tenant': 'acme' });
+    expect(sent?.headers).not.toHaveProperty('authorization');
+  });
+
+  // Guards against refusals that tell a caller without a key how loaded the hosts are.
+  it('should answer 401 rather than refuse a request without a valid key', async () => {
+    const { blockContent, askedHosts, serveWithKey } = keyedFixture();
+    blockContent();
+    const { headers, status } = await serveWithKey('Bearer k2');
+    expect(status).toBe(401);
+    expect(headers).toEqual({ 'www-authenticate': 'Bearer' });
+    expect(askedHosts).toEqual([]);
+  });
+
+  it('should answer 404 where there is no route, with and without a valid key', async () => {
+    const { serveWithKey } = keyedFixture();
+    expect((await serveWithKey('Bearer k1', 'b.example')).status).toBe(404);
+    expect((await serveWithKey('Bearer k2', 'b.example')).status).toBe(404);
+  });
+
+  // Guards against a final answer to a key that a version allows which is in force elsewhere.
+  it('should answer 503 to an unknown key while a newer version is known', async () => {
+    const { serveWithKey, status } = keyedFixture();
+    status.noteVersion(3, 'other:2');
+    const { headers, status: code } = await serveWithKey('Bearer k2');
+    expect(code).toBe(503);
+    expect(Number(headers['retry-after'])).toBeLessThan(1);
+    expect((await serveWithKey('Bearer k1')).status).toBe(200);
+  });
+});
--- a/tests/support/sidecarFleet.ts
+++ b/tests/support/sidecarFleet.ts
@@ -69,6 +69,9 @@
   /** The address at which nodes that are added from now on reach the store; by default its own. */
   storeAddress: string | undefined;
 
+  /** Further headers of all requests from now on. */
+  callerHeaders: Readonly<Record<string, string>> = {};
+
   /** The services that published configurations define. */
   private readonly services = new Set(['pages', 'letters']);
 
@@ -85,9 +88,13 @@
    * Writes a configuration with an idempotent route `pages` and a non-idempotent route `letters`.
    *
    * @param extraRoutes - additional routes by name
+   * @param tenants - the customers by name, in the format of the platform; by default, no keys are needed
    * @returns the version of the configuration
    */
-  publish(extraRoutes: Readonly<Record<string, object>> = {}): number {
+  publish(
+    extraRoutes: Readonly<Record<string, object>> = {},
+    tenants?: Readonly<Record<string, object>>,
+  ): number {
     this.version += 3;
     const configuration = {
       version: this.version.toString(16).padStart(8, '0'),
@@ -103,6 +110,7 @@
         'header-timeout': '3s',
         'idle-timeout': '15s',
       },
+      tenants,
     };
     this.store.write('keyed.op', CONFIGURATION_KEY, JSON.stringify(configuration));
     return this.version;
@@ -259,6 +267,7 @@
         'x-attempt-id': `r-${this.requestCount}`,
         'x-deadline-ms': `${deadlineMs}`,
         'x-caller-service': 'forged',
+        ...this.callerHeaders,
       },
     });
     const answer = new Promise<CallerResponse>((resolve, reject) => {
