--- a/packages/lentillb/src/serving/requestContent.ts
+++ b/packages/lentillb/src/serving/requestContent.ts
@@ -10,7 +10,10 @@
 const HEXADECIMAL = 16;
 
 /** What the content of a request consists of. */
-export type RequestContent = Pick<ForwardedRequest, 'body' | 'headers' | 'method' | 'target'>;
+export type RequestContent = Pick<
+  ForwardedRequest,
+  'body' | 'customer' | 'headers' | 'method' | 'target'
+>;
 
 /**
  * Hashes the method and the path of a request, which is much cheaper than its whole content.
@@ -29,10 +32,12 @@
  * @returns the hash, equal on every host
  */
 export function hashContent(request: RequestContent): string {
-  const { body, headers, method, target } = request;
+  const { body, customer, headers, method, target } = request;
   const caller = CALLER_HEADERS.map((name) => headers[name] ?? null);
+  // The key of a customer, which would tell its requests from those of others, is not forwarded.
+  const owner = customer === undefined ? [] : [customer];
   const digest = createHash('sha256')
-    .update(JSON.stringify([method, target, ...caller]))
+    .update(JSON.stringify([method, target, ...caller, ...owner]))
     .update(body)
     .digest('hex');
   return hashTarget(request) + digest.slice(0, CONTENT_HASH_DIGITS - TARGET_HASH_DIGITS);
--- a/tests/serving/requestContent.spec.ts
+++ b/tests/serving/requestContent.spec.ts
@@ -21,6 +21,7 @@
     ['body', { body: Buffer.from('dear reader') }],
     ['host', { headers: { host: 'b.example' } }],
     ['caller', { headers: { host: 'a.example', authorization: 'Bearer k1' } }],
+    ['customer', { customer: 'acme' }],
   ])('should differ by %s', (_, fields) => {
     expect(hashContent({ ...REQUEST, ...fields })).not.toBe(hashContent(REQUEST));
   });
