--- a/tests/routing/calls.spec.ts
+++ b/tests/routing/calls.spec.ts
@@ -1,4 +1,5 @@
 import { connect } from 'node:net';
+import type { Socket } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
 import { MemoryLog } from '@lentillb/standins';
 import type { RunningNode } from '@lentillb/node';
@@ -104,6 +105,18 @@
   await Promise.all([entryNode.stop(), serverNode.stop()]);
 });
 
+/** Status lines of answers that no caller may get. */
+const INVALID_STATUS_LINES = [
+  'HTTP/1.1 000 X',
+  'HTTP/1.1 000',
+  'HTTP/1.1 0',
+  'HTTP/1.1 0 X',
+  'HTTP/1.1 099 X',
+  'HTTP/1.1 600 X',
+  'HTTP/1.1 1000 X',
+  'HTTP/1.1  X',
+];
+
 /** Lists faulty behaviour of a backend server, and what callers of both routes must receive. */
 const faults: readonly {
   readonly title: string;
@@ -136,6 +149,14 @@
     status: 502,
     outcome: 'unknown',
   },
+  ...INVALID_STATUS_LINES.map((line) => ({
+    title: `answers with the status line '${line}'`,
+    script: (socket: Socket) => {
+      socket.write(`${line}\r\ncontent-length: 2\r\n\r\nno`);
+    },
+    status: 502,
+    outcome: 'unknown',
+  })),
   {
     title: 'stalls before the headers',
     script: () => undefined,
