--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -2,7 +2,6 @@
  * Forwards callers' requests to the gates of backend servers. A request that gets no answer is
  * refused only if it has certainly not run, so that its caller may safely send it again.
  */
-import type { IncomingHttpHeaders } from 'node:http';
 import { parseIntegerHeader, Outcome, forwardedHeaders } from '../calls/callHeaders.js';
 import type { HeaderFields } from '../calls/callHeaders.js';
 import { Cancellation, CancelReason } from '../calls/cancellation.js';
@@ -10,6 +9,8 @@
 import type { ConfigurationStatus } from '../configuration/configurationStatus.js';
 import type { MeshRoute } from '../configuration/meshConfiguration.js';
 import type { SmoothWeightedRoundRobin } from '../configuration/smoothWeightedRoundRobin.js';
+import type { KeyDenial, RequestOwner } from '../customers/keyCheck.js';
+import { KeyCheck } from '../customers/keyCheck.js';
 import type { Directory, GateEndpoint } from '../directory/directory.js';
 import type { Clock } from '../kernel/clock.js';
 import type { Randomness } from '../kernel/randomness.js';
@@ -19,17 +20,24 @@
 import { Repetition } from '../rules/ruleForms.js';
 import { hash32 } from '../utils/hash.js';
 import { RecentMaximum } from '../utils/recentMaximum.js';
-import { isServerFailure } from './failureShare.js';
+import { isServerFailure, isUnrelatedToHost } from './failureShare.js';
 import type { GateForwarder } from './gateForwarder.js';
 import type { GateObservations } from './gateObservations.js';
 import type { HeaderNames } from './headerNames.js';
 import { Attempts } from './attempts.js';
-import type { BackendAnswer, ForwardedRequest, GateReply } from './messages.js';
+import type { BackendAnswer, CallerRequest, ForwardedRequest, GateReply } from './messages.js';
 import { FailureCause } from './messages.js';
 import type { Placement, GateSelector } from './gateSelector.js';
 import { readStatement } from './serverStatement.js';
 import type { RetryAllowance } from './retryAllowance.js';
-import { chooseRetryAfterMs } from './retryAfter.js';
+import {
+  BEHIND_RETRY_AFTER_MS,
+  chooseRetryAfterMs,
+  formatRetryAfter,
+  UNCONFIGURED_RETRY_AFTER_MS,
+  UNSERVED_RETRY_AFTER_MS,
+  waitWithoutReportMs,
+} from './retryAfter.js';
 import { WaitLimit } from './slotQueue.js';
 import { SmoothedMean } from './smoothedMean.js';
 import type { StopTimes } from './stopTimes.js';
@@ -37,17 +45,6 @@
 import type { SuspectGuard } from './suspectGuard.js';
 import { SuspectVerdict } from './suspectRequests.js';
 
-/** A request of a caller with its complete body. */
-export interface CallerRequest {
-  readonly method: string;
-  readonly target: string;
-  readonly headers: IncomingHttpHeaders;
-  readonly body: Buffer;
-  readonly cancellation: Cancellation;
-  /** The arrival time, in milliseconds of the monotonic clock. */
-  readonly arrivedAtMs: number;
-}
-
 /** The answer that the caller receives. */
 export interface EntryAnswer {
   readonly status: number;
@@ -80,6 +77,7 @@
 }
 
 const HttpStatus = {
+  Unauthorized: 401,
   NotFound: 404,
   ServerError: 500,
   BadGateway: 502,
@@ -87,38 +85,14 @@
   GatewayTimeout: 504,
 } as const;
 
-const MS_PER_SECOND = 1_000;
-const RETRY_AFTER_DECIMALS = 3;
 /**
  * The maximum number of gates asked for a slot within the target latency, before the request is
  * queued.
  */
 const MAX_ON_TIME_ATTEMPTS = 2;
-/** The retry delay sent to callers while the node has no configuration, in milliseconds. */
-const UNCONFIGURED_RETRY_AFTER_MS = 500;
-/** The retry delay sent to callers while the node fetches a newer version, in milliseconds. */
-const BEHIND_RETRY_AFTER_MS = 200;
-/** The retry delay sent to callers of a service without backend servers, in milliseconds. */
-const UNSERVED_RETRY_AFTER_MS = 250;
 /** The share of the typical service time that must remain before the deadline for a retry. */
 const MIN_RETRY_TIME_SHARE = 0.7;
 
-/** The retry delays by failure cause, in milliseconds, used where no gate reported a wait. */
-const retryAfterMsByCause: Readonly<Record<string, number>> = {
-  // The refusal says nothing about load, so another backend server is as likely to run it now.
-  [FailureCause.Rejected]: 0,
-  [FailureCause.ShuttingDown]: 0,
-  [FailureCause.ConnectionSilent]: 0,
-  [FailureCause.ConnectFailed]: 50,
-};
-
-/** The causes that say nothing about the host that a request was for, if its gate did not report them. */
-const UNRELATED_TO_HOST: ReadonlySet<FailureCause> = new Set([
-  FailureCause.CallerGone,
-  FailureCause.ConnectionSilent,
-  FailureCause.WaitedTooLong,
-]);
-
 const EMPTY_BODY = Buffer.alloc(0);
 
 /** Cancels a request when its caller leaves, until the returned function is called. */
@@ -146,10 +120,14 @@
   /** The longest deadline of callers by route, in milliseconds: that of a first attempt. */
   private readonly longestDeadlineMsByRoute = new Map<string, number>();
 
+  private readonly keyCheck: KeyCheck;
+
   constructor(
     private readonly services: EntryServices,
     private readonly options: EntryOptions,
-  ) {}
+  ) {
+    this.keyCheck = new KeyCheck(services, options.names.customer);
+  }
 
   /**
    * Takes only requests that are expected to end before the node does.
@@ -189,7 +167,12 @@
     if (route === undefined) {
       return this.answerMissingRoute(request);
     }
-    const forwarded = this.toForwardedRequest(request, route);
+    const owner = this.keyCheck.identify(request, route);
+    if (owner.isErr()) {
+      return this.deny(request, route, owner.error);
+    }
+    // Limits of the customer are checked here, before the request counts for anything else.
+    const forwarded = this.toForwardedRequest(request, route, owner.value);
     this.logIfBehind(forwarded);
     if (!this.endsInTime(forwarded)) {
       return this.refuse(request, FailureCause.ShuttingDown, this.untilCallersMovedMs());
@@ -256,6 +239,17 @@
     return { status: HttpStatus.NotFound, headers: {}, body: EMPTY_BODY };
   }
 
+  /** Answers a request that has no valid key. */
+  private deny(request: CallerRequest, route: MeshRoute, denial: KeyDenial): EntryAnswer {
+    const fields = { ...this.services.status.fields, route: route.name };
+    if (!denial.isFinal) {
+      return this.refuse(request, denial.cause, BEHIND_RETRY_AFTER_MS, fields);
+    }
+    this.recordFailure(request, denial.cause, HttpStatus.Unauthorized, fields);
+    const headers = { 'www-authenticate': 'Bearer' };
+    return { status: HttpStatus.Unauthorized, headers, body: EMPTY_BODY };
+  }
+
   /** Records by which version a request is routed while this node knows that a newer one exists. */
   private logIfBehind({ requestId, route, service }: ForwardedRequest): void {
     const { log, status } = this.services;
@@ -283,7 +277,11 @@
     return answer ?? Promise.race([lateAnswers.first, lateAnswers.untilEnded()]);
   }
 
-  private toForwardedRequest(request: CallerRequest, route: MeshRoute): ForwardedRequest {
+  private toForwardedRequest(
+    request: CallerRequest,
+    route: MeshRoute,
+    owner: RequestOwner,
+  ): ForwardedRequest {
     const { callerService, names } = this.options;
     const { arrivedAtMs, body, headers, method, target } = request;
     const requestedMs = parseIntegerHeader(headers, names.deadlineMs) ?? route.timeoutMs;
@@ -291,7 +289,8 @@
     this.longestDeadlineMsByRoute.set(route.name, longestMs);
     const requestId = headers[names.requestId];
     // The gate sets the time that remains when it sends the request.
-    const outgoingHeaders = forwardedHeaders(headers, names.deadlineMs);
+    const passedOn = forwardedHeaders(headers, names.deadlineMs);
+    const outgoingHeaders = this.keyCheck.ownedHeaders(passedOn, owner);
     outgoingHeaders[names.callerService] = callerService;
     if (typeof requestId === 'string') {
       outgoingHeaders[names.requestId] = requestId;
@@ -305,7 +304,8 @@
       service: this.services.rotation.next(route),
       route: route.name,
       priority: route.priority,
-      customerPriority: 0,
+      customer: owner.customer?.name,
+      customerPriority: owner.customer?.priority ?? 0,
       repeatable: route.repetition === Repetition.Repeat,
       targetLatencyMs: route.targetLatencyMs,
       // A shorter deadline than that of a first attempt shows how long the caller has been trying.
@@ -428,7 +428,7 @@
       return;
     }
     const { cause } = result.error;
-    if (report === undefined && UNRELATED_TO_HOST.has(cause)) {
+    if (report === undefined && isUnrelatedToHost(cause)) {
       return;
     }
     if (isServerFailure(result.error)) {
@@ -468,7 +468,7 @@
 
   private deliverAnswer(
     request: CallerRequest,
-    { request: { requestId, service }, route, sent }: Attempts,
+    { request: { customer, requestId, service }, route, sent }: Attempts,
     answer: BackendAnswer,
   ): EntryAnswer {
     const { clock, metrics, log } = this.services;
@@ -483,6 +483,7 @@
       requestId,
       route: route.name,
       service,
+      customer,
       status: answer.status,
       late,
       elapsedMs: Math.round(elapsedMs),
@@ -516,9 +517,7 @@
       this.recordFailure(request, cause, status, fields);
       return { status, headers: {}, body: EMPTY_BODY };
     }
-    const waitMs = Number.isFinite(minWaitMs)
-      ? minWaitMs
-      : (retryAfterMsByCause[cause] ?? UNSERVED_RETRY_AFTER_MS);
+    const waitMs = Number.isFinite(minWaitMs) ? minWaitMs : waitWithoutReportMs(cause);
     const { directory, gateSelector } = this.services;
     return this.refuse(request, cause, chooseRetryAfterMs({ waitMs, remainingMs }, randomness), {
       ...fields,
@@ -534,12 +533,8 @@
   ): EntryAnswer {
     const retryAfterMs = Math.round(delayMs);
     this.recordFailure(request, cause, HttpStatus.Unavailable, { ...fields, retryAfterMs });
-    const retryAfter = (retryAfterMs / MS_PER_SECOND).toFixed(RETRY_AFTER_DECIMALS);
-    return {
-      status: HttpStatus.Unavailable,
-      headers: { 'retry-after': retryAfter },
-      body: EMPTY_BODY,
-    };
+    const headers = { 'retry-after': formatRetryAfter(retryAfterMs) };
+    return { status: HttpStatus.Unavailable, headers, body: EMPTY_BODY };
   }
 
   private recordFailure(
