--- a/packages/lentillb/src/serving/statedLimit.ts
+++ b/packages/lentillb/src/admission/statedLimit.ts
@@ -7,7 +7,6 @@
 import type { Clock } from '../kernel/clock.js';
 import type { DecisionLog } from '../observability/decisionLog.js';
 import { Importance } from '../observability/decisionLog.js';
-import type { ServerStatement } from './serverStatement.js';
 
 const MS_PER_SECOND = 1_000;
 /** The interval of log lines while a limit is in force, in milliseconds. */
@@ -34,6 +33,14 @@
   statingAnswers: number;
 }
 
+/** What a backend server states about its request limit in one answer. */
+export interface LimitStatement {
+  /** The requests per second that it takes from all hosts together; undefined if not limited. */
+  readonly limitPerSecond: number | undefined;
+  /** Whether it states a limit that is not a decimal number. */
+  readonly hasMalformedLimit: boolean;
+}
+
 /** The limit in force, and the requests that were sent under it. */
 export class StatedLimit {
   private limit: number | undefined;
@@ -112,7 +119,7 @@
    * @param sentAtMs - when the request was sent, in milliseconds of the monotonic clock
    * @returns whether the limit is lower than before
    */
-  recordAnswer({ hasMalformedLimit, limitPerSecond }: ServerStatement, sentAtMs: number): boolean {
+  recordAnswer({ hasMalformedLimit, limitPerSecond }: LimitStatement, sentAtMs: number): boolean {
     const previous = this.limit ?? Infinity;
     this.counts.answers += 1;
     if (hasMalformedLimit !== this.isMalformed) {
--- a/packages/lentillb/src/serving/gate.ts
+++ b/packages/lentillb/src/serving/gate.ts
@@ -24,10 +24,10 @@
 } from './messages.js';
 import { FailureCause } from './messages.js';
 import { hashContent } from './requestContent.js';
-import type { Slot, SlotQueue } from './slotQueue.js';
+import type { Slot, SlotQueue } from '../admission/slotQueue.js';
 import type { SuspectGuard } from './suspectGuard.js';
-import { Admission, ServiceTimeSample } from './slotQueue.js';
-import type { StatedLimit } from './statedLimit.js';
+import { Admission, ServiceTimeSample } from '../admission/slotQueue.js';
+import type { StatedLimit } from '../admission/statedLimit.js';
 import type { StopTimes } from './stopTimes.js';
 import { endsInTime } from './stopTimes.js';
 
--- a/packages/lentillb/src/serving/gateObservation.ts
+++ b/packages/lentillb/src/serving/gateObservation.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '../kernel/clock.js';
 import type { GateLoad } from '../directory/gateLoad.js';
 import { FailureShare } from './failureShare.js';
-import { SmoothedMean } from './smoothedMean.js';
+import { SmoothedMean } from '../admission/smoothedMean.js';
 
 /** The maximum age of a mean service time; an idle gate is tried again once its mean expires. */
 const MAX_SERVICE_TIME_AGE_MS = 2_000;
--- a/packages/lentillb/src/serving/gateProtocol.ts
+++ b/packages/lentillb/src/serving/gateProtocol.ts
@@ -11,7 +11,7 @@
 import type { HeaderNames } from './headerNames.js';
 import type { ForwardedRequest, GateReply, GateReport } from './messages.js';
 import { FailureCause } from './messages.js';
-import { WaitLimit } from './slotQueue.js';
+import { WaitLimit } from '../admission/slotQueue.js';
 
 // The names are short because traffic between zones is charged by the byte.
 const REQUEST_HEADER = 'lentillb-q';
--- a/packages/lentillb/src/serving/messages.ts
+++ b/packages/lentillb/src/serving/messages.ts
@@ -2,7 +2,7 @@
 import type { Result } from 'ts-results-es';
 import type { HeaderFields, Outcome } from '../calls/callHeaders.js';
 import type { Cancellation } from '../calls/cancellation.js';
-import type { WaitLimit } from './slotQueue.js';
+import type { WaitLimit } from '../admission/slotQueue.js';
 
 /** A request that is forwarded to a backend server. */
 export interface ForwardedRequest {
--- a/packages/lentillb/src/serving/serverStatement.ts
+++ b/packages/lentillb/src/serving/serverStatement.ts
@@ -1,13 +1,10 @@
 /** Reads what a backend server states about itself in the headers of an answer. */
+import type { LimitStatement } from '../admission/statedLimit.js';
 import type { HeaderFields } from '../calls/callHeaders.js';
 import type { HeaderNames } from './headerNames.js';
 
 /** What a backend server states about itself in one answer. */
-export interface ServerStatement {
-  /** The requests per second that it takes from all hosts together; undefined if not limited. */
-  readonly limitPerSecond: number | undefined;
-  /** Whether it states a limit that is not a decimal number. */
-  readonly hasMalformedLimit: boolean;
+export interface ServerStatement extends LimitStatement {
   /** Whether it is about to leave. */
   readonly leaving: boolean;
 }
--- a/packages/lentillb/src/serving/statementListener.ts
+++ b/packages/lentillb/src/serving/statementListener.ts
@@ -5,8 +5,8 @@
 import type { LocalBackendServer } from './localBackendServer.js';
 import { HeartbeatEffect } from './localBackendServer.js';
 import type { ServerStatement } from './serverStatement.js';
-import type { SlotQueue } from './slotQueue.js';
-import type { StatedLimit } from './statedLimit.js';
+import type { SlotQueue } from '../admission/slotQueue.js';
+import type { StatedLimit } from '../admission/statedLimit.js';
 
 /** Keeps the stated limit and the stated departure of the current run. */
 export class StatementListener implements BackendServerListener {
--- a/tests/serving/slotQueue.spec.ts
+++ b/tests/admission/slotQueue.spec.ts
@@ -1,6 +1,6 @@
 import { SeededRandomness } from 'lentillb';
-import { Admission, ServiceTimeSample, WaitLimit } from 'lentillb/serving/slotQueue.js';
-import type { SlotQueue } from 'lentillb/serving/slotQueue.js';
+import { Admission, ServiceTimeSample, WaitLimit } from 'lentillb/admission/slotQueue.js';
+import type { SlotQueue } from 'lentillb/admission/slotQueue.js';
 import { describe, expect, it } from 'vitest';
 import { ManualClock } from '../support/manualClock.js';
 import { createSlotQueue } from '../support/slotQueue.js';
--- a/tests/serving/statedLimit.spec.ts
+++ b/tests/admission/statedLimit.spec.ts
@@ -1,9 +1,9 @@
 import fc from 'fast-check';
 import type { ServerStatement } from 'lentillb/serving/serverStatement.js';
-import { Admission, ServiceTimeSample, WaitLimit } from 'lentillb/serving/slotQueue.js';
+import { Admission, ServiceTimeSample, WaitLimit } from 'lentillb/admission/slotQueue.js';
 import { LocalBackendServer } from 'lentillb/serving/localBackendServer.js';
 import { StatementListener } from 'lentillb/serving/statementListener.js';
-import { StatedLimit } from 'lentillb/serving/statedLimit.js';
+import { StatedLimit } from 'lentillb/admission/statedLimit.js';
 import { beforeEach, describe, expect, it } from 'vitest';
 import { ManualClock } from '../support/manualClock.js';
 import { createSilentLog, createSlotQueue } from '../support/slotQueue.js';
--- a/tests/serving/pausedProcess.spec.ts
+++ b/tests/serving/pausedProcess.spec.ts
@@ -10,7 +10,7 @@
 import { ExchangeFailure } from 'lentillb/serving/exchange.js';
 import { LocalBackendServer } from 'lentillb/serving/localBackendServer.js';
 import { FailureCause } from 'lentillb/serving/messages.js';
-import { StatedLimit } from 'lentillb/serving/statedLimit.js';
+import { StatedLimit } from 'lentillb/admission/statedLimit.js';
 import { parseAddress } from 'lentillb/utils/networkAddress.js';
 import { Ok } from 'ts-results-es';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
--- a/tests/sidecar/absentCallers.spec.ts
+++ b/tests/sidecar/absentCallers.spec.ts
@@ -3,7 +3,7 @@
 import { respondSuccessfully } from '@lentillb/standins';
 import type { Run } from '@lentillb/standins';
 import { Cancellation } from 'lentillb/calls/cancellation.js';
-import { WaitLimit } from 'lentillb/serving/slotQueue.js';
+import { WaitLimit } from 'lentillb/admission/slotQueue.js';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { encodeHeaders } from '../support/forwardedRequest.js';
 import { blockEventLoop } from '../support/blockEventLoop.js';
--- a/tests/support/forwardedRequest.ts
+++ b/tests/support/forwardedRequest.ts
@@ -4,7 +4,7 @@
 import { Cancellation } from 'lentillb/calls/cancellation.js';
 import { descriptionHeader } from 'lentillb/serving/gateProtocol.js';
 import type { ForwardedRequest } from 'lentillb/serving/messages.js';
-import { WaitLimit } from 'lentillb/serving/slotQueue.js';
+import { WaitLimit } from 'lentillb/admission/slotQueue.js';
 
 const TARGET_LATENCY_MS = 500;
 const DEADLINE_MS = 1_000;
--- a/tests/support/slotQueue.ts
+++ b/tests/support/slotQueue.ts
@@ -1,8 +1,8 @@
 /** Creates queues for slots, for tests of admission. */
 import type { Clock } from 'lentillb';
 import { DecisionLog } from 'lentillb/observability/decisionLog.js';
-import { SlotQueue } from 'lentillb/serving/slotQueue.js';
-import { StatedLimit } from 'lentillb/serving/statedLimit.js';
+import { SlotQueue } from 'lentillb/admission/slotQueue.js';
+import { StatedLimit } from 'lentillb/admission/statedLimit.js';
 
 /** @returns a log that discards its lines */
 export function createSilentLog(clock: Clock): DecisionLog {
--- a/tests/support/slotRequests.ts
+++ b/tests/support/slotRequests.ts
@@ -1,6 +1,6 @@
 /** Creates requests for slots, for tests of admission. */
-import type { Slot, SlotRequest } from 'lentillb/serving/slotQueue.js';
-import { WaitLimit } from 'lentillb/serving/slotQueue.js';
+import type { Slot, SlotRequest } from 'lentillb/admission/slotQueue.js';
+import { WaitLimit } from 'lentillb/admission/slotQueue.js';
 
 /** A request for a slot and its outcome. */
 export interface RecordedRequest {
