--- a/packages/lentillb/src/admission/retryAfter.ts
+++ b/packages/lentillb/src/admission/retryAfter.ts
@@ -17,11 +17,12 @@
 const MIN_RETRY_AFTER_MS = 10;
 /** The maximum share of their remaining time after which the platform's callers retry. */
 const MAX_REMAINING_SHARE = 1 / 3;
-/** The range of the jitter, as a share of the wait. */
+/** The range of the jitter, as a share of the shortest delay. */
 const JITTER_SHARE = 0.5;
 
 /**
- * Chooses the retry delay for a refused caller.
+ * Chooses the retry delay for a refused caller. Where a slot is expected only after callers return,
+ * their returns are spread before the time at which they would all return otherwise.
  *
  * @param refused - the refused request
  * @param randomness - the source of the jitter
@@ -29,7 +30,8 @@
  */
 export function chooseRetryAfterMs(refused: RefusedRequest, randomness: Randomness): number {
   const { remainingMs, waitMs } = refused;
-  const jitteredMs =
-    Math.max(MIN_RETRY_AFTER_MS, waitMs) * (1 + JITTER_SHARE * randomness.fraction());
-  return Math.max(MIN_RETRY_AFTER_MS, Math.min(jitteredMs, remainingMs * MAX_REMAINING_SHARE));
+  const latestMs = remainingMs * MAX_REMAINING_SHARE;
+  const earliestMs = Math.min(Math.max(MIN_RETRY_AFTER_MS, waitMs), latestMs / (1 + JITTER_SHARE));
+  const jitteredMs = earliestMs * (1 + JITTER_SHARE * randomness.fraction());
+  return Math.max(MIN_RETRY_AFTER_MS, jitteredMs);
 }
