--- a/packages/lentillb/src/admission/slotQueue.ts
+++ b/packages/lentillb/src/admission/slotQueue.ts
@@ -215,7 +215,7 @@
   }
 
   private mayWait(request: SlotRequest, waitMs: number): boolean {
-    if (this.slots === 0 || this.waiting.length >= this.slots * MAX_QUEUED_PER_SLOT) {
+    if (this.slots === 0 || this.isFullFor(request)) {
       return false;
     }
     const nowMs = this.clock.monotonicMs();
@@ -225,6 +225,15 @@
       : finishMs <= (request.deadlineAtMs - nowMs) * MAX_LATE_FINISH_SHARE;
   }
 
+  /** Whether the queue is full, and no request in it ranks below a new one. */
+  private isFullFor(request: SlotRequest): boolean {
+    const last = this.waiting.at(-1);
+    return (
+      this.waiting.length >= this.slots * MAX_QUEUED_PER_SLOT &&
+      (last === undefined || compareRank(request, last) >= 0)
+    );
+  }
+
   /** Estimates the wait for a slot and a permit behind the given requests, in milliseconds. */
   private expectedWaitMs(ahead: readonly SlotRequest[]): number {
     const totalMs = ahead.reduce(
@@ -275,6 +284,9 @@
 
   /** Adds a request to the queue, and drops those behind it that can no longer be answered. */
   private enqueue(request: SlotRequest): void {
+    if (this.waiting.length >= this.slots * MAX_QUEUED_PER_SLOT) {
+      this.drop(this.waiting.slice(-1));
+    }
     const index = this.waiting.findIndex((other) => precedes(request, other));
     if (index < 0) {
       this.waiting.push(request);
--- a/tests/admission/slotQueue.spec.ts
+++ b/tests/admission/slotQueue.spec.ts
@@ -4,6 +4,7 @@
 import { describe, expect, it } from 'vitest';
 import { ManualClock } from '../support/manualClock.js';
 import { createSlotQueue } from '../support/slotQueue.js';
+import type { RecordedRequest } from '../support/slotRequests.js';
 import { createRecordedRequest } from '../support/slotRequests.js';
 
 const SERVICE_MS = 60;
@@ -199,6 +200,24 @@
     expect(queue.load.queued).toBe(urgent.length + 1);
   });
 
+  it('should queue an urgent request though less urgent ones fill the queue', async () => {
+    const clock = new ManualClock();
+    const queue = await measuredQueue(clock, 1);
+    queue.admit(createRecordedRequest().request);
+    const fields = { targetAtMs: Infinity, deadlineAtMs: Infinity };
+    const filling: RecordedRequest[] = [];
+    let last = createRecordedRequest(fields);
+    while (queue.admit(last.request).admission === Admission.Queued) {
+      filling.push(last);
+      last = createRecordedRequest(fields);
+    }
+    const { queued } = queue.load;
+    const urgent = createRecordedRequest({ ...fields, priority: 1 });
+    expect(queue.admit(urgent.request).admission).toBe(Admission.Queued);
+    expect(queue.load.queued).toBe(queued);
+    expect(filling.filter(({ dropped }) => dropped)).toHaveLength(1);
+  });
+
   it('should remove a cancelled request from the queue', async () => {
     const clock = new ManualClock();
     const queue = await measuredQueue(clock, 1);
