--- a/packages/lentillb/src/emulation/emulatedBackendServer.ts
+++ b/packages/lentillb/src/emulation/emulatedBackendServer.ts
@@ -5,7 +5,7 @@
 import type { Clock } from '../kernel/clock.js';
 import type { Randomness } from '../kernel/randomness.js';
 import type { BackendAnswer, ForwardedRequest, ForwardFailure } from '../serving/messages.js';
-import { FailureCause } from '../serving/messages.js';
+import { FailureCause } from '../calls/failureCause.js';
 import type { ServerStatement } from '../serving/serverStatement.js';
 import type { RequestKind } from './scenario.js';
 
--- a/packages/lentillb/src/emulation/emulatedFleet.ts
+++ b/packages/lentillb/src/emulation/emulatedFleet.ts
@@ -13,7 +13,7 @@
 import { Repetition } from '../rules/ruleForms.js';
 import type { EntryAnswer } from '../serving/entry.js';
 import type { ForwardedRequest, GateReply } from '../serving/messages.js';
-import { FailureCause } from '../serving/messages.js';
+import { FailureCause } from '../calls/failureCause.js';
 import { runInBackground } from '../utils/background.js';
 import { CallerResult, CallerTally } from './callerTally.js';
 import { EmulatedBackendServer } from './emulatedBackendServer.js';
--- a/packages/lentillb/src/serving/attempts.ts
+++ b/packages/lentillb/src/serving/attempts.ts
@@ -4,7 +4,7 @@
 import { hash32 } from '../utils/hash.js';
 import { LateAnswers } from './lateAnswers.js';
 import type { BackendAnswer, ForwardedRequest, ForwardFailure, GateReply } from './messages.js';
-import { FailureCause } from './messages.js';
+import { FailureCause } from '../calls/failureCause.js';
 
 /** The hosts tried for one request and the results so far. */
 export class Attempts {
--- a/packages/lentillb/src/serving/backendServerClient.ts
+++ b/packages/lentillb/src/serving/backendServerClient.ts
@@ -10,7 +10,7 @@
 import { ExchangeFailure } from './exchange.js';
 import type { HeaderNames } from './headerNames.js';
 import type { BackendAnswer, ForwardedRequest, ForwardFailure } from './messages.js';
-import { FailureCause } from './messages.js';
+import { FailureCause } from '../calls/failureCause.js';
 import type { RequestSender } from './requestSender.js';
 import { Receiver } from './sendRecorder.js';
 import type { ServerStatement } from './serverStatement.js';
--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -2,6 +2,16 @@
  * Forwards callers' requests to the gates of backend servers. A request that gets no answer is
  * refused only if it has certainly not run, so that its caller may safely send it again.
  */
+import {
+  BEHIND_RETRY_AFTER_MS,
+  chooseRetryAfterMs,
+  formatRetryAfter,
+  UNCONFIGURED_RETRY_AFTER_MS,
+  UNSERVED_RETRY_AFTER_MS,
+  waitWithoutReportMs,
+} from '../admission/retryAfter.js';
+import { WaitLimit } from '../admission/slotQueue.js';
+import { SmoothedMean } from '../admission/smoothedMean.js';
 import { parseIntegerHeader, Outcome, forwardedHeaders } from '../calls/callHeaders.js';
 import type { HeaderFields } from '../calls/callHeaders.js';
 import { Cancellation, CancelReason } from '../calls/cancellation.js';
@@ -26,20 +36,10 @@
 import type { HeaderNames } from './headerNames.js';
 import { Attempts } from './attempts.js';
 import type { BackendAnswer, CallerRequest, ForwardedRequest, GateReply } from './messages.js';
-import { FailureCause } from './messages.js';
+import { FailureCause } from '../calls/failureCause.js';
 import type { Placement, GateSelector } from './gateSelector.js';
 import { readStatement } from './serverStatement.js';
 import type { RetryAllowance } from './retryAllowance.js';
-import {
-  BEHIND_RETRY_AFTER_MS,
-  chooseRetryAfterMs,
-  formatRetryAfter,
-  UNCONFIGURED_RETRY_AFTER_MS,
-  UNSERVED_RETRY_AFTER_MS,
-  waitWithoutReportMs,
-} from './retryAfter.js';
-import { WaitLimit } from './slotQueue.js';
-import { SmoothedMean } from './smoothedMean.js';
 import type { StopTimes } from './stopTimes.js';
 import { endsInTime } from './stopTimes.js';
 import type { SuspectGuard } from './suspectGuard.js';
--- a/packages/lentillb/src/serving/exchangeFailures.ts
+++ b/packages/lentillb/src/serving/exchangeFailures.ts
@@ -2,7 +2,7 @@
 import { Outcome } from '../calls/callHeaders.js';
 import { ExchangeFailure } from './exchange.js';
 import type { ForwardFailure } from './messages.js';
-import { FailureCause } from './messages.js';
+import { FailureCause } from '../calls/failureCause.js';
 
 function failure(outcome: Outcome, cause: FailureCause): ForwardFailure {
   return { outcome, cause };
--- a/packages/lentillb/src/serving/failureShare.ts
+++ b/packages/lentillb/src/serving/failureShare.ts
@@ -2,7 +2,7 @@
 import { Outcome } from '../calls/callHeaders.js';
 import type { Clock } from '../kernel/clock.js';
 import type { ForwardFailure } from './messages.js';
-import { FailureCause } from './messages.js';
+import { FailureCause } from '../calls/failureCause.js';
 
 /** The half-life of the share, in milliseconds; after it, a failing backend server is tried again. */
 const HALF_LIFE_MS = 1_000;
--- a/packages/lentillb/src/serving/gateForwarder.ts
+++ b/packages/lentillb/src/serving/gateForwarder.ts
@@ -16,7 +16,7 @@
 import { decodeReply, deliveryKeyOf, descriptionHeader } from './gateProtocol.js';
 import type { ListenProbe } from './listenProbe.js';
 import type { ForwardedRequest, ForwardFailure, GateReply } from './messages.js';
-import { FailureCause } from './messages.js';
+import { FailureCause } from '../calls/failureCause.js';
 import type { RequestSender } from './requestSender.js';
 import { Receiver } from './sendRecorder.js';
 import type { SuspectGuard } from './suspectGuard.js';
--- a/packages/lentillb/src/serving/gateServer.ts
+++ b/packages/lentillb/src/serving/gateServer.ts
@@ -10,7 +10,7 @@
 import { decodeRequest, deliveryKeyOf, encodeReply, processHeader } from './gateProtocol.js';
 import type { HeaderNames } from './headerNames.js';
 import type { CallerRequest, ForwardedRequest, GateReply } from './messages.js';
-import { FailureCause } from './messages.js';
+import { FailureCause } from '../calls/failureCause.js';
 import { ReceivedRequests } from './receivedRequests.js';
 
 /**
--- a/tests/serving/backendServerClient.spec.ts
+++ b/tests/serving/backendServerClient.spec.ts
@@ -4,7 +4,7 @@
 import { wireHeaders } from '@lentillb/platform';
 import { SystemClock } from 'lentillb';
 import { BackendServerClient } from 'lentillb/serving/backendServerClient.js';
-import { FailureCause } from 'lentillb/serving/messages.js';
+import { FailureCause } from 'lentillb/calls/failureCause.js';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { createForwardedRequest } from '../support/forwardedRequest.js';
 import { createRequestSender } from '../support/requestSender.js';
--- a/tests/serving/copiedRefusals.spec.ts
+++ b/tests/serving/copiedRefusals.spec.ts
@@ -2,7 +2,7 @@
 import { wireHeaders } from '@lentillb/platform';
 import { SystemClock } from 'lentillb';
 import { BackendServerClient } from 'lentillb/serving/backendServerClient.js';
-import { FailureCause } from 'lentillb/serving/messages.js';
+import { FailureCause } from 'lentillb/calls/failureCause.js';
 import { afterEach, describe, expect, it } from 'vitest';
 import { createForwardedRequest } from '../support/forwardedRequest.js';
 import { createRequestSender } from '../support/requestSender.js';
--- a/tests/serving/entry.spec.ts
+++ b/tests/serving/entry.spec.ts
@@ -13,7 +13,7 @@
 import type { EntryAnswer } from 'lentillb/serving/entry.js';
 import { GateObservations } from 'lentillb/serving/gateObservations.js';
 import type { CallerRequest, ForwardedRequest, GateReply } from 'lentillb/serving/messages.js';
-import { FailureCause } from 'lentillb/serving/messages.js';
+import { FailureCause } from 'lentillb/calls/failureCause.js';
 import { GateSelector } from 'lentillb/serving/gateSelector.js';
 import { RetryAllowance } from 'lentillb/serving/retryAllowance.js';
 import { wireHeaders } from '@lentillb/platform';
--- a/tests/serving/failureShare.spec.ts
+++ b/tests/serving/failureShare.spec.ts
@@ -1,6 +1,6 @@
 import { Outcome } from 'lentillb/calls/callHeaders.js';
 import { isServerFailure } from 'lentillb/serving/failureShare.js';
-import { FailureCause } from 'lentillb/serving/messages.js';
+import { FailureCause } from 'lentillb/calls/failureCause.js';
 import { describe, expect, it } from 'vitest';
 
 describe('failures that count against a backend server', () => {
--- a/tests/support/deliverySimulation.ts
+++ b/tests/support/deliverySimulation.ts
@@ -20,7 +20,7 @@
 import { deliveryKeyOf, processIdOf } from 'lentillb/serving/gateProtocol.js';
 import { GateServer } from 'lentillb/serving/gateServer.js';
 import type { ForwardedRequest, GateReply } from 'lentillb/serving/messages.js';
-import { FailureCause } from 'lentillb/serving/messages.js';
+import { FailureCause } from 'lentillb/calls/failureCause.js';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import { createForwardedRequest, encodeHeaders } from './forwardedRequest.js';
