--- a/packages/cli/src/exitCode.ts
+++ b/packages/cli/src/exitCode.ts
@@ -1,10 +1,10 @@
 /** The exit codes of the command line. */
 export const ExitCode = {
-  /** Success; for `check` and `diff`: no errors or differences. */
+  /** Success; for `check`, `check-configuration` and `diff`: no errors or differences. */
   Ok: 0,
   /** Refused, invalid or different; the message says which. */
   Refused: 1,
-  /** The command line or a setting is invalid. */
+  /** The command line, a setting or a file to read is invalid. */
   Usage: 2,
   /** The outcome of a publication is unknown. */
   Unknown: 3,
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -4,6 +4,7 @@
 import type { CommandDefinition } from './command.js';
 import { addCommand } from './command.js';
 import { check } from './commands/check.js';
+import { checkConfiguration } from './commands/checkConfiguration.js';
 import { dev } from './commands/dev.js';
 import { diff } from './commands/diff.js';
 import { experiment } from './commands/experiment.js';
@@ -20,6 +21,7 @@
 
 const commands: readonly CommandDefinition[] = [
   check,
+  checkConfiguration,
   show,
   diff,
   publish,
--- a/packages/lentillb/src/serving/callerListener.ts
+++ b/packages/lentillb/src/serving/callerListener.ts
@@ -14,6 +14,7 @@
 import { refuseUnreadable } from '../utils/refuseUnreadable.js';
 import { cancelOnDisconnect } from '../calls/callerDisconnect.js';
 import type { CallerPresence } from '../calls/callerPresence.js';
+import { MAX_HEAD_BYTES, REQUEST_TIMEOUT_MS } from '../configuration/fixedLimits.js';
 import type { CallerLimits } from '../configuration/meshConfiguration.js';
 import type { Clock } from '../kernel/clock.js';
 import { MemoryBudget } from '../memory/memoryBudget.js';
@@ -25,8 +26,6 @@
 import type { CompleteBody } from './requestBody.js';
 import { BodyFailure, readRequestBody } from './requestBody.js';
 
-/** The longest request head that the parser accepts; the configuration may set a lower limit. */
-const MAX_HEAD_BYTES = 64 * 1024;
 /** The longest request body that is accepted until a configuration sets a limit. */
 const DEFAULT_MAX_BODY_BYTES = 1024 * 1024;
 /** The time for which the rest of a rejected request is read and discarded, in milliseconds. */
@@ -41,8 +40,6 @@
  */
 const ACCEPT_BACKLOG = 1_024;
 const DEFAULT_IDLE_MS = 60_000;
-/** The maximum time to receive a whole request, in milliseconds: the largest body on a slow connection. */
-const REQUEST_TIMEOUT_MS = 60_000;
 
 const HttpStatus = {
   NoContent: 204,
--- a/packages/lentillb/src/sidecar/index.ts
+++ b/packages/lentillb/src/sidecar/index.ts
@@ -12,6 +12,13 @@
 } from '../configuration/meshConfiguration.js';
 export { findConfigurationFault, MAX_TIMER_MS } from '../configuration/configurationFault.js';
 export { boundedName, instanceName, networkAddress, slotCount } from '../directory/announcement.js';
+export type { ConfigurationPlace } from '../configuration/configurationFault.js';
+export type {
+  ConfigurationDocument,
+  ConfigurationFormat,
+} from '../inspection/configurationFormat.js';
+export type { Finding } from '../inspection/finding.js';
+export { FindingKind } from '../inspection/finding.js';
 export { SystemClock } from '../kernel/clock.js';
 export type { Clock } from '../kernel/clock.js';
 export { Deadline } from '../kernel/deadline.js';
--- a/packages/lentillb/src/utils/messageHead.ts
+++ b/packages/lentillb/src/utils/messageHead.ts
@@ -22,6 +22,16 @@
   return !INVALID_VALUE_CHARACTER.test(value);
 }
 
+/**
+ * Checks a part of the target of a request.
+ *
+ * @param text - the text, with one character for each byte
+ * @returns whether a request may have a target with this part
+ */
+export function isTargetText(text: string): boolean {
+  return !INVALID_TARGET_CHARACTER.test(text);
+}
+
 /**
  * Counts how often a message has a header.
  *
@@ -41,7 +51,7 @@
  */
 export function isForwardable({ rawHeaders, url = '' }: ReceivedHead): boolean {
   return (
-    !INVALID_TARGET_CHARACTER.test(url) &&
+    isTargetText(url) &&
     rawHeaders.every((part, index) => (index % 2 === 0 ? TOKEN.test(part) : isFieldValue(part)))
   );
 }
