--- a/packages/lentillb/src/emulation/emulatedHost.ts
+++ b/packages/lentillb/src/emulation/emulatedHost.ts
@@ -9,6 +9,7 @@
 import { DecisionLog } from '../observability/decisionLog.js';
 import { MetricsRegistry } from '../observability/metricsRegistry.js';
 import { Entry } from '../serving/entry.js';
+import { LinkQueue } from '../transfers/linkQueue.js';
 import { Gate } from '../serving/gate.js';
 import { GateObservations } from '../serving/gateObservations.js';
 import { GateSelector } from '../serving/gateSelector.js';
@@ -100,6 +101,7 @@
     slots.resize(slotCount);
     this.gate = new Gate({
       clock,
+      transfers: new LinkQueue({ clock, log, metrics }, undefined),
       presence: new CallerPresence({ clock, input: READ_INPUT }),
       slots,
       statedLimit,
--- a/packages/lentillb/src/serving/gate.ts
+++ b/packages/lentillb/src/serving/gate.ts
@@ -1,5 +1,5 @@
 /** Controls admission to a backend server: only the gate on its host decides what it runs. */
-import { Err } from 'ts-results-es';
+import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import { Outcome } from '../calls/callHeaders.js';
 import type { CallerPresence } from '../calls/callerPresence.js';
@@ -28,6 +28,7 @@
 import type { SuspectGuard } from './suspectGuard.js';
 import { Admission, ServiceTimeSample } from '../admission/slotQueue.js';
 import type { StatedLimit } from '../admission/statedLimit.js';
+import type { LinkQueue } from '../transfers/linkQueue.js';
 import type { StopTimes } from './stopTimes.js';
 import { endsInTime } from './stopTimes.js';
 
@@ -43,6 +44,7 @@
   readonly client: Pick<BackendServerClient, 'send'>;
   readonly listenProbe: Pick<ListenProbe, 'hasEnded'>;
   readonly suspectGuard: SuspectGuard;
+  readonly transfers: Pick<LinkQueue, 'recentMs' | 'waitingCount'>;
   readonly log: DecisionLog;
   readonly metrics: MetricsRegistry;
 }
@@ -146,16 +148,20 @@
    * @returns the load; undefined if the gate accepts no requests
    */
   reportLoad(): GateLoad | undefined {
-    const { backendServer, slots } = this.services;
+    const { backendServer, slots, transfers } = this.services;
     if (this.closing || !backendServer.ready) {
       return undefined;
     }
     const { queued, running } = slots.load;
     const serviceTimes = slots
       .recentServiceTimes(MAX_REPORTED_TIME_AGE_MS)
-      .map(([route, meanMs]) => ({ routeHash: hash32(route), meanMs }));
+      .map(([route, meanMs]) => ({
+        routeHash: hash32(route),
+        // Other nodes choose by the time from sending to answer, of which the transfer is a part.
+        meanMs: meanMs + transfers.recentMs(route),
+      }));
     return {
-      load: running + queued,
+      load: running + queued + transfers.waitingCount,
       failureShare: this.failureShare.value,
       serviceTimes,
       limitPerSecond: this.services.statedLimit.reportedPerSecond,
@@ -191,7 +197,42 @@
       queuedMs,
       serviceMs,
     });
-    return { result, report: this.createReport(result.isOk() ? serviceMs : 0) };
+    return { result, report: this.report(result.isOk() ? serviceMs : 0) };
+  }
+
+  /**
+   * Reports the load to the node of a request.
+   *
+   * @param serviceMs - the time that the request spent at the backend server, in milliseconds; 0 if it
+   *   has not run
+   * @returns the report
+   */
+  report(serviceMs = 0): GateReport {
+    const { slots, statedLimit, transfers } = this.services;
+    const { queued, running } = slots.load;
+    return {
+      load: running + queued + transfers.waitingCount,
+      serviceMs,
+      limitPerSecond: statedLimit.reportedPerSecond,
+    };
+  }
+
+  /**
+   * Judges a request whose body is still with its sender.
+   *
+   * @param request - the request
+   * @returns why it would be refused now, or the expected time to wait and run, in milliseconds
+   */
+  judge(request: ForwardedRequest): Result<number, FailureCause> {
+    const refusal = this.refusalCause(request);
+    if (refusal !== undefined) {
+      return Err(refusal);
+    }
+    const { slots } = this.services;
+    const serviceMs = slots.expectedServiceMs(request.route);
+    const { queued, running, slots: slotCount } = slots.load;
+    const excess = Math.max(0, running + queued + 1 - slotCount);
+    return Ok(serviceMs + (excess * serviceMs) / Math.max(1, slotCount));
   }
 
   /** Lets the deadline of a request end with the node, if the node is being stopped. */
@@ -202,12 +243,6 @@
       : { ...request, deadlineAtMs: stopTimes.endsAtMs };
   }
 
-  private createReport(serviceMs: number): GateReport {
-    const { slots, statedLimit } = this.services;
-    const { queued, running } = slots.load;
-    return { load: running + queued, serviceMs, limitPerSecond: statedLimit.reportedPerSecond };
-  }
-
   private admit(
     request: ForwardedRequest,
     run: (slot: Slot) => Promise<GateResult>,
--- a/packages/lentillb/src/serving/gateForwarder.ts
+++ b/packages/lentillb/src/serving/gateForwarder.ts
@@ -5,6 +5,9 @@
 import type { Clock } from '../kernel/clock.js';
 import type { DecisionLog } from '../observability/decisionLog.js';
 import { Importance } from '../observability/decisionLog.js';
+import { WaitLimit } from '../admission/slotQueue.js';
+import { Outcome } from '../calls/callHeaders.js';
+import { LARGE_BODY_BYTES, reservationHeader } from '../transfers/transferProtocol.js';
 import { runInBackground } from '../utils/background.js';
 import { ConnectionPool } from './connectionPool.js';
 import type { DeliveryMonitor } from './deliveryMonitor.js';
@@ -41,6 +44,8 @@
 /** The time for which a request may be unanswered before its connection is watched, in milliseconds. */
 const MIN_WATCHED_MS = 80;
 
+const NO_BODY = Buffer.alloc(0);
+
 /** A request to another node whose answer is awaited. */
 interface UnansweredRequest {
   readonly endpoint: GateEndpoint;
@@ -115,6 +120,8 @@
       readonly log: DecisionLog;
     },
     private readonly ownHost: string,
+    /** The bandwidth of the link of this host in megabits per second, if known. */
+    private readonly linkMegabits?: number,
   ) {
     this.pool = new ConnectionPool(services.clock, {
       idleMs: MAX_IDLE_MS,
@@ -182,6 +189,12 @@
   ): Promise<GateReply> {
     const { clock, links, processes, sender } = this.services;
     const startedMs = clock.monotonicMs();
+    if (request.body.length >= LARGE_BODY_BYTES && deliveryKeyOf(request) !== undefined) {
+      const refusal = await this.reserve(endpoint, request);
+      if (refusal !== undefined) {
+        return refusal;
+      }
+    }
     const unanswered: UnansweredRequest = { endpoint, request, expectedMs };
     this.unanswered.add(unanswered);
     const answer = await sender.send(request, {
@@ -223,6 +236,51 @@
     return decodeReply(answer.value);
   }
 
+  /**
+   * Waits until the body of a request may be sent over the link of another host.
+   *
+   * @param endpoint - the gate of the other host
+   * @param request - the request; nothing of it is sent yet
+   * @returns the refusal of the gate, or a failure to reach it; undefined if the body may be sent
+   */
+  private async reserve(
+    { gateAddress }: GateEndpoint,
+    request: ForwardedRequest,
+  ): Promise<GateReply | undefined> {
+    const { clock, sender } = this.services;
+    const { body, headers, waitLimit } = request;
+    const reservation = reservationHeader({
+      bytes: body.length,
+      senderMegabits: this.linkMegabits,
+    });
+    // A late reply would leave no time for another host.
+    const deadlineAtMs =
+      waitLimit === WaitLimit.OnTime
+        ? Math.min(request.targetAtMs, request.deadlineAtMs)
+        : request.deadlineAtMs;
+    const answer = await sender.send(
+      { ...request, method: 'GET', target: '/', body: NO_BODY, deadlineAtMs },
+      {
+        receiver: Receiver.Gate,
+        agent: this.pool,
+        address: gateAddress,
+        headers: { ...headers, 'content-length': '0' },
+        headersAtSend: () => ({ ...descriptionHeader(clock, request), ...reservation }),
+        connectTimeoutMs: CONNECT_TIMEOUT_MS,
+        answerGraceMs: 0,
+        isTerse: true,
+      },
+    );
+    if (answer.isErr()) {
+      return unreported({ ...forwardFailures[answer.error], outcome: Outcome.NotRun });
+    }
+    const { report, result } = decodeReply(answer.value);
+    // Whatever the answer says, nothing of the request has been sent.
+    return result.isOk()
+      ? undefined
+      : { result: Err({ ...result.error, outcome: Outcome.NotRun }), report };
+  }
+
   /**
    * Watches whether the connection of a request goes silent. Most requests are answered before they are
    * watched.
--- a/packages/lentillb/src/serving/gateServer.ts
+++ b/packages/lentillb/src/serving/gateServer.ts
@@ -7,6 +7,9 @@
 import { decodeQuestions, encodeStates, isInquiry } from './deliveryProtocol.js';
 import type { EntryAnswer } from './entry.js';
 import type { Gate } from './gate.js';
+import type { LinkQueue } from '../transfers/linkQueue.js';
+import type { Reservation } from '../transfers/transferProtocol.js';
+import { decodeReservation } from '../transfers/transferProtocol.js';
 import { decodeRequest, deliveryKeyOf, encodeReply, processHeader } from './gateProtocol.js';
 import type { HeaderNames } from './headerNames.js';
 import type { CallerRequest, ForwardedRequest, GateReply } from './messages.js';
@@ -29,7 +32,11 @@
    * @param options - the header names of callers, and the identity of this process
    */
   constructor(
-    private readonly services: { readonly clock: Clock; readonly gate: Pick<Gate, 'serve'> },
+    private readonly services: {
+      readonly clock: Clock;
+      readonly gate: Pick<Gate, 'judge' | 'report' | 'serve'>;
+      readonly transfers: Pick<LinkQueue, 'complete' | 'reserve'>;
+    },
     private readonly options: { readonly names: HeaderNames; readonly processId: number },
   ) {
     this.received = new ReceivedRequests(services.clock);
@@ -55,9 +62,44 @@
     if (forwarded === undefined) {
       return { status: HttpStatus.BadRequest, headers: {}, body: Buffer.alloc(0) };
     }
+    const reservation = decodeReservation(request.headers);
+    if (reservation !== undefined) {
+      return encodeReply(await this.reserve(forwarded, reservation));
+    }
     return encodeReply(await this.serveOnce(forwarded));
   }
 
+  /** Waits until the body of a request may be sent here; refuses it if it would not be answered in time. */
+  private async reserve(
+    request: ForwardedRequest,
+    { bytes, senderMegabits }: Reservation,
+  ): Promise<GateReply> {
+    const { gate, transfers } = this.services;
+    const key = deliveryKeyOf(request);
+    const expected = gate.judge(request);
+    if (expected.isErr()) {
+      const failure = { outcome: Outcome.NotRun, cause: expected.error };
+      return { result: Err(failure), report: gate.report() };
+    }
+    const reserved = await transfers.reserve({
+      ...request,
+      key: key ?? '',
+      bytes,
+      senderMegabits,
+      expectedMs: expected.value,
+    });
+    return {
+      result: reserved
+        .map(() => ({ status: HttpStatus.Ok, headers: {}, body: Buffer.alloc(0) }))
+        .mapErr(({ waitMs }) => ({
+          outcome: Outcome.NotRun,
+          cause: FailureCause.NoSlotInTime,
+          waitMs,
+        })),
+      report: gate.report(),
+    };
+  }
+
   private async answerInquiry(body: Buffer): Promise<EntryAnswer> {
     const questions = decodeQuestions(body);
     return questions === undefined
@@ -86,11 +128,12 @@
 
   /** Serves a request, unless the other node was told that it has not run. */
   private async serveOnce(request: ForwardedRequest): Promise<GateReply> {
-    const { gate } = this.services;
+    const { gate, transfers } = this.services;
     const key = deliveryKeyOf(request);
     if (key === undefined) {
       return gate.serve(request);
     }
+    transfers.complete(key);
     if (!this.received.admit(key)) {
       const failure = { outcome: Outcome.NotRun, cause: FailureCause.ConnectionSilent };
       return { result: Err(failure), report: undefined };
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -51,6 +51,7 @@
 import { StatementListener } from '../serving/statementListener.js';
 import { SuspectGuard } from '../serving/suspectGuard.js';
 import { SuspectRequests } from '../serving/suspectRequests.js';
+import { LinkQueue } from '../transfers/linkQueue.js';
 import { EraCheckedStore } from '../store/eraCheckedStore.js';
 import type { KeyedStore } from '../store/keyedStore.js';
 import { StoreEraTracker } from '../store/storeEraTracker.js';
@@ -229,8 +230,10 @@
       identity.host,
     );
     const { suspectGuard } = this;
+    const transfers = new LinkQueue({ clock, log, metrics }, identity.linkMegabits);
     this.gate = new Gate({
       clock,
+      transfers,
       presence,
       slots,
       statedLimit,
@@ -243,7 +246,10 @@
     });
     // The start of this run of the node tells it from others on the same host.
     const processId = hash32(`${identity.host} ${clock.now().getTime()} ${clock.monotonicMs()}`);
-    this.gateServer = new GateServer({ clock, gate: this.gate }, { names: headerNames, processId });
+    this.gateServer = new GateServer(
+      { clock, gate: this.gate, transfers },
+      { names: headerNames, processId },
+    );
     const processes = new GateProcesses(clock);
     this.inquirer = new DeliveryInquirer({ clock, memory, processes, log, metrics });
     const { inquirer } = this;
@@ -319,6 +325,7 @@
         log,
       },
       identity.host,
+      identity.linkMegabits,
     );
     const isSilent = (host: string): boolean => failureDetector.isSilent(host);
     const nodeCount = (): number => directory.announcements.length;
--- a/tests/serving/pausedProcess.spec.ts
+++ b/tests/serving/pausedProcess.spec.ts
@@ -14,6 +14,7 @@
 import { parseAddress } from 'lentillb/utils/networkAddress.js';
 import { Ok } from 'ts-results-es';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { noTransfers } from '../support/noTransfers.js';
 import { blockEventLoop } from '../support/blockEventLoop.js';
 import { createForwardedRequest } from '../support/forwardedRequest.js';
 import { ManualClock } from '../support/manualClock.js';
@@ -100,6 +101,7 @@
       slots,
       statedLimit,
       suspectGuard: createSuspectGuard(clock),
+      transfers: noTransfers,
       listenProbe: { hasEnded: () => Promise.resolve(false) },
       backendServer,
       log: createSilentLog(clock),
--- a/tests/serving/statedDeadline.spec.ts
+++ b/tests/serving/statedDeadline.spec.ts
@@ -11,6 +11,7 @@
 import { afterEach, beforeEach, expect, it } from 'vitest';
 import { blockEventLoop } from '../support/blockEventLoop.js';
 import { createForwardedRequest, encodeHeaders } from '../support/forwardedRequest.js';
+import { gateOf, noTransfers } from '../support/noTransfers.js';
 import { ManualClock } from '../support/manualClock.js';
 import { createRequestSender } from '../support/requestSender.js';
 
@@ -57,14 +58,15 @@
 it('should count the deadline at a gate from when the request arrived there', async () => {
   const clock = new ManualClock();
   const served: ForwardedRequest[] = [];
-  const gate = {
-    serve: (request: ForwardedRequest) => {
-      served.push(request);
-      const failure = { outcome: 'not-run', cause: 'leaving' } as const;
-      return Promise.resolve({ result: Err(failure), report: undefined });
-    },
-  };
-  const server = new GateServer({ clock, gate }, { names: wireHeaders, processId: 1 });
+  const gate = gateOf((request) => {
+    served.push(request);
+    const failure = { outcome: 'not-run', cause: 'leaving' } as const;
+    return Promise.resolve({ result: Err(failure), report: undefined });
+  });
+  const server = new GateServer(
+    { clock, gate, transfers: noTransfers },
+    { names: wireHeaders, processId: 1 },
+  );
   const sent = createForwardedRequest(clock, { deadlineAtMs: clock.monotonicMs() + DEADLINE_MS });
   const headers = encodeHeaders(clock, sent) as IncomingHttpHeaders;
   const arrivedAtMs = clock.monotonicMs();
--- a/tests/support/deliverySimulation.ts
+++ b/tests/support/deliverySimulation.ts
@@ -23,6 +23,7 @@
 import { FailureCause } from 'lentillb/calls/failureCause.js';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
+import { gateOf, noTransfers } from './noTransfers.js';
 import { createForwardedRequest, encodeHeaders } from './forwardedRequest.js';
 import { HostClock } from './hostClock.js';
 
@@ -179,8 +180,14 @@
 
   private startProcess(id: number): Process {
     const clock = this.gateClock;
-    const gate = { serve: (request: ForwardedRequest) => this.serveAtGate(request) };
-    return { id, server: new GateServer({ clock, gate }, { names: wireHeaders, processId: id }) };
+    const gate = gateOf((request) => this.serveAtGate(request));
+    return {
+      id,
+      server: new GateServer(
+        { clock, gate, transfers: noTransfers },
+        { names: wireHeaders, processId: id },
+      ),
+    };
   }
 
   /** Replaces the process of the gate, which ends its runs with their connections. */
--- /dev/null
+++ b/tests/support/noTransfers.ts
@@ -0,0 +1,25 @@
+/** Creates the parts by which gates order large bodies, for tests that send none. */
+import { Err } from 'ts-results-es';
+import { FailureCause } from 'lentillb/calls/failureCause.js';
+import type { Gate } from 'lentillb/serving/gate.js';
+import type { LinkQueue } from 'lentillb/transfers/linkQueue.js';
+
+/** A link on which no body waits. */
+export const noTransfers: Pick<LinkQueue, 'complete' | 'recentMs' | 'reserve' | 'waitingCount'> = {
+  waitingCount: 0,
+  complete: () => undefined,
+  recentMs: () => 0,
+  reserve: () => Promise.resolve(Err({ waitMs: 0 })),
+};
+
+/**
+ * @param serve - serves a request
+ * @returns a gate that serves requests and takes no large bodies
+ */
+export function gateOf(serve: Gate['serve']): Pick<Gate, 'judge' | 'report' | 'serve'> {
+  return {
+    serve,
+    judge: () => Err(FailureCause.NotServing),
+    report: () => ({ load: 0, serviceMs: 0 }),
+  };
+}
