--- a/tests/support/sidecarFleet.ts
+++ b/tests/support/sidecarFleet.ts
@@ -72,6 +72,9 @@
   /** Further headers of all requests from now on. */
   callerHeaders: Readonly<Record<string, string>> = {};
 
+  /** The bandwidth of the links of nodes that are added from now on, in megabits per second. */
+  linkMegabits: number | undefined;
+
   /** The services that published configurations define. */
   private readonly services = new Set(['pages', 'letters']);
 
@@ -144,7 +147,8 @@
       freeAddress(),
       freeAddress(),
     ]);
-    const identity = { host: name, zone: 'a', gateAddress, peerAddress };
+    const { linkMegabits } = this;
+    const identity = { host: name, zone: 'a', gateAddress, peerAddress, linkMegabits };
     const setup = { identity, callerAddress, backendServerAddress: backendServer.address, service };
     const log: object[] = [];
     const storeClient = this.createStoreClient();
