--- a/packages/lentillb/src/admission/slotOrder.ts
+++ b/packages/lentillb/src/admission/slotOrder.ts
@@ -1,17 +1,34 @@
 /**
  * Decides in which order waiting requests get the slots of a backend server: by rank, which is the
- * priority and then the target latency. While all requests of a higher rank stay on time, they yield
+ * standing, the priority of the customer, the priority of the route and then the target latency. While all requests of a higher rank stay on time, they yield
  * to one with a shorter target latency, such as a call inside a run: it can wait least, and the run
  * that needs its answer holds a slot meanwhile.
  */
 import type { Clock } from '../kernel/clock.js';
 
+/** The standing of a request, which goes before all priorities; the lowest number goes first. */
+export const Standing = {
+  /** The request belongs to those that are not served since calls take the slots. */
+  Starving: 0,
+  /** The request is a call inside a run, where requests of customers arrive too. */
+  Call: 1,
+  /** The request belongs to a customer or a kind that is underserved. */
+  Underserved: 2,
+  Ordinary: 3,
+} as const;
+export type Standing = (typeof Standing)[keyof typeof Standing];
+
 /** A request that waits for a slot; times are in milliseconds of the monotonic clock. */
 export interface RankedRequest {
   /** The key that groups requests with similar service times. */
   readonly serviceTimeKey: string;
-  /** The priority; 0 is the most urgent. */
+  readonly standing: Standing;
+  /** The priority of the customer; 0 is the most urgent, and that of requests without one. */
+  readonly customerPriority: number;
+  /** The priority of the route; 0 is the most urgent. */
   readonly priority: number;
+  /** Whether an earlier attempt of its caller was refused. */
+  readonly wasRefused: boolean;
   /** The target latency of the route, in milliseconds; it is shortest for calls inside runs. */
   readonly targetLatencyMs: number;
   readonly targetAtMs: number;
@@ -37,14 +54,19 @@
 const YIELD_MARGIN_FACTOR = 2;
 
 /**
- * Compares priority, then target latency.
+ * Compares standing, priority of the customer, priority of the route, then target latency.
  *
  * @param left - a request
  * @param right - another request
  * @returns a negative number if `left` ranks first, 0 if both rank alike
  */
 export function compareRank(left: RankedRequest, right: RankedRequest): number {
-  return left.priority - right.priority || left.targetLatencyMs - right.targetLatencyMs;
+  return (
+    left.standing - right.standing ||
+    left.customerPriority - right.customerPriority ||
+    left.priority - right.priority ||
+    left.targetLatencyMs - right.targetLatencyMs
+  );
 }
 
 /**
@@ -52,10 +74,14 @@
  *
  * @param request - a request
  * @param other - another request
- * @returns whether it ranks first, or ranks alike and is due sooner
+ * @returns whether it ranks first, or ranks alike and was refused before or is due sooner
  */
 export function precedes(request: RankedRequest, other: RankedRequest): boolean {
-  return (compareRank(request, other) || request.targetAtMs - other.targetAtMs) < 0;
+  const order =
+    compareRank(request, other) ||
+    Number(other.wasRefused) - Number(request.wasRefused) ||
+    request.targetAtMs - other.targetAtMs;
+  return order < 0;
 }
 
 /** The order of the requests that wait for the slots of one backend server. */
--- a/packages/lentillb/src/admission/slotQueue.ts
+++ b/packages/lentillb/src/admission/slotQueue.ts
@@ -5,11 +5,14 @@
  * on arrival: its caller can still try another backend server, and the slots serve requests whose
  * answers count. If the backend server states a request limit, a slot also needs a permit. Calls made
  * inside a run have short target latencies, so they precede new requests of the same priority:
- * refusing such a call wastes the slot that its run holds.
+ * refusing such a call wastes the slot that its run holds. Which requests have a claim on the slots
+ * before others is decided by `slotClaims.ts`.
  */
 import type { Clock } from '../kernel/clock.js';
 import type { RankedRequest, SlotSupply } from './slotOrder.js';
-import { compareRank, precedes, SlotOrder } from './slotOrder.js';
+import type { ClaimingRequest, Claims, RequestClaim } from './slotClaims.js';
+import { SlotClaims } from './slotClaims.js';
+import { compareRank, precedes, SlotOrder, Standing } from './slotOrder.js';
 import { SmoothedMean } from './smoothedMean.js';
 import type { StatedLimit } from './statedLimit.js';
 
@@ -23,7 +26,9 @@
 export type WaitLimit = (typeof WaitLimit)[keyof typeof WaitLimit];
 
 /** A request for a slot; times are in milliseconds of the monotonic clock. */
-export interface SlotRequest extends RankedRequest {
+export interface SlotRequest extends ClaimingRequest {
+  /** The priority of the customer; 0 is the most urgent, and that of requests without one. */
+  readonly customerPriority: number;
   readonly deadlineAtMs: number;
   readonly waitLimit: WaitLimit;
   /** Called once, when the request gets a slot. */
@@ -32,6 +37,9 @@
   readonly onDropped: () => void;
 }
 
+/** A request with what its place in the queue depends on. */
+interface RankedSlotRequest extends SlotRequest, RankedRequest, RequestClaim {}
+
 /** What the time that a slot was occupied says about the service time. */
 export const ServiceTimeSample = {
   /** The request ran to its end. */
@@ -66,6 +74,9 @@
 /** The decision on an arriving request. */
 export interface AdmissionDecision {
   readonly admission: Admission;
+  readonly standing: Standing;
+  /** The number of slots that the request must leave to calls. */
+  readonly reserved: number;
   /** The expected wait for a slot, in milliseconds. */
   readonly waitMs: number;
   /** Removes the request from the queue. */
@@ -99,6 +110,9 @@
 /** The share of the expected service time that must remain before the deadline to run a request. */
 const MIN_RUN_SHARE = 0.5;
 
+/** How often the slots left to calls are computed again while requests wait for them, in milliseconds. */
+const RESERVE_REVIEW_MS = 50;
+
 const noop = (): void => undefined;
 
 /** Manages the slots of one backend server and the requests that wait for them. */
@@ -107,7 +121,10 @@
 
   private running = 0;
 
-  private readonly waiting: SlotRequest[] = [];
+  /** The number of slots that calls occupy. */
+  private runningCalls = 0;
+
+  private readonly waiting: RankedSlotRequest[] = [];
 
   private readonly meanServiceMsByKey = new Map<string, SmoothedMean>();
 
@@ -120,17 +137,23 @@
 
   private readonly order: SlotOrder;
 
+  private readonly claims: Claims;
+
   /**
    * @param clock - the clock for deadlines and service times
    * @param isWarmingUp - returns whether the backend server is still warming up
    * @param statedLimit - the request limit of the backend server
+   * @param claims - the claims on the slots; by default, those that follow from recent requests
    */
   constructor(
     private readonly clock: Clock,
     private readonly isWarmingUp: () => boolean,
     private readonly statedLimit: StatedLimit,
+    claims?: Claims,
   ) {
-    this.order = new SlotOrder(clock, (key) => this.expectedServiceMs(key));
+    const expectedServiceMs = (key: string): number => this.expectedServiceMs(key);
+    this.order = new SlotOrder(clock, expectedServiceMs);
+    this.claims = claims ?? new SlotClaims(clock, expectedServiceMs);
   }
 
   get load(): SlotLoad {
@@ -180,20 +203,23 @@
    * @returns the decision; if a slot was free, `onGranted` has already been called
    */
   admit(request: SlotRequest): AdmissionDecision {
-    if (this.running < this.slots && this.waiting.length === 0 && this.statedLimit.tryTake()) {
-      request.onGranted(this.occupySlot(request));
-      return { admission: Admission.Granted, waitMs: 0, cancel: noop };
+    const claim = this.claims.rank(request, this.slots);
+    const ranked: RankedSlotRequest = { ...request, ...claim };
+    const decision = { standing: claim.standing, reserved: this.reservedAgainst(ranked) };
+    if (this.isNext(ranked) && this.hasSlotFor(ranked) && this.statedLimit.tryTake()) {
+      request.onGranted(this.occupySlot(ranked));
+      return { ...decision, admission: Admission.Granted, waitMs: 0, cancel: noop };
     }
-    const waitMs = this.expectedWaitMs(this.requestsAhead(request));
-    if (!this.mayWait(request, waitMs)) {
-      return { admission: Admission.Refused, waitMs, cancel: noop };
+    const waitMs = this.expectedWaitMs(ranked, this.requestsAhead(ranked));
+    if (!this.mayWait(ranked, waitMs)) {
+      return { ...decision, admission: Admission.Refused, waitMs, cancel: noop };
     }
-    this.enqueue(request);
+    this.enqueue(ranked);
     this.awaitPermit();
     const cancel = (): void => {
-      this.remove(request);
+      this.remove(ranked);
     };
-    return { admission: Admission.Queued, waitMs, cancel };
+    return { ...decision, admission: Admission.Queued, waitMs, cancel };
   }
 
   /** Drops queued requests that can no longer get a slot and a permit in time for their deadline. */
@@ -214,7 +240,28 @@
     };
   }
 
-  private mayWait(request: SlotRequest, waitMs: number): boolean {
+  /** Whether no request waits that goes before a new one and could get the same slot. */
+  private isNext(request: RankedSlotRequest): boolean {
+    return this.waiting.every((other) => precedes(request, other) && !this.hasSlotFor(other));
+  }
+
+  /** The number of slots that a request must leave to calls. */
+  private reservedAgainst(request: RankedSlotRequest): number {
+    return request.isCall || request.standing === Standing.Starving
+      ? 0
+      : this.claims.reservedAgainst(request, this.slots);
+  }
+
+  /** Whether a slot is free that a request need not leave to calls. */
+  private hasSlotFor(request: RankedSlotRequest): boolean {
+    if (this.running >= this.slots) {
+      return false;
+    }
+    const reserved = this.reservedAgainst(request);
+    return reserved === 0 || this.running - this.runningCalls < this.slots - reserved;
+  }
+
+  private mayWait(request: RankedSlotRequest, waitMs: number): boolean {
     if (this.slots === 0 || this.isFullFor(request)) {
       return false;
     }
@@ -226,7 +273,7 @@
   }
 
   /** Whether the queue is full, and no request in it ranks below a new one. */
-  private isFullFor(request: SlotRequest): boolean {
+  private isFullFor(request: RankedSlotRequest): boolean {
     const last = this.waiting.at(-1);
     return (
       this.waiting.length >= this.slots * MAX_QUEUED_PER_SLOT &&
@@ -235,24 +282,28 @@
   }
 
   /** Estimates the wait for a slot and a permit behind the given requests, in milliseconds. */
-  private expectedWaitMs(ahead: readonly SlotRequest[]): number {
+  private expectedWaitMs(request: RankedSlotRequest, ahead: readonly RankedSlotRequest[]): number {
     const totalMs = ahead.reduce(
       (sum, { serviceTimeKey }) => sum + this.expectedServiceMs(serviceTimeKey),
       0,
     );
-    return this.waitBehindMs(ahead.length, totalMs);
+    return this.waitBehindMs(request, ahead.length, totalMs);
   }
 
   /** Estimates the wait behind a number of requests with the given sum of service times. */
-  private waitBehindMs(count: number, totalMs: number): number {
-    return Math.max(this.slotWaitBehindMs(totalMs), this.statedLimit.waitMs(count));
+  private waitBehindMs(request: RankedSlotRequest, count: number, totalMs: number): number {
+    return Math.max(this.slotWaitBehindMs(request, totalMs), this.statedLimit.waitMs(count));
   }
 
-  private slotWaitBehindMs(totalMs: number): number {
+  private slotWaitBehindMs(request: RankedSlotRequest, totalMs: number): number {
     if (this.slots === 0) {
       return Infinity;
     }
-    return this.running < this.slots ? 0 : (totalMs + this.expectedServiceMs('')) / this.slots;
+    if (this.hasSlotFor(request)) {
+      return 0;
+    }
+    const usableSlots = this.slots - this.reservedAgainst(request);
+    return (totalMs + this.expectedServiceMs('')) / usableSlots;
   }
 
   /** Drops requests from a place in the queue on that cannot be answered behind those before them. */
@@ -262,7 +313,7 @@
     let totalMs = 0;
     const unservable = this.waiting.filter((request, place) => {
       const serviceMs = this.expectedServiceMs(request.serviceTimeKey);
-      const endMs = nowMs + this.waitBehindMs(count, totalMs) + serviceMs * MIN_RUN_SHARE;
+      const endMs = nowMs + this.waitBehindMs(request, count, totalMs) + serviceMs * MIN_RUN_SHARE;
       if (place >= index && endMs > request.deadlineAtMs) {
         return true;
       }
@@ -276,14 +327,14 @@
   /**
    * Returns the requests that get a slot earlier; a late request is behind all others of its rank.
    */
-  private requestsAhead(request: SlotRequest): readonly SlotRequest[] {
+  private requestsAhead(request: RankedSlotRequest): readonly RankedSlotRequest[] {
     return request.waitLimit === WaitLimit.OnTime
       ? this.order.aheadOf(this.waiting, request, this.supply)
       : this.waiting.filter((other) => compareRank(other, request) <= 0);
   }
 
   /** Adds a request to the queue, and drops those behind it that can no longer be answered. */
-  private enqueue(request: SlotRequest): void {
+  private enqueue(request: RankedSlotRequest): void {
     if (this.waiting.length >= this.slots * MAX_QUEUED_PER_SLOT) {
       this.drop(this.waiting.slice(-1));
     }
@@ -296,15 +347,18 @@
     this.dropUnservableFrom(index + 1);
   }
 
-  private remove(request: SlotRequest): void {
+  private remove(request: RankedSlotRequest): void {
     const index = this.waiting.indexOf(request);
     if (index >= 0) {
       this.waiting.splice(index, 1);
     }
   }
 
-  private occupySlot({ serviceTimeKey }: SlotRequest): Slot {
+  private occupySlot(request: RankedSlotRequest): Slot {
+    const { isCall, serviceTimeKey } = request;
     this.running += 1;
+    this.runningCalls += isCall ? 1 : 0;
+    this.claims.recordServed(request);
     const startedMs = this.clock.monotonicMs();
     let isHeld = true;
     return {
@@ -314,6 +368,7 @@
         }
         isHeld = false;
         this.running -= 1;
+        this.runningCalls -= isCall ? 1 : 0;
         const durationMs = this.clock.monotonicMs() - startedMs;
         if (this.isInformative(sample, serviceTimeKey, durationMs)) {
           this.recordServiceTime(serviceTimeKey, durationMs);
@@ -344,20 +399,23 @@
   private grantNext(): void {
     while (this.running < this.slots && this.waiting.length > 0) {
       this.dropTooLate();
-      if (this.waiting.length === 0 || !this.statedLimit.tryTake()) {
+      const next = this.nextRequest();
+      if (next === undefined || !this.statedLimit.tryTake()) {
         break;
       }
-      const next = this.dequeue() as SlotRequest;
+      this.remove(next);
       next.onGranted(this.occupySlot(next));
     }
     this.awaitPermit();
   }
 
-  /** Schedules the next grant if requests wait only for a permit. */
+  /** Schedules the next grant if requests wait only for a permit, or for slots that calls may need. */
   private awaitPermit(): void {
     this.stopAwaitingPermit();
     if (this.waiting.length > 0 && this.running < this.slots) {
-      const delayMs = Math.ceil(this.statedLimit.waitMs(0));
+      const permitMs = Math.ceil(this.statedLimit.waitMs(0));
+      const isReserved = this.waiting.every((request) => !this.hasSlotFor(request));
+      const delayMs = isReserved ? Math.max(RESERVE_REVIEW_MS, permitMs) : permitMs;
       this.stopAwaitingPermit = this.clock.after(delayMs, () => this.grantNext());
     }
   }
@@ -372,19 +430,16 @@
     this.drop(tooLate);
   }
 
-  private drop(requests: readonly SlotRequest[]): void {
+  private drop(requests: readonly RankedSlotRequest[]): void {
     requests.forEach((request) => {
       this.remove(request);
       request.onDropped();
     });
   }
 
-  /** Removes and returns the request that gets the next slot. */
-  private dequeue(): SlotRequest | undefined {
-    const next = this.order.next(this.waiting, this.supply);
-    if (next !== undefined) {
-      this.remove(next);
-    }
-    return next;
+  /** Chooses the request that gets the next slot; undefined if all free ones are left to calls. */
+  private nextRequest(): RankedSlotRequest | undefined {
+    const mayRun = this.waiting.filter((request) => this.hasSlotFor(request));
+    return this.order.next(mayRun, this.supply);
   }
 }
--- a/packages/lentillb/src/serving/gate.ts
+++ b/packages/lentillb/src/serving/gate.ts
@@ -1,6 +1,7 @@
 /** Controls admission to a backend server: only the gate on its host decides what it runs. */
 import { Err } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
+import { AdmissionRecorder } from '../admission/admissionRecorder.js';
 import { Outcome } from '../calls/callHeaders.js';
 import type { CallerPresence } from '../calls/callerPresence.js';
 import type { Clock } from '../kernel/clock.js';
@@ -110,7 +111,11 @@
 
   private readonly failureShare: FailureShare;
 
+  private readonly admissions: AdmissionRecorder;
+
   constructor(private readonly services: GateServices) {
+    const { clock, log, metrics } = services;
+    this.admissions = new AdmissionRecorder(clock, log, metrics);
     this.failureShare = new FailureShare(services.clock);
   }
 
@@ -228,6 +233,8 @@
       };
       const decision = this.services.slots.admit({
         serviceTimeKey: request.route,
+        customer: request.customer,
+        customerPriority: request.customerPriority,
         priority: request.priority,
         targetLatencyMs: request.targetLatencyMs,
         targetAtMs: request.targetAtMs,
@@ -236,6 +243,7 @@
         onGranted: (slot) => settle(run(slot)),
         onDropped: () => settle(notRun(this.dropCause(request))),
       });
+      this.admissions.record(request, decision);
       if (decision.admission === Admission.Refused) {
         settle(notRun(FailureCause.NoSlotInTime, decision.waitMs));
       }
--- a/tests/support/slotRequests.ts
+++ b/tests/support/slotRequests.ts
@@ -20,6 +20,7 @@
   };
   const request: SlotRequest = {
     serviceTimeKey: 'browse',
+    customerPriority: 0,
     priority: 2,
     targetLatencyMs: 200,
     targetAtMs: 200,
