--- a/packages/standins/src/scriptedBackendServer.ts
+++ b/packages/standins/src/scriptedBackendServer.ts
@@ -2,6 +2,7 @@
 import { runInBackground } from 'lentillb/sidecar';
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import { closeServer, listenOnLoopback, loopbackAddress } from './loopback.js';
 import { readRequestBody } from './readRequestBody.js';
 
@@ -28,8 +29,18 @@
   /** The requests received, in the order of arrival. */
   readonly runs: Run[] = [];
 
+  /** The number of requests that got no answer because all slots were in use. */
+  hungRequests = 0;
+
   private handler: RequestHandler = respondSuccessfully;
 
+  private slots = Infinity;
+
+  private running = 0;
+
+  /** The connections on which a request hangs, and on which no later one is answered. */
+  private readonly hungConnections = new WeakSet<Socket>();
+
   private readonly server: Server;
 
   /** @param id - the instance id; requests that expect another instance get status 421 */
@@ -49,6 +60,16 @@
     this.handler = handler;
   }
 
+  /**
+   * Lets the server hang when it is full: a request beyond its slots never gets an answer, nor does any
+   * later one on the same connection.
+   *
+   * @param slots - the number of requests that run at a time
+   */
+  hangWhenFull(slots: number): void {
+    this.slots = slots;
+  }
+
   /** Starts listening on a free port. */
   async listen(): Promise<void> {
     await listenOnLoopback(this.server);
@@ -69,11 +90,19 @@
       response.end();
       return;
     }
+    const { socket } = request;
+    if (this.running >= this.slots || this.hungConnections.has(socket)) {
+      this.hungConnections.add(socket);
+      this.hungRequests += 1;
+      return;
+    }
+    this.running += 1;
     const requestId = String(request.headers['x-attempt-id']);
     const { headers } = request;
     const run: Run = { requestId, headers, body: body.toString('utf8'), abandoned: false };
     this.runs.push(run);
     response.once('close', () => {
+      this.running -= 1;
       run.abandoned = !response.writableFinished;
     });
     this.handler(response, run);
