--- a/packages/lentillb/src/admission/slotQueue.ts
+++ b/packages/lentillb/src/admission/slotQueue.ts
@@ -110,6 +110,17 @@
 /** The share of the expected service time that must remain before the deadline to run a request. */
 const MIN_RUN_SHARE = 0.5;
 
+/**
+ * The share of the slots that is used at first where an earlier process of this node may have requests
+ * in progress at the backend server.
+ */
+const INHERITED_SLOT_SHARE = 1 / 3;
+/**
+ * The time after which the requests of an earlier process count as ended, in milliseconds. Nearly all
+ * runs are shorter, and the process took some time to start.
+ */
+const INHERITED_RUN_MS = 2_000;
+
 /** How often the slots left to calls are computed again while requests wait for them, in milliseconds. */
 const RESERVE_REVIEW_MS = 50;
 
@@ -124,6 +135,9 @@
   /** The number of slots that calls occupy. */
   private runningCalls = 0;
 
+  /** The number of slots that requests of an earlier process may still occupy. */
+  private inheritedSlots = 0;
+
   private readonly waiting: RankedSlotRequest[] = [];
 
   private readonly meanServiceMsByKey = new Map<string, SmoothedMean>();
@@ -187,11 +201,21 @@
   }
 
   /**
-   * Sets the number of slots and grants free ones to waiting requests.
+   * Sets the number of slots and grants free ones to waiting requests. Where an earlier process of this
+   * node may have requests in progress, some slots are used only once answers show that the backend
+   * server keeps up: it may never answer a request beyond its slots.
    *
    * @param slots - the number of requests that the backend server runs concurrently
+   * @param isInherited - whether an earlier process of this node sent requests to the backend server
    */
-  resize(slots: number): void {
+  resize(slots: number, isInherited = false): void {
+    if (isInherited && this.slots === 0) {
+      this.inheritedSlots = slots - Math.ceil(slots * INHERITED_SLOT_SHARE);
+      this.clock.after(INHERITED_RUN_MS, () => {
+        this.inheritedSlots = 0;
+        this.grantNext();
+      });
+    }
     this.slots = slots;
     this.grantNext();
   }
@@ -252,9 +276,14 @@
       : this.claims.reservedAgainst(request, this.slots);
   }
 
+  /** The number of slots that no request of an earlier process can occupy; at least 1, if any. */
+  private get ownSlots(): number {
+    return Math.max(Math.min(1, this.slots), this.slots - this.inheritedSlots);
+  }
+
   /** Whether a slot is free that a request need not leave to calls. */
   private hasSlotFor(request: RankedSlotRequest): boolean {
-    if (this.running >= this.slots) {
+    if (this.running >= this.ownSlots) {
       return false;
     }
     const reserved = this.reservedAgainst(request);
@@ -302,7 +331,7 @@
     if (this.hasSlotFor(request)) {
       return 0;
     }
-    const usableSlots = this.slots - this.reservedAgainst(request);
+    const usableSlots = Math.min(this.ownSlots, this.slots - this.reservedAgainst(request));
     return (totalMs + this.expectedServiceMs('')) / usableSlots;
   }
 
@@ -369,6 +398,9 @@
         isHeld = false;
         this.running -= 1;
         this.runningCalls -= isCall ? 1 : 0;
+        if (sample === ServiceTimeSample.Exact) {
+          this.inheritedSlots = Math.max(0, this.inheritedSlots - 1);
+        }
         const durationMs = this.clock.monotonicMs() - startedMs;
         if (this.isInformative(sample, serviceTimeKey, durationMs)) {
           this.recordServiceTime(serviceTimeKey, durationMs);
@@ -397,7 +429,7 @@
   }
 
   private grantNext(): void {
-    while (this.running < this.slots && this.waiting.length > 0) {
+    while (this.running < this.ownSlots && this.waiting.length > 0) {
       this.dropTooLate();
       const next = this.nextRequest();
       if (next === undefined || !this.statedLimit.tryTake()) {
@@ -412,7 +444,7 @@
   /** Schedules the next grant if requests wait only for a permit, or for slots that calls may need. */
   private awaitPermit(): void {
     this.stopAwaitingPermit();
-    if (this.waiting.length > 0 && this.running < this.slots) {
+    if (this.waiting.length > 0 && this.running < this.ownSlots) {
       const permitMs = Math.ceil(this.statedLimit.waitMs(0));
       const isReserved = this.waiting.every((request) => !this.hasSlotFor(request));
       const delayMs = isReserved ? Math.max(RESERVE_REVIEW_MS, permitMs) : permitMs;
--- a/packages/lentillb/src/serving/localBackendServer.ts
+++ b/packages/lentillb/src/serving/localBackendServer.ts
@@ -80,6 +80,9 @@
   /** Whether the departures that an earlier run of this node confirmed are still being looked up. */
   private restoring = true;
 
+  /** The run that an earlier process of this node announced; undefined if none is known. */
+  private inherited: Pick<Heartbeat, 'id' | 'startedAtMs'> | undefined;
+
   /** The confirmed departures by backend server identity. */
   private readonly departed = new Map<string, Departure>();
 
@@ -120,6 +123,17 @@
     return this.run !== undefined && this.clock.monotonicMs() < this.run.warmUpEndsAtMs;
   }
 
+  /** Whether an earlier process of this node may have sent requests to the current run. */
+  get isInherited(): boolean {
+    const current = this.run?.heartbeat;
+    return (
+      current !== undefined &&
+      this.inherited !== undefined &&
+      current.id === this.inherited.id &&
+      current.startedAtMs === this.inherited.startedAtMs
+    );
+  }
+
   /** The state to announce to other nodes; undefined before the first heartbeat. */
   get announced(): AnnouncedBackendServer | undefined {
     if (this.run === undefined) {
@@ -183,6 +197,7 @@
    * @param address - the address and port of the backend server on this host
    */
   restore(announced: AnnouncedBackendServer, address: string): void {
+    this.inherited = announced;
     if (announced.state === BackendServerState.Ready && this.run === undefined) {
       this.assumeReady(announced, address);
       return;
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -573,7 +573,7 @@
     }
     if (ready && heartbeat !== undefined) {
       this.statedLimit.startRun(`${heartbeat.id} ${heartbeat.startedAtMs}`);
-      this.slots.resize(heartbeat.slots);
+      this.slots.resize(heartbeat.slots, this.backendServer.isInherited);
     } else {
       this.slots.dropAll();
     }
--- a/tests/admission/slotQueue.spec.ts
+++ b/tests/admission/slotQueue.spec.ts
@@ -218,6 +218,25 @@
     expect(filling.filter(({ dropped }) => dropped)).toHaveLength(1);
   });
 
+  // A server that hangs when full would never answer requests beside those of an earlier process.
+  it('should use slots that an earlier process may occupy only as answers arrive', async () => {
+    const clock = new ManualClock();
+    const queue = createSlotQueue(clock);
+    queue.resize(9, true);
+    const fields = { targetAtMs: 60_000, deadlineAtMs: 60_000 };
+    const requests = Array.from({ length: 9 }, () => createRecordedRequest(fields));
+    requests.forEach(({ request }) => queue.admit(request));
+    expect(queue.load.running).toBe(3);
+    requests[0]?.slot?.release(ServiceTimeSample.Exact);
+    expect(queue.load.running).toBe(4);
+    requests[1]?.slot?.release(ServiceTimeSample.None);
+    expect(queue.load.running).toBe(4);
+    await clock.advance(2_000);
+    expect(queue.load.running).toBe(7);
+    queue.resize(9, true);
+    expect(queue.load).toMatchObject({ running: 7, queued: 0 });
+  });
+
   it('should remove a cancelled request from the queue', async () => {
     const clock = new ManualClock();
     const queue = await measuredQueue(clock, 1);
--- a/tests/serving/localBackendServer.spec.ts
+++ b/tests/serving/localBackendServer.spec.ts
@@ -37,6 +37,15 @@
     expect(server.ready).toBe(false);
   });
 
+  it('should count as inherited only while the run that was announced before goes on', () => {
+    const { server } = fixture();
+    const { address, id, service, slots, startedAtMs } = FIRST;
+    server.restore({ id, service, slots, startedAtMs, state: BackendServerState.Ready }, address);
+    expect(server.isInherited).toBe(true);
+    server.accept({ ...FIRST, id: 'i-2', startedAtMs: 2_000 });
+    expect(server.isInherited).toBe(false);
+  });
+
   it('should be ready once the records of earlier runs are known', () => {
     let changes = 0;
     const server = new LocalBackendServer(new ManualClock(), () => {
