--- a/packages/lentillb/src/serving/failureShare.ts
+++ b/packages/lentillb/src/placing/failureShare.ts
@@ -1,33 +1,11 @@
 /** Tracks the recent share of failed requests. */
-import { Outcome } from '../calls/callHeaders.js';
 import type { Clock } from '../kernel/clock.js';
-import type { ForwardFailure } from './messages.js';
-import { FailureCause } from './messages.js';
 
 /** The half-life of the share, in milliseconds; after it, a failing backend server is tried again. */
 const HALF_LIFE_MS = 1_000;
 /** The weight of one request. */
 const REQUEST_WEIGHT = 0.15;
 
-/** The causes that say nothing about a backend server. */
-const unrelatedCauses: readonly FailureCause[] = [
-  FailureCause.CallerGone,
-  FailureCause.NoSlotInTime,
-  FailureCause.ConnectionSilent,
-];
-
-/**
- * Checks whether a request without an answer says something about the backend server that it was for.
- *
- * @param failure - the reason, and whether the request may have run
- * @returns false if the caller left, the load was too high, the connection to its node went silent, or
- *   the request is blocked on all hosts
- */
-export function isServerFailure({ cause, outcome }: ForwardFailure): boolean {
-  const isBlocked = cause === FailureCause.SuspectRequest && outcome === Outcome.NotRun;
-  return !unrelatedCauses.includes(cause) && !isBlocked;
-}
-
 /** A share of failures that fades with time, so that what failed is tried again. */
 export class FailureShare {
   private share = 0;
--- a/packages/lentillb/src/serving/gateObservation.ts
+++ b/packages/lentillb/src/placing/gateObservation.ts
@@ -2,8 +2,9 @@
 import type { Clock } from '../kernel/clock.js';
 import type { GateLoad } from '../directory/gateLoad.js';
 import { FailureShare } from './failureShare.js';
-import { SmoothedMean } from './smoothedMean.js';
 
+/** The weight of the newest service time after the first ten, in the mean. */
+const MIN_SAMPLE_WEIGHT = 0.1;
 /** The maximum age of a mean service time; an idle gate is tried again once its mean expires. */
 const MAX_SERVICE_TIME_AGE_MS = 2_000;
 /** The maximum age of a load report, about the duration of one request. */
@@ -19,7 +20,9 @@
 
 /** Tracks the load, service time, failures and reachability of one gate. */
 export class GateObservation {
-  private readonly meanServiceMs = new SmoothedMean();
+  private meanServiceMs: number | undefined;
+
+  private serviceTimes = 0;
 
   private measuredAtMs = -Infinity;
 
@@ -65,7 +68,7 @@
   /** The mean service time, in milliseconds; undefined if there is no recent sample. */
   get measuredMs(): number | undefined {
     return this.clock.monotonicMs() - this.measuredAtMs < MAX_SERVICE_TIME_AGE_MS
-      ? this.meanServiceMs.value
+      ? this.meanServiceMs
       : undefined;
   }
 
@@ -165,7 +168,10 @@
    * @param serviceMs - the service time at the backend server, in milliseconds
    */
   recordServiceTime(serviceMs: number): void {
-    this.meanServiceMs.add(serviceMs);
+    this.serviceTimes += 1;
+    const weight = Math.max(MIN_SAMPLE_WEIGHT, 1 / this.serviceTimes);
+    const earlierMs = this.meanServiceMs ?? serviceMs;
+    this.meanServiceMs = earlierMs + (serviceMs - earlierMs) * weight;
     this.measuredAtMs = this.clock.monotonicMs();
   }
 
--- a/packages/lentillb/src/serving/gate.ts
+++ b/packages/lentillb/src/serving/gate.ts
@@ -7,12 +7,13 @@
 import type { DecisionLog } from '../observability/decisionLog.js';
 import { Importance } from '../observability/decisionLog.js';
 import type { MetricsRegistry } from '../observability/metricsRegistry.js';
+import { FailureShare } from '../placing/failureShare.js';
 import { hash32 } from '../utils/hash.js';
 import type { GateLoad } from '../directory/gateLoad.js';
 import type { BackendServerClient } from './backendServerClient.js';
 import { refusalFailures } from './exchange.js';
 import { forwardFailures } from './exchangeFailures.js';
-import { FailureShare, isServerFailure } from './failureShare.js';
+import { isServerFailure } from './serverFailure.js';
 import type { ListenProbe } from './listenProbe.js';
 import type { Heartbeat, LocalBackendServer } from './localBackendServer.js';
 import type {
--- /dev/null
+++ b/packages/lentillb/src/serving/serverFailure.ts
@@ -0,0 +1,23 @@
+/** Tells the failures of backend servers from those of callers, queues and connections. */
+import { Outcome } from '../calls/callHeaders.js';
+import type { ForwardFailure } from './messages.js';
+import { FailureCause } from './messages.js';
+
+/** The causes that say nothing about a backend server. */
+const unrelatedCauses: readonly FailureCause[] = [
+  FailureCause.CallerGone,
+  FailureCause.NoSlotInTime,
+  FailureCause.ConnectionSilent,
+];
+
+/**
+ * Checks whether a request without an answer says something about the backend server that it was for.
+ *
+ * @param failure - the reason, and whether the request may have run
+ * @returns false if the caller left, the load was too high, the connection to its node went silent, or
+ *   the request is blocked on all hosts
+ */
+export function isServerFailure({ cause, outcome }: ForwardFailure): boolean {
+  const isBlocked = cause === FailureCause.SuspectRequest && outcome === Outcome.NotRun;
+  return !unrelatedCauses.includes(cause) && !isBlocked;
+}
--- a/tests/serving/placement.spec.ts
+++ b/tests/placing/gateSelector.spec.ts
@@ -1,7 +1,7 @@
 import { SeededRandomness } from 'lentillb';
 import type { GateEndpoint } from 'lentillb/directory/directory.js';
-import { GateObservations } from 'lentillb/serving/gateObservations.js';
-import { GateSelector } from 'lentillb/serving/gateSelector.js';
+import { GateObservations } from 'lentillb/placing/gateObservations.js';
+import { GateSelector } from 'lentillb/placing/gateSelector.js';
 import { describe, expect, it } from 'vitest';
 import { ManualClock } from '../support/manualClock.js';
 
--- a/tests/serving/failureShare.spec.ts
+++ b/tests/serving/serverFailure.spec.ts
@@ -1,5 +1,5 @@
 import { Outcome } from 'lentillb/calls/callHeaders.js';
-import { isServerFailure } from 'lentillb/serving/failureShare.js';
+import { isServerFailure } from 'lentillb/serving/serverFailure.js';
 import { FailureCause } from 'lentillb/serving/messages.js';
 import { describe, expect, it } from 'vitest';
 
