--- a/packages/lentillb/src/emulation/emulatedBackendServer.ts
+++ b/packages/lentillb/src/emulation/emulatedBackendServer.ts
@@ -104,9 +104,11 @@
     return HttpStatus.Ok;
   }
 
-  private sampleWorkMs({ workLogDeviation, workMs }: RequestKind): number {
+  private sampleWorkMs({ workLogDeviation, workMs, workTail }: RequestKind): number {
     const logMean = -(workLogDeviation ** 2) / 2;
     const factor = Math.exp(logMean + workLogDeviation * normalSample(this.services.randomness));
-    return (workMs * factor * this.slowdown) / this.speed;
+    const isInTail = workTail !== undefined && this.services.randomness.fraction() < workTail.share;
+    const tailFactor = isInTail ? workTail.factor : 1;
+    return (workMs * factor * tailFactor * this.slowdown) / this.speed;
   }
 }
--- a/packages/lentillb/src/emulation/emulatedFleet.ts
+++ b/packages/lentillb/src/emulation/emulatedFleet.ts
@@ -17,13 +17,20 @@
 import { runInBackground } from '../utils/background.js';
 import { CallerResult, CallerTally } from './callerTally.js';
 import { EmulatedBackendServer } from './emulatedBackendServer.js';
+import type { Selector, SelectorServices } from './emulatedHost.js';
 import { EmulatedHost, emulatedHeaderNames } from './emulatedHost.js';
 import { EventClock } from './eventClock.js';
 import type { Disturbance, RequestKind, Scenario } from './scenario.js';
+import { valueOfZone } from './scenario.js';
 
 const MS_PER_SECOND = 1_000;
-/** The interval at which gates report their load, and readers pass the reports on: a gossip round. */
+/**
+ * The interval at which gates report their load, and readers pass the reports on: a gossip round. The
+ * mean age of a report, over both, is as long.
+ */
 const REPORT_INTERVAL_MS = 500;
+/** The interval at which the slots in use are compared, in milliseconds. */
+const SAMPLE_INTERVAL_MS = 100;
 const READERS_PER_ZONE = 2;
 /** The share of the time left up to which callers wait before they try again. */
 const MAX_RETRY_WAIT_SHARE = 1 / 3;
@@ -41,6 +48,18 @@
   readonly seed: number;
   /** Whether gates report their load and speed to the nodes of their zone. */
   readonly sharesLoad: boolean;
+  /** Creates what chooses gates at a host; the selector of nodes if it is left out. */
+  readonly createSelector?: (services: SelectorServices, zone: string) => Selector;
+}
+
+/** The slots in use at the backend servers of a service, at one moment. */
+export interface SlotsInUse {
+  /** The mean share of the slots in use, from 0 to 1. */
+  readonly mean: number;
+  /** The standard deviation of the share between backend servers. */
+  readonly deviation: number;
+  /** The number of requests that wait for a slot. */
+  readonly queued: number;
 }
 
 interface Attempt {
@@ -74,6 +93,15 @@
   /** What callers got, by zone. */
   readonly byZone = new CallerTally();
 
+  /** The time from the first attempt to the answer, of requests that were answered, by kind. */
+  readonly latenciesMsByKind = new Map<string, number[]>();
+
+  /** The slots in use since the end of the warm-up, by service. */
+  readonly slotsInUse = new Map<string, SlotsInUse[]>();
+
+  /** The number of requests and calls sent to gates, and of those sent to another zone. */
+  readonly sends = { all: 0, crossZone: 0 };
+
   private readonly clock = new EventClock();
 
   private readonly randomness: SeededRandomness;
@@ -127,10 +155,13 @@
     }
     disturbances.forEach((disturbance) => this.schedule(disturbance));
     Object.entries(requests).forEach(([kind, { perSecond }]) => {
-      for (let zone = 0; zone < zones && perSecond > 0; zone += 1) {
-        this.scheduleArrival(kind, `z${zone}`);
+      for (let zone = 0; zone < zones; zone += 1) {
+        if (valueOfZone(perSecond, zone) > 0) {
+          this.scheduleArrival(kind, zone);
+        }
       }
     });
+    this.scheduleSample();
     const longestMs = Math.max(...Object.values(requests).map(({ deadlineMs }) => deadlineMs));
     await this.clock.runUntil(durationMs + longestMs);
   }
@@ -139,10 +170,15 @@
     const { scenario } = this;
     const hosts: EmulatedHost[] = [];
     Object.entries(scenario.services).forEach(([service, { serversPerZone, slots, speeds }]) => {
-      for (let index = 0; index < serversPerZone * scenario.zones; index += 1) {
-        const zone = `z${index % scenario.zones}`;
+      const places = Array.from({ length: scenario.zones }, (_, zone) =>
+        Array.from({ length: valueOfZone(serversPerZone, zone) }, (__, place) => ({ place, zone })),
+      ).flat();
+      // Alternates between the zones, so that a share of the backend servers is in all of them.
+      places.sort((left, right) => left.place - right.place || left.zone - right.zone);
+      places.forEach(({ place, zone: zoneIndex }, index) => {
+        const zone = `z${zoneIndex}`;
         const host = `${service}-${index}`;
-        const speed = speeds[Math.floor(index / scenario.zones) % speeds.length] as number;
+        const speed = speeds[place % speeds.length] as number;
         const { clock, configuration, directory, randomness } = this;
         const backendServer = new EmulatedBackendServer(
           {
@@ -169,15 +205,16 @@
           },
         });
         const forward = (to: string, request: ForwardedRequest): Promise<GateReply> =>
-          this.forward(to, request);
+          this.forward(zone, to, request);
+        const { createSelector } = this.options;
         hosts.push(
           new EmulatedHost(
             { clock, configuration, directory, randomness, forward },
-            { host, zone, service, slots },
+            { host, zone, service, slots, createSelector },
             backendServer,
           ),
         );
-      }
+      });
     });
     return hosts;
   }
@@ -209,7 +246,8 @@
   }
 
   private sampleIntervalMs(): number {
-    return REPORT_INTERVAL_MS * (1 + (this.randomness.fraction() - 1 / 2) / 2);
+    const intervalMs = this.scenario.reportAgeMs ?? REPORT_INTERVAL_MS;
+    return intervalMs * (1 + (this.randomness.fraction() - 1 / 2) / 2);
   }
 
   private schedule({ atMs, failing, forMs, limited, load = 1, slow }: Disturbance): void {
@@ -237,13 +275,53 @@
       .map(({ backendServer }) => backendServer);
   }
 
-  private scheduleArrival(kind: string, zone: string): void {
+  private scheduleSample(): void {
+    const { durationMs, services, warmUpMs } = this.scenario;
+    this.clock.after(SAMPLE_INTERVAL_MS, () => {
+      const nowMs = this.clock.monotonicMs();
+      if (nowMs > durationMs) {
+        return;
+      }
+      if (nowMs > warmUpMs) {
+        Object.keys(services).forEach((service) => {
+          const samples = this.slotsInUse.get(service) ?? [];
+          this.slotsInUse.set(service, samples);
+          samples.push(this.compareSlots(service));
+        });
+      }
+      this.scheduleSample();
+    });
+  }
+
+  private compareSlots(service: string): SlotsInUse {
+    const loads = this.hosts
+      .filter(({ options }) => options.service === service)
+      .map(({ slots }) => slots.load);
+    const shares = loads.map(({ running, slots }) => running / slots);
+    const mean = shares.reduce((sum, share) => sum + share, 0) / shares.length;
+    const variance = shares.reduce((sum, share) => sum + (share - mean) ** 2, 0) / shares.length;
+    const queued = loads.reduce((sum, load) => sum + load.queued, 0);
+    return { mean, deviation: Math.sqrt(variance), queued };
+  }
+
+  /** The factor on the request rate of a zone at this time. */
+  private waveOf(zone: number): number {
+    const { waves } = this.scenario;
+    if (waves === undefined) {
+      return 1;
+    }
+    const periods = this.clock.monotonicMs() / waves.periodMs + valueOfZone(waves.phases, zone);
+    return 1 + waves.swing * Math.sin(2 * Math.PI * periods);
+  }
+
+  private scheduleArrival(kind: string, zone: number): void {
     const { perSecond } = this.scenario.requests[kind] as RequestKind;
-    const meanMs = MS_PER_SECOND / (perSecond * this.loadFactor);
+    const rate = valueOfZone(perSecond, zone) * this.loadFactor * this.waveOf(zone);
+    const meanMs = MS_PER_SECOND / rate;
     const delayMs = -Math.log(1 - this.randomness.fraction()) * meanMs;
     this.clock.after(delayMs, () => {
       if (this.clock.monotonicMs() < this.scenario.durationMs) {
-        runInBackground(this.request(kind, zone));
+        runInBackground(this.request(kind, `z${zone}`));
         this.scheduleArrival(kind, zone);
       }
     });
@@ -277,6 +355,11 @@
         this.heldByKind.add(kindName, result);
       }
       this.byZone.add(zone, result);
+      if (result === CallerResult.InTime || result === CallerResult.Late) {
+        const latenciesMs = this.latenciesMsByKind.get(kindName) ?? [];
+        this.latenciesMsByKind.set(kindName, latenciesMs);
+        latenciesMs.push(clock.monotonicMs() - startedMs);
+      }
     }
   }
 
@@ -315,13 +398,22 @@
     return answer;
   }
 
-  private async forward(to: string, request: ForwardedRequest): Promise<GateReply> {
+  private async forward(
+    fromZone: string,
+    to: string,
+    request: ForwardedRequest,
+  ): Promise<GateReply> {
     const { clock } = this;
     const { linkMs } = this.scenario;
+    const host = this.hostsByName.get(to) as EmulatedHost;
+    if (clock.monotonicMs() >= this.scenario.warmUpMs) {
+      this.sends.all += 1;
+      this.sends.crossZone += host.options.zone === fromZone ? 0 : 1;
+    }
     await clock.sleep(linkMs);
     const remainingMs = Math.max(0, request.deadlineAtMs - clock.monotonicMs());
     const reply = await Promise.race([
-      (this.hostsByName.get(to) as EmulatedHost).gate.serve(request),
+      host.gate.serve(request),
       clock.sleep(remainingMs + REPLY_GRACE_MS),
     ]);
     await clock.sleep(linkMs);
--- a/packages/lentillb/src/emulation/emulatedHost.ts
+++ b/packages/lentillb/src/emulation/emulatedHost.ts
@@ -43,6 +43,12 @@
   leaving: 'leaving',
 } as const;
 
+/** What an entry needs to choose a gate. */
+export type Selector = Pick<GateSelector, 'choose' | 'countCandidates'>;
+
+/** The services that the choice of gates depends on. */
+export type SelectorServices = ConstructorParameters<typeof GateSelector>[0];
+
 /** The services that an emulated host depends on. */
 export interface EmulatedHostServices {
   readonly clock: Clock;
@@ -59,6 +65,7 @@
   readonly zone: string;
   readonly service: string;
   readonly slots: number;
+  readonly createSelector?: ((services: SelectorServices, zone: string) => Selector) | undefined;
 }
 
 /** A node with its backend server. */
@@ -69,6 +76,8 @@
 
   readonly observations: GateObservations;
 
+  readonly slots: SlotQueue;
+
   constructor(
     services: EmulatedHostServices,
     readonly options: EmulatedHostOptions,
@@ -96,12 +105,12 @@
       host,
     );
     const statedLimit = new StatedLimit(clock, log);
-    const slots = new SlotQueue(clock, () => false, statedLimit);
-    slots.resize(slotCount);
+    this.slots = new SlotQueue(clock, () => false, statedLimit);
+    this.slots.resize(slotCount);
     this.gate = new Gate({
       clock,
       presence: new CallerPresence({ clock, input: READ_INPUT }),
-      slots,
+      slots: this.slots,
       statedLimit,
       listenProbe: { hasEnded: () => Promise.resolve(false) },
       suspectGuard,
@@ -120,6 +129,9 @@
       metrics,
     });
     this.observations = new GateObservations(clock, DEFAULT_SERVICE_TIME_MS);
+    const selectorServices = { randomness, observations: this.observations, isSilent: () => false };
+    const gateSelector =
+      options.createSelector?.(selectorServices, zone) ?? new GateSelector(selectorServices, zone);
     this.entry = new Entry(
       {
         clock,
@@ -129,10 +141,7 @@
         rotation: new SmoothWeightedRoundRobin(randomness),
         directory,
         observations: this.observations,
-        gateSelector: new GateSelector(
-          { randomness, observations: this.observations, isSilent: () => false },
-          zone,
-        ),
+        gateSelector,
         gateForwarder: {
           call: (endpoint: GateEndpoint, request: ForwardedRequest) =>
             endpoint.host === host ? this.gate.serve(request) : forward(endpoint.host, request),
--- a/packages/lentillb/src/emulation/scenario.ts
+++ b/packages/lentillb/src/emulation/scenario.ts
@@ -6,11 +6,15 @@
 const positive = z.number().check(z.positive());
 const share = z.number().check(z.minimum(0), z.maximum(1));
 
+/** A number that holds for each zone, or one number for each of them. */
+const perZone = <Value extends z.ZodMiniType<number>>(value: Value) =>
+  z.union([value, z.array(value).check(z.minLength(1))]);
+
 const serviceSchema = z.strictObject({
   /** The number of requests that a backend server runs concurrently. */
   slots: z.int().check(z.positive()),
   /** The number of backend servers in each zone. */
-  serversPerZone: z.int().check(z.positive()),
+  serversPerZone: perZone(z.int().check(z.positive())),
   /** The speeds of the backend servers, assigned to them in turn. */
   speeds: z.array(positive).check(z.minLength(1)),
 });
@@ -18,11 +22,13 @@
 const requestKindSchema = z.strictObject({
   service: z.string(),
   /** The requests per second in each zone; 0 for calls made only inside runs. */
-  perSecond: z.number().check(z.minimum(0)),
+  perSecond: perZone(z.number().check(z.minimum(0))),
   /** The mean work in milliseconds, at a speed of 1. */
   workMs: positive,
   /** The standard deviation of the logarithm of the work. */
   workLogDeviation: z.number().check(z.minimum(0)),
+  /** The share of requests whose work is longer by a factor, beside the mean above. */
+  workTail: z.optional(z.strictObject({ share, factor: positive })),
   targetMs: positive,
   deadlineMs: positive,
   timeoutMs: positive,
@@ -56,6 +62,12 @@
   warmUpMs: z.number(),
   /** The time one way between two hosts, in milliseconds. */
   linkMs: z.number(),
+  /** The mean age of the loads that gates report to the nodes of their zone, in milliseconds. */
+  reportAgeMs: z.optional(positive),
+  /** The share by which the request rate of each zone rises and falls, and when: in periods. */
+  waves: z.optional(
+    z.strictObject({ swing: share, periodMs: positive, phases: z.array(z.number()) }),
+  ),
   services: z.record(z.string(), serviceSchema),
   requests: z.record(z.string(), requestKindSchema),
   disturbances: z.optional(z.array(disturbanceSchema)),
@@ -70,6 +82,15 @@
 /** What an experiment plays. */
 export type Scenario = z.infer<typeof scenarioSchema>;
 
+/**
+ * @param values - a number that holds for each zone, or one number for each of them
+ * @param zone - the index of a zone
+ * @returns the number for the zone; 0 if it has none
+ */
+export function valueOfZone(values: number | readonly number[], zone: number): number {
+  return typeof values === 'number' ? values : (values[zone] ?? 0);
+}
+
 function findUnknownName({ disturbances = [], requests, services }: Scenario): string | undefined {
   const usedServices = [
     ...Object.entries(requests).map(([kind, { service }]) => [`requests.${kind}`, service]),
--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -63,7 +63,7 @@
   readonly rotation: SmoothWeightedRoundRobin;
   readonly directory: Directory;
   readonly observations: GateObservations;
-  readonly gateSelector: GateSelector;
+  readonly gateSelector: Pick<GateSelector, 'choose' | 'countCandidates'>;
   readonly gateForwarder: Pick<GateForwarder, 'call'>;
   readonly allowance: RetryAllowance;
   readonly suspectGuard: SuspectGuard;
