--- a/packages/lentillb/src/emulation/emulatedHost.ts
+++ b/packages/lentillb/src/emulation/emulatedHost.ts
@@ -129,7 +129,12 @@
       metrics,
     });
     this.observations = new GateObservations(clock, DEFAULT_SERVICE_TIME_MS);
-    const selectorServices = { randomness, observations: this.observations, isSilent: () => false };
+    const selectorServices = {
+      randomness,
+      observations: this.observations,
+      isSilent: () => false,
+      metrics,
+    };
     const gateSelector =
       options.createSelector?.(selectorServices, zone) ?? new GateSelector(selectorServices, zone);
     this.entry = new Entry(
--- a/packages/lentillb/src/placing/gateObservation.ts
+++ b/packages/lentillb/src/placing/gateObservation.ts
@@ -2,13 +2,18 @@
 import type { Clock } from '../kernel/clock.js';
 import type { GateLoad } from '../directory/gateLoad.js';
 import { FailureShare } from './failureShare.js';
+import type { UsualLoad } from './usualLoad.js';
 
 /** The weight of the newest service time after the first ten, in the mean. */
 const MIN_SAMPLE_WEIGHT = 0.1;
 /** The maximum age of a mean service time; an idle gate is tried again once its mean expires. */
 const MAX_SERVICE_TIME_AGE_MS = 2_000;
-/** The maximum age of a load report, about the duration of one request. */
-const MAX_LOAD_AGE_MS = 1_000;
+/**
+ * The weight of a request that this node sent since the last report. Other nodes know the same
+ * reports and act on them at the same time, so each own request stands for several. In runs with 72
+ * entries, 4 gave the shortest queues; 10 was no better.
+ */
+const OWN_SEND_WEIGHT = 4;
 /**
  * The maximum age of the load that the node of a gate reported by itself, in milliseconds: a few
  * report intervals, of which some may be lost.
@@ -30,6 +35,9 @@
 
   private reportedLoad = 0;
 
+  /** When the reported load was measured, as far as known. */
+  private measuredLoadAtMs = -Infinity;
+
   private reportedAtMs = -Infinity;
 
   /** The number of requests started less those ended since the last load report. */
@@ -39,6 +47,8 @@
 
   private sharedAtMs = -Infinity;
 
+  private sharedIntervalMs = MAX_SHARED_LOAD_AGE_MS;
+
   private sharedFailureShare = 0;
 
   private readonly ownFailureShare: FailureShare;
@@ -51,7 +61,16 @@
 
   private avoidMs = MIN_AVOIDANCE_MS;
 
-  constructor(private readonly clock: Clock) {
+  /**
+   * @param clock - the clock by which reports age
+   * @param slots - the number of slots of the backend server
+   * @param usual - the usual load of the gates of the service in the zone
+   */
+  constructor(
+    private readonly clock: Clock,
+    private readonly slots: number,
+    readonly usual: UsualLoad,
+  ) {
     this.ownFailureShare = new FailureShare(clock);
   }
 
@@ -95,10 +114,34 @@
     return this.reportedServiceMs(routeHash) ?? this.measuredMs ?? typicalMs();
   }
 
-  /** @returns the number of requests at the gate, as far as this node knows */
-  load(): number {
-    const fresh = this.clock.monotonicMs() - this.reportedAtMs < MAX_LOAD_AGE_MS;
-    return fresh ? Math.max(this.inFlight, this.reportedLoad + this.inFlightChange) : this.inFlight;
+  /** The reported share of the slots in use; undefined if there is no recent report. */
+  get reportedShare(): number | undefined {
+    return this.clock.monotonicMs() - this.reportedAtMs < MAX_SHARED_LOAD_AGE_MS
+      ? this.reportedLoad / this.slots
+      : undefined;
+  }
+
+  /**
+   * Returns how much the last report still says about the load. Requests that were at the gate end
+   * within about a service time, and others take their place.
+   *
+   * @param serviceMs - the mean service time at the gate, in milliseconds
+   * @returns the weight of the report, from 0 to 1
+   */
+  reportWeight(serviceMs: number): number {
+    return Math.exp((this.measuredLoadAtMs - this.clock.monotonicMs()) / serviceMs);
+  }
+
+  /**
+   * Estimates the load: the older the report, the closer it is to the usual load of the zone.
+   *
+   * @param reportWeight - the weight of the last report, from 0 to 1
+   * @returns the expected number of requests that run or wait at the gate
+   */
+  expectedLoad(reportWeight: number): number {
+    const usualLoad = this.usual.share * this.slots;
+    const reported = usualLoad + (this.reportedLoad - usualLoad) * reportWeight;
+    return Math.max(this.inFlight, reported + OWN_SEND_WEIGHT * this.inFlightChange);
   }
 
   /** @returns the recent share of failures that this node or the node of the gate saw, from 0 to 1 */
@@ -136,18 +179,17 @@
    * @param limitPerSecond - the requests per second that the backend server takes, if limited
    */
   recordLoad(load: number, limitPerSecond?: number): void {
-    this.reportedLoad = load;
-    this.reportedLimit = limitPerSecond;
     this.reportedAtMs = this.clock.monotonicMs();
-    this.inFlightChange = 0;
+    this.reportedLimit = limitPerSecond;
+    this.setLoad(load, this.reportedAtMs);
     this.avoidUntilMs = -Infinity;
     this.avoidMs = MIN_AVOIDANCE_MS;
   }
 
   /**
    * Records the load and the service times that the node of the gate reported to all nodes of its
-   * zone. It does not show whether the gate itself is reachable, nor which requests of this node it
-   * counts, so those that this node has sent since the last reply still count in addition.
+   * zone. It does not show whether the gate itself is reachable. It was measured about half an
+   * interval of reports ago; the load in a reply that is newer is kept.
    *
    * @param report - the report
    */
@@ -156,10 +198,24 @@
       serviceTimes.map(({ meanMs, routeHash }) => [routeHash, meanMs]),
     );
     this.sharedFailureShare = failureShare;
-    this.sharedAtMs = this.clock.monotonicMs();
-    this.reportedLoad = load;
+    const nowMs = this.clock.monotonicMs();
+    this.sharedIntervalMs = Math.min(MAX_SHARED_LOAD_AGE_MS, nowMs - this.sharedAtMs);
+    this.sharedAtMs = nowMs;
+    this.reportedAtMs = nowMs;
     this.reportedLimit = limitPerSecond;
-    this.reportedAtMs = this.sharedAtMs;
+    const measuredAtMs = nowMs - this.sharedIntervalMs / 2;
+    if (measuredAtMs >= this.measuredLoadAtMs) {
+      this.setLoad(load, measuredAtMs);
+    } else {
+      this.usual.add(load / this.slots);
+    }
+  }
+
+  private setLoad(load: number, measuredAtMs: number): void {
+    this.reportedLoad = load;
+    this.measuredLoadAtMs = measuredAtMs;
+    this.inFlightChange = 0;
+    this.usual.add(load / this.slots);
   }
 
   /**
--- a/packages/lentillb/src/placing/gateObservations.ts
+++ b/packages/lentillb/src/placing/gateObservations.ts
@@ -3,6 +3,23 @@
 import type { GateEndpoint } from '../directory/directory.js';
 import type { GateLoad } from '../directory/gateLoad.js';
 import { GateObservation } from './gateObservation.js';
+import { UsualLoad } from './usualLoad.js';
+
+/** The time for which a typical service time is used again, in milliseconds: half a report interval. */
+const MAX_TYPICAL_AGE_MS = 250;
+
+interface TypicalTime {
+  readonly typicalMs: number;
+  readonly atMs: number;
+}
+
+/** How evenly the slots of gates are used. */
+export interface LoadSpread {
+  /** The mean share of the slots in use; above 1 where requests wait. */
+  readonly mean: number;
+  /** The standard deviation of the share between gates. */
+  readonly deviation: number;
+}
 
 /** The observations of each gate. */
 export class GateObservations {
@@ -17,6 +34,11 @@
    */
   private byEndpoint = new WeakMap<GateEndpoint, GateObservation>();
 
+  private readonly usualLoads = new Map<string, UsualLoad>();
+
+  /** The typical service times by list of gates and hash of the route. */
+  private readonly typicalTimes = new WeakMap<readonly GateEndpoint[], Map<number, TypicalTime>>();
+
   constructor(
     private readonly clock: Clock,
     private readonly defaultServiceMs: number,
@@ -35,13 +57,34 @@
     }
     const { backendServer, host } = endpoint;
     const key = `${host} ${backendServer.id} ${backendServer.startedAtMs}`;
-    const observation = this.byGate.get(key) ?? new GateObservation(this.clock);
+    const observation = this.byGate.get(key) ?? this.create(endpoint);
     this.byGate.set(key, observation);
     this.currentByHost.set(host, observation);
     this.byEndpoint.set(endpoint, observation);
     return observation;
   }
 
+  private create({ backendServer, zone }: GateEndpoint): GateObservation {
+    const key = `${backendServer.service} ${zone}`;
+    const usual = this.usualLoads.get(key) ?? new UsualLoad(this.clock);
+    this.usualLoads.set(key, usual);
+    return new GateObservation(this.clock, Math.max(1, backendServer.slots), usual);
+  }
+
+  /**
+   * Compares the loads that gates reported lately.
+   *
+   * @param endpoints - the gates to compare
+   * @returns the mean and the standard deviation, both 0 if no gate reported
+   */
+  spreadOf(endpoints: readonly GateEndpoint[]): LoadSpread {
+    const shares = endpoints.flatMap((endpoint) => this.of(endpoint).reportedShare ?? []);
+    const count = Math.max(1, shares.length);
+    const mean = shares.reduce((sum, share) => sum + share, 0) / count;
+    const variance = shares.reduce((sum, share) => sum + (share - mean) ** 2, 0) / count;
+    return { mean, deviation: Math.sqrt(variance) };
+  }
+
   /**
    * Checks whether a gate is reachable.
    *
@@ -71,26 +114,36 @@
    *   else the default, in milliseconds
    */
   typicalServiceMs(endpoints: readonly GateEndpoint[], routeHash: number): number {
-    return (
-      this.mean(endpoints, (observation) => observation.reportedServiceMs(routeHash)) ??
-      this.mean(endpoints, (observation) => observation.measuredMs) ??
-      this.defaultServiceMs
-    );
+    const nowMs = this.clock.monotonicMs();
+    const times = this.typicalTimes.get(endpoints) ?? new Map<number, TypicalTime>();
+    this.typicalTimes.set(endpoints, times);
+    const known = times.get(routeHash);
+    if (known !== undefined && nowMs - known.atMs < MAX_TYPICAL_AGE_MS) {
+      return known.typicalMs;
+    }
+    const typicalMs = this.meanServiceMs(endpoints, routeHash);
+    if (typicalMs === undefined) {
+      return this.defaultServiceMs;
+    }
+    // Taking the mean is a pass over all gates, of which a service may have hundreds.
+    times.set(routeHash, { typicalMs, atMs: nowMs });
+    return typicalMs;
   }
 
-  private mean(
-    endpoints: readonly GateEndpoint[],
-    select: (observation: GateObservation) => number | undefined,
-  ): number | undefined {
-    let sum = 0;
-    let count = 0;
-    endpoints.forEach((endpoint) => {
-      const value = select(this.of(endpoint));
-      if (value !== undefined) {
-        sum += value;
-        count += 1;
+  private meanServiceMs(endpoints: readonly GateEndpoint[], routeHash: number): number | undefined {
+    const reported = { sum: 0, count: 0 };
+    const measured = { sum: 0, count: 0 };
+    const add = (total: typeof reported, timeMs: number | undefined): void => {
+      if (timeMs !== undefined) {
+        Object.assign(total, { sum: total.sum + timeMs, count: total.count + 1 });
       }
+    };
+    endpoints.forEach((endpoint) => {
+      const observation = this.of(endpoint);
+      add(reported, observation.reportedServiceMs(routeHash));
+      add(measured, observation.measuredMs);
     });
+    const { sum, count } = reported.count > 0 ? reported : measured;
     return count === 0 ? undefined : sum / count;
   }
 
--- a/packages/lentillb/src/placing/gateSelector.ts
+++ b/packages/lentillb/src/placing/gateSelector.ts
@@ -1,13 +1,16 @@
 /**
- * Chooses the gate for a request. The load is uneven between availability zones, and backend
- * servers differ in speed; some are slow, failing or just started. The gate with the lowest risk of
- * a late or missing answer is chosen. A gate in another zone carries an added risk, which stands
- * for the price of traffic between zones: requests stay in their zone until its backend servers
- * cannot serve them in time, and a faster backend server elsewhere does not draw requests that are
- * on time here.
+ * Chooses the gate for a request. What a node knows of the load of other gates is up to a second
+ * old, and all nodes know much the same at the same time, so a node never takes the best of all
+ * gates. It draws a few at random, fast ones more often, and takes the one with the lowest risk of a
+ * late or missing answer. A gate in another zone carries an added risk, which stands for the price
+ * of traffic between zones: requests stay in their zone until its backend servers cannot serve them
+ * in time, and a faster backend server elsewhere does not draw requests that are on time here.
  */
 import type { Randomness } from '../kernel/randomness.js';
 import type { GateEndpoint } from '../directory/directory.js';
+import type { MetricsRegistry } from '../observability/metricsRegistry.js';
+import { sample } from '../utils/sample.js';
+import type { GateObservation } from './gateObservation.js';
 import type { GateObservations } from './gateObservations.js';
 
 /** The request to place and its candidate gates. */
@@ -42,7 +45,16 @@
 /** The risk added for another zone: four requests sent there weigh as much as one late answer. */
 const CROSS_ZONE_RISK = 0.25;
 /** The risk added at full load, so that the less loaded of two gates that are on time wins. */
-const LOAD_RISK = 0.05;
+const LOAD_RISK = 0.1;
+/** The risk added by a wait as long as the target latency, which others behind the request share. */
+const WAIT_RISK = 2;
+/**
+ * The standard deviation of the load of a gate without a recent report, as a factor on the square
+ * root of its slots. That of independent requests is 1 at full load; balancing halves it.
+ */
+const UNKNOWN_LOAD_DEVIATION = 0.5;
+/** The number of deviations above which the expected excess is that of a known load. */
+const MAX_DEVIATIONS = 30;
 /** The difference from the lowest risk up to which placements are chosen between at random. */
 const RISK_TOLERANCE = 0.004;
 
@@ -50,8 +62,20 @@
 const MIN_USABLE_SLOTS = 0.01;
 const MS_PER_SECOND = 1_000;
 
-/** The maximum number of gates of the own zone, and of other zones, that are compared. */
-const MAX_COMPARED_GATES = 5;
+/** The number of gates of other zones that are compared. */
+const FAR_GATES = 2;
+/**
+ * The number of gates of the own zone that are compared, and the power of their relative speeds by
+ * which they are drawn, at two usual loads of the zone; in between, they change evenly. With slots to
+ * spare, the fastest gates can serve most requests. Where slots are scarce, each gate needs a share in
+ * proportion to its speed, and comparing more than two sends all nodes to the same gates.
+ */
+const SPARE = { usualShare: 0.4, gates: 5, speedPower: 3 } as const;
+const SCARCE = { usualShare: 0.7, gates: 2, speedPower: 1 } as const;
+/** The speed, relative to the typical one, from which on a drawn gate is always compared. */
+const FULL_SPEED = 1.5;
+/** The number of draws for each gate to compare, after which slow gates are compared, too. */
+const MAX_DRAWS_PER_GATE = 6;
 
 /** Returns the probability that a log-normal service time exceeds the remaining time. */
 function lateRisk(meanMs: number, remainingMs: number): number {
@@ -64,6 +88,20 @@
   return 1 / (1 + Math.exp(1.702 * deviations));
 }
 
+/**
+ * Returns the expected number of requests for which there is no slot.
+ *
+ * @param excess - the expected load less the slots, in requests
+ * @param deviation - the standard deviation of the load, in requests
+ * @returns the excess of a known load, and more of an uncertain one
+ */
+function expectedExcess(excess: number, deviation: number): number {
+  const deviations = excess / deviation;
+  return deviation > 0 && deviations < MAX_DEVIATIONS
+    ? deviation * Math.log1p(Math.exp(deviations))
+    : Math.max(0, excess);
+}
+
 /** Returns the number of slots that requests at the stated limit keep occupied on average. */
 function usableSlots(slots: number, limitPerSecond: number | undefined, serviceMs: number): number {
   const occupied = ((limitPerSecond ?? Infinity) * serviceMs) / MS_PER_SECOND;
@@ -77,126 +115,203 @@
   readonly silentHosts: number;
   /** The number of recently unreachable gates; they are used only if no other is available. */
   readonly avoidedHosts: number;
+  /** The mean share of the slots in use in this zone, in percent; above 100 where requests wait. */
+  readonly zoneLoadPercent: number;
+  /** The standard deviation of that share between the gates, in percent. */
+  readonly zoneDeviationPercent: number;
+}
+
+/** The gates of a service by zone. */
+interface SplitGates {
+  readonly near: readonly GateEndpoint[];
+  readonly far: readonly GateEndpoint[];
+}
+
+/** A gate that may get the request, with the observation of it. */
+interface UsableGate {
+  readonly endpoint: GateEndpoint;
+  readonly observation: GateObservation;
+}
+
+/** How gates are drawn to be compared. */
+interface Draw {
+  readonly gates: number;
+  /** Looks a gate up; returns none if the request may not be sent to it. */
+  readonly lookUp: (endpoint: GateEndpoint) => readonly UsableGate[];
+  /** Returns the probability with which a drawn gate is compared. */
+  readonly acceptance: (gate: UsableGate) => number;
 }
 
+type RiskInput = Pick<PlacementRequest, 'routeHash' | 'targetMs'>;
+
+const PERCENT = 100;
+
 /** Chooses gates by this node's observations of them. */
 export class GateSelector {
+  /** The gates by zone, of each list of candidates that the directory returned. */
+  private readonly splitByCandidates = new WeakMap<readonly GateEndpoint[], SplitGates>();
+
   constructor(
     private readonly services: {
       readonly randomness: Randomness;
       readonly observations: GateObservations;
       readonly isSilent: (host: string) => boolean;
+      readonly metrics: MetricsRegistry;
     },
     private readonly zone: string,
   ) {}
 
   /**
-   * Chooses the gate with the lowest risk.
+   * Chooses the gate with the lowest risk among some that are drawn.
    *
    * @param request - the request to place
    * @returns the placement, or undefined if no gate is available
    */
-  choose({ candidates, excluded, routeHash, targetMs }: PlacementRequest): Placement | undefined {
-    const { isSilent, observations } = this.services;
-    const available: GateEndpoint[] = [];
-    const reachable: GateEndpoint[] = [];
-    // A service may have hundreds of gates, so they are gone through once for each request.
-    candidates.forEach((endpoint) => {
-      // Skips silent hosts: the failure detector probes them, and a request sent there would only wait.
-      if (excluded.has(endpoint.host) || isSilent(endpoint.host)) {
-        return;
-      }
-      const observation = observations.of(endpoint);
-      if (!observation.leaving) {
-        available.push(endpoint);
-        if (observation.reachable) {
-          reachable.push(endpoint);
-        }
-      }
-    });
-    const endpoints = reachable.length > 0 ? reachable : available;
-    return this.chooseLeastRisk(endpoints, { routeHash, targetMs });
+  choose(request: PlacementRequest): Placement | undefined {
+    const { metrics, observations } = this.services;
+    const { candidates, excluded } = request;
+    const { far, near } = this.splitByZone(candidates);
+    let knownTypicalMs: number | undefined;
+    const typicalMs = (): number => {
+      knownTypicalMs ??= observations.typicalServiceMs(candidates, request.routeHash);
+      return knownTypicalMs;
+    };
+    const lookUp = (endpoint: GateEndpoint): readonly UsableGate[] =>
+      this.lookUp(endpoint, excluded).filter(({ observation }) => observation.reachable);
+    const { gates, speedPower } = this.nearDraw(near);
+    const acceptance = ({ observation }: UsableGate): number =>
+      (typicalMs() / FULL_SPEED / observation.serviceMs(request.routeHash, typicalMs)) **
+      speedPower;
+    const drawn = [
+      ...this.draw(near, { gates, lookUp, acceptance }),
+      ...this.draw(far, { gates: FAR_GATES, lookUp, acceptance }),
+    ];
+    const compared =
+      drawn.length > 0 ? drawn : candidates.flatMap((endpoint) => this.lookUp(endpoint, excluded));
+    const placement = this.chooseLeastRisk(compared, typicalMs, request);
+    if (placement !== undefined) {
+      const zone = placement.endpoint.zone === this.zone ? 'own' : 'other';
+      metrics.count('placing_choices', { service: placement.endpoint.backendServer.service, zone });
+    }
+    return placement;
   }
 
   /**
-   * Counts candidates for the log.
+   * Counts candidates and compares the loads of those in this zone, for the log.
    *
    * @param candidates - the gates of a service
-   * @returns the number of gates, and of those that are silent or unreachable
+   * @returns the number of gates, and of those that are silent or unreachable, and how evenly the
+   *   slots of the zone are used
    */
   countCandidates(candidates: readonly GateEndpoint[]): CandidateCount {
     const { isSilent, observations } = this.services;
+    const { deviation, mean } = observations.spreadOf(this.splitByZone(candidates).near);
     return {
       hosts: candidates.length,
       silentHosts: candidates.filter(({ host }) => isSilent(host)).length,
       avoidedHosts: candidates.filter((endpoint) => !observations.isReachable(endpoint)).length,
+      zoneLoadPercent: Math.round(mean * PERCENT),
+      zoneDeviationPercent: Math.round(deviation * PERCENT),
     };
   }
 
-  private chooseLeastRisk(
-    endpoints: readonly GateEndpoint[],
-    request: Pick<PlacementRequest, 'routeHash' | 'targetMs'>,
-  ): Placement | undefined {
-    const { observations, randomness } = this.services;
-    if (endpoints.length === 0) {
-      return undefined;
+  private lookUp(endpoint: GateEndpoint, excluded: ReadonlySet<string>): readonly UsableGate[] {
+    const { isSilent, observations } = this.services;
+    // Skips silent hosts: the failure detector probes them, and a request sent there would only wait.
+    if (excluded.has(endpoint.host) || isSilent(endpoint.host)) {
+      return [];
     }
-    let knownTypicalMs: number | undefined;
-    // Takes a pass over all gates, and is needed only where a drawn gate has no time of its own.
-    const typicalMs = (): number => {
-      knownTypicalMs ??= observations.typicalServiceMs(endpoints, request.routeHash);
-      return knownTypicalMs;
+    const observation = observations.of(endpoint);
+    return observation.leaving ? [] : [{ endpoint, observation }];
+  }
+
+  private splitByZone(candidates: readonly GateEndpoint[]): SplitGates {
+    const known = this.splitByCandidates.get(candidates);
+    if (known !== undefined) {
+      return known;
+    }
+    const split = {
+      near: candidates.filter(({ zone }) => zone === this.zone),
+      far: candidates.filter(({ zone }) => zone !== this.zone),
     };
-    const placements = this.sample(endpoints).map((endpoint) =>
-      this.estimate(endpoint, typicalMs, request),
-    );
-    const minRisk = placements.reduce((lowest, { risk }) => Math.min(lowest, risk), Infinity);
-    const tied = placements.filter(({ risk }) => risk <= minRisk + RISK_TOLERANCE);
-    return tied[randomness.integer(tied.length)];
+    this.splitByCandidates.set(candidates, split);
+    return split;
   }
 
-  /**
-   * Draws gates to choose from. The loads that gates report are up to one interval old and the same
-   * for all nodes; if each node compared all gates, they would all send to the same one meanwhile.
-   */
-  private sample(endpoints: readonly GateEndpoint[]): readonly GateEndpoint[] {
-    const near: GateEndpoint[] = [];
-    const far: GateEndpoint[] = [];
-    endpoints.forEach((endpoint) => (endpoint.zone === this.zone ? near : far).push(endpoint));
-    return [...this.draw(near), ...this.draw(far)];
+  /** Returns how many gates of the own zone are compared, and how much speed counts in drawing them. */
+  private nearDraw([one]: readonly GateEndpoint[]): { gates: number; speedPower: number } {
+    const { observations, randomness } = this.services;
+    if (one === undefined) {
+      return { gates: 0, speedPower: SCARCE.speedPower };
+    }
+    const { share } = observations.of(one).usual;
+    const range = SCARCE.usualShare - SPARE.usualShare;
+    const spare = Math.min(1, Math.max(0, (SCARCE.usualShare - share) / range));
+    const gates = SCARCE.gates + (SPARE.gates - SCARCE.gates) * spare;
+    return {
+      gates: Math.floor(gates + randomness.fraction()),
+      speedPower: SCARCE.speedPower + (SPARE.speedPower - SCARCE.speedPower) * spare,
+    };
   }
 
-  private draw(endpoints: readonly GateEndpoint[]): readonly GateEndpoint[] {
-    if (endpoints.length <= MAX_COMPARED_GATES) {
-      return endpoints;
+  /** Draws different usable gates at a cost that does not grow with the number of gates. */
+  private draw(
+    endpoints: readonly GateEndpoint[],
+    { acceptance, gates, lookUp }: Draw,
+  ): readonly UsableGate[] {
+    const { randomness } = this.services;
+    if (endpoints.length <= gates) {
+      return endpoints.flatMap(lookUp);
     }
-    const drawn = new Set<GateEndpoint>();
-    while (drawn.size < MAX_COMPARED_GATES) {
-      const index = this.services.randomness.integer(endpoints.length);
-      drawn.add(endpoints[index] as GateEndpoint);
+    const drawn = new Map<GateEndpoint, UsableGate>();
+    const passedOver = new Map<GateEndpoint, UsableGate>();
+    for (let left = gates * MAX_DRAWS_PER_GATE; left > 0 && drawn.size < gates; left -= 1) {
+      const endpoint = endpoints[randomness.integer(endpoints.length)] as GateEndpoint;
+      const [gate] = drawn.has(endpoint) ? [] : lookUp(endpoint);
+      if (gate !== undefined) {
+        const isCompared = randomness.fraction() < acceptance(gate);
+        (isCompared ? drawn : passedOver).set(endpoint, gate);
+      }
     }
-    return [...drawn];
+    // A gate that was passed over and then drawn again is listed once.
+    const found = [...new Map([...drawn, ...passedOver]).values()];
+    return found.length > 0
+      ? found.slice(0, gates)
+      : sample(randomness, endpoints.flatMap(lookUp), gates);
+  }
+
+  private chooseLeastRisk(
+    gates: readonly UsableGate[],
+    typicalMs: () => number,
+    request: RiskInput,
+  ): Placement | undefined {
+    const placements = gates.map((gate) => this.estimate(gate, typicalMs, request));
+    const minRisk = placements.reduce((lowest, { risk }) => Math.min(lowest, risk), Infinity);
+    const tied = placements.filter(({ risk }) => risk <= minRisk + RISK_TOLERANCE);
+    return tied[this.services.randomness.integer(tied.length)];
   }
 
   private estimate(
-    endpoint: GateEndpoint,
+    { endpoint, observation }: UsableGate,
     typicalMs: () => number,
-    { routeHash, targetMs }: Pick<PlacementRequest, 'routeHash' | 'targetMs'>,
+    { routeHash, targetMs }: RiskInput,
   ): Placement {
-    const observation = this.services.observations.of(endpoint);
     const serviceMs = observation.serviceMs(routeHash, typicalMs);
     const slots = usableSlots(
       endpoint.backendServer.slots,
       observation.limitPerSecond(),
       serviceMs,
     );
-    const load = observation.load();
-    const waitMs = Math.max(0, ((load + 1 - slots) * serviceMs) / slots);
+    const weight = observation.reportWeight(serviceMs);
+    const load = observation.expectedLoad(weight);
+    const deviation = UNKNOWN_LOAD_DEVIATION * Math.sqrt(slots * (1 - weight * weight));
+    const waitMs = (expectedExcess(load + 1 - slots, deviation) * serviceMs) / slots;
     const expectedMs = serviceMs + waitMs;
     const risk =
       lateRisk(serviceMs, targetMs - waitMs) +
       observation.failureShare() +
       (LOAD_RISK * load) / slots +
+      (WAIT_RISK * waitMs) / targetMs +
       (endpoint.zone === this.zone ? 0 : CROSS_ZONE_RISK);
     return { endpoint, expectedMs, risk };
   }
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -331,7 +331,10 @@
         rotation: new SmoothWeightedRoundRobin(randomness),
         directory,
         observations,
-        gateSelector: new GateSelector({ randomness, observations, isSilent }, identity.zone),
+        gateSelector: new GateSelector(
+          { randomness, observations, isSilent, metrics },
+          identity.zone,
+        ),
         gateForwarder: this.gateForwarder,
         allowance: new RetryAllowance(clock, retryTerms, nodeCount),
         suspectGuard,
--- a/tests/emulation/scarceSlots.spec.ts
+++ b/tests/emulation/scarceSlots.spec.ts
@@ -90,7 +90,7 @@
     requests: Object.fromEntries(
       Object.entries(REQUESTS).map(([name, kind]) => [
         name,
-        { ...kind, perSecond: kind.perSecond * load },
+        { ...kind, perSecond: Number(kind.perSecond) * load },
       ]),
     ),
   };
--- a/tests/placing/gateSelector.spec.ts
+++ b/tests/placing/gateSelector.spec.ts
@@ -1,5 +1,6 @@
 import { SeededRandomness } from 'lentillb';
 import type { GateEndpoint } from 'lentillb/directory/directory.js';
+import { MetricsRegistry } from 'lentillb/observability/metricsRegistry.js';
 import { GateObservations } from 'lentillb/placing/gateObservations.js';
 import { GateSelector } from 'lentillb/placing/gateSelector.js';
 import { describe, expect, it } from 'vitest';
@@ -29,6 +30,7 @@
       observations,
       randomness: new SeededRandomness(3),
       isSilent: (host) => silent.has(host),
+      metrics: new MetricsRegistry(),
     },
     'a',
   );
@@ -131,10 +133,15 @@
     const { far, near, observations, gateSelector, silent } = fixture();
     silent.add('near');
     observations.of(far).recordUnreachable();
+    observations.of(near).recordLoad(SLOTS * 0.8);
+    observations.of(far).recordLoad(SLOTS);
+    observations.of(far).recordUnreachable();
     expect(gateSelector.countCandidates([near, far])).toEqual({
       hosts: 2,
       silentHosts: 1,
       avoidedHosts: 1,
+      zoneLoadPercent: 80,
+      zoneDeviationPercent: 0,
     });
   });
 
@@ -192,7 +199,12 @@
       });
     });
     const selector = new GateSelector(
-      { observations, randomness: new SeededRandomness(3), isSilent: () => false },
+      {
+        observations,
+        randomness: new SeededRandomness(3),
+        isSilent: () => false,
+        metrics: new MetricsRegistry(),
+      },
       'a',
     );
     const chosen = Array.from({ length: 40 }, () =>
@@ -206,7 +218,7 @@
     expect(new Set(chosen).size).toBeGreaterThan(3);
   });
 
-  it('should look at each gate only once for a request, since a service may have hundreds', () => {
+  it('should look at a few gates for most requests, and once at each at times, since a service may have hundreds', () => {
     const clock = new ManualClock();
     let lookUps = 0;
     class CountingObservations extends GateObservations {
@@ -219,16 +231,73 @@
     const candidates = Array.from({ length: 340 }, (_, index) => endpoint(`h${index}`, 'a'));
     candidates.forEach((one) => observations.of(one).recordServiceTime(100));
     const selector = new GateSelector(
-      { observations, randomness: new SeededRandomness(3), isSilent: () => false },
+      {
+        observations,
+        randomness: new SeededRandomness(3),
+        isSilent: () => false,
+        metrics: new MetricsRegistry(),
+      },
       'a',
     );
-    lookUps = 0;
-    selector.choose({
-      candidates,
-      excluded: NO_HOSTS,
-      targetMs: TARGET_MS,
-      routeHash: ROUTE_HASH,
-    });
+    const choose = (): void => {
+      lookUps = 0;
+      selector.choose({
+        candidates,
+        excluded: NO_HOSTS,
+        targetMs: TARGET_MS,
+        routeHash: ROUTE_HASH,
+      });
+    };
+    choose();
     expect(lookUps).toBeLessThanOrEqual(candidates.length + 10);
+    choose();
+    expect(lookUps).toBeLessThanOrEqual(35);
+  });
+
+  it('should find the only gate that is left among many', () => {
+    const { clock } = fixture();
+    const observations = new GateObservations(clock, 100);
+    const candidates = Array.from({ length: 340 }, (_, index) => endpoint(`h${index}`, 'a'));
+    const selector = new GateSelector(
+      {
+        observations,
+        randomness: new SeededRandomness(3),
+        isSilent: (host) => host !== 'h77',
+        metrics: new MetricsRegistry(),
+      },
+      'a',
+    );
+    const request = { candidates, targetMs: TARGET_MS, routeHash: ROUTE_HASH };
+    expect(selector.choose({ ...request, excluded: NO_HOSTS })?.endpoint.host).toBe('h77');
+    expect(selector.choose({ ...request, excluded: new Set(['h77']) })).toBeUndefined();
+  });
+
+  it('should expect the usual load of the zone where a report is old', async () => {
+    const { clock, near, observations } = fixture();
+    const other = endpoint('other', 'a');
+    const expectedLoad = (): number =>
+      observations.of(near).expectedLoad(observations.of(near).reportWeight(100));
+    observations.of(near).recordLoad(SLOTS);
+    expect(expectedLoad()).toBe(SLOTS);
+    await clock.advance(1_000);
+    for (let report = 0; report < 60; report += 1) {
+      observations.of(other).recordLoad(SLOTS * 0.3);
+    }
+    expect(expectedLoad()).toBeCloseTo(SLOTS * 0.3, 0);
+  });
+
+  it('should keep the load in an answer that is newer than a shared report', async () => {
+    const { clock, near, observations } = fixture();
+    const report = { load: 0, failureShare: 0, serviceTimes: [] };
+    observations.of(near);
+    observations.recordSharedLoad('near', report);
+    await clock.advance(400);
+    observations.of(near).recordLoad(SLOTS);
+    await clock.advance(50);
+    observations.recordSharedLoad('near', report);
+    expect(observations.of(near).reportedShare).toBe(1);
+    await clock.advance(500);
+    observations.recordSharedLoad('near', report);
+    expect(observations.of(near).reportedShare).toBe(0);
   });
 });
--- a/tests/serving/entry.spec.ts
+++ b/tests/serving/entry.spec.ts
@@ -145,7 +145,10 @@
       rotation: new SmoothWeightedRoundRobin(randomness),
       directory,
       observations,
-      gateSelector: new GateSelector({ randomness, observations, isSilent: () => false }, 'z'),
+      gateSelector: new GateSelector(
+        { randomness, observations, isSilent: () => false, metrics: new MetricsRegistry() },
+        'z',
+      ),
       gateForwarder: {
         call: ({ host }, { cancellation }) => {
           cancellations.push(cancellation);
