--- a/packages/lentillb/src/emulation/emulatedFleet.ts
+++ b/packages/lentillb/src/emulation/emulatedFleet.ts
@@ -17,7 +17,7 @@
 import { runInBackground } from '../utils/background.js';
 import { CallerResult, CallerTally } from './callerTally.js';
 import { EmulatedBackendServer } from './emulatedBackendServer.js';
-import type { Selector, SelectorServices } from './emulatedHost.js';
+import type { EmulatedHostOptions, Selector, SelectorServices } from './emulatedHost.js';
 import { EmulatedHost, emulatedHeaderNames } from './emulatedHost.js';
 import { EventClock } from './eventClock.js';
 import type { Disturbance, RequestKind, Scenario } from './scenario.js';
@@ -49,7 +49,7 @@
   /** Whether gates report their load and speed to the nodes of their zone. */
   readonly sharesLoad: boolean;
   /** Creates what chooses gates at a host; the selector of nodes if it is left out. */
-  readonly createSelector?: (services: SelectorServices, zone: string) => Selector;
+  readonly createSelector?: (services: SelectorServices, host: EmulatedHostOptions) => Selector;
 }
 
 /** The slots in use at the backend servers of a service, at one moment. */
--- a/packages/lentillb/src/emulation/emulatedHost.ts
+++ b/packages/lentillb/src/emulation/emulatedHost.ts
@@ -65,7 +65,8 @@
   readonly zone: string;
   readonly service: string;
   readonly slots: number;
-  readonly createSelector?: ((services: SelectorServices, zone: string) => Selector) | undefined;
+  readonly createSelector?:
+    ((services: SelectorServices, host: EmulatedHostOptions) => Selector) | undefined;
 }
 
 /** A node with its backend server. */
@@ -84,7 +85,7 @@
     readonly backendServer: EmulatedBackendServer,
   ) {
     const { clock, configuration, directory, forward, randomness } = services;
-    const { host, service, slots: slotCount, zone } = options;
+    const { host, service, slots: slotCount } = options;
     const log = new DecisionLog(clock, { info: () => undefined, warn: () => undefined });
     const metrics = new MetricsRegistry();
     const local = new LocalBackendServer(clock, () => undefined);
@@ -134,9 +135,11 @@
       observations: this.observations,
       isSilent: () => false,
       metrics,
+      gate: this.gate,
     };
     const gateSelector =
-      options.createSelector?.(selectorServices, zone) ?? new GateSelector(selectorServices, zone);
+      options.createSelector?.(selectorServices, options) ??
+      new GateSelector(selectorServices, options);
     this.entry = new Entry(
       {
         clock,
--- a/packages/lentillb/src/placing/gateObservation.ts
+++ b/packages/lentillb/src/placing/gateObservation.ts
@@ -211,6 +211,17 @@
     }
   }
 
+  /**
+   * Records the load of the gate on the host of this node.
+   *
+   * @param load - the number of requests that run or wait there now
+   */
+  recordOwnLoad(load: number): void {
+    this.reportedLoad = load;
+    this.measuredLoadAtMs = this.clock.monotonicMs();
+    this.inFlightChange = 0;
+  }
+
   private setLoad(load: number, measuredAtMs: number): void {
     this.reportedLoad = load;
     this.measuredLoadAtMs = measuredAtMs;
--- a/packages/lentillb/src/placing/gateSelector.ts
+++ b/packages/lentillb/src/placing/gateSelector.ts
@@ -2,7 +2,7 @@
  * Chooses the gate for a request. What a node knows of the load of other gates is up to a second
  * old, and all nodes know much the same at the same time, so a node never takes the best of all
  * gates. It draws a few at random, fast ones more often, and takes the one with the lowest risk of a
- * late or missing answer. A gate in another zone carries an added risk, which stands for the price
+ * late or missing answer. The gate on its own host, to which no link is used, is always compared. A gate in another zone carries an added risk, which stands for the price
  * of traffic between zones: requests stay in their zone until its backend servers cannot serve them
  * in time, and a faster backend server elsewhere does not draw requests that are on time here.
  */
@@ -42,8 +42,8 @@
 const MEDIAN_TO_MEAN_RATIO = Math.exp(
   (-SERVICE_TIME_LOG_DEVIATION * SERVICE_TIME_LOG_DEVIATION) / 2,
 );
-/** The risk added for another zone: four requests sent there weigh as much as one late answer. */
-const CROSS_ZONE_RISK = 0.25;
+/** The risk added for another zone: ten requests sent there weigh as much as three late answers. */
+const CROSS_ZONE_RISK = 0.3;
 /** The risk added at full load, so that the less loaded of two gates that are on time wins. */
 const LOAD_RISK = 0.1;
 /** The risk added by a wait as long as the target latency, which others behind the request share. */
@@ -123,6 +123,9 @@
 
 /** The gates of a service by zone. */
 interface SplitGates {
+  /** The gate on the host of this node. */
+  readonly own: readonly GateEndpoint[];
+  /** The other gates of this zone. */
   readonly near: readonly GateEndpoint[];
   readonly far: readonly GateEndpoint[];
 }
@@ -157,8 +160,10 @@
       readonly observations: GateObservations;
       readonly isSilent: (host: string) => boolean;
       readonly metrics: MetricsRegistry;
+      /** The gate on the host of this node, with the number of requests that run or wait there. */
+      readonly gate: { readonly inFlight: number };
     },
-    private readonly zone: string,
+    private readonly location: { readonly host: string; readonly zone: string },
   ) {}
 
   /**
@@ -170,7 +175,7 @@
   choose(request: PlacementRequest): Placement | undefined {
     const { metrics, observations } = this.services;
     const { candidates, excluded } = request;
-    const { far, near } = this.splitByZone(candidates);
+    const { far, near, own } = this.splitByZone(candidates);
     let knownTypicalMs: number | undefined;
     const typicalMs = (): number => {
       knownTypicalMs ??= observations.typicalServiceMs(candidates, request.routeHash);
@@ -182,7 +187,9 @@
     const acceptance = ({ observation }: UsableGate): number =>
       (typicalMs() / FULL_SPEED / observation.serviceMs(request.routeHash, typicalMs)) **
       speedPower;
+    this.updateOwn(own);
     const drawn = [
+      ...own.flatMap(lookUp),
       ...this.draw(near, { gates, lookUp, acceptance }),
       ...this.draw(far, { gates: FAR_GATES, lookUp, acceptance }),
     ];
@@ -190,7 +197,7 @@
       drawn.length > 0 ? drawn : candidates.flatMap((endpoint) => this.lookUp(endpoint, excluded));
     const placement = this.chooseLeastRisk(compared, typicalMs, request);
     if (placement !== undefined) {
-      const zone = placement.endpoint.zone === this.zone ? 'own' : 'other';
+      const zone = placement.endpoint.zone === this.location.zone ? 'own' : 'other';
       metrics.count('placing_choices', { service: placement.endpoint.backendServer.service, zone });
     }
     return placement;
@@ -205,7 +212,8 @@
    */
   countCandidates(candidates: readonly GateEndpoint[]): CandidateCount {
     const { isSilent, observations } = this.services;
-    const { deviation, mean } = observations.spreadOf(this.splitByZone(candidates).near);
+    const { near, own } = this.splitByZone(candidates);
+    const { deviation, mean } = observations.spreadOf([...own, ...near]);
     return {
       hosts: candidates.length,
       silentHosts: candidates.filter(({ host }) => isSilent(host)).length,
@@ -225,14 +233,23 @@
     return observation.leaving ? [] : [{ endpoint, observation }];
   }
 
+  /** The load of the gate on this host is known without a report. */
+  private updateOwn(endpoints: readonly GateEndpoint[]): void {
+    const { gate, observations } = this.services;
+    endpoints.forEach((endpoint) => observations.of(endpoint).recordOwnLoad(gate.inFlight));
+  }
+
   private splitByZone(candidates: readonly GateEndpoint[]): SplitGates {
     const known = this.splitByCandidates.get(candidates);
     if (known !== undefined) {
       return known;
     }
     const split = {
-      near: candidates.filter(({ zone }) => zone === this.zone),
-      far: candidates.filter(({ zone }) => zone !== this.zone),
+      own: candidates.filter(({ host }) => host === this.location.host),
+      near: candidates.filter(
+        ({ host, zone }) => zone === this.location.zone && host !== this.location.host,
+      ),
+      far: candidates.filter(({ zone }) => zone !== this.location.zone),
     };
     this.splitByCandidates.set(candidates, split);
     return split;
@@ -312,7 +329,7 @@
       observation.failureShare() +
       (LOAD_RISK * load) / slots +
       (WAIT_RISK * waitMs) / targetMs +
-      (endpoint.zone === this.zone ? 0 : CROSS_ZONE_RISK);
+      (endpoint.zone === this.location.zone ? 0 : CROSS_ZONE_RISK);
     return { endpoint, expectedMs, risk };
   }
 }
--- a/packages/lentillb/src/placing/usualLoad.ts
+++ b/packages/lentillb/src/placing/usualLoad.ts
@@ -5,7 +5,7 @@
  * The share of the slots that is assumed to be in use where nothing was reported lately. It is below
  * full load, so that a zone from which no answers come any more is tried again.
  */
-const ASSUMED_SHARE = 0.7;
+const ASSUMED_SHARE = 0.85;
 /** The time constant with which reports fade, in milliseconds. */
 const FADE_MS = 2_000;
 /** The weight of the newest report. */
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -332,8 +332,8 @@
         directory,
         observations,
         gateSelector: new GateSelector(
-          { randomness, observations, isSilent, metrics },
-          identity.zone,
+          { randomness, observations, isSilent, metrics, gate: this.gate },
+          identity,
         ),
         gateForwarder: this.gateForwarder,
         allowance: new RetryAllowance(clock, retryTerms, nodeCount),
--- a/tests/placing/gateSelector.spec.ts
+++ b/tests/placing/gateSelector.spec.ts
@@ -31,8 +31,9 @@
       randomness: new SeededRandomness(3),
       isSilent: (host) => silent.has(host),
       metrics: new MetricsRegistry(),
+      gate: { inFlight: 0 },
     },
-    'a',
+    { host: 'none', zone: 'a' },
   );
   const near = endpoint('near', 'a');
   const far = endpoint('far', 'b');
@@ -204,8 +205,9 @@
         randomness: new SeededRandomness(3),
         isSilent: () => false,
         metrics: new MetricsRegistry(),
+        gate: { inFlight: 0 },
       },
-      'a',
+      { host: 'none', zone: 'a' },
     );
     const chosen = Array.from({ length: 40 }, () =>
       selector.choose({
@@ -236,8 +238,9 @@
         randomness: new SeededRandomness(3),
         isSilent: () => false,
         metrics: new MetricsRegistry(),
+        gate: { inFlight: 0 },
       },
-      'a',
+      { host: 'none', zone: 'a' },
     );
     const choose = (): void => {
       lookUps = 0;
@@ -264,8 +267,9 @@
         randomness: new SeededRandomness(3),
         isSilent: (host) => host !== 'h77',
         metrics: new MetricsRegistry(),
+        gate: { inFlight: 0 },
       },
-      'a',
+      { host: 'none', zone: 'a' },
     );
     const request = { candidates, targetMs: TARGET_MS, routeHash: ROUTE_HASH };
     expect(selector.choose({ ...request, excluded: NO_HOSTS })?.endpoint.host).toBe('h77');
@@ -300,4 +304,21 @@
     observations.recordSharedLoad('near', report);
     expect(observations.of(near).reportedShare).toBe(0);
   });
+
+  it('should know the load of the gate on its own host without a report', () => {
+    const observations = new GateObservations(new ManualClock(), 100);
+    const own = endpoint('own', 'a');
+    const candidates = [own, endpoint('other', 'a')];
+    const gate = { inFlight: 0 };
+    const services = { observations, isSilent: () => false, metrics: new MetricsRegistry(), gate };
+    const selector = new GateSelector(
+      { ...services, randomness: new SeededRandomness(3) },
+      { host: 'own', zone: 'a' },
+    );
+    const request = { candidates, excluded: NO_HOSTS, targetMs: TARGET_MS, routeHash: ROUTE_HASH };
+    observations.of(own).recordLoad(SLOTS * 2);
+    expect(selector.choose(request)?.endpoint.host).toBe('own');
+    gate.inFlight = SLOTS * 2;
+    expect(selector.choose(request)?.endpoint.host).toBe('other');
+  });
 });
--- a/tests/serving/entry.spec.ts
+++ b/tests/serving/entry.spec.ts
@@ -146,8 +146,14 @@
       directory,
       observations,
       gateSelector: new GateSelector(
-        { randomness, observations, isSilent: () => false, metrics: new MetricsRegistry() },
-        'z',
+        {
+          randomness,
+          observations,
+          isSilent: () => false,
+          metrics: new MetricsRegistry(),
+          gate: { inFlight: 0 },
+        },
+        { host: 'none', zone: 'z' },
       ),
       gateForwarder: {
         call: ({ host }, { cancellation }) => {
