--- a/packages/lentillb/src/emulation/emulatedHost.ts
+++ b/packages/lentillb/src/emulation/emulatedHost.ts
@@ -11,8 +11,8 @@
 import { Entry } from '../serving/entry.js';
 import { LinkQueue } from '../transfers/linkQueue.js';
 import { Gate } from '../serving/gate.js';
-import { GateObservations } from '../serving/gateObservations.js';
-import { GateSelector } from '../serving/gateSelector.js';
+import { GateObservations } from '../placing/gateObservations.js';
+import { GateSelector } from '../placing/gateSelector.js';
 import { LocalBackendServer } from '../serving/localBackendServer.js';
 import type { ForwardedRequest, GateReply } from '../serving/messages.js';
 import { RetryAllowance } from '../serving/retryAllowance.js';
@@ -44,6 +44,12 @@
   leaving: 'leaving',
 } as const;
 
+/** What an entry needs to choose a gate. */
+export type Selector = Pick<GateSelector, 'choose' | 'countCandidates'>;
+
+/** The services that the choice of gates depends on. */
+export type SelectorServices = ConstructorParameters<typeof GateSelector>[0];
+
 /** The services that an emulated host depends on. */
 export interface EmulatedHostServices {
   readonly clock: Clock;
@@ -60,6 +66,8 @@
   readonly zone: string;
   readonly service: string;
   readonly slots: number;
+  readonly createSelector?:
+    ((services: SelectorServices, host: EmulatedHostOptions) => Selector) | undefined;
 }
 
 /** A node with its backend server. */
@@ -70,13 +78,15 @@
 
   readonly observations: GateObservations;
 
+  readonly slots: SlotQueue;
+
   constructor(
     services: EmulatedHostServices,
     readonly options: EmulatedHostOptions,
     readonly backendServer: EmulatedBackendServer,
   ) {
     const { clock, configuration, directory, forward, randomness } = services;
-    const { host, service, slots: slotCount, zone } = options;
+    const { host, service, slots: slotCount } = options;
     const log = new DecisionLog(clock, { info: () => undefined, warn: () => undefined });
     const metrics = new MetricsRegistry();
     const local = new LocalBackendServer(clock, () => undefined);
@@ -97,13 +107,13 @@
       host,
     );
     const statedLimit = new StatedLimit(clock, log);
-    const slots = new SlotQueue(clock, () => false, statedLimit);
-    slots.resize(slotCount);
+    this.slots = new SlotQueue(clock, () => false, statedLimit);
+    this.slots.resize(slotCount);
     this.gate = new Gate({
       clock,
       transfers: new LinkQueue({ clock, log, metrics }, undefined),
       presence: new CallerPresence({ clock, input: READ_INPUT }),
-      slots,
+      slots: this.slots,
       statedLimit,
       listenProbe: { hasEnded: () => Promise.resolve(false) },
       suspectGuard,
@@ -122,6 +132,16 @@
       metrics,
     });
     this.observations = new GateObservations(clock, DEFAULT_SERVICE_TIME_MS);
+    const selectorServices = {
+      randomness,
+      observations: this.observations,
+      isSilent: () => false,
+      metrics,
+      gate: this.gate,
+    };
+    const gateSelector =
+      options.createSelector?.(selectorServices, options) ??
+      new GateSelector(selectorServices, options);
     this.entry = new Entry(
       {
         clock,
@@ -131,10 +151,7 @@
         rotation: new SmoothWeightedRoundRobin(randomness),
         directory,
         observations: this.observations,
-        gateSelector: new GateSelector(
-          { randomness, observations: this.observations, isSilent: () => false },
-          zone,
-        ),
+        gateSelector,
         gateForwarder: {
           call: (endpoint: GateEndpoint, request: ForwardedRequest) =>
             endpoint.host === host ? this.gate.serve(request) : forward(endpoint.host, request),
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -34,14 +34,14 @@
 import { DeliveryMonitor } from '../serving/deliveryMonitor.js';
 import { GateForwarder } from '../serving/gateForwarder.js';
 import { GateProcesses } from '../serving/gateProcesses.js';
-import { GateObservations } from '../serving/gateObservations.js';
+import { GateObservations } from '../placing/gateObservations.js';
 import { memoryRefusalReply } from '../serving/gateProtocol.js';
 import type { HeaderNames } from '../serving/headerNames.js';
 import { ListenProbe } from '../serving/listenProbe.js';
 import { HeartbeatEffect, LocalBackendServer } from '../serving/localBackendServer.js';
 import type { Heartbeat } from '../serving/localBackendServer.js';
 import { GateServer } from '../serving/gateServer.js';
-import { GateSelector } from '../serving/gateSelector.js';
+import { GateSelector } from '../placing/gateSelector.js';
 import { RequestSender } from '../serving/requestSender.js';
 import { RetryAllowance } from '../serving/retryAllowance.js';
 import type { RetryTerms } from '../serving/retryAllowance.js';
@@ -338,7 +338,10 @@
         rotation: new SmoothWeightedRoundRobin(randomness),
         directory,
         observations,
-        gateSelector: new GateSelector({ randomness, observations, isSilent }, identity.zone),
+        gateSelector: new GateSelector(
+          { randomness, observations, isSilent, metrics, gate: this.gate },
+          identity,
+        ),
         gateForwarder: this.gateForwarder,
         allowance: new RetryAllowance(clock, retryTerms, nodeCount),
         suspectGuard,
--- a/tests/serving/entry.spec.ts
+++ b/tests/serving/entry.spec.ts
@@ -11,10 +11,10 @@
 import { Repetition } from 'lentillb/rules/ruleForms.js';
 import { Entry } from 'lentillb/serving/entry.js';
 import type { EntryAnswer } from 'lentillb/serving/entry.js';
-import { GateObservations } from 'lentillb/serving/gateObservations.js';
+import { GateObservations } from 'lentillb/placing/gateObservations.js';
 import type { CallerRequest, ForwardedRequest, GateReply } from 'lentillb/serving/messages.js';
 import { FailureCause } from 'lentillb/calls/failureCause.js';
-import { GateSelector } from 'lentillb/serving/gateSelector.js';
+import { GateSelector } from 'lentillb/placing/gateSelector.js';
 import { RetryAllowance } from 'lentillb/serving/retryAllowance.js';
 import { wireHeaders } from '@lentillb/platform';
 import { Err, Ok } from 'ts-results-es';
@@ -146,7 +146,16 @@
       rotation: new SmoothWeightedRoundRobin(randomness),
       directory,
       observations,
-      gateSelector: new GateSelector({ randomness, observations, isSilent: () => false }, 'z'),
+      gateSelector: new GateSelector(
+        {
+          randomness,
+          observations,
+          isSilent: () => false,
+          metrics: new MetricsRegistry(),
+          gate: { inFlight: 0 },
+        },
+        { host: 'none', zone: 'z' },
+      ),
       gateForwarder: {
         call: ({ host }, forwarded) => {
           cancellations.push(forwarded.cancellation);
--- a/tests/serving/hangingServer.spec.ts
+++ b/tests/serving/hangingServer.spec.ts
@@ -6,10 +6,11 @@
 import { Gate } from 'lentillb/serving/gate.js';
 import { LocalBackendServer } from 'lentillb/serving/localBackendServer.js';
 import type { GateReply } from 'lentillb/serving/messages.js';
-import { FailureCause } from 'lentillb/serving/messages.js';
+import { FailureCause } from 'lentillb/calls/failureCause.js';
 import { StatedLimit } from 'lentillb/admission/statedLimit.js';
 import type { SlotQueue } from 'lentillb/admission/slotQueue.js';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { noTransfers } from '../support/noTransfers.js';
 import { createCallerPresence } from '../support/callerPresence.js';
 import { createForwardedRequest } from '../support/forwardedRequest.js';
 import { createRequestSender } from '../support/requestSender.js';
@@ -65,6 +66,7 @@
     client,
     presence: createCallerPresence(clock),
     suspectGuard: createSuspectGuard(clock),
+    transfers: noTransfers,
     listenProbe: { hasEnded: () => Promise.resolve(false) },
     log: createSilentLog(clock),
     metrics: new MetricsRegistry(),
