--- a/tests/sidecar/customerKeys.spec.ts
+++ b/tests/sidecar/customerKeys.spec.ts
@@ -1,3 +1,4 @@
+import { respondSuccessfully } from '@lentillb/standins';
 import fc from 'fast-check';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { RawConnection } from '../support/rawConnection.js';
@@ -15,6 +16,10 @@
   anonymous: true,
 };
 
+/** Leaves time for another version to come into force while a request runs. */
+const SLOW_TIMEOUT_MS = 8_000;
+const slowRoute = createRoute('letters', 'non_idempotent', SLOW_TIMEOUT_MS);
+
 let fleet: SidecarFleet;
 let front: FleetHost;
 let back: FleetHost;
@@ -22,7 +27,7 @@
 beforeEach(async () => {
   fleet = new SidecarFleet();
   await fleet.start();
-  fleet.publish({ open: openRoute }, tenants);
+  fleet.publish({ letters: slowRoute, open: openRoute }, tenants);
   fleet.callerHeaders = { authorization: `Bearer ${KEY}`, 'x-tenant': 'forged' };
   front = await fleet.addHost('front', 'pages');
   back = await fleet.addHost('back', 'letters');
@@ -88,6 +93,22 @@
     expect((await fleet.send(front, 'letters').answer).status).toBe(200);
   });
 
+  it('should finish a request that was admitted before its key was revoked', async () => {
+    let finish = (): void => undefined;
+    back.backendServer.setHandler((response, run) => {
+      finish = () => respondSuccessfully(response, run);
+    });
+    const { log } = front;
+    const { answer } = fleet.send(front, 'letters', 'slow', SLOW_TIMEOUT_MS);
+    const runsBefore = back.backendServer.runs.length;
+    await fleet.waitUntil(() => back.backendServer.runs.length > runsBefore);
+    const version = fleet.publish({}, { acme: { 'api-keys': [] } });
+    await fleet.waitUntil(() => JSON.stringify(log).includes(`"version":${version}`));
+    expect((await fleet.send(front, 'letters').answer).status).toBe(401);
+    finish();
+    expect((await answer).status).toBe(200);
+  });
+
   it('should answer 401 to repeated headers', async () => {
     const connection = await RawConnection.open(front.callerAddress);
     writeWithKey(connection, `Bearer ${KEY}\r\nAuthorization: Bearer ${KEY}`);
