--- a/tests/routing/calls.spec.ts
+++ b/tests/routing/calls.spec.ts
@@ -259,6 +259,30 @@
     });
   });
 
+  it.each(INVALID_STATUS_LINES)(
+    "should not pass on the status line '%s' from the host of the caller",
+    async (line) => {
+      const server = new ScriptedServer((socket) => {
+        socket.write(`${line}\r\ncontent-length: 2\r\n\r\nno`);
+      });
+      servers.push(server);
+      const port = await server.listen();
+      const { backendServerRegistry } = entryNode.services;
+      const own = { id: 'own', service: 'pages', address: '127.0.0.1', port, slots: 2 };
+      backendServerRegistry.announce({ ...own, state: 'ready' });
+      await waitFor(
+        () => entryNode.services.fleetView.endpointsOf('pages').length === 1,
+        'the entry node to know the backend server',
+      );
+      const answers = [await call('GET'), await call('POST')];
+      backendServerRegistry.remove('own', 'test is over');
+      expect(answers.map(({ outcome, status }) => [status, outcome])).toEqual([
+        [502, 'unknown'],
+        [502, 'unknown'],
+      ]);
+    },
+  );
+
   it('should never deliver a late answer to another request', async () => {
     await announce((socket, count) => {
       setTimeout(
