--- a/packages/lentillb/src/admission/retryAfter.ts
+++ b/packages/lentillb/src/admission/retryAfter.ts
@@ -17,12 +17,11 @@
 const MIN_RETRY_AFTER_MS = 10;
 /** The maximum share of their remaining time after which the platform's callers retry. */
 const MAX_REMAINING_SHARE = 1 / 3;
-/** The range of the jitter, as a share of the shortest delay. */
+/** The range of the jitter, as a share of the wait. */
 const JITTER_SHARE = 0.5;
 
 /**
- * Chooses the retry delay for a refused caller. Where a slot is expected only after callers return,
- * their returns are spread before the time at which they would all return otherwise.
+ * Chooses the retry delay for a refused caller.
  *
  * @param refused - the refused request
  * @param randomness - the source of the jitter
@@ -30,8 +29,19 @@
  */
 export function chooseRetryAfterMs(refused: RefusedRequest, randomness: Randomness): number {
   const { remainingMs, waitMs } = refused;
-  const latestMs = remainingMs * MAX_REMAINING_SHARE;
-  const earliestMs = Math.min(Math.max(MIN_RETRY_AFTER_MS, waitMs), latestMs / (1 + JITTER_SHARE));
-  const jitteredMs = earliestMs * (1 + JITTER_SHARE * randomness.fraction());
-  return Math.max(MIN_RETRY_AFTER_MS, jitteredMs);
+  const jitteredMs =
+    Math.max(MIN_RETRY_AFTER_MS, waitMs) * (1 + JITTER_SHARE * randomness.fraction());
+  return Math.max(MIN_RETRY_AFTER_MS, Math.min(jitteredMs, remainingMs * MAX_REMAINING_SHARE));
+}
+
+/**
+ * Limits a wait that a gate states, so that the retry delay is spread over its whole range of jitter.
+ * Where the wait is longer, all callers that were refused at one moment would return at one moment, at
+ * the longest delay.
+ *
+ * @param refused - the refused request
+ * @returns the wait to state, in milliseconds
+ */
+export function spreadWaitMs({ remainingMs, waitMs }: RefusedRequest): number {
+  return Math.min(waitMs, (remainingMs * MAX_REMAINING_SHARE) / (1 + JITTER_SHARE));
 }
--- a/packages/lentillb/src/admission/slotQueue.ts
+++ b/packages/lentillb/src/admission/slotQueue.ts
@@ -10,6 +10,7 @@
  */
 import type { Clock } from '../kernel/clock.js';
 import type { RankedRequest, SlotSupply } from './slotOrder.js';
+import { spreadWaitMs } from './retryAfter.js';
 import type { ClaimingRequest, Claims, RequestClaim } from './slotClaims.js';
 import { SlotClaims } from './slotClaims.js';
 import { compareRank, precedes, SlotOrder, Standing } from './slotOrder.js';
@@ -77,7 +78,7 @@
   readonly standing: Standing;
   /** The number of slots that the request must leave to calls. */
   readonly reserved: number;
-  /** The expected wait for a slot, in milliseconds. */
+  /** The expected wait for a slot, or that to state to a refused caller, in milliseconds. */
   readonly waitMs: number;
   /** Removes the request from the queue. */
   readonly cancel: () => void;
@@ -236,7 +237,8 @@
     }
     const waitMs = this.expectedWaitMs(ranked, this.requestsAhead(ranked));
     if (!this.mayWait(ranked, waitMs)) {
-      return { ...decision, admission: Admission.Refused, waitMs, cancel: noop };
+      const statedMs = this.statedWaitMs(ranked, waitMs);
+      return { ...decision, admission: Admission.Refused, waitMs: statedMs, cancel: noop };
     }
     this.enqueue(ranked);
     this.awaitPermit();
@@ -310,6 +312,15 @@
     );
   }
 
+  /**
+   * Returns the wait to state to a refused caller. Without customers, it is the expected one: callers
+   * that return earlier than they could are served less often where the overload lasts.
+   */
+  private statedWaitMs({ deadlineAtMs }: SlotRequest, waitMs: number): number {
+    const remainingMs = Math.max(0, deadlineAtMs - this.clock.monotonicMs());
+    return this.claims.isInEffect ? spreadWaitMs({ remainingMs, waitMs }) : waitMs;
+  }
+
   /** Estimates the wait for a slot and a permit behind the given requests, in milliseconds. */
   private expectedWaitMs(request: RankedSlotRequest, ahead: readonly RankedSlotRequest[]): number {
     const totalMs = ahead.reduce(
--- a/tests/admission/claims.spec.ts
+++ b/tests/admission/claims.spec.ts
@@ -95,6 +95,25 @@
     expect(grantOrder(running, waiting)).toEqual([3, 2, 1, 0]);
   });
 
+  it('should state a wait to refused callers that spreads their returns, where customers compete', async () => {
+    const sample = admit({ ...UPLOAD, customer: undefined }).recorded;
+    await clock.advance(600);
+    sample.slot?.release(ServiceTimeSample.Exact);
+    const waits = [undefined, 'c'].map((customer) => {
+      const refused = { ...UPLOAD, customer, serviceTimeKey: 'slow' };
+      for (let count = 0; count < 60; count += 1) {
+        const { admission, waitMs } = admit(refused).decision;
+        if (admission === Admission.Refused) {
+          return waitMs;
+        }
+      }
+      return undefined;
+    });
+    const spreadMs = (UPLOAD.targetLatencyMs + 5_000) / 3 / 1.5;
+    expect(waits[0]).toBeGreaterThan(spreadMs);
+    expect(waits[1]).toBeCloseTo(spreadMs);
+  });
+
   it('should not take a request with a customer, or a slow route without one, for a call', () => {
     const claims = new SlotClaims(clock, () => 50);
     const { request } = createRecordedRequest();
