--- a/packages/lentillb/src/admission/admissionRecorder.ts
+++ b/packages/lentillb/src/admission/admissionRecorder.ts
@@ -23,7 +23,8 @@
 
 /** Writes the decisions of one gate to the log and the metrics. */
 export class AdmissionRecorder {
-  private reserved = 0;
+  /** The number of slots that the requests of each route left to calls when it was logged last. */
+  private readonly reservedByRoute = new Map<string, number>();
 
   private reserveLoggedAtMs = -Infinity;
 
@@ -64,14 +65,11 @@
 
   private recordReserve(route: string, reserved: number, standing: Standing): void {
     const nowMs = this.clock.monotonicMs();
+    const previous = this.reservedByRoute.get(route) ?? 0;
     const isDue = nowMs - this.reserveLoggedAtMs >= RESERVE_LOG_INTERVAL_MS;
-    if (standing === Standing.Ordinary && reserved !== this.reserved && isDue) {
-      this.log.record(Importance.Notable, 'slots-reserved', {
-        route,
-        reserved,
-        previous: this.reserved,
-      });
-      this.reserved = reserved;
+    if (standing === Standing.Ordinary && reserved !== previous && isDue) {
+      this.log.record(Importance.Notable, 'slots-reserved', { route, reserved, previous });
+      this.reservedByRoute.set(route, reserved);
       this.reserveLoggedAtMs = nowMs;
     }
   }
