--- a/packages/lentillb/src/placing/gateObservation.ts
+++ b/packages/lentillb/src/placing/gateObservation.ts
@@ -19,6 +19,13 @@
  * report intervals, of which some may be lost.
  */
 const MAX_SHARED_LOAD_AGE_MS = 2_000;
+/**
+ * The weight of a newly reported service time. A gate reports the mean of its last ten or so requests,
+ * which varies by a third between equal backend servers, and all nodes would follow it together.
+ */
+const REPORTED_TIME_WEIGHT = 0.15;
+/** The factor of the earlier service time above which a backend server is taken to have become slow. */
+const SLOWDOWN_FACTOR = 2;
 /** The time for which an unreachable gate is first avoided; it doubles up to the maximum. */
 const MIN_AVOIDANCE_MS = 250;
 const MAX_AVOIDANCE_MS = 2_000;
@@ -195,7 +202,7 @@
    */
   recordSharedLoad({ failureShare, limitPerSecond, load, serviceTimes }: GateLoad): void {
     this.sharedServiceMs = new Map(
-      serviceTimes.map(({ meanMs, routeHash }) => [routeHash, meanMs]),
+      serviceTimes.map(({ meanMs, routeHash }) => [routeHash, this.smoothTime(routeHash, meanMs)]),
     );
     this.sharedFailureShare = failureShare;
     const nowMs = this.clock.monotonicMs();
@@ -222,6 +229,14 @@
     this.inFlightChange = 0;
   }
 
+  /** Lets reported service times follow new reports slowly, unless the backend server became slow. */
+  private smoothTime(routeHash: number, meanMs: number): number {
+    const earlierMs = this.reportedServiceMs(routeHash);
+    return earlierMs === undefined || meanMs > earlierMs * SLOWDOWN_FACTOR
+      ? meanMs
+      : earlierMs + (meanMs - earlierMs) * REPORTED_TIME_WEIGHT;
+  }
+
   private setLoad(load: number, measuredAtMs: number): void {
     this.reportedLoad = load;
     this.measuredLoadAtMs = measuredAtMs;
--- a/packages/lentillb/src/placing/gateSelector.ts
+++ b/packages/lentillb/src/placing/gateSelector.ts
@@ -56,7 +56,7 @@
 /** The number of deviations above which the expected excess is that of a known load. */
 const MAX_DEVIATIONS = 30;
 /** The difference from the lowest risk up to which placements are chosen between at random. */
-const RISK_TOLERANCE = 0.004;
+const RISK_TOLERANCE = 0.02;
 
 /** The usable slots of a backend server that states a limit of 0; keeps the estimates finite. */
 const MIN_USABLE_SLOTS = 0.01;
@@ -70,7 +70,7 @@
  * spare, the fastest gates can serve most requests. Where slots are scarce, each gate needs a share in
  * proportion to its speed, and comparing more than two sends all nodes to the same gates.
  */
-const SPARE = { usualShare: 0.4, gates: 5, speedPower: 3 } as const;
+const SPARE = { usualShare: 0.4, gates: 3, speedPower: 4 } as const;
 const SCARCE = { usualShare: 0.7, gates: 2, speedPower: 1 } as const;
 /** The speed, relative to the typical one, from which on a drawn gate is always compared. */
 const FULL_SPEED = 1.5;
--- a/tests/placing/gateSelector.spec.ts
+++ b/tests/placing/gateSelector.spec.ts
@@ -321,4 +321,18 @@
     gate.inFlight = SLOTS * 2;
     expect(selector.choose(request)?.endpoint.host).toBe('other');
   });
+
+  it('should follow a reported service time slowly, but at once where a backend server became slow', () => {
+    const { near, observations } = fixture();
+    const observation = observations.of(near);
+    const report = (meanMs: number): number | undefined => {
+      const serviceTimes = [{ routeHash: ROUTE_HASH, meanMs }];
+      observations.recordSharedLoad('near', { load: 0, failureShare: 0, serviceTimes });
+      return observation.reportedServiceMs(ROUTE_HASH);
+    };
+    expect(report(100)).toBe(100);
+    expect(report(140)).toBeCloseTo(106);
+    expect(report(500)).toBe(500);
+    expect(report(100)).toBeCloseTo(440);
+  });
 });
