--- a/packages/lentillb/src/emulation/emulatedFleet.ts
+++ b/packages/lentillb/src/emulation/emulatedFleet.ts
@@ -14,6 +14,7 @@
 import type { EntryAnswer } from '../serving/entry.js';
 import type { ForwardedRequest, GateReply } from '../serving/messages.js';
 import { FailureCause } from '../serving/messages.js';
+import type { SlotLoad } from '../serving/slotQueue.js';
 import { runInBackground } from '../utils/background.js';
 import { CallerResult, CallerTally } from './callerTally.js';
 import { EmulatedBackendServer } from './emulatedBackendServer.js';
@@ -144,6 +145,14 @@
     this.hostsByName = new Map(this.hosts.map((host) => [host.options.host, host]));
   }
 
+  /**
+   * @param host - the name of a host
+   * @returns the load of its backend server at this moment
+   */
+  loadOf(host: string): SlotLoad {
+    return (this.hostsByName.get(host) as EmulatedHost).slots.load;
+  }
+
   /** Plays the scenario to its end. */
   async run(): Promise<void> {
     const { disturbances = [], durationMs, requests, zones } = this.scenario;
--- a/packages/lentillb/src/placing/gateObservations.ts
+++ b/packages/lentillb/src/placing/gateObservations.ts
@@ -72,13 +72,17 @@
   }
 
   /**
-   * Compares the loads that gates reported lately.
+   * Compares the loads that the gates of a service in one zone reported lately.
    *
-   * @param endpoints - the gates to compare
+   * @param service - the name of the service
+   * @param zone - the name of the zone
    * @returns the mean and the standard deviation, both 0 if no gate reported
    */
-  spreadOf(endpoints: readonly GateEndpoint[]): LoadSpread {
-    const shares = endpoints.flatMap((endpoint) => this.of(endpoint).reportedShare ?? []);
+  spreadOf(service: string, zone: string): LoadSpread {
+    const usual = this.usualLoads.get(`${service} ${zone}`);
+    const shares = [...this.byGate.values()].flatMap((observation) =>
+      observation.usual === usual ? (observation.reportedShare ?? []) : [],
+    );
     const count = Math.max(1, shares.length);
     const mean = shares.reduce((sum, share) => sum + share, 0) / count;
     const variance = shares.reduce((sum, share) => sum + (share - mean) ** 2, 0) / count;
--- a/packages/lentillb/src/placing/gateSelector.ts
+++ b/packages/lentillb/src/placing/gateSelector.ts
@@ -154,6 +154,8 @@
   /** The gates by zone, of each list of candidates that the directory returned. */
   private readonly splitByCandidates = new WeakMap<readonly GateEndpoint[], SplitGates>();
 
+  private readonly gaugedServices = new Set<string>();
+
   constructor(
     private readonly services: {
       readonly randomness: Randomness;
@@ -212,8 +214,8 @@
    */
   countCandidates(candidates: readonly GateEndpoint[]): CandidateCount {
     const { isSilent, observations } = this.services;
-    const { near, own } = this.splitByZone(candidates);
-    const { deviation, mean } = observations.spreadOf([...own, ...near]);
+    const service = candidates[0]?.backendServer.service ?? '';
+    const { deviation, mean } = observations.spreadOf(service, this.location.zone);
     return {
       hosts: candidates.length,
       silentHosts: candidates.filter(({ host }) => isSilent(host)).length,
@@ -252,9 +254,29 @@
       far: candidates.filter(({ zone }) => zone !== this.location.zone),
     };
     this.splitByCandidates.set(candidates, split);
+    this.registerGauges(candidates);
     return split;
   }
 
+  /** Shows how evenly the slots of a service in this zone are used. */
+  private registerGauges([one]: readonly GateEndpoint[]): void {
+    const { metrics, observations } = this.services;
+    if (one === undefined || this.gaugedServices.has(one.backendServer.service)) {
+      return;
+    }
+    const { service } = one.backendServer;
+    const { zone } = this.location;
+    this.gaugedServices.add(service);
+    metrics.gauge(
+      `placing_zone_load{service="${service}"}`,
+      () => observations.spreadOf(service, zone).mean,
+    );
+    metrics.gauge(
+      `placing_zone_load_deviation{service="${service}"}`,
+      () => observations.spreadOf(service, zone).deviation,
+    );
+  }
+
   /** Returns how many gates of the own zone are compared, and how much speed counts in drawing them. */
   private nearDraw([one]: readonly GateEndpoint[]): { gates: number; speedPower: number } {
     const { observations, randomness } = this.services;
--- a/tests/placing/gateSelector.spec.ts
+++ b/tests/placing/gateSelector.spec.ts
@@ -335,4 +335,32 @@
     expect(report(500)).toBe(500);
     expect(report(100)).toBeCloseTo(440);
   });
+
+  it('should show how evenly the slots of its zone are used, and where requests are sent', () => {
+    const observations = new GateObservations(new ManualClock(), 100);
+    const metrics = new MetricsRegistry();
+    const candidates = ['one', 'two'].map((host) => endpoint(host, 'a'));
+    candidates.push(endpoint('far', 'b'));
+    candidates.forEach((one, index) => observations.of(one).recordLoad(index * SLOTS * 0.5));
+    const selector = new GateSelector(
+      {
+        observations,
+        metrics,
+        randomness: new SeededRandomness(3),
+        isSilent: () => false,
+        gate: { inFlight: 0 },
+      },
+      { host: 'none', zone: 'a' },
+    );
+    selector.choose({
+      candidates,
+      excluded: NO_HOSTS,
+      targetMs: TARGET_MS,
+      routeHash: ROUTE_HASH,
+    });
+    const rendered = metrics.renderText();
+    expect(rendered).toContain('placing_zone_load{service="s"} 0.25');
+    expect(rendered).toContain('placing_zone_load_deviation{service="s"} 0.25');
+    expect(rendered).toContain('placing_choices{service="s",zone="own"} 1');
+  });
 });
