--- a/packages/lentillb/src/placing/gateSelector.ts
+++ b/packages/lentillb/src/placing/gateSelector.ts
@@ -56,7 +56,7 @@
 /** The number of deviations above which the expected excess is that of a known load. */
 const MAX_DEVIATIONS = 30;
 /** The difference from the lowest risk up to which placements are chosen between at random. */
-const RISK_TOLERANCE = 0.004;
+const RISK_TOLERANCE = 0.02;
 
 /** The usable slots of a backend server that states a limit of 0; keeps the estimates finite. */
 const MIN_USABLE_SLOTS = 0.01;
@@ -70,7 +70,7 @@
  * spare, the fastest gates can serve most requests. Where slots are scarce, each gate needs a share in
  * proportion to its speed, and comparing more than two sends all nodes to the same gates.
  */
-const SPARE = { usualShare: 0.4, gates: 5, speedPower: 3 } as const;
+const SPARE = { usualShare: 0.4, gates: 3, speedPower: 4 } as const;
 const SCARCE = { usualShare: 0.7, gates: 2, speedPower: 1 } as const;
 /** The speed, relative to the typical one, from which on a drawn gate is always compared. */
 const FULL_SPEED = 1.5;
@@ -157,6 +157,8 @@
   /** The gates by zone, of each list of candidates that the directory returned. */
   private readonly splitByCandidates = new WeakMap<readonly GateEndpoint[], SplitGates>();
 
+  private readonly gaugedServices = new Set<string>();
+
   constructor(
     private readonly services: {
       readonly randomness: Randomness;
@@ -215,8 +217,8 @@
    */
   countCandidates(candidates: readonly GateEndpoint[]): CandidateCount {
     const { isSilent, observations } = this.services;
-    const { near, own } = this.splitByZone(candidates);
-    const { deviation, mean } = observations.spreadOf([...own, ...near]);
+    const service = candidates[0]?.backendServer.service ?? '';
+    const { deviation, mean } = observations.spreadOf(service, this.location.zone);
     return {
       hosts: candidates.length,
       silentHosts: candidates.filter(({ host }) => isSilent(host)).length,
@@ -255,9 +257,29 @@
       far: candidates.filter(({ zone }) => zone !== this.location.zone),
     };
     this.splitByCandidates.set(candidates, split);
+    this.registerGauges(candidates);
     return split;
   }
 
+  /** Shows how evenly the slots of a service in this zone are used. */
+  private registerGauges([one]: readonly GateEndpoint[]): void {
+    const { metrics, observations } = this.services;
+    if (one === undefined || this.gaugedServices.has(one.backendServer.service)) {
+      return;
+    }
+    const { service } = one.backendServer;
+    const { zone } = this.location;
+    this.gaugedServices.add(service);
+    metrics.gauge(
+      `placing_zone_load{service="${service}"}`,
+      () => observations.spreadOf(service, zone).mean,
+    );
+    metrics.gauge(
+      `placing_zone_load_deviation{service="${service}"}`,
+      () => observations.spreadOf(service, zone).deviation,
+    );
+  }
+
   /** Returns how many gates of the own zone are compared, and how much speed counts in drawing them. */
   private nearDraw([one]: readonly GateEndpoint[]): { gates: number; speedPower: number } {
     const { observations, randomness } = this.services;
--- a/tests/placing/gateSelector.spec.ts
+++ b/tests/placing/gateSelector.spec.ts
@@ -329,4 +329,46 @@
     gate.inFlight = SLOTS * 2;
     expect(selector.choose(request)?.endpoint.host).toBe('other');
   });
+
+  it('should follow a reported service time slowly, but at once where a backend server became slow', () => {
+    const { near, observations } = fixture();
+    const observation = observations.of(near);
+    const report = (meanMs: number): number | undefined => {
+      const serviceTimes = [{ routeHash: ROUTE_HASH, meanMs }];
+      observations.recordSharedLoad('near', { load: 0, failureShare: 0, serviceTimes });
+      return observation.reportedServiceMs(ROUTE_HASH);
+    };
+    expect(report(100)).toBe(100);
+    expect(report(140)).toBeCloseTo(106);
+    expect(report(500)).toBe(500);
+    expect(report(100)).toBeCloseTo(440);
+  });
+
+  it('should show how evenly the slots of its zone are used, and where requests are sent', () => {
+    const observations = new GateObservations(new ManualClock(), 100);
+    const metrics = new MetricsRegistry();
+    const candidates = ['one', 'two'].map((host) => endpoint(host, 'a'));
+    candidates.push(endpoint('far', 'b'));
+    candidates.forEach((one, index) => observations.of(one).recordLoad(index * SLOTS * 0.5));
+    const selector = new GateSelector(
+      {
+        observations,
+        metrics,
+        randomness: new SeededRandomness(3),
+        isSilent: () => false,
+        gate: { inFlight: 0 },
+      },
+      { host: 'none', zone: 'a' },
+    );
+    selector.choose({
+      candidates,
+      excluded: NO_HOSTS,
+      targetMs: TARGET_MS,
+      routeHash: ROUTE_HASH,
+    });
+    const rendered = metrics.renderText();
+    expect(rendered).toContain('placing_zone_load{service="s"} 0.25');
+    expect(rendered).toContain('placing_zone_load_deviation{service="s"} 0.25');
+    expect(rendered).toContain('placing_choices{service="s",zone="own"} 1');
+  });
 });
