--- a/packages/lentillb/src/placing/gateSelector.ts
+++ b/packages/lentillb/src/placing/gateSelector.ts
@@ -48,6 +48,11 @@
 const LOAD_RISK = 0.1;
 /** The risk added by a wait as long as the target latency, which others behind the request share. */
 const WAIT_RISK = 2;
+/**
+ * The highest risk added by a wait. Where all zones have more requests than slots, waits differ by
+ * chance, and without a limit most requests are sent to another zone for no gain.
+ */
+const MAX_WAIT_RISK = 0.5;
 /**
  * The standard deviation of the load of a gate without a recent report, as a factor on the square
  * root of its slots. That of independent requests is 1 at full load; balancing halves it.
@@ -350,7 +355,7 @@
       lateRisk(serviceMs, targetMs - waitMs) +
       observation.failureShare() +
       (LOAD_RISK * load) / slots +
-      (WAIT_RISK * waitMs) / targetMs +
+      Math.min(MAX_WAIT_RISK, (WAIT_RISK * waitMs) / targetMs) +
       (endpoint.zone === this.location.zone ? 0 : CROSS_ZONE_RISK);
     return { endpoint, expectedMs, risk };
   }
