--- a/packages/lentillb/src/placing/gateObservation.ts
+++ b/packages/lentillb/src/placing/gateObservation.ts
@@ -11,7 +11,7 @@
 /**
  * The weight of a request that this node sent since the last report. Other nodes know the same
  * reports and act on them at the same time, so each own request stands for several. In runs with 72
- * entries, 4 gave the shortest queues; 10 was no better.
+ * entries, 3 to 10 shortened the queues by 9 to 29 %.
  */
 const OWN_SEND_WEIGHT = 4;
 /**
@@ -21,7 +21,7 @@
 const MAX_SHARED_LOAD_AGE_MS = 2_000;
 /**
  * The weight of a newly reported service time. A gate reports the mean of its last ten or so requests,
- * which varies by a third between equal backend servers, and all nodes would follow it together.
+ * which varies between equal backend servers, and all nodes would follow it together.
  */
 const REPORTED_TIME_WEIGHT = 0.15;
 /** The factor of the earlier service time above which a backend server is taken to have become slow. */
--- a/packages/lentillb/src/placing/gateSelector.ts
+++ b/packages/lentillb/src/placing/gateSelector.ts
@@ -55,7 +55,7 @@
 const MAX_WAIT_RISK = 0.5;
 /**
  * The standard deviation of the load of a gate without a recent report, as a factor on the square
- * root of its slots. That of independent requests is 1 at full load; balancing halves it.
+ * root of its slots. That of independent requests is 1 at full load; runs with 0 to 1 differed little.
  */
 const UNKNOWN_LOAD_DEVIATION = 0.5;
 /** The number of deviations above which the expected excess is that of a known load. */
