--- a/packages/lentillb/src/directory/announcement.ts
+++ b/packages/lentillb/src/directory/announcement.ts
@@ -26,6 +26,9 @@
 /** The greatest number of interrupted runs in an announcement; several times what a node announces. */
 const MAX_INTERRUPTED_RUNS = 64;
 
+/** The longest name of a version, in characters. */
+export const MAX_VERSION_LENGTH = MAX_NAME_LENGTH;
+
 /** The schema of a name. */
 export const boundedName = z.string().check(z.minLength(1), z.maxLength(MAX_NAME_LENGTH));
 /** The schema of the identity of a backend server, which is sent to it in a header. */
@@ -50,6 +53,20 @@
   service: boundedName,
   slots: slotCount,
   state: z.enum(BackendServerState),
+  /** The version of the service that it runs; absent if it states none. */
+  version: z.optional(z.string().check(z.minLength(1), z.maxLength(MAX_VERSION_LENGTH))),
+  /**
+   * Since when the version has served, where that is earlier than the start of this run or was decided
+   * by a rollout; absent otherwise.
+   */
+  introduction: z.optional(
+    z.object({
+      /** The offset of the rollout order that completed with the version; absent if none did. */
+      order: z.optional(ordinal),
+      /** The earliest known start of a backend server with the version, in Unix milliseconds. */
+      sinceMs: unixTimeMs,
+    }),
+  ),
 });
 
 /** A backend server of the host that ended while it ran a request that is blocked since. */
--- a/packages/lentillb/src/serving/localBackendServer.ts
+++ b/packages/lentillb/src/serving/localBackendServer.ts
@@ -18,6 +18,8 @@
   readonly sequence: number;
   /** The start of this run, in Unix milliseconds. */
   readonly startedAtMs: number;
+  /** The version of the service that it runs; undefined if it states none. */
+  readonly version?: string;
 }
 
 /** The possible effects of a heartbeat or a departure. */
@@ -126,8 +128,8 @@
       return undefined;
     }
     const { heartbeat, state } = this.run;
-    const { id, service, slots, startedAtMs } = heartbeat;
-    return { id, service, slots, startedAtMs, state };
+    const { id, service, slots, startedAtMs, version } = heartbeat;
+    return { id, service, slots, startedAtMs, state, ...(version && { version }) };
   }
 
   /**
@@ -152,7 +154,8 @@
       !isSameRun(heartbeat, current.heartbeat) ||
       current.state !== state ||
       current.heartbeat.slots !== heartbeat.slots ||
-      current.heartbeat.service !== heartbeat.service;
+      current.heartbeat.service !== heartbeat.service ||
+      current.heartbeat.version !== heartbeat.version;
     if (changed) {
       this.onChange();
     }
@@ -231,7 +234,7 @@
   }
 
   private assumeReady(announced: AnnouncedBackendServer, address: string): void {
-    const { id, service, slots, startedAtMs } = announced;
+    const { id, service, slots, startedAtMs, version } = announced;
     if (this.hasDeparted(id, startedAtMs)) {
       return;
     }
@@ -244,6 +247,7 @@
       warmupLeftMs: 0,
       sequence: ASSUMED_SEQUENCE,
       startedAtMs,
+      version,
     };
     this.run = { heartbeat: assumed, state: BackendServerState.Ready, warmUpEndsAtMs: -Infinity };
     this.onChange();
--- a/packages/lentillb/src/sidecar/index.ts
+++ b/packages/lentillb/src/sidecar/index.ts
@@ -11,7 +11,13 @@
   MeshRoute,
 } from '../configuration/meshConfiguration.js';
 export { findConfigurationFault, MAX_TIMER_MS } from '../configuration/configurationFault.js';
-export { boundedName, instanceName, networkAddress, slotCount } from '../directory/announcement.js';
+export {
+  boundedName,
+  instanceName,
+  MAX_VERSION_LENGTH,
+  networkAddress,
+  slotCount,
+} from '../directory/announcement.js';
 export { SystemClock } from '../kernel/clock.js';
 export type { Clock } from '../kernel/clock.js';
 export { Deadline } from '../kernel/deadline.js';
--- a/tests/platform/decoding.spec.ts
+++ b/tests/platform/decoding.spec.ts
@@ -210,9 +210,16 @@
       warmupLeftMs: 1_500,
       sequence: 4,
       startedAtMs: 1_700_000_000_000,
+      version: 'v1',
     });
   });
 
+  it('should be decoded without a version if that is empty', () => {
+    expect(decodeHeartbeat('i-1', { ...HEARTBEAT, version: '' }, NOW).unwrap()).not.toHaveProperty(
+      'version',
+    );
+  });
+
   it.each([
     ['a missing field', { ...HEARTBEAT, service: undefined }],
     ['a field of another type', { ...HEARTBEAT, capacity: '10' }],
--- a/tests/serving/localBackendServer.spec.ts
+++ b/tests/serving/localBackendServer.spec.ts
@@ -58,6 +58,15 @@
     expect(changes()).toBe(1);
   });
 
+  it('should announce the version of its run, also when only the version changes', () => {
+    const { server } = fixture();
+    server.accept(FIRST);
+    expect(server.announced).not.toHaveProperty('version');
+    const effect = server.accept({ ...FIRST, sequence: 2, version: 'v2' });
+    expect(effect).toBe(HeartbeatEffect.Changed);
+    expect(server.announced?.version).toBe('v2');
+  });
+
   it('should not become ready by a heartbeat after the run stated its departure in an answer', () => {
     const { changes, server } = fixture();
     server.accept(FIRST);
