--- a/packages/lentillb/src/sidecar/index.ts
+++ b/packages/lentillb/src/sidecar/index.ts
@@ -35,6 +35,7 @@
   KeyedBatch,
   KeyedRecord,
   KeyedStore,
+  StatusStore,
   StoreEra,
   StoreFailure,
   WrittenRecord,
--- a/packages/lentillb/src/store/keyedStore.ts
+++ b/packages/lentillb/src/store/keyedStore.ts
@@ -48,6 +48,8 @@
   Unknown: 'unknown',
   /** The store does not have the requested records, or no longer retains them. */
   NotRetained: 'not-retained',
+  /** The condition of a write did not hold, so that the store did not execute it. */
+  Moved: 'moved',
   /** The answer is from before the store continued from an older copy, so it is no longer true. */
   EarlierEra: 'earlier-era',
 } as const;
@@ -113,3 +115,30 @@
     deadline: Deadline,
   ): Promise<Result<WrittenRecord, StoreFailure>>;
 }
+
+/** The topic with the records by which nodes report to the operator. */
+export interface StatusStore {
+  /**
+   * Reads the newest record of every key.
+   *
+   * @param deadline - the deadline of the call
+   * @returns the records and the end of the topic, or why they could not be read
+   */
+  readStatus(deadline: Deadline): Promise<Result<KeyedBatch, StoreFailure>>;
+
+  /**
+   * Writes the record of a key, on condition that no other record has been written since the topic was read.
+   *
+   * @param key - the key, at most 255 bytes
+   * @param value - the content of the record
+   * @param at - the end of the topic when it was read
+   * @param deadline - the deadline of the call
+   * @returns the offset of the record and the era, or why they are not known; `Moved` if the end has moved
+   */
+  writeStatus(
+    key: string,
+    value: Uint8Array,
+    at: number,
+    deadline: Deadline,
+  ): Promise<Result<WrittenRecord, StoreFailure>>;
+}
--- a/packages/standins/src/keyedLogServer.ts
+++ b/packages/standins/src/keyedLogServer.ts
@@ -24,6 +24,7 @@
   Ok: 200,
   BadRequest: 400,
   NotFound: 404,
+  Conflict: 409,
   Gone: 410,
   Unavailable: 503,
 } as const;
@@ -244,7 +245,14 @@
           sendJson(response, HttpStatus.BadRequest, { why: 'size' });
           return;
         }
-        const offset = this.append(searchParams.get('topic') ?? '', records);
+        const topic = searchParams.get('topic') ?? '';
+        const at = searchParams.get('at');
+        const end = this.getOrCreateTopic(topic).records.length;
+        if (at !== null && Number(at) !== end) {
+          sendJson(response, HttpStatus.Conflict, { end });
+          return;
+        }
+        const offset = this.append(topic, records);
         if (fault === undefined) {
           sendJson(response, HttpStatus.Ok, { offset, end: offset + 1 });
         }
--- a/tests/platform/logStore.spec.ts
+++ b/tests/platform/logStore.spec.ts
@@ -38,6 +38,15 @@
     ).toEqual(['a two']);
   });
 
+  it('should write a status record only if the topic has not changed since it was read', async () => {
+    const { nextOffset } = (await store.readStatus(deadlineAfter())).unwrap();
+    const write = (text: string) =>
+      store.writeStatus('rollout/a', Buffer.from(text), nextOffset, deadlineAfter());
+    expect((await write('one')).isOk()).toBe(true);
+    expect((await write('two')).unwrapErr().kind).toBe(StoreFailureKind.Moved);
+    expect(server.newestValue('keyed.status', 'rollout/a')).toBe('one');
+  });
+
   it('should follow records as they are written', async () => {
     const following = store.follow(Topic.Operator, 0, 900, deadlineAfter());
     await clock.sleep(20);
