--- a/packages/lentillb/src/peers/storeReaderRole.ts
+++ b/packages/lentillb/src/peers/storeReaderRole.ts
@@ -67,8 +67,12 @@
 /**
  * Orders nodes by link bandwidth, then by a hash of the host, so that all nodes compute the same order;
  * hosts that are about to be removed come last.
+ *
+ * @param left - the announcement of a host
+ * @param right - that of another host
+ * @returns a negative number if the first comes before the second
  */
-function compareReaderPriority(left: Announcement, right: Announcement): number {
+export function compareReaderPriority(left: Announcement, right: Announcement): number {
   return (
     Number(isLeaving(left)) - Number(isLeaving(right)) ||
     (right.linkMegabits ?? 0) - (left.linkMegabits ?? 0) ||
--- /dev/null
+++ b/packages/lentillb/src/rollouts/stagePlan.ts
@@ -0,0 +1,94 @@
+/** Plans the stages of a rollout by its time and by the verdict on the target version. */
+import { RolloutStage } from './rollout.js';
+import { Verdict } from './verdict.js';
+
+/** What the plan depends on. */
+export interface RolloutSituation {
+  readonly stage: RolloutStage;
+  readonly verdict: Verdict;
+  /** The time since the order, in milliseconds. */
+  readonly elapsedMs: number;
+  readonly durationMs: number;
+  /** Whether the target version serves already, so that there is nothing to replace. */
+  readonly isInForce: boolean;
+  /** The slots of the target version as a share of those of the base version. */
+  readonly slotShare: number;
+  /** Whether more than half of the gates of the service report to this node. */
+  readonly isConnected: boolean;
+  /** Whether no request is at work at a gate of the base version that can be heard. */
+  readonly isDrained: boolean;
+}
+
+// The shares of the duration of an order at which its stages may begin, or must have ended.
+const WIDE_CANARY_SHARE = 0.25;
+/** Versions that turn bad late do so within the canary, so it takes the larger part of the time. */
+const SHIFT_SHARE = 0.6;
+/** From here on a few answers suffice, and fewer backend servers. */
+const LATE_SHIFT_SHARE = 0.75;
+const LAST_SHIFT_SHARE = 0.85;
+/** From here on requests at the base version are not awaited, so that the outcome is written in time. */
+const COMPLETE_SHARE = 0.92;
+/** The slots of the target version that a shift needs, as a share of those of the base version. */
+const MIN_SLOT_SHARE = 0.7;
+
+function mayShift({ durationMs, elapsedMs, slotShare, verdict }: RolloutSituation): boolean {
+  const timeShare = elapsedMs / durationMs;
+  const isKnown = verdict === Verdict.Good && slotShare >= MIN_SLOT_SHARE;
+  const isLateEnough = verdict === Verdict.Plausible || verdict === Verdict.Good;
+  return (isKnown && timeShare >= SHIFT_SHARE) || (isLateEnough && timeShare >= LATE_SHIFT_SHARE);
+}
+
+function planBeforeShift(situation: RolloutSituation): RolloutStage {
+  const { durationMs, elapsedMs, slotShare, stage, verdict } = situation;
+  const timeShare = elapsedMs / durationMs;
+  // Without evidence the rollout is not completed, and no time is left to complete it.
+  if (timeShare >= LAST_SHIFT_SHARE) {
+    return RolloutStage.Halted;
+  }
+  if (slotShare === 0) {
+    return stage;
+  }
+  if (stage === RolloutStage.None) {
+    return RolloutStage.Canary;
+  }
+  if (mayShift(situation)) {
+    return RolloutStage.Shift;
+  }
+  const mayWiden = verdict === Verdict.Good && timeShare >= WIDE_CANARY_SHARE;
+  return mayWiden ? RolloutStage.WideCanary : stage;
+}
+
+/**
+ * Plans the next stage. `Completed` and `Reverted` take effect only once the store holds them.
+ *
+ * @param situation - the state of the rollout
+ * @returns the stage to enter, or the current one
+ */
+export function planStage(situation: RolloutSituation): RolloutStage {
+  const { durationMs, elapsedMs, isConnected, isDrained, isInForce } = situation;
+  const { slotShare, stage, verdict } = situation;
+  if (stage >= RolloutStage.Completed) {
+    return stage;
+  }
+  if (stage === RolloutStage.Halted) {
+    return RolloutStage.Reverted;
+  }
+  if (isInForce) {
+    return RolloutStage.Completed;
+  }
+  if (verdict === Verdict.Bad) {
+    return RolloutStage.Halted;
+  }
+  // A controller that is cut off with a few gates leaves the rollout to those that hear the others.
+  if (!isConnected && slotShare > 0) {
+    return stage;
+  }
+  if (stage < RolloutStage.Shift) {
+    return planBeforeShift(situation);
+  }
+  if (slotShare === 0) {
+    return RolloutStage.Halted;
+  }
+  const isOverdue = elapsedMs >= durationMs * COMPLETE_SHARE;
+  return isDrained || isOverdue ? RolloutStage.Completed : stage;
+}
--- /dev/null
+++ b/packages/lentillb/src/rollouts/verdict.ts
@@ -0,0 +1,113 @@
+/** Judges the target version of a rollout by the answers of both versions. */
+import type { RouteEvidence } from './evidence.js';
+import type { EvidenceLedger, VersionEvidence } from './evidenceLedger.js';
+
+/** The judgements of a target version. */
+export const Verdict = {
+  /** It fails or is slow, more than chance explains. */
+  Bad: 'bad',
+  /** Nothing speaks against it, but too little is known. */
+  Unclear: 'unclear',
+  /** Nothing speaks against it after a few answers. */
+  Plausible: 'plausible',
+  /** Nothing speaks against it after enough answers on every route. */
+  Good: 'good',
+} as const;
+export type Verdict = (typeof Verdict)[keyof typeof Verdict];
+
+/** The fewest bad answers by which a version is bad. */
+const MIN_BAD_ANSWERS = 8;
+/** The fewest bad answers by which a version is bad if one of its gates has stopped. */
+const MIN_BAD_ANSWERS_OF_STOP = 5;
+/** The share of bad answers beyond that of the base version by which a version is bad. */
+const MAX_BAD_DIFFERENCE = 0.1;
+/** The fewest answers on a route by which a version is slow. */
+const MIN_TIMED_ANSWERS = 20;
+/** The ratio of the mean times by which a version is slow, after very many answers. */
+const MAX_TIME_RATIO = 2.5;
+/**
+ * Added to the ratio, divided by the square root of the number of answers. Service times have a standard
+ * deviation of 1.3 of their mean, and a good version may run on servers of half the typical speed, so its
+ * ratio after 20 answers is 2 with a standard deviation of 0.6; the limit is 4.1 then.
+ */
+const TIME_RATIO_CHANCE = 7;
+/** The fewest answers of a good version, over all routes and on each route. */
+const MIN_ANSWERS = 20;
+const MIN_ROUTE_ANSWERS = 3;
+/** The share of a route in the answers of the base version from which on the route is required. */
+const MIN_ROUTE_SHARE = 0.05;
+/** The fewest answers after which a version is plausible. */
+const MIN_PLAUSIBLE_ANSWERS = 3;
+
+type AnswerCount = Pick<RouteEvidence, 'answers' | 'bad'>;
+
+const NO_ANSWERS: AnswerCount = { answers: 0, bad: 0 };
+
+function badShare({ answers, bad }: AnswerCount): number {
+  return answers === 0 ? 0 : bad / answers;
+}
+
+function worseOf<Count extends AnswerCount>(left: Count, right: Count): Count {
+  return badShare(right) > badShare(left) ? right : left;
+}
+
+function failsMore(target: AnswerCount, base: AnswerCount, hasStopped: boolean): boolean {
+  const limit = badShare(base) + MAX_BAD_DIFFERENCE;
+  const chance = 1 / Math.sqrt(Math.max(1, target.answers));
+  return (
+    (target.bad >= MIN_BAD_ANSWERS && badShare(target) > limit + chance) ||
+    (hasStopped && target.bad >= MIN_BAD_ANSWERS_OF_STOP && badShare(target) > limit)
+  );
+}
+
+function isSlow({ answers, totalMs }: RouteEvidence, typicalMs: number | undefined): boolean {
+  const limit = MAX_TIME_RATIO + TIME_RATIO_CHANCE / Math.sqrt(answers);
+  return (
+    typicalMs !== undefined && answers >= MIN_TIMED_ANSWERS && totalMs / answers > typicalMs * limit
+  );
+}
+
+/** The versions that a rollout compares. */
+export interface ComparedVersions {
+  readonly baseVersion: string;
+  readonly targetVersion: string;
+}
+
+/**
+ * Judges the target version, by all answers so far and by the recent ones.
+ *
+ * @param ledger - the evidence
+ * @param versions - the versions to compare
+ * @returns the verdict
+ */
+export function judge(
+  ledger: EvidenceLedger,
+  { baseVersion, targetVersion }: ComparedVersions,
+): Verdict {
+  const base = ledger.of(baseVersion);
+  const target = ledger.of(targetVersion);
+  const hasStopped = ledger.hasStoppedGate(targetVersion);
+  const isBadBy = (evidence: VersionEvidence, compared: VersionEvidence): boolean =>
+    failsMore(evidence, compared, hasStopped) ||
+    [...evidence.routes.values()].some((route) => {
+      const { routeHash } = route;
+      const ofRoute = worseOf(
+        base.routes.get(routeHash) ?? NO_ANSWERS,
+        compared.routes.get(routeHash) ?? NO_ANSWERS,
+      );
+      const typicalMs = ledger.typicalMsOf(baseVersion, routeHash);
+      return failsMore(route, ofRoute, hasStopped) || isSlow(route, typicalMs);
+    });
+  // What makes requests fail everywhere for a while must not count against the target version alone.
+  const compared = worseOf(base, ledger.recentOf(baseVersion));
+  if (isBadBy(target, base) || isBadBy(ledger.recentOf(targetVersion), compared)) {
+    return Verdict.Bad;
+  }
+  const isCovered = [...base.routes.values()]
+    .filter(({ answers }) => answers >= base.answers * MIN_ROUTE_SHARE)
+    .every(({ routeHash }) => (target.routes.get(routeHash)?.answers ?? 0) >= MIN_ROUTE_ANSWERS);
+  if (target.answers >= MIN_ANSWERS && isCovered) {
+    return Verdict.Good;
+  }
+  return target.answers >= MIN_PLAUSIBLE_ANSWERS ? Verdict.Plausible : Verdict.Unclear;
+}
--- /dev/null
+++ b/packages/lentillb/src/rollouts/versionHistory.ts
@@ -0,0 +1,126 @@
+/**
+ * Knows which version of each service served first. Announcements state it, so that a node that starts
+ * late, or reads only the store, comes to the same result as one that has seen every start: a backend
+ * server that is restarted announces since when its version has served, and the backend servers of a
+ * version that a rollout introduced announce the offset of its order.
+ */
+import type { AnnouncedBackendServer, Announcement } from '../directory/announcement.js';
+import type { Directory } from '../directory/directory.js';
+
+/** How a version came to serve. */
+export interface Introduction {
+  /** The offset of the rollout order that completed with the version; undefined if none did. */
+  readonly order?: number;
+  /** The earliest known start of a backend server with the version, in Unix milliseconds. */
+  readonly sinceMs: number;
+}
+
+/** The order of a version that no rollout introduced; lower than any offset. */
+const NO_ORDER = -1;
+
+/** Versions of later orders come first, then those that served earlier. */
+function comparePrecedence(
+  [leftVersion, left]: readonly [string, Introduction],
+  [rightVersion, right]: readonly [string, Introduction],
+): number {
+  return (
+    (right.order ?? NO_ORDER) - (left.order ?? NO_ORDER) ||
+    left.sinceMs - right.sinceMs ||
+    (leftVersion < rightVersion ? -1 : 1)
+  );
+}
+
+/** The versions of a service, and the one that serves unless a rollout says otherwise. */
+interface ServiceVersions {
+  readonly introductions: Map<string, Introduction>;
+  incumbent: string;
+}
+
+/** The versions of all services. */
+export class VersionHistory {
+  private readonly services = new Map<string, ServiceVersions>();
+
+  /** @param directory - the announced hosts */
+  constructor(private readonly directory: Directory) {
+    directory.announcements.forEach((announcement) => this.learnAnnouncement(announcement));
+    directory.subscribe((announcement) => this.learnAnnouncement(announcement));
+  }
+
+  /** The services with announced backend servers of more than one version. */
+  get mixedServices(): readonly string[] {
+    return [...this.services].flatMap(([service, { introductions }]) =>
+      introductions.size > 1 ? [service] : [],
+    );
+  }
+
+  /**
+   * @param service - the name of a service
+   * @returns whether backend servers of more than one version have been announced
+   */
+  isMixed(service: string): boolean {
+    return (this.services.get(service)?.introductions.size ?? 0) > 1;
+  }
+
+  /**
+   * @param service - the name of a service
+   * @returns the version that the last completed rollout introduced, or that served first; empty if no
+   *   backend server states one
+   */
+  incumbentOf(service: string): string {
+    return this.services.get(service)?.incumbent ?? '';
+  }
+
+  /**
+   * Records how a version came to serve. The result does not depend on the order of the calls.
+   *
+   * @param service - the name of the service
+   * @param version - the version
+   * @param introduction - how the version came to serve
+   */
+  learn(service: string, version: string, { order, sinceMs }: Introduction): void {
+    const known = this.services.get(service) ?? { introductions: new Map(), incumbent: version };
+    const before = known.introductions.get(version);
+    const latest = Math.max(order ?? NO_ORDER, before?.order ?? NO_ORDER);
+    known.introductions.set(version, {
+      ...(latest === NO_ORDER ? {} : { order: latest }),
+      sinceMs: Math.min(sinceMs, before?.sinceMs ?? Infinity),
+    });
+    const [first] = [...known.introductions].sort(comparePrecedence);
+    known.incumbent = first?.[0] ?? version;
+    this.services.set(service, known);
+  }
+
+  /**
+   * Adds to an announcement since when the version of the backend server has served.
+   *
+   * @param host - the host of the backend server
+   * @param announced - the backend server as it is announced otherwise
+   * @returns the backend server with the introduction of its version, where that says more than its start
+   */
+  describe(host: string, announced: AnnouncedBackendServer): AnnouncedBackendServer {
+    const { service, startedAtMs, version } = announced;
+    const known = this.services.get(service)?.introductions.get(version ?? '');
+    if (version === undefined || known === undefined) {
+      return announced;
+    }
+    const before = this.directory.announcementOf(host)?.backendServer;
+    const isSameRun =
+      before?.id === announced.id &&
+      before.startedAtMs === startedAtMs &&
+      before.version === version &&
+      before.service === service;
+    // Every write to the store is charged, so what is announced changes only by a new run or a rollout.
+    const isAnnounced = isSameRun && before.introduction?.order === known.order;
+    const isEarlier = known.order !== undefined || known.sinceMs < startedAtMs;
+    const introduction = isAnnounced ? before.introduction : isEarlier && known;
+    return introduction ? { ...announced, introduction } : announced;
+  }
+
+  private learnAnnouncement({ backendServer }: Announcement): void {
+    if (backendServer?.version !== undefined) {
+      const { introduction, service, startedAtMs, version } = backendServer;
+      const sinceMs = Math.min(startedAtMs, introduction?.sinceMs ?? Infinity);
+      this.learn(service, version, { order: introduction?.order, sinceMs });
+    }
+  }
+}
--- /dev/null
+++ b/tests/rollouts/stagePlan.spec.ts
@@ -0,0 +1,46 @@
+import { RolloutStage } from 'lentillb/rollouts/rollout.js';
+import type { RolloutSituation } from 'lentillb/rollouts/stagePlan.js';
+import { planStage } from 'lentillb/rollouts/stagePlan.js';
+import { Verdict } from 'lentillb/rollouts/verdict.js';
+import { describe, expect, it } from 'vitest';
+
+const SITUATION: RolloutSituation = {
+  stage: RolloutStage.WideCanary,
+  verdict: Verdict.Good,
+  elapsedMs: 10_000,
+  durationMs: 16_000,
+  isInForce: false,
+  slotShare: 1,
+  isConnected: true,
+  isDrained: false,
+};
+const SHIFTING: RolloutSituation = { ...SITUATION, stage: RolloutStage.Shift };
+
+describe('plan of the stages', () => {
+  it.each([
+    ['shift once the version is good', SITUATION, RolloutStage.Shift],
+    ['stay while cut off', { ...SITUATION, isConnected: false }, RolloutStage.WideCanary],
+    ['stay without enough servers', { ...SITUATION, slotShare: 0.5 }, RolloutStage.WideCanary],
+    [
+      'halt for a bad version, also while cut off',
+      { ...SITUATION, isConnected: false, verdict: Verdict.Bad },
+      RolloutStage.Halted,
+    ],
+    ['await requests at old servers', SHIFTING, RolloutStage.Shift],
+    ['complete when none is left', { ...SHIFTING, isDrained: true }, RolloutStage.Completed],
+    [
+      'not complete while cut off',
+      { ...SHIFTING, isDrained: true, isConnected: false },
+      RolloutStage.Shift,
+    ],
+    [
+      'complete in time though some are left',
+      { ...SHIFTING, elapsedMs: 15_000 },
+      RolloutStage.Completed,
+    ],
+    ['return when all new servers are lost', { ...SHIFTING, slotShare: 0 }, RolloutStage.Halted],
+    ['revert once halted', { ...SITUATION, stage: RolloutStage.Halted }, RolloutStage.Reverted],
+  ])('should %s', (_, situation, expected) => {
+    expect(planStage(situation)).toBe(expected);
+  });
+});
