--- a/packages/lentillb/src/peers/gossipSocket.ts
+++ b/packages/lentillb/src/peers/gossipSocket.ts
@@ -17,6 +17,8 @@
   readonly onMessage: (from: string, message: GossipMessage) => void;
   /** Called with reports about suspect requests and the address and port of their sender. */
   readonly onSuspectReports: (from: string, reports: readonly SuspectReport[]) => void;
+  /** Called with all other datagrams and the address and port of their sender. */
+  readonly onOther?: (from: string, bytes: Buffer) => void;
 }
 
 /** Sends gossip messages to other nodes without guaranteed delivery. */
@@ -94,10 +96,18 @@
     const reports = decodeSuspectReports(bytes);
     if (reports !== undefined) {
       this.listener.onSuspectReports(from, reports);
+      return;
     }
+    this.listener.onOther?.(from, bytes);
   }
 
-  private sendDatagram(address: string, bytes: Buffer): void {
+  /**
+   * Sends a datagram of another kind.
+   *
+   * @param address - the address and port of the receiving node
+   * @param bytes - the datagram, which begins with the magic byte of its kind
+   */
+  sendDatagram(address: string, bytes: Buffer): void {
     const { host, port } = parseAddress(address);
     // Without a callback, the socket reports no failure of the send itself.
     this.socket?.send(bytes, port, host, (error) => {
--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -69,6 +69,11 @@
   readonly suspectGuard: SuspectGuard;
   readonly log: DecisionLog;
   readonly metrics: MetricsRegistry;
+  /** Returns the gates with a version that may get a request, by default all. */
+  readonly filterVersions?: (
+    attempts: Attempts,
+    all: readonly GateEndpoint[],
+  ) => readonly GateEndpoint[];
 }
 
 export interface EntryOptions {
@@ -248,11 +253,12 @@
   }
 
   /** Returns the gates that may get a request: those of its service, in a trial only one of them. */
-  private candidatesFor({ request, trialHostHash }: Attempts): readonly GateEndpoint[] {
-    const candidates = this.services.directory.endpointsOf(request.service);
-    return trialHostHash === undefined
+  private candidatesFor(attempts: Attempts): readonly GateEndpoint[] {
+    const all = this.services.directory.endpointsOf(attempts.request.service);
+    const candidates = this.services.filterVersions?.(attempts, all) ?? all;
+    return attempts.trialHostHash === undefined
       ? candidates
-      : candidates.filter(({ host }) => hash32(host) === trialHostHash);
+      : candidates.filter(({ host }) => hash32(host) === attempts.trialHostHash);
   }
 
   /**
--- a/packages/lentillb/src/serving/gateForwarder.ts
+++ b/packages/lentillb/src/serving/gateForwarder.ts
@@ -104,7 +104,7 @@
   constructor(
     private readonly services: {
       readonly clock: Clock;
-      readonly gate: Gate;
+      readonly gate: Pick<Gate, 'serve'>;
       readonly sender: Pick<RequestSender, 'send'>;
       readonly links: SilenceWatch;
       readonly deliveries: Pick<DeliveryMonitor, 'watch'>;
--- a/packages/lentillb/src/sidecar/index.ts
+++ b/packages/lentillb/src/sidecar/index.ts
@@ -30,6 +30,8 @@
 export { ConnectionPool } from '../serving/connectionPool.js';
 export type { HeaderNames } from '../serving/headerNames.js';
 export type { Heartbeat } from '../serving/localBackendServer.js';
+export type { RolloutOrder } from '../rollouts/rollout.js';
+export type { RolloutTerms } from '../rollouts/rollouts.js';
 export type { RetryTerms } from '../serving/retryAllowance.js';
 export type {
   KeyedBatch,
@@ -52,4 +54,4 @@
 export { describeAddressFailure } from './addressOpener.js';
 export type { AddressFailure } from './addressOpener.js';
 export { Sidecar } from './sidecar.js';
-export type { SidecarOptions, SidecarServices } from './sidecar.js';
+export type { SidecarOptions, SidecarServices } from './sidecarOptions.js';
--- a/packages/lentillb/src/sidecar/meshState.ts
+++ b/packages/lentillb/src/sidecar/meshState.ts
@@ -68,6 +68,8 @@
    * @param announcement - a record of this host that this run of the node did not write
    */
   readonly onOwnRecord: (announcement: Announcement) => void;
+  /** Called with all records of each read of the operator's topic. */
+  readonly onOperatorRecords?: (records: readonly KeyedRecord[]) => void;
 }
 
 /** Keeps the configuration and the host directory up to date. */
@@ -289,6 +291,7 @@
    */
   private acceptConfigurations(records: readonly KeyedRecord[], progress: TransferProgress): void {
     const { configurationKey } = this.options;
+    this.listener.onOperatorRecords?.(records);
     const written = records.filter(
       ({ key, value }) => key === configurationKey && value !== undefined,
     );
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -6,7 +6,6 @@
 import type { AddressListener } from '../utils/addressListener.js';
 import { hash32 } from '../utils/hash.js';
 import { runInBackground } from '../utils/background.js';
-import type { MeshConfiguration } from '../configuration/meshConfiguration.js';
 import { SmoothWeightedRoundRobin } from '../configuration/smoothWeightedRoundRobin.js';
 import type { Announcement } from '../directory/announcement.js';
 import type { GateLoad } from '../directory/gateLoad.js';
@@ -16,14 +15,7 @@
 import { GossipSocket } from '../peers/gossipSocket.js';
 import { SuspectReportRelay } from '../peers/suspectReportRelay.js';
 import { fetchState } from '../peers/stateClient.js';
-import type { Clock } from '../kernel/clock.js';
-import type { Randomness } from '../kernel/randomness.js';
-import type { CollectGarbage } from '../memory/bufferCollector.js';
-import { BufferCollector } from '../memory/bufferCollector.js';
-import { MemoryBudget } from '../memory/memoryBudget.js';
-import { RefusalLog } from '../memory/refusalLog.js';
 import { DecisionLog, Importance } from '../observability/decisionLog.js';
-import type { LineLogger } from '../observability/decisionLog.js';
 import { EventLoopMonitor } from '../observability/eventLoopMonitor.js';
 import { MetricsRegistry } from '../observability/metricsRegistry.js';
 import { BackendServerClient } from '../serving/backendServerClient.js';
@@ -36,7 +28,6 @@
 import { GateProcesses } from '../serving/gateProcesses.js';
 import { GateObservations } from '../serving/gateObservations.js';
 import { memoryRefusalReply } from '../serving/gateProtocol.js';
-import type { HeaderNames } from '../serving/headerNames.js';
 import { ListenProbe } from '../serving/listenProbe.js';
 import { HeartbeatEffect, LocalBackendServer } from '../serving/localBackendServer.js';
 import type { Heartbeat } from '../serving/localBackendServer.js';
@@ -44,15 +35,14 @@
 import { GateSelector } from '../serving/gateSelector.js';
 import { RequestSender } from '../serving/requestSender.js';
 import { RetryAllowance } from '../serving/retryAllowance.js';
-import type { RetryTerms } from '../serving/retryAllowance.js';
 import { SendRecorder } from '../serving/sendRecorder.js';
 import { SlotQueue } from '../serving/slotQueue.js';
 import { StatedLimit } from '../serving/statedLimit.js';
 import { StatementListener } from '../serving/statementListener.js';
 import { SuspectGuard } from '../serving/suspectGuard.js';
 import { SuspectRequests } from '../serving/suspectRequests.js';
+import { Rollouts } from '../rollouts/rollouts.js';
 import { EraCheckedStore } from '../store/eraCheckedStore.js';
-import type { KeyedStore } from '../store/keyedStore.js';
 import { StoreEraTracker } from '../store/storeEraTracker.js';
 import { AddressOpener } from './addressOpener.js';
 import type { AddressFailure } from './addressOpener.js';
@@ -60,8 +50,10 @@
 import { StoreAnnouncer } from './storeAnnouncer.js';
 import type { HostIdentity, HostState } from './storeAnnouncer.js';
 import { MeshState } from './meshState.js';
+import { createMemoryBudget } from './nodeMemory.js';
 import { registerGauges } from './nodeGauges.js';
 import { PlannedStop } from './plannedStop.js';
+import type { SidecarOptions, SidecarServices } from './sidecarOptions.js';
 
 /** The time for which a starting node waits for its own earlier record, in milliseconds. */
 const OWN_RECORD_TIMEOUT_MS = 1_500;
@@ -76,37 +68,6 @@
  * in milliseconds. An earlier process of the host may hold them until that timeout.
  */
 const ADDRESS_RESERVE_MS = 10_000;
-/** The settings of a node. */
-export interface SidecarOptions {
-  readonly identity: HostIdentity;
-  /** The address and port to which callers of this host send their requests. */
-  readonly callerAddress: string;
-  /** The address and port of the backend server on this host. */
-  readonly backendServerAddress: string;
-  /** The service of the backend server on this host. */
-  readonly service: string;
-  readonly headerNames: HeaderNames;
-  readonly retryTerms: RetryTerms;
-  /** Timeout of a planned stop, in milliseconds. */
-  readonly stopTimeoutMs: number;
-  /** The memory limit of the host, in bytes; by default that of the smallest known host. */
-  readonly memoryLimitBytes?: number;
-  /** The key of the configuration among the operator's records. */
-  readonly configurationKey: string;
-  /** Decodes the operator's configuration. */
-  readonly decodeConfiguration: (bytes: Uint8Array) => Result<MeshConfiguration, string>;
-}
-
-/** The services that a node depends on. */
-export interface SidecarServices {
-  readonly clock: Clock;
-  readonly randomness: Randomness;
-  readonly store: KeyedStore;
-  readonly logger: LineLogger;
-  /** Runs the garbage collector, where the process may. */
-  readonly collectGarbage?: CollectGarbage;
-}
-
 /** A node that serves the callers and the backend server of its host. */
 export class Sidecar {
   /** The metrics of this process. */
@@ -161,6 +122,8 @@
 
   private readonly peerListener: StateServer;
 
+  private readonly rollouts: Rollouts;
+
   /** The planned stop of this node, once it has begun. */
   private plannedStop: PlannedStop | undefined;
 
@@ -183,12 +146,11 @@
     const { log } = this;
     this.addresses = new AddressOpener({ clock, log }, options.stopTimeoutMs + ADDRESS_RESERVE_MS);
     this.eventLoopMonitor = new EventLoopMonitor(clock, log, metrics);
-    const refusals = new RefusalLog({ clock, log, metrics });
     const { collectGarbage } = services;
-    const memory = new MemoryBudget(clock, options.memoryLimitBytes, {
-      onRefused: (refusal) => refusals.record(refusal),
-      collector: collectGarbage === undefined ? undefined : new BufferCollector(collectGarbage),
-    });
+    const memory = createMemoryBudget(
+      { clock, log, metrics, collectGarbage },
+      options.memoryLimitBytes,
+    );
     const era = new StoreEraTracker();
     const store = new EraCheckedStore(services.store, era);
     this.meshState = new MeshState(
@@ -199,6 +161,7 @@
         onHostsLoaded: () => this.startAnnouncing(),
         onStoreRead: () => this.gossip.broadcast(),
         onOwnRecord: (announcement) => this.restoreOwnRecord(announcement),
+        onOperatorRecords: (records) => this.rollouts.acceptRecords(records),
       },
     );
     const { configuration, directory, role, status } = this.meshState;
@@ -243,7 +206,26 @@
     });
     // The start of this run of the node tells it from others on the same host.
     const processId = hash32(`${identity.host} ${clock.now().getTime()} ${clock.monotonicMs()}`);
-    this.gateServer = new GateServer({ clock, gate: this.gate }, { names: headerNames, processId });
+    this.rollouts = new Rollouts(
+      {
+        clock,
+        randomness,
+        log,
+        metrics,
+        directory,
+        statusStore: services.statusStore,
+        backendServer,
+        send: (peerAddress, bytes) => this.gossipSocket.sendDatagram(peerAddress, bytes),
+        isSilent: (host) => this.failureDetector.isSilent(host),
+        isLeaving: (endpoint) => observations.of(endpoint).leaving,
+        onIntroduced: () => this.announcer.update(),
+        reject: (source, reason) => this.reject(source, reason),
+      },
+      identity,
+      options.rolloutTerms,
+    );
+    const gate = this.rollouts.guard(this.gate);
+    this.gateServer = new GateServer({ clock, gate }, { names: headerNames, processId });
     const processes = new GateProcesses(clock);
     this.inquirer = new DeliveryInquirer({ clock, memory, processes, log, metrics });
     const { inquirer } = this;
@@ -263,6 +245,7 @@
           reports.forEach((report) => suspectGuard.receive(report, source));
         }
       },
+      onOther: (from, bytes) => this.isStarted && this.rollouts.receive(from, bytes),
     });
     this.suspectRelay = new SuspectReportRelay(
       { clock, randomness, directory, transport: this.gossipSocket },
@@ -308,7 +291,7 @@
     this.gateForwarder = new GateForwarder(
       {
         clock,
-        gate: this.gate,
+        gate,
         sender,
         links: failureDetector,
         deliveries,
@@ -337,6 +320,7 @@
         suspectGuard,
         log,
         metrics,
+        filterVersions: this.rollouts.filter,
       },
       { names: headerNames, callerService: service },
     );
@@ -440,6 +424,7 @@
     this.eventLoopMonitor.start();
     runInBackground(this.gossip.run());
     this.meshState.start();
+    this.rollouts.start();
     clock.after(OWN_RECORD_TIMEOUT_MS, () => this.startAnnouncing());
     this.log.record(Importance.Notable, 'started', { host, zone, service: this.options.service });
     return opened;
@@ -525,6 +510,7 @@
     await this.plannedStop.run();
     this.gossip.stop();
     this.suspectRelay.stop();
+    this.rollouts.stop();
     this.meshState.stop();
   }
 
@@ -534,6 +520,7 @@
     this.eventLoopMonitor.stop();
     this.gossip.stop();
     this.suspectRelay.stop();
+    this.rollouts.stop();
     this.meshState.stop();
     this.callers.close();
     this.gateListener.close();
@@ -562,7 +549,10 @@
     const { announced } = this.backendServer;
     return announced === undefined
       ? undefined
-      : { backendServer: announced, interruptedRuns: this.suspectGuard.announced };
+      : {
+          backendServer: this.rollouts.describe(announced),
+          interruptedRuns: this.suspectGuard.announced,
+        };
   }
 
   private onBackendServerChange(): void {
--- a/tests/platform/decoding.spec.ts
+++ b/tests/platform/decoding.spec.ts
@@ -1,4 +1,9 @@
-import { decodeConfiguration, decodeHeartbeat, decodeSettings } from '@lentillb/platform';
+import {
+  decodeConfiguration,
+  decodeHeartbeat,
+  decodeRolloutOrder,
+  decodeSettings,
+} from '@lentillb/platform';
 import { describe, expect, it } from 'vitest';
 
 const ROUTE = {
@@ -241,6 +246,26 @@
   });
 });
 
+describe('rollout order', () => {
+  const ORDER = { service: 'postbag', 'target-version': 'v2', duration: '12s' };
+
+  it('should be decoded', () => {
+    expect(decodeRolloutOrder(encode(ORDER)).unwrap()).toEqual({
+      service: 'postbag',
+      targetVersion: 'v2',
+      durationMs: 12_000,
+    });
+  });
+
+  it.each([
+    ['no version', encode({ ...ORDER, 'target-version': '' })],
+    ['a duration without unit', encode({ ...ORDER, duration: 12 })],
+    ['no JSON', Buffer.from('{')],
+  ])('should be rejected for %s', (_, bytes) => {
+    expect(decodeRolloutOrder(bytes).isErr()).toBe(true);
+  });
+});
+
 describe('settings of the platform', () => {
   it('should be decoded ignoring unknown fields', () => {
     const settings = decodeSettings(SETTINGS).unwrap();
