--- a/packages/lentillb/src/rollouts/rolloutController.ts
+++ b/packages/lentillb/src/rollouts/rolloutController.ts
@@ -29,8 +29,10 @@
 export interface RolloutServers {
   /** The slots of the target version as a share of those of the base version. */
   readonly slotShare: number;
-  /** The hosts with the base version that respond. */
+  /** The hosts with the base version. */
   readonly baseHosts: readonly string[];
+  /** Those of them that respond. */
+  readonly baseHostsInReach: readonly string[];
   /** The number of announced backend servers of both versions, also of those that do not respond. */
   readonly announced: number;
 }
@@ -115,7 +117,7 @@
         return;
       }
     }
-    const { announced, baseHosts, slotShare } = servers();
+    const { announced, baseHosts, baseHostsInReach, slotShare } = servers();
     const reporting = this.ledger.countReporting(MAX_REPORT_AGE_MS);
     const next = planStage({
       stage,
@@ -126,6 +128,7 @@
       slotShare,
       isConnected: reporting * 2 > announced,
       isDrained: this.isDrained(baseVersion, baseHosts),
+      isDrainedInReach: this.isDrained(baseVersion, baseHostsInReach),
     });
     if (next === RolloutStage.Completed || next === RolloutStage.Reverted) {
       this.write(() => this.status.conclude(outcomes[next]));
@@ -134,7 +137,7 @@
     }
   }
 
-  /** Whether every gate of the base version that responds knows of the shift and runs no request. */
+  /** Whether every gate of some hosts with the base version knows of the shift and runs no request. */
   private isDrained(baseVersion: string, hosts: readonly string[]): boolean {
     const gates = new Map(
       this.ledger.gatesOf(baseVersion).map(({ host, report }) => [host, report]),
--- a/packages/lentillb/src/rollouts/rollouts.ts
+++ b/packages/lentillb/src/rollouts/rollouts.ts
@@ -31,8 +31,10 @@
 import type { RoutedRequest } from './versionRules.js';
 import { VersionRules } from './versionRules.js';
 
-/** The interval of decisions and reports, in milliseconds. */
-const TICK_MS = 500;
+/** The interval of decisions, and of reports during a shift, in milliseconds. */
+const TICK_MS = 250;
+/** The number of ticks between reports at other times. */
+const TICKS_PER_REPORT = 2;
 /** The interval of statements while the stage stays the same, in milliseconds. */
 const BEAT_MS = 1_000;
 /** The time for which the controller repeats the last stage, in milliseconds. */
@@ -103,6 +105,8 @@
 
   private questions = 0;
 
+  private ticks = 0;
+
   private stopped = false;
 
   /**
@@ -210,6 +214,9 @@
       const held = this.statements.of(report.service);
       if (held?.statement.offset === report.offset) {
         this.controllerOf(held)?.acceptEvidence(report);
+        if (report.stopped) {
+          this.control(held);
+        }
       }
     } else if (message?.kind === RolloutMessageKind.Question) {
       this.statements.all.forEach((held) => this.sendStatement([from], held));
@@ -232,7 +239,12 @@
   private tick(): void {
     this.askAboutVersions();
     if (this.statements.size > 0) {
-      this.reportEvidence();
+      this.ticks += 1;
+      // All requests are at stake in a shift, so what is bad must be known sooner.
+      const isShifting = this.open.some(({ statement }) => statement.stage === RolloutStage.Shift);
+      if (isShifting || this.ticks % TICKS_PER_REPORT === 0) {
+        this.reportEvidence();
+      }
       this.statements.all.forEach((held) => this.control(held));
     }
   }
@@ -460,11 +472,11 @@
     const endpoints = directory.endpointsOf(service);
     const baseHosts = endpoints
       .filter(({ backendServer }) => (backendServer.version ?? baseVersion) === baseVersion)
-      .map(({ host }) => host)
-      .filter((host) => !isSilent(host));
+      .map(({ host }) => host);
     return {
       slotShare: targetSlots === 0 ? 0 : targetSlots / Math.max(1, slotsOf(baseVersion)),
       baseHosts,
+      baseHostsInReach: baseHosts.filter((host) => !isSilent(host)),
       announced: endpoints.length,
     };
   }
--- a/packages/lentillb/src/rollouts/stagePlan.ts
+++ b/packages/lentillb/src/rollouts/stagePlan.ts
@@ -15,27 +15,36 @@
   readonly slotShare: number;
   /** Whether more than half of the gates of the service report to this node. */
   readonly isConnected: boolean;
-  /** Whether no request is at work at a gate of the base version that can be heard. */
+  /** Whether every gate of the base version knows of the shift and runs no request. */
   readonly isDrained: boolean;
+  /** Whether every gate of the base version does that responds to this node. */
+  readonly isDrainedInReach: boolean;
 }
 
 // The shares of the duration of an order at which its stages may begin, or must have ended.
-const WIDE_CANARY_SHARE = 0.25;
+const WIDE_CANARY_SHARE = 0.15;
 /** Versions that turn bad late do so within the canary, so it takes the larger part of the time. */
 const SHIFT_SHARE = 0.6;
 /** From here on a few answers suffice, and fewer backend servers. */
 const LATE_SHIFT_SHARE = 0.75;
 const LAST_SHIFT_SHARE = 0.85;
+/** From here on gates that do not respond are not awaited; their hosts may have been killed. */
+const COMPLETE_IN_REACH_SHARE = 0.8;
 /** From here on requests at the base version are not awaited, so that the outcome is written in time. */
 const COMPLETE_SHARE = 0.92;
+/** From here on a rollout is reverted though few gates report, so that it ends. */
+const ABANDON_SHARE = 1.2;
 /** The slots of the target version that a shift needs, as a share of those of the base version. */
 const MIN_SLOT_SHARE = 0.7;
 
-function mayShift({ durationMs, elapsedMs, slotShare, verdict }: RolloutSituation): boolean {
-  const timeShare = elapsedMs / durationMs;
-  const isKnown = verdict === Verdict.Good && slotShare >= MIN_SLOT_SHARE;
-  const isLateEnough = verdict === Verdict.Plausible || verdict === Verdict.Good;
-  return (isKnown && timeShare >= SHIFT_SHARE) || (isLateEnough && timeShare >= LATE_SHIFT_SHARE);
+/** The least time of the shift as a share of the duration, by verdict and by the slots there are. */
+function shiftShare({ slotShare, verdict }: RolloutSituation): number {
+  if (verdict === Verdict.Unclear || verdict === Verdict.Bad) {
+    return Infinity;
+  }
+  return verdict === Verdict.Certain && slotShare >= MIN_SLOT_SHARE
+    ? SHIFT_SHARE
+    : LATE_SHIFT_SHARE;
 }
 
 function planBeforeShift(situation: RolloutSituation): RolloutStage {
@@ -51,10 +60,10 @@
   if (stage === RolloutStage.None) {
     return RolloutStage.Canary;
   }
-  if (mayShift(situation)) {
+  if (timeShare >= shiftShare(situation)) {
     return RolloutStage.Shift;
   }
-  const mayWiden = verdict === Verdict.Good && timeShare >= WIDE_CANARY_SHARE;
+  const mayWiden = verdict !== Verdict.Unclear && timeShare >= WIDE_CANARY_SHARE;
   return mayWiden ? RolloutStage.WideCanary : stage;
 }
 
@@ -65,7 +74,7 @@
  * @returns the stage to enter, or the current one
  */
 export function planStage(situation: RolloutSituation): RolloutStage {
-  const { durationMs, elapsedMs, isConnected, isDrained, isInForce } = situation;
+  const { durationMs, elapsedMs, isConnected, isDrained, isDrainedInReach, isInForce } = situation;
   const { slotShare, stage, verdict } = situation;
   if (stage >= RolloutStage.Completed) {
     return stage;
@@ -80,8 +89,9 @@
     return RolloutStage.Halted;
   }
   // A controller that is cut off with a few gates leaves the rollout to those that hear the others.
+  const timeShare = elapsedMs / durationMs;
   if (!isConnected && slotShare > 0) {
-    return stage;
+    return timeShare >= ABANDON_SHARE ? RolloutStage.Halted : stage;
   }
   if (stage < RolloutStage.Shift) {
     return planBeforeShift(situation);
@@ -89,6 +99,9 @@
   if (slotShare === 0) {
     return RolloutStage.Halted;
   }
-  const isOverdue = elapsedMs >= durationMs * COMPLETE_SHARE;
-  return isDrained || isOverdue ? RolloutStage.Completed : stage;
+  const isEnded =
+    isDrained ||
+    (isDrainedInReach && timeShare >= COMPLETE_IN_REACH_SHARE) ||
+    timeShare >= COMPLETE_SHARE;
+  return isEnded ? RolloutStage.Completed : stage;
 }
--- a/packages/lentillb/src/rollouts/verdict.ts
+++ b/packages/lentillb/src/rollouts/verdict.ts
@@ -12,6 +12,8 @@
   Plausible: 'plausible',
   /** Nothing speaks against it after enough answers on every route. */
   Good: 'good',
+  /** Nothing speaks against it after so many answers that more would hardly change the verdict. */
+  Certain: 'certain',
 } as const;
 export type Verdict = (typeof Verdict)[keyof typeof Verdict];
 
@@ -34,6 +36,8 @@
 /** The fewest answers of a good version, over all routes and on each route. */
 const MIN_ANSWERS = 20;
 const MIN_ROUTE_ANSWERS = 3;
+/** The answers after which a version that fails or is slow has most likely been found out. */
+const CERTAIN_ANSWERS = 100;
 /** The share of a route in the answers of the base version from which on the route is required. */
 const MIN_ROUTE_SHARE = 0.05;
 /** The fewest answers after which a version is plausible. */
@@ -67,6 +71,24 @@
   );
 }
 
+/** Compares the times of all routes together, which shows a slow version sooner than each route alone. */
+function sumOfTimes(
+  routes: readonly RouteEvidence[],
+  typicalMsOf: (routeHash: number) => number | undefined,
+): { readonly sum: RouteEvidence; readonly typicalMs: number | undefined } {
+  const sum = { routeHash: 0, answers: 0, bad: 0, totalMs: 0 };
+  let typicalTotalMs = 0;
+  routes.forEach(({ answers, routeHash, totalMs }) => {
+    const typicalMs = typicalMsOf(routeHash);
+    if (typicalMs !== undefined) {
+      sum.answers += answers;
+      sum.totalMs += totalMs;
+      typicalTotalMs += answers * typicalMs;
+    }
+  });
+  return { sum, typicalMs: sum.answers === 0 ? undefined : typicalTotalMs / sum.answers };
+}
+
 /** The versions that a rollout compares. */
 export interface ComparedVersions {
   readonly baseVersion: string;
@@ -87,27 +109,37 @@
   const base = ledger.of(baseVersion);
   const target = ledger.of(targetVersion);
   const hasStopped = ledger.hasStoppedGate(targetVersion);
+  const typicalMsOf = (routeHash: number): number | undefined =>
+    ledger.typicalMsOf(baseVersion, routeHash);
+  const isSlowInSum = (evidence: VersionEvidence): boolean => {
+    const { sum, typicalMs } = sumOfTimes([...evidence.routes.values()], typicalMsOf);
+    return isSlow(sum, typicalMs);
+  };
   const isBadBy = (evidence: VersionEvidence, compared: VersionEvidence): boolean =>
     failsMore(evidence, compared, hasStopped) ||
+    isSlowInSum(evidence) ||
     [...evidence.routes.values()].some((route) => {
       const { routeHash } = route;
       const ofRoute = worseOf(
         base.routes.get(routeHash) ?? NO_ANSWERS,
         compared.routes.get(routeHash) ?? NO_ANSWERS,
       );
-      const typicalMs = ledger.typicalMsOf(baseVersion, routeHash);
-      return failsMore(route, ofRoute, hasStopped) || isSlow(route, typicalMs);
+      return failsMore(route, ofRoute, hasStopped) || isSlow(route, typicalMsOf(routeHash));
     });
   // What makes requests fail everywhere for a while must not count against the target version alone.
   const compared = worseOf(base, ledger.recentOf(baseVersion));
   if (isBadBy(target, base) || isBadBy(ledger.recentOf(targetVersion), compared)) {
     return Verdict.Bad;
   }
+  // Too few bad answers for a verdict do not make a version good.
+  if (badShare(target) > badShare(base) + MAX_BAD_DIFFERENCE) {
+    return Verdict.Unclear;
+  }
   const isCovered = [...base.routes.values()]
     .filter(({ answers }) => answers >= base.answers * MIN_ROUTE_SHARE)
     .every(({ routeHash }) => (target.routes.get(routeHash)?.answers ?? 0) >= MIN_ROUTE_ANSWERS);
   if (target.answers >= MIN_ANSWERS && isCovered) {
-    return Verdict.Good;
+    return target.answers >= CERTAIN_ANSWERS ? Verdict.Certain : Verdict.Good;
   }
   return target.answers >= MIN_PLAUSIBLE_ANSWERS ? Verdict.Plausible : Verdict.Unclear;
 }
--- a/packages/lentillb/src/rollouts/versionGate.ts
+++ b/packages/lentillb/src/rollouts/versionGate.ts
@@ -31,6 +31,8 @@
 /** What a gate knows of its backend server. */
 export interface GuardedServer {
   readonly heartbeat: { readonly service: string; readonly version?: string } | undefined;
+  /** Whether the backend server is still slow because it has just started. */
+  readonly warmingUp: boolean;
 }
 
 /** The services that a version gate depends on. */
@@ -196,7 +198,10 @@
     const isFailure = result.isOk()
       ? result.value.status >= SERVER_ERROR
       : cause !== FailureCause.DeadlinePassed;
-    const { clock, log, metrics, onStopped, statements } = this.services;
+    const { backendServer, clock, log, metrics, onStopped, statements } = this.services;
+    if (backendServer.warmingUp && !isFailure) {
+      return;
+    }
     const { counter, service, version } = observation;
     counter.record({
       routeHash: hash32(route),
--- a/packages/lentillb/src/rollouts/versionRules.ts
+++ b/packages/lentillb/src/rollouts/versionRules.ts
@@ -6,7 +6,7 @@
 import type { Clock } from '../kernel/clock.js';
 import type { Randomness } from '../kernel/randomness.js';
 import { hash32 } from '../utils/hash.js';
-import { isCanary, isFinal, RolloutStage, targetShares } from './rollout.js';
+import { isCanary, isFinal, targetShares } from './rollout.js';
 import type { RolloutStatements } from './rolloutStatements.js';
 import type { VersionHistory } from './versionHistory.js';
 
@@ -20,8 +20,6 @@
  * entries that learn of it some datagrams later are not refused by all gates.
  */
 const SHIFT_GRACE_MS = 400;
-/** The fewest backend servers of a wide canary. */
-const MIN_WIDE_CANARIES = 2;
 
 /** The versions that may get requests. */
 interface VersionRule {
@@ -29,14 +27,13 @@
   readonly target: string | undefined;
   /** The share of requests for the target version, from 0 to 1. */
   readonly share: number;
-  readonly stage: RolloutStage;
   /** When the stage was learnt, in milliseconds of the monotonic clock. */
   readonly sinceMs: number;
 }
 
 /** The endpoints of a service by version, for one rule. */
 interface EndpointsByVersion {
-  readonly rule: string;
+  readonly rule: VersionRule;
   readonly base: readonly GateEndpoint[];
   readonly target: readonly GateEndpoint[];
 }
@@ -123,7 +120,6 @@
             base: history.incumbentOf(service),
             target: undefined,
             share: 0,
-            stage: RolloutStage.None,
             sinceMs: 0,
           }
         : undefined;
@@ -135,21 +131,19 @@
       base: baseVersion,
       target: isReplaced ? targetVersion : undefined,
       share: isLapsed || !isReplaced ? 0 : targetShares[stage],
-      stage,
       sinceMs: held.stageSinceMs,
     };
   }
 
   private split(endpoints: readonly GateEndpoint[], rule: VersionRule): EndpointsByVersion {
-    const key = JSON.stringify([rule.base, rule.target]);
     const known = this.endpointsByVersion.get(endpoints);
-    if (known?.rule === key) {
+    if (known?.rule.base === rule.base && known.rule.target === rule.target) {
       return known;
     }
     const versionOf = ({ backendServer }: GateEndpoint): string =>
       backendServer.version ?? rule.base;
     const split = {
-      rule: key,
+      rule,
       base: endpoints.filter((endpoint) => versionOf(endpoint) === rule.base),
       // The same on all nodes, so that all of them send their share to the same backend servers.
       target: endpoints
@@ -162,9 +156,8 @@
 
   /** The number of backend servers that get the canary share, so that each is as loaded as an old one. */
   // eslint-disable-next-line class-methods-use-this -- belongs to the decision above
-  private canaryCount({ share, stage }: VersionRule, baseCount: number): number {
-    const count = Math.max(1, Math.round(share * baseCount));
-    return stage === RolloutStage.WideCanary ? Math.max(MIN_WIDE_CANARIES, count) : count;
+  private canaryCount({ share }: VersionRule, baseCount: number): number {
+    return Math.max(1, Math.round(share * baseCount));
   }
 
   private isForTarget(routed: RoutedRequest, { share }: VersionRule): boolean {
--- a/tests/rollouts/stagePlan.spec.ts
+++ b/tests/rollouts/stagePlan.spec.ts
@@ -6,19 +6,21 @@
 
 const SITUATION: RolloutSituation = {
   stage: RolloutStage.WideCanary,
-  verdict: Verdict.Good,
+  verdict: Verdict.Certain,
   elapsedMs: 10_000,
   durationMs: 16_000,
   isInForce: false,
   slotShare: 1,
   isConnected: true,
   isDrained: false,
+  isDrainedInReach: false,
 };
 const SHIFTING: RolloutSituation = { ...SITUATION, stage: RolloutStage.Shift };
 
 describe('plan of the stages', () => {
   it.each([
     ['shift once the version is good', SITUATION, RolloutStage.Shift],
+    ['wait for more answers', { ...SITUATION, verdict: Verdict.Good }, RolloutStage.WideCanary],
     ['stay while cut off', { ...SITUATION, isConnected: false }, RolloutStage.WideCanary],
     ['stay without enough servers', { ...SITUATION, slotShare: 0.5 }, RolloutStage.WideCanary],
     [
--- a/tests/support/rolloutFleet.ts
+++ b/tests/support/rolloutFleet.ts
@@ -61,7 +61,7 @@
 
   readonly counts: FleetCounts = { runs: [], refused: 0 };
 
-  private readonly randomness = new SeededRandomness(7);
+  private readonly randomness: SeededRandomness;
 
   private readonly nodes = new Map<string, FleetNode>();
 
@@ -69,8 +69,9 @@
 
   constructor(
     private readonly behave: (request: ServedRequest) => Behaviour,
-    { base = 8, target = 8 } = {},
+    { base = 8, seed = 7, target = 8 } = {},
   ) {
+    this.randomness = new SeededRandomness(seed);
     const versions = [...Array<string>(base).fill('v1'), ...Array<string>(target).fill('v2')];
     const announcements = versions.map((version, index): Announcement => {
       const host = `10.0.0.${index + 1}`;
@@ -92,7 +93,7 @@
         },
       };
     });
-    announcements.forEach((announcement) => this.add(announcement, announcements));
+    announcements.forEach((announcement) => this.add(announcement, announcements, seed));
   }
 
   /** Hosts that control the rollout, by rank. */
@@ -159,7 +160,7 @@
     return left.alive && right.alive && left.group === right.group;
   }
 
-  private add(announcement: Announcement, all: readonly Announcement[]): void {
+  private add(announcement: Announcement, all: readonly Announcement[], seed: number): void {
     const { host, peerAddress } = announcement;
     const directory = new Directory();
     all.forEach((one) => directory.merge(one));
@@ -167,12 +168,12 @@
     const rollouts = new Rollouts(
       {
         clock,
-        randomness: new SeededRandomness(this.nodes.size + 1),
+        randomness: new SeededRandomness(seed * 1_000 + this.nodes.size),
         log: { record: () => undefined } as unknown as DecisionLog,
         metrics: new MetricsRegistry(),
         directory,
         statusStore: this.store,
-        backendServer: { heartbeat: announcement.backendServer },
+        backendServer: { heartbeat: announcement.backendServer, warmingUp: false },
         send: (address, bytes) => {
           const to = address.split(':')[0] ?? '';
           if (this.reaches(host, to)) {
