--- a/packages/lentillb/src/serving/gateSelector.ts
+++ b/packages/lentillb/src/serving/gateSelector.ts
@@ -66,7 +66,9 @@
 
 /** Returns the number of slots that requests at the stated limit keep occupied on average. */
 function usableSlots(slots: number, limitPerSecond: number | undefined, serviceMs: number): number {
-  const occupied = ((limitPerSecond ?? Infinity) * serviceMs) / MS_PER_SECOND;
+  // Infinity times a service time of 0, to which reports round those of fast servers, is not a number.
+  const occupied =
+    limitPerSecond === undefined ? slots : (limitPerSecond * serviceMs) / MS_PER_SECOND;
   return Math.min(slots, Math.max(MIN_USABLE_SLOTS, occupied));
 }
 
--- a/tests/serving/placement.spec.ts
+++ b/tests/serving/placement.spec.ts
@@ -53,6 +53,14 @@
     expect(choose()).toBe('near');
   });
 
+  // Reports round service times to milliseconds, so that those of fast backend servers are 0.
+  it('should choose a gate whose backend servers answer in less than half a millisecond', () => {
+    const { choose, far, near, observations } = fixture();
+    observations.of(near).recordServiceTime(0);
+    observations.of(far).recordServiceTime(0);
+    expect(choose()).toBe('near');
+  });
+
   it('should choose another zone when its own zone would answer late', () => {
     const { choose, near, observations } = fixture();
     observations.of(near).recordServiceTime(150);
