--- a/tests/support/sidecarFleet.ts
+++ b/tests/support/sidecarFleet.ts
@@ -2,7 +2,13 @@
 import { parseAddress } from 'lentillb/utils/networkAddress.js';
 import { request as openRequest } from 'node:http';
 import type { IncomingHttpHeaders } from 'node:http';
-import { CONFIGURATION_KEY, decodeConfiguration, LogStore, wireHeaders } from '@lentillb/platform';
+import {
+  CONFIGURATION_KEY,
+  decodeConfiguration,
+  decodeRolloutOrder,
+  LogStore,
+  wireHeaders,
+} from '@lentillb/platform';
 import { KeyedLogServer, ScriptedBackendServer } from '@lentillb/standins';
 import { SeededRandomness, SystemClock } from 'lentillb';
 import type { Heartbeat } from 'lentillb/serving/localBackendServer.js';
@@ -191,6 +197,7 @@
         logger,
         randomness: new SeededRandomness(this.hosts.length + 1),
         store,
+        statusStore: store,
       },
       {
         ...setup,
@@ -199,6 +206,7 @@
         stopTimeoutMs: 6_000,
         configurationKey: CONFIGURATION_KEY,
         decodeConfiguration,
+        rolloutTerms: { keyPrefix: 'rollout/', decodeOrder: decodeRolloutOrder },
       },
     );
   }
