--- a/packages/lentillb/src/rollouts/versionHistory.ts
+++ b/packages/lentillb/src/rollouts/versionHistory.ts
@@ -70,6 +70,15 @@
     return this.services.get(service)?.incumbent ?? '';
   }
 
+  /**
+   * @param service - the name of a service
+   * @param version - a version
+   * @returns the offset of the rollout order that completed with the version; -1 if none did
+   */
+  orderOf(service: string, version: string): number {
+    return this.services.get(service)?.introductions.get(version)?.order ?? NO_ORDER;
+  }
+
   /**
    * Records how a version came to serve. The result does not depend on the order of the calls.
    *
--- a/packages/lentillb/src/rollouts/versionRules.ts
+++ b/packages/lentillb/src/rollouts/versionRules.ts
@@ -6,6 +6,7 @@
 import type { Clock } from '../kernel/clock.js';
 import type { Randomness } from '../kernel/randomness.js';
 import { hash32 } from '../utils/hash.js';
+import type { RolloutStatement } from './rollout.js';
 import { isCanary, isFinal, targetShares } from './rollout.js';
 import type { RolloutStatements } from './rolloutStatements.js';
 import type { VersionHistory } from './versionHistory.js';
@@ -114,7 +115,7 @@
   private ruleOf(service: string): VersionRule | undefined {
     const { clock, history, statements } = this.services;
     const held = statements.size === 0 ? undefined : statements.of(service);
-    if (held === undefined || isFinal(held.statement.stage)) {
+    if (held === undefined || this.hasEnded(held.statement)) {
       return history.isMixed(service)
         ? {
             base: history.incumbentOf(service),
@@ -135,6 +136,14 @@
     };
   }
 
+  /**
+   * Whether the rollout of a statement has ended. A node that was cut off when it did may learn of the
+   * outcome first from the announcements of the target version.
+   */
+  private hasEnded({ offset, service, stage, targetVersion }: RolloutStatement): boolean {
+    return isFinal(stage) || this.services.history.orderOf(service, targetVersion) >= offset;
+  }
+
   private split(endpoints: readonly GateEndpoint[], rule: VersionRule): EndpointsByVersion {
     const known = this.endpointsByVersion.get(endpoints);
     if (known?.rule.base === rule.base && known.rule.target === rule.target) {
--- a/tests/rollouts/rollouts.spec.ts
+++ b/tests/rollouts/rollouts.spec.ts
@@ -128,6 +128,28 @@
     expect(target).toBeLessThan(bound);
   });
 
+  it('should end the canary where no controller has been heard of for seconds', async () => {
+    const fleet = new RolloutFleet(() => GOOD);
+    fleet.order('v2', DURATION_MS);
+    await fleet.load(400, 2_000);
+    // Some servers of both versions, none of which controls the rollout within the test.
+    const cutOff = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16]
+      .map((index) => `10.0.0.${index}`)
+      .filter((host) => !fleet.controllers.includes(host));
+    cutOff.forEach((host) => fleet.setGroup(host, 1));
+    await fleet.load(400, 4_500);
+    const runsOf = (sinceMs: number) =>
+      fleet.counts.runs.filter(
+        ({ atMs, host, version }) => atMs > sinceMs && version === 'v2' && cutOff.includes(host),
+      ).length;
+    expect(runsOf(2_100)).toBeGreaterThan(0);
+    await fleet.load(400, 9_000);
+    expect(runsOf(6_200)).toBe(0);
+    cutOff.forEach((host) => fleet.setGroup(host, 0));
+    await fleet.load(400, DURATION_MS);
+    expect(fleet.store.written.at(-1)).toBe('completed v2');
+  });
+
   it('should write one outcome when two halves of the fleet have a controller each', async () => {
     const fleet = new RolloutFleet(failing(() => true));
     fleet.order('v2', DURATION_MS);
--- a/tests/sidecar/rollouts.spec.ts
+++ b/tests/sidecar/rollouts.spec.ts
@@ -61,7 +61,7 @@
 describe('nodes with two versions of a service', () => {
   it('should send no request to the later one without a rollout order', async () => {
     await sendUntil(fleet.clock.monotonicMs() + 1_500);
-    expect(counts).not.toHaveProperty('v2');
+    expect(Object.keys(counts)).toEqual(['v1']);
     expect(status()).toBe(null);
   });
 
--- a/tests/support/rolloutFleet.ts
+++ b/tests/support/rolloutFleet.ts
@@ -50,7 +50,12 @@
 
 /** The requests of the service that ran, and those that were refused. */
 export interface FleetCounts {
-  readonly runs: { readonly version: string; readonly atMs: number; readonly bad: boolean }[];
+  readonly runs: {
+    readonly host: string;
+    readonly version: string;
+    readonly atMs: number;
+    readonly bad: boolean;
+  }[];
   refused: number;
 }
 
@@ -207,7 +212,7 @@
     const draw = this.randomness.fraction();
     const { inFlight } = node;
     const { serviceMs, status } = this.behave({ version, host, route, inFlight, atMs, draw });
-    this.counts.runs.push({ version, atMs, bad: status >= 500 });
+    this.counts.runs.push({ host, version, atMs, bad: status >= 500 });
     await this.clock.sleep(serviceMs);
     node.inFlight -= 1;
     return {
