--- a/packages/lentillb/src/rollouts/evidence.ts
+++ b/packages/lentillb/src/rollouts/evidence.ts
@@ -7,8 +7,20 @@
   readonly bad: number;
   /** The time of all answers, in milliseconds. */
   readonly totalMs: number;
+  /** The sum of the logarithms of the times, and that of their squares, from which their spread follows. */
+  readonly logSum: number;
+  readonly logSquares: number;
 }
 
+/** A route without answers. */
+export const NO_ROUTE_EVIDENCE: Omit<RouteEvidence, 'routeHash'> = {
+  answers: 0,
+  bad: 0,
+  totalMs: 0,
+  logSum: 0,
+  logSquares: 0,
+};
+
 /** What a gate has seen of its backend server since it learnt of a rollout order. */
 export interface EvidenceReport {
   readonly service: string;
@@ -45,6 +57,8 @@
 const LAST_ANSWERS = 40;
 /** The number of routes in a report, the busiest ones, so that it fits into one packet. */
 const MAX_ROUTES_PER_REPORT = 16;
+/** The shortest time that is told apart, in milliseconds. */
+const MIN_DURATION_MS = 0.5;
 
 /** The answers of one version at one gate. */
 export class EvidenceCounter {
@@ -81,7 +95,8 @@
 
   /** @param answer - the outcome of a request */
   record({ durationMs, isBad, isFailure, routeHash }: ObservedAnswer): void {
-    const known = this.routes.get(routeHash) ?? { routeHash, answers: 0, bad: 0, totalMs: 0 };
+    const known = this.routes.get(routeHash) ?? NO_ROUTE_EVIDENCE;
+    const logarithm = Math.log(Math.max(MIN_DURATION_MS, durationMs));
     const increment = isBad ? 1 : 0;
     this.answers += 1;
     this.bad += increment;
@@ -92,6 +107,8 @@
       answers: known.answers + 1,
       bad: known.bad + increment,
       totalMs: known.totalMs + durationMs,
+      logSum: known.logSum + logarithm,
+      logSquares: known.logSquares + logarithm * logarithm,
     });
   }
 }
--- a/packages/lentillb/src/rollouts/evidenceLedger.ts
+++ b/packages/lentillb/src/rollouts/evidenceLedger.ts
@@ -1,6 +1,7 @@
 /** Collects the reports of all gates about one rollout order. */
 import type { Clock } from '../kernel/clock.js';
 import type { EvidenceReport, RouteEvidence } from './evidence.js';
+import { NO_ROUTE_EVIDENCE } from './evidence.js';
 
 /** The answers of all gates of one version. */
 export interface VersionEvidence {
@@ -21,6 +22,13 @@
   readonly evidence: VersionEvidence;
 }
 
+/** How much the times of answers differ. */
+export interface TimeSpread {
+  readonly answers: number;
+  /** The variance of the natural logarithms of the times. */
+  readonly variance: number;
+}
+
 /** The state of a gate as it reported it last. */
 export interface ReportedGate extends ReceivedReport {
   readonly host: string;
@@ -31,12 +39,19 @@
 /** The fewest answers of a gate on a route that say something about its mean time. */
 const MIN_ANSWERS_OF_GATE = 5;
 
-function addRoute(sum: RouteEvidence | undefined, route: RouteEvidence, sign = 1): RouteEvidence {
+function addRoute(
+  sum: Omit<RouteEvidence, 'routeHash'> | undefined,
+  route: RouteEvidence,
+  sign = 1,
+): RouteEvidence {
+  const before = sum ?? NO_ROUTE_EVIDENCE;
   return {
     routeHash: route.routeHash,
-    answers: (sum?.answers ?? 0) + sign * route.answers,
-    bad: (sum?.bad ?? 0) + sign * route.bad,
-    totalMs: (sum?.totalMs ?? 0) + sign * route.totalMs,
+    answers: before.answers + sign * route.answers,
+    bad: before.bad + sign * route.bad,
+    totalMs: before.totalMs + sign * route.totalMs,
+    logSum: before.logSum + sign * route.logSum,
+    logSquares: before.logSquares + sign * route.logSquares,
   };
 }
 
@@ -52,7 +67,7 @@
   };
 }
 
-function differenceOf(later: VersionEvidence, earlier: VersionEvidence): VersionEvidence {
+function subtract(later: VersionEvidence, earlier: VersionEvidence): VersionEvidence {
   const routes = new Map(later.routes);
   earlier.routes.forEach((route, hash) => routes.set(hash, addRoute(routes.get(hash), route, -1)));
   return { answers: later.answers - earlier.answers, bad: later.bad - earlier.bad, routes };
@@ -107,7 +122,7 @@
     const recent = snapshots.filter((one) => atMs - one.atMs <= RECENT_MS);
     const kept = [...snapshots.slice(0, -recent.length).slice(-1), ...recent];
     this.snapshots.set(version, kept);
-    return differenceOf(evidence, kept[0]?.evidence ?? evidence);
+    return subtract(evidence, kept[0]?.evidence ?? evidence);
   }
 
   /**
@@ -127,6 +142,27 @@
     return means[Math.floor(means.length / 2)];
   }
 
+  /**
+   * Returns how much the times of the answers of a route differ at the same gate. Unlike the mean, this
+   * does not depend on the speed of the machines.
+   *
+   * @param version - a version
+   * @param routeHash - the hash of the route; by default, all routes are taken together
+   * @returns the variance of the logarithms of the times, and the number of answers it was taken from
+   */
+  spreadOf(version: string, routeHash?: number): TimeSpread {
+    const cells = this.reportsOf(version)
+      .flatMap(({ routes }) => routes)
+      .filter((route) => routeHash === undefined || route.routeHash === routeHash)
+      .filter(({ answers }) => answers > 1);
+    const answers = cells.reduce((total, cell) => total + cell.answers - 1, 0);
+    const squares = cells.reduce(
+      (total, cell) => total + cell.logSquares - (cell.logSum * cell.logSum) / cell.answers,
+      0,
+    );
+    return { answers, variance: answers === 0 ? 0 : squares / answers };
+  }
+
   /**
    * @param maxAgeMs - the age of a recent report, in milliseconds
    * @returns the number of hosts with a recent report
--- a/packages/lentillb/src/rollouts/rollout.ts
+++ b/packages/lentillb/src/rollouts/rollout.ts
@@ -16,7 +16,7 @@
   None: 0,
   /** The target version gets a small share of the requests. */
   Canary: 1,
-  /** The target version gets a larger share, on more backend servers where the service has many. */
+  /** The target version gets a larger share, on other backend servers and, in large services, more. */
   WideCanary: 2,
   /** Only the target version gets requests; requests at the base version end. */
   Shift: 3,
--- a/packages/lentillb/src/rollouts/rolloutMessage.ts
+++ b/packages/lentillb/src/rollouts/rolloutMessage.ts
@@ -23,6 +23,7 @@
   | { readonly kind: 'question' };
 
 const MAX_ROUTES = 32;
+const LOGARITHM_DECIMALS = 2;
 
 const count = z.int().check(z.nonnegative());
 const milliseconds = z.number().check(z.nonnegative());
@@ -39,7 +40,7 @@
   controller: boundedName,
 });
 
-const routeSchema = z.tuple([count, count, count, milliseconds]);
+const routeSchema = z.tuple([count, count, count, milliseconds, z.number(), milliseconds]);
 
 const evidenceSchema = z.object({
   service: boundedName,
@@ -65,11 +66,13 @@
   if (message.kind !== RolloutMessageKind.Evidence) {
     return message;
   }
-  const routes = message.report.routes.map(({ answers, bad, routeHash, totalMs }) => [
-    routeHash,
-    answers,
-    bad,
-    Math.round(totalMs),
+  const routes = message.report.routes.map((route) => [
+    route.routeHash,
+    route.answers,
+    route.bad,
+    Math.round(route.totalMs),
+    Number(route.logSum.toFixed(LOGARITHM_DECIMALS)),
+    Number(route.logSquares.toFixed(LOGARITHM_DECIMALS)),
   ]);
   return { ...message, report: { ...message.report, routes } };
 }
@@ -78,12 +81,16 @@
   if (message.kind !== RolloutMessageKind.Evidence) {
     return message;
   }
-  const routes = message.report.routes.map(([routeHash, answers, bad, totalMs]) => ({
-    routeHash,
-    answers,
-    bad,
-    totalMs,
-  }));
+  const routes = message.report.routes.map(
+    ([routeHash, answers, bad, totalMs, logSum, logSquares]) => ({
+      routeHash,
+      answers,
+      bad,
+      totalMs,
+      logSum,
+      logSquares,
+    }),
+  );
   return { ...message, report: { ...message.report, routes } };
 }
 
--- a/packages/lentillb/src/rollouts/verdict.ts
+++ b/packages/lentillb/src/rollouts/verdict.ts
@@ -1,6 +1,7 @@
 /** Judges the target version of a rollout by the answers of both versions. */
 import type { RouteEvidence } from './evidence.js';
-import type { EvidenceLedger, VersionEvidence } from './evidenceLedger.js';
+import { NO_ROUTE_EVIDENCE } from './evidence.js';
+import type { EvidenceLedger, TimeSpread, VersionEvidence } from './evidenceLedger.js';
 
 /** The judgements of a target version. */
 export const Verdict = {
@@ -33,6 +34,16 @@
  * ratio after 20 answers is 2 with a standard deviation of 0.6; the limit is 4.1 then.
  */
 const TIME_RATIO_CHANCE = 7;
+/**
+ * The difference of the variances of logarithmic times by which a version is slow at times. Half of its
+ * answers taking 8 times as long add 1.08.
+ */
+const MAX_SPREAD_DIFFERENCE = 0.45;
+/**
+ * Added to the difference, divided by the square root of the number of answers: 4 standard deviations of
+ * the variance of log-normal times with a spread of 0.8.
+ */
+const SPREAD_CHANCE = 2.5;
 /** The fewest answers of a good version, over all routes and on each route. */
 const MIN_ANSWERS = 20;
 const MIN_ROUTE_ANSWERS = 3;
@@ -71,12 +82,22 @@
   );
 }
 
+/** Whether some answers take much longer than others of the same gate, more than at the base version. */
+function isSlowAtTimes(target: TimeSpread, base: TimeSpread): boolean {
+  const limit = MAX_SPREAD_DIFFERENCE + SPREAD_CHANCE / Math.sqrt(target.answers);
+  return (
+    target.answers >= MIN_TIMED_ANSWERS &&
+    base.answers >= MIN_TIMED_ANSWERS &&
+    target.variance > base.variance + limit
+  );
+}
+
 /** Compares the times of all routes together, which shows a slow version sooner than each route alone. */
 function sumOfTimes(
   routes: readonly RouteEvidence[],
   typicalMsOf: (routeHash: number) => number | undefined,
 ): { readonly sum: RouteEvidence; readonly typicalMs: number | undefined } {
-  const sum = { routeHash: 0, answers: 0, bad: 0, totalMs: 0 };
+  const sum = { ...NO_ROUTE_EVIDENCE, routeHash: 0 };
   let typicalTotalMs = 0;
   routes.forEach(({ answers, routeHash, totalMs }) => {
     const typicalMs = typicalMsOf(routeHash);
@@ -126,9 +147,15 @@
       );
       return failsMore(route, ofRoute, hasStopped) || isSlow(route, typicalMsOf(routeHash));
     });
+  const hasSpread = [undefined, ...target.routes.keys()].some((routeHash) =>
+    isSlowAtTimes(
+      ledger.spreadOf(targetVersion, routeHash),
+      ledger.spreadOf(baseVersion, routeHash),
+    ),
+  );
   // What makes requests fail everywhere for a while must not count against the target version alone.
   const compared = worseOf(base, ledger.recentOf(baseVersion));
-  if (isBadBy(target, base) || isBadBy(ledger.recentOf(targetVersion), compared)) {
+  if (hasSpread || isBadBy(target, base) || isBadBy(ledger.recentOf(targetVersion), compared)) {
     return Verdict.Bad;
   }
   // Too few bad answers for a verdict do not make a version good.
--- a/packages/lentillb/src/rollouts/versionRules.ts
+++ b/packages/lentillb/src/rollouts/versionRules.ts
@@ -7,7 +7,7 @@
 import type { Randomness } from '../kernel/randomness.js';
 import { hash32 } from '../utils/hash.js';
 import type { RolloutStatement } from './rollout.js';
-import { isCanary, isFinal, targetShares } from './rollout.js';
+import { isCanary, isFinal, RolloutStage, targetShares } from './rollout.js';
 import type { RolloutStatements } from './rolloutStatements.js';
 import type { VersionHistory } from './versionHistory.js';
 
@@ -28,6 +28,7 @@
   readonly target: string | undefined;
   /** The share of requests for the target version, from 0 to 1. */
   readonly share: number;
+  readonly isWide: boolean;
   /** When the stage was learnt, in milliseconds of the monotonic clock. */
   readonly sinceMs: number;
 }
@@ -90,7 +91,9 @@
       return base;
     }
     const usable = target.filter((endpoint) => this.services.isUsable(endpoint));
-    const canaries = usable.slice(0, this.canaryCount(rule, base.length));
+    const count = this.canaryCount(rule, base.length);
+    // The wide canary begins at the other end, because a fast server may hide that a version is slow.
+    const canaries = rule.isWide ? usable.slice(-count) : usable.slice(0, count);
     return canaries.length > 0 ? canaries : base;
   }
 
@@ -121,6 +124,7 @@
             base: history.incumbentOf(service),
             target: undefined,
             share: 0,
+            isWide: false,
             sinceMs: 0,
           }
         : undefined;
@@ -132,6 +136,7 @@
       base: baseVersion,
       target: isReplaced ? targetVersion : undefined,
       share: isLapsed || !isReplaced ? 0 : targetShares[stage],
+      isWide: stage === RolloutStage.WideCanary,
       sinceMs: held.stageSinceMs,
     };
   }
--- a/tests/rollouts/rollouts.spec.ts
+++ b/tests/rollouts/rollouts.spec.ts
@@ -22,6 +22,13 @@
       'is slow',
       ({ version }: ServedRequest) => (version === 'v2' ? { status: 200, serviceMs: 320 } : GOOD),
     ],
+    [
+      'is slow half of the time, on servers that are twice as fast',
+      ({ draw, version }: ServedRequest) => ({
+        status: 200,
+        serviceMs: (version === 'v2' ? 20 : 40) * (version === 'v2' && draw < 0.5 ? 8 : 1),
+      }),
+    ],
     [
       'is slow on one route',
       ({ route, version }: ServedRequest) =>
