--- a/packages/lentillb/src/rollouts/rollout.ts
+++ b/packages/lentillb/src/rollouts/rollout.ts
@@ -18,14 +18,19 @@
   Canary: 1,
   /** The target version gets a larger share, on other backend servers and, in large services, more. */
   WideCanary: 2,
+  /**
+   * The target version gets a quarter for a short time, on so few backend servers that these have the full
+   * load, because a version may be bad under load only.
+   */
+  Ramp: 3,
   /** Only the target version gets requests; requests at the base version end. */
-  Shift: 3,
+  Shift: 4,
   /** The target version was found bad, and only the base version gets requests. */
-  Halted: 4,
+  Halted: 5,
   /** The store holds `completed`: the target version is the version of the service. */
-  Completed: 5,
+  Completed: 6,
   /** The store holds `reverted`: the base version remains the version of the service. */
-  Reverted: 6,
+  Reverted: 7,
 } as const;
 export type RolloutStage = (typeof RolloutStage)[keyof typeof RolloutStage];
 
@@ -40,14 +45,27 @@
   readonly controller: string;
 }
 
+/** The names of the stages in log lines and metrics. */
+export const stageNames: Readonly<Record<RolloutStage, string>> = {
+  [RolloutStage.None]: 'none',
+  [RolloutStage.Canary]: 'canary',
+  [RolloutStage.WideCanary]: 'wide-canary',
+  [RolloutStage.Ramp]: 'ramp',
+  [RolloutStage.Shift]: 'shift',
+  [RolloutStage.Halted]: 'halted',
+  [RolloutStage.Completed]: 'completed',
+  [RolloutStage.Reverted]: 'reverted',
+};
+
 /**
  * The share of requests that the target version gets in each stage. Canary shares stay below the tenth of
- * all requests that a bad version may get.
+ * all requests that a bad version may get; the ramp uses what they have left of it.
  */
 export const targetShares: Readonly<Record<RolloutStage, number>> = {
   [RolloutStage.None]: 0,
   [RolloutStage.Canary]: 0.05,
   [RolloutStage.WideCanary]: 0.08,
+  [RolloutStage.Ramp]: 0.25,
   [RolloutStage.Shift]: 1,
   [RolloutStage.Halted]: 0,
   [RolloutStage.Completed]: 1,
@@ -67,5 +85,5 @@
  * @returns whether both versions may get requests
  */
 export function isCanary(stage: RolloutStage): boolean {
-  return stage === RolloutStage.Canary || stage === RolloutStage.WideCanary;
+  return stage >= RolloutStage.Canary && stage <= RolloutStage.Ramp;
 }
--- a/packages/lentillb/src/rollouts/rolloutController.ts
+++ b/packages/lentillb/src/rollouts/rolloutController.ts
@@ -8,7 +8,7 @@
 import type { EvidenceReport } from './evidence.js';
 import { EvidenceLedger } from './evidenceLedger.js';
 import type { RolloutStatement } from './rollout.js';
-import { RolloutStage } from './rollout.js';
+import { RolloutStage, stageNames } from './rollout.js';
 import type { StatusOutcome } from './rolloutStatus.js';
 import { RolloutState, RolloutStatus, StatusEffect } from './rolloutStatus.js';
 import { planStage } from './stagePlan.js';
@@ -102,8 +102,9 @@
    * Decides on the next stage. Called regularly while this node is the controller.
    *
    * @param elapsedMs - the time since the order, in milliseconds
+   * @param stageMs - the time since the stage began, in milliseconds
    */
-  decide(elapsedMs: number): void {
+  decide(elapsedMs: number, stageMs: number): void {
     const { clock, current, servers } = this.services;
     const nowMs = clock.monotonicMs();
     this.startedAtMs ??= nowMs;
@@ -124,6 +125,7 @@
       verdict: judge(this.ledger, { baseVersion, targetVersion }),
       elapsedMs,
       durationMs,
+      stageMs,
       isInForce: baseVersion === targetVersion,
       slotShare,
       isConnected: reporting * 2 > announced,
@@ -156,7 +158,7 @@
     log.record(Importance.Notable, 'rollout-stage-decided', {
       service,
       offset,
-      stage,
+      stage: stageNames[stage],
       baseVersion,
       targetVersion,
       baseAnswers: base.answers,
--- a/packages/lentillb/src/rollouts/rollouts.ts
+++ b/packages/lentillb/src/rollouts/rollouts.ts
@@ -14,7 +14,7 @@
 import { sample } from '../utils/sample.js';
 import { rankControllers } from './controllerRanking.js';
 import type { RolloutOrder, RolloutStatement } from './rollout.js';
-import { isFinal, RolloutStage } from './rollout.js';
+import { isFinal, RolloutStage, stageNames } from './rollout.js';
 import { RolloutController } from './rolloutController.js';
 import type { RolloutServers } from './rolloutController.js';
 import type { RolloutMessage } from './rolloutMessage.js';
@@ -241,7 +241,7 @@
     if (this.statements.size > 0) {
       this.ticks += 1;
       // All requests are at stake in a shift, so what is bad must be known sooner.
-      const isShifting = this.open.some(({ statement }) => statement.stage === RolloutStage.Shift);
+      const isShifting = this.open.some(({ statement }) => statement.stage >= RolloutStage.Ramp);
       if (isShifting || this.ticks % TICKS_PER_REPORT === 0) {
         this.reportEvidence();
       }
@@ -323,11 +323,11 @@
 
   private applyStage({ statement }: HeldStatement): void {
     const { baseVersion, controller, elapsedMs, offset, service, stage, targetVersion } = statement;
-    this.services.metrics.count('rollout_stages', { service, stage: `${stage}` });
+    this.services.metrics.count('rollout_stages', { service, stage: stageNames[stage] });
     this.services.log.record(Importance.Notable, 'rollout-stage', {
       service,
       offset,
-      stage,
+      stage: stageNames[stage],
       baseVersion,
       targetVersion,
       elapsedMs: Math.round(elapsedMs),
@@ -352,7 +352,7 @@
     if (rank < 0 || ledMs < rank * TAKEOVER_MS || hasEnded || controller === undefined) {
       return;
     }
-    controller.decide(this.statements.elapsedMs(held));
+    controller.decide(this.statements.elapsedMs(held), nowMs - held.stageSinceMs);
     const latest = this.statements.of(service);
     const isDue = nowMs - (this.sentAtMs.get(service) ?? -Infinity) >= BEAT_MS;
     if (latest !== undefined && isDue) {
--- a/packages/lentillb/src/rollouts/stagePlan.ts
+++ b/packages/lentillb/src/rollouts/stagePlan.ts
@@ -9,6 +9,8 @@
   /** The time since the order, in milliseconds. */
   readonly elapsedMs: number;
   readonly durationMs: number;
+  /** The time since the stage began, in milliseconds. */
+  readonly stageMs: number;
   /** Whether the target version serves already, so that there is nothing to replace. */
   readonly isInForce: boolean;
   /** The slots of the target version as a share of those of the base version. */
@@ -24,10 +26,12 @@
 // The shares of the duration of an order at which its stages may begin, or must have ended.
 const WIDE_CANARY_SHARE = 0.15;
 /** Versions that turn bad late do so within the canary, so it takes the larger part of the time. */
-const SHIFT_SHARE = 0.6;
+const RAMP_SHARE = 0.55;
 /** From here on a few answers suffice, and fewer backend servers. */
-const LATE_SHIFT_SHARE = 0.75;
+const LATE_RAMP_SHARE = 0.7;
 const LAST_SHIFT_SHARE = 0.85;
+/** The length of the ramp. */
+const RAMP_LENGTH_SHARE = 0.1;
 /** From here on gates that do not respond are not awaited; their hosts may have been killed. */
 const COMPLETE_IN_REACH_SHARE = 0.8;
 /** From here on requests at the base version are not awaited, so that the outcome is written in time. */
@@ -37,18 +41,16 @@
 /** The slots of the target version that a shift needs, as a share of those of the base version. */
 const MIN_SLOT_SHARE = 0.7;
 
-/** The least time of the shift as a share of the duration, by verdict and by the slots there are. */
-function shiftShare({ slotShare, verdict }: RolloutSituation): number {
+/** The least time of the ramp as a share of the duration, by verdict and by the slots there are. */
+function rampShare({ slotShare, verdict }: RolloutSituation): number {
   if (verdict === Verdict.Unclear || verdict === Verdict.Bad) {
     return Infinity;
   }
-  return verdict === Verdict.Certain && slotShare >= MIN_SLOT_SHARE
-    ? SHIFT_SHARE
-    : LATE_SHIFT_SHARE;
+  return verdict === Verdict.Certain && slotShare >= MIN_SLOT_SHARE ? RAMP_SHARE : LATE_RAMP_SHARE;
 }
 
 function planBeforeShift(situation: RolloutSituation): RolloutStage {
-  const { durationMs, elapsedMs, slotShare, stage, verdict } = situation;
+  const { durationMs, elapsedMs, slotShare, stage, stageMs, verdict } = situation;
   const timeShare = elapsedMs / durationMs;
   // Without evidence the rollout is not completed, and no time is left to complete it.
   if (timeShare >= LAST_SHIFT_SHARE) {
@@ -60,8 +62,12 @@
   if (stage === RolloutStage.None) {
     return RolloutStage.Canary;
   }
-  if (timeShare >= shiftShare(situation)) {
-    return RolloutStage.Shift;
+  if (stage === RolloutStage.Ramp) {
+    const hasPassed = stageMs >= durationMs * RAMP_LENGTH_SHARE && verdict !== Verdict.Unclear;
+    return hasPassed ? RolloutStage.Shift : stage;
+  }
+  if (timeShare >= rampShare(situation)) {
+    return RolloutStage.Ramp;
   }
   const mayWiden = verdict !== Verdict.Unclear && timeShare >= WIDE_CANARY_SHARE;
   return mayWiden ? RolloutStage.WideCanary : stage;
--- a/packages/lentillb/src/rollouts/versionRules.ts
+++ b/packages/lentillb/src/rollouts/versionRules.ts
@@ -136,7 +136,7 @@
       base: baseVersion,
       target: isReplaced ? targetVersion : undefined,
       share: isLapsed || !isReplaced ? 0 : targetShares[stage],
-      isWide: stage === RolloutStage.WideCanary,
+      isWide: stage > RolloutStage.Canary,
       sinceMs: held.stageSinceMs,
     };
   }
--- a/tests/rollouts/stagePlan.spec.ts
+++ b/tests/rollouts/stagePlan.spec.ts
@@ -9,17 +9,21 @@
   verdict: Verdict.Certain,
   elapsedMs: 10_000,
   durationMs: 16_000,
+  stageMs: 2_000,
   isInForce: false,
   slotShare: 1,
   isConnected: true,
   isDrained: false,
   isDrainedInReach: false,
 };
+const RAMPING: RolloutSituation = { ...SITUATION, stage: RolloutStage.Ramp };
 const SHIFTING: RolloutSituation = { ...SITUATION, stage: RolloutStage.Shift };
 
 describe('plan of the stages', () => {
   it.each([
-    ['shift once the version is good', SITUATION, RolloutStage.Shift],
+    ['ramp once the version is good', SITUATION, RolloutStage.Ramp],
+    ['stay in the ramp for a while', { ...RAMPING, stageMs: 1_000 }, RolloutStage.Ramp],
+    ['shift after the ramp', RAMPING, RolloutStage.Shift],
     ['wait for more answers', { ...SITUATION, verdict: Verdict.Good }, RolloutStage.WideCanary],
     ['stay while cut off', { ...SITUATION, isConnected: false }, RolloutStage.WideCanary],
     ['stay without enough servers', { ...SITUATION, slotShare: 0.5 }, RolloutStage.WideCanary],
