--- a/packages/lentillb/src/rollouts/rollouts.ts
+++ b/packages/lentillb/src/rollouts/rollouts.ts
@@ -46,11 +46,13 @@
 /** The number of nodes of the own zone that get a new stage from each node that learns of it. */
 const NEWS_RECEIVERS = 6;
 /** The number of nodes of the own zone to which a node passes on that the controller is at work. */
-const BEAT_RECEIVERS = 4;
+const BEAT_RECEIVERS = 3;
 /** The number of nodes of each other zone that get the statements of the controller. */
 const OTHER_ZONE_RECEIVERS = 3;
-/** The number of nodes, first by rank, that get the reports of gates. */
+/** The number of nodes, first by rank, that get reports of gates beside the controller. */
 const EVIDENCE_RECEIVERS = 4;
+/** Those nodes get one of this many reports, so that a gate stays within 2 KB/s. */
+const REPORTS_PER_COPY = 4;
 /** How often a node asks for statements that sees several versions of a service without a rollout. */
 const MAX_QUESTIONS = 3;
 const QUESTION_RECEIVERS = 2;
@@ -101,12 +103,17 @@
   /** When a controller of a higher rank was last heard of, by service. */
   private readonly ledAtMs = new Map<string, number>();
 
+  /** The nodes that may control the rollout of each service, for one state of the directory. */
+  private ranking = { digest: 0, byService: new Map<string, readonly Announcement[]>() };
+
   private hasReadOrders = false;
 
   private questions = 0;
 
   private ticks = 0;
 
+  private reports = 0;
+
   private stopped = false;
 
   /**
@@ -345,11 +352,14 @@
     const { clock } = this.services;
     const { service, stage } = held.statement;
     const nowMs = clock.monotonicMs();
+    if (isFinal(stage) && nowMs - held.stageSinceMs > FINAL_BEATS_MS) {
+      return;
+    }
     const rank = this.rankOf(service, this.location.host);
     const ledMs = nowMs - (this.ledAtMs.get(service) ?? -Infinity);
-    const hasEnded = isFinal(stage) && nowMs - held.stageSinceMs > FINAL_BEATS_MS;
-    const controller = this.controllerOf(held);
-    if (rank < 0 || ledMs < rank * TAKEOVER_MS || hasEnded || controller === undefined) {
+    const isController = rank >= 0 && ledMs >= rank * TAKEOVER_MS;
+    const controller = isController ? this.controllerOf(held) : undefined;
+    if (controller === undefined) {
       return;
     }
     controller.decide(this.statements.elapsedMs(held), nowMs - held.stageSinceMs);
@@ -375,7 +385,7 @@
     const others = this.othersByZone().flatMap((nodes) =>
       sample(this.services.randomness, nodes, OTHER_ZONE_RECEIVERS),
     );
-    const ranked = rankControllers(this.services.directory.announcements, service);
+    const ranked = this.rankedFor(service);
     this.sendStatement(
       [...ranked, ...others].map(({ peerAddress }) => peerAddress),
       latest,
@@ -406,8 +416,10 @@
       return;
     }
     const { announcements } = this.services.directory;
-    const receivers = rankControllers(announcements, report.service)
-      .slice(0, EVIDENCE_RECEIVERS)
+    this.reports += 1;
+    const isCopied = report.stopped || this.reports % REPORTS_PER_COPY === 0;
+    const receivers = this.rankedFor(report.service)
+      .slice(0, isCopied ? EVIDENCE_RECEIVERS : 0)
       .map(({ host }) => host);
     const hosts = new Set([...receivers, held.statement.controller]);
     if (hosts.has(this.location.host)) {
@@ -482,8 +494,19 @@
   }
 
   private rankOf(service: string, host: string): number {
-    const { announcements } = this.services.directory;
-    return rankControllers(announcements, service).findIndex((one) => one.host === host);
+    return this.rankedFor(service).findIndex((one) => one.host === host);
+  }
+
+  /** Ranks the nodes again only if an announcement has changed, because a fleet may have thousands. */
+  private rankedFor(service: string): readonly Announcement[] {
+    const { announcements, digest } = this.services.directory;
+    if (this.ranking.digest !== digest) {
+      this.ranking = { digest, byService: new Map() };
+    }
+    const { byService } = this.ranking;
+    const ranked = byService.get(service) ?? rankControllers(announcements, service);
+    byService.set(service, ranked);
+    return ranked;
   }
 
   /** Whether another node ranks before this one, so that its statements hold this one back. */
--- a/packages/lentillb/src/rollouts/verdict.ts
+++ b/packages/lentillb/src/rollouts/verdict.ts
@@ -34,6 +34,8 @@
  * ratio after 20 answers is 2 with a standard deviation of 0.6; the limit is 4.1 then.
  */
 const TIME_RATIO_CHANCE = 7;
+/** The same for recent answers, which are compared many times in a rollout. */
+const RECENT_TIME_RATIO_CHANCE = 10;
 /**
  * The difference of the variances of logarithmic times by which a version is slow at times. Half of its
  * answers taking 8 times as long add 1.08.
@@ -41,9 +43,13 @@
 const MAX_SPREAD_DIFFERENCE = 0.45;
 /**
  * Added to the difference, divided by the square root of the number of answers: 4 standard deviations of
- * the variance of log-normal times with a spread of 0.8.
+ * the variance of log-normal times with a spread of 0.8. More for each route, since there are many, and
+ * single answers that take very long weigh more.
  */
 const SPREAD_CHANCE = 2.5;
+const ROUTE_SPREAD_CHANCE = 4;
+/** The fewest answers on a route by which a version is slow at times. */
+const MIN_ROUTE_SPREAD_ANSWERS = 40;
 /** The fewest answers of a good version, over all routes and on each route. */
 const MIN_ANSWERS = 20;
 const MIN_ROUTE_ANSWERS = 3;
@@ -75,19 +81,27 @@
   );
 }
 
-function isSlow({ answers, totalMs }: RouteEvidence, typicalMs: number | undefined): boolean {
-  const limit = MAX_TIME_RATIO + TIME_RATIO_CHANCE / Math.sqrt(answers);
+function isSlow(
+  { answers, totalMs }: RouteEvidence,
+  typicalMs: number | undefined,
+  chance: number,
+): boolean {
+  const limit = MAX_TIME_RATIO + chance / Math.sqrt(answers);
   return (
     typicalMs !== undefined && answers >= MIN_TIMED_ANSWERS && totalMs / answers > typicalMs * limit
   );
 }
 
 /** Whether some answers take much longer than others of the same gate, more than at the base version. */
-function isSlowAtTimes(target: TimeSpread, base: TimeSpread): boolean {
-  const limit = MAX_SPREAD_DIFFERENCE + SPREAD_CHANCE / Math.sqrt(target.answers);
+function isSlowAtTimes(
+  target: TimeSpread,
+  base: TimeSpread,
+  { chance, minAnswers }: { readonly chance: number; readonly minAnswers: number },
+): boolean {
+  const limit = MAX_SPREAD_DIFFERENCE + chance / Math.sqrt(target.answers);
   return (
-    target.answers >= MIN_TIMED_ANSWERS &&
-    base.answers >= MIN_TIMED_ANSWERS &&
+    target.answers >= minAnswers &&
+    base.answers >= minAnswers &&
     target.variance > base.variance + limit
   );
 }
@@ -132,30 +146,37 @@
   const hasStopped = ledger.hasStoppedGate(targetVersion);
   const typicalMsOf = (routeHash: number): number | undefined =>
     ledger.typicalMsOf(baseVersion, routeHash);
-  const isSlowInSum = (evidence: VersionEvidence): boolean => {
+  const isSlowInSum = (evidence: VersionEvidence, chance: number): boolean => {
     const { sum, typicalMs } = sumOfTimes([...evidence.routes.values()], typicalMsOf);
-    return isSlow(sum, typicalMs);
+    return isSlow(sum, typicalMs, chance);
   };
-  const isBadBy = (evidence: VersionEvidence, compared: VersionEvidence): boolean =>
+  const isBadBy = (evidence: VersionEvidence, compared: VersionEvidence, chance: number): boolean =>
     failsMore(evidence, compared, hasStopped) ||
-    isSlowInSum(evidence) ||
+    isSlowInSum(evidence, chance) ||
     [...evidence.routes.values()].some((route) => {
       const { routeHash } = route;
       const ofRoute = worseOf(
         base.routes.get(routeHash) ?? NO_ANSWERS,
         compared.routes.get(routeHash) ?? NO_ANSWERS,
       );
-      return failsMore(route, ofRoute, hasStopped) || isSlow(route, typicalMsOf(routeHash));
+      return failsMore(route, ofRoute, hasStopped) || isSlow(route, typicalMsOf(routeHash), chance);
     });
-  const hasSpread = [undefined, ...target.routes.keys()].some((routeHash) =>
+  const hasSpreadOf = (routeHash: number | undefined): boolean =>
     isSlowAtTimes(
       ledger.spreadOf(targetVersion, routeHash),
       ledger.spreadOf(baseVersion, routeHash),
-    ),
-  );
+      routeHash === undefined
+        ? { chance: SPREAD_CHANCE, minAnswers: MIN_TIMED_ANSWERS }
+        : { chance: ROUTE_SPREAD_CHANCE, minAnswers: MIN_ROUTE_SPREAD_ANSWERS },
+    );
   // What makes requests fail everywhere for a while must not count against the target version alone.
   const compared = worseOf(base, ledger.recentOf(baseVersion));
-  if (hasSpread || isBadBy(target, base) || isBadBy(ledger.recentOf(targetVersion), compared)) {
+  const recent = ledger.recentOf(targetVersion);
+  if (
+    [undefined, ...target.routes.keys()].some(hasSpreadOf) ||
+    isBadBy(target, base, TIME_RATIO_CHANCE) ||
+    isBadBy(recent, compared, RECENT_TIME_RATIO_CHANCE)
+  ) {
     return Verdict.Bad;
   }
   // Too few bad answers for a verdict do not make a version good.
--- a/tests/rollouts/versionHistory.spec.ts
+++ b/tests/rollouts/versionHistory.spec.ts
@@ -49,6 +49,18 @@
     expect(lateIncumbent()).toBe('v2');
   });
 
+  it('should let a version serve once the one before is announced no more', () => {
+    const { announce, history } = fixture();
+    announce('a', { ...SERVER, startedAtMs: 1_000, version: 'v1' });
+    announce('b', { ...SERVER, startedAtMs: 2_000, version: 'v2' });
+    announce('a', { ...SERVER, startedAtMs: 1_000, version: 'v1', state: 'leaving' });
+    expect(history.isMixed('desk')).toBe(true);
+    expect(history.incumbentOf('desk')).toBe('v1');
+    announce('a', { ...SERVER, startedAtMs: 3_000, version: 'v2' });
+    expect(history.isMixed('desk')).toBe(false);
+    expect(history.incumbentOf('desk')).toBe('v2');
+  });
+
   it('should announce no more than before while a run and the rollouts stay the same', () => {
     const { announce } = fixture();
     const server = { ...SERVER, startedAtMs: 5_000, version: 'v1' };
