--- a/packages/lentillb/src/serving/gateServer.ts
+++ b/packages/lentillb/src/serving/gateServer.ts
@@ -34,7 +34,9 @@
   constructor(
     private readonly services: {
       readonly clock: Clock;
-      readonly gate: Pick<Gate, 'judge' | 'report' | 'serve'>;
+      readonly gate: Pick<Gate, 'serve'>;
+      /** Judges requests whose bodies are still with their senders. */
+      readonly admission: Pick<Gate, 'judge' | 'report'>;
       readonly transfers: Pick<LinkQueue, 'complete' | 'reserve'>;
     },
     private readonly options: { readonly names: HeaderNames; readonly processId: number },
@@ -74,12 +76,12 @@
     request: ForwardedRequest,
     { bytes, senderMegabits }: Reservation,
   ): Promise<GateReply> {
-    const { gate, transfers } = this.services;
+    const { admission, transfers } = this.services;
     const key = deliveryKeyOf(request);
-    const expected = gate.judge(request);
+    const expected = admission.judge(request);
     if (expected.isErr()) {
       const failure = { outcome: Outcome.NotRun, cause: expected.error };
-      return { result: Err(failure), report: gate.report() };
+      return { result: Err(failure), report: admission.report() };
     }
     const reserved = await transfers.reserve({
       ...request,
@@ -96,7 +98,7 @@
           cause: FailureCause.NoSlotInTime,
           waitMs,
         })),
-      report: gate.report(),
+      report: admission.report(),
     };
   }
 
--- a/packages/lentillb/src/sidecar/index.ts
+++ b/packages/lentillb/src/sidecar/index.ts
@@ -11,7 +11,13 @@
   MeshRoute,
 } from '../configuration/meshConfiguration.js';
 export { findConfigurationFault, MAX_TIMER_MS } from '../configuration/configurationFault.js';
-export { boundedName, instanceName, networkAddress, slotCount } from '../directory/announcement.js';
+export {
+  boundedName,
+  instanceName,
+  MAX_VERSION_LENGTH,
+  networkAddress,
+  slotCount,
+} from '../directory/announcement.js';
 export type { ConfigurationPlace } from '../configuration/configurationFault.js';
 export type {
   ConfigurationDocument,
@@ -31,11 +37,14 @@
 export { ConnectionPool } from '../serving/connectionPool.js';
 export type { HeaderNames } from '../serving/headerNames.js';
 export type { Heartbeat } from '../serving/localBackendServer.js';
+export type { RolloutOrder } from '../rollouts/rollout.js';
+export type { RolloutTerms } from '../rollouts/rollouts.js';
 export type { RetryTerms } from '../serving/retryAllowance.js';
 export type {
   KeyedBatch,
   KeyedRecord,
   KeyedStore,
+  StatusStore,
   StoreEra,
   StoreFailure,
   WrittenRecord,
@@ -52,4 +61,4 @@
 export { describeAddressFailure } from './addressOpener.js';
 export type { AddressFailure } from './addressOpener.js';
 export { Sidecar } from './sidecar.js';
-export type { SidecarOptions, SidecarServices } from './sidecar.js';
+export type { SidecarOptions, SidecarServices } from './sidecarOptions.js';
--- a/tests/support/deliverySimulation.ts
+++ b/tests/support/deliverySimulation.ts
@@ -23,7 +23,7 @@
 import { FailureCause } from 'lentillb/calls/failureCause.js';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
-import { gateOf, noTransfers } from './noTransfers.js';
+import { noBodies, noTransfers } from './noTransfers.js';
 import { createForwardedRequest, encodeHeaders } from './forwardedRequest.js';
 import { HostClock } from './hostClock.js';
 
@@ -180,11 +180,11 @@
 
   private startProcess(id: number): Process {
     const clock = this.gateClock;
-    const gate = gateOf((request) => this.serveAtGate(request));
+    const gate = { serve: (request: ForwardedRequest) => this.serveAtGate(request) };
     return {
       id,
       server: new GateServer(
-        { clock, gate, transfers: noTransfers },
+        { clock, gate, admission: noBodies, transfers: noTransfers },
         { names: wireHeaders, processId: id },
       ),
     };
--- a/tests/support/noTransfers.ts
+++ b/tests/support/noTransfers.ts
@@ -12,14 +12,8 @@
   reserve: () => Promise.resolve(Err({ waitMs: 0 })),
 };
 
-/**
- * @param serve - serves a request
- * @returns a gate that serves requests and takes no large bodies
- */
-export function gateOf(serve: Gate['serve']): Pick<Gate, 'judge' | 'report' | 'serve'> {
-  return {
-    serve,
-    judge: () => Err(FailureCause.NotServing),
-    report: () => ({ load: 0, serviceMs: 0 }),
-  };
-}
+/** A gate that takes no large bodies. */
+export const noBodies: Pick<Gate, 'judge' | 'report'> = {
+  judge: () => Err(FailureCause.NotServing),
+  report: () => ({ load: 0, serviceMs: 0 }),
+};
