--- a/packages/lentillb/src/rollouts/rollouts.ts
+++ b/packages/lentillb/src/rollouts/rollouts.ts
@@ -119,7 +119,8 @@
   /**
    * @param services - the services that rollouts depend on
    * @param location - the host and the zone of this node
-   * @param terms - how rollout orders are read; undefined if there are none
+   * @param terms - how rollout orders are read; undefined if there are none, and any version may then
+   *   get requests
    */
   constructor(
     private readonly services: RolloutsServices,
@@ -141,7 +142,9 @@
 
   /** Starts to take part in rollouts. */
   start(): void {
-    this.scheduleTick();
+    if (this.terms !== undefined) {
+      this.scheduleTick();
+    }
   }
 
   /** Stops taking part in rollouts. */
@@ -153,13 +156,17 @@
   readonly filter = (
     routed: RoutedRequest,
     endpoints: readonly GateEndpoint[],
-  ): readonly GateEndpoint[] => this.rules.filter(routed, endpoints);
+  ): readonly GateEndpoint[] =>
+    this.terms === undefined ? endpoints : this.rules.filter(routed, endpoints);
 
   /**
    * @param gate - the gate of this host
    * @returns the same gate, which runs only what the version of its backend server may run
    */
-  guard(gate: GuardedGate): VersionGate {
+  guard(gate: GuardedGate): GuardedGate {
+    if (this.terms === undefined) {
+      return gate;
+    }
     const { backendServer, clock, log, metrics } = this.services;
     const { rules, statements } = this;
     const onStopped = (): void => this.reportEvidence();
@@ -175,7 +182,9 @@
    * @returns what to announce of it
    */
   describe(announced: AnnouncedBackendServer): AnnouncedBackendServer {
-    return this.history.describe(this.location.host, announced);
+    return this.terms === undefined
+      ? announced
+      : this.history.describe(this.location.host, announced);
   }
 
   /**
--- a/packages/lentillb/src/sidecar/sidecarOptions.ts
+++ b/packages/lentillb/src/sidecar/sidecarOptions.ts
@@ -31,7 +31,7 @@
   /** Decodes the operator's configuration. */
   readonly decodeConfiguration: (bytes: Uint8Array) => Result<MeshConfiguration, string>;
   /** How rollout orders are read; by default there are none. */
-  readonly rolloutTerms?: RolloutTerms;
+  readonly rolloutTerms?: RolloutTerms | undefined;
 }
 
 /** The services that a node depends on. */
--- a/tests/platform/decoding.spec.ts
+++ b/tests/platform/decoding.spec.ts
@@ -289,6 +289,15 @@
     expect(decodeSettings({ ...SETTINGS, self }).unwrap().memoryLimitBytes).toBe(bytes);
   });
 
+  it.each([
+    [undefined, false],
+    [0.1, true],
+  ])('should have rollouts where the exposure is bounded: %s', (share, hasRollouts) => {
+    const bounds = { ...SETTINGS.terms.bounds, 'exposure-share': share };
+    const decoded = decodeSettings({ ...SETTINGS, terms: { bounds } }).unwrap();
+    expect(decoded.hasRollouts).toBe(hasRollouts);
+  });
+
   it('should name the invalid field in the error', () => {
     const { grace, ...bounds } = SETTINGS.terms.bounds;
     expect(grace).toBe('6s');
--- a/tests/support/rolloutFleet.ts
+++ b/tests/support/rolloutFleet.ts
@@ -12,7 +12,7 @@
 import type { ForwardedRequest, GateReply } from 'lentillb/serving/messages.js';
 import { runInBackground } from 'lentillb/utils/background.js';
 import { Ok } from 'ts-results-es';
-import type { VersionGate } from 'lentillb/rollouts/versionGate.js';
+import type { GuardedGate } from 'lentillb/rollouts/versionGate.js';
 import { MemoryStatusStore } from './memoryStatusStore.js';
 
 export const SERVICE = 'lodge';
@@ -41,7 +41,7 @@
 interface FleetNode {
   readonly announcement: Announcement;
   readonly rollouts: Rollouts;
-  readonly gate: VersionGate;
+  readonly gate: GuardedGate;
   /** Nodes reach those of the same group only. */
   group: number;
   alive: boolean;
