--- /dev/null
+++ b/packages/lentillb/src/allotments/customerTable.ts
@@ -0,0 +1,202 @@
+/**
+ * Divides the rate of one customer among the hosts that ask for it. The sum of the leases that hosts
+ * may hold never exceeds the rate, apart from a bounded excess while some hosts can't be heard.
+ * Times are monotonic and in milliseconds; rates are per second.
+ */
+import type { GrantedCustomer, ReportedCustomer } from './allotmentMessage.js';
+import { Holding } from './holding.js';
+import { QuotaBucket } from './quotaBucket.js';
+import type { Quota } from './quotaTerms.js';
+
+/** The validity of a lease from the time the entry asked. */
+export const LEASE_MS = 10_000;
+/** The time for which a lease counts after the last reply; longer than any host may hold it. */
+export const COUNTED_MS = 11_000;
+/** The time without a report after which a host may be dead or cut off; two reports may be lost. */
+const SILENT_MS = 2_500;
+/** Up to this demand, a host leases less than its demand and asks for single tokens beyond. */
+const LOW_DEMAND = 2;
+/** From this demand on, a host leases more than its demand; Poisson arrivals vary by a third here. */
+const HIGH_DEMAND = 8;
+/** The share of the demand that is leased where tokens saved in many buckets would be missing in others. */
+const LOW_FACTOR = 0.6;
+const HIGH_FACTOR = 1.3;
+/** Lower rates are not leased, because a bucket saves a whole token however low its rate is. */
+const MIN_RATE = 0.05;
+
+function wantedOf(demand: number): number {
+  const position = (demand - LOW_DEMAND) / (HIGH_DEMAND - LOW_DEMAND);
+  const share = Math.min(1, Math.max(0, position));
+  return demand * (LOW_FACTOR + share * (HIGH_FACTOR - LOW_FACTOR));
+}
+
+/** The head of a report, and who sent it. */
+export interface Reporter {
+  readonly host: string;
+  readonly processId: number;
+  readonly sequence: number;
+  readonly applied: number;
+}
+
+/** The leases of one customer. */
+export class CustomerTable {
+  private readonly holdings = new Map<string, Holding>();
+
+  private sumCounted = 0;
+
+  private sumSilent = 0;
+
+  private sumWanted = 0;
+
+  private sumRounding = 0;
+
+  /** What hosts held by their first reports. */
+  private sumKnown = 0;
+
+  /** Saves the tokens of the rate that is not leased. */
+  private readonly pool = new QuotaBucket();
+
+  /**
+   * @param quota - the limits of the customer
+   * @param unknownRate - the rate that hosts may hold in total which have not reported yet
+   */
+  constructor(
+    private quota: Quota,
+    private unknownRate: number,
+  ) {}
+
+  /** The number of hosts that may hold leases. */
+  get size(): number {
+    return this.holdings.size;
+  }
+
+  /**
+   * Applies another version of the limits.
+   *
+   * @param quota - the limits
+   */
+  update(quota: Quota): void {
+    this.quota = quota;
+  }
+
+  /** Records that no host holds a lease that it has not reported. */
+  endRecovery(): void {
+    this.unknownRate = 0;
+  }
+
+  /**
+   * Handles what a host reports.
+   *
+   * @param nowMs - the time
+   * @param reporter - the host and the head of its report
+   * @param report - what it reports of the customer
+   * @returns what the host is granted
+   */
+  grant(nowMs: number, reporter: Reporter, report: ReportedCustomer): GrantedCustomer {
+    const holding = this.acknowledge(nowMs, reporter, report);
+    const rate = this.chooseRate(holding);
+    this.change(holding, () => holding.grant(reporter.sequence, rate));
+    this.resizePool(nowMs);
+    const { customerHash } = this.quota;
+    return { customerHash, rate, tokens: this.pool.take(nowMs, report.waiting) };
+  }
+
+  /**
+   * Records what a host reports without granting it anything.
+   *
+   * @param nowMs - the time
+   * @param reporter - the host and the head of its report
+   * @param report - what it reports of the customer
+   * @returns the lease of the host
+   */
+  acknowledge(nowMs: number, reporter: Reporter, report: ReportedCustomer): Holding {
+    const { applied, host, processId } = reporter;
+    const known = this.holdings.get(host);
+    const holding = known ?? new Holding(processId);
+    if (known === undefined) {
+      this.holdings.set(host, holding);
+      this.sumKnown += report.held;
+    }
+    this.change(holding, () => {
+      holding.report(nowMs, { processId, applied, held: report.held }, wantedOf(report.demand));
+    });
+    return holding;
+  }
+
+  /**
+   * Removes expired leases, and notes which hosts have not reported lately.
+   *
+   * @param nowMs - the time
+   */
+  sweep(nowMs: number): void {
+    this.holdings.forEach((holding, host) => {
+      const silentMs = nowMs - holding.heardAtMs;
+      if (silentMs > SILENT_MS && !holding.isSilent) {
+        this.change(holding, () => holding.markSilent());
+      }
+      if (silentMs > COUNTED_MS) {
+        this.change(holding, () => holding.expire());
+        this.holdings.delete(host);
+      }
+    });
+    this.resizePool(nowMs);
+  }
+
+  /** The rate that hosts may hold which have not reported. */
+  private get unknown(): number {
+    return Math.max(0, this.unknownRate - this.sumKnown);
+  }
+
+  /** The rate that is neither leased nor may be held by hosts that have not reported. */
+  private get free(): number {
+    const { overcommitPerSecond, ratePerSecond } = this.quota;
+    const counted = this.sumCounted + this.unknown;
+    return Math.min(
+      ratePerSecond - (this.sumCounted - this.sumSilent),
+      ratePerSecond + overcommitPerSecond - counted,
+    );
+  }
+
+  /** The rounding that buckets may still add; hosts that have not reported may use all of it. */
+  private get freeRounding(): number {
+    return this.unknown > 0 ? 0 : Math.max(0, this.quota.roundingTokens - this.sumRounding);
+  }
+
+  private roundingOf(rate: number): number {
+    return rate > 0 ? Math.max(0, 1 - rate * this.quota.burstSeconds) : 0;
+  }
+
+  private chooseRate(holding: Holding): number {
+    const { ratePerSecond } = this.quota;
+    const share = holding.wanted * Math.min(1, ratePerSecond / Math.max(this.sumWanted, 1e-9));
+    const rate = Math.fround(Math.max(0, Math.min(share, this.free + holding.counted)));
+    const rounding = this.roundingOf(rate) - this.countedRounding(holding);
+    const exceedsRounding = rounding > 0 && rounding > this.freeRounding;
+    return rate < MIN_RATE || exceedsRounding ? 0 : rate;
+  }
+
+  /** The tokens that the bucket of a host may save beyond its share of the burst. */
+  private countedRounding(holding: Holding): number {
+    return Math.max(...holding.rates.map((rate) => this.roundingOf(rate)));
+  }
+
+  /** Changes the lease of a host, and the sums with it. */
+  private change(holding: Holding, apply: () => void): void {
+    this.count(holding, -1);
+    apply();
+    this.count(holding, 1);
+  }
+
+  private count(holding: Holding, sign: number): void {
+    const { counted, isSilent, wanted } = holding;
+    this.sumCounted += sign * counted;
+    this.sumSilent += isSilent ? sign * counted : 0;
+    this.sumWanted += sign * wanted;
+    this.sumRounding += sign * this.countedRounding(holding);
+  }
+
+  private resizePool(nowMs: number): void {
+    const rate = Math.max(0, this.free);
+    this.pool.resize(nowMs, rate, rate * this.quota.burstSeconds + this.freeRounding);
+  }
+}
