--- a/packages/lentillb/src/allotments/customerTable.ts
+++ b/packages/lentillb/src/allotments/customerTable.ts
@@ -21,6 +21,8 @@
 /** The share of the demand that is leased where tokens saved in many buckets would be missing in others. */
 const LOW_FACTOR = 0.6;
 const HIGH_FACTOR = 1.3;
+/** A lease that is wanted to at least this share is kept as it is. */
+const KEPT_SHARE = 0.7;
 /** Lower rates are not leased, because a bucket saves a whole token however low its rate is. */
 const MIN_RATE = 0.05;
 
@@ -169,7 +171,10 @@
   private chooseRate(holding: Holding): number {
     const { ratePerSecond } = this.quota;
     const share = holding.wanted * Math.min(1, ratePerSecond / Math.max(this.sumWanted, 1e-9));
-    const rate = Math.fround(Math.max(0, Math.min(share, this.free + holding.counted)));
+    // Small changes would cost more than they serve: what a host gives up is free only a report later.
+    const { counted } = holding;
+    const wanted = share < counted && share > KEPT_SHARE * counted ? counted : share;
+    const rate = Math.fround(Math.max(0, Math.min(wanted, this.free + counted)));
     const rounding = this.roundingOf(rate) - this.countedRounding(holding);
     const exceedsRounding = rounding > 0 && rounding > this.freeRounding;
     return rate < MIN_RATE || exceedsRounding ? 0 : rate;
