--- a/packages/lentillb/src/allotments/allotmentMessage.ts
+++ b/packages/lentillb/src/allotments/allotmentMessage.ts
@@ -30,8 +30,10 @@
   readonly customerHash: number;
   /** The measured demand, in requests per second. */
   readonly demand: number;
-  /** The rate of the lease that the host holds, per second. */
-  readonly held: number;
+  /** The rate of the lease, per second, or the reserve while the host may use it. */
+  readonly rate: number;
+  /** The rate that the host may use while it can't reach an allocator, per second. */
+  readonly reserve: number;
   /** The requests that wait for tokens. */
   readonly waiting: number;
 }
@@ -41,6 +43,8 @@
   readonly customerHash: number;
   /** The rate of the lease, per second. */
   readonly rate: number;
+  /** The rate that the host may use while it can't reach an allocator, per second; at least `rate`. */
+  readonly reserve: number;
   /** Tokens for waiting requests, in addition to the lease. */
   readonly tokens: number;
 }
@@ -149,7 +153,8 @@
     customer: [
       ['customerHash', uint32],
       ['demand', decimal],
-      ['held', decimal],
+      ['rate', decimal],
+      ['reserve', decimal],
       ['waiting', uint16],
     ],
   },
@@ -161,6 +166,7 @@
     customer: [
       ['customerHash', uint32],
       ['rate', decimal],
+      ['reserve', decimal],
       ['tokens', uint16],
     ],
   },
--- a/packages/lentillb/src/allotments/allotments.ts
+++ b/packages/lentillb/src/allotments/allotments.ts
@@ -361,7 +361,16 @@
   private createLease(quota: Quota): CustomerLease {
     const { clock, randomness } = this.services;
     const { reporter } = this.groupOf(quota.customerHash);
-    return new CustomerLease({ clock, randomness, ask: () => reporter.ask() }, quota);
+    return new CustomerLease(
+      {
+        clock,
+        randomness,
+        ask: () => reporter.ask(),
+        isCutOff: () => reporter.isCutOff,
+        isUnanswered: () => reporter.isUnanswered,
+      },
+      quota,
+    );
   }
 
   private memberHosts(): readonly string[] {
--- a/packages/lentillb/src/allotments/customerLease.ts
+++ b/packages/lentillb/src/allotments/customerLease.ts
@@ -8,6 +8,7 @@
 import type { Clock } from '../kernel/clock.js';
 import type { Randomness } from '../kernel/randomness.js';
 import type { GrantedCustomer, ReportedCustomer } from './allotmentMessage.js';
+import type { LeaseRates } from './holding.js';
 import { QuotaBucket } from './quotaBucket.js';
 import type { Quota } from './quotaTerms.js';
 
@@ -20,6 +21,8 @@
 const MAX_WAITING = 500;
 /** The time constant of the measured demand. */
 const DEMAND_TIME_MS = 1_500;
+/** A lease that shrinks to less than this share is reported at once. */
+const REDUCED_SHARE = 0.6;
 /** The demand below which a customer counts as idle, per second. */
 const MIN_DEMAND = 0.05;
 /** The shortest time until a retry; a round trip and a new connection take about this long. */
@@ -62,6 +65,10 @@
   readonly randomness: Randomness;
   /** Reports to the allocator soon, because requests wait. */
   readonly ask: () => void;
+  /** Whether the allocator knows by now that this host may be cut off, so that it may use its reserves. */
+  readonly isCutOff: () => boolean;
+  /** Whether reports have gone unanswered for so long that this host may soon use its reserves. */
+  readonly isUnanswered: () => boolean;
 }
 
 /** The lease of one customer and its token bucket. */
@@ -70,6 +77,8 @@
 
   private expiresAtMs = -Infinity;
 
+  private rates: LeaseRates = { rate: 0, reserve: 0 };
+
   private limitedUntilMs = -Infinity;
 
   private demandLevel = 0;
@@ -87,22 +96,24 @@
     private quota: Quota,
   ) {}
 
-  /** The rate of the lease that is held now. */
-  get held(): number {
-    this.expire();
-    return this.bucket.ratePerSecond;
+  /** The lease that is held now. */
+  get held(): LeaseRates {
+    this.refresh();
+    return this.rates;
   }
 
   /** Whether the allocator must hear of this customer. */
   get isActive(): boolean {
-    return this.held > 0 || this.demand > MIN_DEMAND || this.waiters.length > 0;
+    return this.held.reserve > 0 || this.demand > MIN_DEMAND || this.waiters.length > 0;
   }
 
   /** What is reported to the allocator. */
   get report(): ReportedCustomer {
     const { customerHash } = this.quota;
     const waiting = this.waiters.filter(({ sequence }) => sequence === Infinity).length;
-    return { customerHash, demand: this.demand, held: this.held, waiting };
+    const { rate, reserve } = this.held;
+    const usableRate = this.services.isUnanswered() ? reserve : rate;
+    return { customerHash, demand: this.demand, rate: usableRate, reserve, waiting };
   }
 
   /**
@@ -111,7 +122,7 @@
    * @returns the decision, at once where a token is held or the customer is known to be at its limit
    */
   admit(): Admission | Promise<Admission> {
-    this.expire();
+    this.refresh();
     const nowMs = this.services.clock.monotonicMs();
     this.demandLevel = this.demand + MS_PER_SECOND / DEMAND_TIME_MS;
     this.demandAtMs = nowMs;
@@ -140,9 +151,11 @@
    * @param expiresAtMs - the end of the lease
    * @param replied - the sequence number of the report that was replied to
    */
-  apply({ rate, tokens }: GrantedCustomer, expiresAtMs: number, replied: number): void {
+  apply({ rate, reserve, tokens }: GrantedCustomer, expiresAtMs: number, replied: number): void {
     const nowMs = this.services.clock.monotonicMs();
     this.expiresAtMs = expiresAtMs;
+    const isReduced = rate < REDUCED_SHARE * this.bucket.ratePerSecond;
+    this.rates = { rate, reserve };
     this.resize(rate);
     const waiting = this.waiters;
     const available = tokens + this.bucket.take(nowMs, Math.max(0, waiting.length - tokens));
@@ -156,7 +169,8 @@
     }
     admitted.forEach(({ settle }) => settle(Ok(this.createPermit())));
     refused.forEach(({ settle }) => settle(Err(this.createRefusal())));
-    if (this.waiters.some(({ sequence }) => sequence === Infinity)) {
+    // The allocator counts the former rate until the next report.
+    if (isReduced || this.waiters.some(({ sequence }) => sequence === Infinity)) {
       this.services.ask();
     }
   }
@@ -168,7 +182,10 @@
    */
   update(quota: Quota): void {
     this.quota = quota;
-    this.resize(Math.min(this.held, quota.ratePerSecond));
+    const { rate, reserve } = this.held;
+    const { ratePerSecond } = quota;
+    this.rates = { rate: Math.min(rate, ratePerSecond), reserve: Math.min(reserve, ratePerSecond) };
+    this.refresh();
   }
 
   private get demand(): number {
@@ -176,9 +193,14 @@
     return this.demandLevel * Math.exp(-elapsedMs / DEMAND_TIME_MS);
   }
 
-  private expire(): void {
-    if (this.services.clock.monotonicMs() >= this.expiresAtMs && this.bucket.ratePerSecond > 0) {
-      this.resize(0);
+  /** Ends the lease if it has expired, and uses the reserve while no allocator can be reached. */
+  private refresh(): void {
+    if (this.services.clock.monotonicMs() >= this.expiresAtMs) {
+      this.rates = { rate: 0, reserve: 0 };
+    }
+    const rate = this.services.isCutOff() ? this.rates.reserve : this.rates.rate;
+    if (rate !== this.bucket.ratePerSecond) {
+      this.resize(rate);
     }
   }
 
--- a/packages/lentillb/src/allotments/customerTable.ts
+++ b/packages/lentillb/src/allotments/customerTable.ts
@@ -4,6 +4,7 @@
  * Times are monotonic and in milliseconds; rates are per second.
  */
 import type { GrantedCustomer, ReportedCustomer } from './allotmentMessage.js';
+import type { LeaseRates } from './holding.js';
 import { Holding } from './holding.js';
 import { QuotaBucket } from './quotaBucket.js';
 import type { Quota } from './quotaTerms.js';
@@ -12,26 +13,36 @@
 export const LEASE_MS = 10_000;
 /** The time for which a lease counts after the last reply; longer than any host may hold it. */
 export const COUNTED_MS = 11_000;
-/** The time without a report after which a host may be dead or cut off; two reports may be lost. */
-const SILENT_MS = 2_500;
+/**
+ * The time without a report after which a host may be cut off and use its reserve. It does so later than
+ * this time, the interval of the checks and the delay of a report; see `CUT_OFF_MS`.
+ */
+const SILENT_MS = 1_400;
+/** The reserve of a host as a multiple of its demand. */
+const RESERVE_FACTOR = 1.3;
 /** Up to this demand, a host leases less than its demand and asks for single tokens beyond. */
-const LOW_DEMAND = 2;
+const LOW_DEMAND = 8;
 /** From this demand on, a host leases more than its demand; Poisson arrivals vary by a third here. */
-const HIGH_DEMAND = 8;
+const HIGH_DEMAND = 40;
 /** The share of the demand that is leased where tokens saved in many buckets would be missing in others. */
 const LOW_FACTOR = 0.6;
-const HIGH_FACTOR = 1.3;
+const HIGH_FACTOR = 1.2;
 /** A lease that is wanted to at least this share is kept as it is. */
 const KEPT_SHARE = 0.7;
 /** Lower rates are not leased, because a bucket saves a whole token however low its rate is. */
 const MIN_RATE = 0.05;
 
-function wantedOf(demand: number): number {
+function chooseLease(demand: number): number {
   const position = (demand - LOW_DEMAND) / (HIGH_DEMAND - LOW_DEMAND);
   const share = Math.min(1, Math.max(0, position));
   return demand * (LOW_FACTOR + share * (HIGH_FACTOR - LOW_FACTOR));
 }
 
+/** Avoids small reductions, because what a host gives up is free only after its next report. */
+function keepSimilar(target: number, counted: number): number {
+  return target < counted && target > KEPT_SHARE * counted ? counted : target;
+}
+
 /** The head of a report, and who sent it. */
 export interface Reporter {
   readonly host: string;
@@ -44,10 +55,15 @@
 export class CustomerTable {
   private readonly holdings = new Map<string, Holding>();
 
-  private sumCounted = 0;
+  /** The rates that hosts may use now. */
+  private sumRate = 0;
 
+  /** The part of `sumRate` of hosts that have not reported lately. */
   private sumSilent = 0;
 
+  /** The rates that hosts may use if none of them reaches an allocator. */
+  private sumReserve = 0;
+
   private sumWanted = 0;
 
   private sumRounding = 0;
@@ -96,11 +112,11 @@
    */
   grant(nowMs: number, reporter: Reporter, report: ReportedCustomer): GrantedCustomer {
     const holding = this.acknowledge(nowMs, reporter, report);
-    const rate = this.chooseRate(holding);
-    this.change(holding, () => holding.grant(reporter.sequence, rate));
+    const rates = this.chooseRates(holding, report.demand);
+    this.change(holding, () => holding.grant(reporter.sequence, rates));
     this.resizePool(nowMs);
     const { customerHash } = this.quota;
-    return { customerHash, rate, tokens: this.pool.take(nowMs, report.waiting) };
+    return { customerHash, ...rates, tokens: this.pool.take(nowMs, report.waiting) };
   }
 
   /**
@@ -112,15 +128,15 @@
    * @returns the lease of the host
    */
   acknowledge(nowMs: number, reporter: Reporter, report: ReportedCustomer): Holding {
-    const { applied, host, processId } = reporter;
+    const { host, processId } = reporter;
     const known = this.holdings.get(host);
     const holding = known ?? new Holding(processId);
     if (known === undefined) {
       this.holdings.set(host, holding);
-      this.sumKnown += report.held;
+      this.sumKnown += report.reserve;
     }
     this.change(holding, () => {
-      holding.report(nowMs, { processId, applied, held: report.held }, wantedOf(report.demand));
+      holding.report(nowMs, { ...report, ...reporter }, report.demand * RESERVE_FACTOR);
     });
     return holding;
   }
@@ -149,13 +165,17 @@
     return Math.max(0, this.unknownRate - this.sumKnown);
   }
 
-  /** The rate that is neither leased nor may be held by hosts that have not reported. */
-  private get free(): number {
+  /**
+   * Computes what may still be granted.
+   *
+   * @param granted - the rates that count
+   * @returns the rate that neither they nor hosts that have not reported may use
+   */
+  private freeBeside(granted: number): number {
     const { overcommitPerSecond, ratePerSecond } = this.quota;
-    const counted = this.sumCounted + this.unknown;
     return Math.min(
-      ratePerSecond - (this.sumCounted - this.sumSilent),
-      ratePerSecond + overcommitPerSecond - counted,
+      ratePerSecond - (granted - this.sumSilent),
+      ratePerSecond + overcommitPerSecond - granted - this.unknown,
     );
   }
 
@@ -168,21 +188,28 @@
     return rate > 0 ? Math.max(0, 1 - rate * this.quota.burstSeconds) : 0;
   }
 
-  private chooseRate(holding: Holding): number {
-    const { ratePerSecond } = this.quota;
-    const share = holding.wanted * Math.min(1, ratePerSecond / Math.max(this.sumWanted, 1e-9));
-    // Small changes would cost more than they serve: what a host gives up is free only a report later.
-    const { counted } = holding;
-    const wanted = share < counted && share > KEPT_SHARE * counted ? counted : share;
-    const rate = Math.fround(Math.max(0, Math.min(wanted, this.free + counted)));
+  private chooseRates(holding: Holding, demand: number): LeaseRates {
+    const reserve = this.chooseReserve(holding);
+    const share = reserve / Math.max(demand * RESERVE_FACTOR, MIN_RATE);
+    const lease = chooseLease(demand) * Math.min(1, share);
+    const room = this.freeBeside(this.sumRate) + holding.rate;
+    const target = keepSimilar(lease, holding.rate);
+    const rate = Math.fround(Math.max(0, Math.min(target, reserve, room)));
     const rounding = this.roundingOf(rate) - this.countedRounding(holding);
     const exceedsRounding = rounding > 0 && rounding > this.freeRounding;
-    return rate < MIN_RATE || exceedsRounding ? 0 : rate;
+    return { rate: rate < MIN_RATE || exceedsRounding ? 0 : rate, reserve };
+  }
+
+  private chooseReserve({ reserve: counted, wanted }: Holding): number {
+    const { ratePerSecond } = this.quota;
+    const share = wanted * Math.min(1, ratePerSecond / Math.max(this.sumWanted, MIN_RATE));
+    const room = this.freeBeside(this.sumReserve) + counted;
+    return Math.fround(Math.max(0, Math.min(keepSimilar(share, counted), room)));
   }
 
   /** The tokens that the bucket of a host may save beyond its share of the burst. */
   private countedRounding(holding: Holding): number {
-    return Math.max(...holding.rates.map((rate) => this.roundingOf(rate)));
+    return Math.max(...holding.leases.map(({ rate }) => this.roundingOf(rate)));
   }
 
   /** Changes the lease of a host, and the sums with it. */
@@ -193,15 +220,16 @@
   }
 
   private count(holding: Holding, sign: number): void {
-    const { counted, isSilent, wanted } = holding;
-    this.sumCounted += sign * counted;
-    this.sumSilent += isSilent ? sign * counted : 0;
+    const { isSilent, rate, reserve, wanted } = holding;
+    this.sumRate += sign * rate;
+    this.sumReserve += sign * reserve;
+    this.sumSilent += isSilent ? sign * rate : 0;
     this.sumWanted += sign * wanted;
     this.sumRounding += sign * this.countedRounding(holding);
   }
 
   private resizePool(nowMs: number): void {
-    const rate = Math.max(0, this.free);
+    const rate = Math.max(0, this.freeBeside(this.sumRate));
     this.pool.resize(nowMs, rate, rate * this.quota.burstSeconds + this.freeRounding);
   }
 }
--- a/packages/lentillb/src/allotments/groupReporter.ts
+++ b/packages/lentillb/src/allotments/groupReporter.ts
@@ -14,6 +14,12 @@
 /** The time without a reply after which another host is asked. */
 const NO_REPLY_MS = 600;
 
+/**
+ * The time after the last report from which an allocator, if it received the report, counts the reserve
+ * of this host: 1,400 ms, the interval of its checks of 500 ms, and 300 ms for the delay of the report.
+ */
+const CUT_OFF_MS = 2_200;
+
 /** What a reporter depends on. */
 export interface GroupReporterServices {
   readonly clock: Clock;
@@ -43,8 +49,14 @@
 
   private lastSentMs = -Infinity;
 
+  /** The time of the last report that stated less than the reserves as the rates in use. */
+  private statedAtMs = -Infinity;
+
   private unansweredSinceMs: number | undefined;
 
+  /** Whether another host had to be asked since the last reply. */
+  private isUnansweredLong = false;
+
   private isScheduled = false;
 
   /**
@@ -56,6 +68,18 @@
     private readonly group: number,
   ) {}
 
+  /** Whether reports have gone unanswered for long. */
+  get isUnanswered(): boolean {
+    return this.isUnansweredLong;
+  }
+
+  /** Whether every allocator that may have received a report counts the reserves of this host. */
+  get isCutOff(): boolean {
+    return (
+      this.isUnansweredLong && this.services.clock.monotonicMs() - this.statedAtMs > CUT_OFF_MS
+    );
+  }
+
   /** Reports as soon as the interval between reports allows it. */
   ask(): void {
     if (this.isScheduled) {
@@ -116,6 +140,7 @@
       return;
     }
     this.applied = sequence;
+    this.isUnansweredLong = false;
     this.unansweredSinceMs = undefined;
     customers.forEach((grant) =>
       this.leases.get(grant.customerHash)?.apply(grant, sentAtMs + LEASE_MS, sequence),
@@ -144,6 +169,7 @@
     const isUnanswered =
       this.unansweredSinceMs !== undefined &&
       clock.monotonicMs() - this.unansweredSinceMs > NO_REPLY_MS;
+    this.isUnansweredLong ||= isUnanswered;
     if (index < 0 || isUnanswered) {
       this.retarget(candidates[(index + 1) % Math.max(1, candidates.length)]);
     }
@@ -162,6 +188,9 @@
     const nowMs = this.services.clock.monotonicMs();
     this.sequence += 1;
     this.lastSentMs = nowMs;
+    if (!this.isUnansweredLong) {
+      this.statedAtMs = nowMs;
+    }
     this.sentAtMs.set(this.sequence, nowMs);
     this.sentAtMs.forEach((sentAtMs, sequence) => {
       if (nowMs - sentAtMs > LEASE_MS) {
--- a/packages/lentillb/src/allotments/holding.ts
+++ b/packages/lentillb/src/allotments/holding.ts
@@ -1,37 +1,45 @@
 /** Counts what one host may hold of a customer's rate. Times are in milliseconds, rates per second. */
 
+/** The two rates of a lease. */
+export interface LeaseRates {
+  /** The rate while the host reaches the allocator. */
+  readonly rate: number;
+  /** The rate while it doesn't; at least `rate`. */
+  readonly reserve: number;
+}
+
 /** What a host reports of its lease. */
-export interface HeldLease {
+export interface HeldLease extends LeaseRates {
   /** Identifies the process that reported. */
   readonly processId: number;
   /** The sequence number of the last report whose reply was applied. */
   readonly applied: number;
-  /** The rate that the host holds. */
-  readonly held: number;
 }
 
+const NO_LEASE: LeaseRates = { rate: 0, reserve: 0 };
+
 /** The lease of one host. */
 export class Holding {
   private wantedRate = 0;
 
   private silent = false;
 
-  private held = 0;
+  private held = NO_LEASE;
 
   /** The grants that the host has not acknowledged, by the sequence numbers of its reports. */
-  private pending: { readonly sequence: number; readonly rate: number }[] = [];
+  private pending: (LeaseRates & { readonly sequence: number })[] = [];
 
   private latestAtMs = 0;
 
   /** @param processId - identifies the process that reported */
   constructor(private processId: number) {}
 
-  /** The rate that the host would be granted if all could be. */
+  /** The reserve that the host would be granted if all could be. */
   get wanted(): number {
     return this.wantedRate;
   }
 
-  /** Whether the host has not reported lately. */
+  /** Whether the host has not reported lately, so that it may use its reserve. */
   get isSilent(): boolean {
     return this.silent;
   }
@@ -41,14 +49,19 @@
     return this.latestAtMs;
   }
 
-  /** The rates of which the host holds one: the reported one, and later grants. */
-  get rates(): readonly number[] {
-    return [this.held, ...this.pending.map(({ rate }) => rate)];
+  /** The greatest rate that the host may use now. */
+  get rate(): number {
+    return this.silent ? this.reserve : Math.max(...this.leases.map(({ rate }) => rate));
+  }
+
+  /** The greatest rate that the host may use before its lease ends. */
+  get reserve(): number {
+    return Math.max(...this.leases.map(({ reserve }) => reserve));
   }
 
-  /** The greatest rate that the host may hold. */
-  get counted(): number {
-    return Math.max(...this.rates);
+  /** The leases of which the host holds one: the reported one, and later grants. */
+  get leases(): readonly LeaseRates[] {
+    return [this.held, ...this.pending];
   }
 
   /**
@@ -56,13 +69,13 @@
    *
    * @param nowMs - the monotonic time
    * @param lease - what the host reports
-   * @param wanted - the rate that the host would be granted if all could be
+   * @param wanted - the reserve that the host would be granted if all could be
    */
-  report(nowMs: number, { applied, held, processId }: HeldLease, wanted: number): void {
+  report(nowMs: number, { applied, processId, rate, reserve }: HeldLease, wanted: number): void {
     this.pending =
       processId === this.processId ? this.pending.filter(({ sequence }) => sequence > applied) : [];
     this.processId = processId;
-    this.held = held;
+    this.held = { rate, reserve: Math.max(rate, reserve) };
     this.latestAtMs = nowMs;
     this.wantedRate = wanted;
     this.silent = false;
@@ -72,10 +85,10 @@
    * Records a grant.
    *
    * @param sequence - the sequence number of the report that is replied to
-   * @param rate - the rate
+   * @param rates - what is granted
    */
-  grant(sequence: number, rate: number): void {
-    this.pending.push({ sequence, rate });
+  grant(sequence: number, rates: LeaseRates): void {
+    this.pending.push({ sequence, ...rates });
   }
 
   /** Records that the host has not reported lately. */
@@ -86,7 +99,7 @@
 
   /** Records that the lease has expired. */
   expire(): void {
-    this.held = 0;
+    this.held = NO_LEASE;
     this.pending = [];
   }
 }
--- a/packages/lentillb/src/allotments/mandate.ts
+++ b/packages/lentillb/src/allotments/mandate.ts
@@ -16,7 +16,7 @@
 /** The time by which a candidate ends promises earlier than voters, for clocks that run differently. */
 const PROMISE_MARGIN_MS = 200;
 /** The time for which a starting host listens for an allocator before it becomes a candidate. */
-const LISTEN_MS = 600;
+const LISTEN_MS = 0;
 /** The time by which each next rank becomes a candidate later, so that few compete. */
 const RANK_DELAY_MS = 700;
 /** The time for which the former voters of a group must support a candidate, too, after a change. */
--- a/packages/lentillb/src/allotments/quotaTerms.ts
+++ b/packages/lentillb/src/allotments/quotaTerms.ts
@@ -6,8 +6,12 @@
 const OVERCOMMIT_SHARE = 0.4;
 /** How often the overcommitment can be granted at once: by a former allocator and by its successor. */
 const OVERCOMMITS = 2;
-/** The share of the tolerance that covers buckets that hold a whole token where their share is less. */
-const ROUNDING_SHARE = 0.25;
+/**
+ * The shares of `overshoot` and `slack` that cover buckets that save a whole token where their share is
+ * less, and a deeper pool. Small customers, for whom `slack` is most of the tolerance, need them most.
+ */
+const ROUNDING_OVERSHOOT_SHARE = 0.2;
+const ROUNDING_SLACK_SHARE = 0.45;
 
 /**
  * The bound on a customer's requests: no window may have more than the rate over the window and the
@@ -51,14 +55,14 @@
   { overshoot, slack, windowMs }: QuotaTerms,
 ): Quota {
   const windowSeconds = windowMs / MS_PER_SECOND;
-  const tolerance = overshoot * (windowSeconds * ratePerSecond + burst) + slack;
+  const excess = overshoot * (windowSeconds * ratePerSecond + burst);
   const burstSeconds = burst / ratePerSecond;
   return {
     customerHash,
     ratePerSecond,
     burstSeconds,
     overcommitPerSecond:
-      (OVERCOMMIT_SHARE * tolerance) / OVERCOMMITS / (windowSeconds + burstSeconds),
-    roundingTokens: ROUNDING_SHARE * tolerance,
+      (OVERCOMMIT_SHARE * (excess + slack)) / OVERCOMMITS / (windowSeconds + burstSeconds),
+    roundingTokens: ROUNDING_OVERSHOOT_SHARE * excess + ROUNDING_SLACK_SHARE * slack,
   };
 }
--- a/tests/allotments/model.spec.ts
+++ b/tests/allotments/model.spec.ts
@@ -75,13 +75,15 @@
       for (const { count, demand, durationMs, event: change, first } of sequence) {
         apply(fleet, change);
         timeMs += durationMs;
-        CUSTOMERS.filter(() => demand > 0).forEach(({ name, ratePerSecond }) =>
-          fleet.load(fleet.hosts.slice(first, first + count), name, demand * ratePerSecond, timeMs),
-        );
+        const untilMs = timeMs;
+        CUSTOMERS.filter(() => demand > 0).forEach(({ name, ratePerSecond }) => {
+          const hosts = fleet.hosts.slice(first, first + count);
+          fleet.load(hosts, name, demand * ratePerSecond, untilMs);
+        });
         await fleet.clock.runUntil(timeMs);
       }
       CUSTOMERS.forEach((customer) => {
-        expect(fleet.excess(customer)).toBeLessThanOrEqual(0);
+        expect(fleet.excess(customer, 0)).toBeLessThanOrEqual(0);
       });
     }),
     { seed: SEED, numRuns: RUNS },
--- a/tests/allotments/quotaFleet.ts
+++ b/tests/allotments/quotaFleet.ts
@@ -27,6 +27,14 @@
   return { name, keys: [`key of ${name}`], priority: 0, ratePerSecond, burst: ratePerSecond };
 }
 
+function addressOf(host: string): string {
+  return `10.0.0.1:${FIRST_PORT + Number(host.slice(1))}`;
+}
+
+function countBetween(times: readonly number[] | undefined, fromMs: number, toMs: number): number {
+  return (times ?? []).filter((timeMs) => timeMs >= fromMs && timeMs < toMs).length;
+}
+
 interface Process {
   readonly allotments: Allotments;
   readonly configuration: ConfigurationHolder;
@@ -172,21 +180,21 @@
     });
   }
 
+  /** The number of a customer's requests that were admitted in a time. */
+  admittedBetween(customer: string, fromMs: number, toMs: number): number {
+    return countBetween(this.admittedAtMs.get(customer), fromMs, toMs);
+  }
+
   /** The share of a customer's requests that were refused in a time. */
   refusedShare(customer: string, fromMs: number, toMs: number): number {
-    const count = (times: readonly number[] = []): number =>
-      times.filter((timeMs) => timeMs >= fromMs && timeMs < toMs).length;
-    const refused = count(this.refusedAtMs.get(customer));
-    return refused / Math.max(1, refused + count(this.admittedAtMs.get(customer)));
-  }
-
-  /** The most requests of a customer that were admitted in any window, less what the bound allows. */
-  excess(
-    { burst, name, ratePerSecond }: Customer,
-    windowMs = DEFAULT_QUOTA_TERMS.windowMs,
-  ): number {
-    const times = this.admittedAtMs.get(name) ?? [];
-    const { overshoot, slack } = DEFAULT_QUOTA_TERMS;
+    const refused = countBetween(this.refusedAtMs.get(customer), fromMs, toMs);
+    return refused / Math.max(1, refused + this.admittedBetween(customer, fromMs, toMs));
+  }
+
+  /** The most requests of a customer that were admitted in any window from a time on, less what the bound allows. */
+  excess({ burst, name, ratePerSecond }: Customer, fromMs: number): number {
+    const times = (this.admittedAtMs.get(name) ?? []).filter((timeMs) => timeMs >= fromMs);
+    const { overshoot, slack, windowMs } = DEFAULT_QUOTA_TERMS;
     const bound = ((ratePerSecond * windowMs) / 1_000 + burst) * (1 + overshoot) + slack;
     let first = 0;
     return times.reduce((most, timeMs, index) => {
@@ -207,10 +215,6 @@
     return left === right || (this.sides.get(left) ?? 0) === (this.sides.get(right) ?? 0);
   }
 
-  private addressOf(host: string): string {
-    return `10.0.0.1:${FIRST_PORT + Number(host.slice(1))}`;
-  }
-
   private transmit(from: string, address: string, bytes: Buffer): void {
     this.sentDatagrams += 1;
     this.sentBytes += bytes.length;
@@ -220,7 +224,7 @@
     const to = `h${Number(address.split(':')[1]) - FIRST_PORT}`;
     this.clock.after(1 + this.randomness.integer(this.maxDelayMs), () => {
       if (this.areConnected(from, to)) {
-        this.processes.get(to)?.allotments.receive(this.addressOf(from), bytes);
+        this.processes.get(to)?.allotments.receive(addressOf(from), bytes);
       }
     });
   }
@@ -234,7 +238,7 @@
       host,
       zone: 'a',
       gateAddress: '10.0.0.1:1',
-      peerAddress: this.addressOf(host),
+      peerAddress: addressOf(host),
       incarnation: 1,
       sequence,
       backendServer: { id: host, startedAtMs: 0, service: 's', slots: 9, state },
