--- a/packages/lentillb/src/allotments/allotmentMessage.ts
+++ b/packages/lentillb/src/allotments/allotmentMessage.ts
@@ -118,6 +118,8 @@
 }
 
 const MAX_UINT16 = 0xffff;
+/** The greatest number in a message; greater rates would make the sums of an allocator inexact. */
+const MAX_UINT32 = 0xffffffff;
 const uint16: Field = {
   bytes: 2,
   write: (buffer, value, offset) => buffer.writeUInt16BE(Math.min(value, MAX_UINT16), offset),
@@ -250,7 +252,7 @@
     readFields(buffer, start + index * customerBytes, layout.customer ?? []),
   );
   const isValid = customers.every((values) =>
-    Object.values(values).every((value) => Number.isFinite(value) && value >= 0),
+    Object.values(values).every((value) => value >= 0 && value <= MAX_UINT32),
   );
   const head = readFields(buffer, HEAD_OFFSET, layout.head);
   return isValid
--- a/packages/lentillb/src/allotments/allotments.ts
+++ b/packages/lentillb/src/allotments/allotments.ts
@@ -27,7 +27,7 @@
 import { GroupReporter } from './groupReporter.js';
 import { Mandate, rankVoters } from './mandate.js';
 import type { Quota, QuotaTerms } from './quotaTerms.js';
-import { deriveQuota } from './quotaTerms.js';
+import { DEFAULT_QUOTA_TERMS, deriveQuota } from './quotaTerms.js';
 
 /** The number of groups; it spreads the work of allocators and bounds the datagrams of an entry. */
 const GROUPS = 16;
@@ -60,8 +60,6 @@
   readonly transport: DatagramTransport;
   readonly log: DecisionLog;
   readonly metrics: MetricsRegistry;
-  /** Returns whether the node holds its addresses and knows the announced hosts. */
-  readonly isReady: () => boolean;
 }
 
 /** The settings of the quotas. */
@@ -69,7 +67,10 @@
   readonly host: string;
   /** Identifies this process among those of its host. */
   readonly processId: number;
-  readonly terms: QuotaTerms;
+  /** The bound; `DEFAULT_QUOTA_TERMS` if undefined. */
+  readonly terms?: QuotaTerms | undefined;
+  /** Returns whether the node holds its addresses and knows the announced hosts. */
+  readonly isReady: () => boolean;
 }
 
 interface Group {
@@ -164,7 +165,7 @@
    * @param bytes - the datagram; others than those about quotas are ignored
    */
   receive(from: string, bytes: Buffer): void {
-    if (this.quotas.size === 0) {
+    if (this.quotas.size === 0 || !this.options.isReady()) {
       return;
     }
     const message = decodeAllotmentMessage(bytes);
@@ -184,12 +185,13 @@
   }
 
   private configure({ customers = [] }: MeshConfiguration): void {
+    const { terms = DEFAULT_QUOTA_TERMS } = this.options;
     this.quotas = new Map(
       customers
         .filter(({ ratePerSecond }) => ratePerSecond > 0)
         .map((customer) => {
           const customerHash = hash32(customer.name);
-          return [customerHash, deriveQuota(customer, customerHash, this.options.terms)];
+          return [customerHash, deriveQuota(customer, customerHash, terms)];
         }),
     );
     this.groups.forEach(({ reporter: { leases } }) =>
@@ -230,7 +232,7 @@
   }
 
   private tick(): void {
-    if (!this.services.isReady()) {
+    if (!this.options.isReady()) {
       return;
     }
     this.ticks += 1;
@@ -285,11 +287,9 @@
   }
 
   private receivePoll(host: string, number: number, message: PollMessage): void {
-    if (this.services.isReady()) {
-      const { mandate } = this.groupAt(number);
-      mandate.updateVoters(this.votersOf(number));
-      this.send(host, mandate.receivePoll(host, message));
-    }
+    const { mandate } = this.groupAt(number);
+    mandate.updateVoters(this.votersOf(number));
+    this.send(host, mandate.receivePoll(host, message));
   }
 
   private receiveReport(host: string, number: number, message: ReportMessage): void {
--- a/packages/lentillb/src/peers/gossipSocket.ts
+++ b/packages/lentillb/src/peers/gossipSocket.ts
@@ -17,6 +17,8 @@
   readonly onMessage: (from: string, message: GossipMessage) => void;
   /** Called with reports about suspect requests and the address and port of their sender. */
   readonly onSuspectReports: (from: string, reports: readonly SuspectReport[]) => void;
+  /** Called with each datagram that is neither, and the address and port of its sender. */
+  readonly onOtherDatagram?: (from: string, bytes: Buffer) => void;
 }
 
 /** Sends gossip messages to other nodes without guaranteed delivery. */
@@ -30,7 +32,7 @@
   send(address: string, message: GossipMessage): void;
 }
 
-/** The UDP socket of a node for gossip messages and reports about suspect requests. */
+/** The UDP socket of a node, which all datagrams between nodes share. */
 export class GossipSocket implements GossipTransport, SuspectReportTransport, AddressListener {
   readonly use = 'gossip';
 
@@ -80,6 +82,22 @@
     this.sendDatagram(address, encodeSuspectReports(reports));
   }
 
+  /**
+   * Sends a datagram. Each kind of datagram begins with a byte of its own.
+   *
+   * @param address - the address and port of the receiving node
+   * @param bytes - the datagram
+   */
+  sendDatagram(address: string, bytes: Buffer): void {
+    const { host, port } = parseAddress(address);
+    // Without a callback, the socket reports no failure of the send itself.
+    this.socket?.send(bytes, port, host, (error) => {
+      if (error !== null) {
+        this.onError?.(error);
+      }
+    });
+  }
+
   close(): void {
     this.socket?.close();
     this.socket = undefined;
@@ -94,16 +112,8 @@
     const reports = decodeSuspectReports(bytes);
     if (reports !== undefined) {
       this.listener.onSuspectReports(from, reports);
+      return;
     }
-  }
-
-  private sendDatagram(address: string, bytes: Buffer): void {
-    const { host, port } = parseAddress(address);
-    // Without a callback, the socket reports no failure of the send itself.
-    this.socket?.send(bytes, port, host, (error) => {
-      if (error !== null) {
-        this.onError?.(error);
-      }
-    });
+    this.listener.onOtherDatagram?.(from, bytes);
   }
 }
--- a/packages/lentillb/src/sidecar/index.ts
+++ b/packages/lentillb/src/sidecar/index.ts
@@ -1,4 +1,6 @@
 /** Exports what a platform adapter needs to build a node. */
+export { DEFAULT_QUOTA_TERMS } from '../allotments/quotaTerms.js';
+export type { QuotaTerms } from '../allotments/quotaTerms.js';
 export { ChunkBuffer } from '../utils/chunkBuffer.js';
 export { onClosedUnanswered } from '../utils/closedUnanswered.js';
 export { limitResponseBody, limitResponseHead } from '../utils/responseLimits.js';
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -1,6 +1,8 @@
 /** Assembles the node that runs on the host of a backend server. */
 import type { Result } from 'ts-results-es';
 import { Ok } from 'ts-results-es';
+import { Allotments } from '../allotments/allotments.js';
+import type { QuotaTerms } from '../allotments/quotaTerms.js';
 import { CallerPresence } from '../calls/callerPresence.js';
 import { PendingInputTracker } from '../utils/pendingInput.js';
 import type { AddressListener } from '../utils/addressListener.js';
@@ -19,9 +21,7 @@
 import type { Clock } from '../kernel/clock.js';
 import type { Randomness } from '../kernel/randomness.js';
 import type { CollectGarbage } from '../memory/bufferCollector.js';
-import { BufferCollector } from '../memory/bufferCollector.js';
-import { MemoryBudget } from '../memory/memoryBudget.js';
-import { RefusalLog } from '../memory/refusalLog.js';
+import { createMemoryBudget } from '../memory/createMemoryBudget.js';
 import { DecisionLog, Importance } from '../observability/decisionLog.js';
 import type { LineLogger } from '../observability/decisionLog.js';
 import { EventLoopMonitor } from '../observability/eventLoopMonitor.js';
@@ -89,6 +89,8 @@
   readonly retryTerms: RetryTerms;
   /** Timeout of a planned stop, in milliseconds. */
   readonly stopTimeoutMs: number;
+  /** The bound on the requests of customers; that of `DEFAULT_QUOTA_TERMS` by default. */
+  readonly quotaTerms?: QuotaTerms;
   /** The memory limit of the host, in bytes; by default that of the smallest known host. */
   readonly memoryLimitBytes?: number;
   /** The key of the configuration among the operator's records. */
@@ -159,6 +161,8 @@
 
   private readonly suspectRelay: SuspectReportRelay;
 
+  private readonly allotments: Allotments;
+
   private readonly peerListener: StateServer;
 
   /** The planned stop of this node, once it has begun. */
@@ -183,12 +187,7 @@
     const { log } = this;
     this.addresses = new AddressOpener({ clock, log }, options.stopTimeoutMs + ADDRESS_RESERVE_MS);
     this.eventLoopMonitor = new EventLoopMonitor(clock, log, metrics);
-    const refusals = new RefusalLog({ clock, log, metrics });
-    const { collectGarbage } = services;
-    const memory = new MemoryBudget(clock, options.memoryLimitBytes, {
-      onRefused: (refusal) => refusals.record(refusal),
-      collector: collectGarbage === undefined ? undefined : new BufferCollector(collectGarbage),
-    });
+    const memory = createMemoryBudget({ ...services, log, metrics }, options.memoryLimitBytes);
     const era = new StoreEraTracker();
     const store = new EraCheckedStore(services.store, era);
     this.meshState = new MeshState(
@@ -263,11 +262,15 @@
           reports.forEach((report) => suspectGuard.receive(report, source));
         }
       },
+      onOtherDatagram: (from, bytes) => this.allotments.receive(from, bytes),
     });
-    this.suspectRelay = new SuspectReportRelay(
-      { clock, randomness, directory, transport: this.gossipSocket },
-      identity,
+    const transport = this.gossipSocket;
+    this.allotments = new Allotments(
+      { clock, randomness, configuration, directory, transport, log, metrics },
+      { host: identity.host, processId, terms: options.quotaTerms, isReady: () => this.ready },
     );
+    const relayServices = { clock, randomness, directory, transport };
+    this.suspectRelay = new SuspectReportRelay(relayServices, identity);
     this.gossip = new Gossip(
       {
         clock,
@@ -275,7 +278,7 @@
         configuration,
         status,
         directory,
-        transport: this.gossipSocket,
+        transport,
         fetchState,
         role,
         era,
@@ -376,12 +379,7 @@
       observations.removeOthers(announcement.host, announcement.backendServer?.id);
       suspectGuard.learn(announcement);
     });
-    registerGauges(metrics, {
-      gossip: this.gossip,
-      memory,
-      meshState: this.meshState,
-      suspects,
-    });
+    registerGauges(metrics, { gossip: this.gossip, memory, meshState: this.meshState, suspects });
   }
 
   /** Whether the node holds all its addresses and takes part in the mesh. */
@@ -525,6 +523,7 @@
     await this.plannedStop.run();
     this.gossip.stop();
     this.suspectRelay.stop();
+    this.allotments.stop();
     this.meshState.stop();
   }
 
@@ -534,6 +533,7 @@
     this.eventLoopMonitor.stop();
     this.gossip.stop();
     this.suspectRelay.stop();
+    this.allotments.stop();
     this.meshState.stop();
     this.callers.close();
     this.gateListener.close();
--- a/tests/allotments/quotaFleet.ts
+++ b/tests/allotments/quotaFleet.ts
@@ -105,10 +105,9 @@
         directory,
         log,
         metrics,
-        isReady: () => true,
         transport: { sendDatagram: (address, bytes) => this.transmit(host, address, bytes) },
       },
-      { host, processId: this.randomness.integer(2 ** 30), terms: DEFAULT_QUOTA_TERMS },
+      { host, processId: this.randomness.integer(2 ** 30), isReady: () => true },
     );
     this.processes.set(host, { allotments, configuration, directory });
     this.announced.forEach((_, other) => this.announceTo(host, other));
--- a/tests/peers/gossipSocket.spec.ts
+++ b/tests/peers/gossipSocket.spec.ts
@@ -44,6 +44,18 @@
     expect((await open()).isOk()).toBe(true);
   });
 
+  it('should pass on datagrams of other kinds', async () => {
+    const received: [string, Buffer][] = [];
+    socket = new GossipSocket(address, {
+      onMessage: ignore,
+      onSuspectReports: ignore,
+      onOtherDatagram: (from, bytes) => received.push([from, bytes]),
+    });
+    (await open()).unwrap();
+    socket.sendDatagram(address, Buffer.from('q1'));
+    await expect.poll(() => received).toEqual([[address, Buffer.from('q1')]]);
+  });
+
   it('should not end the process when datagrams cannot be sent', async () => {
     (await open()).unwrap();
     socket.sendSuspectReports(FORBIDDEN, []);
--- a/tests/platform/decoding.spec.ts
+++ b/tests/platform/decoding.spec.ts
@@ -257,6 +257,16 @@
     expect(decodeSettings({ ...SETTINGS, self }).unwrap().memoryLimitBytes).toBe(bytes);
   });
 
+  it('should bound the requests of customers as stated, or by default', () => {
+    const decodeBounds = (stated: object): unknown => {
+      const bounds = { ...SETTINGS.terms.bounds, ...stated };
+      return decodeSettings({ ...SETTINGS, terms: { bounds } }).unwrap().quotaTerms;
+    };
+    expect(decodeBounds({})).toEqual({ windowMs: 5_000, overshoot: 0.1, slack: 20 });
+    const stated = { 'quota-window': '2s', 'quota-overshoot': 0, 'quota-slack': 3 };
+    expect(decodeBounds(stated)).toEqual({ windowMs: 2_000, overshoot: 0, slack: 3 });
+  });
+
   it('should name the invalid field in the error', () => {
     const { grace, ...bounds } = SETTINGS.terms.bounds;
     expect(grace).toBe('6s');
