--- a/packages/lentillb/src/allotments/allotmentMessage.ts
+++ b/packages/lentillb/src/allotments/allotmentMessage.ts
@@ -58,8 +58,11 @@
   readonly sequence: number;
   /** The sequence number of the last report whose reply was applied; earlier replies no longer are. */
   readonly applied: number;
-  /** 1 if all leases of the group are contained, so that the host holds no others. */
-  readonly complete: number;
+  /**
+   * The hash of the hosts that the sender knows, if all its leases of the group are contained, so that
+   * it holds no others; 0 otherwise.
+   */
+  readonly membersHash: number;
   readonly customers: readonly ReportedCustomer[];
 }
 
@@ -150,7 +153,7 @@
       ['processId', uint32],
       ['sequence', uint32],
       ['applied', uint32],
-      ['complete', uint16],
+      ['membersHash', uint32],
     ],
     customer: [
       ['customerHash', uint32],
--- a/packages/lentillb/src/allotments/allotments.ts
+++ b/packages/lentillb/src/allotments/allotments.ts
@@ -101,6 +101,8 @@
   /** The hosts that take part, and the voters of groups; undefined after a change of the hosts. */
   private members: readonly string[] | undefined;
 
+  private knownHash: number | undefined;
+
   private readonly voters = new Map<number, readonly string[]>();
 
   private readonly loggedAtMs = new Map<string, number>();
@@ -217,6 +219,7 @@
     const wasMember = this.members?.includes(host) ?? true;
     if (wasMember !== isMember(announcement)) {
       this.members = undefined;
+      this.knownHash = undefined;
       this.voters.clear();
       if (wasMember) {
         this.leftAtMs.set(host, this.services.clock.monotonicMs());
@@ -275,7 +278,7 @@
     } else if (kind === AllotmentMessageKind.Report) {
       this.receiveReport(host, number, message);
     } else if (kind === AllotmentMessageKind.Query) {
-      group.reporter.receiveQuery(host);
+      group.reporter.receiveQuery(host, this.membersHash());
     } else if (kind === AllotmentMessageKind.Redirect) {
       group.reporter.receiveRedirect(host, message.supportedHash);
     } else if (kind === AllotmentMessageKind.Poll) {
@@ -344,6 +347,7 @@
       allocator: new GroupAllocator({
         clock,
         quotaOf: (customerHash) => this.quotas.get(customerHash),
+        membersHash: () => this.membersHash(),
         hosts: () => this.holderHosts(),
         query: (to) => send(to, { kind: AllotmentMessageKind.Query, group: number }),
       }),
@@ -378,6 +382,12 @@
     return this.members;
   }
 
+  /** The hash of the hosts that take part; never 0. */
+  private membersHash(): number {
+    this.knownHash ??= hash32([...this.memberHosts()].sort().join(' ')) || 1;
+    return this.knownHash;
+  }
+
   private votersOf(number: number): readonly string[] {
     const voters = this.voters.get(number) ?? rankVoters(number, this.memberHosts());
     this.voters.set(number, voters);
--- a/packages/lentillb/src/allotments/customerLease.ts
+++ b/packages/lentillb/src/allotments/customerLease.ts
@@ -16,7 +16,7 @@
 /** How long a request waits for the reply of the allocator. */
 const REPLY_WAIT_MS = 100;
 /** The time after a reply that grants too little for which requests without a token are refused at once. */
-const LIMITED_MS = 100;
+const LIMITED_MS = 200;
 /** The most requests of a customer that wait; more are refused at once. */
 const MAX_WAITING = 500;
 /** The time constant of the measured demand. */
--- a/packages/lentillb/src/allotments/customerTable.ts
+++ b/packages/lentillb/src/allotments/customerTable.ts
@@ -184,8 +184,9 @@
     return this.unknown > 0 ? 0 : Math.max(0, this.quota.roundingTokens - this.sumRounding);
   }
 
-  private roundingOf(rate: number): number {
-    return rate > 0 ? Math.max(0, 1 - rate * this.quota.burstSeconds) : 0;
+  private roundingOf({ rate, reserve }: LeaseRates): number {
+    const lowest = rate > 0 ? rate : reserve;
+    return lowest > 0 ? Math.max(0, 1 - lowest * this.quota.burstSeconds) : 0;
   }
 
   private chooseRates(holding: Holding, demand: number): LeaseRates {
@@ -195,9 +196,9 @@
     const room = this.freeBeside(this.sumRate) + holding.rate;
     const target = keepSimilar(lease, holding.rate);
     const rate = Math.fround(Math.max(0, Math.min(target, reserve, room)));
-    const rounding = this.roundingOf(rate) - this.countedRounding(holding);
-    const exceedsRounding = rounding > 0 && rounding > this.freeRounding;
-    return { rate: rate < MIN_RATE || exceedsRounding ? 0 : rate, reserve };
+    const rates = { rate: rate < MIN_RATE ? 0 : rate, reserve: reserve < MIN_RATE ? 0 : reserve };
+    const rounding = this.roundingOf(rates) - this.countedRounding(holding);
+    return rounding > 0 && rounding > this.freeRounding ? { rate: 0, reserve: 0 } : rates;
   }
 
   private chooseReserve({ reserve: counted, wanted }: Holding): number {
@@ -209,7 +210,7 @@
 
   /** The tokens that the bucket of a host may save beyond its share of the burst. */
   private countedRounding(holding: Holding): number {
-    return Math.max(...holding.leases.map(({ rate }) => this.roundingOf(rate)));
+    return Math.max(...holding.leases.map((lease) => this.roundingOf(lease)));
   }
 
   /** Changes the lease of a host, and the sums with it. */
--- a/packages/lentillb/src/allotments/groupAllocator.ts
+++ b/packages/lentillb/src/allotments/groupAllocator.ts
@@ -10,11 +10,16 @@
 /** The most hosts that are asked for their leases at a time, to bound the traffic of large fleets. */
 const MAX_ASKED_HOSTS = 100;
 
+/** The time after which leases are checked before a grant; a process may have been held up. */
+const MAX_MAINTENANCE_AGE_MS = 500;
+
 /** What an allocator depends on. */
 export interface GroupAllocatorServices {
   readonly clock: Clock;
   /** Returns the limits of a customer; undefined if it has none. */
   readonly quotaOf: (customerHash: number) => Quota | undefined;
+  /** Returns the hash of the hosts that this one knows. */
+  readonly membersHash: () => number;
   /** Returns the hosts that may hold leases. */
   readonly hosts: () => readonly string[];
   /** Asks a host for its leases. */
@@ -36,6 +41,8 @@
 
   private askedHosts = 0;
 
+  private maintainedAtMs = -Infinity;
+
   /** @param services - what the allocator depends on */
   constructor(private readonly services: GroupAllocatorServices) {}
 
@@ -61,6 +68,7 @@
   /** Ends the recovery where it can end, asks the hosts that have not answered, and expires leases. */
   maintain(): void {
     const nowMs = this.services.clock.monotonicMs();
+    this.maintainedAtMs = nowMs;
     this.tables.forEach((table, customerHash) => {
       table.sweep(nowMs);
       if (table.size === 0 && !this.isRecovering) {
@@ -78,7 +86,7 @@
    * @returns what the host is granted; undefined if the report is older than another one
    */
   receive(host: string, message: ReportMessage): readonly GrantedCustomer[] | undefined {
-    const { complete, customers, processId, sequence } = message;
+    const { customers, membersHash, processId, sequence } = message;
     const latest = this.reports.get(host);
     if (latest?.processId === processId && latest.sequence >= sequence) {
       return undefined;
@@ -86,12 +94,18 @@
     this.reports.set(host, { processId, sequence });
     const nowMs = this.services.clock.monotonicMs();
     const reporter = { ...message, host };
-    if (complete === 1) {
+    if (nowMs - this.maintainedAtMs > MAX_MAINTENANCE_AGE_MS) {
+      this.maintain();
+    }
+    if (membersHash !== 0) {
       customers.forEach((report) =>
         this.tableOf(report.customerHash)?.acknowledge(nowMs, reporter, report),
       );
-      this.answered.add(host);
-      this.recover();
+      // A host that knows of others knows of leases that this one doesn't ask for; it is asked again.
+      if (membersHash === this.services.membersHash()) {
+        this.answered.add(host);
+        this.recover();
+      }
       return undefined;
     }
     return customers.flatMap(
--- a/packages/lentillb/src/allotments/groupReporter.ts
+++ b/packages/lentillb/src/allotments/groupReporter.ts
@@ -112,14 +112,15 @@
    * Answers the question of a new allocator for all leases of this host.
    *
    * @param host - the host that asks
+   * @param membersHash - the hash of the hosts that this one knows
    */
-  receiveQuery(host: string): void {
+  receiveQuery(host: string, membersHash: number): void {
     this.retarget(host);
     // Replies to earlier reports would grant more than the answer states.
     this.firstSequence = this.sequence + 1;
     const leases = [...this.leases.values()].filter(({ isActive }) => isActive);
     const isComplete = leases.length <= MAX_CUSTOMERS_PER_MESSAGE;
-    this.sendReport(host, leases.slice(0, MAX_CUSTOMERS_PER_MESSAGE), isComplete ? 1 : 0);
+    this.sendReport(host, leases.slice(0, MAX_CUSTOMERS_PER_MESSAGE), isComplete ? membersHash : 0);
   }
 
   /**
@@ -184,7 +185,7 @@
     }
   }
 
-  private sendReport(target: string, leases: readonly CustomerLease[], complete: number): void {
+  private sendReport(target: string, leases: readonly CustomerLease[], membersHash: number): void {
     const nowMs = this.services.clock.monotonicMs();
     this.sequence += 1;
     this.lastSentMs = nowMs;
@@ -203,7 +204,7 @@
       processId: this.services.processId,
       sequence: this.sequence,
       applied: this.applied,
-      complete,
+      membersHash,
       customers: leases.map(({ report }) => report),
     };
     leases.forEach((lease) => lease.markReported(this.sequence));
--- a/tests/allotments/allotmentMessage.spec.ts
+++ b/tests/allotments/allotmentMessage.spec.ts
@@ -19,7 +19,7 @@
   processId: 1,
   sequence: 2,
   applied: 1,
-  complete: 1,
+  membersHash: 9,
   customers: [reported, { ...reported, customerHash: 5 }],
 };
 const messages: readonly AllotmentMessage[] = [
