--- a/packages/lentillb/src/allotments/allotments.ts
+++ b/packages/lentillb/src/allotments/allotments.ts
@@ -93,6 +93,9 @@
 export class Allotments {
   private quotas = new Map<number, Quota>();
 
+  /** The groups that have customers with a rate. */
+  private groupNumbers: ReadonlySet<number> = new Set();
+
   private readonly groups = new Map<number, Group>();
 
   /** The times at which hosts left; they may hold leases for some time after. */
@@ -196,6 +199,7 @@
           return [customerHash, deriveQuota(customer, customerHash, terms)];
         }),
     );
+    this.groupNumbers = new Set([...this.quotas.keys()].map((hash) => hash % GROUPS));
     this.groups.forEach(({ reporter: { leases } }) =>
       leases.forEach((lease, customerHash) => {
         const quota = this.quotas.get(customerHash);
@@ -239,7 +243,7 @@
       return;
     }
     this.ticks += 1;
-    new Set([...this.quotas.keys()].map((hash) => hash % GROUPS)).forEach((number) => {
+    this.groupNumbers.forEach((number) => {
       const group = this.groupAt(number);
       group.mandate.updateVoters(this.votersOf(number));
       group.mandate.poll();
--- a/packages/lentillb/src/allotments/groupReporter.ts
+++ b/packages/lentillb/src/allotments/groupReporter.ts
@@ -8,6 +8,7 @@
 import { AllotmentMessageKind, MAX_CUSTOMERS_PER_MESSAGE } from './allotmentMessage.js';
 import type { CustomerLease } from './customerLease.js';
 import { LEASE_MS } from './customerTable.js';
+import { deleteEarlier } from './sentTimes.js';
 
 /** The shortest time between two reports for waiting requests. */
 const MIN_REPORT_INTERVAL_MS = 50;
@@ -96,7 +97,12 @@
 
   /** Reports to the allocator if any customer of the group has demand or a lease. */
   report(): void {
-    const active = [...this.leases.values()].filter(({ isActive }) => isActive);
+    this.leases.forEach((lease, customerHash) => {
+      if (!lease.isActive) {
+        this.leases.delete(customerHash);
+      }
+    });
+    const active = [...this.leases.values()];
     const target = this.chooseTarget();
     if (active.length === 0 || target === undefined) {
       this.unansweredSinceMs = undefined;
@@ -193,11 +199,7 @@
       this.statedAtMs = nowMs;
     }
     this.sentAtMs.set(this.sequence, nowMs);
-    this.sentAtMs.forEach((sentAtMs, sequence) => {
-      if (nowMs - sentAtMs > LEASE_MS) {
-        this.sentAtMs.delete(sequence);
-      }
-    });
+    deleteEarlier(this.sentAtMs, nowMs - LEASE_MS);
     const message: ReportMessage = {
       kind: AllotmentMessageKind.Report,
       group: this.group,
--- a/packages/lentillb/src/allotments/mandate.ts
+++ b/packages/lentillb/src/allotments/mandate.ts
@@ -8,6 +8,7 @@
 import { hash32 } from '../utils/hash.js';
 import type { PollMessage, VoteMessage } from './allotmentMessage.js';
 import { AllotmentMessageKind, VoteAnswer } from './allotmentMessage.js';
+import { deleteEarlier } from './sentTimes.js';
 
 /** The number of voters of a group; a fixed number keeps the cost independent of the number of hosts. */
 export const MAX_VOTERS = 9;
@@ -137,7 +138,6 @@
     }
     this.voters = voters;
     this.votersHash = votersHash;
-    this.votes.clear();
     this.standsFromMs = Math.max(this.standsFromMs, nowMs + this.rank * RANK_DELAY_MS);
   }
 
@@ -155,11 +155,7 @@
     }
     this.round += 1;
     this.sentAtMs.set(this.round, nowMs);
-    this.sentAtMs.forEach((sentAtMs, round) => {
-      if (sentAtMs + PROMISE_MS < nowMs) {
-        this.sentAtMs.delete(round);
-      }
-    });
+    deleteEarlier(this.sentAtMs, nowMs - PROMISE_MS);
     const message: PollMessage = {
       kind: AllotmentMessageKind.Poll,
       group: this.group,
