--- a/packages/lentillb/src/allotments/customerTable.ts
+++ b/packages/lentillb/src/allotments/customerTable.ts
@@ -29,6 +29,11 @@
 const HIGH_FACTOR = 1.2;
 /** A lease that is wanted to at least this share is kept as it is. */
 const KEPT_SHARE = 0.7;
+/**
+ * The largest share of the rate that one host may hold. While one host can't be heard after a restart of
+ * the others, the rest can be granted.
+ */
+const MAX_SHARE = 2 / 3;
 /** Lower rates are not leased, because a bucket saves a whole token however low its rate is. */
 const MIN_RATE = 0.05;
 
@@ -77,10 +82,12 @@
   /**
    * @param quota - the limits of the customer
    * @param unknownRate - the rate that hosts may hold in total which have not reported yet
+   * @param missingHosts - returns the number of hosts that have not stated all their leases
    */
   constructor(
     private quota: Quota,
     private unknownRate: number,
+    private readonly missingHosts: () => number = () => Infinity,
   ) {}
 
   /** The number of hosts that may hold leases. */
@@ -162,7 +169,13 @@
 
   /** The rate that hosts may hold which have not reported. */
   private get unknown(): number {
-    return Math.max(0, this.unknownRate - this.sumKnown);
+    const rest = Math.max(0, this.unknownRate - this.sumKnown);
+    return rest === 0 ? 0 : Math.min(rest, this.missingHosts() * this.maxReserve);
+  }
+
+  /** The greatest reserve of a host. */
+  private get maxReserve(): number {
+    return MAX_SHARE * this.quota.ratePerSecond;
   }
 
   /**
@@ -204,7 +217,7 @@
   private chooseReserve({ reserve: counted, wanted }: Holding): number {
     const { ratePerSecond } = this.quota;
     const share = wanted * Math.min(1, ratePerSecond / Math.max(this.sumWanted, MIN_RATE));
-    const room = this.freeBeside(this.sumReserve) + counted;
+    const room = Math.min(this.maxReserve, this.freeBeside(this.sumReserve) + counted);
     return Math.fround(Math.max(0, Math.min(keepSimilar(share, counted), room)));
   }
 
--- a/packages/lentillb/src/allotments/groupAllocator.ts
+++ b/packages/lentillb/src/allotments/groupAllocator.ts
@@ -41,6 +41,8 @@
 
   private askedHosts = 0;
 
+  private missingHosts = 0;
+
   private maintainedAtMs = -Infinity;
 
   /** @param services - what the allocator depends on */
@@ -126,7 +128,7 @@
     // The former allocator may have overcommitted, too.
     const overcommit = this.isFirst ? 0 : quota.overcommitPerSecond;
     const unknownRate = this.isRecovering ? quota.ratePerSecond + overcommit : 0;
-    const table = new CustomerTable(quota, unknownRate);
+    const table = new CustomerTable(quota, unknownRate, () => this.missingHosts);
     this.tables.set(customerHash, table);
     return table;
   }
@@ -136,6 +138,7 @@
       return;
     }
     const missing = this.services.hosts().filter((host) => !this.answered.has(host));
+    this.missingHosts = missing.length;
     if (!this.isRecovering || missing.length === 0) {
       this.recoversUntilMs = -Infinity;
       this.tables.forEach((table) => table.endRecovery());
