--- a/packages/lentillb/src/allotments/mandate.ts
+++ b/packages/lentillb/src/allotments/mandate.ts
@@ -16,8 +16,12 @@
 export const PROMISE_MS = 3_000;
 /** The time by which a candidate ends promises earlier than voters, for clocks that run differently. */
 const PROMISE_MARGIN_MS = 200;
-/** The time for which a starting host listens for an allocator before it becomes a candidate. */
-const LISTEN_MS = 0;
+/**
+ * The time for which the voters must not have changed before a host becomes a candidate: a round of polls.
+ * While hosts that start together learn of each other, some would otherwise elect one among themselves. With
+ * 1,000 ms, nothing was granted in the first second after a restart of all hosts.
+ */
+const SETTLE_MS = 400;
 /** The time by which each next rank becomes a candidate later, so that few compete. */
 const RANK_DELAY_MS = 700;
 /** The time for which the former voters of a group must support a candidate, too, after a change. */
@@ -89,7 +93,7 @@
     private readonly group: number,
   ) {
     this.startedAtMs = services.clock.monotonicMs();
-    this.standsFromMs = this.startedAtMs + LISTEN_MS;
+    this.standsFromMs = this.startedAtMs;
   }
 
   /** Whether this host is the allocator now. */
@@ -138,7 +142,10 @@
     }
     this.voters = voters;
     this.votersHash = votersHash;
-    this.standsFromMs = Math.max(this.standsFromMs, nowMs + this.rank * RANK_DELAY_MS);
+    if (!this.isHeld) {
+      this.withdraw();
+    }
+    this.standsFromMs = Math.max(this.standsFromMs, nowMs + SETTLE_MS);
   }
 
   /** Becomes a candidate if no other host is, and asks the voters for their support while it is one. */
@@ -146,7 +153,7 @@
     const { clock, host, send } = this.services;
     const nowMs = clock.monotonicMs();
     if (this.rank < 0) {
-      this.withdraw();
+      this.defer();
       return;
     }
     this.isCandidate ||= nowMs >= this.standsFromMs + this.rank * RANK_DELAY_MS;
@@ -199,7 +206,7 @@
     }
     this.promise = { host: candidate, untilMs: nowMs + PROMISE_MS };
     if (candidate !== host) {
-      this.withdraw();
+      this.defer();
     }
     this.isFresh &&= unanimous === 0 && nowMs < this.startedAtMs + PROMISE_MS;
     return answer(this.isFresh ? VoteAnswer.PromisedAfterStart : VoteAnswer.Promised, candidate);
@@ -220,7 +227,7 @@
       const untilMs = sentAtMs + PROMISE_MS - PROMISE_MARGIN_MS;
       this.votes.set(voter, { untilMs, isAfterStart: answer === VoteAnswer.PromisedAfterStart });
     } else if (supportedHash !== 0 && !this.isHeld) {
-      this.withdraw();
+      this.defer();
     }
   }
 
@@ -228,11 +235,19 @@
     return this.voters.indexOf(this.services.host);
   }
 
-  /** Ends the candidacy until no candidate has been heard for the time of a promise. */
+  /** Ends the candidacy and the mandate, and with them the support of this host for itself. */
   private withdraw(): void {
     this.isCandidate = false;
     this.votes.clear();
     this.sentAtMs.clear();
+    if (this.promise?.host === this.services.host) {
+      this.promise = undefined;
+    }
+  }
+
+  /** Ends the candidacy until no candidate has been heard for the time of a promise. */
+  private defer(): void {
+    this.withdraw();
     this.standsFromMs = this.services.clock.monotonicMs() + PROMISE_MS;
   }
 
@@ -246,8 +261,9 @@
 
   /** An allocator is one of the voters, so no other one exists while all of them support this host. */
   private isUnanimous(voters: readonly string[], nowMs: number): boolean {
+    // A host that knows only itself waits until it can't have promised anything before its start.
     return (
-      voters.length > 0 && voters.every((voter) => (this.votes.get(voter)?.untilMs ?? 0) > nowMs)
+      voters.length > 1 && voters.every((voter) => (this.votes.get(voter)?.untilMs ?? 0) > nowMs)
     );
   }
 }
--- a/tests/allotments/allotments.spec.ts
+++ b/tests/allotments/allotments.spec.ts
@@ -100,6 +100,19 @@
     expect(fleet.refusedShare('c', WARM_MS + 2_000, END_MS)).toBeLessThan(0.03);
   });
 
+  // Each of them would be the allocator of the fleet that it knows: itself.
+  it.each([900, 2_500])(
+    'should keep the bound while hosts that start together learn of each other within %i ms',
+    async (discoveryMs) => {
+      const customer = createCustomer('c', 44);
+      const fleet = new QuotaFleet(HOSTS, [customer], 11, discoveryMs);
+      fleet.load(fleet.hosts, 'c', 50 * 44, 10_000);
+      await fleet.clock.runUntil(10_000);
+      expect(fleet.excess(customer, 0)).toBeLessThanOrEqual(0);
+      expect(fleet.admittedBetween('c', 6_000, 10_000)).toBeGreaterThan(0.8 * 44 * 4);
+    },
+  );
+
   it.each([...Array(6).keys()])(
     'should serve while the allocator may be killed for 3 s (%i)',
     async (killed) => {
