--- a/packages/lentillb/src/emulation/emulatedHost.ts
+++ b/packages/lentillb/src/emulation/emulatedHost.ts
@@ -9,6 +9,7 @@
 import { DecisionLog } from '../observability/decisionLog.js';
 import { MetricsRegistry } from '../observability/metricsRegistry.js';
 import { Entry } from '../serving/entry.js';
+import { UNLIMITED } from '../allotments/index.js';
 import { LinkQueue } from '../transfers/linkQueue.js';
 import { Gate } from '../serving/gate.js';
 import { GateObservations } from '../placing/gateObservations.js';
@@ -145,6 +146,7 @@
     this.entry = new Entry(
       {
         clock,
+        quotas: { admit: () => UNLIMITED },
         randomness,
         configuration,
         status: new ConfigurationStatus(clock, configuration),
--- a/packages/lentillb/src/peers/gossipSocket.ts
+++ b/packages/lentillb/src/peers/gossipSocket.ts
@@ -17,8 +17,8 @@
   readonly onMessage: (from: string, message: GossipMessage) => void;
   /** Called with reports about suspect requests and the address and port of their sender. */
   readonly onSuspectReports: (from: string, reports: readonly SuspectReport[]) => void;
-  /** Called with all other datagrams and the address and port of their sender. */
-  readonly onOther?: (from: string, bytes: Buffer) => void;
+  /** Called with each datagram that is neither, and the address and port of its sender. */
+  readonly onOtherDatagram?: (from: string, bytes: Buffer) => void;
 }
 
 /** Sends gossip messages to other nodes without guaranteed delivery. */
@@ -32,7 +32,7 @@
   send(address: string, message: GossipMessage): void;
 }
 
-/** The UDP socket of a node for gossip messages and reports about suspect requests. */
+/** The UDP socket of a node, which all datagrams between nodes share. */
 export class GossipSocket implements GossipTransport, SuspectReportTransport, AddressListener {
   readonly use = 'gossip';
 
@@ -82,6 +82,22 @@
     this.sendDatagram(address, encodeSuspectReports(reports));
   }
 
+  /**
+   * Sends a datagram. Each kind of datagram begins with a byte of its own.
+   *
+   * @param address - the address and port of the receiving node
+   * @param bytes - the datagram
+   */
+  sendDatagram(address: string, bytes: Buffer): void {
+    const { host, port } = parseAddress(address);
+    // Without a callback, the socket reports no failure of the send itself.
+    this.socket?.send(bytes, port, host, (error) => {
+      if (error !== null) {
+        this.onError?.(error);
+      }
+    });
+  }
+
   close(): void {
     this.socket?.close();
     this.socket = undefined;
@@ -98,22 +114,6 @@
       this.listener.onSuspectReports(from, reports);
       return;
     }
-    this.listener.onOther?.(from, bytes);
-  }
-
-  /**
-   * Sends a datagram of another kind.
-   *
-   * @param address - the address and port of the receiving node
-   * @param bytes - the datagram, which begins with the magic byte of its kind
-   */
-  sendDatagram(address: string, bytes: Buffer): void {
-    const { host, port } = parseAddress(address);
-    // Without a callback, the socket reports no failure of the send itself.
-    this.socket?.send(bytes, port, host, (error) => {
-      if (error !== null) {
-        this.onError?.(error);
-      }
-    });
+    this.listener.onOtherDatagram?.(from, bytes);
   }
 }
--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -2,6 +2,8 @@
  * Forwards callers' requests to the gates of backend servers. A request that gets no answer is
  * refused only if it has certainly not run, so that its caller may safely send it again.
  */
+import type { Allotments, Refusal } from '../allotments/index.js';
+import { AnswerTimes } from '../admission/answerTimes.js';
 import {
   BEHIND_RETRY_AFTER_MS,
   chooseRetryAfterMs,
@@ -11,7 +13,6 @@
   waitWithoutReportMs,
 } from '../admission/retryAfter.js';
 import { WaitLimit } from '../admission/slotQueue.js';
-import { SmoothedMean } from '../admission/smoothedMean.js';
 import { parseIntegerHeader, Outcome, forwardedHeaders } from '../calls/callHeaders.js';
 import type { HeaderFields } from '../calls/callHeaders.js';
 import { Cancellation, CancelReason } from '../calls/cancellation.js';
@@ -31,7 +32,6 @@
 import type { Placement, GateSelector } from '../placing/gateSelector.js';
 import { Repetition } from '../rules/ruleForms.js';
 import { hash32 } from '../utils/hash.js';
-import { RecentMaximum } from '../utils/recentMaximum.js';
 import type { GateForwarder } from './gateForwarder.js';
 import type { HeaderNames } from './headerNames.js';
 import { Attempts } from './attempts.js';
@@ -67,6 +67,8 @@
   readonly suspectGuard: SuspectGuard;
   readonly log: DecisionLog;
   readonly metrics: MetricsRegistry;
+  /** Keeps customers within their rates. */
+  readonly quotas: Pick<Allotments, 'admit'>;
   /** Returns the gates with a version that may get a request, by default all. */
   readonly filterVersions?: (
     attempts: Attempts,
@@ -84,6 +86,7 @@
 const HttpStatus = {
   Unauthorized: 401,
   NotFound: 404,
+  TooManyRequests: 429,
   ServerError: 500,
   BadGateway: 502,
   Unavailable: 503,
@@ -105,12 +108,6 @@
   return caller.onCancel(() => attempts.cancel(caller.reason ?? CancelReason.CallerGone));
 }
 
-/** The times that requests of one route have taken lately, in milliseconds. */
-interface AnswerTimes {
-  readonly usual: SmoothedMean;
-  readonly longest: RecentMaximum;
-}
-
 /** Forwards the requests of the callers on this host. */
 export class Entry {
   /** The times of the planned stop of this node; undefined if it is not being stopped. */
@@ -119,8 +116,7 @@
   /** The cancellations of the requests in flight. */
   private readonly inFlight = new Set<Cancellation>();
 
-  /** The usual and the longest recent time until an answer by route, in milliseconds. */
-  private readonly timesByRoute = new Map<string, AnswerTimes>();
+  private readonly answerTimes = new AnswerTimes();
 
   /** The longest deadline of callers by route, in milliseconds: that of a first attempt. */
   private readonly longestDeadlineMsByRoute = new Map<string, number>();
@@ -176,8 +172,24 @@
     if (owner.isErr()) {
       return this.deny(request, route, owner.error);
     }
-    // Limits of the customer are checked here, before the request counts for anything else.
-    const forwarded = this.toForwardedRequest(request, route, owner.value);
+    const admitted = await this.services.quotas.admit(owner.value.customer?.name);
+    if (admitted.isErr()) {
+      return this.refuseOverQuota(request, route, admitted.error);
+    }
+    const answer = await this.serveAdmitted(request, route, owner.value);
+    if (answer.status === HttpStatus.Unavailable) {
+      // It has not run, so it does not count.
+      admitted.value.giveBack();
+    }
+    return answer;
+  }
+
+  private async serveAdmitted(
+    request: CallerRequest,
+    route: MeshRoute,
+    owner: RequestOwner,
+  ): Promise<EntryAnswer> {
+    const forwarded = this.toForwardedRequest(request, route, owner);
     this.logIfBehind(forwarded);
     if (!this.endsInTime(forwarded)) {
       return this.refuse(request, FailureCause.ShuttingDown, this.untilCallersMovedMs());
@@ -212,22 +224,12 @@
     const endpoints = directory.endpointsOf(service);
     const usualMs = Math.max(
       observations.typicalServiceMs(endpoints, hash32(route)),
-      this.timesOf(route).usual.value ?? 0,
+      this.answerTimes.usualMs(route),
     );
-    const longestMs = this.timesOf(route).longest.value;
+    const longestMs = this.answerTimes.longestMs(route);
     return endsInTime(this.stopTimes, clock.monotonicMs(), { deadlineAtMs, usualMs, longestMs });
   }
 
-  private timesOf(route: string): AnswerTimes {
-    const known = this.timesByRoute.get(route);
-    if (known !== undefined) {
-      return known;
-    }
-    const times = { usual: new SmoothedMean(), longest: new RecentMaximum() };
-    this.timesByRoute.set(route, times);
-    return times;
-  }
-
   /** The time until callers have moved to other nodes, before which they would be refused here again. */
   private untilCallersMovedMs(): number {
     const { gateClosesAtMs } = this.stopTimes ?? { gateClosesAtMs: 0 };
@@ -244,6 +246,18 @@
     return { status: HttpStatus.NotFound, headers: {}, body: EMPTY_BODY };
   }
 
+  /** Answers a request beyond the rate of its customer. */
+  private refuseOverQuota(
+    request: CallerRequest,
+    route: MeshRoute,
+    { retryAfterMs }: Refusal,
+  ): EntryAnswer {
+    const fields = { route: route.name, retryAfterMs: Math.round(retryAfterMs) };
+    this.recordFailure(request, 'over-quota', HttpStatus.TooManyRequests, fields);
+    const headers = { 'retry-after': formatRetryAfter(retryAfterMs) };
+    return { status: HttpStatus.TooManyRequests, headers, body: EMPTY_BODY };
+  }
+
   /** Answers a request that has no valid key. */
   private deny(request: CallerRequest, route: MeshRoute, denial: KeyDenial): EntryAnswer {
     const fields = { ...this.services.status.fields, route: route.name };
@@ -482,9 +496,7 @@
     metrics.count('entry_answers', { route: route.name, status: `${answer.status}` });
     metrics.observe('entry_latency_ms', elapsedMs, { route: route.name });
     const late = elapsedMs > route.targetLatencyMs;
-    const { longest, usual } = this.timesOf(route.name);
-    usual.add(elapsedMs);
-    longest.add(elapsedMs);
+    this.answerTimes.recordAnswer(route.name, elapsedMs);
     log.record(late ? Importance.Notable : Importance.Ordinary, 'request-answered', {
       requestId,
       route: route.name,
@@ -517,7 +529,7 @@
       leftMs: Math.round(remainingMs),
     };
     if (mayHaveRun) {
-      this.timesOf(route.name).longest.add(clock.monotonicMs() - request.arrivedAtMs);
+      this.answerTimes.recordCut(route.name, clock.monotonicMs() - request.arrivedAtMs);
       const timedOut = cause === FailureCause.DeadlinePassed;
       const status = timedOut ? HttpStatus.GatewayTimeout : HttpStatus.BadGateway;
       this.recordFailure(request, cause, status, fields);
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -1,6 +1,7 @@
 /** Assembles the node that runs on the host of a backend server. */
 import type { Result } from 'ts-results-es';
 import { Ok } from 'ts-results-es';
+import { Allotments } from '../allotments/allotments.js';
 import { CallerPresence } from '../calls/callerPresence.js';
 import { PendingInputTracker } from '../utils/pendingInput.js';
 import type { AddressListener } from '../utils/addressListener.js';
@@ -15,6 +16,7 @@
 import { GossipSocket } from '../peers/gossipSocket.js';
 import { SuspectReportRelay } from '../peers/suspectReportRelay.js';
 import { fetchState } from '../peers/stateClient.js';
+import { createMemoryBudget } from '../memory/createMemoryBudget.js';
 import { DecisionLog, Importance } from '../observability/decisionLog.js';
 import { EventLoopMonitor } from '../observability/eventLoopMonitor.js';
 import { MetricsRegistry } from '../observability/metricsRegistry.js';
@@ -51,7 +53,6 @@
 import { StoreAnnouncer } from './storeAnnouncer.js';
 import type { HostIdentity, HostState } from './storeAnnouncer.js';
 import { MeshState } from './meshState.js';
-import { createMemoryBudget } from './nodeMemory.js';
 import { registerGauges } from './nodeGauges.js';
 import { PlannedStop } from './plannedStop.js';
 import type { SidecarOptions, SidecarServices } from './sidecarOptions.js';
@@ -121,6 +122,8 @@
 
   private readonly suspectRelay: SuspectReportRelay;
 
+  private readonly allotments: Allotments;
+
   private readonly peerListener: StateServer;
 
   private readonly rollouts: Rollouts;
@@ -147,11 +150,7 @@
     const { log } = this;
     this.addresses = new AddressOpener({ clock, log }, options.stopTimeoutMs + ADDRESS_RESERVE_MS);
     this.eventLoopMonitor = new EventLoopMonitor(clock, log, metrics);
-    const { collectGarbage } = services;
-    const memory = createMemoryBudget(
-      { clock, log, metrics, collectGarbage },
-      options.memoryLimitBytes,
-    );
+    const memory = createMemoryBudget({ ...services, log, metrics }, options.memoryLimitBytes);
     const era = new StoreEraTracker();
     const store = new EraCheckedStore(services.store, era);
     this.meshState = new MeshState(
@@ -251,12 +250,20 @@
           reports.forEach((report) => suspectGuard.receive(report, source));
         }
       },
-      onOther: (from, bytes) => this.isStarted && this.rollouts.receive(from, bytes),
+      onOtherDatagram: (from, bytes) => {
+        if (this.isStarted) {
+          this.rollouts.receive(from, bytes);
+          this.allotments.receive(from, bytes);
+        }
+      },
     });
-    this.suspectRelay = new SuspectReportRelay(
-      { clock, randomness, directory, transport: this.gossipSocket },
-      identity,
+    const transport = this.gossipSocket;
+    this.allotments = new Allotments(
+      { clock, randomness, configuration, directory, transport, log, metrics },
+      { host: identity.host, processId, terms: options.quotaTerms, isReady: () => this.ready },
     );
+    const relayServices = { clock, randomness, directory, transport };
+    this.suspectRelay = new SuspectReportRelay(relayServices, identity);
     this.gossip = new Gossip(
       {
         clock,
@@ -264,7 +271,7 @@
         configuration,
         status,
         directory,
-        transport: this.gossipSocket,
+        transport,
         fetchState,
         role,
         era,
@@ -330,6 +337,7 @@
         suspectGuard,
         log,
         metrics,
+        quotas: this.allotments,
         filterVersions: this.rollouts.filter,
       },
       { names: headerNames, callerService: service },
@@ -370,12 +378,7 @@
       observations.removeOthers(announcement.host, announcement.backendServer?.id);
       suspectGuard.learn(announcement);
     });
-    registerGauges(metrics, {
-      gossip: this.gossip,
-      memory,
-      meshState: this.meshState,
-      suspects,
-    });
+    registerGauges(metrics, { gossip: this.gossip, memory, meshState: this.meshState, suspects });
   }
 
   /** Whether the node holds all its addresses and takes part in the mesh. */
@@ -521,6 +524,7 @@
     this.gossip.stop();
     this.suspectRelay.stop();
     this.rollouts.stop();
+    this.allotments.stop();
     this.meshState.stop();
   }
 
@@ -531,6 +535,7 @@
     this.gossip.stop();
     this.suspectRelay.stop();
     this.rollouts.stop();
+    this.allotments.stop();
     this.meshState.stop();
     this.callers.close();
     this.gateListener.close();
--- a/packages/lentillb/src/sidecar/sidecarOptions.ts
+++ b/packages/lentillb/src/sidecar/sidecarOptions.ts
@@ -1,5 +1,6 @@
 /** Defines the settings of a node and the services that it depends on. */
 import type { Result } from 'ts-results-es';
+import type { QuotaTerms } from '../allotments/quotaTerms.js';
 import type { MeshConfiguration } from '../configuration/meshConfiguration.js';
 import type { Clock } from '../kernel/clock.js';
 import type { Randomness } from '../kernel/randomness.js';
@@ -24,6 +25,8 @@
   readonly retryTerms: RetryTerms;
   /** Timeout of a planned stop, in milliseconds. */
   readonly stopTimeoutMs: number;
+  /** The bound on the requests of customers; that of `DEFAULT_QUOTA_TERMS` by default. */
+  readonly quotaTerms?: QuotaTerms;
   /** The memory limit of the host, in bytes; by default that of the smallest known host. */
   readonly memoryLimitBytes?: number;
   /** The key of the configuration among the operator's records. */
--- a/tests/serving/entry.spec.ts
+++ b/tests/serving/entry.spec.ts
@@ -9,6 +9,7 @@
 import { DecisionLog } from 'lentillb/observability/decisionLog.js';
 import { MetricsRegistry } from 'lentillb/observability/metricsRegistry.js';
 import { Repetition } from 'lentillb/rules/ruleForms.js';
+import { UNLIMITED } from 'lentillb/allotments/index.js';
 import { Entry } from 'lentillb/serving/entry.js';
 import type { EntryAnswer } from 'lentillb/serving/entry.js';
 import { GateObservations } from 'lentillb/placing/gateObservations.js';
@@ -136,6 +137,7 @@
   const silentReplies: (Promise<GateReply> | undefined)[] = [];
   const sentRequests: ForwardedRequest[] = [];
   let script: readonly ScriptedReply[] = [];
+  const quota = { admission: UNLIMITED };
   const status = new ConfigurationStatus(clock, configuration);
   const entry = new Entry(
     {
@@ -143,6 +145,7 @@
       randomness,
       configuration,
       status,
+      quotas: { admit: () => quota.admission },
       rotation: new SmoothWeightedRoundRobin(randomness),
       directory,
       observations,
@@ -211,6 +214,7 @@
     cancellations,
     clock,
     configuration,
+    quota,
     observationOf: (host: string) => {
       const endpoint = directory.endpointsOf('s').find((one) => one.host === host);
       return observations.of(endpoint!);
@@ -468,6 +472,32 @@
     expect(askedHosts).toEqual([]);
   });
 
+  it('should answer 429 beyond the rate of the customer, and ask no gate', async () => {
+    const { askedHosts, quota, serveWithKey } = keyedFixture();
+    quota.admission = Err({ retryAfterMs: 250 });
+    const { headers, status } = await serveWithKey('Bearer k1');
+    expect([status, headers]).toEqual([429, { 'retry-after': '0.250' }]);
+    expect(askedHosts).toEqual([]);
+  });
+
+  // Guards against a customer that pays for requests which were refused for lack of slots.
+  it.each([
+    [503, 1, [ScriptedReply.Refused, ScriptedReply.Refused, ScriptedReply.Refused]],
+    [200, 0, []],
+  ])('should give the permit of a request back that is answered %s: %s', async (...row) => {
+    const [status, count, replies] = row;
+    const { quota, serve } = keyedFixture();
+    let givenBack = 0;
+    quota.admission = Ok({
+      giveBack: () => {
+        givenBack += 1;
+      },
+    });
+    const headers = { ...REQUEST.headers, authorization: 'Bearer k1' };
+    expect((await serve(replies, { headers })).status).toBe(status);
+    expect(givenBack).toBe(count);
+  });
+
   it('should answer 404 where there is no route, with and without a valid key', async () => {
     const { serveWithKey } = keyedFixture();
     expect((await serveWithKey('Bearer k1', 'b.example')).status).toBe(404);
