--- a/tests/serving/entry.spec.ts
+++ b/tests/serving/entry.spec.ts
@@ -485,7 +485,7 @@
     [503, 1, [ScriptedReply.Refused, ScriptedReply.Refused, ScriptedReply.Refused]],
     [200, 0, []],
   ])('should give the permit of a request back that is answered %s: %s', async (...row) => {
-    const [status, count, replies] = row;
+    const [status, count, scripted] = row;
     const { quota, serve } = keyedFixture();
     let givenBack = 0;
     quota.admission = Ok({
