--- a/tests/serving/entry.spec.ts
+++ b/tests/serving/entry.spec.ts
@@ -494,7 +494,7 @@
       },
     });
     const headers = { ...REQUEST.headers, authorization: 'Bearer k1' };
-    expect((await serve(replies, { headers })).status).toBe(status);
+    expect((await serve(scripted, { headers })).status).toBe(status);
     expect(givenBack).toBe(count);
   });
 
