--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -2,12 +2,11 @@
  * Forwards callers' requests to the gates of backend servers. A request that gets no answer is
  * refused only if it has certainly not run, so that its caller may safely send it again.
  */
-import type { Allotments, Refusal } from '../allotments/index.js';
+import type { Allotments } from '../allotments/index.js';
 import { AnswerTimes } from '../admission/answerTimes.js';
 import {
   BEHIND_RETRY_AFTER_MS,
   chooseRetryAfterMs,
-  formatRetryAfter,
   UNCONFIGURED_RETRY_AFTER_MS,
   UNSERVED_RETRY_AFTER_MS,
   waitWithoutReportMs,
@@ -30,6 +29,7 @@
 import type { MetricsRegistry } from '../observability/metricsRegistry.js';
 import type { GateObservations } from '../placing/gateObservations.js';
 import type { Placement, GateSelector } from '../placing/gateSelector.js';
+import { Refusals } from '../refusals/refusals.js';
 import { Repetition } from '../rules/ruleForms.js';
 import { hash32 } from '../utils/hash.js';
 import type { GateForwarder } from './gateForwarder.js';
@@ -86,7 +86,6 @@
 const HttpStatus = {
   Unauthorized: 401,
   NotFound: 404,
-  TooManyRequests: 429,
   ServerError: 500,
   BadGateway: 502,
   Unavailable: 503,
@@ -101,8 +100,6 @@
 /** The share of the typical service time that must remain before the deadline for a retry. */
 const MIN_RETRY_TIME_SHARE = 0.7;
 
-const EMPTY_BODY = Buffer.alloc(0);
-
 /** Cancels a request when its caller leaves, until the returned function is called. */
 function linkCancellation(caller: Cancellation, attempts: Cancellation): () => void {
   return caller.onCancel(() => attempts.cancel(caller.reason ?? CancelReason.CallerGone));
@@ -123,11 +120,14 @@
 
   private readonly keyCheck: KeyCheck;
 
+  private readonly refusals: Refusals;
+
   constructor(
     private readonly services: EntryServices,
     private readonly options: EntryOptions,
   ) {
     this.keyCheck = new KeyCheck(services, options.names.customer);
+    this.refusals = new Refusals(services, options.names.requestId);
   }
 
   /**
@@ -158,11 +158,11 @@
    */
   async serve(request: CallerRequest): Promise<EntryAnswer> {
     if (request.cancellation.reason !== undefined) {
-      return this.refuse(request, FailureCause.CallerGone, 0);
+      return this.refusals.refuse(request, FailureCause.CallerGone, 0);
     }
     const table = this.services.configuration.current;
     if (table === undefined) {
-      return this.refuse(request, 'no-configuration', UNCONFIGURED_RETRY_AFTER_MS);
+      return this.refusals.refuse(request, 'no-configuration', UNCONFIGURED_RETRY_AFTER_MS);
     }
     const route = table.find(request.headers.host ?? '', request.target);
     if (route === undefined) {
@@ -174,7 +174,8 @@
     }
     const admitted = await this.services.quotas.admit(owner.value.customer?.name);
     if (admitted.isErr()) {
-      return this.refuseOverQuota(request, route, admitted.error);
+      const { retryAfterMs } = admitted.error;
+      return this.refusals.refuseOverQuota(request, retryAfterMs, { route: route.name });
     }
     const answer = await this.serveAdmitted(request, route, owner.value);
     if (answer.status === HttpStatus.Unavailable) {
@@ -192,16 +193,16 @@
     const forwarded = this.toForwardedRequest(request, route, owner);
     this.logIfBehind(forwarded);
     if (!this.endsInTime(forwarded)) {
-      return this.refuse(request, FailureCause.ShuttingDown, this.untilCallersMovedMs());
+      return this.refusals.refuse(request, FailureCause.ShuttingDown, this.untilCallersMovedMs());
     }
     this.services.allowance.recordRequest(forwarded.service);
     const { trialHostHash, trialInMs, verdict } = this.services.suspectGuard.judge(forwarded);
     if (verdict === SuspectVerdict.Blocked) {
-      return this.refuse(request, FailureCause.SuspectRequest, trialInMs);
+      return this.refusals.refuse(request, FailureCause.SuspectRequest, trialInMs);
     }
     const attempts = new Attempts(forwarded, route, trialHostHash);
     if (trialHostHash !== undefined && this.candidatesFor(attempts).length === 0) {
-      return this.refuse(request, FailureCause.SuspectRequest, UNSERVED_RETRY_AFTER_MS);
+      return this.refusals.refuse(request, FailureCause.SuspectRequest, UNSERVED_RETRY_AFTER_MS);
     }
     const stopLink = linkCancellation(request.cancellation, forwarded.cancellation);
     this.inFlight.add(forwarded.cancellation);
@@ -240,33 +241,19 @@
   private answerMissingRoute(request: CallerRequest): EntryAnswer {
     const { fields, newerVersion } = this.services.status;
     if (newerVersion !== undefined) {
-      return this.refuse(request, 'newer-configuration', BEHIND_RETRY_AFTER_MS, fields);
+      return this.refusals.refuse(request, 'newer-configuration', BEHIND_RETRY_AFTER_MS, fields);
     }
-    this.recordFailure(request, 'no-route', HttpStatus.NotFound, fields);
-    return { status: HttpStatus.NotFound, headers: {}, body: EMPTY_BODY };
-  }
-
-  /** Answers a request beyond the rate of its customer. */
-  private refuseOverQuota(
-    request: CallerRequest,
-    route: MeshRoute,
-    { retryAfterMs }: Refusal,
-  ): EntryAnswer {
-    const fields = { route: route.name, retryAfterMs: Math.round(retryAfterMs) };
-    this.recordFailure(request, 'over-quota', HttpStatus.TooManyRequests, fields);
-    const headers = { 'retry-after': formatRetryAfter(retryAfterMs) };
-    return { status: HttpStatus.TooManyRequests, headers, body: EMPTY_BODY };
+    return this.refusals.fail(request, 'no-route', HttpStatus.NotFound, fields);
   }
 
   /** Answers a request that has no valid key. */
   private deny(request: CallerRequest, route: MeshRoute, denial: KeyDenial): EntryAnswer {
     const fields = { ...this.services.status.fields, route: route.name };
     if (!denial.isFinal) {
-      return this.refuse(request, denial.cause, BEHIND_RETRY_AFTER_MS, fields);
+      return this.refusals.refuse(request, denial.cause, BEHIND_RETRY_AFTER_MS, fields);
     }
-    this.recordFailure(request, denial.cause, HttpStatus.Unauthorized, fields);
     const headers = { 'www-authenticate': 'Bearer' };
-    return { status: HttpStatus.Unauthorized, headers, body: EMPTY_BODY };
+    return this.refusals.fail(request, denial.cause, HttpStatus.Unauthorized, fields, headers);
   }
 
   /** Records by which version a request is routed while this node knows that a newer one exists. */
@@ -532,48 +519,17 @@
       this.answerTimes.recordCut(route.name, clock.monotonicMs() - request.arrivedAtMs);
       const timedOut = cause === FailureCause.DeadlinePassed;
       const status = timedOut ? HttpStatus.GatewayTimeout : HttpStatus.BadGateway;
-      this.recordFailure(request, cause, status, fields);
-      return { status, headers: {}, body: EMPTY_BODY };
+      return this.refusals.fail(request, cause, status, fields);
     }
     const waitMs = Number.isFinite(minWaitMs) ? minWaitMs : waitWithoutReportMs(cause);
     const { directory, gateSelector } = this.services;
-    return this.refuse(request, cause, chooseRetryAfterMs({ waitMs, remainingMs }, randomness), {
-      ...fields,
-      ...gateSelector.countCandidates(directory.endpointsOf(forwarded.service)),
-    });
-  }
-
-  private refuse(
-    request: CallerRequest,
-    cause: string,
-    delayMs: number,
-    fields: Readonly<Record<string, string | number>> = {},
-  ): EntryAnswer {
-    const retryAfterMs = Math.round(delayMs);
-    this.recordFailure(request, cause, HttpStatus.Unavailable, { ...fields, retryAfterMs });
-    const headers = { 'retry-after': formatRetryAfter(retryAfterMs) };
-    return { status: HttpStatus.Unavailable, headers, body: EMPTY_BODY };
-  }
-
-  private recordFailure(
-    { arrivedAtMs, headers }: CallerRequest,
-    cause: string,
-    status: number,
-    fields: Readonly<Record<string, string | number>>,
-  ): void {
-    const { clock, configuration, metrics, log } = this.services;
-    const requestId = headers[this.options.names.requestId];
-    metrics.count('entry_failures', { cause, status: `${status}` });
-    log.record(
-      Importance.Notable,
-      status === HttpStatus.Unavailable ? 'request-refused' : 'request-failed',
+    return this.refusals.refuse(
+      request,
+      cause,
+      chooseRetryAfterMs({ waitMs, remainingMs }, randomness),
       {
-        requestId: typeof requestId === 'string' ? requestId : undefined,
-        cause,
-        status,
-        elapsedMs: Math.round(clock.monotonicMs() - arrivedAtMs),
-        configurationVersion: configuration.version,
         ...fields,
+        ...gateSelector.countCandidates(directory.endpointsOf(forwarded.service)),
       },
     );
   }
