--- a/packages/lentillb/src/placing/gateSelector.ts
+++ b/packages/lentillb/src/placing/gateSelector.ts
@@ -20,6 +20,8 @@
   readonly excluded: ReadonlySet<string>;
   /** The target latency of the request, in milliseconds. */
   readonly targetMs: number;
+  /** The length of the request's body in bytes, which a link carries; 0 by default. */
+  readonly bodyBytes?: number;
   /** The hash of the name of the request's route. */
   readonly routeHash: number;
 }
@@ -44,6 +46,8 @@
 );
 /** The risk added for another zone: ten requests sent there weigh as much as three late answers. */
 const CROSS_ZONE_RISK = 0.3;
+/** The length of a body up to which requests to another zone weigh alike, in bytes. */
+const USUAL_BODY_BYTES = 8_192;
 /** The risk added at full load, so that the less loaded of two gates that are on time wins. */
 const LOAD_RISK = 0.1;
 /** The risk added by a wait as long as the target latency, which others behind the request share. */
@@ -153,7 +157,12 @@
   readonly acceptance: (gate: UsableGate) => number;
 }
 
-type RiskInput = Pick<PlacementRequest, 'routeHash' | 'targetMs'>;
+type RiskInput = Pick<PlacementRequest, 'bodyBytes' | 'routeHash' | 'targetMs'>;
+
+/** Returns the risk added for another zone; traffic between zones is priced by the byte. */
+function crossZoneRisk({ bodyBytes = 0 }: RiskInput): number {
+  return CROSS_ZONE_RISK * Math.max(1, bodyBytes / USUAL_BODY_BYTES);
+}
 
 const PERCENT = 100;
 
@@ -341,8 +350,9 @@
   private estimate(
     { endpoint, observation }: UsableGate,
     typicalMs: () => number,
-    { routeHash, targetMs }: RiskInput,
+    request: RiskInput,
   ): Placement {
+    const { routeHash, targetMs } = request;
     const serviceMs = observation.serviceMs(routeHash, typicalMs);
     const slots = usableSlots(
       endpoint.backendServer.slots,
@@ -359,7 +369,7 @@
       observation.failureShare() +
       (LOAD_RISK * load) / slots +
       Math.min(MAX_WAIT_RISK, (WAIT_RISK * waitMs) / targetMs) +
-      (endpoint.zone === this.location.zone ? 0 : CROSS_ZONE_RISK);
+      (endpoint.zone === this.location.zone ? 0 : crossZoneRisk(request));
     return { endpoint, expectedMs, risk };
   }
 }
--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -172,7 +172,8 @@
     if (owner.isErr()) {
       return this.deny(request, route, owner.error);
     }
-    const admitted = await this.services.quotas.admit(owner.value.customer?.name);
+    const quota = this.services.quotas.admit(owner.value.customer?.name);
+    const admitted = quota instanceof Promise ? await quota : quota;
     if (admitted.isErr()) {
       const { retryAfterMs } = admitted.error;
       return this.refusals.refuseOverQuota(request, retryAfterMs, { route: route.name });
@@ -195,7 +196,8 @@
     if (!this.endsInTime(forwarded)) {
       return this.refusals.refuse(request, FailureCause.ShuttingDown, this.untilCallersMovedMs());
     }
-    this.services.allowance.recordRequest(forwarded.service);
+    const isCall = owner.hasCustomers && owner.customer === undefined;
+    this.services.allowance.recordRequest(forwarded.service, isCall);
     const { trialHostHash, trialInMs, verdict } = this.services.suspectGuard.judge(forwarded);
     if (verdict === SuspectVerdict.Blocked) {
       return this.refusals.refuse(request, FailureCause.SuspectRequest, trialInMs);
@@ -366,6 +368,7 @@
       candidates: this.candidatesFor(attempts),
       excluded,
       targetMs: route.targetLatencyMs,
+      bodyBytes: attempts.request.body.length,
       routeHash,
     });
   }
--- a/packages/lentillb/src/serving/gateForwarder.ts
+++ b/packages/lentillb/src/serving/gateForwarder.ts
@@ -119,9 +119,12 @@
       readonly suspectGuard: Pick<SuspectGuard, 'recordNodeEnded'>;
       readonly log: DecisionLog;
     },
-    private readonly ownHost: string,
-    /** The bandwidth of the link of this host in megabits per second, if known. */
-    private readonly linkMegabits?: number,
+    private readonly own: {
+      readonly host: string;
+      readonly zone?: string;
+      /** The bandwidth of the link of this host in megabits per second, if known. */
+      readonly linkMegabits?: number | undefined;
+    },
   ) {
     this.pool = new ConnectionPool(services.clock, {
       idleMs: MAX_IDLE_MS,
@@ -143,7 +146,7 @@
     expectedMs: number,
   ): Promise<GateReply> {
     const { gate, links } = this.services;
-    if (endpoint.host === this.ownHost) {
+    if (endpoint.host === this.own.host) {
       return gate.serve(request);
     }
     let stopWatch: (() => void) | undefined;
@@ -244,14 +247,15 @@
    * @returns the refusal of the gate, or a failure to reach it; undefined if the body may be sent
    */
   private async reserve(
-    { gateAddress }: GateEndpoint,
+    { gateAddress, zone }: GateEndpoint,
     request: ForwardedRequest,
   ): Promise<GateReply | undefined> {
     const { clock, sender } = this.services;
     const { body, headers, waitLimit } = request;
     const reservation = reservationHeader({
       bytes: body.length,
-      senderMegabits: this.linkMegabits,
+      senderMegabits: this.own.linkMegabits,
+      crossesZones: this.own.zone !== undefined && zone !== this.own.zone,
     });
     // A late reply would leave no time for another host.
     const deadlineAtMs =
--- a/packages/lentillb/src/serving/gateServer.ts
+++ b/packages/lentillb/src/serving/gateServer.ts
@@ -74,7 +74,7 @@
   /** Waits until the body of a request may be sent here; refuses it if it would not be answered in time. */
   private async reserve(
     request: ForwardedRequest,
-    { bytes, senderMegabits }: Reservation,
+    { bytes, crossesZones, senderMegabits }: Reservation,
   ): Promise<GateReply> {
     const { admission, transfers } = this.services;
     const key = deliveryKeyOf(request);
@@ -87,6 +87,7 @@
       ...request,
       key: key ?? '',
       bytes,
+      crossesZones,
       senderMegabits,
       expectedMs: expected.value,
     });
--- a/packages/lentillb/src/serving/retryAllowance.ts
+++ b/packages/lentillb/src/serving/retryAllowance.ts
@@ -18,9 +18,16 @@
 
 /** The share of the limit for direct retries; the rest covers calls that repeated runs make. */
 const DIRECT_RETRY_SHARE = 0.8;
+/**
+ * The share of the limit that direct retries leave where all requests to a service are calls. The runs
+ * that make them are repeated at up to the ratio of their own service.
+ */
+const CALL_SHARE = 0.35;
 
 interface Usage {
   readonly requests: number[];
+  /** The times of those requests that are calls of runs. */
+  readonly calls: number[];
   readonly retries: number[];
 }
 
@@ -48,9 +55,15 @@
    * Counts a request, which raises the limit.
    *
    * @param service - the service that the request is for
+   * @param isCall - whether a run is known to have made the request
    */
-  recordRequest(service: string): void {
-    this.usageOf(service).requests.push(this.clock.monotonicMs());
+  recordRequest(service: string, isCall = false): void {
+    const { calls, requests } = this.usageOf(service);
+    const nowMs = this.clock.monotonicMs();
+    requests.push(nowMs);
+    if (isCall) {
+      calls.push(nowMs);
+    }
   }
 
   /**
@@ -63,7 +76,8 @@
     const { extra, ratio } = this.terms;
     const usage = this.usageOf(service);
     const allowed = ratio * usage.requests.length + extra / Math.max(1, this.nodeCount());
-    if (usage.retries.length + 1 > allowed * DIRECT_RETRY_SHARE) {
+    const callShare = usage.calls.length / Math.max(1, usage.requests.length);
+    if (usage.retries.length + 1 > allowed * (DIRECT_RETRY_SHARE - CALL_SHARE * callShare)) {
       return false;
     }
     usage.retries.push(this.clock.monotonicMs());
@@ -71,10 +85,11 @@
   }
 
   private usageOf(service: string): Usage {
-    const usage = this.usages.get(service) ?? { requests: [], retries: [] };
+    const usage = this.usages.get(service) ?? { requests: [], calls: [], retries: [] };
     this.usages.set(service, usage);
     const beforeMs = this.clock.monotonicMs() - this.terms.windowMs;
     removeBefore(usage.requests, beforeMs);
+    removeBefore(usage.calls, beforeMs);
     removeBefore(usage.retries, beforeMs);
     return usage;
   }
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -314,8 +314,7 @@
         suspectGuard,
         log,
       },
-      identity.host,
-      identity.linkMegabits,
+      identity,
     );
     const isSilent = (host: string): boolean => failureDetector.isSilent(host);
     const nodeCount = (): number => directory.announcements.length;
--- a/packages/lentillb/src/transfers/linkQueue.ts
+++ b/packages/lentillb/src/transfers/linkQueue.ts
@@ -23,6 +23,8 @@
   readonly bytes: number;
   /** The bandwidth of the sender's link in megabits per second, if known. */
   readonly senderMegabits?: number | undefined;
+  /** Whether the sender is in another availability zone. */
+  readonly crossesZones?: boolean;
   readonly customerPriority: number;
   readonly priority: number;
   readonly targetAtMs: number;
@@ -116,7 +118,9 @@
       return Promise.resolve(Ok(undefined));
     }
     const waitMs = this.expectedWaitMs(transfer);
-    if (this.waiting.length >= MAX_WAITING || !this.mayWait(transfer, waitMs)) {
+    // Another zone gets what this one leaves: where all are short of room, they would only exchange bodies.
+    const isForeign = transfer.crossesZones === true;
+    if (isForeign || this.waiting.length >= MAX_WAITING || !this.mayWait(transfer, waitMs)) {
       return Promise.resolve(this.refuse(transfer, waitMs));
     }
     return new Promise((resolve) => {
--- a/packages/lentillb/src/transfers/transferProtocol.ts
+++ b/packages/lentillb/src/transfers/transferProtocol.ts
@@ -17,6 +17,8 @@
   readonly bytes: number;
   /** The bandwidth of the sender's link in megabits per second, if known. */
   readonly senderMegabits: number | undefined;
+  /** Whether the sender is in another availability zone. */
+  readonly crossesZones: boolean;
 }
 
 /**
@@ -25,8 +27,11 @@
  * @param reservation - the body that it is for
  * @returns the header, to be sent with the description of the request
  */
-export function reservationHeader({ bytes, senderMegabits }: Reservation): HeaderFields {
-  return { [RESERVATION_HEADER]: `${bytes} ${senderMegabits ?? ''}`.trimEnd() };
+export function reservationHeader(reservation: Reservation): HeaderFields {
+  const { bytes, crossesZones, senderMegabits = '' } = reservation;
+  return {
+    [RESERVATION_HEADER]: `${bytes} ${crossesZones ? '1' : '0'} ${senderMegabits}`.trimEnd(),
+  };
 }
 
 /**
@@ -37,11 +42,13 @@
  */
 export function decodeReservation(headers: IncomingHttpHeaders): Reservation | undefined {
   const value = headers[RESERVATION_HEADER];
-  const match = typeof value === 'string' ? /^(\d{1,12})(?: (\d+(?:\.\d+)?))?$/.exec(value) : null;
+  const match =
+    typeof value === 'string' ? /^(\d{1,12}) ([01])(?: (\d+(?:\.\d+)?))?$/.exec(value) : null;
   return match === null
     ? undefined
     : {
         bytes: Number(match[1]),
-        senderMegabits: match[2] === undefined ? undefined : Number(match[2]),
+        crossesZones: match[2] === '1',
+        senderMegabits: match[3] === undefined ? undefined : Number(match[3]),
       };
 }
--- a/tests/placing/gateSelector.spec.ts
+++ b/tests/placing/gateSelector.spec.ts
@@ -37,10 +37,11 @@
   );
   const near = endpoint('near', 'a');
   const far = endpoint('far', 'b');
-  const choose = (excluded = NO_HOSTS): string | undefined =>
+  const choose = (excluded = NO_HOSTS, bodyBytes = 0): string | undefined =>
     gateSelector.choose({
       candidates: [near, far],
       excluded,
+      bodyBytes,
       targetMs: TARGET_MS,
       routeHash: ROUTE_HASH,
     })?.endpoint.host;
@@ -56,6 +57,16 @@
     expect(choose()).toBe('near');
   });
 
+  // Guards against bodies that zones send to each other at a load that an idle request would flee.
+  it('should keep a large body in its zone while a small request goes to another', () => {
+    const { choose, near, observations } = fixture();
+    observations.of(near).recordServiceTime(220);
+    observations.of(near).recordLoad(3 * SLOTS);
+    expect(choose()).toBe('far');
+    expect(choose(NO_HOSTS, 60_000)).toBe('near');
+    expect(choose(new Set(['near']), 60_000)).toBe('far');
+  });
+
   // Reports round service times to milliseconds, so that those of fast backend servers are 0.
   it('should choose a gate whose backend servers answer in less than half a millisecond', () => {
     const { choose, far, near, observations } = fixture();
--- a/tests/serving/gateForwarder.spec.ts
+++ b/tests/serving/gateForwarder.spec.ts
@@ -91,7 +91,7 @@
         },
       },
     },
-    'own',
+    { host: 'own' },
   );
 });
 
--- a/tests/serving/retryAllowance.spec.ts
+++ b/tests/serving/retryAllowance.spec.ts
@@ -49,6 +49,18 @@
     expect(times.length).toBeGreaterThan(20);
   });
 
+  // Guards against repeats that nobody counts: those that repeated runs of another service make as calls.
+  it('should leave more of the limit to repeated runs where requests are calls', () => {
+    const [ordinary, called] = [false, true].map((isCall) => {
+      const allowance = new RetryAllowance(new ManualClock(), { ...TERMS, extra: 0 }, () => 1);
+      for (let request = 0; request < 100; request += 1) {
+        allowance.recordRequest('s', isCall);
+      }
+      return spendAll(allowance, 's');
+    });
+    expect([ordinary, called]).toEqual([TERMS.ratio * 80, Math.floor(TERMS.ratio * 45)]);
+  });
+
   it('should limit each service separately', () => {
     const allowance = new RetryAllowance(new ManualClock(), { ...TERMS, extra: 0 }, () => 1);
     for (let request = 0; request < 100; request += 1) {
--- a/tests/transfers/linkQueue.spec.ts
+++ b/tests/transfers/linkQueue.spec.ts
@@ -88,6 +88,18 @@
     expect(outcomes).toEqual(['first sent', 'of another customer sent', 'less urgent sent']);
   });
 
+  // Guards against zones that exchange their bodies while all of them are short of room.
+  it('should refuse a body of another zone unless its link is free', async () => {
+    const outcomes: string[] = [];
+    send('foreign', outcomes, { crossesZones: true });
+    send('own', outcomes);
+    send('second foreign', outcomes, { crossesZones: true });
+    await clock.advance(0);
+    expect(outcomes).toEqual(['foreign sent', 'second foreign refused']);
+    await clock.advance(BODY_MS);
+    expect(outcomes.at(-1)).toBe('own sent');
+  });
+
   it('should carry bodies of narrow senders at the same time', async () => {
     const outcomes: string[] = [];
     send('a', outcomes, { senderMegabits: 3 });
