--- a/packages/lentillb/src/allotments/customerLease.ts
+++ b/packages/lentillb/src/allotments/customerLease.ts
@@ -13,8 +13,8 @@
 import type { Quota } from './quotaTerms.js';
 
 const MS_PER_SECOND = 1_000;
-/** How long a request waits for the reply of the allocator. */
-const REPLY_WAIT_MS = 100;
+/** How long a request waits for the reply of the allocator, which a busy processor may delay. */
+const REPLY_WAIT_MS = 250;
 /** The time after a reply that grants too little for which requests without a token are refused at once. */
 const LIMITED_MS = 200;
 /** The most requests of a customer that wait; more are refused at once. */
@@ -240,7 +240,7 @@
   }
 
   private createRefusal(): Refusal {
-    const waitMs = MS_PER_SECOND / Math.max(this.bucket.ratePerSecond, 1);
+    const waitMs = MS_PER_SECOND / Math.max(this.quota.ratePerSecond, 1);
     const boundedMs = Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, waitMs));
     return { retryAfterMs: boundedMs * (1 + JITTER_SHARE * this.services.randomness.fraction()) };
   }
--- a/packages/lentillb/src/allotments/customerTable.ts
+++ b/packages/lentillb/src/allotments/customerTable.ts
@@ -20,6 +20,12 @@
 const SILENT_MS = 1_400;
 /** The reserve of a host as a multiple of its demand. */
 const RESERVE_FACTOR = 1.3;
+/**
+ * The demand below which a host leases nothing and asks for single tokens. A host measures two thirds of a
+ * request a second after a single request, and where callers of a customer are on all hosts, leases for
+ * such demand would hold most of its rate at hosts that do not use it.
+ */
+const MIN_LEASED_DEMAND = 2;
 /** Up to this demand, a host leases less than its demand and asks for single tokens beyond. */
 const LOW_DEMAND = 8;
 /** From this demand on, a host leases more than its demand; Poisson arrivals vary by a third here. */
@@ -38,6 +44,9 @@
 const MIN_RATE = 0.05;
 
 function chooseLease(demand: number): number {
+  if (demand < MIN_LEASED_DEMAND) {
+    return 0;
+  }
   const position = (demand - LOW_DEMAND) / (HIGH_DEMAND - LOW_DEMAND);
   const share = Math.min(1, Math.max(0, position));
   return demand * (LOW_FACTOR + share * (HIGH_FACTOR - LOW_FACTOR));
--- a/packages/lentillb/src/allotments/groupReporter.ts
+++ b/packages/lentillb/src/allotments/groupReporter.ts
@@ -11,7 +11,7 @@
 import { deleteEarlier } from './sentTimes.js';
 
 /** The shortest time between two reports for waiting requests. */
-const MIN_REPORT_INTERVAL_MS = 50;
+const MIN_REPORT_INTERVAL_MS = 20;
 /** The time without a reply after which another host is asked. */
 const NO_REPLY_MS = 600;
 
--- a/tests/allotments/allotments.spec.ts
+++ b/tests/allotments/allotments.spec.ts
@@ -18,6 +18,9 @@
   it.each([
     [5, 1],
     [5, 4],
+    // Callers of a small customer on every host: a lease for each would hold the rate unused.
+    [5, HOSTS],
+    [12, HOSTS],
     [44, 1],
     [44, HOSTS],
     [377, 1],
