--- a/packages/lentillb/src/placing/gateSelector.ts
+++ b/packages/lentillb/src/placing/gateSelector.ts
@@ -44,14 +44,40 @@
 const MEDIAN_TO_MEAN_RATIO = Math.exp(
   (-SERVICE_TIME_LOG_DEVIATION * SERVICE_TIME_LOG_DEVIATION) / 2,
 );
-/** The risk added for another zone: ten requests sent there weigh as much as three late answers. */
-const CROSS_ZONE_RISK = 0.3;
+/** The number of gates of a service in a zone from which on its load can be made even. */
+const MIN_EVENED_GATES = 3;
+
+/** The weights of a comparison. */
+interface Weights {
+  /** The risk added for another zone, which stands for the price of traffic between zones. */
+  readonly crossZone: number;
+  /** The risk added at full load, so that the less loaded of two gates that are on time wins. */
+  readonly load: number;
+  /** The risk added by a wait as long as the target latency, which others behind the request share. */
+  readonly wait: number;
+  /** The difference from the lowest risk up to which placements are chosen between at random. */
+  readonly tolerance: number;
+  /** The number of gates of other zones that are compared. */
+  readonly farGates: number;
+}
+
+const evenedWeights: Weights = {
+  crossZone: 0.3,
+  load: 0.1,
+  wait: 2,
+  tolerance: 0.02,
+  farGates: 2,
+};
+/** With one or two gates in the zone, weighing waits would only move requests to other zones. */
+const fewGatesWeights: Weights = {
+  crossZone: 0.25,
+  load: 0.05,
+  wait: 0,
+  tolerance: 0.004,
+  farGates: 5,
+};
 /** The length of a body up to which requests to another zone weigh alike, in bytes. */
 const USUAL_BODY_BYTES = 8_192;
-/** The risk added at full load, so that the less loaded of two gates that are on time wins. */
-const LOAD_RISK = 0.1;
-/** The risk added by a wait as long as the target latency, which others behind the request share. */
-const WAIT_RISK = 2;
 /**
  * The highest risk added by a wait. Where all zones have more requests than slots, waits differ by
  * chance, and without a limit most requests are sent to another zone for no gain.
@@ -64,15 +90,11 @@
 const UNKNOWN_LOAD_DEVIATION = 0.5;
 /** The number of deviations above which the expected excess is that of a known load. */
 const MAX_DEVIATIONS = 30;
-/** The difference from the lowest risk up to which placements are chosen between at random. */
-const RISK_TOLERANCE = 0.02;
 
 /** The usable slots of a backend server that states a limit of 0; keeps the estimates finite. */
 const MIN_USABLE_SLOTS = 0.01;
 const MS_PER_SECOND = 1_000;
 
-/** The number of gates of other zones that are compared. */
-const FAR_GATES = 2;
 /**
  * The number of gates of the own zone that are compared, and the power of their relative speeds by
  * which they are drawn, at two usual loads of the zone; in between, they change evenly. With slots to
@@ -160,8 +182,8 @@
 type RiskInput = Pick<PlacementRequest, 'bodyBytes' | 'routeHash' | 'targetMs'>;
 
 /** Returns the risk added for another zone; traffic between zones is priced by the byte. */
-function crossZoneRisk({ bodyBytes = 0 }: RiskInput): number {
-  return CROSS_ZONE_RISK * Math.max(1, bodyBytes / USUAL_BODY_BYTES);
+function crossZoneRisk({ bodyBytes = 0 }: RiskInput, { crossZone }: Weights): number {
+  return crossZone * Math.max(1, bodyBytes / USUAL_BODY_BYTES);
 }
 
 const PERCENT = 100;
@@ -202,6 +224,8 @@
     };
     const lookUp = (endpoint: GateEndpoint): readonly UsableGate[] =>
       this.lookUp(endpoint, excluded).filter(({ observation }) => observation.reachable);
+    const isEvened = near.length + own.length >= MIN_EVENED_GATES;
+    const weights = isEvened ? evenedWeights : fewGatesWeights;
     const { gates, speedPower } = this.nearDraw(near);
     const acceptance = ({ observation }: UsableGate): number =>
       (typicalMs() / FULL_SPEED / observation.serviceMs(request.routeHash, typicalMs)) **
@@ -210,11 +234,11 @@
     const drawn = [
       ...own.flatMap(lookUp),
       ...this.draw(near, { gates, lookUp, acceptance }),
-      ...this.draw(far, { gates: FAR_GATES, lookUp, acceptance }),
+      ...this.draw(far, { gates: weights.farGates, lookUp, acceptance }),
     ];
     const compared =
       drawn.length > 0 ? drawn : candidates.flatMap((endpoint) => this.lookUp(endpoint, excluded));
-    const placement = this.chooseLeastRisk(compared, typicalMs, request);
+    const placement = this.chooseLeastRisk(compared, typicalMs, request, weights);
     if (placement !== undefined) {
       const zone = placement.endpoint.zone === this.location.zone ? 'own' : 'other';
       metrics.count('placing_choices', { service: placement.endpoint.backendServer.service, zone });
@@ -340,10 +364,11 @@
     gates: readonly UsableGate[],
     typicalMs: () => number,
     request: RiskInput,
+    weights: Weights,
   ): Placement | undefined {
-    const placements = gates.map((gate) => this.estimate(gate, typicalMs, request));
+    const placements = gates.map((gate) => this.estimate(gate, typicalMs, request, weights));
     const minRisk = placements.reduce((lowest, { risk }) => Math.min(lowest, risk), Infinity);
-    const tied = placements.filter(({ risk }) => risk <= minRisk + RISK_TOLERANCE);
+    const tied = placements.filter(({ risk }) => risk <= minRisk + weights.tolerance);
     return tied[this.services.randomness.integer(tied.length)];
   }
 
@@ -351,6 +376,7 @@
     { endpoint, observation }: UsableGate,
     typicalMs: () => number,
     request: RiskInput,
+    weights: Weights,
   ): Placement {
     const { routeHash, targetMs } = request;
     const serviceMs = observation.serviceMs(routeHash, typicalMs);
@@ -367,9 +393,9 @@
     const risk =
       lateRisk(serviceMs, targetMs - waitMs) +
       observation.failureShare() +
-      (LOAD_RISK * load) / slots +
-      Math.min(MAX_WAIT_RISK, (WAIT_RISK * waitMs) / targetMs) +
-      (endpoint.zone === this.location.zone ? 0 : crossZoneRisk(request));
+      (weights.load * load) / slots +
+      Math.min(MAX_WAIT_RISK, (weights.wait * waitMs) / targetMs) +
+      (endpoint.zone === this.location.zone ? 0 : crossZoneRisk(request, weights));
     return { endpoint, expectedMs, risk };
   }
 }
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -577,7 +577,10 @@
     }
     if (ready && heartbeat !== undefined) {
       this.statedLimit.startRun(`${heartbeat.id} ${heartbeat.startedAtMs}`);
-      this.slots.resize(heartbeat.slots, this.backendServer.isInherited);
+      // Deployments without customers use all slots at once, as before.
+      const hasCustomers = this.meshState.configuration.current?.configuration.customers;
+      const isGradual = hasCustomers !== undefined && this.backendServer.isInherited;
+      this.slots.resize(heartbeat.slots, isGradual);
     } else {
       this.slots.dropAll();
     }
