--- a/packages/lentillb/src/rollouts/rollouts.ts
+++ b/packages/lentillb/src/rollouts/rollouts.ts
@@ -106,6 +106,9 @@
   /** The nodes that may control the rollout of each service, for one state of the directory. */
   private ranking = { digest: 0, byService: new Map<string, readonly Announcement[]>() };
 
+  /** The version that was logged last as the one that serves, by service with several. */
+  private readonly loggedIncumbents = new Map<string, string>();
+
   private hasReadOrders = false;
 
   private questions = 0;
@@ -244,6 +247,7 @@
   }
 
   private tick(): void {
+    this.logMixedVersions();
     this.askAboutVersions();
     if (this.statements.size > 0) {
       this.ticks += 1;
@@ -256,6 +260,17 @@
     }
   }
 
+  /** Logs once which version serves where several are announced, since the others get no requests. */
+  private logMixedVersions(): void {
+    this.history.mixedServices.forEach((service) => {
+      const incumbent = this.history.incumbentOf(service);
+      if (this.loggedIncumbents.get(service) !== incumbent) {
+        this.loggedIncumbents.set(service, incumbent);
+        this.services.log.record(Importance.Notable, 'several-versions', { service, incumbent });
+      }
+    });
+  }
+
   /** A node that was started or cut off during a rollout learns of it from others. */
   private askAboutVersions(): void {
     const isUnexplained = this.history.mixedServices.some(
