--- a/packages/lentillb/src/allotments/customerLease.ts
+++ b/packages/lentillb/src/allotments/customerLease.ts
@@ -15,8 +15,10 @@
 const MS_PER_SECOND = 1_000;
 /** How long a request waits for the reply of the allocator, which a busy processor may delay. */
 const REPLY_WAIT_MS = 250;
+/** The time after which a waiting request is reported again: datagrams are lost where a link is full. */
+const REPEAT_MS = 60;
 /** The time after a reply that grants too little for which requests without a token are refused at once. */
-const LIMITED_MS = 200;
+const LIMITED_MS = 100;
 /** The most requests of a customer that wait; more are refused at once. */
 const MAX_WAITING = 500;
 /** The time constant of the measured demand. */
@@ -55,7 +57,12 @@
   constructor(readonly settle: (admission: Admission) => void) {}
 
   markReported(sequence: number): void {
-    this.sequence = Math.min(this.sequence, sequence);
+    this.sequence = sequence;
+  }
+
+  /** Includes the request in the next report, too. */
+  markUnreported(): void {
+    this.sequence = Infinity;
   }
 }
 
@@ -87,6 +94,9 @@
 
   private waiters: Waiter[] = [];
 
+  /** The number of tokens that each report asked for, by its sequence number. */
+  private readonly askedBySequence = new Map<number, number>();
+
   /**
    * @param services - what the lease depends on
    * @param quota - the limits of the customer
@@ -141,7 +151,11 @@
    * @param sequence - the sequence number of the report
    */
   markReported(sequence: number): void {
-    this.waiters.forEach((waiter) => waiter.markReported(sequence));
+    const unreported = this.waiters.filter((waiter) => waiter.sequence === Infinity);
+    if (unreported.length > 0) {
+      this.askedBySequence.set(sequence, unreported.length);
+      unreported.forEach((waiter) => waiter.markReported(sequence));
+    }
   }
 
   /**
@@ -161,8 +175,13 @@
     const available = tokens + this.bucket.take(nowMs, Math.max(0, waiting.length - tokens));
     const admitted = waiting.slice(0, available);
     const rest = waiting.slice(available);
-    const refused = rest.filter(({ sequence }) => sequence <= replied);
-    this.waiters = rest.filter(({ sequence }) => sequence > replied);
+    // An earlier report that was lost leaves requests without a token though the customer has some.
+    const isExhausted = tokens < this.forgetAsked(replied);
+    const refused = isExhausted ? rest.filter(({ sequence }) => sequence <= replied) : [];
+    this.waiters = rest.filter((waiter) => !refused.includes(waiter));
+    this.waiters
+      .filter(({ sequence }) => sequence <= replied)
+      .forEach((waiter) => waiter.markUnreported());
     this.bucket.add(nowMs, available - admitted.length);
     if (refused.length > 0) {
       this.limitedUntilMs = nowMs + LIMITED_MS;
@@ -188,6 +207,15 @@
     this.refresh();
   }
 
+  /** Returns how many tokens a report asked for, and forgets it and earlier ones. */
+  private forgetAsked(replied: number): number {
+    const asked = this.askedBySequence.get(replied) ?? 0;
+    [...this.askedBySequence.keys()]
+      .filter((sequence) => sequence <= replied)
+      .forEach((sequence) => this.askedBySequence.delete(sequence));
+    return asked;
+  }
+
   private get demand(): number {
     const elapsedMs = this.services.clock.monotonicMs() - this.demandAtMs;
     return this.demandLevel * Math.exp(-elapsedMs / DEMAND_TIME_MS);
@@ -213,16 +241,24 @@
     const { ask, clock } = this.services;
     ask();
     return new Promise((resolve) => {
+      const timers: (() => void)[] = [];
       const waiter = new Waiter((admission) => {
-        // eslint-disable-next-line @typescript-eslint/no-use-before-define -- the timer and the waiter refer to each other
-        cancel();
+        timers.forEach((cancel) => cancel());
         resolve(admission);
       });
-      const cancel = clock.after(REPLY_WAIT_MS, () => {
+      for (let delayMs = REPEAT_MS; delayMs < REPLY_WAIT_MS; delayMs += REPEAT_MS) {
+        const repeat = clock.after(delayMs, () => {
+          waiter.markUnreported();
+          ask();
+        });
+        timers.push(repeat);
+      }
+      const giveUp = clock.after(REPLY_WAIT_MS, () => {
         this.waiters = this.waiters.filter((other) => other !== waiter);
         const hasToken = this.bucket.take(clock.monotonicMs(), 1) === 1;
-        resolve(hasToken ? Ok(this.createPermit()) : Err(this.createRefusal()));
+        waiter.settle(hasToken ? Ok(this.createPermit()) : Err(this.createRefusal()));
       });
+      timers.push(giveUp);
       this.waiters.push(waiter);
     });
   }
--- a/tests/allotments/allotments.spec.ts
+++ b/tests/allotments/allotments.spec.ts
@@ -130,6 +130,15 @@
     },
   );
 
+  // Guards against requests that wait in vain for a reply which a full link has dropped.
+  it('should serve while a tenth of the datagrams is lost', async () => {
+    const fleet = new QuotaFleet(HOSTS, [createCustomer('c', 12)]);
+    fleet.lossShare = 0.1;
+    fleet.load(fleet.hosts, 'c', 0.5 * 12, END_MS);
+    await fleet.clock.runUntil(END_MS);
+    expect(fleet.refusedShare('c', WARM_MS, END_MS)).toBeLessThan(0.03);
+  });
+
   it('should serve hosts that are cut off by their leases', async () => {
     const fleet = new QuotaFleet(8, [createCustomer('c', 44)]);
     fleet.load(fleet.hosts, 'c', 0.63 * 44, END_MS);
