--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -148,6 +148,7 @@
     const { metrics } = this;
     this.log = new DecisionLog(clock, logger);
     const { log } = this;
+    const base = { clock, log, metrics };
     this.addresses = new AddressOpener({ clock, log }, options.stopTimeoutMs + ADDRESS_RESERVE_MS);
     this.eventLoopMonitor = new EventLoopMonitor(clock, log, metrics);
     const memory = createMemoryBudget({ ...services, log, metrics }, options.memoryLimitBytes);
@@ -192,9 +193,9 @@
       identity.host,
     );
     const { suspectGuard } = this;
-    const transfers = new LinkQueue({ clock, log, metrics }, identity.linkMegabits);
+    const transfers = new LinkQueue(base, identity.linkMegabits);
     this.gate = new Gate({
-      clock,
+      ...base,
       transfers,
       presence,
       slots,
@@ -203,17 +204,13 @@
       client,
       listenProbe,
       suspectGuard,
-      log,
-      metrics,
     });
     // The start of this run of the node tells it from others on the same host.
     const processId = hash32(`${identity.host} ${clock.now().getTime()} ${clock.monotonicMs()}`);
     this.rollouts = new Rollouts(
       {
-        clock,
+        ...base,
         randomness,
-        log,
-        metrics,
         directory,
         statusStore: services.statusStore,
         backendServer,
@@ -232,7 +229,7 @@
       { names: headerNames, processId },
     );
     const processes = new GateProcesses(clock);
-    this.inquirer = new DeliveryInquirer({ clock, memory, processes, log, metrics });
+    this.inquirer = new DeliveryInquirer({ ...base, memory, processes });
     const { inquirer } = this;
     const deliveries = new DeliveryMonitor(clock, (gateAddress, questions) =>
       inquirer.inquire(gateAddress, questions),
@@ -259,7 +256,7 @@
     });
     const transport = this.gossipSocket;
     this.allotments = new Allotments(
-      { clock, randomness, configuration, directory, transport, log, metrics },
+      { ...base, randomness, configuration, directory, transport },
       { host: identity.host, processId, terms: options.quotaTerms, isReady: () => this.ready },
     );
     const relayServices = { clock, randomness, directory, transport };
@@ -320,7 +317,7 @@
     const nodeCount = (): number => directory.announcements.length;
     this.entry = new Entry(
       {
-        clock,
+        ...base,
         randomness,
         configuration,
         status,
@@ -334,8 +331,6 @@
         gateForwarder: this.gateForwarder,
         allowance: new RetryAllowance(clock, retryTerms, nodeCount),
         suspectGuard,
-        log,
-        metrics,
         quotas: this.allotments,
         filterVersions: this.rollouts.filter,
       },
@@ -577,9 +572,9 @@
     }
     if (ready && heartbeat !== undefined) {
       this.statedLimit.startRun(`${heartbeat.id} ${heartbeat.startedAtMs}`);
-      // Deployments without customers use all slots at once, as before.
-      const hasCustomers = this.meshState.configuration.current?.configuration.customers;
-      const isGradual = hasCustomers !== undefined && this.backendServer.isInherited;
+      // Deployments without customers use all slots at once.
+      const { customers } = this.meshState.configuration.current?.configuration ?? {};
+      const isGradual = customers !== undefined && this.backendServer.isInherited;
       this.slots.resize(heartbeat.slots, isGradual);
     } else {
       this.slots.dropAll();
