--- a/packages/lentillb/src/serving/entry.ts
+++ b/packages/lentillb/src/serving/entry.ts
@@ -176,7 +176,8 @@
     const admitted = quota instanceof Promise ? await quota : quota;
     if (admitted.isErr()) {
       const { retryAfterMs } = admitted.error;
-      return this.refusals.refuseOverQuota(request, retryAfterMs, { route: route.name });
+      const customer = owner.value.customer?.name ?? '';
+      return this.refusals.refuseOverQuota(request, retryAfterMs, { route: route.name, customer });
     }
     const answer = await this.serveAdmitted(request, route, owner.value);
     if (answer.status === HttpStatus.Unavailable) {
--- a/packages/lentillb/src/sidecar/sidecar.ts
+++ b/packages/lentillb/src/sidecar/sidecar.ts
@@ -94,6 +94,8 @@
 
   private readonly slots: SlotQueue;
 
+  private readonly listenProbe = new ListenProbe();
+
   private readonly client: BackendServerClient;
 
   private readonly gate: Gate;
@@ -180,7 +182,7 @@
     this.client = new BackendServerClient(clock, sender, headerNames, statements);
     const { client } = this;
     const observations = new GateObservations(clock, DEFAULT_SERVICE_TIME_MS);
-    const listenProbe = new ListenProbe();
+    const { listenProbe } = this;
     const suspects = new SuspectRequests(clock);
     this.suspectGuard = new SuspectGuard(
       {
@@ -514,7 +516,7 @@
       { callers, clock, entry, gate, gateListener, log },
       this.options.stopTimeoutMs,
     );
-    await this.plannedStop.run();
+    await Promise.all([this.plannedStop.run(), this.announceEndedServer()]);
     this.gossip.stop();
     this.suspectRelay.stop();
     this.rollouts.stop();
@@ -540,6 +542,20 @@
     this.client.close();
   }
 
+  /**
+   * Announces the departure of a backend server that has ended before its node stops. Those that a
+   * completed rollout replaces end without a word, and would otherwise count as members for good.
+   */
+  private async announceEndedServer(): Promise<void> {
+    const { heartbeat } = this.backendServer;
+    if (this.options.rolloutTerms === undefined || heartbeat === undefined) {
+      return;
+    }
+    if (await this.listenProbe.hasEnded(heartbeat.address)) {
+      await this.acceptDeparture(heartbeat.id);
+    }
+  }
+
   /** The time for which a departure waits for the store now; it must be confirmed before the node ends. */
   private get departureWriteTimeoutMs(): number {
     return Math.min(DEPARTURE_WRITE_TIMEOUT_MS, this.plannedStop?.remainingMs ?? Infinity);
--- a/tests/sidecar/rollouts.spec.ts
+++ b/tests/sidecar/rollouts.spec.ts
@@ -4,6 +4,7 @@
 
 const DURATION_MS = 6_000;
 const REQUEST_INTERVAL_MS = 12;
+const HOSTS_TOPIC = 'keyed.lentillb-hosts';
 
 let fleet: SidecarFleet;
 let front: FleetHost;
@@ -33,6 +34,12 @@
   return JSON.parse(fleet.store.newestValue('keyed.status', 'rollout/letters') ?? 'null');
 }
 
+/** Returns the state of the backend server of a host as its node announced it in the store. */
+function announcedState(host: string): string | undefined {
+  const value = fleet.store.newestValue(HOSTS_TOPIC, host);
+  return value === undefined ? undefined : JSON.parse(value).backendServer?.state;
+}
+
 async function sendUntil(endMs: number): Promise<readonly number[]> {
   const answers: Promise<{ readonly status: number }>[] = [];
   while (fleet.clock.monotonicMs() < endMs) {
@@ -75,4 +82,21 @@
     await sendUntil(fleet.clock.monotonicMs() + 300);
     expect(Object.keys(counts)).toEqual(['v2']);
   });
+
+  // Guards against hosts that stay members for good, since nobody says that they have left.
+  it.each([
+    ['leaving', true],
+    ['ready', false],
+  ])(
+    'should announce a backend server as %s on a stop, if it has ended: %s',
+    async (state, hasEnded) => {
+      const [old] = fleet.hosts.filter(({ name }) => name === 'old-1');
+      await fleet.waitUntil(() => announcedState('old-1') === 'ready');
+      if (hasEnded) {
+        await old!.backendServer.close();
+      }
+      await old!.sidecar.stop();
+      expect(announcedState('old-1')).toBe(state);
+    },
+  );
 });
