--- a/packages/lentillb/src/configuration/configurationChange.ts
+++ b/packages/lentillb/src/configuration/configurationChange.ts
@@ -3,14 +3,12 @@
  * instead of whole configurations, because each version changes only a few of many routes and the
  * links between nodes take seconds to transfer a whole configuration.
  */
+import type { EntryChange } from './entryChange.js';
+import { applyEntryChange, diffEntries, mergeEntryChanges } from './entryChange.js';
 import type { CallerLimits, Customer, MeshConfiguration, MeshRoute } from './meshConfiguration.js';
 
 /** The difference between the customers of two versions. */
-export interface CustomerChange {
-  /** The customers that are new or changed. */
-  readonly changed: readonly Customer[];
-  /** The names of the removed customers. */
-  readonly removed: readonly string[];
+export interface CustomerChange extends EntryChange<Customer> {
   /** Whether `changed` holds all customers, because the earlier version defines none. */
   readonly isComplete: boolean;
 }
@@ -47,6 +45,10 @@
   );
 }
 
+function routeChange({ removed, routes }: ConfigurationChange): EntryChange<MeshRoute> {
+  return { changed: routes, removed };
+}
+
 function isSameCustomer(left: Customer, right: Customer): boolean {
   return (
     left.priority === right.priority &&
@@ -67,13 +69,7 @@
   if (base === undefined) {
     return { changed: next, removed: [], isComplete: true };
   }
-  const baseCustomers = new Map(base.map((customer) => [customer.name, customer]));
-  const changed = next.filter((customer) => {
-    const baseCustomer = baseCustomers.get(customer.name);
-    baseCustomers.delete(customer.name);
-    return baseCustomer === undefined || !isSameCustomer(baseCustomer, customer);
-  });
-  return { changed, removed: [...baseCustomers.keys()], isComplete: false };
+  return { ...diffEntries(base, next, isSameCustomer), isComplete: false };
 }
 
 function mergeCustomerChanges(
@@ -83,16 +79,7 @@
   if (first === undefined || second === undefined || second.isComplete) {
     return second;
   }
-  const removedBySecond = new Set(second.removed);
-  const setBySecond = new Set(second.changed.map(({ name }) => name));
-  return {
-    changed: [
-      ...first.changed.filter(({ name }) => !removedBySecond.has(name) && !setBySecond.has(name)),
-      ...second.changed,
-    ],
-    removed: [...first.removed.filter((name) => !setBySecond.has(name)), ...second.removed],
-    isComplete: first.isComplete,
-  };
+  return { ...mergeEntryChanges(first, second), isComplete: first.isComplete };
 }
 
 function applyCustomerChange(
@@ -102,11 +89,7 @@
   if (change === undefined) {
     return undefined;
   }
-  const kept = change.isComplete ? [] : (base ?? []);
-  const byName = new Map(kept.map((customer) => [customer.name, customer]));
-  change.removed.forEach((name) => byName.delete(name));
-  change.changed.forEach((customer) => byName.set(customer.name, customer));
-  return [...byName.values()];
+  return applyEntryChange(change.isComplete ? [] : (base ?? []), change);
 }
 
 /**
@@ -132,15 +115,9 @@
   base: MeshConfiguration,
   next: MeshConfiguration,
 ): ConfigurationChange {
-  const baseRoutes = new Map(base.routes.map((route) => [route.name, route]));
-  const routes = next.routes.filter((route) => {
-    const baseRoute = baseRoutes.get(route.name);
-    baseRoutes.delete(route.name);
-    return baseRoute === undefined || !isSameRoute(baseRoute, route);
-  });
+  const { changed: routes, removed } = diffEntries(base.routes, next.routes, isSameRoute);
   const { limits, version } = next;
   const customers = diffCustomers(base.customers, next.customers);
-  const removed = [...baseRoutes.keys()];
   return { baseVersion: base.version, version, routes, removed, limits, customers };
 }
 
@@ -155,16 +132,12 @@
   first: ConfigurationChange,
   second: ConfigurationChange,
 ): ConfigurationChange {
-  const removedBySecond = new Set(second.removed);
-  const setBySecond = new Set(second.routes.map(({ name }) => name));
+  const { changed: routes, removed } = mergeEntryChanges(routeChange(first), routeChange(second));
   return {
     baseVersion: first.baseVersion,
     version: second.version,
-    routes: [
-      ...first.routes.filter(({ name }) => !removedBySecond.has(name) && !setBySecond.has(name)),
-      ...second.routes,
-    ],
-    removed: [...first.removed.filter((name) => !setBySecond.has(name)), ...second.removed],
+    routes,
+    removed,
     limits: second.limits,
     customers: mergeCustomerChanges(first.customers, second.customers),
   };
@@ -181,10 +154,8 @@
   base: MeshConfiguration | undefined,
   change: ConfigurationChange,
 ): MeshConfiguration {
-  const { limits, removed, routes, version } = change;
-  const byName = new Map((base?.routes ?? []).map((route) => [route.name, route]));
-  removed.forEach((name) => byName.delete(name));
-  routes.forEach((route) => byName.set(route.name, route));
+  const { limits, version } = change;
+  const routes = applyEntryChange(base?.routes ?? [], routeChange(change));
   const customers = applyCustomerChange(base?.customers, change.customers);
-  return { version, routes: [...byName.values()], limits, customers };
+  return { version, routes, limits, customers };
 }
--- a/packages/lentillb/src/placing/gateObservation.ts
+++ b/packages/lentillb/src/placing/gateObservation.ts
@@ -1,11 +1,10 @@
 /** Records this node's observations of one gate. */
+import { SmoothedMean } from '../admission/smoothedMean.js';
 import type { Clock } from '../kernel/clock.js';
 import type { GateLoad } from '../directory/gateLoad.js';
 import { FailureShare } from './failureShare.js';
 import type { UsualLoad } from './usualLoad.js';
 
-/** The weight of the newest service time after the first ten, in the mean. */
-const MIN_SAMPLE_WEIGHT = 0.1;
 /** The maximum age of a mean service time; an idle gate is tried again once its mean expires. */
 const MAX_SERVICE_TIME_AGE_MS = 2_000;
 /**
@@ -32,9 +31,7 @@
 
 /** Tracks the load, service time, failures and reachability of one gate. */
 export class GateObservation {
-  private meanServiceMs: number | undefined;
-
-  private serviceTimes = 0;
+  private readonly meanServiceMs = new SmoothedMean();
 
   private measuredAtMs = -Infinity;
 
@@ -94,7 +91,7 @@
   /** The mean service time, in milliseconds; undefined if there is no recent sample. */
   get measuredMs(): number | undefined {
     return this.clock.monotonicMs() - this.measuredAtMs < MAX_SERVICE_TIME_AGE_MS
-      ? this.meanServiceMs
+      ? this.meanServiceMs.value
       : undefined;
   }
 
@@ -250,10 +247,7 @@
    * @param serviceMs - the service time at the backend server, in milliseconds
    */
   recordServiceTime(serviceMs: number): void {
-    this.serviceTimes += 1;
-    const weight = Math.max(MIN_SAMPLE_WEIGHT, 1 / this.serviceTimes);
-    const earlierMs = this.meanServiceMs ?? serviceMs;
-    this.meanServiceMs = earlierMs + (serviceMs - earlierMs) * weight;
+    this.meanServiceMs.add(serviceMs);
     this.measuredAtMs = this.clock.monotonicMs();
   }
 
